Serve a request end to end, driven by the document in the store

Cause: nothing existed. The users ask for a thin whole path first.

Change: library with seams (platform, endpoints, peers, clock, random, log, metrics), the document as sections under one manifest, an entry instance that follows it, a caller library, `magnoliahook serve`, stand-ins and a demo. Limits, dispatch and at-most-once are the plain baselines (fixed split, round robin, one process's memory) behind the interfaces that better ones take over.

--- /dev/null
+++ b/src/admin/admin_app.ts
@@ -0,0 +1,39 @@
+/**
+ * The administration API, on a listener of its own.
+ *
+ * @module
+ */
+import express, { type Express } from "express";
+
+/** What the administration API needs. */
+export interface AdminAppDeps {
+  readonly ready: () => boolean;
+  readonly status: () => InstanceStatus;
+}
+
+/** What an instance says of itself. */
+export interface InstanceStatus {
+  readonly instance: string;
+  readonly zone: string;
+  readonly generation: number;
+  readonly running: number;
+  readonly leaving: boolean;
+  readonly members: readonly string[];
+}
+
+/** Builds the administration API's express application. */
+export function adminApp(deps: AdminAppDeps): Express {
+  const app = express();
+  app.disable("x-powered-by");
+  app.get("/livez", (_req, res) => {
+    res.json({ live: true });
+  });
+  app.get("/readyz", (_req, res) => {
+    const ready = deps.ready();
+    res.status(ready ? 200 : 503).json({ ready });
+  });
+  app.get("/v1/status", (_req, res) => {
+    res.json(deps.status());
+  });
+  return app;
+}
--- /dev/null
+++ b/src/admin/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The administration API.
+ *
+ * @module
+ */
+export * from "./admin_app.ts";
--- /dev/null
+++ b/src/client/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The caller library.
+ *
+ * @module
+ */
+export * from "./client.ts";
--- /dev/null
+++ b/src/core/failure.ts
@@ -0,0 +1,128 @@
+/**
+ * Failures as data: a code that programs test, a path that says where, and a
+ * message for people. Nothing in the library throws across its boundary; it
+ * returns a `Result` of neverthrow with a {@link Failure}.
+ *
+ * @module
+ */
+import { err, type Result } from "neverthrow";
+import type { z } from "zod";
+
+/** Every kind of failure the library reports. */
+export type FailureCode =
+  | "bad_settings"
+  | "bad_section"
+  | "bad_document"
+  | "bad_request"
+  | "conflict"
+  | "not_found"
+  | "forbidden"
+  | "unauthenticated"
+  | "rate_exceeded"
+  | "no_capacity"
+  | "no_endpoint"
+  | "deadline_exceeded"
+  | "cancelled"
+  | "outcome_unknown"
+  | "endpoint_failed"
+  | "platform_unavailable"
+  | "platform_outcome_unknown"
+  | "value_too_large"
+  | "peer_unavailable"
+  | "not_ready"
+  | "leaving"
+  | "internal";
+
+/**
+ * What is known of a refused request: `not-run` only where no byte of it can
+ * have reached an endpoint or the endpoint said so; otherwise `unknown`.
+ */
+export type Outcome = "not-run" | "unknown";
+
+/** Where in a value something is wrong, outermost first. */
+export type FailurePath = readonly (string | number)[];
+
+/** One failure. */
+export interface Failure {
+  readonly code: FailureCode;
+  readonly message: string;
+  readonly path: FailurePath;
+  readonly outcome?: Outcome;
+  /** When to come back, in milliseconds from now. */
+  readonly retryAfterMs?: number;
+  /** Further failures of the same value, as a schema check finds them. */
+  readonly issues?: readonly Failure[];
+}
+
+/** What may be added to a failure beyond code and message. */
+export type FailureDetails = Partial<
+  Pick<Failure, "path" | "outcome" | "retryAfterMs" | "issues">
+>;
+
+/**
+ * Makes a failure.
+ *
+ * @example
+ * ```ts
+ * failure("rate_exceeded", "account a1 is over its rate", { outcome: "not-run" });
+ * ```
+ */
+export function failure(
+  code: FailureCode,
+  message: string,
+  details: FailureDetails = {},
+): Failure {
+  return { code, message, path: [], ...details };
+}
+
+/**
+ * Makes a failed `Result`.
+ *
+ * @example
+ * ```ts
+ * return fail("not_found", `no section ${name}`);
+ * ```
+ */
+export function fail<T = never>(
+  code: FailureCode,
+  message: string,
+  details: FailureDetails = {},
+): Result<T, Failure> {
+  return err(failure(code, message, details));
+}
+
+/**
+ * Turns what zod found into one failure whose `issues` keep each path.
+ *
+ * @example
+ * ```ts
+ * const parsed = Settings.safeParse(raw);
+ * if (!parsed.success) return err(fromZod("bad_settings", parsed.error));
+ * ```
+ */
+export function fromZod(code: FailureCode, error: z.ZodError): Failure {
+  const issues = error.issues.map((issue) =>
+    failure(code, issue.message, { path: issue.path.map(pathPart) })
+  );
+  return failure(code, issues.map(describe).join("; "), {
+    path: issues[0]?.path ?? [],
+    issues,
+  });
+}
+
+/**
+ * Writes a failure as one line for people.
+ *
+ * @example
+ * ```ts
+ * describe(failure("bad_section", "must be positive", { path: ["rates", "a1"] }));
+ * // "rates.a1: must be positive"
+ * ```
+ */
+export function describe(f: Failure): string {
+  return f.path.length === 0 ? f.message : `${f.path.join(".")}: ${f.message}`;
+}
+
+function pathPart(part: PropertyKey): string | number {
+  return typeof part === "symbol" ? String(part) : part;
+}
--- /dev/null
+++ b/src/core/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * What every other module stands on: ids, failures, time, random numbers,
+ * logs and metrics.
+ *
+ * @module
+ */
+export * from "./clock.ts";
+export * from "./failure.ts";
+export * from "./ids.ts";
+export * from "./log.ts";
+export * from "./metrics.ts";
+export * from "./random.ts";
--- /dev/null
+++ b/src/core/random.ts
@@ -0,0 +1,53 @@
+/**
+ * Random numbers as a thing handed in, so that a seed repeats a run.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+
+/** Source of random numbers. */
+export interface Random {
+  /** A number in [0, 1). */
+  next(): number;
+  /** A whole number in [0, bound). */
+  below(bound: number): number;
+  /** `bytes` random bytes as hexadecimal. */
+  hex(bytes: number): string;
+}
+
+const STEPS = 0x7fffffff;
+
+/** Repeatable numbers from a seed; for tests, soaks and decisions. */
+export class SeededRandom implements Random {
+  readonly #generator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return uniformInt(this.#generator, 0, STEPS - 1) / STEPS;
+  }
+
+  below(bound: number): number {
+    return uniformInt(this.#generator, 0, bound - 1);
+  }
+
+  hex(bytes: number): string {
+    const digits = Array.from({ length: bytes }, () => this.below(256));
+    return digits.map((d) => d.toString(16).padStart(2, "0")).join("");
+  }
+}
+
+/** Numbers seeded by the machine, and unguessable bytes. */
+export class SystemRandom extends SeededRandom {
+  constructor() {
+    super(randomBytes(4).readInt32LE(0));
+  }
+
+  override hex(bytes: number): string {
+    return randomBytes(bytes).toString("hex");
+  }
+}
--- /dev/null
+++ b/src/decisions/lookup/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Look-up answers.
+ *
+ * @module
+ */
+export * from "./lookup.ts";
--- /dev/null
+++ b/src/decisions/steering/dispatcher.ts
@@ -0,0 +1,52 @@
+/**
+ * Which endpoint a request goes to, and whether there is room for it.
+ *
+ * @module
+ */
+import type { Result } from "neverthrow";
+import type {
+  AccountId,
+  EndpointId,
+  Failure,
+  ServiceId,
+  ZoneId,
+} from "../../core/mod.ts";
+import type { SteeringDocument } from "../../document/mod.ts";
+
+/** A request as the decision sees it. */
+export interface SteeringRequest {
+  readonly service: ServiceId;
+  readonly account: AccountId;
+  readonly idempotent: boolean;
+  /** When the caller's patience ends, on the clock of `now`. */
+  readonly deadline: number;
+  /** Endpoints that this request was already tried at. */
+  readonly exclude?: ReadonlySet<EndpointId>;
+}
+
+/** What became of work at an endpoint. */
+export type WorkResult = "ok" | "failed" | "shed" | "cancelled";
+
+/** A slot at an endpoint, held until `release`. */
+export interface Slot {
+  readonly endpoint: EndpointId;
+  readonly url: string;
+  readonly zone: ZoneId;
+  /** Gives the slot back; only the first call counts. */
+  release(result: WorkResult, now: number): void;
+}
+
+/** Hands out slots of healthy endpoints with room. */
+export interface Dispatcher {
+  adopt(document: SteeringDocument, now: number): void;
+  /**
+   * A slot, now or after a wait that ends before the deadline.
+   *
+   * Failures: `no_endpoint`, `no_capacity`, `deadline_exceeded`, `cancelled`;
+   * all are `not-run`.
+   */
+  acquire(
+    req: SteeringRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<Slot, Failure>>;
+}
--- /dev/null
+++ b/src/document/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The steering document: its schemas, its checks, and its place in the store.
+ *
+ * @module
+ */
+export * from "./document.ts";
+export * from "./document_store.ts";
+export * from "./manifest.ts";
+export * from "./sections.ts";
--- /dev/null
+++ b/src/document/sections.ts
@@ -0,0 +1,187 @@
+/**
+ * The sections of the steering document, each a schema of its own and owned
+ * by one team.
+ *
+ * A section is named by its kind, or by kind and a part, as in
+ * `services/crewdesk`, so that several teams may keep parts of one kind.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  AccountId,
+  EndpointId,
+  InstanceId,
+  KeyId,
+  RegionId,
+  ServiceId,
+  ZoneId,
+} from "../core/mod.ts";
+
+const Sha256 = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "must be a SHA-256 digest in lower-case hexadecimal",
+);
+const Milliseconds = z.number().int().positive().max(3_600_000);
+
+/** One key of a client account: its digest, never the key. */
+export const KeyEntry = z.strictObject({
+  id: KeyId,
+  sha256: Sha256,
+  withdrawn: z.boolean().default(false),
+});
+export type KeyEntry = z.infer<typeof KeyEntry>;
+
+/** Client accounts and their keys. */
+export const AccountsSection = z.strictObject({
+  accounts: z.record(
+    AccountId,
+    z.strictObject({
+      name: z.string().max(200).optional(),
+      keys: z.array(KeyEntry).max(50).default([]),
+      /** Part of a queue's turns under contention, against other accounts. */
+      weight: z.number().positive().max(100).default(1),
+      /**
+       * How long a zone cut off from the platform goes on taking this
+       * account's keys, in seconds: it cannot learn of a withdrawal.
+       */
+      cut_off_grace_s: z.number().int().min(0).max(86_400).default(3_600),
+    }),
+  ),
+});
+export type AccountsSection = z.infer<typeof AccountsSection>;
+
+/** Rate and burst of each client account, over all instances together. */
+export const RatesSection = z.strictObject({
+  rates: z.record(
+    AccountId,
+    z.strictObject({
+      rate_per_s: z.number().positive().max(10_000_000),
+      burst: z.number().positive().max(10_000_000),
+    }),
+  ),
+});
+export type RatesSection = z.infer<typeof RatesSection>;
+
+/** Regions, their availability zones, and the links between regions. */
+export const RegionsSection = z.strictObject({
+  regions: z.record(
+    RegionId,
+    z.strictObject({
+      zones: z.record(
+        ZoneId,
+        z.strictObject({
+          /** Entry instances the zone is meant to have. */
+          instances: z.number().int().min(1).max(1000).default(2),
+        }),
+      ),
+      /** Part of the region's slots kept free from other regions' work. */
+      headroom: z.number().min(0).max(1).default(0.2),
+    }),
+  ).default({}),
+  links: z.array(z.strictObject({
+    from: RegionId,
+    to: RegionId,
+    cap_mbit_per_s: z.number().positive(),
+    latency_ms: z.number().nonnegative().default(12),
+  })).default([]),
+});
+export type RegionsSection = z.infer<typeof RegionsSection>;
+
+/** One endpoint of a service. */
+export const EndpointEntry = z.strictObject({
+  zone: ZoneId,
+  url: z.url({ protocol: /^https?$/ }),
+  /** Requests it runs at once. */
+  slots: z.number().int().min(1).max(10_000),
+  /** Connections it takes, over all instances together. */
+  connections: z.number().int().min(1).max(100_000),
+});
+export type EndpointEntry = z.infer<typeof EndpointEntry>;
+
+/** What holds for requests whose method and path match. */
+export const RouteEntry = z.strictObject({
+  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"]),
+  path_prefix: z.string().startsWith("/").max(200),
+  /** Whether running such a request twice does no harm. */
+  idempotent: z.boolean(),
+  deadline_ms: Milliseconds.optional(),
+});
+export type RouteEntry = z.infer<typeof RouteEntry>;
+
+/** Services with their routes and endpoints. */
+export const ServicesSection = z.strictObject({
+  services: z.record(
+    ServiceId,
+    z.strictObject({
+      deadline_ms: Milliseconds.default(5_000),
+      /** Requests that may wait for a slot, per entry instance. */
+      queue_limit: z.number().int().min(0).max(100_000).default(256),
+      /** First match counts; no match means the request is not idempotent. */
+      routes: z.array(RouteEntry).max(100).default([]),
+      endpoints: z.record(EndpointId, EndpointEntry).default({}),
+      objective: z.strictObject({
+        availability: z.number().gt(0).lt(1).default(0.999),
+        latency_ms: Milliseconds.default(500),
+        latency_ratio: z.number().gt(0).lt(1).default(0.99),
+      }).prefault({}),
+    }),
+  ),
+});
+export type ServicesSection = z.infer<typeof ServicesSection>;
+
+/** One thing that is to get no new work. */
+export const DrainEntry = z.discriminatedUnion("kind", [
+  z.strictObject({ kind: z.literal("endpoint"), id: EndpointId }),
+  z.strictObject({ kind: z.literal("zone"), id: ZoneId }),
+  z.strictObject({ kind: z.literal("region"), id: RegionId }),
+  z.strictObject({ kind: z.literal("instance"), id: InstanceId }),
+]);
+export type DrainEntry = z.infer<typeof DrainEntry>;
+
+/** Planned drains. */
+export const DrainsSection = z.strictObject({
+  drains: z.array(DrainEntry).max(10_000).default([]),
+});
+export type DrainsSection = z.infer<typeof DrainsSection>;
+
+/** Who may edit which sections through the administration API. */
+export const AccessSection = z.strictObject({
+  roles: z.record(
+    z.string().max(64),
+    z.strictObject({
+      token_sha256: Sha256,
+      /** Section names, or kinds, that this role edits; `*` means all. */
+      edits: z.array(z.string()).default([]),
+    }),
+  ),
+});
+export type AccessSection = z.infer<typeof AccessSection>;
+
+/** The schema of each section kind. */
+export const SECTION_SCHEMAS = {
+  access: AccessSection,
+  accounts: AccountsSection,
+  rates: RatesSection,
+  regions: RegionsSection,
+  services: ServicesSection,
+  drains: DrainsSection,
+} as const;
+
+/** A kind of section. */
+export type SectionKind = keyof typeof SECTION_SCHEMAS;
+
+/** Every kind, in the order a reader wants them. */
+export const SECTION_KINDS = Object.keys(SECTION_SCHEMAS) as SectionKind[];
+
+/** Names a section: its kind, or kind and part. */
+export const SectionName = z.string().max(100).regex(
+  /^(access|accounts|rates|regions|services|drains)(\/[a-z0-9][a-z0-9._-]*)?$/,
+  `must be one of ${SECTION_KINDS.join(", ")}, or one of them and "/part"`,
+).brand<"SectionName">();
+export type SectionName = z.infer<typeof SectionName>;
+
+/** The kind a section's name stands for. */
+export function kindOf(name: SectionName): SectionKind {
+  return name.split("/")[0] as SectionKind;
+}
--- /dev/null
+++ b/src/endpoints/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Endpoints of services.
+ *
+ * @module
+ */
+export * from "./endpoint_client.ts";
+export * from "./http_endpoint_client.ts";
--- /dev/null
+++ b/src/gateway/caller_app.ts
@@ -0,0 +1,71 @@
+/**
+ * What callers reach: look-ups and requests to services.
+ *
+ * @module
+ */
+import express, { type Express, type Request, type Response } from "express";
+import { z } from "zod";
+import { failure, fromZod, ServiceId } from "../core/mod.ts";
+import type { EntryChoice } from "../decisions/lookup/mod.ts";
+import { refuse } from "./refusal.ts";
+import type { RequestPath } from "./request_path.ts";
+
+/** One question of a look-up call. */
+export const LookupRequest = z.strictObject({
+  lookups: z.array(z.strictObject({ service: ServiceId.optional() })).min(1)
+    .max(1_000),
+});
+
+/** An answer to a look-up; it may be reused for `reuse_ms` milliseconds. */
+export interface LookupAnswer {
+  readonly reuse_ms: number;
+  readonly instances: readonly (EntryChoice & { home?: string })[];
+}
+
+/** What the caller side needs. */
+export interface CallerAppDeps {
+  readonly path: RequestPath;
+  readonly lookup: (service?: ServiceId) => LookupAnswer;
+  readonly ready: () => boolean;
+}
+
+const MAX_LOOKUP_BODY = "256kb";
+
+/** Builds the caller side's express application. */
+export function callerApp(deps: CallerAppDeps): Express {
+  const app = express();
+  app.disable("x-powered-by");
+  app.disable("etag");
+  app.get("/v1/lookup", (_req, res) => {
+    res.json(deps.lookup());
+  });
+  app.post(
+    "/v1/lookup",
+    express.json({ limit: MAX_LOOKUP_BODY }),
+    (req, res) => lookupMany(deps, req, res),
+  );
+  app.use("/services/:service", async (req, res) => {
+    if (!deps.ready()) return refuse(res, NOT_READY);
+    const target = { service: String(req.params["service"]), path: req.url };
+    await deps.path.handle(req, res, target);
+  });
+  app.use((_req: Request, res: Response) => {
+    refuse(res, failure("not_found", "no such path", { outcome: "not-run" }));
+  });
+  return app;
+}
+
+const NOT_READY = failure("not_ready", "no document is in force here yet", {
+  outcome: "not-run",
+  retryAfterMs: 1_000,
+});
+
+function lookupMany(deps: CallerAppDeps, req: Request, res: Response): void {
+  const parsed = LookupRequest.safeParse(req.body);
+  if (!parsed.success) {
+    refuse(res, fromZod("bad_request", parsed.error));
+    return;
+  }
+  const answers = parsed.data.lookups.map((l) => deps.lookup(l.service));
+  res.json({ answers });
+}
--- /dev/null
+++ b/src/gateway/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The caller side.
+ *
+ * @module
+ */
+export * from "./caller_app.ts";
+export * from "./headers.ts";
+export * from "./key_ring.ts";
+export * from "./refusal.ts";
+export * from "./request_path.ts";
+export * from "./routes.ts";
--- /dev/null
+++ b/src/instance/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * A running entry instance.
+ *
+ * @module
+ */
+export * from "./document_follower.ts";
+export * from "./instance.ts";
+export * from "./listener.ts";
+export * from "./tick_loop.ts";
--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Which instances there are.
+ *
+ * @module
+ */
+export * from "./roster.ts";
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Settings of an entry instance.
+ *
+ * @module
+ */
+export * from "./settings.ts";
--- /dev/null
+++ b/tools/demo/deployments.ts
@@ -0,0 +1,221 @@
+/**
+ * The two deployments of today, at their own sizes.
+ *
+ * @module
+ */
+
+/** A service of a deployment. */
+export interface DeploymentService {
+  readonly targets: number;
+  readonly slots: number;
+  readonly idempotent: boolean;
+  /** Time a request takes at an endpoint, in milliseconds. */
+  readonly workMs: number;
+  /** Part of all requests that go here. */
+  readonly mix: number;
+}
+
+/** A client account of a deployment. */
+export interface DeploymentAccount {
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
+/** One deployment. */
+export interface Deployment {
+  readonly regions: Readonly<Record<string, readonly string[]>>;
+  readonly linkMbit: number;
+  readonly connections: number;
+  readonly services: Readonly<Record<string, DeploymentService>>;
+  readonly accounts: Readonly<Record<string, DeploymentAccount>>;
+}
+
+const INSTANCES_PER_ZONE = 2;
+
+/** Deployments by name. */
+export const DEPLOYMENTS: Readonly<
+  Record<"kuratori" | "roadwatch", Deployment>
+> = {
+  kuratori: {
+    regions: {
+      "eu-north": ["eu-north-a", "eu-north-b"],
+      "eu-central": ["eu-central-a", "eu-central-b"],
+      "ap-east": ["ap-east-a", "ap-east-b"],
+    },
+    linkMbit: 4_000,
+    connections: 390,
+    services: {
+      catalog: {
+        targets: 20,
+        slots: 9,
+        idempotent: true,
+        workMs: 20,
+        mix: 0.8,
+      },
+      allocator: {
+        targets: 12,
+        slots: 9,
+        idempotent: false,
+        workMs: 30,
+        mix: 0.12,
+      },
+      orderdesk: {
+        targets: 12,
+        slots: 4,
+        idempotent: false,
+        workMs: 40,
+        mix: 0.08,
+      },
+    },
+    accounts: accounts("importer", [200, 120, 80, 40, 40, 20, 20, 10]),
+  },
+  roadwatch: {
+    regions: {
+      gulf: ["gulf-a", "gulf-b"],
+      piedmont: ["piedmont-a", "piedmont-b"],
+      delta: ["delta-a", "delta-b"],
+    },
+    linkMbit: 280,
+    connections: 360,
+    services: {
+      mapview: {
+        targets: 18,
+        slots: 4,
+        idempotent: true,
+        workMs: 15,
+        mix: 0.8,
+      },
+      signup: {
+        targets: 12,
+        slots: 3,
+        idempotent: false,
+        workMs: 25,
+        mix: 0.12,
+      },
+      crewdesk: {
+        targets: 12,
+        slots: 3,
+        idempotent: false,
+        workMs: 25,
+        mix: 0.08,
+      },
+    },
+    accounts: accounts("county", [200, 120, 80, 40, 40, 20, 20, 10]),
+  },
+};
+
+/** The key of an account in examples and demos. */
+export function keyOf(account: string): string {
+  return `example-key-of-${account}`;
+}
+
+/** The document's sections, endpoints at the addresses that `urlOf` names. */
+export function sectionsOf(
+  deployment: Deployment,
+  { urlOf, digest }: {
+    urlOf: (endpoint: string) => string;
+    digest: (text: string) => string;
+  },
+): Record<string, unknown> {
+  const zones = Object.values(deployment.regions).flat();
+  return {
+    regions: regionsOf(deployment),
+    accounts: {
+      accounts: mapValues(deployment.accounts, (_a, id) => ({
+        keys: [{ id: `${id}-1`, sha256: digest(keyOf(id)) }],
+      })),
+    },
+    rates: {
+      rates: mapValues(deployment.accounts, (a) => ({
+        rate_per_s: a.ratePerS,
+        burst: a.burst,
+      })),
+    },
+    services: {
+      services: mapValues(deployment.services, (service, id) => ({
+        deadline_ms: 2_000,
+        routes: [{
+          method: "*",
+          path_prefix: "/",
+          idempotent: service.idempotent,
+        }],
+        endpoints: endpointsOf({ id, service, zones, deployment, urlOf }),
+      })),
+    },
+    drains: { drains: [] },
+  };
+}
+
+/** Every endpoint of a deployment with its zone. */
+export function endpointList(
+  deployment: Deployment,
+): { id: string; zone: string; service: DeploymentService }[] {
+  const zones = Object.values(deployment.regions).flat();
+  return Object.entries(deployment.services).flatMap(([name, service]) =>
+    Array.from({ length: service.targets }, (_, i) => ({
+      id: `${name}-${i + 1}`,
+      zone: zones[i % zones.length] ?? "",
+      service,
+    }))
+  );
+}
+
+function endpointsOf({ id, service, zones, deployment, urlOf }: {
+  id: string;
+  service: DeploymentService;
+  zones: string[];
+  deployment: Deployment;
+  urlOf: (endpoint: string) => string;
+}): Record<string, unknown> {
+  const names = Array.from(
+    { length: service.targets },
+    (_, i) => `${id}-${i + 1}`,
+  );
+  return Object.fromEntries(names.map((name, i) => [name, {
+    zone: zones[i % zones.length],
+    url: urlOf(name),
+    slots: service.slots,
+    connections: deployment.connections,
+  }]));
+}
+
+function regionsOf(deployment: Deployment): unknown {
+  const names = Object.keys(deployment.regions);
+  const pairs = names.flatMap((from) =>
+    names.filter((to) => to !== from).map((to) => ({ from, to }))
+  );
+  return {
+    regions: mapValues(deployment.regions, (zones) => ({
+      zones: Object.fromEntries(
+        zones.map((z) => [z, { instances: INSTANCES_PER_ZONE }]),
+      ),
+    })),
+    links: pairs.map((pair) => ({
+      ...pair,
+      cap_mbit_per_s: deployment.linkMbit,
+      latency_ms: 12,
+    })),
+  };
+}
+
+function accounts(
+  name: string,
+  rates: number[],
+): Record<string, DeploymentAccount> {
+  return Object.fromEntries(
+    rates.map((
+      ratePerS,
+      i,
+    ) => [`${name}-${i + 1}`, { ratePerS, burst: ratePerS }]),
+  );
+}
+
+function mapValues<T, U>(
+  record: Readonly<Record<string, T>>,
+  map: (value: T, key: string) => U,
+): Record<string, U> {
+  const entries = Object.entries(record).map(([k, v]) =>
+    [k, map(v, k)] as const
+  );
+  return Object.fromEntries(entries);
+}
