Divide slots over seats and send no endless wait to callers

Printing each failure showed the caller library refusing to read `retry_after_ms: null`: an account whose part of a burst is below one token waits for ever, and JSON has no infinity. Ruled out: broken connections (no endpoint error was among them).

Change: an endless wait is left out of the refusal.

--- a/src/decisions/limits/fixed_split_limiter.ts
+++ b/src/decisions/limits/fixed_split_limiter.ts
@@ -41,9 +41,10 @@
       });
     }
     if (bucket.take(now)) return ok(undefined);
+    const waitMs = bucket.waitMs(now);
     return fail("rate_exceeded", `account ${account} is over its rate`, {
       outcome: "not-run",
-      retryAfterMs: Math.ceil(bucket.waitMs(now)),
+      ...(Number.isFinite(waitMs) ? { retryAfterMs: Math.ceil(waitMs) } : {}),
     });
   }
 
--- a/src/decisions/steering/mod.ts
+++ b/src/decisions/steering/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./dispatcher.ts";
 export * from "./round_robin_dispatcher.ts";
+export * from "./slot_limits.ts";
--- a/src/decisions/steering/round_robin_dispatcher.ts
+++ b/src/decisions/steering/round_robin_dispatcher.ts
@@ -11,6 +11,7 @@
  */
 import { ok, type Result } from "neverthrow";
 import {
+  type Clock,
   type EndpointId,
   fail,
   type Failure,
@@ -18,20 +19,12 @@
   type ZoneId,
 } from "../../core/mod.ts";
 import type { EndpointEntry, SteeringDocument } from "../../document/mod.ts";
+import type { SlotLimits } from "./slot_limits.ts";
 import type { Dispatcher, Slot, SteeringRequest } from "./dispatcher.ts";
 
-/** Where this instance stands among its zone's instances. */
-export interface ZoneSeat {
-  readonly zone: ZoneId;
-  /** From 0, below `of`; no two instances of a zone have the same. */
-  readonly index: number;
-  readonly of: number;
-}
-
 interface EndpointRow {
   readonly id: EndpointId;
-  readonly entry: EndpointEntry;
-  limit: number;
+  entry: EndpointEntry;
   inFlight: number;
 }
 
@@ -39,25 +32,29 @@
 
 /** Round robin over the zone's endpoints, without waiting. */
 export class RoundRobinDispatcher implements Dispatcher {
-  readonly #seat: () => ZoneSeat | undefined;
+  readonly #clock: Clock;
+  readonly #zone: ZoneId;
+  readonly #limits: SlotLimits;
   #rows = new Map<ServiceId, EndpointRow[]>();
   #turn = 0;
 
-  constructor(seat: () => ZoneSeat | undefined) {
-    this.#seat = seat;
+  constructor(clock: Clock, zone: ZoneId, limits: SlotLimits) {
+    this.#clock = clock;
+    this.#zone = zone;
+    this.#limits = limits;
   }
 
-  adopt(document: SteeringDocument): void {
+  adopt(document: SteeringDocument, now: number): void {
+    this.#limits.adopt(document, now);
     const before = this.#rows;
     this.#rows = new Map();
     const drained = new Set<string>(document.drains.map((d) => d.id));
-    const seat = this.#seat();
     for (const [id, service] of Object.entries(document.services)) {
       const serviceId = id as ServiceId;
       const known = new Map(before.get(serviceId)?.map((r) => [r.id, r]));
       const rows = Object.entries(service.endpoints)
-        .filter(([id, e]) => e.zone === seat?.zone && !drained.has(id))
-        .map(([id, entry]) => makeRow(id as EndpointId, entry, known, seat));
+        .filter(([id, e]) => e.zone === this.#zone && !drained.has(id))
+        .map(([id, entry]) => makeRow(id as EndpointId, entry, known));
       this.#rows.set(serviceId, rows);
     }
   }
@@ -77,10 +74,13 @@
         },
       );
     }
+    const now = this.#clock.now();
     for (let i = 0; i < rows.length; i++) {
       const row = rows[this.#turn++ % rows.length];
       if (row === undefined || req.exclude?.has(row.id)) continue;
-      if (row.inFlight < row.limit) return ok(this.#take(row));
+      if (row.inFlight < this.#limits.limit(row.id, now)) {
+        return ok(this.#take(row));
+      }
     }
     return fail("no_capacity", `service ${req.service} has no room`, {
       outcome: "not-run",
@@ -104,17 +104,9 @@
   id: EndpointId,
   entry: EndpointEntry,
   known: ReadonlyMap<EndpointId, EndpointRow>,
-  seat: ZoneSeat | undefined,
 ): EndpointRow {
-  const limit = seat ? evenPart(entry.slots, seat) : 0;
   const row = known.get(id);
-  if (row === undefined) return { id, entry, limit, inFlight: 0 };
-  row.limit = limit;
+  if (row === undefined) return { id, entry, inFlight: 0 };
+  row.entry = entry;
   return row;
 }
-
-/** The part of `total` that falls to a seat; all seats' parts add up to it. */
-export function evenPart(total: number, seat: ZoneSeat): number {
-  const rest = total % seat.of;
-  return Math.floor(total / seat.of) + (seat.index < rest ? 1 : 0);
-}
--- /dev/null
+++ b/src/decisions/steering/slot_limits.ts
@@ -0,0 +1,60 @@
+/**
+ * How many slots of each endpoint this instance may fill.
+ *
+ * @module
+ */
+import type { EndpointId } from "../../core/mod.ts";
+import type { EndpointEntry, SteeringDocument } from "../../document/mod.ts";
+import type { SeatDirectory } from "../../membership/mod.ts";
+
+/** Parts of endpoints' slots; all instances' limits never add up to more. */
+export interface SlotLimits {
+  adopt(document: SteeringDocument, now: number): void;
+  /** Requests this instance may have in flight at the endpoint. */
+  limit(endpoint: EndpointId, now: number): number;
+  /** Tells how many slots are in use and how many more are wanted. */
+  report(endpoint: EndpointId, use: { inFlight: number; wanted: number }): void;
+}
+
+/** Slots split evenly over the zone's seats; nothing moves. */
+export class EvenSlotLimits implements SlotLimits {
+  readonly #seats: SeatDirectory;
+  readonly #entries = new Map<EndpointId, EndpointEntry>();
+  #seatsByZone = new Map<string, number>();
+
+  constructor(seats: SeatDirectory) {
+    this.#seats = seats;
+  }
+
+  adopt(document: SteeringDocument): void {
+    this.#entries.clear();
+    for (const service of Object.values(document.services)) {
+      for (const [id, entry] of Object.entries(service.endpoints)) {
+        this.#entries.set(id as EndpointId, entry);
+      }
+    }
+    const zones = Object.values(document.regions).flatMap((r) =>
+      Object.entries(r.zones)
+    );
+    this.#seatsByZone = new Map(zones.map(([id, z]) => [id, z.instances]));
+  }
+
+  limit(endpoint: EndpointId, now: number): number {
+    const entry = this.#entries.get(endpoint);
+    if (entry === undefined) return 0;
+    const of = this.#seatsByZone.get(entry.zone) ?? 0;
+    return this.#seats.held(now)
+      .filter((s) => s.zone === entry.zone)
+      .reduce(
+        (n, s) => n + Math.floor(evenPart(entry.slots, s.index, of) * s.part),
+        0,
+      );
+  }
+
+  report(): void {}
+}
+
+/** The part of `total` that falls to a seat; all seats' parts add up to it. */
+export function evenPart(total: number, index: number, of: number): number {
+  return Math.floor(total / of) + (index < total % of ? 1 : 0);
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -11,15 +11,15 @@
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
 import {
+  type Dispatcher,
+  EvenSlotLimits,
   RoundRobinDispatcher,
-  type ZoneSeat,
 } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
   emptyDocument,
   type SteeringDocument,
-  zonesOf,
 } from "../document/mod.ts";
 import type { EndpointClient } from "../endpoints/mod.ts";
 import {
@@ -31,7 +31,7 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { Roster } from "../membership/mod.ts";
+import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
 import { LocalOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
@@ -89,8 +89,9 @@
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: RoundRobinDispatcher;
+  readonly #dispatcher: Dispatcher;
   readonly #roster: Roster;
+  readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
@@ -104,8 +105,18 @@
     const { cfg, clock, log, platform, random } = deps;
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
-    this.#dispatcher = new RoundRobinDispatcher(() => this.#seat());
     this.#roster = new Roster(clock, cfg.instance.id);
+    this.#seats = new RankedSeats({
+      instance: cfg.instance.id,
+      zone: cfg.instance.zone,
+      roster: this.#roster,
+      document: () => this.#document,
+    });
+    this.#dispatcher = new RoundRobinDispatcher(
+      clock,
+      cfg.instance.zone,
+      new EvenSlotLimits(this.#seats),
+    );
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -232,7 +243,7 @@
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
     this.#limiter.adopt(accepted.document, now);
-    this.#dispatcher.adopt(accepted.document);
+    this.#dispatcher.adopt(accepted.document, now);
     void this.events.emit("document", accepted);
   }
 
@@ -288,22 +299,9 @@
     this.#listedAt = now;
     void this.#deps.platform.instances().then((listed) => {
       if (listed.isOk()) this.#roster.adoptList(listed.value);
-      this.#dispatcher.adopt(this.#document);
     });
   }
 
-  /** Rank among the zone's known instances. */
-  #seat(): ZoneSeat | undefined {
-    const { id, zone } = this.#deps.cfg.instance;
-    const entry = zonesOf(this.#document).find((z) => z.zone === zone);
-    if (entry === undefined) return undefined;
-    const ids = this.#roster.members().filter((m) => m.zone === zone)
-      .map((m) => m.instance);
-    const index = [...ids, id].sort().indexOf(id);
-    if (index >= entry.instances) return undefined;
-    return { zone, index, of: entry.instances };
-  }
-
   #wait(ms: number): Promise<void> {
     return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
   }
