Hold both platforms to one contract and settle lost answers

Deadline holds its timer; the platform and endpoint adapters use it. - A repeated watch made the follower ask without pause. - Section contents were parsed unchecked; a cut value threw. Contents are now held against their digest. - A lost answer to a content write failed the edit although nothing stood in its way; it is read back and written again. - A lost answer to a manifest write that did not arrive is sent again under the same condition, so it can take effect once at most. - A section made anew began its version at 1, so an edit of the old section passed. The version is now the generation of the last change. - A section above the store's megabyte could not be stored; it is cut into parts, to 64 of them, and refused beyond.

FaultyPlatform (src/platform/testing) plays the faults for tests and, behind POST /faults, in the store stand-in; conflicts carry the other change as data.

--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -42,6 +42,14 @@
 /** Where in a value something is wrong, outermost first. */
 export type FailurePath = readonly (string | number)[];
 
+/** Who changed something first, and when. */
+export interface OtherChange {
+  readonly author: string;
+  readonly version: number;
+  /** Milliseconds since the Unix epoch. */
+  readonly changedAt: number;
+}
+
 /** One failure. */
 export interface Failure {
   readonly code: FailureCode;
@@ -50,13 +58,15 @@
   readonly outcome?: Outcome;
   /** When to come back, in milliseconds from now. */
   readonly retryAfterMs?: number;
+  /** The other change that a `conflict` lost against. */
+  readonly change?: OtherChange | undefined;
   /** Further failures of the same value, as a schema check finds them. */
   readonly issues?: readonly Failure[];
 }
 
 /** What may be added to a failure beyond code and message. */
 export type FailureDetails = Partial<
-  Pick<Failure, "path" | "outcome" | "retryAfterMs" | "issues">
+  Pick<Failure, "path" | "outcome" | "retryAfterMs" | "change" | "issues">
 >;
 
 /**
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./clock.ts";
+export * from "./deadline.ts";
 export * from "./failure.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
--- a/src/document/document_store.ts
+++ b/src/document/document_store.ts
@@ -8,8 +8,10 @@
   type Clock,
   fail,
   type Failure,
+  failure,
   fromZod,
   type Random,
+  sleep,
 } from "../core/mod.ts";
 import type { Platform, Versioned } from "../platform/mod.ts";
 import {
@@ -17,9 +19,9 @@
   type RawSections,
   type SteeringDocument,
 } from "./document.ts";
+import { ContentStore } from "./content_store.ts";
 import {
   canonicalJson,
-  contentKey,
   EMPTY_MANIFEST,
   Manifest,
   MANIFEST_KEY,
@@ -52,6 +54,8 @@
 
 const MAX_WRITE_TRIES = 5;
 const WRITE_ID_BYTES = 12;
+const MAX_SETTLE_TRIES = 4;
+const SETTLE_PAUSE_MS = 100;
 
 /**
  * The document in the platform's store.
@@ -65,9 +69,11 @@
  */
 export class DocumentStore {
   readonly #deps: DocumentStoreDeps;
+  readonly #contents: ContentStore;
 
   constructor(deps: DocumentStoreDeps) {
     this.#deps = deps;
+    this.#contents = new ContentStore(deps.platform);
   }
 
   /** Reads the manifest; a store without one reads as generation 0. */
@@ -90,13 +96,8 @@
   }
 
   /** Reads one section's content by its digest. */
-  async content(digest: string): Promise<Result<unknown, Failure>> {
-    const found = await this.#deps.platform.get(contentKey(digest));
-    if (found.isErr()) return err(found.error);
-    if (found.value === undefined) {
-      return fail("not_found", `no content ${digest}`);
-    }
-    return ok(JSON.parse(found.value.value));
+  content(digest: string): Promise<Result<unknown, Failure>> {
+    return this.#contents.get(digest);
   }
 
   /** Reads the whole document that a manifest names. */
@@ -120,9 +121,16 @@
    */
   async apply(edit: Edit): Promise<Result<AcceptedDocument, Failure>> {
     let expect = edit.expect;
+    let last = KEPT_CHANGING;
     for (let i = 0; i < MAX_WRITE_TRIES; i++) {
       const base = await this.manifest();
       if (base.isErr()) return err(base.error);
+      if (isBehind(base.value.value, edit)) {
+        // Told from this read, the editor would lose against its own past.
+        last = BEHIND;
+        await sleep(this.#deps.clock, SETTLE_PAUSE_MS);
+        continue;
+      }
       const conflict = findConflict(base.value.value, expect);
       if (conflict) return err(conflict);
       expect ??= versionsOf(base.value.value, edit);
@@ -132,7 +140,7 @@
       if (written.isErr()) return err(written.error);
       if (written.value) return ok(next.value);
     }
-    return fail("conflict", "the document kept changing; nothing was written");
+    return err(last);
   }
 
   async #next(
@@ -150,7 +158,7 @@
         continue;
       }
       raw[name] = value;
-      sections[name] = this.#entry(value, edit, sections[name]);
+      sections[name] = this.#entry(value, edit, base.generation + 1);
     }
     const document = parseDocument(raw);
     if (document.isErr()) return err(document.error);
@@ -164,9 +172,9 @@
     return ok({ manifest, raw, document: document.value });
   }
 
-  #entry(value: unknown, edit: Edit, before?: ManifestEntry): ManifestEntry {
+  #entry(value: unknown, edit: Edit, version: number): ManifestEntry {
     return {
-      version: (before?.version ?? 0) + 1,
+      version,
       sha256: sha256(canonicalJson(value)),
       author: edit.author,
       changed_at: this.#deps.clock.wall(),
@@ -177,15 +185,19 @@
   async #storeContents(edit: Edit): Promise<Result<void, Failure>> {
     for (const value of edit.sections.values()) {
       if (value === undefined) continue;
-      const text = canonicalJson(value);
-      const key = contentKey(sha256(text));
-      const put = await this.#deps.platform.put(key, text, { ifAbsent: true });
-      if (put.isErr() && put.error.code !== "conflict") return err(put.error);
+      const put = await this.#contents.put(canonicalJson(value));
+      if (put.isErr()) return put;
     }
     return ok(undefined);
   }
 
-  /** Writes the manifest; false means another editor was first. */
+  /**
+   * Writes the manifest; false means another editor was first.
+   *
+   * After a lost answer the same conditional write is sent again: it can take
+   * effect once at most, and its refusal shows that the manifest has changed,
+   * by us or by another, which reading back then tells apart.
+   */
   async #write(
     next: AcceptedDocument,
     version: string | undefined,
@@ -194,28 +206,58 @@
       ? { ifAbsent: true } as const
       : { ifVersion: version };
     const text = canonicalJson(next.manifest);
-    const put = await this.#deps.platform.put(MANIFEST_KEY, text, condition);
-    if (put.isOk()) return ok(true);
-    if (put.error.code === "conflict") return ok(false);
-    if (put.error.code !== "platform_outcome_unknown") return err(put.error);
-    return await this.#settle(next.manifest, put.error);
+    let lost: Failure | undefined;
+    for (let i = 0; i < MAX_SETTLE_TRIES; i++) {
+      if (i > 0) await sleep(this.#deps.clock, SETTLE_PAUSE_MS);
+      const put = await this.#deps.platform.put(MANIFEST_KEY, text, condition);
+      if (put.isOk()) return ok(true);
+      const { code } = put.error;
+      if (code === "conflict") return await this.#settle(next.manifest, lost);
+      if (code !== "platform_outcome_unknown") return err(lost ?? put.error);
+      lost = put.error;
+      const now = await this.manifest();
+      if (now.isOk() && now.value.value.write_id === next.manifest.write_id) {
+        return ok(true);
+      }
+    }
+    return err(lost ?? UNSETTLED);
   }
 
+  /** The write was refused: was an earlier try of it in force before? */
   async #settle(
     written: Manifest,
-    cause: Failure,
+    lost: Failure | undefined,
   ): Promise<Result<boolean, Failure>> {
-    const now = await this.manifest();
-    if (now.isErr()) return err(cause);
-    if (now.value.value.write_id === written.write_id) return ok(true);
-    if (now.value.value.generation < written.generation) return err(cause);
-    return fail(
-      "platform_outcome_unknown",
-      "the write's answer was lost and a later change stands; read the section before trying again",
-    );
+    if (lost === undefined) return ok(false);
+    for (let i = 0; i < MAX_SETTLE_TRIES; i++) {
+      if (i > 0) await sleep(this.#deps.clock, SETTLE_PAUSE_MS);
+      const now = await this.manifest();
+      if (now.isErr() || now.value.value.generation < written.generation) {
+        continue;
+      }
+      if (now.value.value.write_id === written.write_id) return ok(true);
+      if (now.value.value.generation === written.generation) return ok(false);
+      return err(UNSETTLED);
+    }
+    return err(lost);
   }
 }
 
+const KEPT_CHANGING = failure(
+  "conflict",
+  "the document kept changing; nothing was written",
+);
+
+const BEHIND = failure(
+  "platform_unavailable",
+  "the store's reads are behind the edit; nothing was written",
+);
+
+const UNSETTLED = failure(
+  "platform_outcome_unknown",
+  "the write's answer was lost and a later change stands; read the section before trying again",
+);
+
 /** Reads a manifest from the text that the store holds. */
 export function parseManifest(text: string): Result<Manifest, Failure> {
   try {
@@ -240,10 +282,25 @@
     const entry = base.sections[name];
     const found = entry?.version ?? 0;
     if (found === version) continue;
-    const message = `section is at version ${found}, changed by ${
-      entry?.author ?? "nobody"
-    }; the edit was made on version ${version}`;
-    return { code: "conflict", message, path: [name] };
+    const by = entry
+      ? `changed by ${entry.author} at ${
+        new Date(entry.changed_at).toISOString()
+      }`
+      : "it was removed";
+    const message =
+      `section is at version ${found}, ${by}; the edit was made on version ${version}`;
+    const change = entry && {
+      author: entry.author,
+      version: entry.version,
+      changedAt: entry.changed_at,
+    };
+    return failure("conflict", message, { path: [name], change });
   }
   return undefined;
 }
+
+/** Whether a read is older than what the editor has already seen. */
+function isBehind(base: Manifest, edit: Edit): boolean {
+  const versions = [...edit.expect?.values() ?? []];
+  return versions.some((version) => base.generation < version);
+}
--- a/src/document/manifest.ts
+++ b/src/document/manifest.ts
@@ -11,7 +11,11 @@
 
 /** Where one section stands in a manifest. */
 export const ManifestEntry = z.strictObject({
-  /** Counts this section's changes. */
+  /**
+   * The generation that changed this section last. Unlike a count of its own
+   * it does not begin anew when the section is removed and made again, so an
+   * edit made before that cannot pass for one made after it.
+   */
   version: z.number().int().positive(),
   sha256: z.string().regex(/^[0-9a-f]{64}$/),
   /** Who last changed it. */
--- a/src/endpoints/http_endpoint_client.ts
+++ b/src/endpoints/http_endpoint_client.ts
@@ -10,7 +10,7 @@
 import { ok, type Result } from "neverthrow";
 import { Agent, errors, request } from "undici";
 import { z } from "zod";
-import { fail, type Failure } from "../core/mod.ts";
+import { Deadline, fail, type Failure } from "../core/mod.ts";
 import type {
   EndpointAnswer,
   EndpointClient,
@@ -46,7 +46,7 @@
   });
 
   async send(req: EndpointRequest): Promise<Result<EndpointAnswer, Failure>> {
-    const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(req.timeoutMs)));
+    const timeout = new Deadline(req.timeoutMs, req.signal);
     try {
       const res = await request(req.url + req.path, {
         method: req.method,
@@ -57,7 +57,7 @@
         },
         body: req.body ?? null,
         dispatcher: this.#agent,
-        signal: AbortSignal.any([req.signal, timeout]),
+        signal: timeout.signal,
       });
       const headers = flatten(res.headers);
       if (headers["x-not-run"] === "true") {
@@ -105,14 +105,14 @@
 function reason(
   cause: unknown,
   caller: AbortSignal,
-  timeout: AbortSignal,
+  timeout: Deadline,
 ): Reason {
   if (neverConnected(cause)) {
     return ["endpoint_failed", "no connection", { outcome: "not-run" }];
   }
   const unknown = { outcome: "unknown" } as const;
   if (caller.aborted) return ["cancelled", "the caller went away", unknown];
-  if (timeout.aborted) {
+  if (timeout.expired) {
     return ["deadline_exceeded", "the endpoint took too long", unknown];
   }
   return ["endpoint_failed", `the endpoint failed: ${String(cause)}`, unknown];
--- a/src/instance/document_follower.ts
+++ b/src/instance/document_follower.ts
@@ -64,10 +64,16 @@
         await this.#pause(found.error);
         continue;
       }
-      const manifest = found.value && parseManifest(found.value.value);
-      if (manifest === undefined) continue;
+      const { value } = found;
+      if (value === undefined || value.version === seen) {
+        // A watch that repeats itself ends at once each time. Without a pause
+        // every instance would ask again and again and use up the store's rate.
+        await sleep(this.#deps.clock, RETRY_MS);
+        continue;
+      }
+      const manifest = parseManifest(value.value);
       const adopted = manifest.isOk() && await this.#adopt(manifest.value);
-      if (adopted) seen = found.value?.version;
+      if (adopted) seen = value.version;
       else await sleep(this.#deps.clock, RETRY_MS);
     }
   }
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -8,10 +8,12 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import { ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
 import { z } from "zod";
 import {
+  Deadline,
   fail,
   type Failure,
   InstanceId,
@@ -19,11 +21,12 @@
   RegionId,
   ZoneId,
 } from "../core/mod.ts";
-import type {
-  ListedInstance,
-  Platform,
-  PutCondition,
-  Versioned,
+import {
+  type ListedInstance,
+  MAX_VALUE_BYTES,
+  type Platform,
+  type PutCondition,
+  type Versioned,
 } from "./platform.ts";
 
 /** What the adapter needs. */
@@ -95,6 +98,9 @@
     value: string,
     condition: PutCondition,
   ): Promise<Result<string, Failure>> {
+    if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+      return fail("value_too_large", `${key} is over ${MAX_VALUE_BYTES} bytes`);
+    }
     const headers: Record<string, string> = condition.ifAbsent
       ? { "if-none-match": "*" }
       : { "if-match": `"${condition.ifVersion}"` };
@@ -143,16 +149,14 @@
     this.#opts.metrics.count("platform.calls", { call: name });
     const timeoutMs = (this.#opts.timeoutMs ?? DEFAULT_TIMEOUT_MS) +
       (call.extraMs ?? 0);
+    const deadline = new Deadline(timeoutMs, this.#abort.signal);
     try {
       const res = await request(this.#opts.baseUrl + call.path, {
         method: call.method,
         headers: call.headers ?? {},
         body: call.body ?? null,
         dispatcher: this.#agent,
-        signal: AbortSignal.any([
-          this.#abort.signal,
-          AbortSignal.timeout(timeoutMs),
-        ]),
+        signal: deadline.signal,
       });
       const text = await res.body.text();
       const etag = res.headers.etag?.toString().replaceAll('"', "");
@@ -160,6 +164,8 @@
     } catch (cause) {
       this.#opts.metrics.count("platform.errors", { call: name });
       return unreachable(call, String(cause));
+    } finally {
+      deadline.close();
     }
   }
 }
--- /dev/null
+++ b/src/platform/platform_contract_test.ts
@@ -0,0 +1,298 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  InstanceId,
+  MemoryMetrics,
+  RegionId,
+  SystemClock,
+  ZoneId,
+} from "../core/mod.ts";
+import { StoreServer } from "../../tools/standins/store_server.ts";
+import { HttpPlatform } from "./http_platform.ts";
+import { MemoryPlatform } from "./memory_platform.ts";
+import { type ListedInstance, MAX_VALUE_BYTES, type Platform } from "./mod.ts";
+import { FaultyPlatform, type PlatformFaults } from "./testing/mod.ts";
+
+interface Subject {
+  readonly platform: Platform;
+  readonly faults: PlatformFaults;
+  /** What the store really holds. */
+  readonly truth: MemoryPlatform;
+  close(): Promise<void>;
+}
+
+const TIMEOUT_MS = 300;
+
+function memorySubject(): Promise<Subject> {
+  const clock = new SystemClock();
+  const truth = new MemoryPlatform(clock);
+  const platform = new FaultyPlatform(truth, clock);
+  const close = () => platform.close();
+  return Promise.resolve({ platform, faults: platform.faults, truth, close });
+}
+
+async function httpSubject(): Promise<Subject> {
+  const server = await StoreServer.open();
+  const platform = new HttpPlatform({
+    baseUrl: server.url,
+    metrics: new MemoryMetrics(),
+    timeoutMs: TIMEOUT_MS,
+  });
+  const close = async () => {
+    await platform.close();
+    await server.close();
+  };
+  return { platform, faults: server.faults, truth: server.platform, close };
+}
+
+const SUBJECTS = { memory: memorySubject, http: httpSubject };
+
+function listed(id: string, state: "live" | "leaving"): ListedInstance {
+  return {
+    instance: InstanceId.parse(id),
+    zone: ZoneId.parse("gulf-a"),
+    region: RegionId.parse("gulf"),
+    peerUrl: "http://127.0.0.1:1",
+    callerUrl: "http://127.0.0.1:2",
+    state,
+  };
+}
+
+interface Row {
+  readonly name: string;
+  readonly run: (t: ExecutionContext, s: Subject) => Promise<void>;
+}
+
+const ROWS: Row[] = [
+  {
+    name: "a value is absent, then written once, then read with its version",
+    run: async (t, { platform }) => {
+      t.is((await platform.get("a/b"))._unsafeUnwrap(), undefined);
+      const put = await platform.put("a/b", "one", { ifAbsent: true });
+      const found = (await platform.get("a/b"))._unsafeUnwrap();
+      t.is(found?.value, "one");
+      t.is(found?.version, put._unsafeUnwrap());
+    },
+  },
+  {
+    name: "a write on a version that has passed is a conflict",
+    run: async (t, { platform }) => {
+      const first = await platform.put("k", "1", { ifAbsent: true });
+      const again = await platform.put("k", "2", { ifAbsent: true });
+      const ifVersion = first._unsafeUnwrap();
+      const next = await platform.put("k", "3", { ifVersion });
+      const late = await platform.put("k", "4", { ifVersion });
+      t.is(again._unsafeUnwrapErr().code, "conflict");
+      t.true(next.isOk());
+      t.is(late._unsafeUnwrapErr().code, "conflict");
+      t.is((await platform.get("k"))._unsafeUnwrap()?.value, "3");
+    },
+  },
+  {
+    name: "a list holds the keys below a prefix and no others",
+    run: async (t, { platform }) => {
+      await platform.put("a/1", "x", { ifAbsent: true });
+      await platform.put("a/2", "y", { ifAbsent: true });
+      await platform.put("b/1", "z", { ifAbsent: true });
+      const found = (await platform.list("a/"))._unsafeUnwrap();
+      t.deepEqual(found.map((f) => f.key).sort(), ["a/1", "a/2"]);
+    },
+  },
+  {
+    name: "a watch ends when the value changes",
+    run: async (t, { platform }) => {
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      const ifVersion = put._unsafeUnwrap();
+      const waiting = platform.watch("k", ifVersion, 20_000);
+      await platform.put("k", "2", { ifVersion });
+      t.is((await waiting)._unsafeUnwrap()?.value, "2");
+    },
+  },
+  {
+    name: "a watch on an absent key ends when it appears",
+    run: async (t, { platform }) => {
+      const waiting = platform.watch("k", undefined, 20_000);
+      await platform.put("k", "1", { ifAbsent: true });
+      t.is((await waiting)._unsafeUnwrap()?.value, "1");
+    },
+  },
+  {
+    // The store answers, only later than usual. Nothing may be taken for lost.
+    name: "a slow store still answers",
+    run: async (t, { platform, faults }) => {
+      faults.slowMs = 30;
+      t.true((await platform.put("k", "1", { ifAbsent: true })).isOk());
+      t.is((await platform.get("k"))._unsafeUnwrap()?.value, "1");
+    },
+  },
+  {
+    // The store does not answer. Reads say so; a write cannot know whether it
+    // took effect, and an operator who is told "failed" would send it twice.
+    name: "a store that is down",
+    run: async (t, { platform, faults }) => {
+      faults.down = true;
+      const calls = [
+        platform.get("k"),
+        platform.list("k"),
+        platform.watch("k", undefined, 10),
+        platform.instances(),
+      ];
+      for (const call of calls) {
+        t.is((await call as Failed)._unsafeUnwrapErr().code, UNAVAILABLE);
+      }
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      t.is(put._unsafeUnwrapErr().code, "platform_outcome_unknown");
+    },
+  },
+  {
+    // A reader is served by a copy that is behind. It must still carry the old
+    // version, so that a write made on it is refused and undoes nothing.
+    name: "a write made on a stale read is a conflict",
+    run: async (t, { platform, faults, truth }) => {
+      const one = await platform.put("k", "1", { ifAbsent: true });
+      await platform.put("k", "2", { ifVersion: one._unsafeUnwrap() });
+      faults.staleReads = true;
+      const stale = (await platform.get("k"))._unsafeUnwrap();
+      t.is(stale?.value, "1");
+      const ifVersion = stale?.version ?? "";
+      const put = await platform.put("k", "3", { ifVersion });
+      t.is(put._unsafeUnwrapErr().code, "conflict");
+      t.is((await truth.get("k"))._unsafeUnwrap()?.value, "2");
+    },
+  },
+  {
+    // The write took effect and its answer was lost on the way. Whoever writes
+    // again without reading back would meet a conflict with itself.
+    name: "a lost answer to a write that took effect",
+    run: async (t, { platform, faults }) => {
+      faults.loseAnswers = "applied";
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      t.is(put._unsafeUnwrapErr().code, "platform_outcome_unknown");
+      t.is((await platform.get("k"))._unsafeUnwrap()?.value, "1");
+    },
+  },
+  {
+    // The request was lost before the store saw it. To the writer it looks the
+    // same as the row above, so it may not count as done.
+    name: "a lost answer to a write that did not take effect",
+    run: async (t, { platform, faults }) => {
+      faults.loseAnswers = "dropped";
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      t.is(put._unsafeUnwrapErr().code, "platform_outcome_unknown");
+      t.is((await platform.get("k"))._unsafeUnwrap(), undefined);
+    },
+  },
+  {
+    name: "a repeated watch gives the version already seen",
+    run: async (t, { platform, faults }) => {
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      faults.watches = "repeated";
+      const seen = put._unsafeUnwrap();
+      const found = await platform.watch("k", seen, 20_000);
+      t.is(found._unsafeUnwrap()?.version, seen);
+    },
+  },
+  {
+    // The watch was open, the value changed, and nobody said so. The change
+    // must still be seen when the wait is over, or it would never come in force.
+    name: "a silent watch gives what stands there when the wait is over",
+    run: async (t, { platform, faults }) => {
+      const put = await platform.put("k", "1", { ifAbsent: true });
+      const ifVersion = put._unsafeUnwrap();
+      faults.watches = "silent";
+      const waiting = platform.watch("k", ifVersion, 40);
+      await platform.put("k", "2", { ifVersion });
+      t.is((await waiting)._unsafeUnwrap()?.value, "2");
+    },
+  },
+  {
+    name: "a value over a megabyte is refused and nothing is written",
+    run: async (t, { platform }) => {
+      const value = "x".repeat(MAX_VALUE_BYTES + 1);
+      const put = await platform.put("k", value, { ifAbsent: true });
+      t.is(put._unsafeUnwrapErr().code, "value_too_large");
+      t.is((await platform.get("k"))._unsafeUnwrap(), undefined);
+    },
+  },
+  {
+    name: "a value of a megabyte is kept whole",
+    run: async (t, { platform }) => {
+      const value = "x".repeat(MAX_VALUE_BYTES);
+      t.true((await platform.put("k", value, { ifAbsent: true })).isOk());
+      const found = (await platform.get("k"))._unsafeUnwrap();
+      t.is(found?.value.length, MAX_VALUE_BYTES);
+    },
+  },
+  {
+    // The list is behind: an instance that has announced itself is not on it.
+    // Nobody may take a missing entry for an instance that is gone.
+    name: "a lagging instance list lacks what was just announced",
+    run: async (t, { platform, faults }) => {
+      await platform.announce(listed("i1", "live"));
+      t.is((await platform.instances())._unsafeUnwrap().length, 1);
+      faults.listLagMs = 60_000;
+      await platform.announce(listed("i2", "live"));
+      t.deepEqual((await platform.instances())._unsafeUnwrap(), []);
+    },
+  },
+  {
+    name: "an announcement of leaving replaces that of being live",
+    run: async (t, { platform }) => {
+      await platform.announce(listed("i1", "live"));
+      await platform.announce(listed("i1", "leaving"));
+      const found = (await platform.instances())._unsafeUnwrap();
+      t.deepEqual(found.map((f) => f.state), ["leaving"]);
+    },
+  },
+  {
+    // An answer breaks off in the middle. A cut value comes as it is, and its
+    // reader checks it by digest or schema; it never throws.
+    name: "a broken body throws nothing",
+    run: async (t, { platform, faults }) => {
+      await platform.put("k", "0123456789", { ifAbsent: true });
+      faults.brokenBodies = true;
+      t.is((await platform.get("k"))._unsafeUnwrap()?.value, "01234");
+      await t.notThrowsAsync(async () => {
+        await platform.list("k");
+        await platform.instances();
+        await platform.watch("k", undefined, 10);
+      });
+    },
+  },
+];
+
+const UNAVAILABLE = "platform_unavailable";
+interface Failed {
+  _unsafeUnwrapErr(): { readonly code: string };
+}
+
+for (const [name, open] of Object.entries(SUBJECTS)) {
+  for (const row of ROWS) {
+    test(`${name}: ${row.name}`, async (t) => {
+      const subject = await open();
+      try {
+        await row.run(t, subject);
+      } finally {
+        await subject.close();
+      }
+    });
+  }
+}
+
+test("http: a store that takes longer than the time limit is unavailable", async (t) => {
+  // The store hangs. Without a limit of its own the caller would hang with it.
+  const s = await httpSubject();
+  s.faults.slowMs = 10 * TIMEOUT_MS;
+  const found = await s.platform.get("k");
+  t.is(found._unsafeUnwrapErr().code, UNAVAILABLE);
+  await s.close();
+});
+
+test("http: a list that breaks off is unavailable", async (t) => {
+  // Half a list looks like a store with fewer objects; it must not be taken so.
+  const s = await httpSubject();
+  await s.platform.put("k", "1", { ifAbsent: true });
+  s.faults.brokenBodies = true;
+  const found = await s.platform.list("k");
+  t.is(found._unsafeUnwrapErr().code, UNAVAILABLE);
+  await s.close();
+});
--- /dev/null
+++ b/src/platform/testing/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Platforms that misbehave, for tests.
+ *
+ * @module
+ */
+export * from "./faulty_platform.ts";
--- a/tools/standins/store_server.ts
+++ b/tools/standins/store_server.ts
@@ -5,24 +5,42 @@
  * @module
  */
 import express, { type Request, type Response } from "express";
+import { z } from "zod";
 import { type Failure, SystemClock } from "../../src/core/mod.ts";
 import { Listener } from "../../src/instance/mod.ts";
 import { InstanceEntry, MemoryPlatform } from "../../src/platform/mod.ts";
+import {
+  FaultyPlatform,
+  type PlatformFaults,
+} from "../../src/platform/testing/mod.ts";
 
 const MAX_BODY = "2mb";
 
-/** How the stand-in misbehaves. */
-export interface StoreFaults {
-  down: boolean;
-}
+/** What `POST /faults` takes: any of the faults, the others stay as they are. */
+const FaultsChange = z.strictObject({
+  down: z.boolean(),
+  slowMs: z.number().nonnegative(),
+  loseAnswers: z.enum(["none", "applied", "dropped"]),
+  staleReads: z.boolean(),
+  listLagMs: z.number().nonnegative(),
+  watches: z.enum(["live", "silent", "repeated"]),
+  brokenBodies: z.boolean(),
+}).partial();
 
 /** Serves a store on loopback; `faults` may be changed while it runs. */
 export class StoreServer {
-  readonly platform: MemoryPlatform = new MemoryPlatform(new SystemClock());
-  readonly faults: StoreFaults = { down: false };
+  /** What the store holds, past all faults. */
+  readonly platform: MemoryPlatform;
+  readonly #faulty: FaultyPlatform;
   readonly #listener: Listener;
 
-  private constructor(listener: Listener) {
+  private constructor(
+    platform: MemoryPlatform,
+    faulty: FaultyPlatform,
+    listener: Listener,
+  ) {
+    this.platform = platform;
+    this.#faulty = faulty;
     this.#listener = listener;
   }
 
@@ -30,69 +48,121 @@
     return this.#listener.url;
   }
 
+  /** How the store misbehaves. */
+  get faults(): PlatformFaults {
+    return this.#faulty.faults;
+  }
+
+  /** Calls served so far, by name; a waiting watch is one. */
+  get calls(): ReadonlyMap<string, number> {
+    return this.#faulty.calls;
+  }
+
   /** Opens the store on a free port. */
   static async open(port = 0): Promise<StoreServer> {
+    const clock = new SystemClock();
+    const platform = new MemoryPlatform(clock);
+    const faulty = new FaultyPlatform(platform, clock);
     const app = express();
     const opened = await Listener.open({ host: "127.0.0.1", port }, app);
-    const server = new StoreServer(opened._unsafeUnwrap());
     app.disable("etag");
     app.post("/faults", express.json(), (req, res) => {
-      Object.assign(server.faults, req.body);
+      const change = FaultsChange.safeParse(req.body);
+      if (!change.success) return void res.status(400).end();
+      Object.assign(faulty.faults, change.data);
       res.status(204).end();
     });
-    app.use((_req, res, next) => {
-      if (server.faults.down) res.status(503).end();
-      else next();
+    app.get("/calls", (_req, res) => {
+      res.json(Object.fromEntries(faulty.calls));
     });
     app.use(express.text({ type: () => true, limit: MAX_BODY }));
-    app.get("/objects/*key", (req, res) => server.#get(req, res));
-    app.get("/objects", (req, res) => server.#list(req, res));
-    app.put("/objects/*key", (req, res) => server.#put(req, res));
-    app.get("/instances", async (_req, res) => {
-      res.json((await server.platform.instances())._unsafeUnwrap());
-    });
-    app.put("/instances/:id", async (req, res) => {
-      const entry = InstanceEntry.safeParse(JSON.parse(req.body));
-      if (!entry.success) return void res.status(400).end();
-      await server.platform.announce(entry.data);
-      res.status(204).end();
-    });
-    return server;
+    app.get("/objects/*key", (req, res) => get(faulty, req, res));
+    app.get("/objects", (req, res) => list(faulty, req, res));
+    app.put("/objects/*key", (req, res) => put(faulty, req, res));
+    app.get("/instances", (_req, res) => listInstances(faulty, res));
+    app.put("/instances/:id", (req, res) => announce(faulty, req, res));
+    return new StoreServer(platform, faulty, opened._unsafeUnwrap());
   }
 
   async close(): Promise<void> {
     await this.platform.close();
     await this.#listener.close();
   }
+}
 
-  async #get(req: Request, res: Response): Promise<void> {
-    const key = keyOf(req);
-    const seen = unquote(req.headers["if-none-match"]);
-    const waitMs = Number(req.query["wait_ms"] ?? 0);
-    const found = waitMs > 0
-      ? await this.platform.watch(key, seen || undefined, waitMs)
-      : await this.platform.get(key);
-    if (found.isErr()) return sendFailure(res, found.error);
-    if (found.value === undefined) return void res.status(404).end();
-    const { value, version } = found.value;
-    if (version === seen) return void res.status(304).end();
-    res.setHeader("etag", `"${version}"`).type("text/plain").send(value);
-  }
+async function get(
+  platform: FaultyPlatform,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const key = keyOf(req);
+  const seen = unquote(req.headers["if-none-match"]);
+  const waitMs = Number(req.query["wait_ms"] ?? 0);
+  const found = waitMs > 0
+    ? await platform.watch(key, seen || undefined, waitMs)
+    : await platform.get(key);
+  if (found.isErr()) return sendFailure(res, found.error);
+  if (found.value === undefined) return void res.status(404).end();
+  const { value, version } = found.value;
+  const repeated = platform.faults.watches === "repeated";
+  if (version === seen && !repeated) return void res.status(304).end();
+  res.setHeader("etag", `"${version}"`).type("text/plain").send(value);
+}
 
-  async #list(req: Request, res: Response): Promise<void> {
-    const found = await this.platform.list(String(req.query["prefix"] ?? ""));
-    res.json(found._unsafeUnwrap());
-  }
+async function list(
+  platform: FaultyPlatform,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const found = await platform.list(String(req.query["prefix"] ?? ""));
+  if (found.isErr()) return sendFailure(res, found.error);
+  sendJson(platform, res, found.value);
+}
 
-  async #put(req: Request, res: Response): Promise<void> {
-    const match = unquote(req.headers["if-match"]);
-    const condition = match
-      ? { ifVersion: match }
-      : { ifAbsent: true } as const;
-    const put = await this.platform.put(keyOf(req), req.body, condition);
-    if (put.isErr()) return sendFailure(res, put.error);
-    res.setHeader("etag", `"${put.value}"`).status(204).end();
-  }
+async function put(
+  platform: FaultyPlatform,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const match = unquote(req.headers["if-match"]);
+  const condition = match ? { ifVersion: match } : { ifAbsent: true } as const;
+  const value = typeof req.body === "string" ? req.body : "";
+  const written = await platform.put(keyOf(req), value, condition);
+  if (written.isErr()) return sendFailure(res, written.error);
+  res.setHeader("etag", `"${written.value}"`).status(204).end();
+}
+
+async function listInstances(
+  platform: FaultyPlatform,
+  res: Response,
+): Promise<void> {
+  const found = await platform.instances();
+  if (found.isErr()) return sendFailure(res, found.error);
+  sendJson(platform, res, found.value);
+}
+
+async function announce(
+  platform: FaultyPlatform,
+  req: Request,
+  res: Response,
+): Promise<void> {
+  const entry = InstanceEntry.safeParse(JSON.parse(req.body));
+  if (!entry.success) return void res.status(400).end();
+  const announced = await platform.announce(entry.data);
+  if (announced.isErr()) return sendFailure(res, announced.error);
+  res.status(204).end();
+}
+
+function sendJson(
+  platform: FaultyPlatform,
+  res: Response,
+  value: unknown,
+): void {
+  const text = JSON.stringify(value);
+  const end = platform.faults.brokenBodies
+    ? Math.floor(text.length / 2)
+    : text.length;
+  res.type("application/json").send(text.slice(0, end));
 }
 
 function keyOf(req: Request): string {
@@ -104,7 +174,12 @@
   return (tag ?? "").replaceAll('"', "");
 }
 
+/** A lost answer is a connection that ends without one. */
 function sendFailure(res: Response, failure: Failure): void {
+  if (failure.code === "platform_outcome_unknown") {
+    res.destroy();
+    return;
+  }
   const status = { conflict: 412, value_too_large: 413 } as const;
   res.status(status[failure.code as keyof typeof status] ?? 503).end();
 }
