Queue fairly, choose the better of two endpoints, hold abandoned slots

Requests were refused as soon as no slot was free, a slow endpoint got as much work as a quick one, and the slot of an abandoned request was handed out while the endpoint could still be running it.

The dispatcher now keeps a bounded queue for each service, fair over accounts by weight and counted in slot time; it refuses at once, as not run, what cannot end before its deadline. It takes the better of two random endpoints by work in flight and learned latency, starts new ones slowly, backs off from those that shed, and ejects at most half of a pool. A slot whose request was abandoned stays held for 250 ms. No slot beyond the instance's part is handed out, also where the part shrank since the last tick.

--- a/src/decisions/steering/dispatcher.ts
+++ b/src/decisions/steering/dispatcher.ts
@@ -22,16 +22,23 @@
   readonly deadline: number;
   /** Endpoints that this request was already tried at. */
   readonly exclude?: ReadonlySet<EndpointId>;
+  /** Kind of work, such as its route; times are learned for each kind. */
+  readonly work?: string;
 }
 
-/** What became of work at an endpoint. */
-export type WorkResult = "ok" | "failed" | "shed" | "cancelled";
+/**
+ * What became of work at an endpoint. After `failed`, `timeout` and
+ * `cancelled` the endpoint may still be running it.
+ */
+export type WorkResult = "ok" | "failed" | "shed" | "cancelled" | "timeout";
 
 /** A slot at an endpoint, held until `release`. */
 export interface Slot {
   readonly endpoint: EndpointId;
   readonly url: string;
   readonly zone: ZoneId;
+  /** Tells that the answer began; what follows is the caller's reading pace. */
+  answered(now: number): void;
   /** Gives the slot back; only the first call counts. */
   release(result: WorkResult, now: number): void;
 }
@@ -49,4 +56,6 @@
     req: SteeringRequest,
     signal?: AbortSignal,
   ): Promise<Result<Slot, Failure>>;
+  /** Looks at limits and waiting requests again; run once a tick. */
+  tick(now: number): void;
 }
--- /dev/null
+++ b/src/decisions/steering/fair_dispatcher_test.ts
@@ -0,0 +1,309 @@
+import test from "ava";
+import {
+  type AccountId,
+  type EndpointId,
+  ManualClock,
+  MemoryMetrics,
+  SeededRandom,
+  type ServiceId,
+  type ZoneId,
+} from "../../core/mod.ts";
+import { parseDocument, type SteeringDocument } from "../../document/mod.ts";
+import type { Slot, SteeringRequest } from "./dispatcher.ts";
+import { FairDispatcher } from "./fair_dispatcher.ts";
+import type { SlotLimits } from "./slot_limits.ts";
+
+interface Shape {
+  readonly slots: readonly number[];
+  readonly queueLimit?: number;
+  readonly drains?: readonly { kind: string; id: string }[];
+}
+
+function documentOf({ slots, queueLimit = 64, drains = [] }: Shape) {
+  const endpoints = slots.map((n, i) => [`e${i}`, {
+    zone: "z1",
+    url: `http://127.0.0.1:${9000 + i}`,
+    slots: n,
+    connections: 100,
+  }]);
+  return parseDocument({
+    accounts: { accounts: { small: {}, big: {}, heavy: { weight: 3 } } },
+    regions: { regions: { r1: { zones: { z1: { instances: 1 } } } } },
+    services: {
+      services: {
+        s: {
+          queue_limit: queueLimit,
+          endpoints: Object.fromEntries(endpoints),
+        },
+      },
+    },
+    drains: { drains },
+  })._unsafeUnwrap();
+}
+
+class TableLimits implements SlotLimits {
+  readonly slots = new Map<string, number>();
+
+  adopt(document: SteeringDocument): void {
+    for (
+      const [id, e] of Object.entries(
+        document.services["s" as ServiceId]!.endpoints,
+      )
+    ) {
+      this.slots.set(id, e.slots);
+    }
+  }
+
+  limit(endpoint: EndpointId): number {
+    return this.slots.get(endpoint) ?? 0;
+  }
+
+  report(): void {}
+}
+
+function setup(shape: Shape) {
+  const clock = new ManualClock();
+  const metrics = new MemoryMetrics();
+  const limits = new TableLimits();
+  const dispatcher = new FairDispatcher({
+    clock,
+    metrics,
+    limits,
+    random: new SeededRandom(7),
+    zone: "z1" as ZoneId,
+  });
+  dispatcher.adopt(documentOf(shape), clock.now());
+  const ask = (
+    account = "small",
+    req: Partial<SteeringRequest> = {},
+    signal?: AbortSignal,
+  ) =>
+    dispatcher.acquire({
+      service: "s" as ServiceId,
+      account: account as AccountId,
+      idempotent: true,
+      deadline: clock.now() + 1_000,
+      ...req,
+    }, signal);
+  const take = async (account?: string, req?: Partial<SteeringRequest>) =>
+    (await ask(account, req))._unsafeUnwrap();
+  /** Teaches the dispatcher how long an account's work takes. */
+  const teach = async (ms: number, account = "small", work = "") => {
+    for (let i = 0; i < 30; i++) {
+      const slot = await take(account, { work });
+      clock.advance(ms);
+      slot.release("ok", clock.now());
+    }
+  };
+  return { clock, metrics, limits, dispatcher, ask, take, teach };
+}
+
+test("in-flight work never passes the limit, and a freed slot serves a waiter", async (t) => {
+  const { clock, ask, take } = setup({ slots: [1, 1] });
+  const held = [await take(), await take()];
+  t.not(held[0]?.endpoint, held[1]?.endpoint);
+  const waiting = ask();
+  held[0]?.release("ok", clock.now());
+  t.is((await waiting)._unsafeUnwrap().endpoint, held[0]!.endpoint);
+});
+
+test("a risen limit serves waiters at the next tick", async (t) => {
+  const { limits, dispatcher, clock, ask, take } = setup({ slots: [2] });
+  limits.slots.set("e0", 1);
+  await take();
+  const waiting = ask();
+  limits.slots.set("e0", 2);
+  dispatcher.tick(clock.now());
+  t.true((await waiting).isOk());
+});
+
+test("a limit that fell since the last tick holds at once", async (t) => {
+  // An instance wakes from a pause and its part of the slots has lapsed. With
+  // the figure of its last tick it would overfill the endpoint; endpoints then
+  // shed and callers see failures at half load.
+  const { limits, ask, clock } = setup({ slots: [2] });
+  limits.slots.set("e0", 0);
+  const refused = ask("small", { deadline: clock.now() + 50 });
+  clock.advance(50);
+  const failure = (await refused)._unsafeUnwrapErr();
+  t.is(failure.outcome, "not-run");
+});
+
+test("what cannot be served before its deadline is refused at once", async (t) => {
+  const { ask, take, teach, clock } = setup({ slots: [1] });
+  await teach(100);
+  await take();
+  const early = clock.now();
+  const failure = (await ask("small", { deadline: early + 120 }))
+    ._unsafeUnwrapErr();
+  t.is(clock.now(), early);
+  t.is(failure.code, "no_capacity");
+  t.is(failure.outcome, "not-run");
+  t.true((failure.retryAfterMs ?? 0) > 0);
+});
+
+test("deadline and abort remove a waiter at once", async (t) => {
+  const { ask, take, clock } = setup({ slots: [1] });
+  const slot = await take();
+  const gone = new AbortController();
+  const waiting = ask("small", { deadline: clock.now() + 100 });
+  const leaving = ask("small", {}, gone.signal);
+  gone.abort();
+  t.is((await leaving)._unsafeUnwrapErr().code, "cancelled");
+  clock.advance(100);
+  t.is((await waiting)._unsafeUnwrapErr().code, "deadline_exceeded");
+  slot.release("ok", clock.now());
+  t.true((await ask()).isOk());
+});
+
+test("an account that fills the queue costs another only its turn", async (t) => {
+  // One tenant sends far more than the slots serve. In a first-come queue the
+  // other's request would wait behind all of it, and its users would see
+  // timeouts caused by a stranger.
+  const { ask, take, clock } = setup({ slots: [1], queueLimit: 8 });
+  const first = await take("big");
+  const order: string[] = [];
+  const follow = (account: string) =>
+    void ask(account).then((r) => {
+      if (r.isErr()) return;
+      order.push(account);
+      r.value.release("ok", clock.now());
+    });
+  for (let i = 0; i < 12; i++) follow("big");
+  follow("small");
+  follow("small");
+  first.release("ok", clock.now());
+  await flush();
+  t.is(order.length, 8);
+  t.deepEqual(order.slice(0, 4).filter((a) => a === "small").length, 2);
+});
+
+test("turns follow the weights", async (t) => {
+  const { ask, take, clock } = setup({ slots: [1] });
+  const first = await take("small");
+  const order: string[] = [];
+  for (const account of ["big", "heavy"]) {
+    for (let i = 0; i < 12; i++) {
+      void ask(account).then((r) => {
+        if (r.isErr()) return;
+        order.push(account);
+        r.value.release("ok", clock.now());
+      });
+    }
+  }
+  first.release("ok", clock.now());
+  await flush();
+  const heavy = order.slice(0, 12).filter((a) => a === "heavy").length;
+  t.true(heavy >= 8 && heavy <= 10, `heavy had ${heavy} of 12 turns`);
+});
+
+test("long work leaves slots to short work", async (t) => {
+  // A report that takes seconds is asked for many times over. Without a bound
+  // it fills every slot, and quick reads wait for seconds.
+  const { take, teach, ask } = setup({ slots: [4] });
+  await teach(10, "small", "read");
+  await teach(500, "big", "report");
+  await teach(10, "small", "read");
+  const slots: Slot[] = [];
+  for (let i = 0; i < 8; i++) {
+    void ask("big", { work: "report", deadline: 1e9 }).then((r) => {
+      if (r.isOk()) slots.push(r.value);
+    });
+  }
+  await flush();
+  t.is(slots.length, 2);
+  await take("small", { work: "read" });
+});
+
+const LINGERING = [
+  { result: "cancelled", heldMs: 250 },
+  { result: "failed", heldMs: 250 },
+  { result: "timeout", heldMs: 250 },
+  { result: "shed", heldMs: 0 },
+  { result: "ok", heldMs: 0 },
+] as const;
+
+for (const { result, heldMs } of LINGERING) {
+  test(`a slot that ended as ${result} is held ${heldMs} ms longer`, async (t) => {
+    // The caller is gone but the endpoint has not yet noticed. A slot handed
+    // out again at once runs one request too many there.
+    const { clock, dispatcher, take } = setup({ slots: [1] });
+    const slot = await take("small", { deadline: 10_000 });
+    slot.release(result, clock.now());
+    const inUse = () => dispatcher.load(clock.now())[0]?.inFlight;
+    if (heldMs > 0) {
+      clock.advance(heldMs - 1);
+      t.is(inUse(), 1);
+      clock.advance(1);
+    }
+    t.is(inUse(), 0);
+  });
+}
+
+test("no more than half of the endpoints are ejected", async (t) => {
+  // The instance's own network breaks and every endpoint seems to fail.
+  // Ejecting all would refuse what some could still serve.
+  const { clock, dispatcher, take } = setup({ slots: [4, 4, 4, 4] });
+  for (let i = 0; i < 200; i++) {
+    (await take()).release("failed", clock.now());
+    clock.advance(300);
+  }
+  const ejected = dispatcher.rows().filter((r) =>
+    r.ejected && r.blockedUntil > clock.now()
+  );
+  t.is(ejected.length, 2);
+});
+
+test("a slow endpoint gets little work beside quick ones", async (t) => {
+  const { clock, take, ask } = setup({ slots: [4, 4, 4] });
+  const counts = new Map<string, number>();
+  const running: { slot: Slot; ends: number }[] = [];
+  await take().then((s) => s.release("ok", clock.now()));
+  for (let i = 0; i < 2_000; i++) {
+    clock.advance(2);
+    for (const { slot, ends } of running.splice(0)) {
+      if (ends <= clock.now()) slot.release("ok", clock.now());
+      else running.push({ slot, ends });
+    }
+    void ask().then((r) => {
+      if (r.isErr()) return;
+      const { endpoint } = r.value;
+      counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1);
+      const ms = endpoint === "e0" ? 200 : 10;
+      running.push({ slot: r.value, ends: clock.now() + ms });
+    });
+    await Promise.resolve();
+  }
+  t.true((counts.get("e0") ?? 0) < 60, `slow had ${counts.get("e0")}`);
+});
+
+test("a draining endpoint gets no new work and its drain is timed", async (t) => {
+  const shape = { slots: [1, 1] };
+  const { clock, dispatcher, metrics, take, ask } = setup(shape);
+  const held = [await take(), await take()];
+  const e0 = held.find((s) => s.endpoint === "e0");
+  const drains = [{ kind: "endpoint", id: "e0" }];
+  dispatcher.adopt(documentOf({ ...shape, drains }), clock.now());
+  const waiting = ask();
+  clock.advance(40);
+  e0?.release("ok", clock.now());
+  t.is(metrics.counts.get("endpoint.drain.samples"), 1);
+  held.find((s) => s.endpoint === "e1")?.release("ok", clock.now());
+  t.is((await waiting)._unsafeUnwrap().endpoint, "e1" as EndpointId);
+});
+
+test("a new endpoint starts slowly", async (t) => {
+  const { clock, dispatcher, ask } = setup({ slots: [8] });
+  dispatcher.adopt(documentOf({ slots: [8, 8] }), clock.now());
+  const slots: string[] = [];
+  for (let i = 0; i < 16; i++) {
+    void ask().then((r) => r.isOk() && slots.push(r.value.endpoint));
+  }
+  await flush();
+  t.is(slots.filter((e) => e === "e1").length, 2);
+  t.is(slots.filter((e) => e === "e0").length, 8);
+});
+
+async function flush(): Promise<void> {
+  for (let i = 0; i < 200; i++) await Promise.resolve();
+}
--- a/src/decisions/steering/mod.ts
+++ b/src/decisions/steering/mod.ts
@@ -4,5 +4,8 @@
  * @module
  */
 export * from "./dispatcher.ts";
+export * from "./endpoint_row.ts";
+export * from "./fair_dispatcher.ts";
 export * from "./round_robin_dispatcher.ts";
 export * from "./slot_limits.ts";
+export * from "./drained.ts";
--- a/src/decisions/steering/round_robin_dispatcher.ts
+++ b/src/decisions/steering/round_robin_dispatcher.ts
@@ -63,6 +63,8 @@
     return Promise.resolve(this.#acquire(req));
   }
 
+  tick(): void {}
+
   #acquire(req: SteeringRequest): Result<Slot, Failure> {
     const rows = this.#rows.get(req.service) ?? [];
     if (rows.length === 0) {
@@ -96,7 +98,7 @@
       held = false;
     };
     const { url, zone } = row.entry;
-    return { endpoint: row.id, url, zone, release };
+    return { endpoint: row.id, url, zone, answered: () => {}, release };
   }
 }
 
--- /dev/null
+++ b/src/decisions/steering/service_pool.ts
@@ -0,0 +1,310 @@
+/**
+ * Admission and waiting for one service.
+ *
+ * Answers bursts and saturation. Without a queue a burst is refused that a
+ * short wait would have served; with an unbounded one every request waits
+ * until its deadline and is then useless, which shows as full slots and no
+ * goodput. So a request waits only where it can still end in time, and is
+ * otherwise refused at once with the time after which it could be taken.
+ *
+ * @module
+ */
+import { ok, type Result } from "neverthrow";
+import {
+  type AccountId,
+  type Clock,
+  type EndpointId,
+  fail,
+  type Failure,
+  type Random,
+  type ServiceId,
+} from "../../core/mod.ts";
+import type { Slot, SteeringRequest } from "./dispatcher.ts";
+import type { EndpointRow } from "./endpoint_row.ts";
+import { FairQueue, type Waiter } from "./fair_queue.ts";
+import type { SlotLimits } from "./slot_limits.ts";
+import { SlotTable } from "./slot_table.ts";
+import { WorkTimes } from "./work_times.ts";
+
+/** What a pool needs. */
+export interface ServicePoolDeps {
+  readonly service: ServiceId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly limits: SlotLimits;
+  readonly weightOf: (account: AccountId) => number;
+  readonly onDrained: (endpoint: EndpointId, ms: number) => void;
+}
+
+interface QueuedRequest extends Waiter {
+  readonly req: SteeringRequest;
+  readonly long: boolean;
+  readonly settle: (result: Result<Slot, Failure>) => void;
+}
+
+/** Work beyond this multiple of the typical time counts as long. */
+const LONG_RATIO = 4;
+/**
+ * Part of the slots that long work may fill while short work comes too: more
+ * and short requests wait for a long one to end; less and long ones starve.
+ */
+const LONG_PART = 0.6;
+/** Short work seen this lately, in milliseconds, keeps its slots free. */
+const SHORT_SEEN_MS = 2_000;
+/** When to come back to a service without a slot here: about two ticks. */
+const NO_SLOT_RETRY_MS = 250;
+const MIN_RETRY_MS = 10;
+
+/** The queue and slots of one service at one instance. */
+export class ServicePool {
+  readonly #deps: ServicePoolDeps;
+  readonly #times = new WorkTimes();
+  readonly #queue: FairQueue<QueuedRequest>;
+  readonly #slots: SlotTable;
+  #queueLimit = 0;
+  #longInFlight = 0;
+  #shortSeenAt = -Infinity;
+  #turnedAway = 0;
+  #full = false;
+
+  constructor(deps: ServicePoolDeps) {
+    this.#deps = deps;
+    this.#queue = new FairQueue(deps.weightOf);
+    this.#slots = new SlotTable({
+      ...deps,
+      times: this.#times,
+      onFree: (now) => this.#pump(now),
+    });
+  }
+
+  get rows(): readonly EndpointRow[] {
+    return this.#slots.rows;
+  }
+
+  get waiting(): number {
+    return this.#queue.size;
+  }
+
+  get inFlight(): number {
+    return this.#slots.inFlight;
+  }
+
+  /** Slots that may be in use at once. */
+  capacity(now: number): number {
+    return this.#slots.capacity(now);
+  }
+
+  /** Slots free and wanted by nobody here. */
+  free(now: number): number {
+    return Math.max(0, this.#slots.free(now) - this.#queue.size);
+  }
+
+  /** Takes over endpoints and queue limit of a newly accepted document. */
+  adopt(
+    rows: readonly EndpointRow[],
+    queueLimit: number,
+    now: number,
+  ): void {
+    this.#slots.rows = rows;
+    this.#queueLimit = queueLimit;
+    this.#slots.refresh(now, this.#queue.size);
+    if (!this.#open()) this.#refuseAll();
+    this.#pump(now);
+  }
+
+  tick(now: number): void {
+    this.#times.forget(now);
+    this.#queue.forget();
+    this.#slots.refresh(now, this.#queue.size + this.#turnedAway);
+    this.#turnedAway = 0;
+    this.#pump(now);
+  }
+
+  acquire(
+    req: SteeringRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<Slot, Failure>> {
+    if (signal?.aborted) return Promise.resolve(cancelled());
+    const now = this.#deps.clock.now();
+    const cost = this.#times.expected(req.account, req.work ?? "");
+    const long = cost > LONG_RATIO * this.#times.typical;
+    if (!long) this.#shortSeenAt = now;
+    if (this.#queue.size === 0) {
+      const slot = this.#take(req, long, now);
+      if (slot !== undefined) {
+        this.#queue.charge(req.account, cost);
+        return Promise.resolve(ok(slot));
+      }
+    }
+    const refused = this.#refusal(req, cost, now);
+    if (refused !== undefined) {
+      this.#turnedAway += 1;
+      return Promise.resolve(refused);
+    }
+    return this.#wait({ account: req.account, cost, req, long }, signal);
+  }
+
+  #open(): boolean {
+    return this.rows.some((r) => r.drainingSince === undefined);
+  }
+
+  /** Why a request must not wait; undefined if it may. */
+  #refusal(
+    req: SteeringRequest,
+    cost: number,
+    now: number,
+  ): Result<never, Failure> | undefined {
+    if (!this.#open()) return noEndpoint(req.service);
+    const waitMs = this.#expectedWait(req.account, now);
+    if (!Number.isFinite(waitMs)) {
+      return noCapacity(req.service, "no slot", NO_SLOT_RETRY_MS);
+    }
+    const late = now + waitMs + this.#least(req) - req.deadline;
+    if (late > 0) return noCapacity(req.service, "too long a wait", late);
+    if (this.#queue.size < this.#queueLimit) return undefined;
+    const victim = this.#queue.victimFor(req.account);
+    if (victim === undefined) {
+      return noCapacity(req.service, "a full queue", waitMs + cost);
+    }
+    this.#turnedAway += 1;
+    victim.settle(noCapacity(req.service, "a full queue", waitMs + cost));
+    return undefined;
+  }
+
+  /** Milliseconds until a request that comes now would get a slot. */
+  #expectedWait(account: AccountId, now: number): number {
+    const capacity = this.#slots.capacity(now);
+    const ahead = this.#queue.costAhead(account) + this.#times.typical;
+    if (capacity > 0) return ahead / capacity;
+    return this.#slots.unblockedAt(now) - now + ahead;
+  }
+
+  #least(req: SteeringRequest): number {
+    return this.#times.least(req.account, req.work ?? "");
+  }
+
+  #wait(
+    queued: Omit<QueuedRequest, "settle">,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Slot, Failure>> {
+    const { promise, resolve } = withResolvers<Result<Slot, Failure>>();
+    const { clock } = this.#deps;
+    const onAbort = () => waiter.settle(cancelled());
+    const waiter: QueuedRequest = {
+      ...queued,
+      settle: (result) => {
+        this.#queue.remove(waiter);
+        timer.close();
+        signal?.removeEventListener("abort", onAbort);
+        resolve(result);
+      },
+    };
+    // Later than this the request could not end in time even if it started.
+    const patience = queued.req.deadline - this.#least(queued.req);
+    const timer = clock.after(Math.max(0, patience - clock.now()), () => {
+      this.#turnedAway += 1;
+      waiter.settle(this.#tooLate(queued.req));
+    });
+    signal?.addEventListener("abort", onAbort);
+    this.#queue.push(waiter);
+    this.#pump(clock.now());
+    return promise;
+  }
+
+  #tooLate(req: SteeringRequest): Result<never, Failure> {
+    const waitMs = this.#expectedWait(req.account, this.#deps.clock.now());
+    const message = `service ${req.service} had no room before the deadline`;
+    return fail("deadline_exceeded", message, {
+      outcome: "not-run",
+      retryAfterMs: retryAfter(waitMs),
+    });
+  }
+
+  #pump(now: number): void {
+    this.#full = false;
+    while (this.#queue.size > 0 && !this.#full) {
+      let slot: Slot | undefined;
+      const waiter = this.#queue.serve((w) => {
+        if (this.#full) return false;
+        slot = this.#take(w.req, w.long, now);
+        return slot !== undefined;
+      });
+      if (waiter === undefined || slot === undefined) return;
+      waiter.settle(ok(slot));
+    }
+  }
+
+  #take(req: SteeringRequest, long: boolean, now: number): Slot | undefined {
+    if (long && !this.#longMayRun(now)) return undefined;
+    const slot = this.#slots.take(req, now);
+    if (slot === undefined) {
+      if (req.exclude === undefined || req.exclude.size === 0) {
+        this.#full = true;
+      }
+      return undefined;
+    }
+    return long ? this.#countLong(slot) : slot;
+  }
+
+  #longMayRun(now: number): boolean {
+    if (now - this.#shortSeenAt > SHORT_SEEN_MS) return true;
+    const most = Math.floor(this.#slots.capacity(now) * LONG_PART);
+    return this.#longInFlight < Math.max(1, most);
+  }
+
+  #countLong(slot: Slot): Slot {
+    this.#longInFlight += 1;
+    let held = true;
+    return {
+      ...slot,
+      release: (result, now) => {
+        if (held) this.#longInFlight -= 1;
+        held = false;
+        slot.release(result, now);
+      },
+    };
+  }
+
+  #refuseAll(): void {
+    for (const waiter of this.#queue.waiters()) {
+      waiter.settle(noEndpoint(waiter.req.service));
+    }
+  }
+}
+
+function retryAfter(ms: number): number {
+  return Number.isFinite(ms)
+    ? Math.max(MIN_RETRY_MS, Math.ceil(ms))
+    : NO_SLOT_RETRY_MS;
+}
+
+function noCapacity(
+  service: ServiceId,
+  why: string,
+  retryMs: number,
+): Result<never, Failure> {
+  return fail("no_capacity", `service ${service} has no room: ${why}`, {
+    outcome: "not-run",
+    retryAfterMs: retryAfter(retryMs),
+  });
+}
+
+/** Says that a service has no endpoint that takes work here. */
+export function noEndpoint(service: ServiceId): Result<never, Failure> {
+  return fail("no_endpoint", `service ${service} has no endpoint here`, {
+    outcome: "not-run",
+  });
+}
+
+function cancelled(): Result<never, Failure> {
+  return fail("cancelled", "the caller went away", { outcome: "not-run" });
+}
+
+function withResolvers<T>(): {
+  promise: Promise<T>;
+  resolve: (value: T) => void;
+} {
+  let resolve!: (value: T) => void;
+  const promise = new Promise<T>((r) => resolve = r);
+  return { promise, resolve };
+}
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -64,6 +64,7 @@
   readonly path: string;
   readonly idempotent: boolean;
   readonly deadline: number;
+  readonly work: string;
   readonly signal: AbortSignal;
 }
 
@@ -146,6 +147,7 @@
       service: service as ServiceId,
       path,
       idempotent: policy.idempotent,
+      work: policy.work,
       deadline: now + timeout.value,
       signal: gone.signal,
     });
@@ -166,7 +168,8 @@
       tried.add(slot.value.endpoint);
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
-        return await this.#relay(answer.value, slot.value, res);
+        const { signal } = admitted;
+        return await this.#relay(answer.value, slot.value, { res, signal });
       }
       last = err(answer.error);
       if (!mayRetry(admitted.req, answer.error)) return last;
@@ -177,14 +180,14 @@
   async #relay(
     answer: EndpointAnswer,
     slot: Slot,
-    res: Response,
+    { res, signal }: { res: Response; signal: AbortSignal },
   ): Promise<Result<void, Failure>> {
     res.writeHead(answer.status, { ...toCaller(answer.headers) });
     let result: WorkResult = "ok";
     try {
       await pipeline(answer.body, res);
     } catch {
-      result = "failed";
+      result = signal.aborted || res.closed ? "cancelled" : "failed";
       res.destroy();
     } finally {
       slot.release(result, this.#deps.clock.now());
@@ -229,9 +232,9 @@
     admitted: Admitted,
     exclude: ReadonlySet<EndpointId>,
   ): Promise<Result<Slot, Failure>> {
-    const { service, account, idempotent, deadline, signal } = admitted;
-    const req = { service, account, idempotent, deadline, exclude };
-    return this.#deps.dispatcher.acquire(req, signal);
+    const { service, account, idempotent, deadline, work } = admitted;
+    const req = { service, account, idempotent, deadline, work, exclude };
+    return this.#deps.dispatcher.acquire(req, admitted.signal);
   }
 
   /** Sends to the slot's endpoint; a failed try gives the slot back. */
@@ -251,9 +254,9 @@
       timeoutMs: admitted.deadline - this.#deps.clock.now(),
       signal: admitted.signal,
     });
-    if (answer.isErr()) {
-      slot.release(workResult(answer.error), this.#deps.clock.now());
-    }
+    const now = this.#deps.clock.now();
+    if (answer.isErr()) slot.release(workResult(answer.error), now);
+    else slot.answered(now);
     return answer;
   }
 
@@ -282,6 +285,7 @@
 
 function workResult(failure: Failure): WorkResult {
   if (failure.code === "cancelled") return "cancelled";
+  if (failure.code === "deadline_exceeded") return "timeout";
   return failure.outcome === "not-run" ? "shed" : "failed";
 }
 
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -10,11 +10,7 @@
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import {
-  type Dispatcher,
-  EvenSlotLimits,
-  RoundRobinDispatcher,
-} from "../decisions/steering/mod.ts";
+import { EvenSlotLimits, FairDispatcher } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
@@ -89,7 +85,7 @@
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: Dispatcher;
+  readonly #dispatcher: FairDispatcher;
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
@@ -112,11 +108,11 @@
       roster: this.#roster,
       document: () => this.#document,
     });
-    this.#dispatcher = new RoundRobinDispatcher(
-      clock,
-      cfg.instance.zone,
-      new EvenSlotLimits(this.#seats),
-    );
+    this.#dispatcher = new FairDispatcher({
+      ...deps,
+      zone: cfg.instance.zone,
+      limits: new EvenSlotLimits(this.#seats),
+    });
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -141,6 +137,10 @@
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({
+      name: "dispatcher",
+      run: (now) => this.#dispatcher.tick(now),
+    });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
