Probe each endpoint once a zone and share what it said

No endpoint was probed, so one that announced its leaving went on getting work until it refused it.

One member of a zone, found by rendezvous hashing over the live ones, probes an endpoint once a second with jitter and tells its zone-mates in the batch. Probes and their durations are counted in metrics.

--- a/src/decisions/steering/endpoint_choice.ts
+++ b/src/decisions/steering/endpoint_choice.ts
@@ -87,6 +87,6 @@
 }
 
 function badness(hint: LoadHint, slots: number): number {
-  if (!hint.ready) return 1;
+  if (!hint.reachable) return 1;
   return Math.min(1, (hint.inFlight ?? 0) / slots);
 }
--- a/src/decisions/steering/endpoint_row.ts
+++ b/src/decisions/steering/endpoint_row.ts
@@ -14,7 +14,10 @@
 
 /** What an endpoint last said of itself; it lags and may be wrong. */
 export interface LoadHint {
+  /** Its last word on whether it takes work. */
   readonly ready: boolean;
+  /** Whether the latest probe was answered at all. */
+  readonly reachable: boolean;
   readonly inFlight: number | undefined;
   /** When it was measured, on this instance's clock. */
   readonly at: number;
@@ -61,6 +64,8 @@
 const DECREASE = 0.95;
 /** One more slot after about twice as many answers as there are slots. */
 const INCREASE = 0.5;
+/** Several probes; after that the endpoint may have been replaced unseen. */
+const NOT_READY_MS = 10_000;
 const STRETCH_WEIGHT = 0.2;
 /** Without samples, half of what was learned of slowness is forgotten. */
 const FORGET_HALF_MS = 5_000;
@@ -101,9 +106,19 @@
   return Math.floor(entry.connections * slots / entry.slots);
 }
 
+/**
+ * Whether the endpoint said lately that it takes no work. It is taken at its
+ * word even if it should be wrong: work sent to one that leaves is lost.
+ */
+export function saysNotReady(row: EndpointRow, now: number): boolean {
+  const { hint } = row;
+  return hint !== undefined && !hint.ready && now - hint.at < NOT_READY_MS;
+}
+
 /** Requests the row may have in flight at once; never above the slot limit. */
 export function allowance(row: EndpointRow, now: number): number {
   if (row.drainingSince !== undefined || row.blockedUntil > now) return 0;
+  if (saysNotReady(row, now)) return 0;
   const hard = Math.min(
     row.slotLimit,
     connectionPart(row.entry, row.slotLimit),
--- a/src/decisions/steering/mod.ts
+++ b/src/decisions/steering/mod.ts
@@ -9,3 +9,5 @@
 export * from "./round_robin_dispatcher.ts";
 export * from "./slot_limits.ts";
 export * from "./drained.ts";
+export * from "./probe_schedule.ts";
+export * from "./rendezvous.ts";
--- a/src/endpoints/http_endpoint_client.ts
+++ b/src/endpoints/http_endpoint_client.ts
@@ -20,6 +20,7 @@
 } from "./endpoint_client.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const SERVICE_UNAVAILABLE = 503;
 const KEEP_ALIVE_MS = 10_000;
 const MAX_CONNECTIONS_PER_ENDPOINT = 128;
 
@@ -81,6 +82,10 @@
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(timeoutMs),
       });
+      if (res.statusCode === SERVICE_UNAVAILABLE) {
+        await res.body.dump();
+        return ok({ ready: false, inFlight: undefined });
+      }
       const report = Report.safeParse(await res.body.json());
       if (!report.success) {
         return fail("endpoint_failed", "broken health report");
--- a/src/endpoints/mod.ts
+++ b/src/endpoints/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./endpoint_client.ts";
 export * from "./http_endpoint_client.ts";
+export * from "./prober.ts";
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -10,14 +10,19 @@
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import { EvenSlotLimits, FairDispatcher } from "../decisions/steering/mod.ts";
+import {
+  connectionPart,
+  EvenSlotLimits,
+  FairDispatcher,
+  ProbeSchedule,
+} from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
-import type { EndpointClient } from "../endpoints/mod.ts";
+import { type EndpointClient, Prober } from "../endpoints/mod.ts";
 import {
   callerApp,
   KeyRing,
@@ -38,6 +43,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { Listener } from "./listener.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -86,6 +92,7 @@
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
   readonly #dispatcher: FairDispatcher;
+  readonly #prober: Prober;
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
@@ -113,6 +120,7 @@
       zone: cfg.instance.zone,
       limits: new EvenSlotLimits(this.#seats),
     });
+    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -120,6 +128,14 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    this.#exchange.register(
+      new LoadExchange({
+        zone: cfg.instance.zone,
+        prober: this.#prober,
+        zoneOf: (id) =>
+          this.#roster.members().find((m) => m.instance === id)?.zone,
+      }),
+    );
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
@@ -141,6 +157,7 @@
       name: "dispatcher",
       run: (now) => this.#dispatcher.tick(now),
     });
+    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -238,6 +255,28 @@
     return ok(undefined);
   }
 
+  #makeProber(): Prober {
+    const { cfg, clock, metrics, random, endpoints } = this.#deps;
+    const { id, zone } = cfg.instance;
+    return new Prober({
+      clock,
+      metrics,
+      client: endpoints,
+      schedule: new ProbeSchedule(id, random),
+      targets: () =>
+        this.#dispatcher.rows().map((row) => ({
+          id: row.id,
+          url: row.entry.url,
+          connectionFree:
+            row.inFlight < connectionPart(row.entry, row.slotLimit),
+        })),
+      zoneMates: () =>
+        this.#roster.live().filter((m) => m.zone === zone)
+          .map((m) => m.instance),
+      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+    });
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
