Judge the demo by what callers and endpoints record

The demo printed a few sums and could not show a wrongful refusal, a false "not run", a run above an account's rate or what an event costs.

Every wrongful refusal carries rate_exceeded: the fixed split gives an account with a burst of 10 less than one token an instance, so it is never served.

--- a/tools/demo/deployments.ts
+++ b/tools/demo/deployments.ts
@@ -30,7 +30,8 @@
   readonly accounts: Readonly<Record<string, DeploymentAccount>>;
 }
 
-const INSTANCES_PER_ZONE = 2;
+/** Entry instances in each availability zone. */
+export const INSTANCES_PER_ZONE = 2;
 
 /** Deployments by name. */
 export const DEPLOYMENTS: Readonly<
@@ -49,21 +50,21 @@
         targets: 20,
         slots: 9,
         idempotent: true,
-        workMs: 20,
+        workMs: 80,
         mix: 0.8,
       },
       allocator: {
         targets: 12,
         slots: 9,
         idempotent: false,
-        workMs: 30,
+        workMs: 120,
         mix: 0.12,
       },
       orderdesk: {
         targets: 12,
         slots: 4,
         idempotent: false,
-        workMs: 40,
+        workMs: 150,
         mix: 0.08,
       },
     },
@@ -82,21 +83,21 @@
         targets: 18,
         slots: 4,
         idempotent: true,
-        workMs: 15,
+        workMs: 60,
         mix: 0.8,
       },
       signup: {
         targets: 12,
         slots: 3,
         idempotent: false,
-        workMs: 25,
+        workMs: 90,
         mix: 0.12,
       },
       crewdesk: {
         targets: 12,
         slots: 3,
         idempotent: false,
-        workMs: 25,
+        workMs: 90,
         mix: 0.08,
       },
     },
@@ -146,16 +147,25 @@
   };
 }
 
+/** Where an endpoint stands. */
+export interface EndpointPlace {
+  readonly id: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly spec: DeploymentService;
+}
+
 /** Every endpoint of a deployment with its zone. */
 export function endpointList(
   deployment: Deployment,
-): { id: string; zone: string; service: DeploymentService }[] {
+): EndpointPlace[] {
   const zones = Object.values(deployment.regions).flat();
   return Object.entries(deployment.services).flatMap(([name, service]) =>
     Array.from({ length: service.targets }, (_, i) => ({
       id: `${name}-${i + 1}`,
       zone: zones[i % zones.length] ?? "",
-      service,
+      service: name,
+      spec: service,
     }))
   );
 }
--- a/tools/demo/endpoints_main.ts
+++ b/tools/demo/endpoints_main.ts
@@ -1,28 +1,34 @@
-/** The endpoints of one availability zone as a process. */
-import process from "node:process";
-import { createServer } from "node:http";
+/**
+ * The endpoints of one availability zone as a process, with a control
+ * listener: `GET /runs` gives what they recorded, `POST /slow/ID/FACTOR` makes
+ * one slow.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage } from "node:http";
 import type { AddressInfo } from "node:net";
-import { EndpointServer } from "../standins/endpoint_server.ts";
+import process from "node:process";
+import {
+  EndpointServer,
+  type EndpointSpec,
+} from "../standins/endpoint_server.ts";
 
-const specs = JSON.parse(process.argv[2] ?? "[]") as {
-  id: string;
-  slots: number;
-  workMs: number;
-}[];
+const specs = JSON.parse(process.argv[2] ?? "[]") as EndpointSpec[];
 const endpoints = await Promise.all(specs.map((s) => EndpointServer.open(s)));
-const control = createServer((_req, res) => {
-  const all = endpoints.map(({ opts, counts }) => ({
-    id: opts.id,
-    ...counts,
-    operations: [...counts.operations],
-    runsByAccount: [...counts.runsByAccount],
-  }));
-  res.end(JSON.stringify(all));
+const control = createServer((req, res) => {
+  slowDown(req);
+  res.end(JSON.stringify(endpoints.flatMap((e) => e.runs)));
 });
 control.listen(0, "127.0.0.1", () => {
   const { port } = control.address() as AddressInfo;
-  const urls = endpoints.map((e) => [e.opts.id, e.url]);
-  console.log(
-    JSON.stringify({ control: `http://127.0.0.1:${port}`, urls }),
-  );
+  const urls = endpoints.map((e) => [e.spec.id, e.url]);
+  console.log(JSON.stringify({ control: `http://127.0.0.1:${port}`, urls }));
 });
+
+function slowDown(req: IncomingMessage): void {
+  const [, verb, id, factor] = req.url?.split("/") ?? [];
+  if (verb !== "slow") return;
+  for (const endpoint of endpoints) {
+    if (endpoint.spec.id === id) endpoint.slowness = Number(factor);
+  }
+}
--- /dev/null
+++ b/tools/demo/workload.ts
@@ -0,0 +1,160 @@
+/**
+ * The callers of a deployment: each account's requests arrive at random at a
+ * part of its rate, whatever becomes of earlier ones.
+ *
+ * @module
+ */
+import { Client } from "../../src/client/mod.ts";
+import { type Failure, type Random, SeededRandom } from "../../src/core/mod.ts";
+import {
+  type Deployment,
+  type DeploymentService,
+  keyOf,
+} from "./deployments.ts";
+import type { SentRecord, SentResult } from "./records.ts";
+
+/** What a workload needs. */
+export interface WorkloadOptions {
+  readonly deployment: Deployment;
+  /** One entry instance's address in each region. */
+  readonly seeds: readonly string[];
+  readonly seconds: number;
+  /** Part of its rate that an account sends at, `elapsedMs` into the run. */
+  readonly load: (account: string, elapsedMs: number) => number;
+}
+
+/** Part of an account's callers that sit in each region, its own first. */
+const CALLER_PARTS = [0.6, 0.3, 0.1];
+const TIMEOUT_MS = 1_000;
+const BODY_BYTES = 200;
+const SEED = 1;
+
+/** Sends the workload and gives a record of every request. */
+export async function sendWorkload(
+  opts: WorkloadOptions,
+): Promise<SentRecord[]> {
+  const random = new SeededRandom(SEED);
+  const accounts = Object.keys(opts.deployment.accounts);
+  const callers = accounts.map((id, i) =>
+    new AccountCallers(id, i, opts, random)
+  );
+  const records = await Promise.all(callers.map((c) => c.run()));
+  await Promise.all(callers.map((c) => c.close()));
+  return records.flat();
+}
+
+class AccountCallers {
+  readonly #account: string;
+  readonly #opts: WorkloadOptions;
+  readonly #random: Random;
+  readonly #clients: Client[];
+  #count = 0;
+
+  constructor(
+    account: string,
+    index: number,
+    opts: WorkloadOptions,
+    random: Random,
+  ) {
+    this.#account = account;
+    this.#opts = opts;
+    this.#random = random;
+    const { seeds } = opts;
+    this.#clients = seeds.map((_, i) => {
+      const first = (index + i) % seeds.length;
+      const own = [...seeds.slice(first), ...seeds.slice(0, first)];
+      return new Client({ seeds: own, key: keyOf(account) });
+    });
+  }
+
+  async run(): Promise<SentRecord[]> {
+    const ratePerS = this.#opts.deployment.accounts[this.#account]?.ratePerS ??
+      0;
+    const startedAt = performance.now();
+    const sent: Promise<SentRecord>[] = [];
+    let dueMs = 0;
+    while (dueMs < this.#opts.seconds * 1_000) {
+      const load = this.#opts.load(this.#account, dueMs);
+      dueMs += -Math.log(1 - this.#random.next()) * 1_000 / (ratePerS * load);
+      const waitMs = startedAt + dueMs - performance.now();
+      if (waitMs > 0) {
+        await new Promise((resolve) => setTimeout(resolve, waitMs));
+      }
+      sent.push(this.#send());
+    }
+    return await Promise.all(sent);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.#clients.map((c) => c.close()));
+  }
+
+  async #send(): Promise<SentRecord> {
+    const [service, spec] = this.#pickService();
+    const request = `${this.#account}/${this.#count++}`;
+    const sentAt = now();
+    const answer = await this.#pickClient().send({
+      service,
+      method: spec.idempotent ? "GET" : "POST",
+      path: "/work",
+      headers: { "x-request-id": request },
+      ...(spec.idempotent ? {} : { body: request.padEnd(BODY_BYTES) }),
+      timeoutMs: TIMEOUT_MS,
+      idempotent: spec.idempotent,
+    });
+    const common = {
+      account: this.#account,
+      service,
+      request,
+      idempotent: spec.idempotent,
+      sentAt,
+      endedAt: now(),
+      timeoutMs: TIMEOUT_MS,
+    };
+    if (answer.isErr()) {
+      const { code } = answer.error;
+      return {
+        ...common,
+        result: resultOf(answer.error),
+        misdelivered: false,
+        code,
+      };
+    }
+    const misdelivered = !isOwn(answer.value.body, this.#account, request);
+    return { ...common, result: "answered", misdelivered, code: "" };
+  }
+
+  #pickClient(): Client {
+    const pick = this.#random.next();
+    let sum = 0;
+    const i = CALLER_PARTS.findIndex((part) => (sum += part) > pick);
+    return this.#clients[Math.max(0, i) % this.#clients.length] as Client;
+  }
+
+  #pickService(): [string, DeploymentService] {
+    const services = Object.entries(this.#opts.deployment.services);
+    const pick = this.#random.next();
+    let sum = 0;
+    const found = services.find(([, s]) => (sum += s.mix) > pick);
+    return found ?? services[0] as [string, DeploymentService];
+  }
+}
+
+/** No instance answered at all: nobody said what became of the request. */
+function resultOf(failure: Failure): SentResult {
+  if (failure.code === "peer_unavailable") return "lost";
+  return failure.outcome === "not-run" ? "not_run" : "unknown";
+}
+
+function isOwn(body: Uint8Array, account: string, request: string): boolean {
+  try {
+    const got = JSON.parse(new TextDecoder().decode(body));
+    return got.account === account && got.request === request;
+  } catch {
+    return false;
+  }
+}
+
+function now(): number {
+  return performance.timeOrigin + performance.now();
+}
--- a/tools/standins/endpoint_server.ts
+++ b/tools/standins/endpoint_server.ts
@@ -1,5 +1,5 @@
 /**
- * A stand-in for an endpoint: takes a while over each request, and counts by
+ * A stand-in for an endpoint: takes a while over each request, and records by
  * itself what must never happen.
  *
  * @module
@@ -11,46 +11,54 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { type Random, SeededRandom } from "../../src/core/mod.ts";
 
-/** What an endpoint is and does. */
-export interface EndpointServerOptions {
+/** What an endpoint is. */
+export interface EndpointSpec {
   readonly id: string;
+  readonly service: string;
   readonly slots: number;
-  /** Time a request takes, in milliseconds. */
-  workMs: number;
+  /** Time an ordinary request takes, in milliseconds. */
+  readonly workMs: number;
+  readonly seed: number;
 }
 
-/** What an endpoint counted. */
-export interface EndpointCounts {
-  runs: number;
-  overSlots: number;
-  keysSeen: number;
-  /** Operation ids, each with how often it ran. */
-  operations: Map<string, number>;
-  /** When each request ran, by account, in milliseconds since the epoch. */
-  runsByAccount: Map<string, number[]>;
+/** One request as the endpoint saw it; times in milliseconds since the epoch. */
+export interface RunRecord {
+  readonly endpoint: string;
+  readonly service: string;
+  readonly account: string;
+  readonly request: string;
+  readonly startedAt: number;
+  endedAt: number;
+  /** More work was in flight than there are slots. */
+  readonly overSlots: boolean;
+  /** The caller's key came along. */
+  readonly keySeen: boolean;
 }
 
+const LONG_PART = 0.02;
+const LONG_FACTOR = 5;
+
 /** One endpoint on loopback. */
 export class EndpointServer {
-  readonly counts: EndpointCounts = {
-    runs: 0,
-    overSlots: 0,
-    keysSeen: 0,
-    operations: new Map(),
-    runsByAccount: new Map(),
-  };
-  readonly opts: EndpointServerOptions;
+  readonly spec: EndpointSpec;
+  readonly runs: RunRecord[] = [];
+  /** Multiplies the time each request takes; changed to play a slow endpoint. */
+  slowness = 1;
+  readonly #random: Random;
   readonly #server: Server;
   #inFlight = 0;
 
-  private constructor(opts: EndpointServerOptions) {
-    this.opts = opts;
+  private constructor(spec: EndpointSpec) {
+    this.spec = spec;
+    this.#random = new SeededRandom(spec.seed);
     this.#server = createServer((req, res) => void this.#serve(req, res));
   }
 
-  static open(opts: EndpointServerOptions): Promise<EndpointServer> {
-    const endpoint = new EndpointServer(opts);
+  /** Opens an endpoint on a free port. */
+  static open(spec: EndpointSpec): Promise<EndpointServer> {
+    const endpoint = new EndpointServer(spec);
     return new Promise((resolve) => {
       endpoint.#server.listen(0, "127.0.0.1", () => resolve(endpoint));
     });
@@ -70,48 +78,75 @@
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (req.url === "/healthz") {
-      res.end(JSON.stringify({ ready: true, in_flight: this.#inFlight }));
+      const report = { ready: true, in_flight: this.#inFlight };
+      res.end(JSON.stringify(report));
       return;
     }
     this.#inFlight += 1;
-    this.#count(req);
-    const body: Uint8Array[] = [];
+    const run = this.#record(req);
     try {
-      for await (const chunk of req) body.push(chunk);
-      await new Promise((resolve) => setTimeout(resolve, this.opts.workMs));
-      this.#answer(req, res, body);
+      const bytes = await readLength(req);
+      await workUnlessGone(res, this.#workMs(req));
+      this.#answer(req, res, bytes);
     } catch {
       res.destroy();
     } finally {
       this.#inFlight -= 1;
+      run.endedAt = Date.now();
     }
   }
 
-  #count(req: IncomingMessage): void {
-    const { counts, opts } = this;
-    const account = String(req.headers["x-client-account"]);
-    const operation = req.headers["idempotency-key"];
-    counts.runs += 1;
-    if (this.#inFlight > opts.slots) counts.overSlots += 1;
-    if (req.headers.authorization !== undefined) counts.keysSeen += 1;
-    const runs = counts.runsByAccount.get(account) ?? [];
-    counts.runsByAccount.set(account, runs);
-    runs.push(Date.now());
-    if (operation === undefined) return;
-    const name = `${account} ${operation}`;
-    counts.operations.set(name, (counts.operations.get(name) ?? 0) + 1);
+  #record(req: IncomingMessage): RunRecord {
+    const now = Date.now();
+    const run: RunRecord = {
+      endpoint: this.spec.id,
+      service: this.spec.service,
+      account: String(req.headers["x-client-account"]),
+      request: String(req.headers["x-request-id"]),
+      startedAt: now,
+      endedAt: Infinity,
+      overSlots: this.#inFlight > this.spec.slots,
+      keySeen: req.headers.authorization !== undefined,
+    };
+    this.runs.push(run);
+    return run;
+  }
+
+  /** Most requests are alike, a few are long; none outlasts its timeout. */
+  #workMs(req: IncomingMessage): number {
+    const long = this.#random.next() < LONG_PART ? LONG_FACTOR : 1;
+    const spread = 0.5 + this.#random.next();
+    const ms = this.spec.workMs * spread * long * this.slowness;
+    return Math.min(ms, Number(req.headers["x-timeout-ms"] ?? Infinity));
   }
 
   /** Says back what was asked, so that a caller sees whether it is its own. */
-  #answer(req: IncomingMessage, res: ServerResponse, body: Uint8Array[]): void {
+  #answer(req: IncomingMessage, res: ServerResponse, bytes: number): void {
     const text = JSON.stringify({
-      endpoint: this.opts.id,
+      endpoint: this.spec.id,
       account: req.headers["x-client-account"],
       request: req.headers["x-request-id"],
-      bytes: body.reduce((n, b) => n + b.length, 0),
+      bytes,
     });
     res.setHeader("content-type", "application/json");
     res.setHeader("content-length", String(text.length));
     res.end(text);
   }
 }
+
+async function readLength(req: IncomingMessage): Promise<number> {
+  let bytes = 0;
+  for await (const chunk of req) bytes += (chunk as Uint8Array).length;
+  return bytes;
+}
+
+/** Works for `ms`, or stops as soon as the connection is gone. */
+function workUnlessGone(res: ServerResponse, ms: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(resolve, ms);
+    res.once("close", () => {
+      clearTimeout(timer);
+      reject(new Error("the connection closed"));
+    });
+  });
+}
