Drive the document from the command line

The platform's token comes by environment variable alone; a key is printed once and only its digest is stored. Wrong settings and sections name the path, what was found and what is allowed; an unknown key is answered with the nearest one. What may be a secret pasted into the wrong field is not echoed.

A take-over test exports from one platform, imports to an empty one and starts a new instance there: the same look-up answers, rates and keys.

--- /dev/null
+++ b/src/cli/commands/drains.ts
@@ -0,0 +1,78 @@
+/**
+ * Commands on planned drains.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Failure, fromZod } from "../../core/mod.ts";
+import {
+  addDrain,
+  DrainEntry,
+  DRAINS,
+  editSection,
+  removeDrain,
+  type SectionName,
+} from "../../document/mod.ts";
+import {
+  type CliContext,
+  type CommonOptions,
+  withPlatform,
+} from "../context.ts";
+import type { ExitCode } from "../exit.ts";
+
+/** What to drain, and in which section it is to stand. */
+export interface DrainArgs {
+  readonly kind: string;
+  readonly id: string;
+  readonly section?: string | undefined;
+}
+
+/** Adds or removes a drain. */
+export function changeDrain(
+  ctx: CliContext,
+  { what, args }: { what: "add" | "remove"; args: DrainArgs },
+  opts: CommonOptions,
+): Promise<ExitCode> {
+  return withPlatform(ctx, opts, async ({ store, author }) => {
+    const drain = parseDrain(args);
+    if (drain.isErr()) return err(drain.error);
+    const section = (args.section ?? DRAINS) as SectionName;
+    const edit = what === "add" ? addDrain : removeDrain;
+    const done = await editSection(
+      store,
+      author,
+      (now) => edit(now, drain.value, section),
+    );
+    return done.map(({ manifest: { generation }, document }) => {
+      const { drains } = document;
+      ctx.out(
+        opts.json
+          ? JSON.stringify({ generation, drains })
+          : `${drains.length} drains are in force with generation ${generation}`,
+      );
+    });
+  });
+}
+
+/** Prints the drains of all sections. */
+export function listDrains(
+  ctx: CliContext,
+  opts: CommonOptions,
+): Promise<ExitCode> {
+  return withPlatform(ctx, opts, async ({ store }) => {
+    const manifest = await store.manifest();
+    if (manifest.isErr()) return err(manifest.error);
+    const now = await store.load(manifest.value.value);
+    return now.map(({ document: { drains } }) => {
+      if (opts.json) return ctx.out(JSON.stringify(drains));
+      for (const drain of drains) ctx.out(`${drain.kind} ${drain.id}`);
+    });
+  });
+}
+
+function parseDrain(args: DrainArgs): Result<DrainEntry, Failure> {
+  const { kind, id } = args;
+  const parsed = DrainEntry.safeParse({ kind, id }, { reportInput: true });
+  if (parsed.success) return ok(parsed.data);
+  return err(fromZod("bad_request", parsed.error));
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,16 +5,7 @@
  * @module
  */
 import process from "node:process";
-import sade from "sade";
-import { serve } from "./serve.ts";
+import { run } from "./program.ts";
+import { systemContext } from "./system_context.ts";
 
-const program = sade("magnoliahook");
-program
-  .version("0.1.0")
-  .command("serve", "Run an entry instance until SIGTERM")
-  .option("--settings", "The settings file (TOML)")
-  .example("serve --settings /etc/magnoliahook.toml")
-  .action(async (opts: { settings?: string }) => {
-    process.exitCode = await serve(opts.settings ?? "magnoliahook.toml");
-  });
-program.parse(process.argv);
+process.exitCode = await run(systemContext(), process.argv);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import process from "node:process";
 import {
   DebugLog,
   describe,
@@ -18,15 +17,17 @@
 import { ConnectPeerTransport } from "../peers/mod.ts";
 import { HttpPlatform } from "../platform/mod.ts";
 import { loadSettings, type Settings } from "../settings/mod.ts";
-
-/** Exit codes of the command line; docs/CLI.md lists them. */
-export const EXIT = { ok: 0, failed: 1, badInput: 2 } as const;
+import { type CliContext, PLATFORM_TOKEN } from "./context.ts";
+import { EXIT, type ExitCode } from "./exit.ts";
 
 /** Runs an instance until SIGTERM or SIGINT; gives the exit code. */
-export async function serve(file: string): Promise<number> {
+export async function serve(
+  file: string,
+  ctx: CliContext,
+): Promise<ExitCode> {
   const cfg = await loadSettings(file);
   if (cfg.isErr()) {
-    console.error(describe(cfg.error));
+    ctx.err(describe(cfg.error));
     return EXIT.badInput;
   }
   const metrics = metricsFor(cfg.value);
@@ -35,6 +36,7 @@
     cfg: cfg.value,
     platform: new HttpPlatform({
       baseUrl: url,
+      token: ctx.env[PLATFORM_TOKEN],
       timeoutMs: timeout_ms,
       metrics,
     }),
@@ -46,12 +48,12 @@
     log: new DebugLog(),
   });
   if (instance.isErr()) {
-    console.error(describe(instance.error));
+    ctx.err(describe(instance.error));
     return EXIT.failed;
   }
   const { callerUrl, adminUrl } = instance.value;
-  console.log(JSON.stringify({ event: "serving", callerUrl, adminUrl }));
-  await stopSignal();
+  ctx.out(JSON.stringify({ event: "serving", callerUrl, adminUrl }));
+  await ctx.stopped();
   await instance.value.stop();
   return EXIT.ok;
 }
@@ -61,10 +63,3 @@
   const globalTags = { instance: cfg.instance.id, zone: cfg.instance.zone };
   return new StatsdMetrics({ ...cfg.metrics, globalTags });
 }
-
-function stopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
-}
--- /dev/null
+++ b/src/cli/system_context.ts
@@ -0,0 +1,38 @@
+/**
+ * The world of a command run by a person.
+ *
+ * @module
+ */
+import { readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { MemoryMetrics, SystemClock, SystemRandom } from "../core/mod.ts";
+import { HttpPlatform } from "../platform/mod.ts";
+import type { CliContext } from "./context.ts";
+
+/** Commands against the machine's files, environment and network. */
+export function systemContext(): CliContext {
+  return {
+    out: (line) => console.log(line),
+    err: (line) => console.error(line),
+    env: process.env,
+    clock: new SystemClock(),
+    random: new SystemRandom(),
+    openPlatform: ({ url, token, timeoutMs }) =>
+      new HttpPlatform({
+        baseUrl: url,
+        token,
+        metrics: new MemoryMetrics(),
+        ...(timeoutMs === undefined ? {} : { timeoutMs }),
+      }),
+    readFile: (file) => readFile(file, "utf8"),
+    writeFile: (file, text) => writeFile(file, text),
+    stopped: stopSignal,
+  };
+}
+
+function stopSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+}
--- /dev/null
+++ b/src/cli/take_over_test.ts
@@ -0,0 +1,138 @@
+import test from "ava";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { stringify } from "smol-toml";
+import { EndpointServer } from "../../tools/standins/endpoint_server.ts";
+import { StoreServer } from "../../tools/standins/store_server.ts";
+import { TestCommands } from "./testing/test_context.ts";
+
+const CALLS = 2;
+const MAX_POLLS = 400;
+
+interface Served {
+  readonly callerUrl: string;
+  readonly stop: () => Promise<unknown>;
+}
+
+async function serve(dir: string, storeUrl: string): Promise<Served> {
+  const settings = join(dir, "settings.toml");
+  const instance = { id: "gulf-a-1", zone: "gulf-a", region: "gulf" };
+  await writeFile(
+    settings,
+    stringify({ instance, platform: { url: storeUrl } }),
+  );
+  const commands = new TestCommands();
+  return await new Promise((resolve) => {
+    const done = commands.run(`serve --settings ${settings}`, (line) => {
+      const { callerUrl } = JSON.parse(line);
+      const stop = () => {
+        commands.stop();
+        return done;
+      };
+      setImmediate(() => resolve({ callerUrl, stop }));
+    });
+  });
+}
+
+async function call(callerUrl: string, key: string): Promise<unknown[]> {
+  const res = await fetch(`${callerUrl}/services/mapview/closures`, {
+    headers: { authorization: `Bearer ${key}` },
+  });
+  const body = await res.json() as { account?: string; code?: string };
+  return [res.status, body.account, body.code];
+}
+
+/** What callers see once the instance has its seat: the look-up, and answers by key. */
+async function observe(callerUrl: string, keys: readonly string[]) {
+  for (let i = 0; i < MAX_POLLS; i++) {
+    if ((await call(callerUrl, keys[0] ?? ""))[0] === 200) break;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  const res = await fetch(`${callerUrl}/v1/lookup`);
+  const lookup = await res.json() as { reuse_ms: number; instances: Place[] };
+  const places = lookup.instances.map((i) => [i.instance, i.zone, i.region]);
+  const statuses: unknown[][] = [];
+  for (const key of keys) {
+    for (let i = 0; i < CALLS; i++) statuses.push(await call(callerUrl, key));
+  }
+  return { places, reuse: lookup.reuse_ms, statuses };
+}
+
+interface Place {
+  readonly instance: string;
+  readonly zone: string;
+  readonly region: string;
+}
+
+function sections(endpointUrl: string): Record<string, unknown> {
+  // A bucket begins empty: one account always has room, the other never.
+  const ample = { rate_per_s: 1_000_000, burst: 1_000_000 };
+  const scant = { rate_per_s: 0.000_01, burst: 1 };
+  return {
+    accounts: { accounts: { a1: {}, a2: {} } },
+    rates: { rates: { a1: ample, a2: scant } },
+    regions: { regions: { gulf: { zones: { "gulf-a": { instances: 1 } } } } },
+    services: {
+      services: {
+        mapview: {
+          routes: [{ method: "GET", path_prefix: "/", idempotent: true }],
+          endpoints: {
+            "mapview-1": {
+              zone: "gulf-a",
+              url: endpointUrl,
+              slots: 4,
+              connections: 100,
+            },
+          },
+        },
+      },
+    },
+  };
+}
+
+test("a new operator takes over from the document alone", async (t) => {
+  // The contract passes on and the old operator's platform goes away. Callers
+  // keep their keys; with another key, rate or place they would be turned away.
+  const dir = await mkdtemp(join(tmpdir(), "magnoliahook-take-over-"));
+  const [before, after] = [await StoreServer.open(), await StoreServer.open()];
+  const endpoint = await EndpointServer.open({
+    id: "mapview-1",
+    service: "mapview",
+    slots: 4,
+    workMs: 1,
+    seed: 1,
+  });
+  const commands = new TestCommands();
+  for (const [name, value] of Object.entries(sections(endpoint.url))) {
+    const file = join(dir, `${name}.json`);
+    await writeFile(file, JSON.stringify(value));
+    const at = `--platform ${before.url}`;
+    t.is((await commands.run(`apply ${name} ${file} ${at}`)).code, 0);
+  }
+  const issue = (account: string, id: string) =>
+    commands.run(`key issue ${account} --id ${id} --platform ${before.url}`);
+  const keys = [(await issue("a1", "k1")).out, (await issue("a2", "k2")).out];
+  const withdrawn = (await issue("a2", "k3")).out;
+  await commands.run(`key withdraw a2 k3 --platform ${before.url}`);
+  const old = await serve(dir, before.url);
+  const seen = await observe(old.callerUrl, [...keys, withdrawn]);
+  const file = join(dir, "whole.json");
+  t.is((await commands.run(`export ${file} --platform ${before.url}`)).code, 0);
+  await old.stop();
+  await before.close();
+
+  const done = await commands.run(`import ${file} --platform ${after.url}`);
+  t.is(done.code, 0, done.err);
+  const next = await serve(dir, after.url);
+  t.deepEqual(await observe(next.callerUrl, [...keys, withdrawn]), seen);
+  t.deepEqual(seen.statuses.map(([status]) => status), [
+    ...[200, 200],
+    ...[429, 429],
+    ...[401, 401],
+  ]);
+  await next.stop();
+  await after.close();
+  await endpoint.close();
+  await rm(dir, { recursive: true });
+});
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -102,22 +102,57 @@
 }
 
 /**
- * Turns what zod found into one failure whose `issues` keep each path.
+ * Turns what zod found into one failure whose `issues` keep each path. Parsed
+ * with `reportInput`, each says what was found.
  *
  * @example
  * ```ts
- * const parsed = Settings.safeParse(raw);
+ * const parsed = Settings.safeParse(raw, { reportInput: true });
  * if (!parsed.success) return err(fromZod("bad_settings", parsed.error));
  * ```
  */
 export function fromZod(code: FailureCode, error: z.ZodError): Failure {
-  const issues = error.issues.map((issue) =>
-    failure(code, issue.message, { path: issue.path.map(pathPart) })
-  );
-  return failure(code, issues.map(describe).join("; "), {
-    path: issues[0]?.path ?? [],
-    issues,
+  const issues = error.issues.slice(0, MAX_ISSUES).map((issue) => {
+    const path = issue.path.map(pathPart);
+    return failure(code, issue.message + found(issue, path), { path });
   });
+  return combine(code, issues);
+}
+
+/**
+ * One failure for several: a single one stands for itself, more are told one
+ * after another.
+ *
+ * @example
+ * ```ts
+ * if (issues.length > 0) return err(combine("bad_document", issues));
+ * ```
+ */
+export function combine(
+  code: FailureCode,
+  issues: readonly Failure[],
+): Failure {
+  const [first, second] = issues;
+  if (first !== undefined && second === undefined) return { ...first, issues };
+  return failure(code, issues.map(describe).join("; "), { issues });
+}
+
+const MAX_ISSUES = 50;
+const MAX_SHOWN = 60;
+/** Fields into which somebody may have put a secret by mistake. */
+const SENSITIVE = /sha256|secret|token|key/;
+
+/** Says what was found, but for what may be a secret pasted into a field. */
+function found(issue: z.core.$ZodIssue, path: FailurePath): string {
+  const { input } = issue;
+  if (input === undefined || issue.code === "unrecognized_keys") return "";
+  if (typeof input === "object") return "";
+  const shown = String(input);
+  const secret = path.some((part) => SENSITIVE.test(String(part)));
+  if (secret || shown.length > MAX_SHOWN) {
+    return `, found ${shown.length} characters`;
+  }
+  return `, found ${typeof input === "string" ? JSON.stringify(input) : shown}`;
 }
 
 /**
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -10,4 +10,6 @@
 export * from "./ids.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
+export * from "./nearest.ts";
 export * from "./random.ts";
+export * from "./strict.ts";
--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -4,9 +4,10 @@
  *
  * @module
  */
-import { ok, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import {
   type AccountId,
+  combine,
   fail,
   type Failure,
   failure,
@@ -66,13 +67,14 @@
   const issues: Failure[] = [];
   for (const [name, value] of Object.entries(raw)) {
     const section = parseSection(name, value);
-    if (section.isErr()) issues.push(section.error);
-    else issues.push(...merge(merged, name as SectionName, section.value));
+    if (section.isErr()) {
+      issues.push(...section.error.issues ?? [section.error]);
+    } else issues.push(...merge(merged, name as SectionName, section.value));
   }
   if (issues.length === 0) issues.push(...crossCheck(merged));
-  const first = issues[0];
+  const [first] = issues;
   if (first === undefined) return ok(merged);
-  return fail(first.code, first.message, { path: first.path, issues });
+  return err(combine(first.code, issues));
 }
 
 /**
@@ -97,7 +99,8 @@
       },
     );
   }
-  const parsed = SECTION_SCHEMAS[kindOf(sectionName.data)].safeParse(value);
+  const schema = SECTION_SCHEMAS[kindOf(sectionName.data)];
+  const parsed = schema.safeParse(value, { reportInput: true });
   if (parsed.success) return ok(parsed.data);
   const found = fromZod("bad_section", parsed.error);
   return fail("bad_section", found.message, {
--- /dev/null
+++ b/src/document/key_edit.ts
@@ -0,0 +1,70 @@
+/**
+ * Issuing and withdrawing keys of client accounts.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { fail, type Failure, unknownName } from "../core/mod.ts";
+import type { AcceptedDocument } from "./document_store.ts";
+import type { SectionChange } from "./section_edit.ts";
+import { kindOf, type SectionName } from "./sections.ts";
+
+/** Sections as their owners wrote them, before defaults are filled in. */
+interface RawAccounts {
+  readonly accounts: Readonly<Record<string, { keys?: readonly RawKey[] }>>;
+}
+
+interface RawKey {
+  readonly id: string;
+  readonly sha256: string;
+  readonly withdrawn?: boolean;
+}
+
+/** Adds a key, by its digest, to an account. */
+export function issueKey(
+  now: AcceptedDocument,
+  account: string,
+  key: { readonly id: string; readonly sha256: string },
+): Result<SectionChange, Failure> {
+  return changeKeys(now, account, (keys) => {
+    if (!keys.some((k) => k.id === key.id)) return ok([...keys, key]);
+    return fail("conflict", `account ${account} has a key ${key.id} already`);
+  });
+}
+
+/** Marks a key as withdrawn; it stays named, so that it is not issued again. */
+export function withdrawKey(
+  now: AcceptedDocument,
+  account: string,
+  id: string,
+): Result<SectionChange, Failure> {
+  return changeKeys(now, account, (keys) => {
+    const ids = keys.map((k) => k.id);
+    if (!ids.includes(id)) {
+      return fail("not_found", unknownName("key", id, ids));
+    }
+    return ok(keys.map((k) => k.id === id ? { ...k, withdrawn: true } : k));
+  });
+}
+
+function changeKeys(
+  now: AcceptedDocument,
+  account: string,
+  change: (keys: readonly RawKey[]) => Result<RawKey[], Failure>,
+): Result<SectionChange, Failure> {
+  for (const [name, raw] of Object.entries(now.raw)) {
+    if (kindOf(name as SectionName) !== "accounts") continue;
+    const section = raw as RawAccounts;
+    if (!Object.hasOwn(section.accounts, account)) continue;
+    const entry = section.accounts[account];
+    const keys = change(entry?.keys ?? []);
+    if (keys.isErr()) return err(keys.error);
+    const accounts = {
+      ...section.accounts,
+      [account]: { ...entry, keys: keys.value },
+    };
+    return ok({ name: name as SectionName, value: { ...section, accounts } });
+  }
+  const known = Object.keys(now.document.accounts);
+  return fail("not_found", unknownName("account", account, known));
+}
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -5,5 +5,8 @@
  */
 export * from "./document.ts";
 export * from "./document_store.ts";
+export * from "./drain_edit.ts";
+export * from "./key_edit.ts";
 export * from "./manifest.ts";
+export * from "./section_edit.ts";
 export * from "./sections.ts";
--- a/src/document/sections.ts
+++ b/src/document/sections.ts
@@ -15,6 +15,7 @@
   KeyId,
   RegionId,
   ServiceId,
+  strict,
   ZoneId,
 } from "../core/mod.ts";
 
@@ -25,7 +26,7 @@
 const Milliseconds = z.number().int().positive().max(3_600_000);
 
 /** One key of a client account: its digest, never the key. */
-export const KeyEntry = z.strictObject({
+export const KeyEntry = strict({
   id: KeyId,
   sha256: Sha256,
   withdrawn: z.boolean().default(false),
@@ -33,10 +34,10 @@
 export type KeyEntry = z.infer<typeof KeyEntry>;
 
 /** Client accounts and their keys. */
-export const AccountsSection = z.strictObject({
+export const AccountsSection = strict({
   accounts: z.record(
     AccountId,
-    z.strictObject({
+    strict({
       name: z.string().max(200).optional(),
       keys: z.array(KeyEntry).max(50).default([]),
       /** Part of a queue's turns under contention, against other accounts. */
@@ -52,10 +53,10 @@
 export type AccountsSection = z.infer<typeof AccountsSection>;
 
 /** Rate and burst of each client account, over all instances together. */
-export const RatesSection = z.strictObject({
+export const RatesSection = strict({
   rates: z.record(
     AccountId,
-    z.strictObject({
+    strict({
       rate_per_s: z.number().positive().max(10_000_000),
       burst: z.number().positive().max(10_000_000),
     }),
@@ -64,13 +65,13 @@
 export type RatesSection = z.infer<typeof RatesSection>;
 
 /** Regions, their availability zones, and the links between regions. */
-export const RegionsSection = z.strictObject({
+export const RegionsSection = strict({
   regions: z.record(
     RegionId,
-    z.strictObject({
+    strict({
       zones: z.record(
         ZoneId,
-        z.strictObject({
+        strict({
           /** Entry instances the zone is meant to have. */
           instances: z.number().int().min(1).max(1000).default(2),
         }),
@@ -79,7 +80,7 @@
       headroom: z.number().min(0).max(1).default(0.2),
     }),
   ).default({}),
-  links: z.array(z.strictObject({
+  links: z.array(strict({
     from: RegionId,
     to: RegionId,
     cap_mbit_per_s: z.number().positive(),
@@ -89,7 +90,7 @@
 export type RegionsSection = z.infer<typeof RegionsSection>;
 
 /** One endpoint of a service. */
-export const EndpointEntry = z.strictObject({
+export const EndpointEntry = strict({
   zone: ZoneId,
   url: z.url({ protocol: /^https?$/ }),
   /** Requests it runs at once. */
@@ -100,7 +101,7 @@
 export type EndpointEntry = z.infer<typeof EndpointEntry>;
 
 /** What holds for requests whose method and path match. */
-export const RouteEntry = z.strictObject({
+export const RouteEntry = strict({
   method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"]),
   path_prefix: z.string().startsWith("/").max(200),
   /** Whether running such a request twice does no harm. */
@@ -110,17 +111,17 @@
 export type RouteEntry = z.infer<typeof RouteEntry>;
 
 /** Services with their routes and endpoints. */
-export const ServicesSection = z.strictObject({
+export const ServicesSection = strict({
   services: z.record(
     ServiceId,
-    z.strictObject({
+    strict({
       deadline_ms: Milliseconds.default(5_000),
       /** Requests that may wait for a slot, per entry instance. */
       queue_limit: z.number().int().min(0).max(100_000).default(256),
       /** First match counts; no match means the request is not idempotent. */
       routes: z.array(RouteEntry).max(100).default([]),
       endpoints: z.record(EndpointId, EndpointEntry).default({}),
-      objective: z.strictObject({
+      objective: strict({
         availability: z.number().gt(0).lt(1).default(0.999),
         latency_ms: Milliseconds.default(500),
         latency_ratio: z.number().gt(0).lt(1).default(0.99),
@@ -132,24 +133,24 @@
 
 /** One thing that is to get no new work. */
 export const DrainEntry = z.discriminatedUnion("kind", [
-  z.strictObject({ kind: z.literal("endpoint"), id: EndpointId }),
-  z.strictObject({ kind: z.literal("zone"), id: ZoneId }),
-  z.strictObject({ kind: z.literal("region"), id: RegionId }),
-  z.strictObject({ kind: z.literal("instance"), id: InstanceId }),
+  strict({ kind: z.literal("endpoint"), id: EndpointId }),
+  strict({ kind: z.literal("zone"), id: ZoneId }),
+  strict({ kind: z.literal("region"), id: RegionId }),
+  strict({ kind: z.literal("instance"), id: InstanceId }),
 ]);
 export type DrainEntry = z.infer<typeof DrainEntry>;
 
 /** Planned drains. */
-export const DrainsSection = z.strictObject({
+export const DrainsSection = strict({
   drains: z.array(DrainEntry).max(10_000).default([]),
 });
 export type DrainsSection = z.infer<typeof DrainsSection>;
 
 /** Who may edit which sections through the administration API. */
-export const AccessSection = z.strictObject({
+export const AccessSection = strict({
   roles: z.record(
     z.string().max(64),
-    z.strictObject({
+    strict({
       token_sha256: Sha256,
       /** Section names, or kinds, that this role edits; `*` means all. */
       edits: z.array(z.string()).default([]),
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -33,6 +33,8 @@
 export interface HttpPlatformOptions {
   readonly baseUrl: string;
   readonly metrics: Metrics;
+  /** Sent as a bearer token, where the platform asks for one. */
+  readonly token?: string | undefined;
   /** How long one call may take, in milliseconds, waiting watches apart. */
   readonly timeoutMs?: number;
 }
@@ -145,6 +147,11 @@
     await this.#agent.destroy();
   }
 
+  #authorization(): Record<string, string> {
+    const { token } = this.#opts;
+    return token === undefined ? {} : { authorization: `Bearer ${token}` };
+  }
+
   async #call(name: string, call: Call): Promise<Result<Answer, Failure>> {
     this.#opts.metrics.count("platform.calls", { call: name });
     const timeoutMs = (this.#opts.timeoutMs ?? DEFAULT_TIMEOUT_MS) +
@@ -153,7 +160,7 @@
     try {
       const res = await request(this.#opts.baseUrl + call.path, {
         method: call.method,
-        headers: call.headers ?? {},
+        headers: { ...call.headers, ...this.#authorization() },
         body: call.body ?? null,
         dispatcher: this.#agent,
         signal: deadline.signal,
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -13,19 +13,20 @@
   fromZod,
   InstanceId,
   RegionId,
+  strict,
   ZoneId,
 } from "../core/mod.ts";
 
 /** Where a listener stands; port 0 lets the machine choose. */
-const ListenAddress = z.strictObject({
+const ListenAddress = strict({
   host: z.string().default("127.0.0.1"),
   port: z.number().int().min(0).max(65_535).default(0),
 });
 
 /** The settings file's schema. */
-export const Settings = z.strictObject({
+export const Settings = strict({
   /** Who and where this instance is. */
-  instance: z.strictObject({
+  instance: strict({
     id: InstanceId,
     zone: ZoneId,
     region: RegionId,
@@ -36,11 +37,11 @@
   peer: ListenAddress.prefault({}),
   /** Listener for the administration API. */
   admin: ListenAddress.prefault({}),
-  platform: z.strictObject({
+  platform: strict({
     url: z.url({ protocol: /^https?$/ }),
     timeout_ms: z.number().int().min(10).max(60_000).default(2_000),
   }),
-  metrics: z.strictObject({
+  metrics: strict({
     host: z.string(),
     port: z.number().int().min(1).max(65_535),
   }).optional(),
@@ -60,7 +61,7 @@
  * ```
  */
 export function parseSettings(raw: unknown): Result<Settings, Failure> {
-  const parsed = Settings.safeParse(raw);
+  const parsed = Settings.safeParse(raw, { reportInput: true });
   if (parsed.success) return ok(parsed.data);
   return err(fromZod("bad_settings", parsed.error));
 }
