--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -12,10 +12,13 @@
   fail,
   type Failure,
   type FailureCode,
+  type Outcome,
   type Random,
+  sleep,
   SystemClock,
   SystemRandom,
 } from "../core/mod.ts";
+import { type HomeBinding, HomeBindings, homeHeader } from "./home_bindings.ts";
 
 /** Settings of a caller. */
 export interface ClientOptions {
@@ -65,7 +68,7 @@
 });
 
 const OPERATION_ID_BYTES = 16;
-const MAX_TRIES = 3;
+const MAX_TRIES = 4;
 const FIRST_BACKOFF_MS = 50;
 const LOOKUP_TIMEOUT_MS = 1_000;
 
@@ -85,6 +88,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #agent = new Agent({ connections: 64, pipelining: 1 });
+  readonly #bindings: HomeBindings;
   #choices: Choices | undefined;
   #choicesUntil = -Infinity;
 
@@ -92,34 +96,41 @@
     this.#opts = opts;
     this.#clock = opts.clock ?? new SystemClock();
     this.#random = opts.random ?? new SystemRandom();
+    this.#bindings = new HomeBindings(this.#clock);
   }
 
   /**
    * Sends a request and gives the whole answer, whatever its status.
    *
    * Failures carry `outcome`: `not-run` if it surely did not run, `unknown`
-   * if it may have. Only what is idempotent or surely did not run is retried.
+   * if it may have. What is not idempotent is repeated under one operation id
+   * and home, so that a repetition brings the answer and never a second run.
    */
   async send(req: CallerRequest): Promise<Result<CallerAnswer, Failure>> {
     const deadline = this.#clock.now() + req.timeoutMs;
     const operationId = req.operationId ?? this.#random.hex(OPERATION_ID_BYTES);
+    let binding = await this.#bindingFor(req);
     let last: Result<CallerAnswer, Failure> = fail(
       "no_capacity",
       "no instance",
-      {
-        outcome: "not-run",
-      },
+      { outcome: binding.uncertain ? "unknown" : "not-run" },
     );
     for (let i = 0; i < MAX_TRIES; i++) {
-      const left = deadline - this.#clock.now();
-      if (left <= 0) return last;
+      const timeoutMs = deadline - this.#clock.now();
+      if (timeoutMs <= 0) break;
       const base = await this.#instance(i);
-      last = await this.#try(base, { ...req, operationId, timeoutMs: left });
-      if (last.isOk() || !mayRetry(req, last.error)) return last;
+      last = await this.#try(base, { ...req, operationId, timeoutMs, binding });
+      if (last.isOk()) break;
+      const outcome = outcomeOf(last.error, binding);
+      last = err({ ...last.error, outcome });
+      binding = this.#rebind(binding, { failure: last.error, next: i + 1 });
+      if (!mayRetry(last.error)) break;
       const waitMs = this.#backoff(i, last.error);
-      if (this.#clock.now() + waitMs >= deadline) return last;
-      await new Promise<void>((resolve) => this.#clock.after(waitMs, resolve));
+      if (this.#clock.now() + waitMs >= deadline) break;
+      await sleep(this.#clock, waitMs);
+      if (outcome === "not-run") this.#choicesUntil = -Infinity;
     }
+    if (req.operationId) this.#bindings.keep(req.operationId, binding);
     return last;
   }
 
@@ -128,6 +139,25 @@
     await this.#agent.close();
   }
 
+  async #bindingFor(req: CallerRequest): Promise<HomeBinding> {
+    const kept = req.operationId && this.#bindings.find(req.operationId);
+    if (kept) return kept;
+    const choices = req.idempotent ? undefined : await this.#lookup();
+    const home = choices?.instances[0]?.home;
+    return { home, round: 0, uncertain: false };
+  }
+
+  /** A new home only after a true `not-run`; else the old one stays. */
+  #rebind(
+    binding: HomeBinding,
+    { failure, next }: { failure: Failure; next: number },
+  ): HomeBinding {
+    if (failure.outcome !== "not-run") return { ...binding, uncertain: true };
+    const homes = this.#choices?.instances ?? [];
+    const home = homes[next % Math.max(1, homes.length)]?.home;
+    return { home, round: binding.round + 1, uncertain: false };
+  }
+
   async #instance(attempt: number): Promise<string> {
     const choices = await this.#lookup();
     const urls = choices?.instances.map((c) => c.url) ?? [];
@@ -162,7 +192,7 @@
 
   async #try(
     base: string,
-    req: CallerRequest & { operationId: string },
+    req: CallerRequest & { operationId: string; binding: HomeBinding },
   ): Promise<Result<CallerAnswer, Failure>> {
     try {
       const res = await request(`${base}/services/${req.service}${req.path}`, {
@@ -171,7 +201,7 @@
           ...req.headers,
           authorization: `Bearer ${this.#opts.key}`,
           "x-timeout-ms": String(Math.ceil(req.timeoutMs)),
-          ...(req.idempotent ? {} : { "idempotency-key": req.operationId }),
+          ...(req.idempotent ? {} : operationHeaders(req)),
         },
         body: req.body ?? null,
         dispatcher: this.#agent,
@@ -192,9 +222,40 @@
   }
 }
 
-function mayRetry(req: CallerRequest, failure: Failure): boolean {
-  if (failure.code === "rate_exceeded") return false;
-  return req.idempotent || failure.outcome === "not-run";
+/** Asking again with the same request cannot help with these. */
+const FINAL: ReadonlySet<FailureCode> = new Set<FailureCode>([
+  "bad_request",
+  "forbidden",
+  "not_found",
+  "rate_exceeded",
+  "unauthenticated",
+  "value_too_large",
+]);
+
+function mayRetry(failure: Failure): boolean {
+  return !FINAL.has(failure.code);
+}
+
+/**
+ * What is known of the operation, not of one attempt alone: after an attempt
+ * that may have run, a later one that was refused at the door proves nothing.
+ */
+function outcomeOf(failure: Failure, binding: HomeBinding): Outcome {
+  if (failure.outcome !== "not-run") return "unknown";
+  if (!binding.uncertain) return "not-run";
+  const forGood = binding.home !== undefined &&
+    failure.code === "operation_refused";
+  return forGood ? "not-run" : "unknown";
+}
+
+function operationHeaders(
+  { operationId, binding }: { operationId: string; binding: HomeBinding },
+): Record<string, string> {
+  const home = homeHeader(binding);
+  return {
+    "idempotency-key": operationId,
+    ...(home ? { "x-magnoliahook-home": home } : {}),
+  };
 }
 
 function readRefusal(
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -24,6 +24,8 @@
   | "deadline_exceeded"
   | "cancelled"
   | "outcome_unknown"
+  /** Not run, and no attempt under the same id and home will run. */
+  | "operation_refused"
   | "endpoint_failed"
   | "platform_unavailable"
   | "platform_outcome_unknown"
--- /dev/null
+++ b/src/gateway/operation_dispatch.ts
@@ -0,0 +1,180 @@
+/**
+ * Dispatches an operation to an endpoint and reads its whole answer.
+ *
+ * A caller that goes away ends nothing here: the operation may have had its
+ * effect already, and only its answer lets the caller's retry know.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Clock,
+  type EndpointId,
+  fail,
+  type Failure,
+} from "../core/mod.ts";
+import type {
+  Dispatcher,
+  Slot,
+  WorkResult,
+} from "../decisions/steering/mod.ts";
+import type { SteeringDocument } from "../document/mod.ts";
+import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
+import type {
+  OperationRequest,
+  OperationRunner,
+  RecordedAnswer,
+  RunResult,
+} from "../operations/mod.ts";
+import { toCaller } from "./headers.ts";
+import { policyFor } from "./routes.ts";
+
+/** What dispatching needs. */
+export interface OperationDispatchDeps {
+  readonly clock: Clock;
+  readonly dispatcher: Dispatcher;
+  readonly endpoints: EndpointClient;
+  readonly document: () => SteeringDocument;
+}
+
+const MAX_TRIES = 3;
+const DEFAULT_LIMIT_MS = 5_000;
+/** Fits a message between instances; a larger answer cannot be handed on. */
+const MAX_ANSWER_BYTES = 3_000_000;
+/** Answers that announce a length and have no body. */
+const BODILESS_STATUS = new Set([204, 304]);
+
+/** Runs operations at the endpoints that the dispatcher chooses. */
+export class OperationDispatch implements OperationRunner {
+  readonly #deps: OperationDispatchDeps;
+
+  constructor(deps: OperationDispatchDeps) {
+    this.#deps = deps;
+  }
+
+  limitMs(req: OperationRequest): number {
+    const service = this.#deps.document().services[req.service];
+    if (service === undefined) return DEFAULT_LIMIT_MS;
+    return policyFor(service, req.method, req.path).deadlineMs;
+  }
+
+  /** Tries another endpoint only where the last surely did not run it. */
+  async run(req: OperationRequest): Promise<RunResult> {
+    const startedAt = this.#deps.clock.now();
+    const until = startedAt + this.limitMs(req);
+    const waitUntil = Math.min(until, startedAt + req.patienceMs);
+    const tried = new Set<EndpointId>();
+    let last: RunResult = fail("no_capacity", "no try was made", {
+      outcome: "not-run",
+    });
+    for (let i = 0; i < MAX_TRIES; i++) {
+      const slot = await this.#acquire(req, { exclude: tried, waitUntil });
+      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      tried.add(slot.value.endpoint);
+      last = await this.#try(req, slot.value, until);
+      if (last.isOk() || last.error.outcome !== "not-run") return last;
+    }
+    return last;
+  }
+
+  #acquire(
+    { service, account }: OperationRequest,
+    { exclude, waitUntil }: {
+      exclude: ReadonlySet<EndpointId>;
+      waitUntil: number;
+    },
+  ): Promise<Result<Slot, Failure>> {
+    return this.#deps.dispatcher.acquire({
+      service,
+      account,
+      idempotent: false,
+      deadline: waitUntil,
+      exclude,
+    });
+  }
+
+  async #try(
+    req: OperationRequest,
+    slot: Slot,
+    until: number,
+  ): Promise<RunResult> {
+    const { clock } = this.#deps;
+    const timeoutMs = until - clock.now();
+    if (timeoutMs <= 0) {
+      slot.release("cancelled", clock.now());
+      return fail("deadline_exceeded", "no slot came free in time", {
+        outcome: "not-run",
+      });
+    }
+    const result = await this.#exchange(req, slot, timeoutMs);
+    slot.release(workResult(result), clock.now());
+    return result;
+  }
+
+  async #exchange(
+    req: OperationRequest,
+    slot: Slot,
+    timeoutMs: number,
+  ): Promise<RunResult> {
+    const answer = await this.#deps.endpoints.send({
+      url: slot.url,
+      method: req.method,
+      path: req.path,
+      headers: req.headers,
+      body: req.body.length > 0 ? req.body : undefined,
+      account: req.account,
+      timeoutMs,
+      signal: new AbortController().signal,
+    });
+    if (answer.isErr()) return err(answer.error);
+    return await readAnswer(answer.value, req.method);
+  }
+}
+
+function workResult(result: RunResult): WorkResult {
+  if (result.isOk()) return "ok";
+  return result.error.outcome === "not-run" ? "shed" : "failed";
+}
+
+/** Reads a whole answer; a broken one is no answer, and what ran is unknown. */
+async function readAnswer(
+  answer: EndpointAnswer,
+  method: string,
+): Promise<RunResult> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of answer.body) {
+      size += (chunk as Buffer).length;
+      if (size > MAX_ANSWER_BYTES) return brokenOff("is too large");
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return brokenOff("broke off");
+  }
+  if (!isWhole(answer, { method, size })) return brokenOff("is too short");
+  return ok(recorded(answer, Buffer.concat(chunks)));
+}
+
+function isWhole(
+  { status, headers }: EndpointAnswer,
+  { method, size }: { method: string; size: number },
+): boolean {
+  if (method === "HEAD" || BODILESS_STATUS.has(status)) return size === 0;
+  const announced = headers["content-length"];
+  return announced === undefined || Number(announced) === size;
+}
+
+function recorded(
+  { status, headers }: EndpointAnswer,
+  body: Uint8Array,
+): RecordedAnswer {
+  return { status, headers: toCaller(headers), body };
+}
+
+function brokenOff(how: string): RunResult {
+  return fail("outcome_unknown", `the endpoint's answer ${how}`, {
+    outcome: "unknown",
+  });
+}
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { Buffer } from "node:buffer";
 import { pipeline } from "node:stream/promises";
 import type { Request, Response } from "express";
 import { err, ok, type Result } from "neverthrow";
@@ -15,7 +13,6 @@
   fail,
   type Failure,
   type Metrics,
-  OperationId,
   type Random,
   type ServiceId,
 } from "../core/mod.ts";
@@ -27,19 +24,10 @@
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
 import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
-import type {
-  OperationKey,
-  Operations,
-  RecordedAnswer,
-} from "../operations/mod.ts";
-import {
-  HOME_HEADER,
-  OPERATION_HEADER,
-  TIMEOUT_HEADER,
-  toCaller,
-  toEndpoint,
-} from "./headers.ts";
+import type { Operations } from "../operations/mod.ts";
+import { TIMEOUT_HEADER, toCaller, toEndpoint } from "./headers.ts";
 import type { KeyRing } from "./key_ring.ts";
+import { readOperation } from "./operation_request.ts";
 import { refuse } from "./refusal.ts";
 import { policyFor } from "./routes.ts";
 
@@ -68,8 +56,6 @@
 }
 
 const MAX_TRIES = 3;
-const MAX_RECORDED_BYTES = 1_000_000;
-const GENERATED_ID_BYTES = 16;
 
 /** Takes requests of callers to endpoints and brings the answers back. */
 export class RequestPath {
@@ -192,39 +178,20 @@
     return ok(undefined);
   }
 
-  /** Not idempotent: the body is read first, since the id stands for it. */
+  /** Not idempotent: runs under an operation id, at most once. */
   async #runOnce(
     admitted: Admitted,
     res: Response,
   ): Promise<Result<void, Failure>> {
-    const body = await readBody(admitted.req);
-    if (body.isErr()) return err(body.error);
-    const key = this.#operationKey(admitted, body.value);
-    if (key.isErr()) return err(key.error);
-    const result = await this.#deps.operations.once(
-      key.value,
-      () => this.#runRecorded(admitted, body.value),
-    );
+    const operation = await readOperation(admitted, this.#deps);
+    if (operation.isErr()) return err(operation.error);
+    const result = await this.#deps.operations.run(operation.value);
     return result.map((answer) => {
       res.writeHead(answer.status, { ...answer.headers });
       res.end(answer.body);
     });
   }
 
-  async #runRecorded(
-    admitted: Admitted,
-    body: Uint8Array,
-  ): Promise<Result<RecordedAnswer, Failure>> {
-    const slot = await this.#acquire(admitted, new Set());
-    if (slot.isErr()) return err(slot.error);
-    const answer = await this.#send(admitted, slot.value, body);
-    if (answer.isErr()) return err(answer.error);
-    const recorded = await record(answer.value);
-    const result = recorded.isOk() ? "ok" : "failed";
-    slot.value.release(result, this.#deps.clock.now());
-    return recorded;
-  }
-
   #acquire(
     admitted: Admitted,
     exclude: ReadonlySet<EndpointId>,
@@ -238,7 +205,7 @@
   async #send(
     admitted: Admitted,
     slot: Slot,
-    body: Request | Uint8Array,
+    body: Request,
   ): Promise<Result<EndpointAnswer, Failure>> {
     const { req } = admitted;
     const answer = await this.#deps.endpoints.send({
@@ -256,28 +223,6 @@
     }
     return answer;
   }
-
-  #operationKey(
-    admitted: Admitted,
-    body: Uint8Array,
-  ): Result<OperationKey, Failure> {
-    const { req, account } = admitted;
-    const given = req.headers[OPERATION_HEADER] ??
-      this.#deps.random.hex(GENERATED_ID_BYTES);
-    const id = OperationId.safeParse(given);
-    if (!id.success) {
-      return fail("bad_request", `${OPERATION_HEADER} is not usable`, {
-        outcome: "not-run",
-      });
-    }
-    const home = req.headers[HOME_HEADER];
-    return ok({
-      account,
-      id: id.data,
-      fingerprint: fingerprintOf(admitted, body),
-      ...(typeof home === "string" ? { home } : {}),
-    });
-  }
 }
 
 function workResult(failure: Failure): WorkResult {
@@ -304,51 +249,3 @@
     outcome: "not-run",
   });
 }
-
-async function readBody(req: Request): Promise<Result<Uint8Array, Failure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of req) {
-      size += (chunk as Buffer).length;
-      if (size > MAX_RECORDED_BYTES) {
-        return fail("value_too_large", "the request's body is too large", {
-          outcome: "not-run",
-        });
-      }
-      chunks.push(chunk as Buffer);
-    }
-    return ok(Buffer.concat(chunks));
-  } catch {
-    return fail("cancelled", "the caller went away", { outcome: "not-run" });
-  }
-}
-
-/** Reads a whole answer; a broken one is no answer, and what ran is unknown. */
-async function record(
-  answer: EndpointAnswer,
-): Promise<Result<RecordedAnswer, Failure>> {
-  try {
-    const body = Buffer.concat(await answer.body.toArray());
-    const announced = answer.headers["content-length"];
-    if (announced === undefined || Number(announced) === body.length) {
-      return ok({
-        status: answer.status,
-        headers: toCaller(answer.headers),
-        body,
-      });
-    }
-  } catch {
-    // Falls through: a body that broke off is told like one that is short.
-  }
-  return fail("outcome_unknown", "the endpoint's answer broke off", {
-    outcome: "unknown",
-  });
-}
-
-function fingerprintOf(admitted: Admitted, body: Uint8Array): string {
-  return createHash("sha256")
-    .update(`${admitted.service} ${admitted.req.method} ${admitted.path}\n`)
-    .update(body)
-    .digest("hex");
-}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -26,13 +26,14 @@
   callerApp,
   KeyRing,
   type LookupAnswer,
+  OperationDispatch,
   RequestPath,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
 import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
-import { LocalOperations } from "../operations/mod.ts";
+import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
   peerListener,
@@ -93,6 +94,7 @@
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
+  readonly #operations: HomeOperations;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -124,13 +126,30 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    const document = () => this.#document;
+    this.#operations = new HomeOperations({
+      ...deps,
+      log: log.child("operations"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      seats: this.#seats,
+      runner: new OperationDispatch({
+        ...deps,
+        dispatcher: this.#dispatcher,
+        document,
+      }),
+    });
+    this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
       limiter: this.#limiter,
       dispatcher: this.#dispatcher,
-      operations: new LocalOperations(),
-      document: () => this.#document,
+      operations: this.#operations,
+      document,
     });
     this.#follower = new DocumentFollower({
       platform,
@@ -141,6 +160,10 @@
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -222,7 +245,10 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener((batch) => this.#exchange.answer(batch)),
+      peerListener(
+        (batch) => this.#exchange.answer(batch),
+        this.#operations,
+      ),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -255,12 +281,10 @@
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
-    ).map(({ instance, url, zone, region }) => ({
-      instance,
-      url,
-      zone,
-      region,
-    }));
+    ).map(({ instance, url, zone, region }) => {
+      const home = this.#operations.homeOf(instance);
+      return { instance, url, zone, region, ...(home ? { home } : {}) };
+    });
     return { reuse_ms: LOOKUP_REUSE_MS, instances };
   }
 
--- /dev/null
+++ b/src/operations/ledger.ts
@@ -0,0 +1,353 @@
+/**
+ * The ledger: what one instance knows of operations, as owner and as second
+ * place. It decides and imports no network.
+ *
+ * It answers retries, repeated and late messages, and a fast arrival of new
+ * operations. Without it a repeated message runs an operation twice, which an
+ * importer notices as a second deposit. It is bounded by time and size; at the
+ * bound new operations are refused and none is forgotten early, since a
+ * forgotten one would run again when its caller retries.
+ *
+ * @module
+ */
+import type { RecordedAnswer } from "./operations.ts";
+
+/** Tells operations apart; the scope is that of a home token, or empty. */
+export interface OperationName {
+  readonly account: string;
+  readonly id: string;
+  readonly scope: string;
+}
+
+/** A seat and the epoch of the holder that speaks. */
+export interface SeatEpoch {
+  readonly zone: string;
+  readonly index: number;
+  readonly epoch: number;
+}
+
+/** What is known of an operation. */
+export type RecordState =
+  | "none"
+  /** About to run, running, or ran without an answer. */
+  | "intent"
+  | "answered"
+  /** Did not run and never will under this name. */
+  | "refused"
+  /** Ran or may have run; no answer will come. */
+  | "unknown";
+
+/** What a place tells of an operation. */
+export interface RecordView {
+  readonly state: RecordState;
+  readonly fingerprint: string;
+  /** Absent where it was too large to be kept. */
+  readonly answer?: RecordedAnswer | undefined;
+}
+
+/** One record. */
+export interface LedgerRecord extends RecordView {
+  readonly name: OperationName;
+  /** The run that the record stands for. */
+  readonly run: string;
+  /** The incarnation that runs it. */
+  readonly owner: string;
+  readonly seat?: SeatEpoch | undefined;
+  /** When it may be forgotten, on this instance's clock. */
+  readonly expiresAt: number;
+}
+
+/** What an owner does with an attempt. */
+export type BeginDecision =
+  | { readonly kind: "start"; readonly run: string }
+  /** It is known; the view says how far. */
+  | { readonly kind: "known"; readonly record: LedgerRecord }
+  | { readonly kind: "mismatch" }
+  | { readonly kind: "full" };
+
+/** An intent as its owner or second place records it. */
+export interface IntentEntry {
+  readonly name: OperationName;
+  readonly fingerprint: string;
+  readonly run: string;
+  readonly owner: string;
+  readonly keepMs: number;
+  readonly seat?: SeatEpoch | undefined;
+}
+
+/** What a place says to an entry; not accepted means that it took no effect. */
+export interface PlaceDecision extends RecordView {
+  readonly accepted: boolean;
+}
+
+/** How a run ended, as it is recorded. */
+export type Conclusion =
+  | { readonly state: "answered"; readonly answer?: RecordedAnswer | undefined }
+  | { readonly state: "unknown" | "refused" };
+
+/** Bounds of a ledger. */
+export interface LedgerLimits {
+  /** How long a concluded record is kept, in milliseconds. */
+  readonly retentionMs: number;
+  readonly maxRecords: number;
+  /** Bytes of recorded answers, all together. */
+  readonly maxBytes: number;
+  /** A larger answer is dropped; that it ran stays. */
+  readonly maxAnswerBytes: number;
+}
+
+/**
+ * Ten minutes outlast every sensible retry; 40,000 records of about 500 bytes
+ * and 8 MB of answers stay below the 32 MB that control may take.
+ */
+export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
+  retentionMs: 600_000,
+  maxRecords: 40_000,
+  maxBytes: 8_000_000,
+  maxAnswerBytes: 64_000,
+};
+
+const NOTHING: RecordView = { state: "none", fingerprint: "" };
+
+/** The table of records of one instance. */
+export class Ledger {
+  readonly limits: LedgerLimits;
+  #records = new Map<string, LedgerRecord>();
+  /** Keys of records by account and id, whatever their scope. */
+  #scopes = new Map<string, Set<string>>();
+  #epochs = new Map<string, number>();
+  #bytes = 0;
+  #runs = 0;
+  #closed = false;
+
+  constructor(limits: LedgerLimits = DEFAULT_LEDGER_LIMITS) {
+    this.limits = limits;
+  }
+
+  get size(): number {
+    return this.#records.size;
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Whether new operations are refused for want of room. */
+  get full(): boolean {
+    return this.size >= this.limits.maxRecords ||
+      this.#bytes >= this.limits.maxBytes;
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  records(): IterableIterator<LedgerRecord> {
+    return this.#records.values();
+  }
+
+  view(name: OperationName): RecordView {
+    return this.#records.get(keyOf(name)) ?? NOTHING;
+  }
+
+  /** Whether an operation is known, under this name or another of its id. */
+  knows(name: OperationName): boolean {
+    return this.#find(name) !== undefined;
+  }
+
+  /** Takes no new intent from now on; what is held can then be handed over. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  /** An attempt arrives at the owner: starts it unless the id is known. */
+  begin(
+    entry: Omit<IntentEntry, "run">,
+    now: number,
+  ): BeginDecision {
+    const known = this.#find(entry.name);
+    if (known !== undefined) {
+      if (known.fingerprint !== "" && known.fingerprint !== entry.fingerprint) {
+        return { kind: "mismatch" };
+      }
+      return { kind: "known", record: known };
+    }
+    if (this.full || this.#closed) return { kind: "full" };
+    this.#runs += 1;
+    const run = `${entry.owner}.${this.#runs}`;
+    this.#store({ ...entry, run, state: "intent" }, now + entry.keepMs);
+    return { kind: "start", run };
+  }
+
+  /** An intent arrives at the second place. */
+  intent(entry: IntentEntry, now: number): PlaceDecision {
+    const known = this.#records.get(keyOf(entry.name));
+    if (known !== undefined && !isSameOwner(known, entry)) {
+      return { ...viewOf(known), accepted: false };
+    }
+    if (!this.#admitsEpoch(entry.seat)) {
+      return { ...NOTHING, state: "refused", accepted: false };
+    }
+    if (this.full || this.#closed) return { ...NOTHING, accepted: false };
+    this.#store({ ...entry, state: "intent" }, now + entry.keepMs);
+    return { state: "intent", fingerprint: entry.fingerprint, accepted: true };
+  }
+
+  /**
+   * A run ended. A conclusion of another run is left out: a late message of
+   * an earlier run must not clear the intent of the one that runs now.
+   */
+  conclude(
+    name: OperationName,
+    run: string,
+    { conclusion, now }: { conclusion: Conclusion; now: number },
+  ): void {
+    const known = this.#records.get(keyOf(name));
+    if (known === undefined || known.run !== run) return;
+    if (known.state !== "intent") return;
+    if (conclusion.state === "refused" && name.scope === "") {
+      this.#drop(known);
+      return;
+    }
+    const answer = conclusion.state === "answered"
+      ? this.#kept(conclusion.answer)
+      : undefined;
+    const expiresAt = now + this.limits.retentionMs;
+    this.#store({ ...known, state: conclusion.state, answer }, expiresAt);
+  }
+
+  /**
+   * Somebody asks in the owner's stead: whatever has no intent yet gets none
+   * any more, so that "not run" stays true.
+   *
+   * For a seat, only owners of an earlier epoch are shut out.
+   */
+  fence(
+    name: OperationName,
+    { seat, now }: { seat?: SeatEpoch | undefined; now: number },
+  ): PlaceDecision {
+    if (seat) this.#raise(seat);
+    const known = this.#records.get(keyOf(name));
+    if (known !== undefined) return { ...viewOf(known), accepted: true };
+    if (seat) return { ...NOTHING, accepted: true };
+    if (this.full) return { ...NOTHING, accepted: false };
+    const record = {
+      name,
+      fingerprint: "",
+      run: "",
+      owner: "",
+      state: "refused",
+    } as const;
+    this.#store(record, now + this.limits.retentionMs);
+    return { state: "refused", fingerprint: "", accepted: true };
+  }
+
+  /** Takes a leaver's record over, unless more is known here. */
+  copy(record: Omit<LedgerRecord, "expiresAt">, now: number): boolean {
+    const known = this.#records.get(keyOf(record.name));
+    if (known !== undefined && known.state !== "intent") return true;
+    if (this.size >= this.limits.maxRecords) return false;
+    this.#store(
+      { ...record, answer: this.#kept(record.answer) },
+      now + this.limits.retentionMs,
+    );
+    return true;
+  }
+
+  /** Forgets what is over its time. */
+  expire(now: number): void {
+    for (const record of this.#records.values()) {
+      if (record.expiresAt <= now) this.#drop(record);
+    }
+  }
+
+  /** A copy that goes its own way; for checking all interleavings. */
+  clone(): Ledger {
+    const twin = new Ledger(this.limits);
+    twin.#records = new Map(this.#records);
+    for (const [id, keys] of this.#scopes) twin.#scopes.set(id, new Set(keys));
+    twin.#epochs = new Map(this.#epochs);
+    twin.#bytes = this.#bytes;
+    twin.#runs = this.#runs;
+    twin.#closed = this.#closed;
+    return twin;
+  }
+
+  /**
+   * The record of a name. A caller that took a new home without having been
+   * told `not-run` would run twice; where one instance sees both names, the
+   * earlier one counts.
+   */
+  #find(name: OperationName): LedgerRecord | undefined {
+    const exact = this.#records.get(keyOf(name));
+    if (exact) return exact;
+    for (const key of this.#scopes.get(idOf(name)) ?? []) {
+      const other = this.#records.get(key);
+      if (other && other.state !== "refused") return other;
+    }
+    return undefined;
+  }
+
+  #admitsEpoch(seat: SeatEpoch | undefined): boolean {
+    if (seat === undefined) return true;
+    if (seat.epoch < (this.#epochs.get(seatKey(seat)) ?? 0)) return false;
+    this.#raise(seat);
+    return true;
+  }
+
+  #raise(seat: SeatEpoch): void {
+    const key = seatKey(seat);
+    this.#epochs.set(key, Math.max(seat.epoch, this.#epochs.get(key) ?? 0));
+  }
+
+  #kept(answer: RecordedAnswer | undefined): RecordedAnswer | undefined {
+    if (answer === undefined) return undefined;
+    if (answer.body.length > this.limits.maxAnswerBytes) return undefined;
+    return answer;
+  }
+
+  #store(record: Omit<LedgerRecord, "expiresAt">, expiresAt: number): void {
+    const key = keyOf(record.name);
+    const before = this.#records.get(key);
+    this.#bytes += bytesOf(record) - (before ? bytesOf(before) : 0);
+    this.#records.set(key, { ...record, expiresAt });
+    const id = idOf(record.name);
+    const keys = this.#scopes.get(id) ?? new Set();
+    this.#scopes.set(id, keys.add(key));
+  }
+
+  #drop(record: LedgerRecord): void {
+    const key = keyOf(record.name);
+    this.#records.delete(key);
+    this.#bytes -= bytesOf(record);
+    const id = idOf(record.name);
+    const keys = this.#scopes.get(id);
+    keys?.delete(key);
+    if (keys?.size === 0) this.#scopes.delete(id);
+  }
+}
+
+function viewOf({ state, fingerprint, answer }: RecordView): RecordView {
+  return { state, fingerprint, answer };
+}
+
+function isSameOwner(known: LedgerRecord, entry: IntentEntry): boolean {
+  return known.owner === entry.owner && known.state === "intent";
+}
+
+function idOf(name: OperationName): string {
+  return `${name.account} ${name.id}`;
+}
+
+/** A name as the key of a map. */
+export function keyOf(name: OperationName): string {
+  return `${name.account} ${name.id} ${name.scope}`;
+}
+
+function seatKey(seat: SeatEpoch): string {
+  return `${seat.zone} ${seat.index}`;
+}
+
+function bytesOf(record: Pick<RecordView, "answer">): number {
+  return record.answer?.body.length ?? 0;
+}
--- a/src/operations/local_operations.ts
+++ b/src/operations/local_operations.ts
@@ -7,7 +7,12 @@
  * @module
  */
 import { fail } from "../core/mod.ts";
-import type { OperationKey, Operations, RunResult } from "./operations.ts";
+import type {
+  OperationRequest,
+  OperationRunner,
+  Operations,
+  RunResult,
+} from "./operations.ts";
 
 interface Entry {
   readonly fingerprint: string;
@@ -16,13 +21,18 @@
 
 /** Remembers operations in this process alone. */
 export class LocalOperations implements Operations {
+  readonly #runner: OperationRunner;
   readonly #entries = new Map<string, Entry>();
 
-  once(key: OperationKey, run: () => Promise<RunResult>): Promise<RunResult> {
-    const name = `${key.account} ${key.id}`;
+  constructor(runner: OperationRunner) {
+    this.#runner = runner;
+  }
+
+  run(req: OperationRequest): Promise<RunResult> {
+    const name = `${req.account} ${req.id}`;
     const known = this.#entries.get(name);
-    if (known === undefined) return this.#start(name, key, run);
-    if (known.fingerprint === key.fingerprint) return known.running;
+    if (known === undefined) return this.#start(name, req);
+    if (known.fingerprint === req.fingerprint) return known.running;
     return Promise.resolve(
       fail("bad_request", "the operation id was used for another request", {
         outcome: "not-run",
@@ -30,13 +40,9 @@
     );
   }
 
-  async #start(
-    name: string,
-    key: OperationKey,
-    run: () => Promise<RunResult>,
-  ): Promise<RunResult> {
-    const running = run();
-    this.#entries.set(name, { fingerprint: key.fingerprint, running });
+  async #start(name: string, req: OperationRequest): Promise<RunResult> {
+    const running = this.#runner.run(req);
+    this.#entries.set(name, { fingerprint: req.fingerprint, running });
     const result = await running;
     if (result.isErr() && result.error.outcome === "not-run") {
       this.#entries.delete(name);
--- a/src/operations/operations.ts
+++ b/src/operations/operations.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import type { Result } from "neverthrow";
-import type { AccountId, Failure, OperationId } from "../core/mod.ts";
+import type {
+  AccountId,
+  Failure,
+  OperationId,
+  ServiceId,
+} from "../core/mod.ts";
+import type { Headers } from "../endpoints/mod.ts";
 
 /** Identifies an operation; ids of different accounts never meet. */
 export interface OperationKey {
@@ -17,24 +23,46 @@
   readonly home?: string;
 }
 
+/** All that an endpoint is to be asked, wherever it is dispatched from. */
+export interface OperationRequest extends OperationKey {
+  /** Whether the id was made here, so that no other attempt can know it. */
+  readonly generated: boolean;
+  readonly service: ServiceId;
+  readonly method: string;
+  readonly path: string;
+  /** End-to-end headers; the caller's key is not among them. */
+  readonly headers: Headers;
+  readonly body: Uint8Array;
+  /** How long the caller still waits, in milliseconds. */
+  readonly patienceMs: number;
+}
+
 /** A whole recorded answer of an endpoint. */
 export interface RecordedAnswer {
   readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: Headers;
   readonly body: Uint8Array;
 }
 
 /** How a run ended. */
 export type RunResult = Result<RecordedAnswer, Failure>;
 
+/** Dispatches an operation to an endpoint. */
+export interface OperationRunner {
+  /** How long a run of the operation may take, in milliseconds. */
+  limitMs(req: OperationRequest): number;
+  /** Runs it within `limitMs`, whether or not a caller still waits. */
+  run(req: OperationRequest): Promise<RunResult>;
+}
+
 /** Runs operations at most once. */
 export interface Operations {
   /**
-   * Runs `run` unless the operation ran before; then gives the recorded
-   * answer, joins the running attempt, or fails with `outcome_unknown`.
+   * Runs the operation unless it ran before; then gives the recorded answer,
+   * joins the running attempt, or fails with `outcome_unknown`.
    *
-   * A run that failed with outcome `not-run` is forgotten, so that a later
-   * attempt may run.
+   * Every failure carries `outcome`: `not-run` where this attempt surely did
+   * not run and never will, else `unknown`.
    */
-  once(key: OperationKey, run: () => Promise<RunResult>): Promise<RunResult>;
+  run(req: OperationRequest): Promise<RunResult>;
 }
--- /dev/null
+++ b/src/operations/testing/fake_fleet.ts
@@ -0,0 +1,459 @@
+/**
+ * Several instances' operations in one process over a fake network, an
+ * endpoint that counts, and a clock that a test moves.
+ *
+ * @module
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { setImmediate } from "node:timers/promises";
+import { ok, type Result } from "neverthrow";
+import {
+  type AccountId,
+  fail,
+  type Failure,
+  type InstanceId,
+  ManualClock,
+  MemoryMetrics,
+  type OperationId,
+  SeededRandom,
+  type ServiceId,
+  SilentLog,
+  sleep,
+  type ZoneId,
+} from "../../core/mod.ts";
+import {
+  EntryKind,
+  type ForwardRequest,
+  ForwardRequestSchema,
+  type ForwardResponse,
+  ForwardResponseSchema,
+  type SettleRequest,
+  SettleRequestSchema,
+  type SettleResponse,
+  SettleResponseSchema,
+} from "../../gen/ledger_pb.ts";
+import { BatchSchema, type Sender, SenderSchema } from "../../gen/peer_pb.ts";
+import type { HeldSeat, SeatEntry } from "../../membership/mod.ts";
+import type { PeerTransport } from "../../peers/mod.ts";
+import { MemoryPlatform } from "../../platform/mod.ts";
+import { HomeOperations } from "../home_operations.ts";
+import { DEFAULT_LEDGER_LIMITS, type LedgerLimits } from "../ledger.ts";
+import type { OperationRequest, RunResult } from "../operations.ts";
+
+/** One message under way. */
+export interface FakeMessage {
+  readonly from: string;
+  readonly to: string;
+  readonly kind: "settle" | "forward";
+  readonly stage: "request" | "answer";
+  readonly entries: readonly EntryKind[];
+}
+
+/** What becomes of a message. */
+export type Fate = "deliver" | "lose" | "repeat" | "late";
+
+/** One attempt of a caller, and what it was told. */
+export interface Attempt {
+  readonly number: number;
+  readonly id: string;
+  readonly home: string | undefined;
+  result: RunResult | undefined;
+}
+
+/** One dispatch that the endpoint saw. */
+export interface Dispatch {
+  readonly attempt: number;
+  readonly id: string;
+  readonly by: string;
+}
+
+/** Settings of a fleet. */
+export interface FakeFleetOptions {
+  readonly seed?: number;
+  readonly limits?: Partial<LedgerLimits>;
+  readonly zones?: readonly (readonly [region: string, zone: string])[];
+  readonly perZone?: number;
+}
+
+const ROUND_MS = 100;
+const STEP_MS = 10;
+const LATE_MS = 3_000;
+const FLUSHES = 12;
+const LIMIT_MS = 2_000;
+
+/** One instance of a fake fleet. */
+export class FakeNode {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly incarnation: string;
+  readonly operations: HomeOperations;
+  alive = true;
+  leaving = false;
+  #paused: Promise<void> | undefined;
+  #resume: (() => void) | undefined;
+
+  constructor(
+    fleet: FakeFleet,
+    place: { name: string; zone: string; region: string; incarnation: string },
+    limits: LedgerLimits,
+  ) {
+    this.name = place.name;
+    this.zone = place.zone;
+    this.region = place.region;
+    this.incarnation = place.incarnation;
+    this.operations = new HomeOperations({
+      self: { ...place, instance: place.name },
+      clock: fleet.clock,
+      random: fleet.random,
+      metrics: new MemoryMetrics(),
+      log: new SilentLog(),
+      transport: fleet.transport(this),
+      platform: fleet.platform,
+      seats: {
+        entries: () => fleet.seats,
+        held: () => fleet.held(this),
+      },
+      runner: {
+        limitMs: () => LIMIT_MS,
+        run: (req) => fleet.dispatch(this, req),
+      },
+      limits,
+    });
+  }
+
+  /** Passes while the process runs; a killed one never goes on. */
+  async gate(): Promise<void> {
+    await this.#paused;
+    if (!this.alive) await new Promise(() => {});
+  }
+
+  pause(): void {
+    this.#paused ??= new Promise((resolve) => {
+      this.#resume = resolve;
+    });
+  }
+
+  get paused(): boolean {
+    return this.#paused !== undefined;
+  }
+
+  resume(): void {
+    this.#resume?.();
+    this.#paused = undefined;
+  }
+
+  sender(): Sender {
+    return create(SenderSchema, {
+      instance: this.name,
+      zone: this.zone,
+      region: this.region,
+      incarnation: this.incarnation,
+      peerUrl: this.name,
+      leaving: this.leaving,
+    });
+  }
+}
+
+/** A fleet of fake nodes. */
+export class FakeFleet {
+  readonly clock = new ManualClock();
+  readonly random: SeededRandom;
+  readonly platform: MemoryPlatform;
+  readonly nodes = new Map<string, FakeNode>();
+  readonly attempts: Attempt[] = [];
+  readonly dispatches: Dispatch[] = [];
+  seats: SeatEntry[] = [];
+  /** Called for each message; says what becomes of it. */
+  onMessage: (msg: FakeMessage) => Fate = () => "deliver";
+  /** Called when the endpoint got a request; gives its answer. */
+  onDispatch: (dispatch: Dispatch) => Promise<RunResult> = (d) =>
+    Promise.resolve(answerOf(d.attempt));
+  /** Pairs of nodes that cannot reach each other. */
+  readonly cuts = new Set<string>();
+  readonly #limits: LedgerLimits;
+  #roundAt = 0;
+
+  constructor(opts: FakeFleetOptions = {}) {
+    this.random = new SeededRandom(opts.seed ?? 1);
+    this.platform = new MemoryPlatform(this.clock);
+    this.#limits = { ...DEFAULT_LEDGER_LIMITS, ...opts.limits };
+    const zones = opts.zones ?? [["r1", "r1-a"], ["r1", "r1-b"]];
+    for (const [region, zone] of zones) {
+      for (let i = 0; i < (opts.perZone ?? 2); i++) {
+        const name = `${zone}-${i + 1}`;
+        this.start(name, { zone, region });
+        this.seats.push({
+          zone: zone as ZoneId,
+          index: i,
+          holder: name as InstanceId,
+          incarnation: this.node(name).incarnation,
+          epoch: 1,
+        });
+      }
+    }
+  }
+
+  node(name: string): FakeNode {
+    const node = this.nodes.get(name);
+    if (node === undefined) throw new RangeError(`no node ${name}`);
+    return node;
+  }
+
+  /** Starts an instance, or one that replaces an earlier of that name. */
+  start(name: string, at: { zone: string; region: string }): FakeNode {
+    const incarnation = this.random.hex(4);
+    const place = { name, ...at, incarnation };
+    const node = new FakeNode(this, place, this.#limits);
+    this.nodes.set(name, node);
+    return node;
+  }
+
+  kill(name: string): void {
+    this.node(name).alive = false;
+  }
+
+  /** Gives all seats of one holder to another, in a new epoch. */
+  moveSeats(from: string, to: string): void {
+    this.seats = this.seats.map((s) =>
+      s.holder !== from ? s : {
+        ...s,
+        holder: to as InstanceId,
+        incarnation: this.node(to).incarnation,
+        epoch: s.epoch + 1,
+      }
+    );
+  }
+
+  /** Cuts two nodes off from each other, or joins them again. */
+  cut(a: string, b: string, isCut = true): void {
+    for (const pair of [`${a} ${b}`, `${b} ${a}`]) {
+      if (isCut) this.cuts.add(pair);
+      else this.cuts.delete(pair);
+    }
+  }
+
+  /** Sends an attempt to a node; its result shows up in the attempt. */
+  send(
+    node: string,
+    opts: {
+      id: string;
+      home?: string | undefined;
+      patienceMs?: number;
+      body?: string;
+    },
+  ): Attempt {
+    const number = this.attempts.length;
+    const { id, home } = opts;
+    const attempt: Attempt = { number, id, home, result: undefined };
+    this.attempts.push(attempt);
+    void this.#send(this.node(node), attempt, opts);
+    return attempt;
+  }
+
+  /** Lets time pass; batches go round as in a running fleet. */
+  async pass(ms: number): Promise<void> {
+    for (let left = ms; left > 0; left -= STEP_MS) {
+      await this.flush();
+      if (this.clock.now() >= this.#roundAt) this.#round();
+      this.clock.advance(STEP_MS);
+    }
+    await this.flush();
+  }
+
+  /** Lets all that needs no time happen. */
+  async flush(): Promise<void> {
+    for (let i = 0; i < FLUSHES; i++) await setImmediate();
+  }
+
+  /** What must never be seen; empty if all is well. */
+  violations(): string[] {
+    const found: string[] = [];
+    const runs = new Map<string, number>();
+    for (const { id } of this.dispatches) {
+      runs.set(id, (runs.get(id) ?? 0) + 1);
+    }
+    for (const [id, n] of runs) if (n > 1) found.push(`${id} ran ${n} times`);
+    for (const { number, id, result } of this.attempts) {
+      if (result?.isErr() && result.error.outcome === "not-run") {
+        const ran = this.dispatches.some((d) => d.attempt === number);
+        if (ran) found.push(`${id}: attempt ${number} ran, told not-run`);
+      }
+      if (result?.isOk() && !runs.has(id)) found.push(`${id}: made-up answer`);
+    }
+    return found;
+  }
+
+  /** The network as one node sees it. */
+  transport(node: FakeNode): PeerTransport {
+    return {
+      exchange: () => Promise.resolve(fail("peer_unavailable", "unused")),
+      settle: (url, req, timeoutMs) =>
+        this.#settle(node, { url, req, timeoutMs }),
+      forward: (url, req, timeoutMs) =>
+        this.#forward(node, { url, req, timeoutMs }),
+      close: () => Promise.resolve(),
+    };
+  }
+
+  held(node: FakeNode): HeldSeat[] {
+    return this.seats.filter((s) => s.holder === node.name).map((s) => ({
+      zone: s.zone,
+      index: s.index,
+      epoch: s.epoch,
+      part: 1,
+      until: Infinity,
+    }));
+  }
+
+  async dispatch(node: FakeNode, req: OperationRequest): Promise<RunResult> {
+    await node.gate();
+    const attempt = Number(req.headers["x-attempt"]);
+    const dispatch = { attempt, id: req.id, by: node.name };
+    this.dispatches.push(dispatch);
+    const result = await this.onDispatch(dispatch);
+    await node.gate();
+    return result;
+  }
+
+  async #send(
+    node: FakeNode,
+    attempt: Attempt,
+    opts: { patienceMs?: number; body?: string },
+  ): Promise<void> {
+    if (!node.alive) return;
+    await node.gate();
+    const result = await node.operations.run({
+      account: "a1" as AccountId,
+      id: attempt.id as OperationId,
+      generated: false,
+      fingerprint: opts.body ?? "same",
+      service: "s1" as ServiceId,
+      method: "POST",
+      path: "/",
+      headers: { "x-attempt": String(attempt.number) },
+      body: new Uint8Array(),
+      patienceMs: opts.patienceMs ?? LIMIT_MS,
+      ...(attempt.home ? { home: attempt.home } : {}),
+    });
+    await node.gate();
+    attempt.result = result;
+  }
+
+  #round(): void {
+    this.#roundAt = this.clock.now() + ROUND_MS;
+    const up = [...this.nodes.values()].filter((n) => n.alive && !n.paused);
+    for (const from of up) {
+      from.operations.sweep(this.clock.now());
+      for (const to of up) {
+        if (from === to || this.cuts.has(`${from.name} ${to.name}`)) continue;
+        const batch = create(BatchSchema, { sender: from.sender() });
+        from.operations.fill(batch);
+        to.operations.absorb(batch, from.sender());
+      }
+    }
+  }
+
+  #settle(
+    node: FakeNode,
+    call: { url: string; req: SettleRequest; timeoutMs: number },
+  ): Promise<Result<SettleResponse, Failure>> {
+    const bytes = toBinary(SettleRequestSchema, call.req);
+    return this.#call(node, {
+      ...call,
+      kind: "settle",
+      entries: call.req.entries.map((e) => e.kind),
+      run: (to) => {
+        const res = to.operations.settle(
+          fromBinary(SettleRequestSchema, bytes),
+        );
+        const answer = toBinary(SettleResponseSchema, res);
+        return Promise.resolve(fromBinary(SettleResponseSchema, answer));
+      },
+    });
+  }
+
+  #forward(
+    node: FakeNode,
+    call: { url: string; req: ForwardRequest; timeoutMs: number },
+  ): Promise<Result<ForwardResponse, Failure>> {
+    const bytes = toBinary(ForwardRequestSchema, call.req);
+    return this.#call(node, {
+      ...call,
+      kind: "forward",
+      entries: [],
+      run: async (to) => {
+        const msg = fromBinary(ForwardRequestSchema, bytes);
+        const res = await to.operations.forward(msg);
+        const answer = toBinary(ForwardResponseSchema, res);
+        return fromBinary(ForwardResponseSchema, answer);
+      },
+    });
+  }
+
+  async #call<T>(
+    from: FakeNode,
+    call: {
+      url: string;
+      timeoutMs: number;
+      kind: FakeMessage["kind"];
+      entries: EntryKind[];
+      run: (to: FakeNode) => Promise<T>;
+    },
+  ): Promise<Result<T, Failure>> {
+    await from.gate();
+    const timeout = this.#timeout(call.timeoutMs);
+    const result = await Promise.race([this.#deliver(from, call), timeout]);
+    await from.gate();
+    return result as Result<T, Failure>;
+  }
+
+  async #timeout(ms: number): Promise<Result<never, Failure>> {
+    await sleep(this.clock, ms);
+    return fail("peer_unavailable", "timeout", { outcome: "unknown" });
+  }
+
+  async #deliver<T>(
+    from: FakeNode,
+    { url, kind, entries, run }: {
+      url: string;
+      kind: FakeMessage["kind"];
+      entries: EntryKind[];
+      run: (to: FakeNode) => Promise<T>;
+    },
+  ): Promise<Result<T, Failure>> {
+    const never = new Promise<never>(() => {});
+    const to = this.nodes.get(url);
+    const about = { from: from.name, to: url, kind, entries };
+    const fate = this.onMessage({ ...about, stage: "request" });
+    if (this.cuts.has(`${from.name} ${url}`) || fate === "lose") return never;
+    if (to === undefined || !to.alive) {
+      return fail("peer_unavailable", "refused", { outcome: "not-run" });
+    }
+    if (fate === "late") await sleep(this.clock, LATE_MS);
+    await to.gate();
+    if (fate === "repeat") {
+      void sleep(this.clock, LATE_MS).then(() => to.gate()).then(() => run(to));
+    }
+    const answer = await run(to);
+    await to.gate();
+    const back = this.onMessage({ ...about, stage: "answer" });
+    if (this.cuts.has(`${url} ${from.name}`) || back === "lose") return never;
+    return ok(answer);
+  }
+}
+
+/** What the endpoint answers to an attempt. */
+export function answerOf(attempt: number): RunResult {
+  const body = new TextEncoder().encode(`done by ${attempt}`);
+  return ok({ status: 200, headers: {}, body });
+}
+
+/** An attempt's result as a short word. */
+export function told(attempt: Attempt): string {
+  if (attempt.result === undefined) return "nothing";
+  if (attempt.result.isOk()) {
+    return new TextDecoder().decode(attempt.result.value.body);
+  }
+  return attempt.result.error.outcome ?? "no outcome";
+}
--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Client, createClient } from "@connectrpc/connect";
+import type { DescService } from "@bufbuild/protobuf";
 import {
   connectNodeAdapter,
   createConnectTransport,
@@ -11,17 +12,37 @@
 import { Agent, type RequestListener } from "node:http";
 import { ok, type Result } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
+import {
+  type ForwardRequest,
+  type ForwardResponse,
+  LedgerService,
+  type SettleRequest,
+  type SettleResponse,
+} from "../gen/ledger_pb.ts";
 import { type Batch, PeerService } from "../gen/peer_pb.ts";
-import type { BatchHandler, PeerTransport } from "./transport.ts";
+import type {
+  BatchHandler,
+  LedgerHandler,
+  PeerTransport,
+} from "./transport.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
+/** Causes that come before a connection stands, so that nothing was sent. */
+const BEFORE_CONNECTION = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
 /** Sends batches by the Connect protocol, one kept connection a peer. */
 export class ConnectPeerTransport implements PeerTransport {
   readonly #timeoutMs: number;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
+  readonly #callAgent = new Agent({ keepAlive: true, maxSockets: 64 });
   readonly #clients = new Map<string, Client<typeof PeerService>>();
+  readonly #ledgers = new Map<string, Client<typeof LedgerService>>();
 
   constructor(timeoutMs: number = DEFAULT_TIMEOUT_MS) {
     this.#timeoutMs = timeoutMs;
@@ -39,27 +60,82 @@
     }
   }
 
+  async settle(
+    peerUrl: string,
+    req: SettleRequest,
+    timeoutMs: number,
+  ): Promise<Result<SettleResponse, Failure>> {
+    try {
+      return ok(await this.#ledger(peerUrl).settle(req, { timeoutMs }));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
+  async forward(
+    peerUrl: string,
+    req: ForwardRequest,
+    timeoutMs: number,
+  ): Promise<Result<ForwardResponse, Failure>> {
+    try {
+      return ok(await this.#ledger(peerUrl).forward(req, { timeoutMs }));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
   close(): Promise<void> {
     this.#agent.destroy();
+    this.#callAgent.destroy();
     return Promise.resolve();
   }
 
   #client(peerUrl: string): Client<typeof PeerService> {
     const known = this.#clients.get(peerUrl);
     if (known) return known;
-    const client = createClient(
-      PeerService,
-      createConnectTransport({
-        baseUrl: peerUrl,
-        httpVersion: "1.1",
-        useBinaryFormat: true,
-        nodeOptions: { agent: this.#agent },
-        readMaxBytes: MAX_MESSAGE_BYTES,
-      }),
-    );
+    const client = connect(PeerService, peerUrl, this.#agent);
     this.#clients.set(peerUrl, client);
     return client;
   }
+
+  #ledger(peerUrl: string): Client<typeof LedgerService> {
+    const known = this.#ledgers.get(peerUrl);
+    if (known) return known;
+    const client = connect(LedgerService, peerUrl, this.#callAgent);
+    this.#ledgers.set(peerUrl, client);
+    return client;
+  }
+}
+
+function connect<T extends DescService>(
+  service: T,
+  baseUrl: string,
+  agent: Agent,
+): Client<T> {
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: "1.1",
+    useBinaryFormat: true,
+    nodeOptions: { agent },
+    readMaxBytes: MAX_MESSAGE_BYTES,
+  });
+  return createClient(service, transport);
+}
+
+function unavailable(
+  peerUrl: string,
+  cause: unknown,
+): Result<never, Failure> {
+  return fail("peer_unavailable", `${peerUrl}: ${String(cause)}`, {
+    outcome: neverConnected(cause) ? "not-run" : "unknown",
+  });
+}
+
+function neverConnected(cause: unknown): boolean {
+  for (let at = cause; at instanceof Error; at = at.cause) {
+    if ("code" in at && BEFORE_CONNECTION.has(String(at.code))) return true;
+  }
+  return false;
 }
 
 /**
@@ -70,10 +146,18 @@
  * const server = createServer(peerListener((batch) => answer(batch)));
  * ```
  */
-export function peerListener(handler: BatchHandler): RequestListener {
+export function peerListener(
+  handler: BatchHandler,
+  ledger?: LedgerHandler,
+): RequestListener {
   return connectNodeAdapter({
     routes: (router) => {
       router.service(PeerService, { exchange: (batch) => handler(batch) });
+      if (ledger === undefined) return;
+      router.service(LedgerService, {
+        settle: (req) => ledger.settle(req),
+        forward: (req) => ledger.forward(req),
+      });
     },
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -6,14 +6,41 @@
  */
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/mod.ts";
+import type {
+  ForwardRequest,
+  ForwardResponse,
+  SettleRequest,
+  SettleResponse,
+} from "../gen/ledger_pb.ts";
 import type { Batch } from "../gen/peer_pb.ts";
 
 /** Answers a peer's batch with one's own. */
 export type BatchHandler = (batch: Batch) => Batch;
 
+/** Answers calls about operations. */
+export interface LedgerHandler {
+  settle(req: SettleRequest): SettleResponse;
+  forward(req: ForwardRequest): Promise<ForwardResponse>;
+}
+
 /** The sending side of one instance. */
 export interface PeerTransport {
   /** Sends a batch and gives the peer's; fails with `peer_unavailable`. */
   exchange(peerUrl: string, batch: Batch): Promise<Result<Batch, Failure>>;
+  /**
+   * Settles operations at a peer. A failure's outcome is `not-run` where the
+   * message surely did not arrive, else `unknown`.
+   */
+  settle(
+    peerUrl: string,
+    req: SettleRequest,
+    timeoutMs: number,
+  ): Promise<Result<SettleResponse, Failure>>;
+  /** Runs an operation at its home; failures as with `settle`. */
+  forward(
+    peerUrl: string,
+    req: ForwardRequest,
+    timeoutMs: number,
+  ): Promise<Result<ForwardResponse, Failure>>;
   close(): Promise<void>;
 }
