--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -11,9 +11,10 @@
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
 import {
-  type Dispatcher,
+  connectionPart,
   EvenSlotLimits,
-  RoundRobinDispatcher,
+  FairDispatcher,
+  ProbeSchedule,
 } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
@@ -21,7 +22,7 @@
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
-import type { EndpointClient } from "../endpoints/mod.ts";
+import { type EndpointClient, Prober } from "../endpoints/mod.ts";
 import {
   callerApp,
   KeyRing,
@@ -43,6 +44,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { Listener } from "./listener.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -90,7 +92,8 @@
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: Dispatcher;
+  readonly #dispatcher: FairDispatcher;
+  readonly #prober: Prober;
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
@@ -114,11 +117,12 @@
       roster: this.#roster,
       document: () => this.#document,
     });
-    this.#dispatcher = new RoundRobinDispatcher(
-      clock,
-      cfg.instance.zone,
-      new EvenSlotLimits(this.#seats),
-    );
+    this.#dispatcher = new FairDispatcher({
+      ...deps,
+      zone: cfg.instance.zone,
+      limits: new EvenSlotLimits(this.#seats),
+    });
+    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -143,6 +147,14 @@
       }),
     });
     this.#exchange.register(this.#operations);
+    this.#exchange.register(
+      new LoadExchange({
+        zone: cfg.instance.zone,
+        prober: this.#prober,
+        zoneOf: (id) =>
+          this.#roster.members().find((m) => m.instance === id)?.zone,
+      }),
+    );
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
@@ -164,6 +176,11 @@
       name: "operations",
       run: (now) => this.#operations.sweep(now),
     });
+    this.#ticks.add({
+      name: "dispatcher",
+      run: (now) => this.#dispatcher.tick(now),
+    });
+    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -264,6 +281,28 @@
     return ok(undefined);
   }
 
+  #makeProber(): Prober {
+    const { cfg, clock, metrics, random, endpoints } = this.#deps;
+    const { id, zone } = cfg.instance;
+    return new Prober({
+      clock,
+      metrics,
+      client: endpoints,
+      schedule: new ProbeSchedule(id, random),
+      targets: () =>
+        this.#dispatcher.rows().map((row) => ({
+          id: row.id,
+          url: row.entry.url,
+          connectionFree:
+            row.inFlight < connectionPart(row.entry, row.slotLimit),
+        })),
+      zoneMates: () =>
+        this.#roster.live().filter((m) => m.zone === zone)
+          .map((m) => m.instance),
+      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+    });
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
