Keep operations across seat changes, stops and a lone instance

A seat's new holder ran every id it had no record of, so a retry after a change of holders could run a second time. It now asks all instances of the region first, which shuts out the earlier epoch, and runs the id only where all who could know it say no; two lost instances, or a loss nobody witnessed, make it unknown. Each instance remembers who left its region and passes that on.

A stopping instance hands its records to a peer and names the heir in its last batches. A home that was silent for 2 s is no longer waited for: its second place answers at once.

A test found that forwarding to a paused home held the caller until its patience ended, which is why the silence check exists.

--- a/src/gateway/operation_dispatch.ts
+++ b/src/gateway/operation_dispatch.ts
@@ -28,7 +28,7 @@
   RunResult,
 } from "../operations/mod.ts";
 import { toCaller } from "./headers.ts";
-import { policyFor } from "./routes.ts";
+import { policyFor, type RoutePolicy } from "./routes.ts";
 
 /** What dispatching needs. */
 export interface OperationDispatchDeps {
@@ -54,9 +54,7 @@
   }
 
   limitMs(req: OperationRequest): number {
-    const service = this.#deps.document().services[req.service];
-    if (service === undefined) return DEFAULT_LIMIT_MS;
-    return policyFor(service, req.method, req.path).deadlineMs;
+    return this.#policy(req)?.deadlineMs ?? DEFAULT_LIMIT_MS;
   }
 
   /** Tries another endpoint only where the last surely did not run it. */
@@ -78,18 +76,25 @@
     return last;
   }
 
+  /** Undefined where the document does not know the service any more. */
+  #policy(req: OperationRequest): RoutePolicy | undefined {
+    const service = this.#deps.document().services[req.service];
+    return service && policyFor(service, req.method, req.path);
+  }
+
   #acquire(
-    { service, account }: OperationRequest,
+    req: OperationRequest,
     { exclude, waitUntil }: {
       exclude: ReadonlySet<EndpointId>;
       waitUntil: number;
     },
   ): Promise<Result<Slot, Failure>> {
     return this.#deps.dispatcher.acquire({
-      service,
-      account,
+      service: req.service,
+      account: req.account,
       idempotent: false,
       deadline: waitUntil,
+      work: this.#policy(req)?.work ?? "",
       exclude,
     });
   }
@@ -128,12 +133,14 @@
       signal: new AbortController().signal,
     });
     if (answer.isErr()) return err(answer.error);
+    slot.answered(this.#deps.clock.now());
     return await readAnswer(answer.value, req.method);
   }
 }
 
 function workResult(result: RunResult): WorkResult {
   if (result.isOk()) return "ok";
+  if (result.error.code === "deadline_exceeded") return "timeout";
   return result.error.outcome === "not-run" ? "shed" : "failed";
 }
 
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -74,6 +74,8 @@
 const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
+/** Batches that name the heir of the operations' records, before the end. */
+const HEIR_NOTICE_TICKS = 3;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
 const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
 
@@ -234,6 +236,8 @@
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#operations.handOver();
+    await this.#wait(HEIR_NOTICE_TICKS * this.#deps.cfg.tick_ms);
     await this.close();
   }
 
--- a/src/operations/home_operations.ts
+++ b/src/operations/home_operations.ts
@@ -5,21 +5,10 @@
  * @module
  */
 import { create } from "@bufbuild/protobuf";
-import { err, ok, type Result } from "neverthrow";
-import {
-  type AccountId,
-  type Clock,
-  fail,
-  type Failure,
-  type Log,
-  type Metrics,
-  type OperationId,
-  type Random,
-  type ServiceId,
-} from "../core/mod.ts";
+import { err } from "neverthrow";
+import type { Clock, Log, Metrics, Random } from "../core/mod.ts";
 import {
   type ForwardRequest,
-  ForwardRequestSchema,
   type ForwardResponse,
   ForwardResponseSchema,
   LedgerPartSchema,
@@ -27,29 +16,18 @@
   type SettleResponse,
 } from "../gen/ledger_pb.ts";
 import type { Batch, Sender } from "../gen/peer_pb.ts";
-import type { SeatDirectory, SeatEntry } from "../membership/mod.ts";
+import type { SeatDirectory } from "../membership/mod.ts";
 import type {
   LedgerHandler,
   PeerSubsystem,
   PeerTransport,
 } from "../peers/mod.ts";
 import type { Platform } from "../platform/mod.ts";
-import {
-  fenceEntry,
-  resultFromWire,
-  runResultFromWire,
-  runResultToWire,
-} from "./codec.ts";
-import { homeSeat } from "./home_seat.ts";
-import {
-  formatHome,
-  type HomeToken,
-  parseHome,
-  type Place,
-  scopeOf,
-  TOKEN_LIFE_MS,
-} from "./home_token.ts";
-import { Ledger, type LedgerLimits, type OperationName } from "./ledger.ts";
+import { runResultToWire } from "./codec.ts";
+import { Forwarder, requestFromWire } from "./forwarder.ts";
+import { handOver } from "./handover.ts";
+import { parseHome, type Place } from "./home_token.ts";
+import { DEFAULT_LEDGER_LIMITS, Ledger, type LedgerLimits } from "./ledger.ts";
 import type {
   OperationRequest,
   OperationRunner,
@@ -57,12 +35,16 @@
   RunResult,
 } from "./operations.ts";
 import { OwnedOperations } from "./owned_operations.ts";
-import { type KnownPlace, PlaceTable, type Vicinity } from "./places.ts";
+import { PlaceTable, type Vicinity } from "./places.ts";
 import { RefusedAttempts } from "./refused_attempts.ts";
-import { PeerSecondPlaces, type SecondPlaces } from "./second_places.ts";
+import { RegionHistory } from "./region_history.ts";
+import { SeatHomes } from "./seat_homes.ts";
+import { SeatRecovery } from "./seat_recovery.ts";
+import { FleetSecondPlaces, PeerSecondPlaces } from "./second_places.ts";
 import { SecondSide } from "./second_side.ts";
 import { SettleQueue } from "./settle_queue.ts";
-import { notNow, refused, unknown, verdictOf } from "./verdict.ts";
+import { StorePlace } from "./store_place.ts";
+import { TokenHomes } from "./token_homes.ts";
 
 /** What operations over the fleet need. */
 export interface HomeOperationsDeps {
@@ -78,8 +60,6 @@
   readonly limits?: LedgerLimits;
 }
 
-const ATTEMPT_BYTES = 8;
-const FORWARD_GRACE_MS = 50;
 const SWEEP_EVERY_MS = 1_000;
 
 /** Runs operations at their homes. */
@@ -88,30 +68,49 @@
   readonly #deps: HomeOperationsDeps;
   readonly #ledger: Ledger;
   readonly #places: PlaceTable;
+  readonly #history: RegionHistory;
   readonly #queue: SettleQueue;
-  readonly #seconds: SecondPlaces;
+  readonly #store: StorePlace;
   readonly #owned: OwnedOperations;
   readonly #secondSide: SecondSide;
+  readonly #tokens: TokenHomes;
+  readonly #seats: SeatHomes;
+  readonly #recovery: SeatRecovery;
+  readonly #forwarder: Forwarder;
   readonly #refusedAttempts = new RefusedAttempts();
-  /** Tokens handed out up to here start nothing: some were refused for good. */
-  #refusedUpToMs = -1;
   #sweptAt = 0;
 
   constructor(deps: HomeOperationsDeps) {
-    const { self, clock, transport } = deps;
+    const { clock, self, transport } = deps;
+    const { retentionMs } = deps.limits ?? DEFAULT_LEDGER_LIMITS;
     this.#deps = deps;
     this.#ledger = new Ledger(deps.limits);
     this.#places = new PlaceTable(clock);
     this.#queue = new SettleQueue(transport);
-    const shared = { self, clock, places: this.#places, ledger: this.#ledger };
-    this.#seconds = new PeerSecondPlaces({ ...shared, queue: this.#queue });
-    this.#owned = new OwnedOperations({
-      ...shared,
-      seconds: this.#seconds,
-      runner: deps.runner,
-      metrics: deps.metrics,
-    });
-    this.#secondSide = new SecondSide(shared);
+    this.#history = new RegionHistory({ self, clock, retentionMs });
+    this.#store = new StorePlace({ ...deps, retentionMs });
+    this.#forwarder = new Forwarder(deps);
+    const parts = {
+      ...deps,
+      ledger: this.#ledger,
+      places: this.#places,
+      queue: this.#queue,
+      history: this.#history,
+      store: this.#store,
+      forwarder: this.#forwarder,
+    };
+    const seconds = new FleetSecondPlaces(
+      new PeerSecondPlaces(parts),
+      this.#store,
+    );
+    this.#owned = new OwnedOperations({ ...parts, seconds });
+    this.#secondSide = new SecondSide(parts);
+    this.#recovery = new SeatRecovery(parts);
+    const owned = this.#owned;
+    const secondSide = this.#secondSide;
+    this.#tokens = new TokenHomes({ ...parts, owned, secondSide, seconds });
+    const recovery = this.#recovery;
+    this.#seats = new SeatHomes({ ...parts, owned, recovery });
   }
 
   /** Operations begun here that have not ended. */
@@ -120,16 +119,18 @@
   }
 
   run(req: OperationRequest): Promise<RunResult> {
-    if (req.generated) return this.#patiently(req, this.#deps.runner.run(req));
-    if (req.home === undefined) return this.#atSeat(req);
+    if (req.generated) {
+      return this.#forwarder.patiently(req, this.#deps.runner.run(req));
+    }
+    if (req.home === undefined) return this.#seats.run(req);
     const home = parseHome(req.home);
     if (home.isErr()) return Promise.resolve(err(home.error));
-    return this.#atHome(req, home.value);
+    return this.#tokens.run(req, home.value);
   }
 
   /** The token that look-ups hand out for an instance; undefined if none. */
   homeOf(instance: string): string | undefined {
-    if (instance === this.#deps.self.instance) return this.#ownHome();
+    if (instance === this.#deps.self.instance) return this.#tokens.ownHome();
     const place = this.#places.named(instance);
     if (place === undefined || !this.#places.usable(place)) return undefined;
     return place.home || undefined;
@@ -137,25 +138,50 @@
 
   /** Forgets what is over its time; to be run each tick. */
   sweep(now: number): void {
+    this.#recovery.sweep(now);
     if (now - this.#sweptAt < SWEEP_EVERY_MS) return;
     this.#sweptAt = now;
     this.#ledger.expire(now);
     this.#places.sweep(now);
+    this.#history.sweep(now);
+    this.#store.sweep(now);
     this.#queue.sweep();
     this.#refusedAttempts.expire(now);
     this.#deps.metrics.gauge("operations.records", this.#ledger.size);
     this.#deps.metrics.gauge("operations.answer_bytes", this.#ledger.bytes);
   }
 
-  fill(batch: Batch): void {
+  /**
+   * Takes no new operation, lets the running ones end and gives all records to
+   * a peer. Whether one took them; the batches that follow name it.
+   */
+  async handOver(): Promise<boolean> {
+    this.#ledger.close();
+    await this.#owned.settled();
+    const heir = await handOver({
+      ...this.#deps,
+      ledger: this.#ledger,
+      places: this.#places,
+      queue: this.#queue,
+    });
+    if (heir) this.#history.inherited(this.#deps.self.incarnation, heir);
+    this.#deps.log.event("operations_handed_over", { heir: heir?.instance });
+    return heir !== undefined;
+  }
+
+  fill(batch: Batch, to: string): void {
     batch.ledger = create(LedgerPartSchema, {
-      home: this.#ownHome() ?? "",
+      home: this.#tokens.ownHome() ?? "",
       clockMs: this.#deps.clock.now(),
     });
+    this.#history.fill(batch.ledger, to);
   }
 
   absorb(batch: Batch, from: Sender): void {
     this.#places.absorb(batch, from);
+    if (from.region !== this.#deps.self.region) return;
+    this.#history.heard(from.instance, from.incarnation);
+    if (batch.ledger) this.#history.absorb(batch.ledger, from.incarnation);
   }
 
   settle(req: SettleRequest): SettleResponse {
@@ -170,8 +196,7 @@
     }
     const before = this.#refusedAttempts.find(msg.attempt);
     if (before) return before;
-    const req = requestFromWire(msg);
-    const result = await this.#own(req);
+    const result = await this.#own(requestFromWire(msg));
     if (result === undefined) return gone();
     const answer = runResultToWire(result);
     if (result.isErr() && result.error.outcome === "not-run") {
@@ -180,189 +205,15 @@
     return answer;
   }
 
-  #ownHome(): string | undefined {
-    if (this.#ledger.full || this.#ledger.closed) return undefined;
-    const second = this.#seconds.current();
-    if (second === undefined) return undefined;
-    const { self, clock } = this.#deps;
-    return formatHome({ owner: self, second, issuedMs: clock.now(), round: 0 });
-  }
-
   /** Runs what is this instance's to run; undefined if it is not. */
   #own(req: OperationRequest): Promise<RunResult> | undefined {
-    if (req.home === undefined) {
-      const seat = this.#homeSeat(req);
-      return seat && this.#holds(seat) ? this.#ownSeat(req, seat) : undefined;
-    }
+    if (req.home === undefined) return this.#seats.own(req);
     const home = parseHome(req.home);
     if (home.isErr()) return Promise.resolve(err(home.error));
-    return this.#isSelf(home.value.owner)
-      ? this.#ownHomeRun(req, home.value)
-      : undefined;
-  }
-
-  async #atHome(req: OperationRequest, home: HomeToken): Promise<RunResult> {
-    if (this.#isSelf(home.owner)) return await this.#ownHomeRun(req, home);
-    const until = this.#deps.clock.now() + req.patienceMs;
-    const owner = this.#places.find(home.owner);
-    const forwarded = owner && await this.#forward(req, owner);
-    if (forwarded?.isOk()) return forwarded.value;
-    if (this.#deps.clock.now() >= until) return outOfTime();
-    return await this.#inStead(req, home);
-  }
-
-  /** The owner is out of reach; its second place says what is known. */
-  async #inStead(req: OperationRequest, home: HomeToken): Promise<RunResult> {
-    const name = nameOf(req, scopeOf(home));
-    this.#deps.metrics.count("operations.owner_lost");
-    if (this.#isSelf(home.second)) {
-      const decision = this.#secondSide.fence(name, home.issuedMs);
-      return verdictOf(decision, req.fingerprint);
-    }
-    const second = this.#places.find(home.second);
-    if (second === undefined) return unknown("has lost both its records");
-    const entry = fenceEntry(name, { issuedMs: home.issuedMs });
-    const settled = await this.#queue.send(second, entry);
-    if (settled.isErr()) return unknown("has both its records out of reach");
-    return verdictOf(resultFromWire(settled.value.result), req.fingerprint);
-  }
-
-  #ownHomeRun(req: OperationRequest, home: HomeToken): Promise<RunResult> {
-    const name = nameOf(req, scopeOf(home));
-    const closed = this.#ledger.knows(name) ? undefined : this.#closedFor(home);
-    if (closed) return Promise.resolve(closed);
-    const ground = { name, second: home.second, holds: () => true };
-    return this.#patiently(req, this.#owned.attempt(req, ground));
-  }
-
-  /**
-   * Why a token starts nothing new. When the ledger is full there is no room
-   * to remember each refusal, so all tokens handed out so far end together: a
-   * late copy of a refused attempt must not run once there is room again.
-   */
-  #closedFor(home: HomeToken): RunResult | undefined {
-    const now = this.#deps.clock.now();
-    if (now - home.issuedMs > TOKEN_LIFE_MS) {
-      return unknown("came with a home that is too old");
-    }
-    if (this.#ledger.full || this.#ledger.closed) {
-      this.#refusedUpToMs = Math.floor(now);
-    }
-    if (home.issuedMs > this.#refusedUpToMs) return undefined;
-    return refused("no more operations can be remembered at this home");
-  }
-
-  async #atSeat(req: OperationRequest): Promise<RunResult> {
-    const seat = this.#homeSeat(req);
-    if (seat?.holder === undefined) return notNow("its home seat is empty");
-    if (seat.holder === this.#deps.self.instance) {
-      if (this.#holds(seat)) return await this.#ownSeat(req, seat);
-      return notNow("this instance does not surely hold the home seat");
-    }
-    const holder = this.#places.named(seat.holder);
-    if (holder === undefined) return notNow("its home is out of reach");
-    const forwarded = await this.#forward(req, holder);
-    if (forwarded.isOk()) return forwarded.value;
-    if (forwarded.error.outcome === "not-run") {
-      return notNow("its home is out of reach");
-    }
-    return unknown("was sent to its home, which gave no answer");
-  }
-
-  #ownSeat(req: OperationRequest, seat: SeatEntry): Promise<RunResult> {
-    const { zone, index, epoch } = seat;
-    const ground = {
-      name: nameOf(req, ""),
-      seat: { zone, index, epoch },
-      holds: () => this.#holds(seat),
-    };
-    return this.#patiently(req, this.#owned.attempt(req, ground));
-  }
-
-  #homeSeat(req: OperationRequest): SeatEntry | undefined {
-    return homeSeat(this.#deps.seats.entries(), req);
-  }
-
-  #holds(seat: SeatEntry): boolean {
-    return this.#deps.seats.held(this.#deps.clock.now()).some((s) =>
-      s.zone === seat.zone && s.index === seat.index && s.epoch === seat.epoch
-    );
-  }
-
-  #isSelf(place: Place): boolean {
-    return place.incarnation === this.#deps.self.incarnation;
-  }
-
-  /** Fails with `not-run` where the message did not arrive, else `unknown`. */
-  async #forward(
-    req: OperationRequest,
-    to: KnownPlace,
-  ): Promise<Result<RunResult, Failure>> {
-    const { random, transport, metrics } = this.#deps;
-    const msg = create(ForwardRequestSchema, {
-      incarnation: to.incarnation,
-      account: req.account,
-      id: req.id,
-      fingerprint: req.fingerprint,
-      home: req.home ?? "",
-      service: req.service,
-      method: req.method,
-      path: req.path,
-      headers: { ...req.headers },
-      body: req.body,
-      remainingMs: req.patienceMs,
-      attempt: random.hex(ATTEMPT_BYTES),
-    });
-    metrics.count("operations.forwarded");
-    const patience = Math.ceil(req.patienceMs) + FORWARD_GRACE_MS;
-    const res = await transport.forward(to.peerUrl, msg, patience);
-    if (res.isErr()) return err(res.error);
-    if (!res.value.gone) return ok(runResultFromWire(res.value));
-    return fail("not_found", "the home has moved", { outcome: "not-run" });
-  }
-
-  /** Waits no longer than the caller does; the run itself goes on. */
-  #patiently(
-    req: OperationRequest,
-    running: Promise<RunResult>,
-  ): Promise<RunResult> {
-    return new Promise((resolve, reject) => {
-      const timer = this.#deps.clock.after(
-        req.patienceMs,
-        () => resolve(outOfTime()),
-      );
-      running.then(resolve, reject).finally(() => timer.close());
-    });
+    return this.#tokens.own(req, home.value);
   }
 }
 
 function gone(): ForwardResponse {
   return create(ForwardResponseSchema, { gone: true });
 }
-
-function outOfTime(): RunResult {
-  return fail("deadline_exceeded", "the operation may still be running", {
-    outcome: "unknown",
-  });
-}
-
-function nameOf(req: OperationRequest, scope: string): OperationName {
-  return { account: req.account, id: req.id, scope };
-}
-
-/** Peers are trusted: they checked the key and the ids. */
-function requestFromWire(msg: ForwardRequest): OperationRequest {
-  return {
-    account: msg.account as AccountId,
-    id: msg.id as OperationId,
-    fingerprint: msg.fingerprint,
-    generated: false,
-    service: msg.service as ServiceId,
-    method: msg.method,
-    path: msg.path,
-    headers: msg.headers,
-    body: msg.body,
-    patienceMs: msg.remainingMs,
-    ...(msg.home === "" ? {} : { home: msg.home }),
-  };
-}
--- a/src/operations/ledger.ts
+++ b/src/operations/ledger.ts
@@ -245,6 +245,7 @@
   /** Takes a leaver's record over, unless more is known here. */
   copy(record: Omit<LedgerRecord, "expiresAt">, now: number): boolean {
     const known = this.#records.get(keyOf(record.name));
+    if (known !== undefined && known.run !== record.run) return true;
     if (known !== undefined && known.state !== "intent") return true;
     if (this.size >= this.limits.maxRecords) return false;
     this.#store(
--- a/src/operations/places.ts
+++ b/src/operations/places.ts
@@ -112,10 +112,15 @@
     return [...this.#places.values()];
   }
 
+  /** Whether a place was not heard for long; a call to it would hang. */
+  isSilent(place: KnownPlace): boolean {
+    return this.#clock.now() - place.heardAt > PLACE_SILENT_MS;
+  }
+
   /** Whether a place was heard lately and is there to stay. */
   usable(place: KnownPlace): boolean {
     const now = this.#clock.now();
-    return !place.leaving && now - place.heardAt <= PLACE_SILENT_MS &&
+    return !place.leaving && !this.isSilent(place) &&
       now >= (this.#suspectUntil.get(place.incarnation) ?? 0);
   }
 
--- a/src/operations/second_places.ts
+++ b/src/operations/second_places.ts
@@ -16,6 +16,7 @@
 } from "./ledger.ts";
 import type { KnownPlace, PlaceTable, Vicinity } from "./places.ts";
 import type { Settled, SettleQueue } from "./settle_queue.ts";
+import { STORE_PLACE, type StorePlace } from "./store_place.ts";
 
 /** An intent that some place holds. */
 export interface Placed {
@@ -106,3 +107,45 @@
     return err(settled.error);
   }
 }
+
+/** Peers first, then the store. */
+export class FleetSecondPlaces implements SecondPlaces {
+  readonly #peers: PeerSecondPlaces;
+  readonly #store: StorePlace;
+
+  constructor(peers: PeerSecondPlaces, store: StorePlace) {
+    this.#peers = peers;
+    this.#store = store;
+  }
+
+  current(): Place | undefined {
+    return this.#peers.current() ??
+      (this.#store.usable ? STORE_PLACE : undefined);
+  }
+
+  async record(
+    intent: IntentEntry,
+    second?: Place,
+  ): Promise<Result<Placed, Failure>> {
+    if (!isStore(second)) {
+      const placed = await this.#peers.record(intent, second);
+      if (placed.isOk() || second !== undefined) return placed;
+    }
+    const decision = await this.#store.record(intent);
+    return decision.map((d) => ({ place: STORE_PLACE, decision: d }));
+  }
+
+  async conclude(
+    place: Place,
+    told: { name: OperationName; run: string; conclusion: Conclusion },
+  ): Promise<void> {
+    if (!isStore(place)) return await this.#peers.conclude(place, told);
+    this.#store.conclude(told.name, told.run, told.conclusion);
+  }
+}
+
+/** Whether a place is the store. */
+export function isStore(place: Place | undefined): boolean {
+  return place?.instance === STORE_PLACE.instance &&
+    place.incarnation === STORE_PLACE.incarnation;
+}
--- a/src/operations/second_side.ts
+++ b/src/operations/second_side.ts
@@ -24,12 +24,14 @@
 import { type Place, TOKEN_LIFE_MS } from "./home_token.ts";
 import type { Ledger, OperationName, PlaceDecision } from "./ledger.ts";
 import type { PlaceTable } from "./places.ts";
+import type { RegionHistory } from "./region_history.ts";
 
 /** What the second place's side needs. */
 export interface SecondSideDeps {
   readonly self: Place;
   readonly ledger: Ledger;
   readonly places: PlaceTable;
+  readonly history: RegionHistory;
   readonly clock: Clock;
 }
 
@@ -53,7 +55,12 @@
       return create(SettleResponseSchema, { gone: true });
     }
     const results = req.entries.map((entry) => this.#entry(entry));
-    return create(SettleResponseSchema, { results });
+    const { history } = this.#deps;
+    return create(SettleResponseSchema, {
+      results,
+      historyMs: history.lengthMs,
+      lost: history.lost(),
+    });
   }
 
   /** Answers in the stead of an owner that is out of reach. */
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -35,7 +35,7 @@
 import { BatchSchema, type Sender, SenderSchema } from "../../gen/peer_pb.ts";
 import type { HeldSeat, SeatEntry } from "../../membership/mod.ts";
 import type { PeerTransport } from "../../peers/mod.ts";
-import { MemoryPlatform } from "../../platform/mod.ts";
+import { MemoryPlatform, type Platform } from "../../platform/mod.ts";
 import { HomeOperations } from "../home_operations.ts";
 import { DEFAULT_LEDGER_LIMITS, type LedgerLimits } from "../ledger.ts";
 import type { OperationRequest, RunResult } from "../operations.ts";
@@ -109,7 +109,7 @@
       metrics: new MemoryMetrics(),
       log: new SilentLog(),
       transport: fleet.transport(this),
-      platform: fleet.platform,
+      platform: fleet.platformFor(this),
       seats: {
         entries: () => fleet.seats,
         held: () => fleet.held(this),
@@ -163,6 +163,7 @@
   readonly nodes = new Map<string, FakeNode>();
   readonly attempts: Attempt[] = [];
   readonly dispatches: Dispatch[] = [];
+  platformDown = false;
   seats: SeatEntry[] = [];
   /** Called for each message; says what becomes of it. */
   onMessage: (msg: FakeMessage) => Fate = () => "deliver";
@@ -296,6 +297,26 @@
     };
   }
 
+  /** The store as one node sees it. */
+  platformFor(node: FakeNode): Platform {
+    const down = async () => {
+      await node.gate();
+      return this.platformDown;
+    };
+    const failed = () => fail("platform_unavailable", "down");
+    const store = this.platform;
+    return {
+      get: async (key) => await down() ? failed() : await store.get(key),
+      list: async (key) => await down() ? failed() : await store.list(key),
+      put: async (key, value, condition) =>
+        await down() ? failed() : await store.put(key, value, condition),
+      watch: () => Promise.resolve(failed()),
+      instances: () => Promise.resolve(failed()),
+      announce: () => Promise.resolve(failed()),
+      close: () => Promise.resolve(),
+    };
+  }
+
   held(node: FakeNode): HeldSeat[] {
     return this.seats.filter((s) => s.holder === node.name).map((s) => ({
       zone: s.zone,
@@ -348,7 +369,7 @@
       for (const to of up) {
         if (from === to || this.cuts.has(`${from.name} ${to.name}`)) continue;
         const batch = create(BatchSchema, { sender: from.sender() });
-        from.operations.fill(batch);
+        from.operations.fill(batch, to.name);
         to.operations.absorb(batch, from.sender());
       }
     }
