Send work to other zones on granted room and within the link's cap

A zone whose endpoints failed, drained or were full refused its callers while other zones had room.

Each instance now tells what it would like to run elsewhere and grants others its free slots, divided over those who ask; the receiver checks again and refuses as not run what does not fit beside its own work. Requests go to an entry instance of the other zone with the account and the time left, never the key; only instances whose batches were heard are trusted. Bodies that cross a link are paced to the sender's part of its cap.

--- a/src/decisions/steering/dispatcher.ts
+++ b/src/decisions/steering/dispatcher.ts
@@ -8,6 +8,8 @@
   AccountId,
   EndpointId,
   Failure,
+  InstanceId,
+  RegionId,
   ServiceId,
   ZoneId,
 } from "../../core/mod.ts";
@@ -32,11 +34,21 @@
  */
 export type WorkResult = "ok" | "failed" | "shed" | "cancelled" | "timeout";
 
+/** That a slot lies behind another entry instance. */
+export interface ForwardRoute {
+  readonly instance: InstanceId;
+  readonly region: RegionId;
+  /** Whether a link between regions lies on the way. */
+  readonly crossesLink: boolean;
+}
+
 /** A slot at an endpoint, held until `release`. */
 export interface Slot {
   readonly endpoint: EndpointId;
   readonly url: string;
   readonly zone: ZoneId;
+  /** Set where `url` is that of an instance which passes the request on. */
+  readonly forward?: ForwardRoute;
   /** Tells that the answer began; what follows is the caller's reading pace. */
   answered(now: number): void;
   /** Gives the slot back; only the first call counts. */
--- a/src/decisions/steering/fair_dispatcher.ts
+++ b/src/decisions/steering/fair_dispatcher.ts
@@ -92,19 +92,30 @@
     return pool.acquire(req, signal);
   }
 
+  /** A slot if one is free and nobody waits for it. */
+  tryNow(req: SteeringRequest, now: number): Slot | undefined {
+    return this.#pools.get(req.service)?.tryNow(req, now);
+  }
+
+  /** Milliseconds until a request would get a slot; Infinity if none is open. */
+  expectedWait(req: SteeringRequest, now: number): number {
+    const pool = this.#pools.get(req.service);
+    return pool?.expectedWait(req, now) ?? Infinity;
+  }
+
+  /** Load of one service here; undefined if the document has no such one. */
+  loadOf(service: ServiceId, now: number): ServiceLoad | undefined {
+    const pool = this.#pools.get(service);
+    return pool && loadOf(service, pool, now);
+  }
+
   tick(now: number): void {
     for (const pool of this.#pools.values()) pool.tick(now);
   }
 
   /** Load of every service here. */
   load(now: number): ServiceLoad[] {
-    return [...this.#pools].map(([service, pool]) => ({
-      service,
-      inFlight: pool.inFlight,
-      waiting: pool.waiting,
-      capacity: pool.capacity(now),
-      free: pool.free(now),
-    }));
+    return [...this.#pools].map(([id, pool]) => loadOf(id, pool, now));
   }
 
   /** Rows of the own zone's endpoints. */
@@ -187,6 +198,20 @@
   }
 }
 
+function loadOf(
+  service: ServiceId,
+  pool: ServicePool,
+  now: number,
+): ServiceLoad {
+  return {
+    service,
+    inFlight: pool.inFlight,
+    waiting: pool.waiting,
+    capacity: pool.capacity(now),
+    free: pool.free(now),
+  };
+}
+
 function update(row: EndpointRow, entry: EndpointEntry): EndpointRow {
   row.entry = entry;
   row.learned = Math.min(row.learned, entry.slots);
--- a/src/decisions/steering/service_pool.ts
+++ b/src/decisions/steering/service_pool.ts
@@ -120,22 +120,30 @@
     this.#pump(now);
   }
 
+  /** A slot if one is free and nobody waits for it. */
+  tryNow(req: SteeringRequest, now: number): Slot | undefined {
+    if (this.#queue.size > 0) return undefined;
+    const { cost, long } = this.#assess(req, now);
+    const slot = this.#take(req, long, now);
+    if (slot !== undefined) this.#queue.charge(req.account, cost);
+    return slot;
+  }
+
+  /** Milliseconds until a request of the account would get a slot here. */
+  expectedWait(req: SteeringRequest, now: number): number {
+    if (!this.#open(req.exclude)) return Infinity;
+    return this.#expectedWait(req.account, now);
+  }
+
   acquire(
     req: SteeringRequest,
     signal?: AbortSignal,
   ): Promise<Result<Slot, Failure>> {
     if (signal?.aborted) return Promise.resolve(cancelled());
     const now = this.#deps.clock.now();
-    const cost = this.#times.expected(req.account, req.work ?? "");
-    const long = cost > LONG_RATIO * this.#times.typical;
-    if (!long) this.#shortSeenAt = now;
-    if (this.#queue.size === 0) {
-      const slot = this.#take(req, long, now);
-      if (slot !== undefined) {
-        this.#queue.charge(req.account, cost);
-        return Promise.resolve(ok(slot));
-      }
-    }
+    const slot = this.tryNow(req, now);
+    if (slot !== undefined) return Promise.resolve(ok(slot));
+    const { cost, long } = this.#assess(req, now);
     const refused = this.#refusal(req, cost, now);
     if (refused !== undefined) {
       this.#turnedAway += 1;
@@ -144,8 +152,18 @@
     return this.#wait({ account: req.account, cost, req, long }, signal);
   }
 
-  #open(): boolean {
-    return this.rows.some((r) => r.drainingSince === undefined);
+  #assess(req: SteeringRequest, now: number): { cost: number; long: boolean } {
+    const cost = this.#times.expected(req.account, req.work ?? "");
+    const long = cost > LONG_RATIO * this.#times.typical;
+    if (!long) this.#shortSeenAt = now;
+    return { cost, long };
+  }
+
+  /** Whether any endpoint may be tried, now or later. */
+  #open(exclude?: ReadonlySet<EndpointId>): boolean {
+    return this.rows.some((r) =>
+      r.drainingSince === undefined && !exclude?.has(r.id)
+    );
   }
 
   /** Why a request must not wait; undefined if it may. */
@@ -154,7 +172,7 @@
     cost: number,
     now: number,
   ): Result<never, Failure> | undefined {
-    if (!this.#open()) return noEndpoint(req.service);
+    if (!this.#open(req.exclude)) return noEndpoint(req.service);
     const waitMs = this.#expectedWait(req.account, now);
     if (!Number.isFinite(waitMs)) {
       return noCapacity(req.service, "no slot", NO_SLOT_RETRY_MS);
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -30,14 +30,20 @@
   "expect",
   "x-client-account",
   TIMEOUT_HEADER,
-  HOME_HEADER,
 ]);
 
+/** What instances say to each other and to callers; endpoints have no part in it. */
+const OWN_PREFIX = "x-magnoliahook-";
+
+function travels(name: string): boolean {
+  return !NOT_FORWARDED.has(name) && !name.startsWith(OWN_PREFIX);
+}
+
 /** Headers of a request as an endpoint may see them: the key is gone. */
 export function toEndpoint(headers: IncomingHttpHeaders): Headers {
   const out: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (NOT_FORWARDED.has(name) || value === undefined) continue;
+    if (!travels(name) || value === undefined) continue;
     out[name] = Array.isArray(value) ? value.join(", ") : value;
   }
   return out;
@@ -45,6 +51,6 @@
 
 /** Headers of an answer as the caller may see them. */
 export function toCaller(headers: Headers): Headers {
-  const kept = Object.entries(headers).filter(([n]) => !NOT_FORWARDED.has(n));
+  const kept = Object.entries(headers).filter(([n]) => travels(n));
   return Object.fromEntries(kept);
 }
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -4,8 +4,12 @@
  * @module
  */
 export * from "./caller_app.ts";
+export * from "./forward_app.ts";
+export * from "./forwarding.ts";
 export * from "./headers.ts";
 export * from "./key_ring.ts";
+export * from "./pacing.ts";
 export * from "./refusal.ts";
+export * from "./relay.ts";
 export * from "./request_path.ts";
 export * from "./routes.ts";
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { Buffer } from "node:buffer";
-import { pipeline } from "node:stream/promises";
+import type { Readable } from "node:stream";
 import type { Request, Response } from "express";
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -20,6 +20,7 @@
   type ServiceId,
 } from "../core/mod.ts";
 import type { RateLimiter } from "../decisions/limits/mod.ts";
+import type { LinkBudgets } from "../decisions/regions/mod.ts";
 import type {
   Dispatcher,
   Slot,
@@ -39,8 +40,17 @@
   toCaller,
   toEndpoint,
 } from "./headers.ts";
+import {
+  forwardHeaders,
+  type ForwardIdentity,
+  pacedBody,
+  pathAt,
+  peerFailure,
+} from "./forwarding.ts";
 import type { KeyRing } from "./key_ring.ts";
+import { HEAD_BYTES, pace } from "./pacing.ts";
 import { refuse } from "./refusal.ts";
+import { relay } from "./relay.ts";
 import { policyFor } from "./routes.ts";
 
 /** What a request path needs. */
@@ -54,6 +64,9 @@
   readonly operations: Operations;
   readonly endpoints: EndpointClient;
   readonly document: () => SteeringDocument;
+  readonly links: LinkBudgets;
+  /** How this instance names itself where it forwards. */
+  readonly identity: ForwardIdentity;
 }
 
 /** A request that was let in. */
@@ -169,7 +182,9 @@
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
         const { signal } = admitted;
-        return await this.#relay(answer.value, slot.value, { res, signal });
+        const { clock } = this.#deps;
+        await relay(answer.value, slot.value, { res, signal, clock });
+        return ok(undefined);
       }
       last = err(answer.error);
       if (!mayRetry(admitted.req, answer.error)) return last;
@@ -177,24 +192,6 @@
     return last;
   }
 
-  async #relay(
-    answer: EndpointAnswer,
-    slot: Slot,
-    { res, signal }: { res: Response; signal: AbortSignal },
-  ): Promise<Result<void, Failure>> {
-    res.writeHead(answer.status, { ...toCaller(answer.headers) });
-    let result: WorkResult = "ok";
-    try {
-      await pipeline(answer.body, res);
-    } catch {
-      result = signal.aborted || res.closed ? "cancelled" : "failed";
-      res.destroy();
-    } finally {
-      slot.release(result, this.#deps.clock.now());
-    }
-    return ok(undefined);
-  }
-
   /** Not idempotent: the body is read first, since the id stands for it. */
   async #runOnce(
     admitted: Admitted,
@@ -243,21 +240,40 @@
     slot: Slot,
     body: Request | Uint8Array,
   ): Promise<Result<EndpointAnswer, Failure>> {
-    const { req } = admitted;
+    const { req, service } = admitted;
+    const { clock, identity } = this.#deps;
+    const extra = slot.forward ? forwardHeaders(identity, admitted) : {};
+    const sent = hasBody(req) ? body : undefined;
     const answer = await this.#deps.endpoints.send({
       url: slot.url,
       method: req.method,
-      path: admitted.path,
-      headers: toEndpoint(req.headers),
-      body: hasBody(req) ? body : undefined,
+      path: pathAt(slot, service, admitted.path),
+      headers: { ...toEndpoint(req.headers), ...extra },
+      body: await this.#overLink(slot, sent),
       account: admitted.account,
-      timeoutMs: admitted.deadline - this.#deps.clock.now(),
+      timeoutMs: admitted.deadline - clock.now(),
       signal: admitted.signal,
     });
-    const now = this.#deps.clock.now();
-    if (answer.isErr()) slot.release(workResult(answer.error), now);
-    else slot.answered(now);
-    return answer;
+    if (answer.isErr()) {
+      slot.release(workResult(answer.error), clock.now());
+      return answer;
+    }
+    const failed = slot.forward && peerFailure(answer.value);
+    if (failed) slot.release("timeout", clock.now());
+    else slot.answered(clock.now());
+    return failed ?? answer;
+  }
+
+  /** What goes to another region keeps to this instance's part of the link. */
+  async #overLink(
+    { forward }: Slot,
+    body: Request | Uint8Array | undefined,
+  ): Promise<Readable | Uint8Array | undefined> {
+    if (!forward?.crossesLink) return body;
+    const { links, clock } = this.#deps;
+    const link = { links, clock, to: forward.region };
+    await pace(link, HEAD_BYTES);
+    return body && pacedBody(body, link);
   }
 
   #operationKey(
@@ -283,7 +299,8 @@
   }
 }
 
-function workResult(failure: Failure): WorkResult {
+/** What a failed try says of the slot it used. */
+export function workResult(failure: Failure): WorkResult {
   if (failure.code === "cancelled") return "cancelled";
   if (failure.code === "deadline_exceeded") return "timeout";
   return failure.outcome === "not-run" ? "shed" : "failed";
@@ -294,7 +311,8 @@
   return failure.code === "endpoint_failed";
 }
 
-function hasBody(req: Request): boolean {
+/** Whether a request announces a body. */
+export function hasBody(req: Request): boolean {
   return req.headers["transfer-encoding"] !== undefined ||
     Number(req.headers["content-length"] ?? 0) > 0;
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,27 +4,25 @@
  *
  * @module
  */
+import type { RequestListener } from "node:http";
 import Emittery from "emittery";
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import {
-  connectionPart,
-  EvenSlotLimits,
-  FairDispatcher,
-  ProbeSchedule,
-} from "../decisions/steering/mod.ts";
+import { EvenSlotLimits } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
-import { type EndpointClient, Prober } from "../endpoints/mod.ts";
+import type { EndpointClient } from "../endpoints/mod.ts";
 import {
   callerApp,
+  FORWARD_PATH,
+  forwardApp,
   KeyRing,
   type LookupAnswer,
   RequestPath,
@@ -43,7 +41,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { Listener } from "./listener.ts";
-import { LoadExchange } from "./load_exchange.ts";
+import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -91,8 +89,7 @@
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: FairDispatcher;
-  readonly #prober: Prober;
+  readonly #steering: Steering;
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
@@ -115,12 +112,14 @@
       roster: this.#roster,
       document: () => this.#document,
     });
-    this.#dispatcher = new FairDispatcher({
+    this.#steering = new Steering({
       ...deps,
-      zone: cfg.instance.zone,
+      roster: this.#roster,
+      seats: this.#seats,
       limits: new EvenSlotLimits(this.#seats),
+      document: () => this.#document,
+      leaving: () => this.#leaving,
     });
-    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -128,19 +127,14 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
-    this.#exchange.register(
-      new LoadExchange({
-        zone: cfg.instance.zone,
-        prober: this.#prober,
-        zoneOf: (id) =>
-          this.#roster.members().find((m) => m.instance === id)?.zone,
-      }),
-    );
+    this.#exchange.register(this.#steering.exchange);
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
       limiter: this.#limiter,
-      dispatcher: this.#dispatcher,
+      dispatcher: this.#steering.dispatcher,
+      links: this.#steering.links,
+      identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
       operations: new LocalOperations(),
       document: () => this.#document,
     });
@@ -154,10 +148,9 @@
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({
-      name: "dispatcher",
-      run: (now) => this.#dispatcher.tick(now),
+      name: "steering",
+      run: (now) => this.#steering.tick(now),
     });
-    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -239,7 +232,7 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener((batch) => this.#exchange.answer(batch)),
+      this.#peerHandler(),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -255,26 +248,21 @@
     return ok(undefined);
   }
 
-  #makeProber(): Prober {
-    const { cfg, clock, metrics, random, endpoints } = this.#deps;
-    const { id, zone } = cfg.instance;
-    return new Prober({
-      clock,
-      metrics,
-      client: endpoints,
-      schedule: new ProbeSchedule(id, random),
-      targets: () =>
-        this.#dispatcher.rows().map((row) => ({
-          id: row.id,
-          url: row.entry.url,
-          connectionFree:
-            row.inFlight < connectionPart(row.entry, row.slotLimit),
-        })),
-      zoneMates: () =>
-        this.#roster.live().filter((m) => m.zone === zone)
-          .map((m) => m.instance),
-      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+  /** Forwarded requests beside the peers' own messages. */
+  #peerHandler(): RequestListener {
+    const peers = peerListener((batch) => this.#exchange.answer(batch));
+    const { intake, links, exchange } = this.#steering;
+    const forwards = forwardApp({
+      ...this.#deps,
+      intake,
+      links,
+      region: this.#deps.cfg.instance.region,
+      peerOf: (identity) => exchange.peerOf(identity),
     });
+    return (req, res) => {
+      if (req.url?.startsWith(`${FORWARD_PATH}/`)) forwards(req, res);
+      else peers(req, res);
+    };
   }
 
   #adopt(accepted: AcceptedDocument): void {
@@ -282,7 +270,7 @@
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
     this.#limiter.adopt(accepted.document, now);
-    this.#dispatcher.adopt(accepted.document, now);
+    this.#steering.adopt(accepted.document, now);
     void this.events.emit("document", accepted);
   }
 
--- /dev/null
+++ b/src/instance/steering.ts
@@ -0,0 +1,151 @@
+/**
+ * Puts the decisions on where work goes together for one instance.
+ *
+ * @module
+ */
+import type { Clock, Metrics, Random, ServiceId } from "../core/mod.ts";
+import {
+  ForwardedIntake,
+  HeadroomGrants,
+  LinkBudgets,
+  RegionDispatcher,
+  RemoteRooms,
+} from "../decisions/regions/mod.ts";
+import {
+  connectionPart,
+  Drained,
+  FairDispatcher,
+  ProbeSchedule,
+  type SlotLimits,
+} from "../decisions/steering/mod.ts";
+import { type SteeringDocument, zonesOf } from "../document/mod.ts";
+import { type EndpointClient, Prober } from "../endpoints/mod.ts";
+import type { Roster, SeatDirectory } from "../membership/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { LoadExchange } from "./load_exchange.ts";
+
+/** What steering needs. */
+export interface SteeringDeps {
+  readonly cfg: Settings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly endpoints: EndpointClient;
+  readonly roster: Roster;
+  readonly seats: SeatDirectory;
+  readonly limits: SlotLimits;
+  readonly document: () => SteeringDocument;
+  readonly leaving: () => boolean;
+}
+
+/** The steering parts of one instance, wired to each other. */
+export class Steering {
+  readonly #deps: SteeringDeps;
+  readonly local: FairDispatcher;
+  readonly dispatcher: RegionDispatcher;
+  readonly intake: ForwardedIntake;
+  readonly links: LinkBudgets;
+  readonly exchange: LoadExchange;
+  readonly prober: Prober;
+  #drained: Drained | undefined;
+
+  constructor(deps: SteeringDeps) {
+    this.#deps = deps;
+    const { zone, region } = deps.cfg.instance;
+    const rooms = new RemoteRooms();
+    const grants = new HeadroomGrants();
+    this.local = new FairDispatcher({ ...deps, zone });
+    this.links = new LinkBudgets({ region, part: (now) => this.#part(now) });
+    this.dispatcher = new RegionDispatcher({
+      ...deps,
+      zone,
+      region,
+      local: this.local,
+      rooms,
+      links: this.links,
+    });
+    this.intake = new ForwardedIntake({
+      region,
+      local: this.local,
+      grants,
+      links: this.links,
+      document: deps.document,
+      closed: () => this.closed,
+    });
+    this.prober = this.#makeProber();
+    this.exchange = new LoadExchange({
+      clock: deps.clock,
+      zone,
+      region,
+      prober: this.prober,
+      grants,
+      intake: this.intake,
+      rooms,
+      links: this.links,
+      dispatcher: this.dispatcher,
+      services: () => Object.keys(deps.document().services) as ServiceId[],
+      load: () => this.load,
+    });
+  }
+
+  /** Whether this instance stops taking work: it leaves or is drained. */
+  get closed(): boolean {
+    return this.#deps.leaving() || this.drained;
+  }
+
+  /** Whether the document drains this instance. */
+  get drained(): boolean {
+    return this.#drained?.instance(this.#deps.cfg.instance.id) ?? false;
+  }
+
+  /** Slots in use or waited for, against those that may be used. */
+  get load(): number {
+    const loads = this.local.load(this.#deps.clock.now());
+    const busy = loads.reduce((n, l) => n + l.inFlight + l.waiting, 0);
+    const capacity = loads.reduce((n, l) => n + l.capacity, 0);
+    return busy / Math.max(1, capacity);
+  }
+
+  adopt(document: SteeringDocument, now: number): void {
+    this.#drained = new Drained(document);
+    this.dispatcher.adopt(document, now);
+  }
+
+  tick(now: number): void {
+    this.dispatcher.tick(now);
+    this.exchange.tick(now);
+    this.prober.tick(now);
+  }
+
+  /** Part of the region's seats that this instance holds. */
+  #part(now: number): number {
+    const { seats, cfg, document } = this.#deps;
+    const zones = zonesOf(document())
+      .filter((z) => z.region === cfg.instance.region);
+    const names = new Set<string>(zones.map((z) => z.zone));
+    const all = zones.reduce((n, z) => n + z.instances, 0);
+    const held = seats.held(now).filter((s) => names.has(s.zone))
+      .reduce((n, s) => n + s.part, 0);
+    return all === 0 ? 0 : held / all;
+  }
+
+  #makeProber(): Prober {
+    const { cfg, clock, metrics, random, endpoints, roster } = this.#deps;
+    const { id, zone } = cfg.instance;
+    return new Prober({
+      clock,
+      metrics,
+      client: endpoints,
+      schedule: new ProbeSchedule(id, random),
+      targets: () =>
+        this.local.rows().map(({ id, entry, inFlight, slotLimit }) => ({
+          id,
+          url: entry.url,
+          connectionFree: inFlight < connectionPart(entry, slotLimit),
+        })),
+      zoneMates: () =>
+        roster.live().filter((m) => m.zone === zone).map((m) => m.instance),
+      onHint: (endpoint, hint) => this.local.hint(endpoint, hint),
+    });
+  }
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -15,5 +15,6 @@
 export * as operations from "./operations/mod.ts";
 export * as peers from "./peers/mod.ts";
 export * as platform from "./platform/mod.ts";
+export * as regions from "./decisions/regions/mod.ts";
 export * as settings from "./settings/mod.ts";
 export * as steering from "./decisions/steering/mod.ts";
