--- a/src/decisions/regions/remote_rooms.ts
+++ b/src/decisions/regions/remote_rooms.ts
@@ -55,6 +55,9 @@
 /** An instance that could not be reached is left out this long. */
 const UNREACHABLE_MS = 1_000;
 
+/** Sums of small parts fall short of a whole by less than this. */
+const ROUNDING = 1e-9;
+
 /** The table of room elsewhere. */
 export class RemoteRooms {
   readonly #rooms = new Map<ServiceId, Map<InstanceId, RemoteRoom>>();
@@ -118,7 +121,7 @@
     if (room.granted === 0 || room.blockedUntil > now) return 0;
     const figure = room.granted * aged(now - room.heardAt) *
       this.#warm(service, room.peer.zone, now);
-    return Math.max(1, Math.floor(figure));
+    return Math.max(1, Math.floor(figure + ROUNDING));
   }
 
   /** Forgets instances that are known no more. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -12,7 +12,7 @@
 import { fail, type Failure, type ServiceId } from "../core/mod.ts";
 import type { Slot } from "../decisions/steering/mod.ts";
 import type { EndpointAnswer, Headers } from "../endpoints/mod.ts";
-import type { Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { OUTCOME_HEADER } from "./headers.ts";
 import { type PacedLink, PacedStream } from "./pacing.ts";
 
@@ -38,13 +38,13 @@
 /** What is told of a forwarded request beside its own headers. */
 export function forwardHeaders(
   self: ForwardIdentity,
-  req: { work: string; idempotent: boolean },
+  req: { work?: string; idempotent: boolean },
 ): Headers {
   return {
     [HOP_HEADER]: "1",
     [FROM_HEADER]: self.instance,
     [INCARNATION_HEADER]: self.incarnation,
-    [WORK_HEADER]: req.work,
+    [WORK_HEADER]: req.work ?? "",
     [IDEMPOTENT_HEADER]: String(req.idempotent),
   };
 }
@@ -66,14 +66,13 @@
 }
 
 /**
- * The failure that a peer reports in place of an endpoint's answer; undefined
- * if the answer is the endpoint's own. Only peers can set the header: it is
- * taken off what endpoints say.
+ * Tells a peer's own failure from the answer of the endpoint behind it. Only
+ * peers can set the header: it is taken off what endpoints say.
  */
 export function peerFailure(
   answer: EndpointAnswer,
-): Result<never, Failure> | undefined {
-  if (answer.headers[OUTCOME_HEADER] === undefined) return undefined;
+): Result<EndpointAnswer, Failure> {
+  if (answer.headers[OUTCOME_HEADER] === undefined) return ok(answer);
   answer.body.resume();
   const late = answer.status === GATEWAY_TIMEOUT;
   const code = late ? "deadline_exceeded" : "endpoint_failed";
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -25,13 +25,15 @@
   forwardApp,
   KeyRing,
   type LookupAnswer,
+  OperationDispatch,
   RequestPath,
+  SlotSender,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
 import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
-import { LocalOperations } from "../operations/mod.ts";
+import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
   peerListener,
@@ -93,6 +95,7 @@
   readonly #roster: Roster;
   readonly #seats: SeatDirectory;
   readonly #exchange: PeerExchange;
+  readonly #operations: HomeOperations;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -128,15 +131,33 @@
     });
     this.#exchange.register(this.#roster);
     this.#exchange.register(this.#steering.exchange);
+    const document = () => this.#document;
+    const { dispatcher, links } = this.#steering;
+    const sender = new SlotSender({
+      ...deps,
+      links,
+      identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
+    });
+    this.#operations = new HomeOperations({
+      ...deps,
+      log: log.child("operations"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      seats: this.#seats,
+      runner: new OperationDispatch({ ...deps, sender, dispatcher, document }),
+    });
+    this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
       limiter: this.#limiter,
-      dispatcher: this.#steering.dispatcher,
-      links: this.#steering.links,
-      identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
-      operations: new LocalOperations(),
-      document: () => this.#document,
+      sender,
+      dispatcher,
+      operations: this.#operations,
+      document,
     });
     this.#follower = new DocumentFollower({
       platform,
@@ -147,6 +168,10 @@
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
     this.#ticks.add({
       name: "steering",
       run: (now) => this.#steering.tick(now),
@@ -174,6 +199,11 @@
     return this.#listeners?.caller.url ?? "";
   }
 
+  /** Where other instances reach this one. */
+  get peerUrl(): string {
+    return this.#listeners?.peer.url ?? "";
+  }
+
   /** Where operators reach this instance. */
   get adminUrl(): string {
     return this.#listeners?.admin.url ?? "";
@@ -250,7 +280,10 @@
 
   /** Forwarded requests beside the peers' own messages. */
   #peerHandler(): RequestListener {
-    const peers = peerListener((batch) => this.#exchange.answer(batch));
+    const peers = peerListener(
+      (batch) => this.#exchange.answer(batch),
+      this.#operations,
+    );
     const { intake, links, exchange } = this.#steering;
     const forwards = forwardApp({
       ...this.#deps,
@@ -282,12 +315,10 @@
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
-    ).map(({ instance, url, zone, region }) => ({
-      instance,
-      url,
-      zone,
-      region,
-    }));
+    ).map(({ instance, url, zone, region }) => {
+      const home = this.#operations.homeOf(instance);
+      return { instance, url, zone, region, ...(home ? { home } : {}) };
+    });
     return { reuse_ms: LOOKUP_REUSE_MS, instances };
   }
 
