Hold seats by lease: one table a zone, renewed by one writer

Cause: seats by rank in the lagging list let two instances that see different lists use one seat.

Change: a zone's seats stand in one store object. Renewals of all its instances are written together, once a second; a holder counts its lease from before it asked. A seat changes hands after an observer saw one renewal for a lease, a margin and the longest deadline, less a floor for the silent holder. While the store cannot be reached the zone's other holders prolong a lease by promising not to take it.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -31,7 +31,7 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
+import { LeasedSeats, Roster } from "../membership/mod.ts";
 import { LocalOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
@@ -91,7 +91,7 @@
   readonly #limiter = new FixedSplitLimiter();
   readonly #dispatcher: Dispatcher;
   readonly #roster: Roster;
-  readonly #seats: SeatDirectory;
+  readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
@@ -106,10 +106,12 @@
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new RankedSeats({
+    this.#seats = new LeasedSeats({
+      ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
-      roster: this.#roster,
+      incarnation: this.#incarnation,
+      log: log.child("seats"),
       document: () => this.#document,
     });
     this.#dispatcher = new RoundRobinDispatcher(
@@ -124,6 +126,7 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    this.#exchange.register(this.#seats);
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
@@ -141,6 +144,7 @@
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -190,10 +194,13 @@
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
+    this.#seats.leave();
     await this.events.emit("leaving");
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#seats.handOver();
+    await this.#exchange.flush();
     await this.close();
   }
 
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -3,6 +3,9 @@
  *
  * @module
  */
+export * from "./duty.ts";
+export * from "./leased_seats.ts";
 export * from "./ranked_seats.ts";
 export * from "./roster.ts";
+export * from "./seat_timing.ts";
 export * from "./seats.ts";
--- /dev/null
+++ b/src/membership/seat_store.ts
@@ -0,0 +1,73 @@
+/**
+ * The store's side of a zone's seats: reads and conditional writes, one at a
+ * time.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { fail, type Failure, type Metrics } from "../core/mod.ts";
+import type { Platform, PutCondition } from "../platform/mod.ts";
+import { EMPTY_TABLE, seatsKey, SeatTable } from "./seat_table.ts";
+
+/** A table with the store's version of it; none when the store has none. */
+export interface StoredTable {
+  readonly table: SeatTable;
+  readonly version: string | undefined;
+}
+
+/** What the store side needs. */
+export interface SeatStoreDeps {
+  readonly platform: Platform;
+  readonly metrics: Metrics;
+  readonly zone: string;
+}
+
+/** One zone's table in the store. */
+export class SeatStore {
+  readonly #deps: SeatStoreDeps;
+
+  constructor(deps: SeatStoreDeps) {
+    this.#deps = deps;
+  }
+
+  /** Reads the table; errors as the platform's, and `internal` for a broken one. */
+  async read(): Promise<Result<StoredTable, Failure>> {
+    const found = await this.#deps.platform.get(seatsKey(this.#deps.zone));
+    if (found.isErr()) return err(found.error);
+    if (found.value === undefined) {
+      return ok({ table: EMPTY_TABLE, version: undefined });
+    }
+    const { value, version } = found.value;
+    return parseTable(value).map((table) => ({ table, version }));
+  }
+
+  /** Writes `table` if the store still has `version`. */
+  async write(
+    table: SeatTable,
+    version: string | undefined,
+  ): Promise<Result<StoredTable, Failure>> {
+    const condition: PutCondition = version === undefined
+      ? { ifAbsent: true }
+      : { ifVersion: version };
+    const { platform, metrics, zone } = this.#deps;
+    const put = await platform.put(
+      seatsKey(zone),
+      JSON.stringify(table),
+      condition,
+    );
+    metrics.count("seats.writes", {
+      result: put.isOk() ? "ok" : put.error.code,
+    });
+    return put.map((next) => ({ table, version: next }));
+  }
+}
+
+function parseTable(text: string): Result<SeatTable, Failure> {
+  try {
+    const parsed = SeatTable.safeParse(JSON.parse(text));
+    if (parsed.success) return ok(parsed.data);
+  } catch {
+    // Broken JSON is reported like a broken table.
+  }
+  return fail("internal", "the zone's seat table cannot be read");
+}
--- a/src/peers/peer_exchange.ts
+++ b/src/peers/peer_exchange.ts
@@ -54,6 +54,12 @@
     }
   }
 
+  /** Tells all peers once more and waits for their answers; for the last word. */
+  async flush(): Promise<void> {
+    const peers = this.#deps.peers();
+    await Promise.all(peers.map((peer) => this.#exchange(peer)));
+  }
+
   /** Takes in a peer's batch and gives the one it gets back. */
   answer(batch: Batch): Batch {
     this.#absorb(batch);
