--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -11,9 +11,10 @@
 import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
 import {
-  type Dispatcher,
+  connectionPart,
   EvenSlotLimits,
-  RoundRobinDispatcher,
+  FairDispatcher,
+  ProbeSchedule,
 } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
@@ -21,18 +22,19 @@
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
-import type { EndpointClient } from "../endpoints/mod.ts";
+import { type EndpointClient, Prober } from "../endpoints/mod.ts";
 import {
   callerApp,
   KeyRing,
   type LookupAnswer,
+  OperationDispatch,
   RequestPath,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
 import { LeasedSeats, Roster } from "../membership/mod.ts";
-import { LocalOperations } from "../operations/mod.ts";
+import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
   peerListener,
@@ -42,6 +44,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { Listener } from "./listener.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -89,10 +92,12 @@
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
   readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: Dispatcher;
+  readonly #dispatcher: FairDispatcher;
+  readonly #prober: Prober;
   readonly #roster: Roster;
   readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
+  readonly #operations: HomeOperations;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -114,11 +119,12 @@
       log: log.child("seats"),
       document: () => this.#document,
     });
-    this.#dispatcher = new RoundRobinDispatcher(
-      clock,
-      cfg.instance.zone,
-      new EvenSlotLimits(this.#seats),
-    );
+    this.#dispatcher = new FairDispatcher({
+      ...deps,
+      zone: cfg.instance.zone,
+      limits: new EvenSlotLimits(this.#seats),
+    });
+    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -127,13 +133,38 @@
     });
     this.#exchange.register(this.#roster);
     this.#exchange.register(this.#seats);
+    const document = () => this.#document;
+    this.#operations = new HomeOperations({
+      ...deps,
+      log: log.child("operations"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      seats: this.#seats,
+      runner: new OperationDispatch({
+        ...deps,
+        dispatcher: this.#dispatcher,
+        document,
+      }),
+    });
+    this.#exchange.register(this.#operations);
+    this.#exchange.register(
+      new LoadExchange({
+        zone: cfg.instance.zone,
+        prober: this.#prober,
+        zoneOf: (id) =>
+          this.#roster.members().find((m) => m.instance === id)?.zone,
+      }),
+    );
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
       limiter: this.#limiter,
       dispatcher: this.#dispatcher,
-      operations: new LocalOperations(),
-      document: () => this.#document,
+      operations: this.#operations,
+      document,
     });
     this.#follower = new DocumentFollower({
       platform,
@@ -145,6 +176,15 @@
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
+    this.#ticks.add({
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
+    this.#ticks.add({
+      name: "dispatcher",
+      run: (now) => this.#dispatcher.tick(now),
+    });
+    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -229,7 +269,10 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener((batch) => this.#exchange.answer(batch)),
+      peerListener(
+        (batch) => this.#exchange.answer(batch),
+        this.#operations,
+      ),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -245,6 +288,28 @@
     return ok(undefined);
   }
 
+  #makeProber(): Prober {
+    const { cfg, clock, metrics, random, endpoints } = this.#deps;
+    const { id, zone } = cfg.instance;
+    return new Prober({
+      clock,
+      metrics,
+      client: endpoints,
+      schedule: new ProbeSchedule(id, random),
+      targets: () =>
+        this.#dispatcher.rows().map((row) => ({
+          id: row.id,
+          url: row.entry.url,
+          connectionFree:
+            row.inFlight < connectionPart(row.entry, row.slotLimit),
+        })),
+      zoneMates: () =>
+        this.#roster.live().filter((m) => m.zone === zone)
+          .map((m) => m.instance),
+      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+    });
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
@@ -262,12 +327,10 @@
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
-    ).map(({ instance, url, zone, region }) => ({
-      instance,
-      url,
-      zone,
-      region,
-    }));
+    ).map(({ instance, url, zone, region }) => {
+      const home = this.#operations.homeOf(instance);
+      return { instance, url, zone, region, ...(home ? { home } : {}) };
+    });
     return { reuse_ms: LOOKUP_REUSE_MS, instances };
   }
 
