Lend unused parts of rates and slots to the instance with the demand

Every instance had the same fixed part of each account's rate and of each endpoint's slots, so an account whose callers use one instance was refused at a twelfth of its rate, and an instance refused while its neighbour had slots free.

Parts now come from the held seats and are lent on leases of 1.2 s: the lender lowers its part before it answers, the borrower counts the lease from the stamp it asked with, and tokens move only by leaving one bucket before they reach another. A request without a token asks zone-mates and then all others at once, and waits within its deadline. Slots are whole, stay inside a zone, and count as lent until they are given back or every deadline has passed. A changed number of seats raises a part only after every seat holder says that nothing by the older division is in use.

--- /dev/null
+++ b/src/decisions/budgets/invariant.ts
@@ -0,0 +1,18 @@
+/**
+ * Invariants of budgets, asserted where amounts change.
+ *
+ * @module
+ */
+
+/** Differences below this are rounding of floating-point sums. */
+export const ROUNDING = 1e-9;
+
+/** A sum of parts that would pass its total: a fault of the program. */
+export class InvariantError extends Error {
+  override readonly name = "InvariantError";
+}
+
+/** Throws {@link InvariantError} unless `holds`. */
+export function invariant(holds: boolean, what: string): asserts holds {
+  if (!holds) throw new InvariantError(what);
+}
--- a/src/decisions/limits/fixed_split_limiter.ts
+++ b/src/decisions/limits/fixed_split_limiter.ts
@@ -9,16 +9,22 @@
  * @module
  */
 import { ok, type Result } from "neverthrow";
-import { type AccountId, fail, type Failure } from "../../core/mod.ts";
+import type { AccountId, Clock, Failure } from "../../core/mod.ts";
 import { type SteeringDocument, zonesOf } from "../../document/mod.ts";
+import { noRate, overRate } from "./rate_refusal.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import { type BucketSize, TokenBucket } from "./token_bucket.ts";
 
 /** Splits each account's rate evenly over the document's instances. */
 export class FixedSplitLimiter implements RateLimiter {
+  readonly #clock: Clock;
   readonly #buckets = new Map<AccountId, TokenBucket>();
 
-  adopt(document: SteeringDocument, now: number): void {
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  adopt(document: SteeringDocument): void {
     const instances = zonesOf(document).reduce((n, z) => n + z.instances, 0);
     const share = 1 / Math.max(1, instances);
     for (const id of this.#buckets.keys()) {
@@ -29,26 +35,24 @@
         ratePerS: rate.rate_per_s * share,
         burst: rate.burst * share,
       };
-      this.#resize(id as AccountId, size, now);
+      this.#resize(id as AccountId, size);
     }
   }
 
-  take(account: AccountId, now: number): Result<void, Failure> {
+  take(account: AccountId): Promise<Result<void, Failure>> {
+    return Promise.resolve(this.#take(account));
+  }
+
+  #take(account: AccountId): Result<void, Failure> {
     const bucket = this.#buckets.get(account);
-    if (bucket === undefined) {
-      return fail("rate_exceeded", `account ${account} has no rate`, {
-        outcome: "not-run",
-      });
-    }
+    if (bucket === undefined) return noRate(account);
+    const now = this.#clock.now();
     if (bucket.take(now)) return ok(undefined);
-    const waitMs = bucket.waitMs(now);
-    return fail("rate_exceeded", `account ${account} is over its rate`, {
-      outcome: "not-run",
-      ...(Number.isFinite(waitMs) ? { retryAfterMs: Math.ceil(waitMs) } : {}),
-    });
+    return overRate(account, bucket.waitMs(now));
   }
 
-  #resize(id: AccountId, size: BucketSize, now: number): void {
+  #resize(id: AccountId, size: BucketSize): void {
+    const now = this.#clock.now();
     const bucket = this.#buckets.get(id);
     if (bucket) bucket.resize(size, now);
     else this.#buckets.set(id, new TokenBucket(size, now));
--- a/src/decisions/limits/mod.ts
+++ b/src/decisions/limits/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./borrow_rounds.ts";
 export * from "./fixed_split_limiter.ts";
+export * from "./leased_limiter.ts";
 export * from "./rate_limiter.ts";
 export * from "./token_bucket.ts";
--- a/src/decisions/limits/token_bucket.ts
+++ b/src/decisions/limits/token_bucket.ts
@@ -45,6 +45,20 @@
     return missing <= 0 ? 0 : missing / this.#size.ratePerS * MS_PER_S;
   }
 
+  /** Removes up to `count` tokens and gives how many it removed. */
+  remove(now: number, count: number): number {
+    this.#fill(now);
+    const removed = Math.max(0, Math.min(this.#tokens, count));
+    this.#tokens -= removed;
+    return removed;
+  }
+
+  /** Adds tokens that another bucket has removed; none go over the burst. */
+  add(now: number, count: number): void {
+    this.#fill(now);
+    this.#tokens = Math.min(this.#size.burst, this.#tokens + count);
+  }
+
   /** Changes rate and burst; tokens over the new burst are dropped. */
   resize(size: BucketSize, now: number): void {
     this.#fill(now);
--- a/src/decisions/steering/fair_dispatcher.ts
+++ b/src/decisions/steering/fair_dispatcher.ts
@@ -112,6 +112,11 @@
     return [...this.#rows.values()];
   }
 
+  /** Requests in flight at an endpoint from here, abandoned ones included. */
+  inFlight(endpoint: EndpointId): number {
+    return this.#rows.get(endpoint)?.inFlight ?? 0;
+  }
+
   /** Takes in what an endpoint said of itself; an older report is left out. */
   hint(endpoint: EndpointId, hint: LoadHint): void {
     const row = this.#rows.get(endpoint);
--- a/src/decisions/steering/slot_limits.ts
+++ b/src/decisions/steering/slot_limits.ts
@@ -6,6 +6,7 @@
 import type { EndpointId } from "../../core/mod.ts";
 import type { EndpointEntry, SteeringDocument } from "../../document/mod.ts";
 import type { SeatDirectory } from "../../membership/mod.ts";
+import { evenUnits, type SlotBudgets } from "../budgets/mod.ts";
 
 /** Parts of endpoints' slots; all instances' limits never add up to more. */
 export interface SlotLimits {
@@ -46,7 +47,7 @@
     return this.#seats.held(now)
       .filter((s) => s.zone === entry.zone)
       .reduce(
-        (n, s) => n + Math.floor(evenPart(entry.slots, s.index, of) * s.part),
+        (n, s) => n + Math.floor(evenUnits(entry.slots, s.index, of) * s.part),
         0,
       );
   }
@@ -54,7 +55,26 @@
   report(): void {}
 }
 
-/** The part of `total` that falls to a seat; all seats' parts add up to it. */
-export function evenPart(total: number, index: number, of: number): number {
-  return Math.floor(total / of) + (index < total % of ? 1 : 0);
+/** Slots that follow demand inside a zone: unused ones are lent. */
+export class LeasedSlotLimits implements SlotLimits {
+  readonly #budgets: SlotBudgets;
+
+  constructor(budgets: SlotBudgets) {
+    this.#budgets = budgets;
+  }
+
+  adopt(document: SteeringDocument): void {
+    this.#budgets.adopt(document);
+  }
+
+  limit(endpoint: EndpointId, now: number): number {
+    return this.#budgets.limit(endpoint, now);
+  }
+
+  report(
+    endpoint: EndpointId,
+    { wanted }: { inFlight: number; wanted: number },
+  ): void {
+    this.#budgets.want(endpoint, wanted);
+  }
 }
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -97,7 +97,7 @@
     res: Response,
     target: { service: string; path: string },
   ): Promise<Result<void, Failure>> {
-    const admitted = this.#admit(req, res, target);
+    const admitted = await this.#admit(req, res, target);
     if (admitted.isErr()) return err(admitted.error);
     if (admitted.value.idempotent) {
       return await this.#stream(admitted.value, res);
@@ -105,11 +105,11 @@
     return await this.#runOnce(admitted.value, res);
   }
 
-  #admit(
+  async #admit(
     req: Request,
     res: Response,
     { service, path }: { service: string; path: string },
-  ): Result<Admitted, Failure> {
+  ): Promise<Result<Admitted, Failure>> {
     const now = this.#deps.clock.now();
     const account = this.#deps.keys.accountOf(req.headers.authorization);
     if (account.isErr()) return err(account.error);
@@ -123,10 +123,15 @@
     const policy = policyFor(entry, req.method, path);
     const timeout = timeoutOf(req, policy.deadlineMs);
     if (timeout.isErr()) return err(timeout.error);
-    const within = this.#deps.limiter.take(account.value, now);
-    if (within.isErr()) return err(within.error);
     const gone = new AbortController();
     res.on("close", () => gone.abort());
+    const deadline = now + timeout.value;
+    const { signal } = gone;
+    const within = await this.#deps.limiter.take(account.value, {
+      deadline,
+      signal,
+    });
+    if (within.isErr()) return err(within.error);
     return ok({
       req,
       account: account.value,
@@ -134,8 +139,8 @@
       path,
       idempotent: policy.idempotent,
       work: policy.work,
-      deadline: now + timeout.value,
-      signal: gone.signal,
+      deadline,
+      signal,
     });
   }
 
--- /dev/null
+++ b/src/instance/fleet_budgets.ts
@@ -0,0 +1,141 @@
+/**
+ * The budgets of one instance and how they meet the rest of it: batches, calls
+ * between instances, the document and the ticks.
+ *
+ * @module
+ */
+import type { Clock, EndpointId } from "../core/mod.ts";
+import {
+  BudgetExchange,
+  type BudgetPeer,
+  type Party,
+  RateBudgets,
+  SeatShares,
+  SlotBudgets,
+} from "../decisions/budgets/mod.ts";
+import {
+  BorrowRounds,
+  LeasedLimiter,
+  type Lenders,
+} from "../decisions/limits/mod.ts";
+import { LeasedSlotLimits } from "../decisions/steering/mod.ts";
+import type { SteeringDocument } from "../document/mod.ts";
+import type { BorrowAnswer, BorrowCall } from "../gen/budget_pb.ts";
+import type { Batch, Sender } from "../gen/peer_pb.ts";
+import { type SeatDirectory, settleMs } from "../membership/mod.ts";
+import type { PeerSubsystem, PeerTransport } from "../peers/mod.ts";
+import type { System } from "./tick_loop.ts";
+
+/** Another instance and where its peer listener stands. */
+export interface ReachablePeer extends BudgetPeer {
+  readonly peerUrl: string;
+}
+
+/** What an instance's budgets need. */
+export interface FleetBudgetsDeps {
+  readonly self: BudgetPeer & Party;
+  readonly clock: Clock;
+  readonly seats: SeatDirectory;
+  readonly transport: Pick<PeerTransport, "borrow">;
+  /** Instances heard of late. */
+  readonly peers: () => readonly ReachablePeer[];
+  /** Requests in flight at an endpoint from here, at this very moment. */
+  readonly inFlight: (endpoint: EndpointId) => number;
+}
+
+/** Rates and slots of one instance. */
+export class FleetBudgets implements PeerSubsystem, System, Lenders {
+  readonly name = "budgets";
+  readonly limiter: LeasedLimiter;
+  readonly slotLimits: LeasedSlotLimits;
+  readonly #deps: FleetBudgetsDeps;
+  readonly #shares: SeatShares;
+  readonly #rates: RateBudgets;
+  readonly #slots: SlotBudgets;
+  readonly #exchange: BudgetExchange;
+  #restMs = 0;
+
+  constructor(deps: FleetBudgetsDeps) {
+    const { clock, self, peers, inFlight } = deps;
+    this.#deps = deps;
+    this.#shares = new SeatShares({
+      ...self,
+      seats: deps.seats,
+      holdMs: () => this.#slots.holdMs(),
+    });
+    const shares = this.#shares;
+    const restMs = () => this.#restMs;
+    this.#rates = new RateBudgets({
+      self,
+      shares,
+      peers,
+      restMs,
+      onGrown: (account) => this.limiter.pump(account),
+    });
+    this.#slots = new SlotBudgets({ self, shares, peers, inFlight, restMs });
+    this.#exchange = new BudgetExchange({ self, clock, shares });
+    this.#exchange.register(this.#rates);
+    this.#exchange.register(this.#slots);
+    const budgets = this.#rates;
+    this.limiter = new LeasedLimiter({
+      clock,
+      budgets,
+      rounds: (onEnd) =>
+        new BorrowRounds({
+          clock,
+          self,
+          budgets,
+          lenders: this,
+          peers,
+          onEnd,
+        }),
+    });
+    this.slotLimits = new LeasedSlotLimits(this.#slots);
+  }
+
+  /** Takes over a newly accepted document, before the dispatcher does. */
+  adopt(document: SteeringDocument, generation: number): void {
+    this.#restMs = settleMs(document);
+    this.#shares.adopt(document, generation, this.#deps.clock.now());
+    this.limiter.adopt(document);
+  }
+
+  run(now: number): void {
+    this.#shares.run(now);
+    this.#rates.run(now);
+    this.#slots.run(now);
+  }
+
+  fill(batch: Batch, to: string): void {
+    this.#exchange.fill(batch, to);
+  }
+
+  absorb(batch: Batch, from: Sender): void {
+    this.#exchange.absorb(batch, from);
+  }
+
+  /** Answers another instance's question for part of a budget. */
+  answer(call: BorrowCall): BorrowAnswer {
+    return this.#exchange.answer(call);
+  }
+
+  borrow(
+    lender: BudgetPeer,
+    ask: Parameters<Lenders["borrow"]>[1],
+    done: () => void,
+  ): void {
+    const { instance } = lender;
+    const peer = this.#deps.peers().find((p) => p.instance === instance);
+    if (peer === undefined) return done();
+    const call = this.#exchange.call(instance, ask);
+    void this.#deps.transport.borrow(peer.peerUrl, call).then((answer) => {
+      if (answer.isOk()) this.#exchange.answered(answer.value, instance);
+      done();
+    });
+  }
+
+  /** Refuses whatever waits. */
+  close(): void {
+    this.limiter.close();
+  }
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -8,11 +8,9 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
 import {
   connectionPart,
-  EvenSlotLimits,
   FairDispatcher,
   ProbeSchedule,
 } from "../decisions/steering/mod.ts";
@@ -43,6 +41,7 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
 import { LoadExchange } from "./load_exchange.ts";
 import { TickLoop } from "./tick_loop.ts";
@@ -91,7 +90,7 @@
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
-  readonly #limiter = new FixedSplitLimiter();
+  readonly #budgets: FleetBudgets;
   readonly #dispatcher: FairDispatcher;
   readonly #prober: Prober;
   readonly #roster: Roster;
@@ -119,10 +118,11 @@
       log: log.child("seats"),
       document: () => this.#document,
     });
+    this.#budgets = this.#makeBudgets();
     this.#dispatcher = new FairDispatcher({
       ...deps,
       zone: cfg.instance.zone,
-      limits: new EvenSlotLimits(this.#seats),
+      limits: this.#budgets.slotLimits,
     });
     this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
@@ -133,6 +133,7 @@
     });
     this.#exchange.register(this.#roster);
     this.#exchange.register(this.#seats);
+    this.#exchange.register(this.#budgets);
     const document = () => this.#document;
     this.#operations = new HomeOperations({
       ...deps,
@@ -161,7 +162,7 @@
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
-      limiter: this.#limiter,
+      limiter: this.#budgets.limiter,
       dispatcher: this.#dispatcher,
       operations: this.#operations,
       document,
@@ -174,6 +175,7 @@
       onDocument: (accepted) => this.#adopt(accepted),
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
+    this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
@@ -248,6 +250,7 @@
   async close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
+    this.#budgets.close();
     const { caller, peer, admin } = this.#listeners ?? {};
     await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
     await this.#deps.transport.close();
@@ -269,10 +272,10 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener(
-        (batch) => this.#exchange.answer(batch),
-        this.#operations,
-      ),
+      peerListener((batch) => this.#exchange.answer(batch), {
+        ledger: this.#operations,
+        borrow: (call) => this.#budgets.answer(call),
+      }),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -288,6 +291,20 @@
     return ok(undefined);
   }
 
+  #makeBudgets(): FleetBudgets {
+    const { clock, cfg, transport } = this.#deps;
+    const { id, zone, region } = cfg.instance;
+    const incarnation = this.#incarnation;
+    return new FleetBudgets({
+      self: { instance: id, incarnation, zone, region },
+      clock,
+      seats: this.#seats,
+      transport,
+      peers: () => this.#roster.live(),
+      inFlight: (endpoint) => this.#dispatcher.inFlight(endpoint),
+    });
+  }
+
   #makeProber(): Prober {
     const { cfg, clock, metrics, random, endpoints } = this.#deps;
     const { id, zone } = cfg.instance;
@@ -314,7 +331,7 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
-    this.#limiter.adopt(accepted.document, now);
+    this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#dispatcher.adopt(accepted.document, now);
     void this.events.emit("document", accepted);
   }
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -292,6 +292,7 @@
         this.#settle(node, { url, req, timeoutMs }),
       forward: (url, req, timeoutMs) =>
         this.#forward(node, { url, req, timeoutMs }),
+      borrow: () => Promise.resolve(fail("peer_unavailable", "unused")),
       close: () => Promise.resolve(),
     };
   }
--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -12,6 +12,11 @@
 import { Agent, type RequestListener } from "node:http";
 import { ok, type Result } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
+import {
+  type BorrowAnswer,
+  type BorrowCall,
+  BudgetService,
+} from "../gen/budget_pb.ts";
 import {
   type ForwardRequest,
   type ForwardResponse,
@@ -20,13 +25,11 @@
   type SettleResponse,
 } from "../gen/ledger_pb.ts";
 import { type Batch, PeerService } from "../gen/peer_pb.ts";
-import type {
-  BatchHandler,
-  LedgerHandler,
-  PeerTransport,
-} from "./transport.ts";
+import type { BatchHandler, PeerHandlers, PeerTransport } from "./transport.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
+/** A part that comes later than this is of no use to the request that waits. */
+const BORROW_TIMEOUT_MS = 150;
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
 /** Causes that come before a connection stands, so that nothing was sent. */
@@ -43,6 +46,7 @@
   readonly #callAgent = new Agent({ keepAlive: true, maxSockets: 64 });
   readonly #clients = new Map<string, Client<typeof PeerService>>();
   readonly #ledgers = new Map<string, Client<typeof LedgerService>>();
+  readonly #budgets = new Map<string, Client<typeof BudgetService>>();
 
   constructor(timeoutMs: number = DEFAULT_TIMEOUT_MS) {
     this.#timeoutMs = timeoutMs;
@@ -84,6 +88,18 @@
     }
   }
 
+  async borrow(
+    peerUrl: string,
+    call: BorrowCall,
+  ): Promise<Result<BorrowAnswer, Failure>> {
+    try {
+      const opts = { timeoutMs: BORROW_TIMEOUT_MS };
+      return ok(await this.#budget(peerUrl).borrow(call, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
   close(): Promise<void> {
     this.#agent.destroy();
     this.#callAgent.destroy();
@@ -98,6 +114,14 @@
     return client;
   }
 
+  #budget(peerUrl: string): Client<typeof BudgetService> {
+    const known = this.#budgets.get(peerUrl);
+    if (known) return known;
+    const client = connect(BudgetService, peerUrl, this.#callAgent);
+    this.#budgets.set(peerUrl, client);
+    return client;
+  }
+
   #ledger(peerUrl: string): Client<typeof LedgerService> {
     const known = this.#ledgers.get(peerUrl);
     if (known) return known;
@@ -148,11 +172,12 @@
  */
 export function peerListener(
   handler: BatchHandler,
-  ledger?: LedgerHandler,
+  { ledger, borrow }: PeerHandlers = {},
 ): RequestListener {
   return connectNodeAdapter({
     routes: (router) => {
       router.service(PeerService, { exchange: (batch) => handler(batch) });
+      if (borrow) router.service(BudgetService, { borrow });
       if (ledger === undefined) return;
       router.service(LedgerService, {
         settle: (req) => ledger.settle(req),
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -6,6 +6,7 @@
  */
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/mod.ts";
+import type { BorrowAnswer, BorrowCall } from "../gen/budget_pb.ts";
 import type {
   ForwardRequest,
   ForwardResponse,
@@ -23,6 +24,15 @@
   forward(req: ForwardRequest): Promise<ForwardResponse>;
 }
 
+/** Answers a peer's question for part of a budget. */
+export type BorrowHandler = (call: BorrowCall) => BorrowAnswer;
+
+/** What an instance answers beside batches. */
+export interface PeerHandlers {
+  readonly ledger?: LedgerHandler;
+  readonly borrow?: BorrowHandler;
+}
+
 /** The sending side of one instance. */
 export interface PeerTransport {
   /** Sends a batch and gives the peer's; fails with `peer_unavailable`. */
@@ -42,5 +52,10 @@
     req: ForwardRequest,
     timeoutMs: number,
   ): Promise<Result<ForwardResponse, Failure>>;
+  /** Asks for part of a budget; fails with `peer_unavailable`. */
+  borrow(
+    peerUrl: string,
+    call: BorrowCall,
+  ): Promise<Result<BorrowAnswer, Failure>>;
   close(): Promise<void>;
 }
