--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,9 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import { EvenSlotLimits } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
@@ -32,7 +30,7 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
+import { LeasedSeats, Roster } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
@@ -42,6 +40,7 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
 import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
@@ -90,10 +89,10 @@
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
-  readonly #limiter = new FixedSplitLimiter();
+  readonly #budgets: FleetBudgets;
   readonly #steering: Steering;
   readonly #roster: Roster;
-  readonly #seats: SeatDirectory;
+  readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #operations: HomeOperations;
   readonly #path: RequestPath;
@@ -109,17 +108,20 @@
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new RankedSeats({
+    this.#seats = new LeasedSeats({
+      ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
-      roster: this.#roster,
+      incarnation: this.#incarnation,
+      log: log.child("seats"),
       document: () => this.#document,
     });
+    this.#budgets = this.#makeBudgets();
     this.#steering = new Steering({
       ...deps,
       roster: this.#roster,
       seats: this.#seats,
-      limits: new EvenSlotLimits(this.#seats),
+      limits: this.#budgets.slotLimits,
       document: () => this.#document,
       leaving: () => this.#leaving,
     });
@@ -130,6 +132,8 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    this.#exchange.register(this.#seats);
+    this.#exchange.register(this.#budgets);
     this.#exchange.register(this.#steering.exchange);
     const document = () => this.#document;
     const { dispatcher, links } = this.#steering;
@@ -153,7 +157,7 @@
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
-      limiter: this.#limiter,
+      limiter: this.#budgets.limiter,
       sender,
       dispatcher,
       operations: this.#operations,
@@ -167,7 +171,9 @@
       onDocument: (accepted) => this.#adopt(accepted),
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
+    this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
       name: "operations",
       run: (now) => this.#operations.sweep(now),
@@ -230,10 +236,13 @@
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
+    this.#seats.leave();
     await this.events.emit("leaving");
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#seats.handOver();
+    await this.#exchange.flush();
     await this.close();
   }
 
@@ -241,6 +250,7 @@
   async close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
+    this.#budgets.close();
     const { caller, peer, admin } = this.#listeners ?? {};
     await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
     await this.#deps.transport.close();
@@ -278,12 +288,26 @@
     return ok(undefined);
   }
 
+  #makeBudgets(): FleetBudgets {
+    const { clock, cfg, transport } = this.#deps;
+    const { id, zone, region } = cfg.instance;
+    const incarnation = this.#incarnation;
+    return new FleetBudgets({
+      self: { instance: id, incarnation, zone, region },
+      clock,
+      seats: this.#seats,
+      transport,
+      peers: () => this.#roster.live(),
+      inFlight: (endpoint) => this.#steering.local.inFlight(endpoint),
+    });
+  }
+
   /** Forwarded requests beside the peers' own messages. */
   #peerHandler(): RequestListener {
-    const peers = peerListener(
-      (batch) => this.#exchange.answer(batch),
-      this.#operations,
-    );
+    const peers = peerListener((batch) => this.#exchange.answer(batch), {
+      ledger: this.#operations,
+      borrow: (call) => this.#budgets.answer(call),
+    });
     const { intake, links, exchange } = this.#steering;
     const forwards = forwardApp({
       ...this.#deps,
@@ -302,7 +326,7 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
-    this.#limiter.adopt(accepted.document, now);
+    this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
     void this.events.emit("document", accepted);
   }
