--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,36 +4,34 @@
  *
  * @module
  */
+import type { RequestListener } from "node:http";
 import Emittery from "emittery";
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import {
-  connectionPart,
-  EvenSlotLimits,
-  FairDispatcher,
-  ProbeSchedule,
-} from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
   emptyDocument,
   type SteeringDocument,
+  zonesOf,
 } from "../document/mod.ts";
-import { type EndpointClient, Prober } from "../endpoints/mod.ts";
+import type { EndpointClient } from "../endpoints/mod.ts";
 import {
   callerApp,
+  FORWARD_PATH,
+  forwardApp,
   KeyRing,
   type LookupAnswer,
   OperationDispatch,
   RequestPath,
+  SlotSender,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
+import { LeasedSeats, Roster } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
@@ -43,8 +41,9 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
-import { LoadExchange } from "./load_exchange.ts";
+import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -74,8 +73,6 @@
 const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
-/** Batches that name the heir of the operations' records, before the end. */
-const HEIR_NOTICE_TICKS = 3;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
 const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
 
@@ -93,11 +90,10 @@
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
-  readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: FairDispatcher;
-  readonly #prober: Prober;
+  readonly #budgets: FleetBudgets;
+  readonly #steering: Steering;
   readonly #roster: Roster;
-  readonly #seats: SeatDirectory;
+  readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #operations: HomeOperations;
   readonly #path: RequestPath;
@@ -113,18 +109,23 @@
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new RankedSeats({
+    this.#seats = new LeasedSeats({
+      ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
-      roster: this.#roster,
+      incarnation: this.#incarnation,
+      log: log.child("seats"),
       document: () => this.#document,
     });
-    this.#dispatcher = new FairDispatcher({
+    this.#budgets = this.#makeBudgets();
+    this.#steering = new Steering({
       ...deps,
-      zone: cfg.instance.zone,
-      limits: new EvenSlotLimits(this.#seats),
+      roster: this.#roster,
+      seats: this.#seats,
+      limits: this.#budgets.slotLimits,
+      document: () => this.#document,
+      leaving: () => this.#leaving,
     });
-    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -132,7 +133,16 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    this.#exchange.register(this.#seats);
+    this.#exchange.register(this.#budgets);
+    this.#exchange.register(this.#steering.exchange);
     const document = () => this.#document;
+    const { dispatcher, links } = this.#steering;
+    const sender = new SlotSender({
+      ...deps,
+      links,
+      identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
+    });
     this.#operations = new HomeOperations({
       ...deps,
       log: log.child("operations"),
@@ -142,26 +152,15 @@
         incarnation: this.#incarnation,
       },
       seats: this.#seats,
-      runner: new OperationDispatch({
-        ...deps,
-        dispatcher: this.#dispatcher,
-        document,
-      }),
+      runner: new OperationDispatch({ ...deps, sender, dispatcher, document }),
     });
     this.#exchange.register(this.#operations);
-    this.#exchange.register(
-      new LoadExchange({
-        zone: cfg.instance.zone,
-        prober: this.#prober,
-        zoneOf: (id) =>
-          this.#roster.members().find((m) => m.instance === id)?.zone,
-      }),
-    );
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
-      limiter: this.#limiter,
-      dispatcher: this.#dispatcher,
+      limiter: this.#budgets.limiter,
+      sender,
+      dispatcher,
       operations: this.#operations,
       document,
     });
@@ -173,16 +172,17 @@
       onDocument: (accepted) => this.#adopt(accepted),
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
+    this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
       name: "operations",
       run: (now) => this.#operations.sweep(now),
     });
     this.#ticks.add({
-      name: "dispatcher",
-      run: (now) => this.#dispatcher.tick(now),
+      name: "steering",
+      run: (now) => this.#steering.tick(now),
     });
-    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -206,6 +206,11 @@
     return this.#listeners?.caller.url ?? "";
   }
 
+  /** Where other instances reach this one. */
+  get peerUrl(): string {
+    return this.#listeners?.peer.url ?? "";
+  }
+
   /** Where operators reach this instance. */
   get adminUrl(): string {
     return this.#listeners?.admin.url ?? "";
@@ -232,12 +237,14 @@
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
+    this.#seats.leave();
     await this.events.emit("leaving");
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
     await this.#operations.handOver();
-    await this.#wait(HEIR_NOTICE_TICKS * this.#deps.cfg.tick_ms);
+    await this.#seats.handOver();
+    await this.#exchange.flush();
     await this.close();
   }
 
@@ -245,6 +252,7 @@
   async close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
+    this.#budgets.close();
     const { caller, peer, admin } = this.#listeners ?? {};
     await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
     await this.#deps.transport.close();
@@ -266,10 +274,7 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener(
-        (batch) => this.#exchange.answer(batch),
-        this.#operations,
-      ),
+      this.#peerHandler(),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -285,34 +290,47 @@
     return ok(undefined);
   }
 
-  #makeProber(): Prober {
-    const { cfg, clock, metrics, random, endpoints } = this.#deps;
-    const { id, zone } = cfg.instance;
-    return new Prober({
+  #makeBudgets(): FleetBudgets {
+    const { clock, cfg, transport } = this.#deps;
+    const { id, zone, region } = cfg.instance;
+    const incarnation = this.#incarnation;
+    return new FleetBudgets({
+      self: { instance: id, incarnation, zone, region },
       clock,
-      metrics,
-      client: endpoints,
-      schedule: new ProbeSchedule(id, random),
-      targets: () =>
-        this.#dispatcher.rows().map((row) => ({
-          id: row.id,
-          url: row.entry.url,
-          connectionFree:
-            row.inFlight < connectionPart(row.entry, row.slotLimit),
-        })),
-      zoneMates: () =>
-        this.#roster.live().filter((m) => m.zone === zone)
-          .map((m) => m.instance),
-      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+      seats: this.#seats,
+      transport,
+      peers: () => this.#roster.live(),
+      inFlight: (endpoint) => this.#steering.local.inFlight(endpoint),
     });
   }
 
+  /** Forwarded requests beside the peers' own messages. */
+  #peerHandler(): RequestListener {
+    const peers = peerListener((batch) => this.#exchange.answer(batch), {
+      ledger: this.#operations,
+      borrow: (call) => this.#budgets.answer(call),
+    });
+    const { intake, links, exchange } = this.#steering;
+    const forwards = forwardApp({
+      ...this.#deps,
+      intake,
+      links,
+      region: this.#deps.cfg.instance.region,
+      peerOf: (identity) => exchange.peerOf(identity),
+    });
+    return (req, res) => {
+      if (req.url?.startsWith(`${FORWARD_PATH}/`)) forwards(req, res);
+      else peers(req, res);
+    };
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
-    this.#limiter.adopt(accepted.document, now);
-    this.#dispatcher.adopt(accepted.document, now);
+    this.#budgets.adopt(accepted.document, accepted.manifest.generation);
+    this.#steering.adopt(accepted.document, now);
+    this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
--- a/src/operations/home_operations.ts
+++ b/src/operations/home_operations.ts
@@ -26,6 +26,7 @@
 import { runResultToWire } from "./codec.ts";
 import { Forwarder, requestFromWire } from "./forwarder.ts";
 import { handOver } from "./handover.ts";
+import type { ZoneSeats } from "./home_seat.ts";
 import { parseHome, type Place } from "./home_token.ts";
 import { DEFAULT_LEDGER_LIMITS, Ledger, type LedgerLimits } from "./ledger.ts";
 import type {
@@ -40,6 +41,7 @@
 import { RegionHistory } from "./region_history.ts";
 import { SeatHomes } from "./seat_homes.ts";
 import { SeatRecovery } from "./seat_recovery.ts";
+import { SeatSets } from "./seat_sets.ts";
 import { FleetSecondPlaces, PeerSecondPlaces } from "./second_places.ts";
 import { SecondSide } from "./second_side.ts";
 import { SettleQueue } from "./settle_queue.ts";
@@ -74,6 +76,7 @@
   readonly #owned: OwnedOperations;
   readonly #secondSide: SecondSide;
   readonly #tokens: TokenHomes;
+  readonly #seatSets: SeatSets;
   readonly #seats: SeatHomes;
   readonly #recovery: SeatRecovery;
   readonly #forwarder: Forwarder;
@@ -110,7 +113,9 @@
     const secondSide = this.#secondSide;
     this.#tokens = new TokenHomes({ ...parts, owned, secondSide, seconds });
     const recovery = this.#recovery;
-    this.#seats = new SeatHomes({ ...parts, owned, recovery });
+    this.#seatSets = new SeatSets({ ...deps, retentionMs });
+    const seatSets = this.#seatSets;
+    this.#seats = new SeatHomes({ ...parts, owned, recovery, seatSets });
   }
 
   /** Operations begun here that have not ended. */
@@ -128,6 +133,11 @@
     return this.#tokens.run(req, home.value);
   }
 
+  /** Takes over the zones of a newly accepted document. */
+  adopt(zones: readonly ZoneSeats[]): void {
+    this.#seatSets.adopt(zones);
+  }
+
   /** The token that look-ups hand out for an instance; undefined if none. */
   homeOf(instance: string): string | undefined {
     if (instance === this.#deps.self.instance) return this.#tokens.ownHome();
--- a/src/operations/seat_homes.ts
+++ b/src/operations/seat_homes.ts
@@ -4,15 +4,16 @@
  * @module
  */
 import type { Clock } from "../core/mod.ts";
-import type { SeatDirectory, SeatEntry } from "../membership/mod.ts";
+import type { Seat, SeatDirectory, SeatEntry } from "../membership/mod.ts";
 import type { Forwarder } from "./forwarder.ts";
-import { homeSeat } from "./home_seat.ts";
+import { isSameSeat } from "./home_seat.ts";
 import type { Place } from "./home_token.ts";
 import type { Ledger, OperationName } from "./ledger.ts";
 import type { OperationRequest, RunResult } from "./operations.ts";
 import type { OwnedOperations } from "./owned_operations.ts";
 import type { PlaceTable } from "./places.ts";
-import type { SeatRecovery } from "./seat_recovery.ts";
+import type { Recovered, SeatRecovery } from "./seat_recovery.ts";
+import type { SeatHome, SeatSets } from "./seat_sets.ts";
 import { notNow, unknown, verdictOf } from "./verdict.ts";
 
 /** What seat homes need. */
@@ -20,6 +21,7 @@
   readonly self: Place;
   readonly clock: Clock;
   readonly seats: SeatDirectory;
+  readonly seatSets: SeatSets;
   readonly ledger: Ledger;
   readonly places: PlaceTable;
   readonly owned: OwnedOperations;
@@ -27,6 +29,9 @@
   readonly forwarder: Forwarder;
 }
 
+/** After a change of seats every instance has the document by then. */
+const SEATS_SETTLE_MS = 15_000;
+
 /** Runs operations at the holder of their home seat. */
 export class SeatHomes {
   readonly #deps: SeatHomesDeps;
@@ -61,13 +66,14 @@
   }
 
   async #runOwn(req: OperationRequest, seat: SeatEntry): Promise<RunResult> {
-    const { ledger, owned, recovery } = this.#deps;
+    const { ledger, owned } = this.#deps;
     const { zone, index, epoch } = seat;
     const name = nameOf(req);
-    if (!ledger.knows(name) && recovery.needed(seat)) {
-      const found = await recovery.ask(name, seat);
+    if (!ledger.knows(name)) {
+      const found = await this.#askOthers(name, seat);
       if (found.kind === "incomplete") return unknown("may be known elsewhere");
       if (found.kind === "known") return verdictOf(found.view, req.fingerprint);
+      if (this.#isMoving(req)) return notNow("its home is moving");
     }
     return await owned.attempt(req, {
       name,
@@ -76,6 +82,26 @@
     });
   }
 
+  /** Asks whoever may have run the id at this seat, or where it was before. */
+  async #askOthers(name: OperationName, seat: SeatEntry): Promise<Recovered> {
+    const { recovery, seatSets } = this.#deps;
+    const earlier = seatSets.find(name).moved.map((s) => this.#entryOf(s));
+    if (recovery.needed(seat)) earlier.push(seat);
+    for (const entry of earlier) {
+      if (entry === undefined) return { kind: "incomplete" };
+      const found = await recovery.ask(name, entry);
+      if (found.kind !== "clear") return found;
+    }
+    return { kind: "clear" };
+  }
+
+  /** While others have the old document, they may still use the old home. */
+  #isMoving(req: OperationRequest): boolean {
+    const home = this.#homeOf(req);
+    const since = this.#deps.clock.now() - home.changedAt;
+    return home.moved.length > 0 && since < SEATS_SETTLE_MS;
+  }
+
   /**
    * This attempt surely did not run, but an earlier one may have: only where
    * everybody who could know it says no is "not run" the truth to a caller.
@@ -93,7 +119,16 @@
   }
 
   #seatOf(req: OperationRequest): SeatEntry | undefined {
-    return homeSeat(this.#deps.seats.entries(), req);
+    const { seat } = this.#homeOf(req);
+    return seat && this.#entryOf(seat);
+  }
+
+  #homeOf(req: OperationRequest): SeatHome {
+    return this.#deps.seatSets.find(req);
+  }
+
+  #entryOf(seat: Seat): SeatEntry | undefined {
+    return this.#deps.seats.entries().find((e) => isSameSeat(e, seat));
   }
 
   #holds(seat: SeatEntry): boolean {
--- a/src/operations/seat_homes_test.ts
+++ b/src/operations/seat_homes_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
+import type { InstanceId, ZoneId } from "../core/mod.ts";
 import { EntryKind } from "../gen/ledger_pb.ts";
-import { homeSeat } from "./home_seat.ts";
+import { SeatSet } from "./home_seat.ts";
 import { answerOf, FakeFleet, told } from "./testing/fake_fleet.ts";
 
 const ID = "op";
@@ -12,12 +13,20 @@
   readonly far: string;
 }
 
+/** Who holds the seat that is an id's home. */
+function holderOf(fleet: FakeFleet, id: string): string {
+  const seat = new SeatSet(fleet.zones).homeOf({ account: "a1", id });
+  return fleet.seats.find((s) =>
+    s.zone === seat?.zone && s.index === seat.index
+  )
+    ?.holder ?? "";
+}
+
 /** A fleet that knows itself, and how its nodes stand to the id's home. */
 async function makeSetup(): Promise<Setup> {
   const fleet = new FakeFleet();
   await fleet.pass(1_500);
-  const seat = homeSeat(fleet.seats, { account: "a1", id: ID });
-  const owner = seat?.holder ?? "";
+  const owner = holderOf(fleet, ID);
   const names = [...fleet.nodes.keys()];
   const { zone } = fleet.node(owner);
   const mate = names.find((n) => n !== owner && fleet.node(n).zone === zone);
@@ -132,7 +141,7 @@
   const again = fleet.send(far, { id: ID });
   const id =
     Array.from({ length: 99 }, (_, i) => `n${i}`).find((n) =>
-      homeSeat(fleet.seats, { account: "a1", id: n })?.holder === owner
+      holderOf(fleet, n) === owner
     ) ?? "";
   const fresh = fleet.send(mate, { id });
   await fleet.pass(1_000);
@@ -273,3 +282,33 @@
   t.is(fleet.dispatches.length, before);
   t.deepEqual(fleet.violations(), []);
 });
+
+/**
+ * An operator gives a zone one more instance. Some ids get another home by
+ * that, and a retry would run there as if it were new.
+ */
+test("an id whose home moved with the seats is not run again", async (t) => {
+  const fleet = new FakeFleet();
+  await fleet.pass(1_500);
+  const ids = Array.from({ length: 12 }, (_, i) => `m${i}`);
+  const before = ids.map((id) => holderOf(fleet, id));
+  ids.forEach((id) => fleet.send("r1-a-1", { id }));
+  await fleet.pass(300);
+  const added = fleet.start("r1-b-3", { zone: "r1-b", region: "r1" });
+  fleet.adopt(
+    fleet.zones.map((z) => z.zone === "r1-b" ? { ...z, instances: 3 } : z),
+  );
+  fleet.seats.push({
+    zone: "r1-b" as ZoneId,
+    index: 2,
+    holder: "r1-b-3" as InstanceId,
+    incarnation: added.incarnation,
+    epoch: 1,
+  });
+  await fleet.pass(1_500);
+  const again = ids.map((id) => fleet.send("r1-a-1", { id }));
+  await fleet.pass(1_000);
+  t.true(ids.some((id, i) => holderOf(fleet, id) !== before[i]));
+  t.deepEqual(again.map(told), ids.map((_, i) => `done by ${i}`));
+  t.deepEqual(fleet.violations(), []);
+});
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -37,6 +37,7 @@
 import type { PeerTransport } from "../../peers/mod.ts";
 import { MemoryPlatform, type Platform } from "../../platform/mod.ts";
 import { HomeOperations } from "../home_operations.ts";
+import type { ZoneSeats } from "../home_seat.ts";
 import { DEFAULT_LEDGER_LIMITS, type LedgerLimits } from "../ledger.ts";
 import type { OperationRequest, RunResult } from "../operations.ts";
 
@@ -165,6 +166,7 @@
   readonly dispatches: Dispatch[] = [];
   platformDown = false;
   seats: SeatEntry[] = [];
+  zones: readonly ZoneSeats[] = [];
   /** Called for each message; says what becomes of it. */
   onMessage: (msg: FakeMessage) => Fate = () => "deliver";
   /** Called when the endpoint got a request; gives its answer. */
@@ -180,8 +182,10 @@
     this.platform = new MemoryPlatform(this.clock);
     this.#limits = { ...DEFAULT_LEDGER_LIMITS, ...opts.limits };
     const zones = opts.zones ?? [["r1", "r1-a"], ["r1", "r1-b"]];
+    const instances = opts.perZone ?? 2;
+    this.zones = zones.map(([, zone]) => ({ zone: zone as ZoneId, instances }));
     for (const [region, zone] of zones) {
-      for (let i = 0; i < (opts.perZone ?? 2); i++) {
+      for (let i = 0; i < instances; i++) {
         const name = `${zone}-${i + 1}`;
         this.start(name, { zone, region });
         this.seats.push({
@@ -206,10 +210,17 @@
     const incarnation = this.random.hex(4);
     const place = { name, ...at, incarnation };
     const node = new FakeNode(this, place, this.#limits);
+    node.operations.adopt(this.zones);
     this.nodes.set(name, node);
     return node;
   }
 
+  /** Puts a document with other seats in force everywhere. */
+  adopt(zones: readonly ZoneSeats[]): void {
+    this.zones = zones;
+    for (const node of this.nodes.values()) node.operations.adopt(zones);
+  }
+
   kill(name: string): void {
     this.node(name).alive = false;
   }
@@ -293,6 +304,7 @@
         this.#settle(node, { url, req, timeoutMs }),
       forward: (url, req, timeoutMs) =>
         this.#forward(node, { url, req, timeoutMs }),
+      borrow: () => Promise.resolve(fail("peer_unavailable", "unused")),
       close: () => Promise.resolve(),
     };
   }
