Bound retries by a budget and tell the outcome of several tries truly

Each failed request could be tried three times, so a pool that failed wholly got three times its load. And when a first try may have run and a second surely had not, the caller was told that the request did not run.

Of several tries, not run is said only if it holds for all.

--- /dev/null
+++ b/src/decisions/retries/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Retries.
+ *
+ * @module
+ */
+export * from "./retry_budget.ts";
+export * from "./retry_policy.ts";
--- a/src/gateway/operation_dispatch.ts
+++ b/src/gateway/operation_dispatch.ts
@@ -13,7 +13,9 @@
   type EndpointId,
   fail,
   type Failure,
+  sleep,
 } from "../core/mod.ts";
+import type { RetryPolicy } from "../decisions/retries/mod.ts";
 import type {
   Dispatcher,
   Slot,
@@ -36,10 +38,10 @@
   readonly clock: Clock;
   readonly dispatcher: Dispatcher;
   readonly sender: SlotSender;
+  readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
 }
 
-const MAX_TRIES = 3;
 const DEFAULT_LIMIT_MS = 5_000;
 /** Fits a message between instances; a larger answer cannot be handed on. */
 const MAX_ANSWER_BYTES = 3_000_000;
@@ -69,14 +71,25 @@
     let last: RunResult = fail("no_capacity", "no try was made", {
       outcome: "not-run",
     });
-    for (let i = 0; i < MAX_TRIES; i++) {
+    const { clock, retries } = this.#deps;
+    retries.request(req.service, startedAt);
+    for (;;) {
       const slot = await this.#acquire(req, { exclude: tried, waitUntil });
-      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      if (slot.isErr()) return tried.size === 0 ? err(slot.error) : last;
       tried.add(slot.value.endpoint);
       last = await this.#try(req, slot.value, until);
       if (last.isOk() || last.error.outcome !== "not-run") return last;
+      const waitMs = retries.next({
+        service: req.service,
+        tries: tried.size,
+        failure: last.error,
+        idempotent: false,
+        replayable: true,
+        deadline: waitUntil,
+      }, clock.now());
+      if (waitMs === undefined) return last;
+      await sleep(clock, waitMs);
     }
-    return last;
   }
 
   #acquire(
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -14,8 +14,10 @@
   type Metrics,
   type Random,
   type ServiceId,
+  sleep,
 } from "../core/mod.ts";
 import type { RateLimiter } from "../decisions/limits/mod.ts";
+import type { RetryPolicy } from "../decisions/retries/mod.ts";
 import type {
   Dispatcher,
   Slot,
@@ -42,6 +44,7 @@
   readonly dispatcher: Dispatcher;
   readonly operations: Operations;
   readonly sender: SlotSender;
+  readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
 }
 
@@ -57,8 +60,6 @@
   readonly signal: AbortSignal;
 }
 
-const MAX_TRIES = 3;
-
 /** Takes requests of callers to endpoints and brings the answers back. */
 export class RequestPath {
   readonly #deps: RequestPathDeps;
@@ -151,24 +152,29 @@
     res: Response,
   ): Promise<Result<void, Failure>> {
     const tried = new Set<EndpointId>();
-    let last: Result<void, Failure> = fail("no_capacity", "no try was made", {
-      outcome: "not-run",
-    });
-    for (let i = 0; i < MAX_TRIES; i++) {
+    const { clock, retries } = this.#deps;
+    retries.request(admitted.service, clock.now());
+    let last: Failure | undefined;
+    for (;;) {
       const slot = await this.#acquire(admitted, tried);
-      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      if (slot.isErr()) return err(last ?? slot.error);
       tried.add(slot.value.endpoint);
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
         const { signal } = admitted;
-        const { clock } = this.#deps;
         await relay(answer.value, slot.value, { res, signal, clock });
         return ok(undefined);
       }
-      last = err(answer.error);
-      if (!mayRetry(admitted.req, answer.error)) return last;
+      last = worse(last, answer.error);
+      const waitMs = retries.next({
+        ...admitted,
+        tries: tried.size,
+        failure: answer.error,
+        replayable: !hasBody(admitted.req),
+      }, clock.now());
+      if (waitMs === undefined) return err(last);
+      await sleep(clock, waitMs);
     }
-    return last;
   }
 
   /** Not idempotent: runs under an operation id, at most once. */
@@ -223,9 +229,13 @@
   return failure.outcome === "not-run" ? "shed" : "failed";
 }
 
-function mayRetry(req: Request, failure: Failure): boolean {
-  if (hasBody(req)) return false;
-  return failure.code === "endpoint_failed";
+/**
+ * What to tell of several failed tries: the last one, but that it did not run
+ * is true only if none of them may have run.
+ */
+export function worse(before: Failure | undefined, last: Failure): Failure {
+  if (before === undefined || before.outcome === "not-run") return last;
+  return { ...last, outcome: "unknown" };
 }
 
 /** Whether a request announces a body. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -136,7 +136,7 @@
     this.#exchange.register(this.#budgets);
     this.#exchange.register(this.#steering.exchange);
     const document = () => this.#document;
-    const { dispatcher, links } = this.#steering;
+    const { dispatcher, links, retries } = this.#steering;
     const sender = new SlotSender({
       ...deps,
       links,
@@ -151,7 +151,13 @@
         incarnation: this.#incarnation,
       },
       seats: this.#seats,
-      runner: new OperationDispatch({ ...deps, sender, dispatcher, document }),
+      runner: new OperationDispatch({
+        ...deps,
+        sender,
+        retries,
+        dispatcher,
+        document,
+      }),
     });
     this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
@@ -159,6 +165,7 @@
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
+      retries,
       dispatcher,
       operations: this.#operations,
       document,
--- a/src/instance/steering.ts
+++ b/src/instance/steering.ts
@@ -11,6 +11,7 @@
   RegionDispatcher,
   RemoteRooms,
 } from "../decisions/regions/mod.ts";
+import { RetryPolicy } from "../decisions/retries/mod.ts";
 import {
   connectionPart,
   Drained,
@@ -47,6 +48,7 @@
   readonly links: LinkBudgets;
   readonly exchange: LoadExchange;
   readonly prober: Prober;
+  readonly retries: RetryPolicy;
   #drained: Drained | undefined;
 
   constructor(deps: SteeringDeps) {
@@ -73,6 +75,7 @@
       closed: () => this.closed,
     });
     this.prober = this.#makeProber();
+    this.retries = new RetryPolicy(deps.random);
     this.exchange = new LoadExchange({
       clock: deps.clock,
       zone,
@@ -109,6 +112,7 @@
   adopt(document: SteeringDocument, now: number): void {
     this.#drained = new Drained(document);
     this.dispatcher.adopt(document, now);
+    this.retries.retain(new Set(Object.keys(document.services)));
   }
 
   tick(now: number): void {
