Bring a new document to every instance through peers

Cause: every instance watched the store, a document that one instance could not parse held back all sections, and a zone without the store kept the generation it had.

Change: one instance of a zone watches; batches tell the generation in force, and who hears a higher one fetches it from that peer, contents checked by digest, else from the store. A section that cannot be used keeps its last good content. A fresh instance asks the store and all listed peers before it serves. A zone without contact for longer than an account's grace refuses that account with cut_off.

--- a/src/admin/admin_app.ts
+++ b/src/admin/admin_app.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import express, { type Express } from "express";
+import type { Failure } from "../core/mod.ts";
+import type { HeldSeat } from "../membership/mod.ts";
 
 /** What the administration API needs. */
 export interface AdminAppDeps {
@@ -16,6 +18,11 @@
   readonly instance: string;
   readonly zone: string;
   readonly generation: number;
+  /** What of the newest document is not in force, and why. */
+  readonly rejected: readonly Failure[];
+  /** How long there has been no contact with the platform; null if never. */
+  readonly contact_age_ms: number | null;
+  readonly seats: readonly HeldSeat[];
   readonly running: number;
   readonly leaving: boolean;
   readonly members: readonly string[];
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -33,6 +33,8 @@
   | "peer_unavailable"
   | "not_ready"
   | "leaving"
+  /** The zone cannot learn whether the account's key was withdrawn. */
+  | "cut_off"
   | "internal";
 
 /**
--- a/src/document/content_store.ts
+++ b/src/document/content_store.ts
@@ -49,6 +49,18 @@
     return ok(JSON.parse(text.value));
   }
 
+  /** Content that was read or offered before, as text. */
+  cached(digest: string): string | undefined {
+    return this.#cache.get(digest);
+  }
+
+  /** Keeps content that came from elsewhere; gives its digest. */
+  offer(text: string): string {
+    const digest = sha256(text);
+    this.#remember(digest, text);
+    return digest;
+  }
+
   /** Stores content unless it is there; `value_too_large` past all parts. */
   async put(text: string): Promise<Result<void, Failure>> {
     const digest = sha256(text);
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+export * from "./content_store.ts";
 export * from "./document.ts";
 export * from "./document_store.ts";
+export * from "./in_force.ts";
 export * from "./manifest.ts";
 export * from "./sections.ts";
--- a/src/instance/document_follower_test.ts
+++ b/src/instance/document_follower_test.ts
@@ -1,9 +1,16 @@
 import test from "ava";
-import { ManualClock, SeededRandom, SilentLog } from "../core/mod.ts";
-import { DocumentStore, type SectionName } from "../document/mod.ts";
+import { fail, ManualClock, SeededRandom, SilentLog } from "../core/mod.ts";
+import {
+  ContentStore,
+  DocumentStore,
+  type SectionName,
+} from "../document/mod.ts";
+import type { DocumentTransport } from "../peers/mod.ts";
 import { MemoryPlatform } from "../platform/mod.ts";
 import { FaultyPlatform } from "../platform/testing/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { DocumentSource } from "./document_source.ts";
+import { PlatformContact } from "./platform_contact.ts";
 
 const SETTLE_TURNS = 50;
 
@@ -11,6 +18,11 @@
   for (let i = 0; i < SETTLE_TURNS; i++) await Promise.resolve();
 }
 
+function noPeers(): DocumentTransport {
+  const none = () => Promise.resolve(fail<never>("peer_unavailable", "alone"));
+  return { fetchManifest: none, fetchContent: none };
+}
+
 async function setup() {
   const clock = new ManualClock();
   const truth = new MemoryPlatform(clock);
@@ -18,11 +30,17 @@
   const random = new SeededRandom(1);
   const editor = new DocumentStore({ platform: truth, clock, random });
   const generations: number[] = [];
+  const contents = new ContentStore(platform);
+  const contact = new PlatformContact(clock);
+  const transport = noPeers();
+  const deps = { platform, contents, transport, contact, clock };
   const follower = new DocumentFollower({
-    platform,
-    store: new DocumentStore({ platform, clock, random }),
+    source: new DocumentSource(deps),
+    contents,
     clock,
+    random,
     log: new SilentLog(),
+    watches: () => true,
     onDocument: (d) => generations.push(d.manifest.generation),
   });
   const change = () =>
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -18,7 +18,7 @@
 } from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
-  DocumentStore,
+  ContentStore,
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
@@ -33,9 +33,10 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { LeasedSeats, Roster } from "../membership/mod.ts";
+import { dutyHolder, LeasedSeats, Roster } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
+  type DocumentTransport,
   PeerExchange,
   peerListener,
   type PeerTransport,
@@ -43,15 +44,17 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { DocumentSource } from "./document_source.ts";
 import { Listener } from "./listener.ts";
 import { LoadExchange } from "./load_exchange.ts";
+import { PlatformContact } from "./platform_contact.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
 export interface InstanceDeps {
   readonly cfg: Settings;
   readonly platform: Platform;
-  readonly transport: PeerTransport;
+  readonly transport: PeerTransport & DocumentTransport;
   readonly endpoints: EndpointClient;
   readonly clock: Clock;
   readonly random: Random;
@@ -90,7 +93,8 @@
   readonly events: Emittery<InstanceEvents> = new Emittery();
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
-  readonly #keys = new KeyRing();
+  readonly #keys: KeyRing;
+  readonly #contact: PlatformContact;
   readonly #limiter = new FixedSplitLimiter();
   readonly #dispatcher: FairDispatcher;
   readonly #prober: Prober;
@@ -103,13 +107,16 @@
   readonly #ticks: TickLoop;
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
+  #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
-    const { cfg, clock, log, platform, random } = deps;
+    const { cfg, clock, log, random } = deps;
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
+    this.#contact = new PlatformContact(clock);
+    this.#keys = new KeyRing(() => this.#contact.ageMs());
     this.#roster = new Roster(clock, cfg.instance.id);
     this.#seats = new LeasedSeats({
       ...deps,
@@ -126,7 +133,7 @@
     });
     this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
-      transport: deps.transport,
+      ...deps,
       log: log.child("peers"),
       self: () => this.#sender(),
       peers: () => this.#roster.members(),
@@ -166,13 +173,9 @@
       operations: this.#operations,
       document,
     });
-    this.#follower = new DocumentFollower({
-      platform,
-      clock,
-      log: log.child("document"),
-      store: new DocumentStore({ platform, clock, random }),
-      onDocument: (accepted) => this.#adopt(accepted),
-    });
+    this.#follower = this.#makeFollower();
+    this.#exchange.register(this.#follower);
+    this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
@@ -196,8 +199,7 @@
       await instance.close();
       return err(opened.error);
     }
-    await deps.platform.announce(instance.#listed());
-    await instance.#follower.start();
+    await instance.#join();
     instance.#ticks.start();
     deps.log.event("instance_started", { instance: deps.cfg.instance.id });
     return ok(instance);
@@ -215,16 +217,20 @@
 
   /** Whether a document is in force and the instance is not leaving. */
   get ready(): boolean {
-    return this.#follower.generation > 0 && !this.#leaving;
+    return this.#serving && !this.#leaving;
   }
 
   /** What this instance says of itself. */
   status(): InstanceStatus {
     const { id, zone } = this.#deps.cfg.instance;
+    const age = this.#contact.ageMs();
     return {
       instance: id,
       zone,
       generation: this.#follower.generation,
+      rejected: this.#follower.rejected,
+      contact_age_ms: Number.isFinite(age) ? Math.round(age) : null,
+      seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
       members: this.#roster.live().map((m) => m.instance),
@@ -256,6 +262,23 @@
     await this.#deps.metrics.close();
   }
 
+  /**
+   * Adopts the newest document that the store or any peer has, before serving:
+   * a stale store would otherwise bring a withdrawn key back to life here.
+   */
+  async #join(): Promise<void> {
+    const { platform } = this.#deps;
+    await platform.announce(this.#listed());
+    const [listed] = await Promise.all([
+      platform.instances(),
+      this.#follower.start(),
+    ]);
+    if (listed.isOk()) this.#roster.adoptList(listed.value);
+    await this.#exchange.flush();
+    await this.#follower.settled();
+    this.#joined = true;
+  }
+
   async #open(): Promise<Result<void, Failure>> {
     const { cfg } = this.#deps;
     const caller = await Listener.open(
@@ -263,16 +286,17 @@
       callerApp({
         path: this.#path,
         lookup: () => this.#lookup(),
-        ready: () => this.#follower.generation > 0,
+        ready: () => this.#serving,
       }),
     );
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener(
-        (batch) => this.#exchange.answer(batch),
-        this.#operations,
-      ),
+      peerListener({
+        batch: (batch) => this.#exchange.answer(batch),
+        ledger: this.#operations,
+        document: this.#follower,
+      }),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -288,6 +312,32 @@
     return ok(undefined);
   }
 
+  #makeFollower(): DocumentFollower {
+    const { cfg, clock, log, platform, random, transport } = this.#deps;
+    const contents = new ContentStore(platform);
+    const contact = this.#contact;
+    const { id, zone } = cfg.instance;
+    return new DocumentFollower({
+      source: new DocumentSource({
+        platform,
+        contents,
+        transport,
+        contact,
+        clock,
+      }),
+      contents,
+      clock,
+      random,
+      log: log.child("document"),
+      watches: () => {
+        const mates = this.#roster.live().filter((m) => m.zone === zone);
+        const members = [id, ...mates.map((m) => m.instance)];
+        return dutyHolder(`watch ${zone}`, members) === id;
+      },
+      onDocument: (accepted) => this.#adopt(accepted),
+    });
+  }
+
   #makeProber(): Prober {
     const { cfg, clock, metrics, random, endpoints } = this.#deps;
     const { id, zone } = cfg.instance;
@@ -310,6 +360,10 @@
     });
   }
 
+  get #serving(): boolean {
+    return this.#joined && this.#follower.generation > 0;
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -19,14 +19,20 @@
   type SettleRequest,
   type SettleResponse,
 } from "../gen/ledger_pb.ts";
+import {
+  DocumentService,
+  type FetchContentResponse,
+  type FetchManifestResponse,
+} from "../gen/document_pb.ts";
 import { type Batch, PeerService } from "../gen/peer_pb.ts";
 import type {
-  BatchHandler,
-  LedgerHandler,
+  DocumentTransport,
+  PeerHandlers,
   PeerTransport,
 } from "./transport.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
+const CONTENT_TIMEOUT_MS = 5_000;
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
 /** Causes that come before a connection stands, so that nothing was sent. */
@@ -37,12 +43,13 @@
 ]);
 
 /** Sends batches by the Connect protocol, one kept connection a peer. */
-export class ConnectPeerTransport implements PeerTransport {
+export class ConnectPeerTransport implements PeerTransport, DocumentTransport {
   readonly #timeoutMs: number;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
   readonly #callAgent = new Agent({ keepAlive: true, maxSockets: 64 });
   readonly #clients = new Map<string, Client<typeof PeerService>>();
   readonly #ledgers = new Map<string, Client<typeof LedgerService>>();
+  readonly #documents = new Map<string, Client<typeof DocumentService>>();
 
   constructor(timeoutMs: number = DEFAULT_TIMEOUT_MS) {
     this.#timeoutMs = timeoutMs;
@@ -84,6 +91,29 @@
     }
   }
 
+  async fetchManifest(
+    peerUrl: string,
+  ): Promise<Result<FetchManifestResponse, Failure>> {
+    try {
+      const opts = { timeoutMs: this.#timeoutMs };
+      return ok(await this.#document(peerUrl).fetchManifest({}, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
+  async fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<FetchContentResponse, Failure>> {
+    try {
+      const opts = { timeoutMs: CONTENT_TIMEOUT_MS };
+      return ok(await this.#document(peerUrl).fetchContent({ digest }, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
   close(): Promise<void> {
     this.#agent.destroy();
     this.#callAgent.destroy();
@@ -105,6 +135,14 @@
     this.#ledgers.set(peerUrl, client);
     return client;
   }
+
+  #document(peerUrl: string): Client<typeof DocumentService> {
+    const known = this.#documents.get(peerUrl);
+    if (known) return known;
+    const client = connect(DocumentService, peerUrl, this.#callAgent);
+    this.#documents.set(peerUrl, client);
+    return client;
+  }
 }
 
 function connect<T extends DescService>(
@@ -143,21 +181,26 @@
  *
  * @example
  * ```ts
- * const server = createServer(peerListener((batch) => answer(batch)));
+ * const server = createServer(peerListener({ batch: (b) => answer(b) }));
  * ```
  */
-export function peerListener(
-  handler: BatchHandler,
-  ledger?: LedgerHandler,
-): RequestListener {
+export function peerListener(handlers: PeerHandlers): RequestListener {
+  const { batch, ledger, document } = handlers;
   return connectNodeAdapter({
     routes: (router) => {
-      router.service(PeerService, { exchange: (batch) => handler(batch) });
-      if (ledger === undefined) return;
-      router.service(LedgerService, {
-        settle: (req) => ledger.settle(req),
-        forward: (req) => ledger.forward(req),
-      });
+      router.service(PeerService, { exchange: (b) => batch(b) });
+      if (ledger) {
+        router.service(LedgerService, {
+          settle: (req) => ledger.settle(req),
+          forward: (req) => ledger.forward(req),
+        });
+      }
+      if (document) {
+        router.service(DocumentService, {
+          fetchManifest: () => document.fetchManifest(),
+          fetchContent: (req) => document.fetchContent(req.digest),
+        });
+      }
     },
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
--- a/src/peers/peer_exchange.ts
+++ b/src/peers/peer_exchange.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { create } from "@bufbuild/protobuf";
-import type { Log } from "../core/mod.ts";
+import type { Clock, Log } from "../core/mod.ts";
 import { type Batch, BatchSchema, type Sender } from "../gen/peer_pb.ts";
 import type { PeerTransport } from "./transport.ts";
 
@@ -13,8 +13,12 @@
 export interface PeerSubsystem {
   /** Adds what there is to tell the instance named `to`. */
   fill(batch: Batch, to: string): void;
-  /** Takes in what another instance told. */
-  absorb(batch: Batch, from: Sender): void;
+  /**
+   * Takes in what another instance told. `askedAt` is when this instance sent
+   * the request that the batch answers; a batch that came unasked has none,
+   * and may have been under way for any time.
+   */
+  absorb(batch: Batch, from: Sender, askedAt?: number): void;
 }
 
 /** Somebody to exchange batches with. */
@@ -26,6 +30,7 @@
 /** What an exchange needs. */
 export interface PeerExchangeDeps {
   readonly transport: PeerTransport;
+  readonly clock: Clock;
   readonly log: Log;
   /** This instance as it now is. */
   readonly self: () => Sender;
@@ -68,10 +73,11 @@
 
   async #exchange(peer: ExchangePeer): Promise<void> {
     this.#busy.add(peer.peerUrl);
+    const askedAt = this.#deps.clock.now();
     const batch = this.#batchFor(peer.instance);
     const answer = await this.#deps.transport.exchange(peer.peerUrl, batch);
     this.#busy.delete(peer.peerUrl);
-    if (answer.isOk()) this.#absorb(answer.value);
+    if (answer.isOk()) this.#absorb(answer.value, askedAt);
     else {
       this.#deps.log.event("peer_unavailable", { peer: peer.instance });
     }
@@ -83,10 +89,10 @@
     return batch;
   }
 
-  #absorb(batch: Batch): void {
+  #absorb(batch: Batch, askedAt?: number): void {
     if (batch.sender === undefined) return;
     for (const subsystem of this.#subsystems) {
-      subsystem.absorb(batch, batch.sender);
+      subsystem.absorb(batch, batch.sender, askedAt);
     }
   }
 }
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -12,6 +12,10 @@
   SettleRequest,
   SettleResponse,
 } from "../gen/ledger_pb.ts";
+import type {
+  FetchContentResponse,
+  FetchManifestResponse,
+} from "../gen/document_pb.ts";
 import type { Batch } from "../gen/peer_pb.ts";
 
 /** Answers a peer's batch with one's own. */
@@ -23,6 +27,19 @@
   forward(req: ForwardRequest): Promise<ForwardResponse>;
 }
 
+/** Answers calls for the document in force. */
+export interface DocumentHandler {
+  fetchManifest(): FetchManifestResponse;
+  fetchContent(digest: string): FetchContentResponse;
+}
+
+/** All that a peer listener answers. */
+export interface PeerHandlers {
+  readonly batch: BatchHandler;
+  readonly ledger?: LedgerHandler;
+  readonly document?: DocumentHandler;
+}
+
 /** The sending side of one instance. */
 export interface PeerTransport {
   /** Sends a batch and gives the peer's; fails with `peer_unavailable`. */
@@ -44,3 +61,16 @@
   ): Promise<Result<ForwardResponse, Failure>>;
   close(): Promise<void>;
 }
+
+/** The sending side of calls for the document in force. */
+export interface DocumentTransport {
+  /** Fetches the manifest that a peer has in force. */
+  fetchManifest(
+    peerUrl: string,
+  ): Promise<Result<FetchManifestResponse, Failure>>;
+  /** Fetches a section's content from a peer. */
+  fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<FetchContentResponse, Failure>>;
+}
