--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -12,6 +12,11 @@
 import { Agent, type RequestListener } from "node:http";
 import { ok, type Result } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
+import {
+  type BorrowAnswer,
+  type BorrowCall,
+  BudgetService,
+} from "../gen/budget_pb.ts";
 import {
   type ForwardRequest,
   type ForwardResponse,
@@ -26,12 +31,15 @@
 } from "../gen/document_pb.ts";
 import { type Batch, PeerService } from "../gen/peer_pb.ts";
 import type {
+  BatchHandler,
   DocumentTransport,
   PeerHandlers,
   PeerTransport,
 } from "./transport.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
+/** A part that comes later than this is of no use to the request that waits. */
+const BORROW_TIMEOUT_MS = 150;
 const CONTENT_TIMEOUT_MS = 5_000;
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
@@ -50,6 +58,7 @@
   readonly #clients = new Map<string, Client<typeof PeerService>>();
   readonly #ledgers = new Map<string, Client<typeof LedgerService>>();
   readonly #documents = new Map<string, Client<typeof DocumentService>>();
+  readonly #budgets = new Map<string, Client<typeof BudgetService>>();
 
   constructor(timeoutMs: number = DEFAULT_TIMEOUT_MS) {
     this.#timeoutMs = timeoutMs;
@@ -91,6 +100,18 @@
     }
   }
 
+  async borrow(
+    peerUrl: string,
+    call: BorrowCall,
+  ): Promise<Result<BorrowAnswer, Failure>> {
+    try {
+      const opts = { timeoutMs: BORROW_TIMEOUT_MS };
+      return ok(await this.#budget(peerUrl).borrow(call, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
   async fetchManifest(
     peerUrl: string,
   ): Promise<Result<FetchManifestResponse, Failure>> {
@@ -128,6 +149,14 @@
     return client;
   }
 
+  #budget(peerUrl: string): Client<typeof BudgetService> {
+    const known = this.#budgets.get(peerUrl);
+    if (known) return known;
+    const client = connect(BudgetService, peerUrl, this.#callAgent);
+    this.#budgets.set(peerUrl, client);
+    return client;
+  }
+
   #ledger(peerUrl: string): Client<typeof LedgerService> {
     const known = this.#ledgers.get(peerUrl);
     if (known) return known;
@@ -181,26 +210,28 @@
  *
  * @example
  * ```ts
- * const server = createServer(peerListener({ batch: (b) => answer(b) }));
+ * const server = createServer(peerListener((batch) => answer(batch)));
  * ```
  */
-export function peerListener(handlers: PeerHandlers): RequestListener {
-  const { batch, ledger, document } = handlers;
+export function peerListener(
+  handler: BatchHandler,
+  { ledger, borrow, document }: PeerHandlers = {},
+): RequestListener {
   return connectNodeAdapter({
     routes: (router) => {
-      router.service(PeerService, { exchange: (b) => batch(b) });
-      if (ledger) {
-        router.service(LedgerService, {
-          settle: (req) => ledger.settle(req),
-          forward: (req) => ledger.forward(req),
-        });
-      }
+      router.service(PeerService, { exchange: (batch) => handler(batch) });
+      if (borrow) router.service(BudgetService, { borrow });
       if (document) {
         router.service(DocumentService, {
           fetchManifest: () => document.fetchManifest(),
           fetchContent: (req) => document.fetchContent(req.digest),
         });
       }
+      if (ledger === undefined) return;
+      router.service(LedgerService, {
+        settle: (req) => ledger.settle(req),
+        forward: (req) => ledger.forward(req),
+      });
     },
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -6,6 +6,7 @@
  */
 import type { Result } from "neverthrow";
 import type { Failure } from "../core/mod.ts";
+import type { BorrowAnswer, BorrowCall } from "../gen/budget_pb.ts";
 import type {
   ForwardRequest,
   ForwardResponse,
@@ -33,10 +34,13 @@
   fetchContent(digest: string): FetchContentResponse;
 }
 
-/** All that a peer listener answers. */
+/** Answers a peer's question for part of a budget. */
+export type BorrowHandler = (call: BorrowCall) => BorrowAnswer;
+
+/** What an instance answers beside batches. */
 export interface PeerHandlers {
-  readonly batch: BatchHandler;
   readonly ledger?: LedgerHandler;
+  readonly borrow?: BorrowHandler;
   readonly document?: DocumentHandler;
 }
 
@@ -59,6 +63,11 @@
     req: ForwardRequest,
     timeoutMs: number,
   ): Promise<Result<ForwardResponse, Failure>>;
+  /** Asks for part of a budget; fails with `peer_unavailable`. */
+  borrow(
+    peerUrl: string,
+    call: BorrowCall,
+  ): Promise<Result<BorrowAnswer, Failure>>;
   close(): Promise<void>;
 }
 
