--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -24,12 +24,23 @@
   type SettleRequest,
   type SettleResponse,
 } from "../gen/ledger_pb.ts";
+import {
+  DocumentService,
+  type FetchContentResponse,
+  type FetchManifestResponse,
+} from "../gen/document_pb.ts";
 import { type Batch, PeerService } from "../gen/peer_pb.ts";
-import type { BatchHandler, PeerHandlers, PeerTransport } from "./transport.ts";
+import type {
+  BatchHandler,
+  DocumentTransport,
+  PeerHandlers,
+  PeerTransport,
+} from "./transport.ts";
 
 const DEFAULT_TIMEOUT_MS = 1_000;
 /** A part that comes later than this is of no use to the request that waits. */
 const BORROW_TIMEOUT_MS = 150;
+const CONTENT_TIMEOUT_MS = 5_000;
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
 /** Causes that come before a connection stands, so that nothing was sent. */
@@ -40,12 +51,13 @@
 ]);
 
 /** Sends batches by the Connect protocol, one kept connection a peer. */
-export class ConnectPeerTransport implements PeerTransport {
+export class ConnectPeerTransport implements PeerTransport, DocumentTransport {
   readonly #timeoutMs: number;
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 4 });
   readonly #callAgent = new Agent({ keepAlive: true, maxSockets: 64 });
   readonly #clients = new Map<string, Client<typeof PeerService>>();
   readonly #ledgers = new Map<string, Client<typeof LedgerService>>();
+  readonly #documents = new Map<string, Client<typeof DocumentService>>();
   readonly #budgets = new Map<string, Client<typeof BudgetService>>();
 
   constructor(timeoutMs: number = DEFAULT_TIMEOUT_MS) {
@@ -100,6 +112,29 @@
     }
   }
 
+  async fetchManifest(
+    peerUrl: string,
+  ): Promise<Result<FetchManifestResponse, Failure>> {
+    try {
+      const opts = { timeoutMs: this.#timeoutMs };
+      return ok(await this.#document(peerUrl).fetchManifest({}, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
+  async fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<FetchContentResponse, Failure>> {
+    try {
+      const opts = { timeoutMs: CONTENT_TIMEOUT_MS };
+      return ok(await this.#document(peerUrl).fetchContent({ digest }, opts));
+    } catch (cause) {
+      return unavailable(peerUrl, cause);
+    }
+  }
+
   close(): Promise<void> {
     this.#agent.destroy();
     this.#callAgent.destroy();
@@ -129,6 +164,14 @@
     this.#ledgers.set(peerUrl, client);
     return client;
   }
+
+  #document(peerUrl: string): Client<typeof DocumentService> {
+    const known = this.#documents.get(peerUrl);
+    if (known) return known;
+    const client = connect(DocumentService, peerUrl, this.#callAgent);
+    this.#documents.set(peerUrl, client);
+    return client;
+  }
 }
 
 function connect<T extends DescService>(
@@ -172,12 +215,18 @@
  */
 export function peerListener(
   handler: BatchHandler,
-  { ledger, borrow }: PeerHandlers = {},
+  { ledger, borrow, document }: PeerHandlers = {},
 ): RequestListener {
   return connectNodeAdapter({
     routes: (router) => {
       router.service(PeerService, { exchange: (batch) => handler(batch) });
       if (borrow) router.service(BudgetService, { borrow });
+      if (document) {
+        router.service(DocumentService, {
+          fetchManifest: () => document.fetchManifest(),
+          fetchContent: (req) => document.fetchContent(req.digest),
+        });
+      }
       if (ledger === undefined) return;
       router.service(LedgerService, {
         settle: (req) => ledger.settle(req),
