--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -12,7 +12,7 @@
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
 import {
   type AcceptedDocument,
-  DocumentStore,
+  ContentStore,
   emptyDocument,
   type SteeringDocument,
   zonesOf,
@@ -31,9 +31,10 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { LeasedSeats, Roster } from "../membership/mod.ts";
+import { dutyHolder, LeasedSeats, Roster } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
+  type DocumentTransport,
   PeerExchange,
   peerListener,
   type PeerTransport,
@@ -41,8 +42,10 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
+import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
 
@@ -50,7 +53,7 @@
 export interface InstanceDeps {
   readonly cfg: Settings;
   readonly platform: Platform;
-  readonly transport: PeerTransport;
+  readonly transport: PeerTransport & DocumentTransport;
   readonly endpoints: EndpointClient;
   readonly clock: Clock;
   readonly random: Random;
@@ -89,7 +92,8 @@
   readonly events: Emittery<InstanceEvents> = new Emittery();
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
-  readonly #keys = new KeyRing();
+  readonly #keys: KeyRing;
+  readonly #contact: PlatformContact;
   readonly #budgets: FleetBudgets;
   readonly #steering: Steering;
   readonly #roster: Roster;
@@ -101,13 +105,16 @@
   readonly #ticks: TickLoop;
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
+  #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
-    const { cfg, clock, log, platform, random } = deps;
+    const { cfg, clock, log, random } = deps;
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
+    this.#contact = new PlatformContact(clock);
+    this.#keys = new KeyRing(() => this.#contact.ageMs());
     this.#roster = new Roster(clock, cfg.instance.id);
     this.#seats = new LeasedSeats({
       ...deps,
@@ -127,7 +134,7 @@
       leaving: () => this.#leaving,
     });
     this.#exchange = new PeerExchange({
-      transport: deps.transport,
+      ...deps,
       log: log.child("peers"),
       self: () => this.#sender(),
       peers: () => this.#roster.members(),
@@ -137,7 +144,7 @@
     this.#exchange.register(this.#budgets);
     this.#exchange.register(this.#steering.exchange);
     const document = () => this.#document;
-    const { dispatcher, links } = this.#steering;
+    const { dispatcher, links, retries } = this.#steering;
     const sender = new SlotSender({
       ...deps,
       links,
@@ -152,7 +159,13 @@
         incarnation: this.#incarnation,
       },
       seats: this.#seats,
-      runner: new OperationDispatch({ ...deps, sender, dispatcher, document }),
+      runner: new OperationDispatch({
+        ...deps,
+        sender,
+        retries,
+        dispatcher,
+        document,
+      }),
     });
     this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
@@ -160,17 +173,14 @@
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
+      retries,
       dispatcher,
       operations: this.#operations,
       document,
     });
-    this.#follower = new DocumentFollower({
-      platform,
-      clock,
-      log: log.child("document"),
-      store: new DocumentStore({ platform, clock, random }),
-      onDocument: (accepted) => this.#adopt(accepted),
-    });
+    this.#follower = this.#makeFollower();
+    this.#exchange.register(this.#follower);
+    this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
@@ -194,8 +204,7 @@
       await instance.close();
       return err(opened.error);
     }
-    await deps.platform.announce(instance.#listed());
-    await instance.#follower.start();
+    await instance.#join();
     instance.#ticks.start();
     deps.log.event("instance_started", { instance: deps.cfg.instance.id });
     return ok(instance);
@@ -218,16 +227,20 @@
 
   /** Whether a document is in force and the instance is not leaving. */
   get ready(): boolean {
-    return this.#follower.generation > 0 && !this.#leaving;
+    return this.#serving && !this.#leaving;
   }
 
   /** What this instance says of itself. */
   status(): InstanceStatus {
     const { id, zone } = this.#deps.cfg.instance;
+    const age = this.#contact.ageMs();
     return {
       instance: id,
       zone,
       generation: this.#follower.generation,
+      rejected: this.#follower.rejected,
+      contact_age_ms: Number.isFinite(age) ? Math.round(age) : null,
+      seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
       members: this.#roster.live().map((m) => m.instance),
@@ -261,6 +274,23 @@
     await this.#deps.metrics.close();
   }
 
+  /**
+   * Adopts the newest document that the store or any peer has, before serving:
+   * a stale store would otherwise bring a withdrawn key back to life here.
+   */
+  async #join(): Promise<void> {
+    const { platform } = this.#deps;
+    await platform.announce(this.#listed());
+    const [listed] = await Promise.all([
+      platform.instances(),
+      this.#follower.start(),
+    ]);
+    if (listed.isOk()) this.#roster.adoptList(listed.value);
+    await this.#exchange.flush();
+    await this.#follower.settled();
+    this.#joined = true;
+  }
+
   async #open(): Promise<Result<void, Failure>> {
     const { cfg } = this.#deps;
     const caller = await Listener.open(
@@ -268,7 +298,7 @@
       callerApp({
         path: this.#path,
         lookup: () => this.#lookup(),
-        ready: () => this.#follower.generation > 0,
+        ready: () => this.#serving,
       }),
     );
     if (caller.isErr()) return err(caller.error);
@@ -290,6 +320,32 @@
     return ok(undefined);
   }
 
+  #makeFollower(): DocumentFollower {
+    const { cfg, clock, log, platform, random, transport } = this.#deps;
+    const contents = new ContentStore(platform);
+    const contact = this.#contact;
+    const { id, zone } = cfg.instance;
+    return new DocumentFollower({
+      source: new DocumentSource({
+        platform,
+        contents,
+        transport,
+        contact,
+        clock,
+      }),
+      contents,
+      clock,
+      random,
+      log: log.child("document"),
+      watches: () => {
+        const mates = this.#roster.live().filter((m) => m.zone === zone);
+        const members = [id, ...mates.map((m) => m.instance)];
+        return dutyHolder(`watch ${zone}`, members) === id;
+      },
+      onDocument: (accepted) => this.#adopt(accepted),
+    });
+  }
+
   #makeBudgets(): FleetBudgets {
     const { clock, cfg, transport } = this.#deps;
     const { id, zone, region } = cfg.instance;
@@ -304,11 +360,16 @@
     });
   }
 
+  get #serving(): boolean {
+    return this.#joined && this.#follower.generation > 0;
+  }
+
   /** Forwarded requests beside the peers' own messages. */
   #peerHandler(): RequestListener {
     const peers = peerListener((batch) => this.#exchange.answer(batch), {
       ledger: this.#operations,
       borrow: (call) => this.#budgets.answer(call),
+      document: this.#follower,
     });
     const { intake, links, exchange } = this.#steering;
     const forwards = forwardApp({
--- a/src/peers/transport.ts
+++ b/src/peers/transport.ts
@@ -13,6 +13,10 @@
   SettleRequest,
   SettleResponse,
 } from "../gen/ledger_pb.ts";
+import type {
+  FetchContentResponse,
+  FetchManifestResponse,
+} from "../gen/document_pb.ts";
 import type { Batch } from "../gen/peer_pb.ts";
 
 /** Answers a peer's batch with one's own. */
@@ -24,6 +28,12 @@
   forward(req: ForwardRequest): Promise<ForwardResponse>;
 }
 
+/** Answers calls for the document in force. */
+export interface DocumentHandler {
+  fetchManifest(): FetchManifestResponse;
+  fetchContent(digest: string): FetchContentResponse;
+}
+
 /** Answers a peer's question for part of a budget. */
 export type BorrowHandler = (call: BorrowCall) => BorrowAnswer;
 
@@ -31,6 +41,7 @@
 export interface PeerHandlers {
   readonly ledger?: LedgerHandler;
   readonly borrow?: BorrowHandler;
+  readonly document?: DocumentHandler;
 }
 
 /** The sending side of one instance. */
@@ -59,3 +70,16 @@
   ): Promise<Result<BorrowAnswer, Failure>>;
   close(): Promise<void>;
 }
+
+/** The sending side of calls for the document in force. */
+export interface DocumentTransport {
+  /** Fetches the manifest that a peer has in force. */
+  fetchManifest(
+    peerUrl: string,
+  ): Promise<Result<FetchManifestResponse, Failure>>;
+  /** Fetches a section's content from a peer. */
+  fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<FetchContentResponse, Failure>>;
+}
