--- a/src/decisions/steering/slot_table.ts
+++ b/src/decisions/steering/slot_table.ts
@@ -39,8 +39,6 @@
  * within a round trip and stops; a quarter of a second covers a busy one.
  */
 export const ABANDON_MARGIN_MS = 250;
-/** An endpoint counts its deadline from when the request reached it. */
-const DEADLINE_MARGIN_MS = 50;
 
 /** Results after which the endpoint may still be running the request. */
 const MAY_STILL_RUN: ReadonlySet<WorkResult> = new Set([
@@ -123,7 +121,7 @@
         if (result === "ok") {
           this.#learn(row, req, { ms: (answeredAt ?? now) - startedAt, now });
         }
-        this.#end(row, req, { result, now });
+        this.#end(row, result, now);
       },
     };
   }
@@ -138,19 +136,11 @@
     if (stretch !== undefined) learnLatency(row, stretch, now);
   }
 
-  #end(
-    row: EndpointRow,
-    req: SteeringRequest,
-    { result, now }: { result: WorkResult; now: number },
-  ): void {
+  #end(row: EndpointRow, result: WorkResult, now: number): void {
     judge(this.rows, row, { result, now, random: this.#deps.random });
     if (!MAY_STILL_RUN.has(result)) return this.#free(row, now);
-    const stopped = Math.min(
-      now + ABANDON_MARGIN_MS,
-      Math.max(now, req.deadline) + DEADLINE_MARGIN_MS,
-    );
     const { clock } = this.#deps;
-    clock.after(stopped - now, () => this.#free(row, clock.now()));
+    clock.after(ABANDON_MARGIN_MS, () => this.#free(row, clock.now()));
   }
 
   #free(row: EndpointRow, now: number): void {
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -3,9 +3,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { Buffer } from "node:buffer";
-import { pipeline } from "node:stream/promises";
 import type { Request, Response } from "express";
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -15,33 +12,27 @@
   fail,
   type Failure,
   type Metrics,
-  OperationId,
   type Random,
   type ServiceId,
+  sleep,
 } from "../core/mod.ts";
 import type { RateLimiter } from "../decisions/limits/mod.ts";
+import type { RetryPolicy } from "../decisions/retries/mod.ts";
 import type {
   Dispatcher,
   Slot,
   WorkResult,
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
-import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
-import type {
-  OperationKey,
-  Operations,
-  RecordedAnswer,
-} from "../operations/mod.ts";
-import {
-  HOME_HEADER,
-  OPERATION_HEADER,
-  TIMEOUT_HEADER,
-  toCaller,
-  toEndpoint,
-} from "./headers.ts";
+import type { EndpointAnswer } from "../endpoints/mod.ts";
+import type { Operations } from "../operations/mod.ts";
+import { TIMEOUT_HEADER, toEndpoint } from "./headers.ts";
 import type { KeyRing } from "./key_ring.ts";
+import { readOperation } from "./operation_request.ts";
 import { refuse } from "./refusal.ts";
+import { relay } from "./relay.ts";
 import { policyFor } from "./routes.ts";
+import type { SlotSender } from "./slot_sender.ts";
 
 /** What a request path needs. */
 export interface RequestPathDeps {
@@ -52,7 +43,8 @@
   readonly limiter: RateLimiter;
   readonly dispatcher: Dispatcher;
   readonly operations: Operations;
-  readonly endpoints: EndpointClient;
+  readonly sender: SlotSender;
+  readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
 }
 
@@ -68,10 +60,6 @@
   readonly signal: AbortSignal;
 }
 
-const MAX_TRIES = 3;
-const MAX_RECORDED_BYTES = 1_000_000;
-const GENERATED_ID_BYTES = 16;
-
 /** Takes requests of callers to endpoints and brings the answers back. */
 export class RequestPath {
   readonly #deps: RequestPathDeps;
@@ -111,7 +99,7 @@
     res: Response,
     target: { service: string; path: string },
   ): Promise<Result<void, Failure>> {
-    const admitted = this.#admit(req, res, target);
+    const admitted = await this.#admit(req, res, target);
     if (admitted.isErr()) return err(admitted.error);
     if (admitted.value.idempotent) {
       return await this.#stream(admitted.value, res);
@@ -119,11 +107,11 @@
     return await this.#runOnce(admitted.value, res);
   }
 
-  #admit(
+  async #admit(
     req: Request,
     res: Response,
     { service, path }: { service: string; path: string },
-  ): Result<Admitted, Failure> {
+  ): Promise<Result<Admitted, Failure>> {
     const now = this.#deps.clock.now();
     const account = this.#deps.keys.accountOf(req.headers.authorization);
     if (account.isErr()) return err(account.error);
@@ -137,10 +125,15 @@
     const policy = policyFor(entry, req.method, path);
     const timeout = timeoutOf(req, policy.deadlineMs);
     if (timeout.isErr()) return err(timeout.error);
-    const within = this.#deps.limiter.take(account.value, now);
-    if (within.isErr()) return err(within.error);
     const gone = new AbortController();
     res.on("close", () => gone.abort());
+    const deadline = now + timeout.value;
+    const { signal } = gone;
+    const within = await this.#deps.limiter.take(account.value, {
+      deadline,
+      signal,
+    });
+    if (within.isErr()) return err(within.error);
     return ok({
       req,
       account: account.value,
@@ -148,8 +141,8 @@
       path,
       idempotent: policy.idempotent,
       work: policy.work,
-      deadline: now + timeout.value,
-      signal: gone.signal,
+      deadline,
+      signal,
     });
   }
 
@@ -159,75 +152,45 @@
     res: Response,
   ): Promise<Result<void, Failure>> {
     const tried = new Set<EndpointId>();
-    let last: Result<void, Failure> = fail("no_capacity", "no try was made", {
-      outcome: "not-run",
-    });
-    for (let i = 0; i < MAX_TRIES; i++) {
+    const { clock, retries } = this.#deps;
+    retries.request(admitted.service, clock.now());
+    let last: Failure | undefined;
+    for (;;) {
       const slot = await this.#acquire(admitted, tried);
-      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      if (slot.isErr()) return err(last ?? slot.error);
       tried.add(slot.value.endpoint);
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
         const { signal } = admitted;
-        return await this.#relay(answer.value, slot.value, { res, signal });
+        await relay(answer.value, slot.value, { res, signal, clock });
+        return ok(undefined);
       }
-      last = err(answer.error);
-      if (!mayRetry(admitted.req, answer.error)) return last;
+      last = worse(last, answer.error);
+      const waitMs = retries.next({
+        ...admitted,
+        tries: tried.size,
+        failure: answer.error,
+        replayable: !hasBody(admitted.req),
+      }, clock.now());
+      if (waitMs === undefined) return err(last);
+      await sleep(clock, waitMs);
     }
-    return last;
   }
 
-  async #relay(
-    answer: EndpointAnswer,
-    slot: Slot,
-    { res, signal }: { res: Response; signal: AbortSignal },
-  ): Promise<Result<void, Failure>> {
-    res.writeHead(answer.status, { ...toCaller(answer.headers) });
-    let result: WorkResult = "ok";
-    try {
-      await pipeline(answer.body, res);
-    } catch {
-      result = signal.aborted || res.closed ? "cancelled" : "failed";
-      res.destroy();
-    } finally {
-      slot.release(result, this.#deps.clock.now());
-    }
-    return ok(undefined);
-  }
-
-  /** Not idempotent: the body is read first, since the id stands for it. */
+  /** Not idempotent: runs under an operation id, at most once. */
   async #runOnce(
     admitted: Admitted,
     res: Response,
   ): Promise<Result<void, Failure>> {
-    const body = await readBody(admitted.req);
-    if (body.isErr()) return err(body.error);
-    const key = this.#operationKey(admitted, body.value);
-    if (key.isErr()) return err(key.error);
-    const result = await this.#deps.operations.once(
-      key.value,
-      () => this.#runRecorded(admitted, body.value),
-    );
+    const operation = await readOperation(admitted, this.#deps);
+    if (operation.isErr()) return err(operation.error);
+    const result = await this.#deps.operations.run(operation.value);
     return result.map((answer) => {
       res.writeHead(answer.status, { ...answer.headers });
       res.end(answer.body);
     });
   }
 
-  async #runRecorded(
-    admitted: Admitted,
-    body: Uint8Array,
-  ): Promise<Result<RecordedAnswer, Failure>> {
-    const slot = await this.#acquire(admitted, new Set());
-    if (slot.isErr()) return err(slot.error);
-    const answer = await this.#send(admitted, slot.value, body);
-    if (answer.isErr()) return err(answer.error);
-    const recorded = await record(answer.value);
-    const result = recorded.isOk() ? "ok" : "failed";
-    slot.value.release(result, this.#deps.clock.now());
-    return recorded;
-  }
-
   #acquire(
     admitted: Admitted,
     exclude: ReadonlySet<EndpointId>,
@@ -241,60 +204,42 @@
   async #send(
     admitted: Admitted,
     slot: Slot,
-    body: Request | Uint8Array,
+    body: Request,
   ): Promise<Result<EndpointAnswer, Failure>> {
-    const { req } = admitted;
-    const answer = await this.#deps.endpoints.send({
-      url: slot.url,
+    const { req, deadline, ...rest } = admitted;
+    const { clock, sender } = this.#deps;
+    const answer = await sender.send(slot, {
+      ...rest,
       method: req.method,
-      path: admitted.path,
       headers: toEndpoint(req.headers),
       body: hasBody(req) ? body : undefined,
-      account: admitted.account,
-      timeoutMs: admitted.deadline - this.#deps.clock.now(),
-      signal: admitted.signal,
+      timeoutMs: deadline - clock.now(),
     });
-    const now = this.#deps.clock.now();
+    const now = clock.now();
     if (answer.isErr()) slot.release(workResult(answer.error), now);
     else slot.answered(now);
     return answer;
   }
-
-  #operationKey(
-    admitted: Admitted,
-    body: Uint8Array,
-  ): Result<OperationKey, Failure> {
-    const { req, account } = admitted;
-    const given = req.headers[OPERATION_HEADER] ??
-      this.#deps.random.hex(GENERATED_ID_BYTES);
-    const id = OperationId.safeParse(given);
-    if (!id.success) {
-      return fail("bad_request", `${OPERATION_HEADER} is not usable`, {
-        outcome: "not-run",
-      });
-    }
-    const home = req.headers[HOME_HEADER];
-    return ok({
-      account,
-      id: id.data,
-      fingerprint: fingerprintOf(admitted, body),
-      ...(typeof home === "string" ? { home } : {}),
-    });
-  }
 }
 
-function workResult(failure: Failure): WorkResult {
+/** What a failed try says of the slot it used. */
+export function workResult(failure: Failure): WorkResult {
   if (failure.code === "cancelled") return "cancelled";
   if (failure.code === "deadline_exceeded") return "timeout";
   return failure.outcome === "not-run" ? "shed" : "failed";
 }
 
-function mayRetry(req: Request, failure: Failure): boolean {
-  if (hasBody(req)) return false;
-  return failure.code === "endpoint_failed";
+/**
+ * What to tell of several failed tries: the last one, but that it did not run
+ * is true only if none of them may have run.
+ */
+export function worse(before: Failure | undefined, last: Failure): Failure {
+  if (before === undefined || before.outcome === "not-run") return last;
+  return { ...last, outcome: "unknown" };
 }
 
-function hasBody(req: Request): boolean {
+/** Whether a request announces a body. */
+export function hasBody(req: Request): boolean {
   return req.headers["transfer-encoding"] !== undefined ||
     Number(req.headers["content-length"] ?? 0) > 0;
 }
@@ -308,51 +253,3 @@
     outcome: "not-run",
   });
 }
-
-async function readBody(req: Request): Promise<Result<Uint8Array, Failure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of req) {
-      size += (chunk as Buffer).length;
-      if (size > MAX_RECORDED_BYTES) {
-        return fail("value_too_large", "the request's body is too large", {
-          outcome: "not-run",
-        });
-      }
-      chunks.push(chunk as Buffer);
-    }
-    return ok(Buffer.concat(chunks));
-  } catch {
-    return fail("cancelled", "the caller went away", { outcome: "not-run" });
-  }
-}
-
-/** Reads a whole answer; a broken one is no answer, and what ran is unknown. */
-async function record(
-  answer: EndpointAnswer,
-): Promise<Result<RecordedAnswer, Failure>> {
-  try {
-    const body = Buffer.concat(await answer.body.toArray());
-    const announced = answer.headers["content-length"];
-    if (announced === undefined || Number(announced) === body.length) {
-      return ok({
-        status: answer.status,
-        headers: toCaller(answer.headers),
-        body,
-      });
-    }
-  } catch {
-    // Falls through: a body that broke off is told like one that is short.
-  }
-  return fail("outcome_unknown", "the endpoint's answer broke off", {
-    outcome: "unknown",
-  });
-}
-
-function fingerprintOf(admitted: Admitted, body: Uint8Array): string {
-  return createHash("sha256")
-    .update(`${admitted.service} ${admitted.req.method} ${admitted.path}\n`)
-    .update(body)
-    .digest("hex");
-}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,37 +4,37 @@
  *
  * @module
  */
+import type { RequestListener } from "node:http";
 import Emittery from "emittery";
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import {
-  connectionPart,
-  EvenSlotLimits,
-  FairDispatcher,
-  ProbeSchedule,
-} from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
-  DocumentStore,
+  ContentStore,
   emptyDocument,
   type SteeringDocument,
+  zonesOf,
 } from "../document/mod.ts";
-import { type EndpointClient, Prober } from "../endpoints/mod.ts";
+import type { EndpointClient } from "../endpoints/mod.ts";
 import {
   callerApp,
+  FORWARD_PATH,
+  forwardApp,
   KeyRing,
   type LookupAnswer,
+  OperationDispatch,
   RequestPath,
+  SlotSender,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
-import { LocalOperations } from "../operations/mod.ts";
+import { dutyHolder, LeasedSeats, Roster } from "../membership/mod.ts";
+import { HomeOperations } from "../operations/mod.ts";
 import {
+  type DocumentTransport,
   PeerExchange,
   peerListener,
   type PeerTransport,
@@ -42,15 +42,18 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { DocumentSource } from "./document_source.ts";
+import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
-import { LoadExchange } from "./load_exchange.ts";
+import { PlatformContact } from "./platform_contact.ts";
+import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
 export interface InstanceDeps {
   readonly cfg: Settings;
   readonly platform: Platform;
-  readonly transport: PeerTransport;
+  readonly transport: PeerTransport & DocumentTransport;
   readonly endpoints: EndpointClient;
   readonly clock: Clock;
   readonly random: Random;
@@ -89,75 +92,107 @@
   readonly events: Emittery<InstanceEvents> = new Emittery();
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
-  readonly #keys = new KeyRing();
-  readonly #limiter = new FixedSplitLimiter();
-  readonly #dispatcher: FairDispatcher;
-  readonly #prober: Prober;
+  readonly #keys: KeyRing;
+  readonly #contact: PlatformContact;
+  readonly #budgets: FleetBudgets;
+  readonly #steering: Steering;
   readonly #roster: Roster;
-  readonly #seats: SeatDirectory;
+  readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
+  readonly #operations: HomeOperations;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
+  #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
-    const { cfg, clock, log, platform, random } = deps;
+    const { cfg, clock, log, random } = deps;
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
+    this.#contact = new PlatformContact(clock);
+    this.#keys = new KeyRing(() => this.#contact.ageMs());
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new RankedSeats({
+    this.#seats = new LeasedSeats({
+      ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
-      roster: this.#roster,
+      incarnation: this.#incarnation,
+      log: log.child("seats"),
       document: () => this.#document,
     });
-    this.#dispatcher = new FairDispatcher({
+    this.#budgets = this.#makeBudgets();
+    this.#steering = new Steering({
       ...deps,
-      zone: cfg.instance.zone,
-      limits: new EvenSlotLimits(this.#seats),
+      roster: this.#roster,
+      seats: this.#seats,
+      limits: this.#budgets.slotLimits,
+      document: () => this.#document,
+      leaving: () => this.#leaving,
     });
-    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
-      transport: deps.transport,
+      ...deps,
       log: log.child("peers"),
       self: () => this.#sender(),
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
-    this.#exchange.register(
-      new LoadExchange({
-        zone: cfg.instance.zone,
-        prober: this.#prober,
-        zoneOf: (id) =>
-          this.#roster.members().find((m) => m.instance === id)?.zone,
+    this.#exchange.register(this.#seats);
+    this.#exchange.register(this.#budgets);
+    this.#exchange.register(this.#steering.exchange);
+    const document = () => this.#document;
+    const { dispatcher, links, retries } = this.#steering;
+    const sender = new SlotSender({
+      ...deps,
+      links,
+      identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
+    });
+    this.#operations = new HomeOperations({
+      ...deps,
+      log: log.child("operations"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      seats: this.#seats,
+      runner: new OperationDispatch({
+        ...deps,
+        sender,
+        retries,
+        dispatcher,
+        document,
       }),
-    );
+    });
+    this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
-      limiter: this.#limiter,
-      dispatcher: this.#dispatcher,
-      operations: new LocalOperations(),
-      document: () => this.#document,
-    });
-    this.#follower = new DocumentFollower({
-      platform,
-      clock,
-      log: log.child("document"),
-      store: new DocumentStore({ platform, clock, random }),
-      onDocument: (accepted) => this.#adopt(accepted),
+      limiter: this.#budgets.limiter,
+      sender,
+      retries,
+      dispatcher,
+      operations: this.#operations,
+      document,
     });
+    this.#follower = this.#makeFollower();
+    this.#exchange.register(this.#follower);
+    this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
+    this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
-      name: "dispatcher",
-      run: (now) => this.#dispatcher.tick(now),
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
+    this.#ticks.add({
+      name: "steering",
+      run: (now) => this.#steering.tick(now),
     });
-    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -169,8 +204,7 @@
       await instance.close();
       return err(opened.error);
     }
-    await deps.platform.announce(instance.#listed());
-    await instance.#follower.start();
+    await instance.#join();
     instance.#ticks.start();
     deps.log.event("instance_started", { instance: deps.cfg.instance.id });
     return ok(instance);
@@ -181,6 +215,11 @@
     return this.#listeners?.caller.url ?? "";
   }
 
+  /** Where other instances reach this one. */
+  get peerUrl(): string {
+    return this.#listeners?.peer.url ?? "";
+  }
+
   /** Where operators reach this instance. */
   get adminUrl(): string {
     return this.#listeners?.admin.url ?? "";
@@ -188,16 +227,20 @@
 
   /** Whether a document is in force and the instance is not leaving. */
   get ready(): boolean {
-    return this.#follower.generation > 0 && !this.#leaving;
+    return this.#serving && !this.#leaving;
   }
 
   /** What this instance says of itself. */
   status(): InstanceStatus {
     const { id, zone } = this.#deps.cfg.instance;
+    const age = this.#contact.ageMs();
     return {
       instance: id,
       zone,
       generation: this.#follower.generation,
+      rejected: this.#follower.rejected,
+      contact_age_ms: Number.isFinite(age) ? Math.round(age) : null,
+      seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
       members: this.#roster.live().map((m) => m.instance),
@@ -207,10 +250,14 @@
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
+    this.#seats.leave();
     await this.events.emit("leaving");
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#operations.handOver();
+    await this.#seats.handOver();
+    await this.#exchange.flush();
     await this.close();
   }
 
@@ -218,6 +265,7 @@
   async close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
+    this.#budgets.close();
     const { caller, peer, admin } = this.#listeners ?? {};
     await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
     await this.#deps.transport.close();
@@ -226,6 +274,23 @@
     await this.#deps.metrics.close();
   }
 
+  /**
+   * Adopts the newest document that the store or any peer has, before serving:
+   * a stale store would otherwise bring a withdrawn key back to life here.
+   */
+  async #join(): Promise<void> {
+    const { platform } = this.#deps;
+    await platform.announce(this.#listed());
+    const [listed] = await Promise.all([
+      platform.instances(),
+      this.#follower.start(),
+    ]);
+    if (listed.isOk()) this.#roster.adoptList(listed.value);
+    await this.#exchange.flush();
+    await this.#follower.settled();
+    this.#joined = true;
+  }
+
   async #open(): Promise<Result<void, Failure>> {
     const { cfg } = this.#deps;
     const caller = await Listener.open(
@@ -233,13 +298,13 @@
       callerApp({
         path: this.#path,
         lookup: () => this.#lookup(),
-        ready: () => this.#follower.generation > 0,
+        ready: () => this.#serving,
       }),
     );
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener((batch) => this.#exchange.answer(batch)),
+      this.#peerHandler(),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -255,34 +320,78 @@
     return ok(undefined);
   }
 
-  #makeProber(): Prober {
-    const { cfg, clock, metrics, random, endpoints } = this.#deps;
+  #makeFollower(): DocumentFollower {
+    const { cfg, clock, log, platform, random, transport } = this.#deps;
+    const contents = new ContentStore(platform);
+    const contact = this.#contact;
     const { id, zone } = cfg.instance;
-    return new Prober({
+    return new DocumentFollower({
+      source: new DocumentSource({
+        platform,
+        contents,
+        transport,
+        contact,
+        clock,
+      }),
+      contents,
+      clock,
+      random,
+      log: log.child("document"),
+      watches: () => {
+        const mates = this.#roster.live().filter((m) => m.zone === zone);
+        const members = [id, ...mates.map((m) => m.instance)];
+        return dutyHolder(`watch ${zone}`, members) === id;
+      },
+      onDocument: (accepted) => this.#adopt(accepted),
+    });
+  }
+
+  #makeBudgets(): FleetBudgets {
+    const { clock, cfg, transport } = this.#deps;
+    const { id, zone, region } = cfg.instance;
+    const incarnation = this.#incarnation;
+    return new FleetBudgets({
+      self: { instance: id, incarnation, zone, region },
       clock,
-      metrics,
-      client: endpoints,
-      schedule: new ProbeSchedule(id, random),
-      targets: () =>
-        this.#dispatcher.rows().map((row) => ({
-          id: row.id,
-          url: row.entry.url,
-          connectionFree:
-            row.inFlight < connectionPart(row.entry, row.slotLimit),
-        })),
-      zoneMates: () =>
-        this.#roster.live().filter((m) => m.zone === zone)
-          .map((m) => m.instance),
-      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+      seats: this.#seats,
+      transport,
+      peers: () => this.#roster.live(),
+      inFlight: (endpoint) => this.#steering.local.inFlight(endpoint),
     });
   }
 
+  get #serving(): boolean {
+    return this.#joined && this.#follower.generation > 0;
+  }
+
+  /** Forwarded requests beside the peers' own messages. */
+  #peerHandler(): RequestListener {
+    const peers = peerListener((batch) => this.#exchange.answer(batch), {
+      ledger: this.#operations,
+      borrow: (call) => this.#budgets.answer(call),
+      document: this.#follower,
+    });
+    const { intake, links, exchange } = this.#steering;
+    const forwards = forwardApp({
+      ...this.#deps,
+      intake,
+      links,
+      region: this.#deps.cfg.instance.region,
+      peerOf: (identity) => exchange.peerOf(identity),
+    });
+    return (req, res) => {
+      if (req.url?.startsWith(`${FORWARD_PATH}/`)) forwards(req, res);
+      else peers(req, res);
+    };
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
-    this.#limiter.adopt(accepted.document, now);
-    this.#dispatcher.adopt(accepted.document, now);
+    this.#budgets.adopt(accepted.document, accepted.manifest.generation);
+    this.#steering.adopt(accepted.document, now);
+    this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
@@ -294,12 +403,10 @@
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
-    ).map(({ instance, url, zone, region }) => ({
-      instance,
-      url,
-      zone,
-      region,
-    }));
+    ).map(({ instance, url, zone, region }) => {
+      const home = this.#operations.homeOf(instance);
+      return { instance, url, zone, region, ...(home ? { home } : {}) };
+    });
     return { reuse_ms: LOOKUP_REUSE_MS, instances };
   }
 
