Edit the document through an administration API

Sections are read and edited with entity tags and If-Match; an edit without a version is refused (428), a lost race names the other change (412). Bearer tokens of the access section stand for roles; a role edits the sections it names, or a kind unless another role names that very section. While the document names no role, a bootstrap token whose digest is in the settings may begin it.

--- a/src/admin/mod.ts
+++ b/src/admin/mod.ts
@@ -3,4 +3,7 @@
  *
  * @module
  */
+export * from "./access.ts";
 export * from "./admin_app.ts";
+export * from "./routes.ts";
+export * from "./status.ts";
--- /dev/null
+++ b/src/admin/routes.ts
@@ -0,0 +1,285 @@
+/**
+ * The routes of the administration API as a table: the application is built
+ * from it, and so is its OpenAPI description.
+ *
+ * @module
+ */
+import type { Request, Response } from "express";
+import { err, ok, type Result } from "neverthrow";
+import { fail, type Failure, fromZod } from "../core/mod.ts";
+import {
+  type AcceptedDocument,
+  addDrain,
+  type DocumentStore,
+  DrainEntry,
+  DRAINS,
+  editSection,
+  removeDrain,
+  SectionName,
+  type SteeringDocument,
+} from "../document/mod.ts";
+import type { ListedInstance, Platform } from "../platform/mod.ts";
+import { mayEdit, type Role } from "./access.ts";
+import { etagOf } from "./answers.ts";
+import type { InstanceStatus } from "./status.ts";
+
+/** What the routes work on. */
+export interface RouteDeps {
+  readonly ready: () => boolean;
+  readonly status: () => InstanceStatus;
+  /** The document in force. */
+  readonly document: () => SteeringDocument;
+  readonly store: DocumentStore;
+  readonly platform: Platform;
+}
+
+/** A request that passed authentication. */
+export interface Call {
+  readonly req: Request;
+  readonly res: Response;
+  readonly role: Role;
+}
+
+/** What a route answers: a body, with its status and entity tag. */
+export interface Reply {
+  readonly status?: number;
+  readonly etag?: string;
+  readonly body: unknown;
+}
+
+/** One route. */
+export interface AdminRoute {
+  readonly method: "get" | "put" | "delete";
+  /** In express's notation. */
+  readonly path: string;
+  readonly id: string;
+  readonly summary: string;
+  /** `none`: no token is asked for; `any`: any role; `owner`: who may edit. */
+  readonly access: "none" | "any" | "owner";
+  readonly query?: Readonly<Record<string, string>>;
+  /** Whether the request carries a section's content. */
+  readonly section?: boolean;
+  readonly handle: (
+    deps: RouteDeps,
+    call: Call,
+  ) => Promise<Result<Reply, Failure>>;
+}
+
+/** Every route. */
+export const ADMIN_ROUTES: readonly AdminRoute[] = [
+  {
+    method: "get",
+    path: "/livez",
+    id: "liveness",
+    summary: "Whether the process answers at all",
+    access: "none",
+    handle: () => Promise.resolve(ok({ body: { live: true } })),
+  },
+  {
+    method: "get",
+    path: "/readyz",
+    id: "readiness",
+    summary: "Whether a document is in force here and the instance stays",
+    access: "none",
+    handle: (deps) => {
+      const ready = deps.ready();
+      return Promise.resolve(
+        ok({ status: ready ? 200 : 503, body: { ready } }),
+      );
+    },
+  },
+  {
+    method: "get",
+    path: "/v1/status",
+    id: "getStatus",
+    summary: "What this instance says of itself",
+    access: "any",
+    handle: (deps) => Promise.resolve(ok({ body: deps.status() })),
+  },
+  {
+    method: "get",
+    path: "/v1/instances",
+    id: "listInstances",
+    summary: "The platform's list of entry instances; it lags",
+    access: "any",
+    handle: async (deps) => {
+      const listed = await deps.platform.instances();
+      return listed.map((instances: readonly ListedInstance[]) => ({
+        body: { instances },
+      }));
+    },
+  },
+  {
+    method: "get",
+    path: "/v1/sections",
+    id: "listSections",
+    summary: "The accepted generation, and each section's version and author",
+    access: "any",
+    handle: async (deps) => {
+      const manifest = await deps.store.manifest();
+      return manifest.map(({ value: { generation, sections } }) => ({
+        etag: etagOf(generation),
+        body: { generation, sections },
+      }));
+    },
+  },
+  ...sectionRoutes("/v1/sections/:kind", "Section"),
+  ...sectionRoutes("/v1/sections/:kind/:part", "SectionPart"),
+  {
+    method: "get",
+    path: "/v1/drains",
+    id: "listDrains",
+    summary: "The drains in force at this instance",
+    access: "any",
+    handle: (deps) =>
+      Promise.resolve(ok({ body: { drains: deps.document().drains } })),
+  },
+  {
+    method: "put",
+    path: "/v1/drains/:kind/:id",
+    id: "addDrain",
+    summary: "Give an endpoint, zone, region or instance no new work",
+    access: "owner",
+    query: {
+      section: "The section the drain stands in; `drains` if not given",
+    },
+    handle: (deps, call) => changeDrain(deps, call, addDrain),
+  },
+  {
+    method: "delete",
+    path: "/v1/drains/:kind/:id",
+    id: "removeDrain",
+    summary: "End a drain",
+    access: "owner",
+    query: {
+      section: "The section the drain stands in; `drains` if not given",
+    },
+    handle: (deps, call) => changeDrain(deps, call, removeDrain),
+  },
+];
+
+function sectionRoutes(path: string, what: string): AdminRoute[] {
+  return [
+    {
+      method: "get",
+      path,
+      id: `get${what}`,
+      summary: "A section's content; its version is the entity tag",
+      access: "any",
+      handle: getSection,
+    },
+    {
+      method: "put",
+      path,
+      id: `put${what}`,
+      summary:
+        "Replace a section on the version that If-Match names, or make it by If-None-Match: *",
+      access: "owner",
+      section: true,
+      handle: putSection,
+    },
+    {
+      method: "delete",
+      path,
+      id: `delete${what}`,
+      summary: "Remove a section on the version that If-Match names",
+      access: "owner",
+      handle: (deps, call) => writeSection(deps, call, undefined),
+    },
+  ];
+}
+
+async function getSection(
+  { store }: RouteDeps,
+  { req }: Call,
+): Promise<Result<Reply, Failure>> {
+  const name = nameOf(req);
+  if (name.isErr()) return err(name.error);
+  const manifest = await store.manifest();
+  if (manifest.isErr()) return err(manifest.error);
+  const entry = manifest.value.value.sections[name.value];
+  if (entry === undefined) return fail("not_found", `no section ${name.value}`);
+  const content = await store.content(entry.sha256);
+  return content.map((body) => ({ etag: etagOf(entry.version), body }));
+}
+
+/** A body that was not read would stand for a removal, so it is refused. */
+function putSection(
+  deps: RouteDeps,
+  call: Call,
+): Promise<Result<Reply, Failure>> {
+  const value = call.req.body as unknown;
+  if (value !== undefined) return writeSection(deps, call, value);
+  const message = "send the section as application/json";
+  return Promise.resolve(fail("bad_request", message));
+}
+
+async function writeSection(
+  deps: RouteDeps,
+  { req, role }: Call,
+  value: unknown,
+): Promise<Result<Reply, Failure>> {
+  const name = nameOf(req);
+  if (name.isErr()) return err(name.error);
+  const allowed = mayEdit(deps.document(), role, name.value);
+  if (allowed.isErr()) return err(allowed.error);
+  const version = expectedVersion(req);
+  if (version.isErr()) return err(version.error);
+  const done = await deps.store.apply({
+    author: role.name,
+    sections: new Map([[name.value, value]]),
+    expect: new Map([[name.value, version.value]]),
+  });
+  return done.map((accepted) => replyTo(accepted, name.value));
+}
+
+async function changeDrain(
+  deps: RouteDeps,
+  { req, role }: Call,
+  change: typeof addDrain,
+): Promise<Result<Reply, Failure>> {
+  const { kind, id } = req.params;
+  const drain = DrainEntry.safeParse({ kind, id }, { reportInput: true });
+  if (!drain.success) return err(fromZod("bad_request", drain.error));
+  const name = SectionName.safeParse(req.query["section"] ?? DRAINS);
+  if (!name.success) return err(fromZod("bad_request", name.error));
+  const allowed = mayEdit(deps.document(), role, name.data);
+  if (allowed.isErr()) return err(allowed.error);
+  const done = await editSection(
+    deps.store,
+    role.name,
+    (now) => change(now, drain.data, name.data),
+  );
+  return done.map((accepted) => replyTo(accepted, name.data));
+}
+
+function replyTo(accepted: AcceptedDocument, name: SectionName): Reply {
+  const { generation, sections } = accepted.manifest;
+  const version = sections[name]?.version;
+  return {
+    body: { generation, version },
+    ...(version === undefined ? {} : { etag: etagOf(version) }),
+  };
+}
+
+function nameOf(req: Request): Result<SectionName, Failure> {
+  const { kind, part } = req.params;
+  const name = part === undefined ? kind : `${kind}/${part}`;
+  const parsed = SectionName.safeParse(name, { reportInput: true });
+  if (parsed.success) return ok(parsed.data);
+  return err(fromZod("bad_request", parsed.error));
+}
+
+/**
+ * The version an edit was made on. An edit without one could undo a change
+ * that its author never saw, so it is refused.
+ */
+function expectedVersion(req: Request): Result<number, Failure> {
+  if (req.headers["if-none-match"] === "*") return ok(0);
+  const tag = /^"(\d{1,15})"$/.exec(req.headers["if-match"] ?? "")?.[1];
+  if (tag !== undefined) return ok(Number(tag));
+  return fail(
+    "precondition_required",
+    'send If-Match: "VERSION" with the version that was read, or If-None-Match: * for a new section',
+  );
+}
--- /dev/null
+++ b/src/admin/status.ts
@@ -0,0 +1,22 @@
+/**
+ * What an instance says of itself.
+ *
+ * @module
+ */
+import type { Failure } from "../core/mod.ts";
+import type { HeldSeat } from "../membership/mod.ts";
+
+/** What an instance says of itself. */
+export interface InstanceStatus {
+  readonly instance: string;
+  readonly zone: string;
+  readonly generation: number;
+  /** What of the newest document is not in force, and why. */
+  readonly rejected: readonly Failure[];
+  /** How long there has been no contact with the platform; null if never. */
+  readonly contact_age_ms: number | null;
+  readonly seats: readonly HeldSeat[];
+  readonly running: number;
+  readonly leaving: boolean;
+  readonly members: readonly string[];
+}
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -15,6 +15,7 @@
   | "bad_document"
   | "bad_request"
   | "conflict"
+  | "precondition_required"
   | "not_found"
   | "forbidden"
   | "unauthenticated"
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,6 +13,7 @@
 import {
   type AcceptedDocument,
   ContentStore,
+  DocumentStore,
   emptyDocument,
   type SteeringDocument,
   zonesOf,
@@ -309,7 +310,7 @@
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
       cfg.admin,
-      adminApp({ ready: () => this.ready, status: () => this.status() }),
+      this.#adminApp(),
     );
     if (admin.isErr()) return err(admin.error);
     this.#listeners = {
@@ -320,6 +321,18 @@
     return ok(undefined);
   }
 
+  #adminApp(): RequestListener {
+    const { cfg, platform, clock, random } = this.#deps;
+    return adminApp({
+      ready: () => this.ready,
+      status: () => this.status(),
+      document: () => this.#document,
+      store: new DocumentStore({ platform, clock, random }),
+      platform,
+      bootstrapSha256: cfg.admin.bootstrap_token_sha256,
+    });
+  }
+
   #makeFollower(): DocumentFollower {
     const { cfg, clock, log, platform, random, transport } = this.#deps;
     const contents = new ContentStore(platform);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -36,7 +36,17 @@
   /** Listener for other instances. */
   peer: ListenAddress.prefault({}),
   /** Listener for the administration API. */
-  admin: ListenAddress.prefault({}),
+  admin: strict({
+    ...ListenAddress.shape,
+    /**
+     * SHA-256 of a token that may edit every section while the document names
+     * no role, so that an empty document can be begun through the API.
+     */
+    bootstrap_token_sha256: z.string().regex(
+      /^[0-9a-f]{64}$/,
+      "must be a SHA-256 digest in lower-case hexadecimal",
+    ).optional(),
+  }).prefault({}),
   platform: strict({
     url: z.url({ protocol: /^https?$/ }),
     timeout_ms: z.number().int().min(10).max(60_000).default(2_000),
