Find a client's site in packed tables that change in small steps

A caller that asks which instance to use is known by its address; at 1.2 million blocks a plain map of prefixes holds 126 MB and tries nine lengths a look-up. Blocks now stand in typed arrays, flattened into ranges over 4,096 parts of the address space, and a change rebuilds only the parts in which the two versions of a section differ.

--- /dev/null
+++ b/src/decisions/clients/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Which site a client belongs to.
+ *
+ * @module
+ */
+export * from "./cidr.ts";
+export * from "./client_map.ts";
+export * from "./packed_blocks.ts";
+export * from "./range_table.ts";
