--- a/src/endpoints/http_endpoint_client.ts
+++ b/src/endpoints/http_endpoint_client.ts
@@ -10,7 +10,7 @@
 import { ok, type Result } from "neverthrow";
 import { Agent, errors, request } from "undici";
 import { z } from "zod";
-import { fail, type Failure } from "../core/mod.ts";
+import { Deadline, fail, type Failure } from "../core/mod.ts";
 import type {
   EndpointAnswer,
   EndpointClient,
@@ -20,6 +20,7 @@
 } from "./endpoint_client.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const SERVICE_UNAVAILABLE = 503;
 const KEEP_ALIVE_MS = 10_000;
 const MAX_CONNECTIONS_PER_ENDPOINT = 128;
 
@@ -46,7 +47,7 @@
   });
 
   async send(req: EndpointRequest): Promise<Result<EndpointAnswer, Failure>> {
-    const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(req.timeoutMs)));
+    const timeout = new Deadline(req.timeoutMs, req.signal);
     try {
       const res = await request(req.url + req.path, {
         method: req.method,
@@ -57,7 +58,7 @@
         },
         body: req.body ?? null,
         dispatcher: this.#agent,
-        signal: AbortSignal.any([req.signal, timeout]),
+        signal: timeout.signal,
       });
       const headers = flatten(res.headers);
       if (headers["x-not-run"] === "true") {
@@ -81,6 +82,10 @@
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(timeoutMs),
       });
+      if (res.statusCode === SERVICE_UNAVAILABLE) {
+        await res.body.dump();
+        return ok({ ready: false, inFlight: undefined });
+      }
       const report = Report.safeParse(await res.body.json());
       if (!report.success) {
         return fail("endpoint_failed", "broken health report");
@@ -105,14 +110,14 @@
 function reason(
   cause: unknown,
   caller: AbortSignal,
-  timeout: AbortSignal,
+  timeout: Deadline,
 ): Reason {
   if (neverConnected(cause)) {
     return ["endpoint_failed", "no connection", { outcome: "not-run" }];
   }
   const unknown = { outcome: "unknown" } as const;
   if (caller.aborted) return ["cancelled", "the caller went away", unknown];
-  if (timeout.aborted) {
+  if (timeout.expired) {
     return ["deadline_exceeded", "the endpoint took too long", unknown];
   }
   return ["endpoint_failed", `the endpoint failed: ${String(cause)}`, unknown];
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -8,27 +8,31 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { FixedSplitLimiter } from "../decisions/limits/mod.ts";
 import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
-import { EvenSlotLimits, FairDispatcher } from "../decisions/steering/mod.ts";
+import {
+  connectionPart,
+  FairDispatcher,
+  ProbeSchedule,
+} from "../decisions/steering/mod.ts";
 import {
   type AcceptedDocument,
   DocumentStore,
   emptyDocument,
   type SteeringDocument,
 } from "../document/mod.ts";
-import type { EndpointClient } from "../endpoints/mod.ts";
+import { type EndpointClient, Prober } from "../endpoints/mod.ts";
 import {
   callerApp,
   KeyRing,
   type LookupAnswer,
+  OperationDispatch,
   RequestPath,
 } from "../gateway/mod.ts";
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { RankedSeats, Roster, type SeatDirectory } from "../membership/mod.ts";
-import { LocalOperations } from "../operations/mod.ts";
+import { LeasedSeats, Roster } from "../membership/mod.ts";
+import { HomeOperations } from "../operations/mod.ts";
 import {
   PeerExchange,
   peerListener,
@@ -37,7 +41,9 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
+import { FleetBudgets } from "./fleet_budgets.ts";
 import { Listener } from "./listener.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -84,11 +90,13 @@
   readonly #deps: InstanceDeps;
   readonly #incarnation: string;
   readonly #keys = new KeyRing();
-  readonly #limiter = new FixedSplitLimiter();
+  readonly #budgets: FleetBudgets;
   readonly #dispatcher: FairDispatcher;
+  readonly #prober: Prober;
   readonly #roster: Roster;
-  readonly #seats: SeatDirectory;
+  readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
+  readonly #operations: HomeOperations;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -102,17 +110,21 @@
     this.#deps = deps;
     this.#incarnation = random.hex(INCARNATION_BYTES);
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new RankedSeats({
+    this.#seats = new LeasedSeats({
+      ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
-      roster: this.#roster,
+      incarnation: this.#incarnation,
+      log: log.child("seats"),
       document: () => this.#document,
     });
+    this.#budgets = this.#makeBudgets();
     this.#dispatcher = new FairDispatcher({
       ...deps,
       zone: cfg.instance.zone,
-      limits: new EvenSlotLimits(this.#seats),
+      limits: this.#budgets.slotLimits,
     });
+    this.#prober = this.#makeProber();
     this.#exchange = new PeerExchange({
       transport: deps.transport,
       log: log.child("peers"),
@@ -120,13 +132,40 @@
       peers: () => this.#roster.members(),
     });
     this.#exchange.register(this.#roster);
+    this.#exchange.register(this.#seats);
+    this.#exchange.register(this.#budgets);
+    const document = () => this.#document;
+    this.#operations = new HomeOperations({
+      ...deps,
+      log: log.child("operations"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      seats: this.#seats,
+      runner: new OperationDispatch({
+        ...deps,
+        dispatcher: this.#dispatcher,
+        document,
+      }),
+    });
+    this.#exchange.register(this.#operations);
+    this.#exchange.register(
+      new LoadExchange({
+        zone: cfg.instance.zone,
+        prober: this.#prober,
+        zoneOf: (id) =>
+          this.#roster.members().find((m) => m.instance === id)?.zone,
+      }),
+    );
     this.#path = new RequestPath({
       ...deps,
       keys: this.#keys,
-      limiter: this.#limiter,
+      limiter: this.#budgets.limiter,
       dispatcher: this.#dispatcher,
-      operations: new LocalOperations(),
-      document: () => this.#document,
+      operations: this.#operations,
+      document,
     });
     this.#follower = new DocumentFollower({
       platform,
@@ -136,11 +175,18 @@
       onDocument: (accepted) => this.#adopt(accepted),
     });
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
+    this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
+    this.#ticks.add({
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
     this.#ticks.add({
       name: "dispatcher",
       run: (now) => this.#dispatcher.tick(now),
     });
+    this.#ticks.add({ name: "probes", run: (now) => this.#prober.tick(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -190,10 +236,13 @@
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
+    this.#seats.leave();
     await this.events.emit("leaving");
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#seats.handOver();
+    await this.#exchange.flush();
     await this.close();
   }
 
@@ -201,6 +250,7 @@
   async close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
+    this.#budgets.close();
     const { caller, peer, admin } = this.#listeners ?? {};
     await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
     await this.#deps.transport.close();
@@ -222,7 +272,10 @@
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
       cfg.peer,
-      peerListener((batch) => this.#exchange.answer(batch)),
+      peerListener((batch) => this.#exchange.answer(batch), {
+        ledger: this.#operations,
+        borrow: (call) => this.#budgets.answer(call),
+      }),
     );
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
@@ -238,11 +291,47 @@
     return ok(undefined);
   }
 
+  #makeBudgets(): FleetBudgets {
+    const { clock, cfg, transport } = this.#deps;
+    const { id, zone, region } = cfg.instance;
+    const incarnation = this.#incarnation;
+    return new FleetBudgets({
+      self: { instance: id, incarnation, zone, region },
+      clock,
+      seats: this.#seats,
+      transport,
+      peers: () => this.#roster.live(),
+      inFlight: (endpoint) => this.#dispatcher.inFlight(endpoint),
+    });
+  }
+
+  #makeProber(): Prober {
+    const { cfg, clock, metrics, random, endpoints } = this.#deps;
+    const { id, zone } = cfg.instance;
+    return new Prober({
+      clock,
+      metrics,
+      client: endpoints,
+      schedule: new ProbeSchedule(id, random),
+      targets: () =>
+        this.#dispatcher.rows().map((row) => ({
+          id: row.id,
+          url: row.entry.url,
+          connectionFree:
+            row.inFlight < connectionPart(row.entry, row.slotLimit),
+        })),
+      zoneMates: () =>
+        this.#roster.live().filter((m) => m.zone === zone)
+          .map((m) => m.instance),
+      onHint: (endpoint, hint) => this.#dispatcher.hint(endpoint, hint),
+    });
+  }
+
   #adopt(accepted: AcceptedDocument): void {
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
-    this.#limiter.adopt(accepted.document, now);
+    this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#dispatcher.adopt(accepted.document, now);
     void this.events.emit("document", accepted);
   }
@@ -255,12 +344,10 @@
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
-    ).map(({ instance, url, zone, region }) => ({
-      instance,
-      url,
-      zone,
-      region,
-    }));
+    ).map(({ instance, url, zone, region }) => {
+      const home = this.#operations.homeOf(instance);
+      return { instance, url, zone, region, ...(home ? { home } : {}) };
+    });
     return { reuse_ms: LOOKUP_REUSE_MS, instances };
   }
 
