--- a/src/gateway/operation_dispatch.ts
+++ b/src/gateway/operation_dispatch.ts
@@ -20,7 +20,7 @@
   WorkResult,
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
-import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
+import type { EndpointAnswer } from "../endpoints/mod.ts";
 import type {
   OperationRequest,
   OperationRunner,
@@ -29,12 +29,13 @@
 } from "../operations/mod.ts";
 import { toCaller } from "./headers.ts";
 import { policyFor } from "./routes.ts";
+import type { SlotSender } from "./slot_sender.ts";
 
 /** What dispatching needs. */
 export interface OperationDispatchDeps {
   readonly clock: Clock;
   readonly dispatcher: Dispatcher;
-  readonly endpoints: EndpointClient;
+  readonly sender: SlotSender;
   readonly document: () => SteeringDocument;
 }
 
@@ -117,8 +118,9 @@
     slot: Slot,
     timeoutMs: number,
   ): Promise<RunResult> {
-    const answer = await this.#deps.endpoints.send({
-      url: slot.url,
+    const answer = await this.#deps.sender.send(slot, {
+      service: req.service,
+      idempotent: false,
       method: req.method,
       path: req.path,
       headers: req.headers,
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { pipeline } from "node:stream/promises";
 import type { Request, Response } from "express";
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -23,13 +22,15 @@
   WorkResult,
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
-import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
+import type { EndpointAnswer } from "../endpoints/mod.ts";
 import type { Operations } from "../operations/mod.ts";
-import { TIMEOUT_HEADER, toCaller, toEndpoint } from "./headers.ts";
+import { TIMEOUT_HEADER, toEndpoint } from "./headers.ts";
 import type { KeyRing } from "./key_ring.ts";
 import { readOperation } from "./operation_request.ts";
 import { refuse } from "./refusal.ts";
+import { relay } from "./relay.ts";
 import { policyFor } from "./routes.ts";
+import type { SlotSender } from "./slot_sender.ts";
 
 /** What a request path needs. */
 export interface RequestPathDeps {
@@ -40,7 +41,7 @@
   readonly limiter: RateLimiter;
   readonly dispatcher: Dispatcher;
   readonly operations: Operations;
-  readonly endpoints: EndpointClient;
+  readonly sender: SlotSender;
   readonly document: () => SteeringDocument;
 }
 
@@ -160,7 +161,9 @@
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
         const { signal } = admitted;
-        return await this.#relay(answer.value, slot.value, { res, signal });
+        const { clock } = this.#deps;
+        await relay(answer.value, slot.value, { res, signal, clock });
+        return ok(undefined);
       }
       last = err(answer.error);
       if (!mayRetry(admitted.req, answer.error)) return last;
@@ -168,24 +171,6 @@
     return last;
   }
 
-  async #relay(
-    answer: EndpointAnswer,
-    slot: Slot,
-    { res, signal }: { res: Response; signal: AbortSignal },
-  ): Promise<Result<void, Failure>> {
-    res.writeHead(answer.status, { ...toCaller(answer.headers) });
-    let result: WorkResult = "ok";
-    try {
-      await pipeline(answer.body, res);
-    } catch {
-      result = signal.aborted || res.closed ? "cancelled" : "failed";
-      res.destroy();
-    } finally {
-      slot.release(result, this.#deps.clock.now());
-    }
-    return ok(undefined);
-  }
-
   /** Not idempotent: runs under an operation id, at most once. */
   async #runOnce(
     admitted: Admitted,
@@ -215,25 +200,24 @@
     slot: Slot,
     body: Request,
   ): Promise<Result<EndpointAnswer, Failure>> {
-    const { req } = admitted;
-    const answer = await this.#deps.endpoints.send({
-      url: slot.url,
+    const { req, deadline, ...rest } = admitted;
+    const { clock, sender } = this.#deps;
+    const answer = await sender.send(slot, {
+      ...rest,
       method: req.method,
-      path: admitted.path,
       headers: toEndpoint(req.headers),
       body: hasBody(req) ? body : undefined,
-      account: admitted.account,
-      timeoutMs: admitted.deadline - this.#deps.clock.now(),
-      signal: admitted.signal,
+      timeoutMs: deadline - clock.now(),
     });
-    const now = this.#deps.clock.now();
+    const now = clock.now();
     if (answer.isErr()) slot.release(workResult(answer.error), now);
     else slot.answered(now);
     return answer;
   }
 }
 
-function workResult(failure: Failure): WorkResult {
+/** What a failed try says of the slot it used. */
+export function workResult(failure: Failure): WorkResult {
   if (failure.code === "cancelled") return "cancelled";
   if (failure.code === "deadline_exceeded") return "timeout";
   return failure.outcome === "not-run" ? "shed" : "failed";
@@ -244,7 +228,8 @@
   return failure.code === "endpoint_failed";
 }
 
-function hasBody(req: Request): boolean {
+/** Whether a request announces a body. */
+export function hasBody(req: Request): boolean {
   return req.headers["transfer-encoding"] !== undefined ||
     Number(req.headers["content-length"] ?? 0) > 0;
 }
