Tell other zones every fifth tick and list zones once a document

Idle instances of a fleet of twelve used 32% of a core each. A processor profile of one showed peer exchanges (110 sent and 110 answered a second, about half a millisecond each end) and, behind the look at seats, the list of zones, which was built anew from the document at every lease check. Ruled out: the store (a few calls a second) and the document.

Batches now go to zone-mates every tick and to other zones every fifth, and the list of zones is worked out once a document.

The rest is the cost of unary calls, of which a profile shows abort signals and headers as the larger part; a kept stream a peer is the next thing to try.

--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -220,8 +220,25 @@
   readonly instances: number;
 }
 
-/** Every availability zone of a document, in the document's order. */
-export function zonesOf(document: SteeringDocument): ZoneEntry[] {
+/** Zones by the regions they were read from; a document never changes. */
+const zonesByRegions = new WeakMap<
+  SteeringDocument["regions"],
+  readonly ZoneEntry[]
+>();
+
+/**
+ * Every availability zone of a document, in the document's order. Leases ask
+ * for it at every spending, so it is worked out once a document.
+ */
+export function zonesOf(document: SteeringDocument): readonly ZoneEntry[] {
+  const known = zonesByRegions.get(document.regions);
+  if (known !== undefined) return known;
+  const zones = listZones(document);
+  zonesByRegions.set(document.regions, zones);
+  return zones;
+}
+
+function listZones(document: SteeringDocument): ZoneEntry[] {
   return Object.entries(document.regions).flatMap(([region, entry]) =>
     Object.entries(entry.zones).map(([zone, { instances }]) => ({
       zone: zone as ZoneId,
--- a/src/peers/peer_exchange.ts
+++ b/src/peers/peer_exchange.ts
@@ -24,9 +24,21 @@
 /** Somebody to exchange batches with. */
 export interface ExchangePeer {
   readonly instance: string;
+  readonly zone: string;
   readonly peerUrl: string;
 }
 
+/**
+ * Ticks between two batches to an instance of another availability zone.
+ *
+ * A batch costs each end close to half a millisecond of processor time, so
+ * batches to everybody every tick would grow with the fleet until instances do
+ * little else; one would see their processors busy without any request. What
+ * has to be quick (leases of seats, slots) stays within a zone, whose instances
+ * are told every tick.
+ */
+const FAR_TICKS = 5;
+
 /** What an exchange needs. */
 export interface PeerExchangeDeps {
   readonly transport: PeerTransport;
@@ -34,6 +46,7 @@
   readonly log: Log;
   /** This instance as it now is. */
   readonly self: () => Sender;
+  /** Peers of this instance's own zone are told every tick. */
   readonly peers: () => readonly ExchangePeer[];
 }
 
@@ -42,6 +55,9 @@
   readonly #deps: PeerExchangeDeps;
   readonly #subsystems: PeerSubsystem[] = [];
   readonly #busy = new Set<string>();
+  /** Ticks at which peers of other zones were told; forgotten with the peer. */
+  #toldAt = new Map<string, number>();
+  #tick = 0;
 
   constructor(deps: PeerExchangeDeps) {
     this.#deps = deps;
@@ -54,8 +70,14 @@
 
   /** Starts this tick's exchanges; a peer that still owes an answer is left out. */
   run(): void {
-    for (const peer of this.#deps.peers()) {
-      if (!this.#busy.has(peer.peerUrl)) void this.#exchange(peer);
+    this.#tick += 1;
+    const { zone } = this.#deps.self();
+    const peers = this.#deps.peers();
+    this.#forgetAllBut(peers);
+    for (const peer of peers) {
+      if (!this.#busy.has(peer.peerUrl) && this.#due(peer, zone)) {
+        void this.#exchange(peer);
+      }
     }
   }
 
@@ -71,8 +93,22 @@
     return this.#batchFor(batch.sender?.instance ?? "");
   }
 
+  #forgetAllBut(peers: readonly ExchangePeer[]): void {
+    if (this.#toldAt.size <= peers.length) return;
+    const urls = new Set(peers.map((p) => p.peerUrl));
+    const kept = [...this.#toldAt].filter(([url]) => urls.has(url));
+    this.#toldAt = new Map(kept);
+  }
+
+  #due(peer: ExchangePeer, zone: string): boolean {
+    if (peer.zone === zone) return true;
+    const told = this.#toldAt.get(peer.peerUrl);
+    return told === undefined || this.#tick - told >= FAR_TICKS;
+  }
+
   async #exchange(peer: ExchangePeer): Promise<void> {
     this.#busy.add(peer.peerUrl);
+    this.#toldAt.set(peer.peerUrl, this.#tick);
     const askedAt = this.#deps.clock.now();
     const batch = this.#batchFor(peer.instance);
     const answer = await this.#deps.transport.exchange(peer.peerUrl, batch);
