--- a/src/decisions/budgets/rate_budgets.ts
+++ b/src/decisions/budgets/rate_budgets.ts
@@ -43,6 +43,12 @@
   readonly peerDemand: Map<string, { demand: number; at: number }>;
 }
 
+/** An instance's part of an account's rate. */
+export interface Spendable {
+  readonly fraction: number;
+  readonly tokens: number;
+}
+
 /** What a table of rates needs. */
 export interface RateBudgetsDeps {
   readonly self: BudgetPeer & Party;
@@ -191,12 +197,12 @@
     return sum;
   }
 
-  /** Sums of what this instance may spend, for checks and for metrics. */
-  usable(account: AccountId, now: number): number {
+  /** What may be spent here of an account's rate, and its tokens at hand. */
+  spendable(account: AccountId, now: number): Spendable {
     const row = this.#rows.get(account);
-    if (row === undefined) return 0;
+    if (row === undefined) return { fraction: 0, tokens: 0 };
     this.#refresh(row, now);
-    return row.share.usable;
+    return { fraction: row.share.usable, tokens: row.share.tokens(now) };
   }
 
   #ownAt(now: number): Entitlement {
@@ -287,14 +293,19 @@
     return [this.#grant(row, loan, { tokens: 0, leaseMs })];
   }
 
-  /** A lender that is short itself lets loans end, no more than it lacks. */
+  /**
+   * A lender that is short itself lets loans end, no more than it lacks. One
+   * whose own part has fallen below what it lent lets them all end: prolonged,
+   * they would be spent beside the part of whoever has its seat now.
+   */
   #reclaims(row: RateRow, loan: LentLoan, now: number): boolean {
     const { share } = row;
     const short = needOf(share, { waiting: row.waiting, now }) - share.usable;
     const coming = share.book.lentLoans(now)
       .filter((l) => l.reclaimed)
       .reduce((sum, l) => sum + l.amount, 0);
-    if (short - coming > ROUNDING) loan.reclaimed = true;
+    const overLent = share.overLent(now);
+    if (overLent || short - coming > ROUNDING) loan.reclaimed = true;
     return loan.reclaimed;
   }
 
--- a/src/decisions/budgets/rate_share.ts
+++ b/src/decisions/budgets/rate_share.ts
@@ -45,6 +45,11 @@
     return Math.max(0, this.#own.amount - this.book.lentTotal(now));
   }
 
+  /** Whether more is lent than now falls to this instance's seats. */
+  overLent(now: number): boolean {
+    return this.book.lentTotal(now) > this.#own.amount + ROUNDING;
+  }
+
   /** When the instance's own part ends unless its seats are renewed. */
   get ownUntil(): number {
     return this.#own.until;
--- a/src/instance/fleet_budgets.ts
+++ b/src/instance/fleet_budgets.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock, EndpointId } from "../core/mod.ts";
+import type { AccountId, Clock, EndpointId } from "../core/mod.ts";
 import {
   BudgetExchange,
   type BudgetPeer,
@@ -12,6 +12,7 @@
   RateBudgets,
   SeatShares,
   SlotBudgets,
+  type Spendable,
 } from "../decisions/budgets/mod.ts";
 import {
   BorrowRounds,
@@ -134,6 +135,11 @@
     });
   }
 
+  /** What may be spent here of an account's rate, and its tokens at hand. */
+  spendable(account: AccountId, now: number): Spendable {
+    return this.#rates.spendable(account, now);
+  }
+
   /** Refuses whatever waits. */
   close(): void {
     this.limiter.close();
