--- a/src/gateway/operation_dispatch.ts
+++ b/src/gateway/operation_dispatch.ts
@@ -13,14 +13,16 @@
   type EndpointId,
   fail,
   type Failure,
+  sleep,
 } from "../core/mod.ts";
+import type { RetryPolicy } from "../decisions/retries/mod.ts";
 import type {
   Dispatcher,
   Slot,
   WorkResult,
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
-import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
+import type { EndpointAnswer } from "../endpoints/mod.ts";
 import type {
   OperationRequest,
   OperationRunner,
@@ -28,17 +30,18 @@
   RunResult,
 } from "../operations/mod.ts";
 import { toCaller } from "./headers.ts";
-import { policyFor } from "./routes.ts";
+import { policyFor, type RoutePolicy } from "./routes.ts";
+import type { SlotSender } from "./slot_sender.ts";
 
 /** What dispatching needs. */
 export interface OperationDispatchDeps {
   readonly clock: Clock;
   readonly dispatcher: Dispatcher;
-  readonly endpoints: EndpointClient;
+  readonly sender: SlotSender;
+  readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
 }
 
-const MAX_TRIES = 3;
 const DEFAULT_LIMIT_MS = 5_000;
 /** Fits a message between instances; a larger answer cannot be handed on. */
 const MAX_ANSWER_BYTES = 3_000_000;
@@ -54,9 +57,7 @@
   }
 
   limitMs(req: OperationRequest): number {
-    const service = this.#deps.document().services[req.service];
-    if (service === undefined) return DEFAULT_LIMIT_MS;
-    return policyFor(service, req.method, req.path).deadlineMs;
+    return this.#policy(req)?.deadlineMs ?? DEFAULT_LIMIT_MS;
   }
 
   /** Tries another endpoint only where the last surely did not run it. */
@@ -68,28 +69,46 @@
     let last: RunResult = fail("no_capacity", "no try was made", {
       outcome: "not-run",
     });
-    for (let i = 0; i < MAX_TRIES; i++) {
+    const { clock, retries } = this.#deps;
+    retries.request(req.service, startedAt);
+    for (;;) {
       const slot = await this.#acquire(req, { exclude: tried, waitUntil });
-      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      if (slot.isErr()) return tried.size === 0 ? err(slot.error) : last;
       tried.add(slot.value.endpoint);
       last = await this.#try(req, slot.value, until);
       if (last.isOk() || last.error.outcome !== "not-run") return last;
+      const waitMs = retries.next({
+        service: req.service,
+        tries: tried.size,
+        failure: last.error,
+        idempotent: false,
+        replayable: true,
+        deadline: waitUntil,
+      }, clock.now());
+      if (waitMs === undefined) return last;
+      await sleep(clock, waitMs);
     }
-    return last;
+  }
+
+  /** Undefined where the document does not know the service any more. */
+  #policy(req: OperationRequest): RoutePolicy | undefined {
+    const service = this.#deps.document().services[req.service];
+    return service && policyFor(service, req.method, req.path);
   }
 
   #acquire(
-    { service, account }: OperationRequest,
+    req: OperationRequest,
     { exclude, waitUntil }: {
       exclude: ReadonlySet<EndpointId>;
       waitUntil: number;
     },
   ): Promise<Result<Slot, Failure>> {
     return this.#deps.dispatcher.acquire({
-      service,
-      account,
+      service: req.service,
+      account: req.account,
       idempotent: false,
       deadline: waitUntil,
+      work: this.#policy(req)?.work ?? "",
       exclude,
     });
   }
@@ -117,8 +136,9 @@
     slot: Slot,
     timeoutMs: number,
   ): Promise<RunResult> {
-    const answer = await this.#deps.endpoints.send({
-      url: slot.url,
+    const answer = await this.#deps.sender.send(slot, {
+      service: req.service,
+      idempotent: false,
       method: req.method,
       path: req.path,
       headers: req.headers,
@@ -128,12 +148,14 @@
       signal: new AbortController().signal,
     });
     if (answer.isErr()) return err(answer.error);
+    slot.answered(this.#deps.clock.now());
     return await readAnswer(answer.value, req.method);
   }
 }
 
 function workResult(result: RunResult): WorkResult {
   if (result.isOk()) return "ok";
+  if (result.error.code === "deadline_exceeded") return "timeout";
   return result.error.outcome === "not-run" ? "shed" : "failed";
 }
 
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { pipeline } from "node:stream/promises";
 import type { Request, Response } from "express";
 import { err, ok, type Result } from "neverthrow";
 import {
@@ -15,21 +14,25 @@
   type Metrics,
   type Random,
   type ServiceId,
+  sleep,
 } from "../core/mod.ts";
 import type { RateLimiter } from "../decisions/limits/mod.ts";
+import type { RetryPolicy } from "../decisions/retries/mod.ts";
 import type {
   Dispatcher,
   Slot,
   WorkResult,
 } from "../decisions/steering/mod.ts";
 import type { SteeringDocument } from "../document/mod.ts";
-import type { EndpointAnswer, EndpointClient } from "../endpoints/mod.ts";
+import type { EndpointAnswer } from "../endpoints/mod.ts";
 import type { Operations } from "../operations/mod.ts";
-import { TIMEOUT_HEADER, toCaller, toEndpoint } from "./headers.ts";
+import { TIMEOUT_HEADER, toEndpoint } from "./headers.ts";
 import type { KeyRing } from "./key_ring.ts";
 import { readOperation } from "./operation_request.ts";
 import { refuse } from "./refusal.ts";
+import { relay } from "./relay.ts";
 import { policyFor } from "./routes.ts";
+import type { SlotSender } from "./slot_sender.ts";
 
 /** What a request path needs. */
 export interface RequestPathDeps {
@@ -40,7 +43,8 @@
   readonly limiter: RateLimiter;
   readonly dispatcher: Dispatcher;
   readonly operations: Operations;
-  readonly endpoints: EndpointClient;
+  readonly sender: SlotSender;
+  readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
 }
 
@@ -56,8 +60,6 @@
   readonly signal: AbortSignal;
 }
 
-const MAX_TRIES = 3;
-
 /** Takes requests of callers to endpoints and brings the answers back. */
 export class RequestPath {
   readonly #deps: RequestPathDeps;
@@ -150,40 +152,29 @@
     res: Response,
   ): Promise<Result<void, Failure>> {
     const tried = new Set<EndpointId>();
-    let last: Result<void, Failure> = fail("no_capacity", "no try was made", {
-      outcome: "not-run",
-    });
-    for (let i = 0; i < MAX_TRIES; i++) {
+    const { clock, retries } = this.#deps;
+    retries.request(admitted.service, clock.now());
+    let last: Failure | undefined;
+    for (;;) {
       const slot = await this.#acquire(admitted, tried);
-      if (slot.isErr()) return i === 0 ? err(slot.error) : last;
+      if (slot.isErr()) return err(last ?? slot.error);
       tried.add(slot.value.endpoint);
       const answer = await this.#send(admitted, slot.value, admitted.req);
       if (answer.isOk()) {
         const { signal } = admitted;
-        return await this.#relay(answer.value, slot.value, { res, signal });
+        await relay(answer.value, slot.value, { res, signal, clock });
+        return ok(undefined);
       }
-      last = err(answer.error);
-      if (!mayRetry(admitted.req, answer.error)) return last;
-    }
-    return last;
-  }
-
-  async #relay(
-    answer: EndpointAnswer,
-    slot: Slot,
-    { res, signal }: { res: Response; signal: AbortSignal },
-  ): Promise<Result<void, Failure>> {
-    res.writeHead(answer.status, { ...toCaller(answer.headers) });
-    let result: WorkResult = "ok";
-    try {
-      await pipeline(answer.body, res);
-    } catch {
-      result = signal.aborted || res.closed ? "cancelled" : "failed";
-      res.destroy();
-    } finally {
-      slot.release(result, this.#deps.clock.now());
+      last = worse(last, answer.error);
+      const waitMs = retries.next({
+        ...admitted,
+        tries: tried.size,
+        failure: answer.error,
+        replayable: !hasBody(admitted.req),
+      }, clock.now());
+      if (waitMs === undefined) return err(last);
+      await sleep(clock, waitMs);
     }
-    return ok(undefined);
   }
 
   /** Not idempotent: runs under an operation id, at most once. */
@@ -215,36 +206,40 @@
     slot: Slot,
     body: Request,
   ): Promise<Result<EndpointAnswer, Failure>> {
-    const { req } = admitted;
-    const answer = await this.#deps.endpoints.send({
-      url: slot.url,
+    const { req, deadline, ...rest } = admitted;
+    const { clock, sender } = this.#deps;
+    const answer = await sender.send(slot, {
+      ...rest,
       method: req.method,
-      path: admitted.path,
       headers: toEndpoint(req.headers),
       body: hasBody(req) ? body : undefined,
-      account: admitted.account,
-      timeoutMs: admitted.deadline - this.#deps.clock.now(),
-      signal: admitted.signal,
+      timeoutMs: deadline - clock.now(),
     });
-    const now = this.#deps.clock.now();
+    const now = clock.now();
     if (answer.isErr()) slot.release(workResult(answer.error), now);
     else slot.answered(now);
     return answer;
   }
 }
 
-function workResult(failure: Failure): WorkResult {
+/** What a failed try says of the slot it used. */
+export function workResult(failure: Failure): WorkResult {
   if (failure.code === "cancelled") return "cancelled";
   if (failure.code === "deadline_exceeded") return "timeout";
   return failure.outcome === "not-run" ? "shed" : "failed";
 }
 
-function mayRetry(req: Request, failure: Failure): boolean {
-  if (hasBody(req)) return false;
-  return failure.code === "endpoint_failed";
+/**
+ * What to tell of several failed tries: the last one, but that it did not run
+ * is true only if none of them may have run.
+ */
+export function worse(before: Failure | undefined, last: Failure): Failure {
+  if (before === undefined || before.outcome === "not-run") return last;
+  return { ...last, outcome: "unknown" };
 }
 
-function hasBody(req: Request): boolean {
+/** Whether a request announces a body. */
+export function hasBody(req: Request): boolean {
   return req.headers["transfer-encoding"] !== undefined ||
     Number(req.headers["content-length"] ?? 0) > 0;
 }
