--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -15,6 +15,7 @@
   ContentStore,
   emptyDocument,
   type SteeringDocument,
+  zonesOf,
 } from "../document/mod.ts";
 import type { EndpointClient } from "../endpoints/mod.ts";
 import {
@@ -143,7 +144,7 @@
     this.#exchange.register(this.#budgets);
     this.#exchange.register(this.#steering.exchange);
     const document = () => this.#document;
-    const { dispatcher, links } = this.#steering;
+    const { dispatcher, links, retries } = this.#steering;
     const sender = new SlotSender({
       ...deps,
       links,
@@ -158,7 +159,13 @@
         incarnation: this.#incarnation,
       },
       seats: this.#seats,
-      runner: new OperationDispatch({ ...deps, sender, dispatcher, document }),
+      runner: new OperationDispatch({
+        ...deps,
+        sender,
+        retries,
+        dispatcher,
+        document,
+      }),
     });
     this.#exchange.register(this.#operations);
     this.#path = new RequestPath({
@@ -166,6 +173,7 @@
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
+      retries,
       dispatcher,
       operations: this.#operations,
       document,
@@ -247,6 +255,7 @@
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
     await this.close();
@@ -382,6 +391,7 @@
     this.#keys.adopt(accepted.document);
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
+    this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
