Serve callers over TLS and hold each to limits

Certificate and key are looked at every few seconds; a new pair holds for new connections and cuts none, and a pair that does not fit together (one file is replaced, the other not yet) leaves the old one in use. Header size, body, connections over all and from one address, and the time to send header fields and a request have limits in the settings.

Settings carry their meaning in the schema, from which the reference page is to be made.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -45,6 +45,7 @@
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
+import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
@@ -301,6 +302,7 @@
         lookup: () => this.#lookup(),
         ready: () => this.#serving,
       }),
+      callerOptions(this.#deps),
     );
     if (caller.isErr()) return err(caller.error);
     const peer = await Listener.open(
--- a/src/instance/listener.ts
+++ b/src/instance/listener.ts
@@ -3,10 +3,25 @@
  *
  * @module
  */
-import { createServer, type RequestListener, type Server } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+} from "node:http";
+import {
+  createServer as createTlsServer,
+  type Server as TlsServer,
+} from "node:https";
 import type { AddressInfo } from "node:net";
-import { ok, type Result } from "neverthrow";
-import { fail, type Failure } from "../core/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, fail, type Failure, type Log } from "../core/mod.ts";
+import {
+  CHECK_EVERY_MS,
+  LimitGuard,
+  type ListenerLimits,
+} from "./listener_limits.ts";
+import { readTlsPair, type TlsFiles, TlsReloader } from "./tls_files.ts";
 
 /** Where a listener stands. */
 export interface ListenAddress {
@@ -14,31 +29,65 @@
   readonly port: number;
 }
 
+/** What a listener may have besides its address. */
+export interface ListenerOptions {
+  readonly limits?: ListenerLimits;
+  readonly tls?: {
+    readonly files: TlsFiles;
+    readonly clock: Clock;
+    readonly log: Log;
+  };
+}
+
+interface Closeable {
+  close(): void;
+}
+
 /** A listening HTTP server. */
 export class Listener {
   readonly #server: Server;
+  readonly #parts: readonly Closeable[];
   readonly url: string;
 
-  private constructor(server: Server, host: string) {
+  private constructor(
+    server: Server,
+    { host, scheme, parts }: {
+      host: string;
+      scheme: "http" | "https";
+      parts: readonly Closeable[];
+    },
+  ) {
     this.#server = server;
+    this.#parts = parts;
     const { port } = server.address() as AddressInfo;
-    this.url = `http://${host}:${port}`;
+    this.url = `${scheme}://${host}:${port}`;
   }
 
-  /** Opens a listener; fails with `bad_settings` where the address is taken. */
-  static open(
+  /**
+   * Opens a listener; fails with `bad_settings` where the address is taken or
+   * certificate and key cannot be used.
+   */
+  static async open(
     address: ListenAddress,
     handler: RequestListener,
+    opts: ListenerOptions = {},
   ): Promise<Result<Listener, Failure>> {
-    const server = createServer(handler);
-    return new Promise((resolve) => {
-      server.once("error", (cause) => {
-        resolve(fail("bad_settings", `cannot listen: ${cause.message}`));
-      });
-      server.listen(address.port, address.host, () => {
-        resolve(ok(new Listener(server, address.host)));
-      });
+    const made = await makeServer(opts);
+    if (made.isErr()) return err(made.error);
+    const { server, parts } = made.value;
+    const guard = opts.limits && new LimitGuard(server, opts.limits);
+    server.on("request", (req, res) => {
+      if (guard === undefined || guard.admit(req, res)) handler(req, res);
     });
+    return await listen(server, address).then((listening) =>
+      listening.map(() =>
+        new Listener(server, {
+          host: address.host,
+          scheme: opts.tls ? "https" : "http",
+          parts: guard ? [...parts, guard] : parts,
+        })
+      )
+    );
   }
 
   /** Takes no new connection and ends when the running requests have. */
@@ -51,8 +100,45 @@
 
   /** Cuts every connection. */
   async close(): Promise<void> {
+    for (const part of this.#parts) part.close();
     const closed = this.drain();
     this.#server.closeAllConnections();
     await closed;
   }
 }
+
+interface MadeServer {
+  readonly server: Server;
+  readonly parts: readonly Closeable[];
+}
+
+async function makeServer(
+  { limits, tls }: ListenerOptions,
+): Promise<Result<MadeServer, Failure>> {
+  const httpOpts: ServerOptions = limits === undefined ? {} : {
+    maxHeaderSize: limits.headerBytes,
+    connectionsCheckingInterval: CHECK_EVERY_MS,
+  };
+  if (tls === undefined) {
+    return ok({ server: createServer(httpOpts), parts: [] });
+  }
+  const pair = await readTlsPair(tls.files);
+  if (pair.isErr()) return err(pair.error);
+  const server: TlsServer = createTlsServer({ ...httpOpts, ...pair.value });
+  // Connections that are open keep the context they began with.
+  const onPair = server.setSecureContext.bind(server);
+  const reloader = new TlsReloader({ ...tls, onPair }, pair.value);
+  return ok({ server, parts: [reloader] });
+}
+
+function listen(
+  server: Server,
+  address: ListenAddress,
+): Promise<Result<void, Failure>> {
+  return new Promise((resolve) => {
+    server.once("error", (cause) => {
+      resolve(fail("bad_settings", `cannot listen: ${cause.message}`));
+    });
+    server.listen(address.port, address.host, () => resolve(ok(undefined)));
+  });
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -17,46 +17,91 @@
   ZoneId,
 } from "../core/mod.ts";
 
-/** Where a listener stands; port 0 lets the machine choose. */
+/** Where a listener stands. */
 const ListenAddress = strict({
-  host: z.string().default("127.0.0.1"),
-  port: z.number().int().min(0).max(65_535).default(0),
+  host: z.string().min(1).max(255).default("127.0.0.1").describe(
+    "The address to listen on",
+  ),
+  port: z.number().int().min(0).max(65_535).default(0).describe(
+    "The port; 0 lets the machine choose",
+  ),
+});
+
+const Bytes = z.number().int().min(1_024).max(1_073_741_824);
+const Count = z.number().int().min(1).max(1_000_000);
+const Milliseconds = z.number().int().min(100).max(3_600_000);
+
+/** What one caller may take. */
+const CallerLimits = strict({
+  header_bytes: Bytes.default(16_384).describe(
+    "Bytes of a request's header fields together; more is answered with 431",
+  ),
+  body_bytes: Bytes.default(16_777_216).describe(
+    "Bytes of a request's body; more is answered with 413, and cut off where no length was announced",
+  ),
+  connections: Count.default(10_000).describe(
+    "Connections over all callers; more are closed at once",
+  ),
+  connections_per_address: Count.default(2_000).describe(
+    "Connections from one address; more are closed at once",
+  ),
+  header_ms: Milliseconds.default(10_000).describe(
+    "How long a caller may take to send its header fields, in milliseconds",
+  ),
+  request_ms: Milliseconds.default(60_000).describe(
+    "How long a caller may take to send a whole request, in milliseconds",
+  ),
+  idle_ms: Milliseconds.default(30_000).describe(
+    "How long a connection may rest between requests, in milliseconds",
+  ),
+});
+
+/** Certificate and key of the caller side. */
+const TlsSettings = strict({
+  cert_file: z.string().min(1).describe("The certificate chain, in PEM"),
+  key_file: z.string().min(1).describe("Its private key, in PEM"),
+  reload_ms: Milliseconds.default(5_000).describe(
+    "How often the two files are looked at, in milliseconds; a new pair holds for new connections",
+  ),
 });
 
 /** The settings file's schema. */
 export const Settings = strict({
-  /** Who and where this instance is. */
   instance: strict({
-    id: InstanceId,
-    zone: ZoneId,
-    region: RegionId,
-  }),
-  /** Listener for callers. */
-  caller: ListenAddress.prefault({}),
-  /** Listener for other instances. */
-  peer: ListenAddress.prefault({}),
-  /** Listener for the administration API. */
+    id: InstanceId.describe("This instance's name, unlike any other's"),
+    zone: ZoneId.describe("The availability zone it stands in"),
+    region: RegionId.describe("The region it stands in"),
+  }).describe("Who and where this instance is"),
+  caller: strict({
+    ...ListenAddress.shape,
+    limits: CallerLimits.prefault({}).describe("What one caller may take"),
+    tls: TlsSettings.optional().describe(
+      "Certificate and key; without them callers are served in the clear",
+    ),
+  }).prefault({}).describe("Listener for callers"),
+  peer: ListenAddress.prefault({}).describe("Listener for other instances"),
   admin: strict({
     ...ListenAddress.shape,
-    /**
-     * SHA-256 of a token that may edit every section while the document names
-     * no role, so that an empty document can be begun through the API.
-     */
     bootstrap_token_sha256: z.string().regex(
       /^[0-9a-f]{64}$/,
       "must be a SHA-256 digest in lower-case hexadecimal",
-    ).optional(),
-  }).prefault({}),
+    ).optional().describe(
+      "SHA-256 of a token that may edit every section while the document names no role",
+    ),
+  }).prefault({}).describe("Listener for the administration API"),
   platform: strict({
-    url: z.url({ protocol: /^https?$/ }),
-    timeout_ms: z.number().int().min(10).max(60_000).default(2_000),
-  }),
+    url: z.url({ protocol: /^https?$/ }).describe("The platform's service"),
+    timeout_ms: z.number().int().min(10).max(60_000).default(2_000).describe(
+      "How long one call may take, waiting watches apart, in milliseconds",
+    ),
+  }).describe("Where the document, status and instance list stand"),
   metrics: strict({
-    host: z.string(),
-    port: z.number().int().min(1).max(65_535),
-  }).optional(),
-  /** How often the systems run, in milliseconds. */
-  tick_ms: z.number().int().min(10).max(10_000).default(100),
+    host: z.string().min(1).max(255).describe("The StatsD server's address"),
+    port: z.number().int().min(1).max(65_535).describe("Its UDP port"),
+  }).optional().describe("Where metrics go; nowhere if not given"),
+  tick_ms: z.number().int().min(10).max(10_000).default(100).describe(
+    "How often the systems run, in milliseconds",
+  ),
 });
 export type Settings = z.infer<typeof Settings>;
 
