Report service-level burn, and keep keys out of logs and metrics

Instances count what callers got per service, account and five minutes; the zone's duty holder merges the totals into one summary an hour in the store, in a ring of 74 hours, with about one read and one write a minute and zone. Rows are totals under their writer's name, so a repeated message, a lost answer or two holders count once (tests play each). report burn prints multi-window burn rates, budget left and what burned it as text, JSON or one HTML file. A refusal as above the rate burns budget where the account's sum over the fleet was within its rate in that interval; one above it does not.

Tables of all metrics and log events are held against the names in the code. The secrecy test found that the service name of a URL went into metric tags and answers as the caller wrote it: a key in the wrong place would have been sent to the metrics' store, and each new name was a new series. Names that the document does not have are tagged unknown.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -14,6 +14,7 @@
 } from "./commands/document.ts";
 import { changeDrain, listDrains } from "./commands/drains.ts";
 import { issue, withdraw } from "./commands/keys.ts";
+import { reportBurn } from "./commands/report.ts";
 import { status } from "./commands/status.ts";
 import type { CliContext, CommonOptions } from "./context.ts";
 import type { ExitCode } from "./exit.ts";
@@ -163,6 +164,26 @@
     run: (ctx, _args, opts) =>
       status(ctx, { admin: text(opts["admin"]) }, opts),
   },
+  {
+    usage: "report burn",
+    help:
+      "Print burn rates, budget left and what burned it, per service and account",
+    options: [
+      ...PLATFORM_OPTIONS,
+      {
+        flag: "html",
+        help: "Print one HTML file with plots",
+        boolean: true,
+      },
+    ],
+    examples: [
+      `report burn ${AT}`,
+      `report burn --html ${AT} > burn.html`,
+      `report burn --json ${AT}`,
+    ],
+    run: (ctx, _args, opts) =>
+      reportBurn(ctx, { html: opts["html"] === true }, opts),
+  },
 ];
 
 function drainCommand(what: "add" | "remove", help: string): CommandSpec {
@@ -194,7 +215,7 @@
   const found = program.parse([...argv], {
     lazy: true,
     unknown: (flag) => unknownName("option", flag, flagsOf(argv)),
-    boolean: ["json"],
+    boolean: ["json", "html"],
     string: STRING_FLAGS,
   });
   // Help and version print and give nothing to run.
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -9,6 +9,8 @@
 export * from "./failure.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
+export * from "./log_table.ts";
+export * from "./metric_table.ts";
 export * from "./metrics.ts";
 export * from "./nearest.ts";
 export * from "./random.ts";
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -11,6 +11,7 @@
   type EndpointId,
   fail,
   type Failure,
+  type FailureCode,
   type Metrics,
   type Random,
   type ServiceId,
@@ -46,6 +47,19 @@
   readonly sender: SlotSender;
   readonly retries: RetryPolicy;
   readonly document: () => SteeringDocument;
+  readonly outcomes: OutcomeLog;
+}
+
+/** Hears how each request of a known account to a known service ended. */
+export interface OutcomeLog {
+  record(
+    request: { readonly service: ServiceId; readonly account: AccountId },
+    end: {
+      readonly result: FailureCode | "ok";
+      readonly status: number;
+      readonly ms: number;
+    },
+  ): void;
 }
 
 /** A request that was let in. */
@@ -86,14 +100,24 @@
       const done = await this.#handle(req, res, { service, path });
       const result = done.isOk() ? "ok" : done.error.code;
       const ms = this.#deps.clock.now() - startedAt;
-      this.#deps.metrics.count("requests", { service, result });
-      this.#deps.metrics.timing("request.duration", ms, { service });
+      const tags = { service: this.#serviceTag(service) };
+      this.#deps.metrics.count("requests", { ...tags, result });
+      this.#deps.metrics.timing("request.duration", ms, tags);
       if (done.isErr()) refuse(res, done.error);
     } finally {
       this.#running -= 1;
     }
   }
 
+  /**
+   * What a caller writes into a URL is no tag: it may be a key put in the wrong
+   * place, and each new one would be a new series in the metrics' store.
+   */
+  #serviceTag(service: string): string {
+    const { services } = this.#deps.document();
+    return Object.hasOwn(services, service) ? service : "unknown";
+  }
+
   async #handle(
     req: Request,
     res: Response,
@@ -101,10 +125,16 @@
   ): Promise<Result<void, Failure>> {
     const admitted = await this.#admit(req, res, target);
     if (admitted.isErr()) return err(admitted.error);
-    if (admitted.value.idempotent) {
-      return await this.#stream(admitted.value, res);
-    }
-    return await this.#runOnce(admitted.value, res);
+    const startedAt = this.#deps.clock.now();
+    const done = admitted.value.idempotent
+      ? await this.#stream(admitted.value, res)
+      : await this.#runOnce(admitted.value, res);
+    this.#deps.outcomes.record(admitted.value, {
+      result: done.isOk() ? "ok" : done.error.code,
+      status: res.statusCode,
+      ms: this.#deps.clock.now() - startedAt,
+    });
+    return done;
   }
 
   async #admit(
@@ -120,7 +150,8 @@
       ? services[service as ServiceId]
       : undefined;
     if (entry === undefined) {
-      return fail("not_found", `no service ${service}`, { outcome: "not-run" });
+      const message = "the document names no such service";
+      return fail("not_found", message, { outcome: "not-run" });
     }
     const policy = policyFor(entry, req.method, path);
     const timeout = timeoutOf(req, policy.deadlineMs);
@@ -133,7 +164,17 @@
       deadline,
       signal,
     });
-    if (within.isErr()) return err(within.error);
+    if (within.isErr()) {
+      this.#deps.outcomes.record(
+        { service: service as ServiceId, account: account.value },
+        {
+          result: within.error.code,
+          status: 0,
+          ms: this.#deps.clock.now() - now,
+        },
+      );
+      return err(within.error);
+    }
     return ok({
       req,
       account: account.value,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -43,12 +43,14 @@
   type PeerTransport,
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
+import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
 import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
+import { outcomeLog } from "./outcome_log.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
@@ -104,6 +106,7 @@
   readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #operations: HomeOperations;
+  readonly #burn: BurnPublisher;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -172,8 +175,21 @@
       }),
     });
     this.#exchange.register(this.#operations);
+    this.#burn = new BurnPublisher({
+      ...deps,
+      log: log.child("burn"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      mates: () =>
+        this.#roster.live().filter((m) => m.zone === cfg.instance.zone),
+    });
+    this.#exchange.register(this.#burn);
     this.#path = new RequestPath({
       ...deps,
+      outcomes: outcomeLog({ ...deps, counts: this.#burn.counts, document }),
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
@@ -197,6 +213,7 @@
       name: "steering",
       run: (now) => this.#steering.tick(now),
     });
+    this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -262,6 +279,7 @@
     await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
+    await this.#burn.flush();
     await this.close();
   }
 
--- /dev/null
+++ b/src/instance/outcome_log.ts
@@ -0,0 +1,27 @@
+/**
+ * Takes how requests ended from the request path to the burn counts, with the
+ * service's own latency objective.
+ *
+ * @module
+ */
+import type { Clock } from "../core/mod.ts";
+import type { SteeringDocument } from "../document/mod.ts";
+import type { OutcomeLog } from "../gateway/mod.ts";
+import type { BurnCounts } from "../slo/mod.ts";
+
+/** Makes the request path's listener. */
+export function outcomeLog(
+  { clock, counts, document }: {
+    clock: Clock;
+    counts: BurnCounts;
+    document: () => SteeringDocument;
+  },
+): OutcomeLog {
+  return {
+    record: ({ service, account }, end) => {
+      const latencyMs = document().services[service]?.objective.latency_ms;
+      if (latencyMs === undefined) return;
+      counts.record({ service, account, ...end, latencyMs }, clock.wall());
+    },
+  };
+}
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -17,4 +17,5 @@
 export * as platform from "./platform/mod.ts";
 export * as regions from "./decisions/regions/mod.ts";
 export * as settings from "./settings/mod.ts";
+export * as slo from "./slo/mod.ts";
 export * as steering from "./decisions/steering/mod.ts";
--- /dev/null
+++ b/src/slo/burn_test.ts
@@ -0,0 +1,254 @@
+import test from "ava";
+import { create } from "@bufbuild/protobuf";
+import {
+  AccountId,
+  ManualClock,
+  MemoryMetrics,
+  SeededRandom,
+  ServiceId,
+  SilentLog,
+} from "../core/mod.ts";
+import { parseDocument, type SteeringDocument } from "../document/mod.ts";
+import { BatchSchema, SenderSchema } from "../gen/peer_pb.ts";
+import { dutyHolder } from "../membership/mod.ts";
+import { MemoryPlatform } from "../platform/mod.ts";
+import { FaultyPlatform } from "../platform/testing/mod.ts";
+import {
+  BurnCounts,
+  BurnPublisher,
+  burnReport,
+  type BurnRow,
+  INTERVAL_MS,
+  MAX_ROWS,
+  OTHERS,
+  parseSummary,
+  reportHtml,
+  reportText,
+  type RequestOutcome,
+  rowsOf,
+  summaryKey,
+  WITHIN_RATE,
+} from "./mod.ts";
+
+const SERVICE = ServiceId.parse("mapview");
+const ACCOUNT = AccountId.parse("a1");
+const NOW = 1_000 * INTERVAL_MS;
+
+function outcome(over: Partial<RequestOutcome> = {}): RequestOutcome {
+  return {
+    service: SERVICE,
+    account: ACCOUNT,
+    result: "ok",
+    status: 200,
+    ms: 5,
+    latencyMs: 100,
+    ...over,
+  };
+}
+
+function row(over: Partial<BurnRow> = {}): BurnRow {
+  return {
+    interval: 999,
+    service: "mapview",
+    account: "a1",
+    good: 0,
+    slow: 0,
+    refused: 0,
+    causes: {},
+    ...over,
+  };
+}
+
+function document(): SteeringDocument {
+  return parseDocument({
+    accounts: { accounts: { a1: {} } },
+    rates: { rates: { a1: { rate_per_s: 1, burst: 10 } } },
+    services: {
+      services: {
+        mapview: { objective: { availability: 0.99, latency_ratio: 0.9 } },
+      },
+    },
+  })._unsafeUnwrap();
+}
+
+const COUNTED: [string, Partial<RequestOutcome>, Partial<BurnRow>][] = [
+  ["a quick answer is good", {}, { good: 1 }],
+  ["a slow answer is good and slow", { ms: 101 }, { good: 1, slow: 1 }],
+  [
+    "an error of the service is bad",
+    { status: 502 },
+    { causes: { status_502: 1 } },
+  ],
+  ["an error of the caller's making is good", { status: 404 }, { good: 1 }],
+  [
+    "want of room is bad",
+    { result: "no_capacity" },
+    { causes: { no_capacity: 1 } },
+  ],
+  ["above the rate is refused", { result: "rate_exceeded" }, { refused: 1 }],
+];
+
+for (const [name, over, expected] of COUNTED) {
+  test(`counted: ${name}`, (t) => {
+    const counts = new BurnCounts();
+    counts.record(outcome(over), NOW);
+    t.deepEqual(counts.rows(NOW), [row({ interval: 1_000, ...expected })]);
+  });
+}
+
+test("what the caller gave up or got wrong is not counted", (t) => {
+  const counts = new BurnCounts();
+  for (const result of ["cancelled", "bad_request", "not_found"] as const) {
+    counts.record(outcome({ result }), NOW);
+  }
+  t.deepEqual(counts.rows(NOW), []);
+});
+
+test("ever new accounts do not make the counts grow", (t) => {
+  // Somebody works through very many accounts. Each with a row of its own
+  // would fill the memory of every instance and the zone's summary.
+  const counts = new BurnCounts();
+  for (let i = 0; i < MAX_ROWS + 500; i++) {
+    counts.record(outcome({ account: AccountId.parse(`a${i}`) }), NOW);
+  }
+  const rows = counts.rows(NOW);
+  t.is(rows.length, MAX_ROWS + 1);
+  t.is(rows.find((r) => r.account === OTHERS)?.good, 500);
+  t.deepEqual(counts.rows(NOW + 3 * INTERVAL_MS), []);
+});
+
+test("burn rates, budget, causes and alerts", (t) => {
+  const rows = [row({ interval: 999, good: 80, slow: 20, causes: { x: 20 } })];
+  const report = burnReport({ rows, document: document(), wall: NOW });
+  const entry = report.entries.find((e) => e.account === "a1");
+  const hour = entry?.windows.find((w) => w.window === "1h");
+  t.is(hour?.availabilityBurn.toFixed(6), "20.000000");
+  t.is(hour?.latencyBurn.toFixed(6), "2.500000");
+  t.deepEqual(entry?.causes, [["x", 20]]);
+  t.deepEqual(entry?.alerts, ["5m/1h", "30m/6h", "6h/3d"]);
+  t.is(entry?.budgetLeft.toFixed(6), "-19.000000");
+});
+
+test("trouble that has ended burns the long window and alerts no more", (t) => {
+  const rows = [
+    row({ interval: 985, good: 0, causes: { x: 50 } }),
+    row({ interval: 999, good: 50 }),
+  ];
+  const report = burnReport({ rows, document: document(), wall: NOW });
+  const entry = report.entries.find((e) => e.account === "a1");
+  t.false(entry?.alerts.includes("5m/1h"));
+  t.true((entry?.windows.find((w) => w.window === "6h")?.bad ?? 0) > 0);
+});
+
+test("a refusal within the rate burns budget, one above it does not", (t) => {
+  // One instance refuses by its own share; whether the account was above its
+  // rate only the sum over all instances tells. 310 fit into the interval.
+  const within = [
+    row({ good: 200, refused: 50 }),
+    row({ good: 30, refused: 5 }),
+  ];
+  const above = [row({ good: 290, refused: 400 })];
+  const causes = (rows: BurnRow[]) =>
+    burnReport({ rows, document: document(), wall: NOW }).entries[0]?.causes;
+  t.deepEqual(causes(within), [[WITHIN_RATE, 55]]);
+  t.deepEqual(causes(above), []);
+});
+
+test("text and HTML tell the same, and HTML needs nothing else", (t) => {
+  const rows = [row({ good: 50, causes: { "<script>": 50 } })];
+  const report = burnReport({ rows, document: document(), wall: NOW });
+  t.regex(reportText(report), /mapview a1 {2}budget left .*ALERT 5m\/1h/);
+  const html = reportHtml(report);
+  t.regex(html, /<svg .*<polyline/s);
+  t.notRegex(html, /<script>|<link|src=/);
+});
+
+function zone() {
+  const clock = new ManualClock();
+  clock.advance(NOW);
+  const truth = new MemoryPlatform(clock);
+  const platform = new FaultyPlatform(truth, clock);
+  const names = ["i1", "i2", "i3"];
+  const publishers = names.map((instance, i) =>
+    new BurnPublisher({
+      platform,
+      clock,
+      random: new SeededRandom(i),
+      metrics: new MemoryMetrics(),
+      log: new SilentLog(),
+      self: { instance, zone: "gulf-a", incarnation: "1" },
+      mates: () =>
+        names.filter((n) => n !== instance).map((n) => ({ instance: n })),
+    })
+  );
+  const holder = names.indexOf(dutyHolder("burn gulf-a", names) ?? "");
+  const tell = (from: number, to: number) => {
+    const sender = create(SenderSchema, {
+      instance: names[from] ?? "",
+      zone: "gulf-a",
+      incarnation: "1",
+    });
+    const batch = create(BatchSchema, { sender });
+    publishers[from]?.fill(batch, names[to] ?? "");
+    publishers[to]?.absorb(batch, sender);
+    return batch;
+  };
+  const stored = async () => {
+    const found = await truth.get(summaryKey("gulf-a", Math.floor(1_000 / 12)));
+    const text = found._unsafeUnwrap()?.value ?? "";
+    return rowsOf(
+      parseSummary(text) ??
+        { zone: "", hour: 0, writers: {}, truncated: false },
+    );
+  };
+  return { clock, platform, publishers, holder, tell, stored };
+}
+
+test("the duty holder alone writes what the zone's instances counted", async (t) => {
+  const { clock, platform, publishers, holder, tell, stored } = zone();
+  for (const p of publishers) p.counts.record(outcome(), clock.wall());
+  for (const from of [0, 1, 2]) if (from !== holder) tell(from, holder);
+  clock.advance(80_000);
+  for (const p of publishers) p.run(clock.now());
+  await new Promise((resolve) => setImmediate(resolve));
+  const rows = await stored();
+  t.is(rows.reduce((sum, r) => sum + r.good, 0), 3);
+  t.is(platform.calls.get("put"), 1);
+});
+
+test("a message told twice and a write whose answer is lost count once", async (t) => {
+  // The network repeats a message and the store's answer is lost, so the same
+  // rows are written again. Counted twice, a report would show false burn.
+  const { clock, platform, publishers, holder, tell, stored } = zone();
+  const other = (holder + 1) % 3;
+  publishers[other]?.counts.record(outcome(), clock.wall());
+  const batch = tell(other, holder);
+  platform.faults.loseAnswers = "applied";
+  await publishers[holder]?.flush();
+  platform.faults.loseAnswers = "none";
+  publishers[holder]?.absorb(batch, batch.sender ?? create(SenderSchema));
+  await publishers[holder]?.flush();
+  await publishers[other]?.flush();
+  t.is((await stored()).reduce((sum, r) => sum + r.good, 0), 1);
+});
+
+test("a store that is down loses nothing that the next write brings", async (t) => {
+  const { clock, platform, publishers, stored } = zone();
+  publishers[0]?.counts.record(outcome(), clock.wall());
+  platform.faults.down = true;
+  await publishers[0]?.flush();
+  platform.faults.down = false;
+  await publishers[0]?.flush();
+  t.is((await stored()).length, 1);
+});
+
+test("rows of a sender whose clock is wrong are left out", async (t) => {
+  // An instance's clock stands a day ahead. Its rows would take the place of
+  // hours to come, whose counts would then be dropped.
+  const { clock, publishers, holder, tell, stored } = zone();
+  const other = (holder + 1) % 3;
+  publishers[other]?.counts.record(outcome(), clock.wall() + 86_400_000);
+  tell(other, holder);
+  await publishers[holder]?.flush();
+  t.deepEqual(await stored(), []);
+});
--- /dev/null
+++ b/src/slo/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Service-level objectives: counting, summaries in the store, burn reports.
+ *
+ * @module
+ */
+export * from "./burn_publisher.ts";
+export * from "./burn_report.ts";
+export * from "./counts.ts";
+export * from "./report_text.ts";
+export * from "./summary.ts";
