--- a/tools/demo/judge.ts
+++ b/tools/demo/judge.ts
@@ -42,6 +42,8 @@
 
 const WITHDRAWAL_MS = 5_000;
 const DRAIN_MS = 2_000;
+const MAX_REASON = 160;
+const MAX_REASONS = 20;
 
 /** Judges a run. */
 export function judge(evidence: Evidence): Verdict {
@@ -114,7 +116,7 @@
 }
 
 /** Refusals of requests within rate, while some endpoint had a slot free. */
-export function wrongfulRefusals(
+function wrongfulRefusals(
   { deployment, runs }: Evidence,
   within: ReadonlySet<SentRecord>,
 ): SentRecord[] {
@@ -130,14 +132,16 @@
   });
 }
 
-/** The requests of a run that were wrongly refused, for people. */
-export function explainRefusals(evidence: Evidence): Record<string, number> {
-  const counts: Record<string, number> = {};
-  for (const s of wrongfulRefusals(evidence, withinRate(evidence))) {
-    const name = `${s.account} ${s.service} ${s.code}`;
-    counts[name] = (counts[name] ?? 0) + 1;
-  }
-  return counts;
+/** What kept requests from being answered, the most frequent first. */
+export function explain(evidence: Evidence): Record<string, number> {
+  const wrongful = new Set(wrongfulRefusals(evidence, withinRate(evidence)));
+  const failed = evidence.sent.filter((s) => s.result !== "answered");
+  const counts = countBy(failed, (s) => {
+    const result = wrongful.has(s) ? "not_run, wrongly" : s.result;
+    return `${result} | ${s.service} | ${s.why}`.slice(0, MAX_REASON);
+  });
+  const entries = [...counts].sort(([, a], [, b]) => b - a);
+  return Object.fromEntries(entries.slice(0, MAX_REASONS));
 }
 
 function doubled({ sent, runs }: Evidence): number {
--- a/tools/demo/judge_test.ts
+++ b/tools/demo/judge_test.ts
@@ -25,7 +25,7 @@
     timeoutMs: 100,
     result: "answered",
     misdelivered: false,
-    code: "",
+    why: "",
     ...over,
   };
 }
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { z } from "zod";
@@ -11,7 +12,7 @@
 import { DEPLOYMENTS } from "./deployments.ts";
 import { eventAtMs, EVENTS, happen, loadFor } from "./events.ts";
 import { Fleet } from "./fleet.ts";
-import { broken, type Evidence, explainRefusals, judge } from "./judge.ts";
+import { broken, type Evidence, explain, judge } from "./judge.ts";
 import { sendWorkload } from "./workload.ts";
 
 const Options = z.object({
@@ -23,6 +24,7 @@
 type Options = z.infer<typeof Options>;
 
 const BAD_INPUT = 2;
+const NS_PER_MS = 1e6;
 /** Shares and seats settle after a start as they do after a deployment. */
 const WARM_UP_MS = 2_500;
 
@@ -34,7 +36,10 @@
   const fleet = await Fleet.start(DEPLOYMENTS[opts.deployment]);
   try {
     await new Promise((resolve) => setTimeout(resolve, WARM_UP_MS));
-    return report(opts, await run(opts, fleet));
+    const lag = monitorEventLoopDelay();
+    lag.enable();
+    const evidence = await run(opts, fleet);
+    return report(opts, evidence, Math.round(lag.percentile(99) / NS_PER_MS));
   } finally {
     await fleet.close();
   }
@@ -73,15 +78,21 @@
   return { deployment, sent, runs: await fleet.runs(), event };
 }
 
-function report(opts: Options, evidence: Evidence): number {
+/**
+ * Prints the report. `runner_lag_ms` is how late the runner's own timers were:
+ * where it nears the callers' timeouts the machine, not the fleet, was slow.
+ */
+function report(opts: Options, evidence: Evidence, lagMs: number): number {
   const { deployment, event, seconds } = opts;
   const verdict = judge(evidence);
   if (!opts.json) {
     console.log(`${deployment}, event ${event}, ${seconds} s`);
     console.table(verdict);
-    console.log("wrongful refusals by account, service and code:");
-    console.table(explainRefusals(evidence));
+    for (const [reason, count] of Object.entries(explain(evidence))) {
+      console.log(`${count} x ${reason}`);
+    }
   }
-  console.log(JSON.stringify({ deployment, event, seconds, ...verdict }));
+  const measured = { ...verdict, runner_lag_ms: lagMs };
+  console.log(JSON.stringify({ deployment, event, seconds, ...measured }));
   return broken(verdict) ? 1 : 0;
 }
--- a/tools/demo/records.ts
+++ b/tools/demo/records.ts
@@ -16,8 +16,8 @@
   readonly result: SentResult;
   /** The answer was another request's or another account's. */
   readonly misdelivered: boolean;
-  /** The failure's code, for people. */
-  readonly code: string;
+  /** The failure's code and message, for people. */
+  readonly why: string;
 }
 
 /** `lost`: neither an answer nor a refusal came. */
--- a/tools/demo/workload.ts
+++ b/tools/demo/workload.ts
@@ -112,16 +112,17 @@
       timeoutMs: TIMEOUT_MS,
     };
     if (answer.isErr()) {
-      const { code } = answer.error;
+      const { code, message } = answer.error;
+      const why = `${code}: ${message}`;
       return {
         ...common,
         result: resultOf(answer.error),
         misdelivered: false,
-        code,
+        why,
       };
     }
     const misdelivered = !isOwn(answer.value.body, this.#account, request);
-    return { ...common, result: "answered", misdelivered, code: "" };
+    return { ...common, result: "answered", misdelivered, why: "" };
   }
 
   #pickClient(): Client {
