Track drains, and spread look-ups by smoothed load

A drain said nothing of how far it was; a drained instance stayed in look-up answers; requests that waited in a zone when it was drained were refused; and answers to look-ups ignored load and were all reused for the same time. An instance that stopped also cut requests that others had forwarded to it.

Each drain is now tracked by what runs there, timed once in a metric, and shown in the status. Drained instances leave the answers but serve what comes. Waiting requests go elsewhere. Answers are drawn by weights over load smoothed over five seconds, at most half of a busy zone's callers are sent to the next zone, and an answer is reused for 1.2 to 2 seconds. A stopping instance waits for forwarded requests.

--- a/src/admin/admin_app.ts
+++ b/src/admin/admin_app.ts
@@ -5,6 +5,7 @@
  */
 import express, { type Express } from "express";
 import type { Failure } from "../core/mod.ts";
+import type { DrainProgress } from "../decisions/drains/mod.ts";
 import type { HeldSeat } from "../membership/mod.ts";
 
 /** What the administration API needs. */
@@ -25,6 +26,9 @@
   readonly seats: readonly HeldSeat[];
   readonly running: number;
   readonly leaving: boolean;
+  /** Whether the document drains this instance. */
+  readonly drained: boolean;
+  readonly drains: readonly DrainProgress[];
   readonly members: readonly string[];
 }
 
--- /dev/null
+++ b/src/decisions/drains/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Planned drains.
+ *
+ * @module
+ */
+export * from "./drain_tracker.ts";
+export * from "./drained.ts";
--- a/src/decisions/lookup/lookup.ts
+++ b/src/decisions/lookup/lookup.ts
@@ -1,6 +1,13 @@
 /**
  * Which entry instance a caller should use.
  *
+ * Answers uneven load and instances that leave. If every answer named the
+ * least loaded instance, all callers would go there until the next figure,
+ * which shows as load that swings from instance to instance; if a leaving
+ * one's callers were all sent to the next in order, that one would get them
+ * all. So answers are drawn at random by weights that follow smoothed load,
+ * and are reused for a jittered time.
+ *
  * @module
  */
 import type { InstanceId, Random, RegionId, ZoneId } from "../../core/mod.ts";
@@ -22,32 +29,122 @@
 
 /** How many instances an answer names at most. */
 export const MAX_CHOICES = 4;
+/** With its jitter an answer is never reused for more than two seconds. */
+export const MAX_REUSE_MS = 2_000;
+const REUSE_MS = 1_600;
+const REUSE_JITTER = 0.25;
+
+/** Load is followed with this time constant: some reuses of an answer. */
+const SMOOTHING_MS = 5_000;
+/** Load below this is idleness; differences there say nothing. */
+const IDLE_LOAD = 0.25;
+/** No instance gets less than a quarter of the idlest one's callers. */
+const LEAST_WEIGHT = 0.25;
+/** From this zone load on, some callers are sent to the region's other zones. */
+const BUSY_LOAD = 0.7;
+/** At most this part of them, so that zones do not swap their callers. */
+const MAX_SPILL = 0.5;
+
+interface Smoothed {
+  load: number;
+  at: number;
+}
 
 /**
- * Orders instances for a caller: its zone first, then its region, then the
- * rest, each group shuffled so that callers spread.
+ * Draws answers to look-ups.
  *
  * @example
  * ```ts
- * const choices = chooseEntries({ zone, region, candidates }, random);
+ * chooser.observe("i1", 0.4, clock.now());
+ * const choices = chooser.choose({ zone, region, candidates });
  * ```
  */
-export function chooseEntries(
-  question: LookupQuestion,
-  random: Random,
-): EntryChoice[] {
-  return question.candidates
-    .map((choice) => ({
-      choice,
-      distance: distance(question, choice),
-      tie: random.next(),
-    }))
-    .sort((a, b) => a.distance - b.distance || a.tie - b.tie)
-    .slice(0, MAX_CHOICES)
-    .map((c) => c.choice);
+export class EntryChooser {
+  readonly #random: Random;
+  readonly #loads = new Map<InstanceId, Smoothed>();
+
+  constructor(random: Random) {
+    this.#random = random;
+  }
+
+  /** Takes in how busy an instance says it is, from 0 up. */
+  observe(instance: InstanceId, load: number, now: number): void {
+    const known = this.#loads.get(instance);
+    if (known === undefined) {
+      this.#loads.set(instance, { load, at: now });
+      return;
+    }
+    const part = 1 - Math.exp(-Math.max(0, now - known.at) / SMOOTHING_MS);
+    known.load += part * (load - known.load);
+    known.at = now;
+  }
+
+  /** Forgets instances that are known no more. */
+  retain(known: ReadonlySet<string>): void {
+    for (const id of this.#loads.keys()) {
+      if (!known.has(id)) this.#loads.delete(id);
+    }
+  }
+
+  /** Near instances first, idle ones more often than busy ones. */
+  choose(question: LookupQuestion): EntryChoice[] {
+    const spill = this.#random.next() < this.#spillPart(question);
+    return question.candidates
+      .map((choice) => ({
+        choice,
+        distance: distance(question, choice, spill),
+        rank: this.#rank(choice),
+      }))
+      .sort((a, b) => a.distance - b.distance || a.rank - b.rank)
+      .slice(0, MAX_CHOICES)
+      .map((c) => c.choice);
+  }
+
+  /** How long an answer may be reused, in milliseconds. */
+  reuseMs(): number {
+    const jitter = REUSE_JITTER * (2 * this.#random.next() - 1);
+    return Math.floor(REUSE_MS * (1 + jitter));
+  }
+
+  /** Exponential ranks: the first of an order is drawn in proportion to weight. */
+  #rank({ instance }: EntryChoice): number {
+    return -Math.log(1 - this.#random.next()) / this.#weight(instance);
+  }
+
+  #weight(instance: InstanceId): number {
+    const load = Math.max(IDLE_LOAD, this.#loadOf(instance));
+    return Math.max(LEAST_WEIGHT, IDLE_LOAD / load);
+  }
+
+  #loadOf(instance: InstanceId): number {
+    return this.#loads.get(instance)?.load ?? 0;
+  }
+
+  /** Part of the zone's callers that the region's other zones should take. */
+  #spillPart({ zone, region, candidates }: LookupQuestion): number {
+    const own = candidates.filter((c) => c.zone === zone);
+    const near = candidates.filter((c) =>
+      c.zone !== zone && c.region === region
+    );
+    if (own.length === 0 || near.length === 0) return 0;
+    // A zone with an idle instance is not busy: its weights see to that.
+    const here = Math.min(...own.map((c) => this.#loadOf(c.instance)));
+    const excess = here - Math.max(BUSY_LOAD, this.#meanLoad(near));
+    return Math.min(MAX_SPILL, Math.max(0, excess / Math.max(here, 1)));
+  }
+
+  #meanLoad(choices: readonly EntryChoice[]): number {
+    const sum = choices.reduce((n, c) => n + this.#loadOf(c.instance), 0);
+    return sum / choices.length;
+  }
 }
 
-function distance(question: LookupQuestion, choice: EntryChoice): number {
-  if (choice.zone === question.zone) return 0;
-  return choice.region === question.region ? 1 : 2;
+function distance(
+  question: LookupQuestion,
+  choice: EntryChoice,
+  spill: boolean,
+): number {
+  if (choice.zone === question.zone) return spill ? 1 : 0;
+  if (choice.region === question.region) return spill ? 0 : 1;
+  return 2;
 }
--- a/src/decisions/regions/forwarded_intake.ts
+++ b/src/decisions/regions/forwarded_intake.ts
@@ -69,6 +69,12 @@
     return [...byInstance].reduce((n, r) => n + r, 0);
   }
 
+  /** Forwarded requests of all services that run here. */
+  get runningInAll(): number {
+    const services = [...this.#running.keys()];
+    return services.reduce((n, service) => n + this.running(service), 0);
+  }
+
   /** A slot at once, or a refusal with outcome `not-run`. */
   take(
     req: SteeringRequest,
--- a/src/decisions/regions/region_dispatcher.ts
+++ b/src/decisions/regions/region_dispatcher.ts
@@ -22,9 +22,9 @@
   type ZoneId,
 } from "../../core/mod.ts";
 import type { SteeringDocument } from "../../document/mod.ts";
+import { Drained } from "../drains/mod.ts";
 import {
   type Dispatcher,
-  Drained,
   type FairDispatcher,
   type Slot,
   type SteeringRequest,
@@ -119,11 +119,21 @@
     const slot = local.tryNow(req, now);
     if (slot) return ok(slot);
     const waitMs = local.expectedWait(req, now);
-    if (waitMs <= ZONE_WAIT_MS) return await local.acquire(req, signal);
+    if (waitMs <= ZONE_WAIT_MS) return await this.#wait(req, signal);
     this.#wishes.add(req.service);
     const remote = this.#elsewhere(req, waitMs, now);
     if (remote) return ok(remote);
-    if (waitMs !== Infinity) return await local.acquire(req, signal);
+    if (waitMs !== Infinity) return await this.#wait(req, signal);
+    return await this.#waitForGrant(req, signal);
+  }
+
+  /** Waits here; if a drain closes the zone meanwhile, goes elsewhere. */
+  async #wait(
+    req: SteeringRequest,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Slot, Failure>> {
+    const slot = await this.#deps.local.acquire(req, signal);
+    if (slot.isOk() || slot.error.code !== "no_endpoint") return slot;
     return await this.#waitForGrant(req, signal);
   }
 
--- a/src/decisions/regions/remote_rooms.ts
+++ b/src/decisions/regions/remote_rooms.ts
@@ -83,6 +83,17 @@
     return [...rooms].reduce((n, r) => n + r.inFlight, 0);
   }
 
+  /** Requests running through the instances that `at` picks. */
+  inFlightAt(at: (peer: RemotePeer) => boolean): number {
+    let sum = 0;
+    for (const rooms of this.#rooms.values()) {
+      for (const { peer, inFlight } of rooms.values()) {
+        if (at(peer)) sum += inFlight;
+      }
+    }
+    return sum;
+  }
+
   /** The better of two random rooms that `accept` takes; undefined if none. */
   choose(question: {
     service: ServiceId;
--- a/src/decisions/steering/fair_dispatcher.ts
+++ b/src/decisions/steering/fair_dispatcher.ts
@@ -21,8 +21,8 @@
   type Service,
   type SteeringDocument,
 } from "../../document/mod.ts";
+import { Drained } from "../drains/mod.ts";
 import type { Dispatcher, Slot, SteeringRequest } from "./dispatcher.ts";
-import { Drained } from "./drained.ts";
 import { type EndpointRow, type LoadHint, makeRow } from "./endpoint_row.ts";
 import { noEndpoint, ServicePool } from "./service_pool.ts";
 import type { SlotLimits } from "./slot_limits.ts";
--- a/src/decisions/steering/mod.ts
+++ b/src/decisions/steering/mod.ts
@@ -8,6 +8,5 @@
 export * from "./fair_dispatcher.ts";
 export * from "./round_robin_dispatcher.ts";
 export * from "./slot_limits.ts";
-export * from "./drained.ts";
 export * from "./probe_schedule.ts";
 export * from "./rendezvous.ts";
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,7 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
+import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
   type AcceptedDocument,
   ContentStore,
@@ -72,11 +72,10 @@
   readonly admin: Listener;
 }
 
-const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
-const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
+const LEAVE_NOTICE_MS = MAX_REUSE_MS;
 
 /**
  * A running entry instance.
@@ -131,6 +130,7 @@
       limits: this.#budgets.slotLimits,
       document: () => this.#document,
       leaving: () => this.#leaving,
+      running: () => this.#path.running,
     });
     this.#exchange = new PeerExchange({
       ...deps,
@@ -242,6 +242,8 @@
       seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
+      drained: this.#steering.drained,
+      drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
     };
   }
@@ -254,6 +256,7 @@
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#steering.forwardsEnded();
     await this.#seats.handOver();
     await this.#exchange.flush();
     await this.close();
@@ -396,15 +399,16 @@
     const { zone, region } = this.#deps.cfg.instance;
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
-    const candidates = this.#leaving ? others : [...others, this.#self()];
-    const instances = chooseEntries(
-      { zone, region, candidates },
-      this.#deps.random,
-    ).map(({ instance, url, zone, region }) => {
-      const home = this.#operations.homeOf(instance);
-      return { instance, url, zone, region, ...(home ? { home } : {}) };
-    });
-    return { reuse_ms: LOOKUP_REUSE_MS, instances };
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const candidates = this.#steering.openEntries(all);
+    const { entries } = this.#steering;
+    const instances = entries.choose({ zone, region, candidates }).map(
+      ({ instance, url, zone, region }) => {
+        const home = this.#operations.homeOf(instance);
+        return { instance, url, zone, region, ...(home ? { home } : {}) };
+      },
+    );
+    return { reuse_ms: entries.reuseMs(), instances };
   }
 
   #self(): EntryChoice {
--- a/src/instance/steering.ts
+++ b/src/instance/steering.ts
@@ -3,7 +3,13 @@
  *
  * @module
  */
-import type { Clock, Metrics, Random, ServiceId } from "../core/mod.ts";
+import {
+  type Clock,
+  type Metrics,
+  type Random,
+  type ServiceId,
+  sleep,
+} from "../core/mod.ts";
 import {
   ForwardedIntake,
   HeadroomGrants,
@@ -11,15 +17,20 @@
   RegionDispatcher,
   RemoteRooms,
 } from "../decisions/regions/mod.ts";
+import { Drained, DrainTracker } from "../decisions/drains/mod.ts";
+import { type EntryChoice, EntryChooser } from "../decisions/lookup/mod.ts";
 import { RetryPolicy } from "../decisions/retries/mod.ts";
 import {
   connectionPart,
-  Drained,
   FairDispatcher,
   ProbeSchedule,
   type SlotLimits,
 } from "../decisions/steering/mod.ts";
-import { type SteeringDocument, zonesOf } from "../document/mod.ts";
+import {
+  type DrainEntry,
+  type SteeringDocument,
+  zonesOf,
+} from "../document/mod.ts";
 import { type EndpointClient, Prober } from "../endpoints/mod.ts";
 import type { Roster, SeatDirectory } from "../membership/mod.ts";
 import type { Settings } from "../settings/mod.ts";
@@ -37,8 +48,12 @@
   readonly limits: SlotLimits;
   readonly document: () => SteeringDocument;
   readonly leaving: () => boolean;
+  /** Requests of callers that are being worked on. */
+  readonly running: () => number;
 }
 
+const IDLE_CHECK_MS = 20;
+
 /** The steering parts of one instance, wired to each other. */
 export class Steering {
   readonly #deps: SteeringDeps;
@@ -49,12 +64,15 @@
   readonly exchange: LoadExchange;
   readonly prober: Prober;
   readonly retries: RetryPolicy;
+  readonly entries: EntryChooser;
+  readonly drains: DrainTracker;
+  readonly #rooms = new RemoteRooms();
   #drained: Drained | undefined;
 
   constructor(deps: SteeringDeps) {
     this.#deps = deps;
     const { zone, region } = deps.cfg.instance;
-    const rooms = new RemoteRooms();
+    const rooms = this.#rooms;
     const grants = new HeadroomGrants();
     this.local = new FairDispatcher({ ...deps, zone });
     this.links = new LinkBudgets({ region, part: (now) => this.#part(now) });
@@ -75,6 +93,11 @@
       closed: () => this.closed,
     });
     this.prober = this.#makeProber();
+    this.entries = new EntryChooser(deps.random);
+    this.drains = new DrainTracker({
+      metrics: deps.metrics,
+      running: (drain) => this.#runningAt(drain),
+    });
     this.retries = new RetryPolicy(deps.random);
     this.exchange = new LoadExchange({
       clock: deps.clock,
@@ -112,6 +135,7 @@
   adopt(document: SteeringDocument, now: number): void {
     this.#drained = new Drained(document);
     this.dispatcher.adopt(document, now);
+    this.drains.adopt(document, now);
     this.retries.retain(new Set(Object.keys(document.services)));
   }
 
@@ -119,6 +143,47 @@
     this.dispatcher.tick(now);
     this.exchange.tick(now);
     this.prober.tick(now);
+    this.drains.tick(now);
+    this.#observeLoads(now);
+  }
+
+  /** Instances that callers may be sent to, drained ones only if all are. */
+  openEntries(entries: readonly EntryChoice[]): readonly EntryChoice[] {
+    const open = entries.filter(({ instance, zone }) =>
+      !this.#drained?.instance(instance) && !this.#drained?.zone(zone)
+    );
+    return open.length > 0 ? open : entries;
+  }
+
+  /** Resolves once no request that others forwarded runs here any more. */
+  async forwardsEnded(): Promise<void> {
+    while (this.intake.runningInAll > 0) {
+      await sleep(this.#deps.clock, IDLE_CHECK_MS);
+    }
+  }
+
+  #observeLoads(now: number): void {
+    const { roster, cfg } = this.#deps;
+    const live = roster.live().map((m) => m.instance);
+    for (const id of live) {
+      const load = this.exchange.loadOf(id);
+      if (load !== undefined) this.entries.observe(id, load, now);
+    }
+    this.entries.observe(cfg.instance.id, this.load, now);
+    this.entries.retain(new Set([...live, cfg.instance.id]));
+  }
+
+  /** Requests from here that run at what a drain names. */
+  #runningAt({ kind, id }: DrainEntry): number {
+    const { cfg, running } = this.#deps;
+    if (kind === "endpoint") return this.local.inFlight(id);
+    if (kind === "instance" && id === cfg.instance.id) {
+      return running() + this.intake.runningInAll;
+    }
+    const elsewhere = this.#rooms.inFlightAt((peer) => peer[kind] === id);
+    if (kind === "instance" || cfg.instance[kind] !== id) return elsewhere;
+    const rows = this.local.rows();
+    return elsewhere + rows.reduce((n, row) => n + row.inFlight, 0);
   }
 
   /** Part of the region's seats that this instance holds. */
