--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -4,9 +4,10 @@
  *
  * @module
  */
-import { ok, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import {
   type AccountId,
+  combine,
   fail,
   type Failure,
   failure,
@@ -66,13 +67,14 @@
   const issues: Failure[] = [];
   for (const [name, value] of Object.entries(raw)) {
     const section = parseSection(name, value);
-    if (section.isErr()) issues.push(section.error);
-    else issues.push(...merge(merged, name as SectionName, section.value));
+    if (section.isErr()) {
+      issues.push(...section.error.issues ?? [section.error]);
+    } else issues.push(...merge(merged, name as SectionName, section.value));
   }
   if (issues.length === 0) issues.push(...crossCheck(merged));
-  const first = issues[0];
+  const [first] = issues;
   if (first === undefined) return ok(merged);
-  return fail(first.code, first.message, { path: first.path, issues });
+  return err(combine(first.code, issues));
 }
 
 /**
@@ -97,7 +99,8 @@
       },
     );
   }
-  const parsed = SECTION_SCHEMAS[kindOf(sectionName.data)].safeParse(value);
+  const schema = SECTION_SCHEMAS[kindOf(sectionName.data)];
+  const parsed = schema.safeParse(value, { reportInput: true });
   if (parsed.success) return ok(parsed.data);
   const found = fromZod("bad_section", parsed.error);
   return fail("bad_section", found.message, {
@@ -220,8 +223,25 @@
   readonly instances: number;
 }
 
-/** Every availability zone of a document, in the document's order. */
-export function zonesOf(document: SteeringDocument): ZoneEntry[] {
+/** Zones by the regions they were read from; a document never changes. */
+const zonesByRegions = new WeakMap<
+  SteeringDocument["regions"],
+  readonly ZoneEntry[]
+>();
+
+/**
+ * Every availability zone of a document, in the document's order. Leases ask
+ * for it at every spending, so it is worked out once a document.
+ */
+export function zonesOf(document: SteeringDocument): readonly ZoneEntry[] {
+  const known = zonesByRegions.get(document.regions);
+  if (known !== undefined) return known;
+  const zones = listZones(document);
+  zonesByRegions.set(document.regions, zones);
+  return zones;
+}
+
+function listZones(document: SteeringDocument): ZoneEntry[] {
   return Object.entries(document.regions).flatMap(([region, entry]) =>
     Object.entries(entry.zones).map(([zone, { instances }]) => ({
       zone: zone as ZoneId,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,8 +13,10 @@
 import {
   type AcceptedDocument,
   ContentStore,
+  DocumentStore,
   emptyDocument,
   type SteeringDocument,
+  zonesOf,
 } from "../document/mod.ts";
 import type { EndpointClient } from "../endpoints/mod.ts";
 import {
@@ -257,6 +259,7 @@
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
     await this.#steering.forwardsEnded();
+    await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
     await this.close();
@@ -310,7 +313,7 @@
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
       cfg.admin,
-      adminApp({ ready: () => this.ready, status: () => this.status() }),
+      this.#adminApp(),
     );
     if (admin.isErr()) return err(admin.error);
     this.#listeners = {
@@ -321,6 +324,18 @@
     return ok(undefined);
   }
 
+  #adminApp(): RequestListener {
+    const { cfg, platform, clock, random } = this.#deps;
+    return adminApp({
+      ready: () => this.ready,
+      status: () => this.status(),
+      document: () => this.#document,
+      store: new DocumentStore({ platform, clock, random }),
+      platform,
+      bootstrapSha256: cfg.admin.bootstrap_token_sha256,
+    });
+  }
+
   #makeFollower(): DocumentFollower {
     const { cfg, clock, log, platform, random, transport } = this.#deps;
     const contents = new ContentStore(platform);
@@ -392,6 +407,7 @@
     this.#keys.adopt(accepted.document);
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
+    this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
