Check a look-up's reuse against its bounds, not one figure

The take-over test compared the reuse time of two answers for equality. It is now drawn for each answer so that callers do not come back together, so equal figures would be a fault. The test checks both bounds of both answers instead.

--- a/src/decisions/lookup/lookup.ts
+++ b/src/decisions/lookup/lookup.ts
@@ -31,6 +31,8 @@
 export const MAX_CHOICES = 4;
 /** With its jitter an answer is never reused for more than two seconds. */
 export const MAX_REUSE_MS = 2_000;
+/** Nor for less than this, however the jitter falls. */
+export const MIN_REUSE_MS = 1_200;
 const REUSE_MS = 1_600;
 const REUSE_JITTER = 0.25;
 
