--- a/src/operations/ledger.ts
+++ b/src/operations/ledger.ts
@@ -132,6 +132,16 @@
     return this.#bytes;
   }
 
+  /** Runs begun here so far. */
+  get runs(): number {
+    return this.#runs;
+  }
+
+  /** The highest epoch of a seat that was heard of; 0 if none. */
+  epochOf(zone: string, index: number): number {
+    return this.#epochs.get(seatKey({ zone, index })) ?? 0;
+  }
+
   /** Whether new operations are refused for want of room. */
   get full(): boolean {
     return this.size >= this.limits.maxRecords ||
@@ -179,12 +189,19 @@
     return { kind: "start", run };
   }
 
-  /** An intent arrives at the second place. */
+  /**
+   * An intent arrives at the second place. One of an earlier run that comes
+   * late must not take the place of a later run's: the end of the earlier run
+   * would then clear the record of one that is being dispatched.
+   */
   intent(entry: IntentEntry, now: number): PlaceDecision {
     const known = this.#records.get(keyOf(entry.name));
     if (known !== undefined && !isSameOwner(known, entry)) {
       return { ...viewOf(known), accepted: false };
     }
+    if (known !== undefined && orderOf(known.run) > orderOf(entry.run)) {
+      return { ...viewOf(known), accepted: false };
+    }
     if (!this.#admitsEpoch(entry.seat)) {
       return { ...NOTHING, state: "refused", accepted: false };
     }
@@ -336,6 +353,11 @@
   return known.owner === entry.owner && known.state === "intent";
 }
 
+/** Runs of one owner are numbered in the order of their beginning. */
+function orderOf(run: string): number {
+  return Number(run.slice(run.lastIndexOf(".") + 1));
+}
+
 function idOf(name: OperationName): string {
   return `${name.account} ${name.id}`;
 }
@@ -345,7 +367,7 @@
   return `${name.account} ${name.id} ${name.scope}`;
 }
 
-function seatKey(seat: SeatEpoch): string {
+function seatKey(seat: Omit<SeatEpoch, "epoch">): string {
   return `${seat.zone} ${seat.index}`;
 }
 
