--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,6 +13,7 @@
 import {
   type AcceptedDocument,
   ContentStore,
+  DocumentStore,
   emptyDocument,
   type SteeringDocument,
   zonesOf,
@@ -34,9 +35,11 @@
 import { dutyHolder, LeasedSeats, Roster } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
+  batchListener,
   type DocumentTransport,
   PeerExchange,
   peerListener,
+  PeerServer,
   type PeerTransport,
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
@@ -44,6 +47,7 @@
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
+import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
@@ -69,7 +73,7 @@
 
 interface Listeners {
   readonly caller: Listener;
-  readonly peer: Listener;
+  readonly peer: PeerServer;
   readonly admin: Listener;
 }
 
@@ -300,16 +304,18 @@
         lookup: () => this.#lookup(),
         ready: () => this.#serving,
       }),
+      callerOptions(this.#deps),
     );
     if (caller.isErr()) return err(caller.error);
-    const peer = await Listener.open(
-      cfg.peer,
-      this.#peerHandler(),
-    );
+    const peer = await PeerServer.open({
+      ...cfg.peer,
+      http1: this.#peerHandler(),
+      http2: batchListener((batch) => this.#exchange.answer(batch)),
+    });
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
       cfg.admin,
-      adminApp({ ready: () => this.ready, status: () => this.status() }),
+      this.#adminApp(),
     );
     if (admin.isErr()) return err(admin.error);
     this.#listeners = {
@@ -320,6 +326,18 @@
     return ok(undefined);
   }
 
+  #adminApp(): RequestListener {
+    const { cfg, platform, clock, random } = this.#deps;
+    return adminApp({
+      ready: () => this.ready,
+      status: () => this.status(),
+      document: () => this.#document,
+      store: new DocumentStore({ platform, clock, random }),
+      platform,
+      bootstrapSha256: cfg.admin.bootstrap_token_sha256,
+    });
+  }
+
   #makeFollower(): DocumentFollower {
     const { cfg, clock, log, platform, random, transport } = this.#deps;
     const contents = new ContentStore(platform);
@@ -366,7 +384,7 @@
 
   /** Forwarded requests beside the peers' own messages. */
   #peerHandler(): RequestListener {
-    const peers = peerListener((batch) => this.#exchange.answer(batch), {
+    const peers = peerListener({
       ledger: this.#operations,
       borrow: (call) => this.#budgets.answer(call),
       document: this.#follower,
