--- a/src/admin/admin_app_test.ts
+++ b/src/admin/admin_app_test.ts
@@ -56,6 +56,8 @@
       seats: [],
       running: 0,
       leaving: false,
+      drained: false,
+      drains: [],
       members: [],
     }),
     document: () => document,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,7 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
+import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
   type AcceptedDocument,
   ContentStore,
@@ -47,6 +47,7 @@
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
+import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
@@ -76,11 +77,10 @@
   readonly admin: Listener;
 }
 
-const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
-const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
+const LEAVE_NOTICE_MS = MAX_REUSE_MS;
 
 /**
  * A running entry instance.
@@ -135,6 +135,7 @@
       limits: this.#budgets.slotLimits,
       document: () => this.#document,
       leaving: () => this.#leaving,
+      running: () => this.#path.running,
     });
     this.#exchange = new PeerExchange({
       ...deps,
@@ -246,6 +247,8 @@
       seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
+      drained: this.#steering.drained,
+      drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
     };
   }
@@ -258,6 +261,7 @@
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#steering.forwardsEnded();
     await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
@@ -303,6 +307,7 @@
         lookup: () => this.#lookup(),
         ready: () => this.#serving,
       }),
+      callerOptions(this.#deps),
     );
     if (caller.isErr()) return err(caller.error);
     const peer = await PeerServer.open({
@@ -415,15 +420,16 @@
     const { zone, region } = this.#deps.cfg.instance;
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
-    const candidates = this.#leaving ? others : [...others, this.#self()];
-    const instances = chooseEntries(
-      { zone, region, candidates },
-      this.#deps.random,
-    ).map(({ instance, url, zone, region }) => {
-      const home = this.#operations.homeOf(instance);
-      return { instance, url, zone, region, ...(home ? { home } : {}) };
-    });
-    return { reuse_ms: LOOKUP_REUSE_MS, instances };
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const candidates = this.#steering.openEntries(all);
+    const { entries } = this.#steering;
+    const instances = entries.choose({ zone, region, candidates }).map(
+      ({ instance, url, zone, region }) => {
+        const home = this.#operations.homeOf(instance);
+        return { instance, url, zone, region, ...(home ? { home } : {}) };
+      },
+    );
+    return { reuse_ms: entries.reuseMs(), instances };
   }
 
   #self(): EntryChoice {
