Steer callers by their address's site and tell what kept requests unanswered

Look-ups answered every caller as if it stood beside the instance it asked. The document now has sections of sites: zones in order and the client blocks that belong to them. A look-up goes by the client's address, or by the one named in the question, to the site's first zone with an instance; unknown addresses are answered as before.

The demo counted a refusal without a second place as lost, because it shared a code with an instance that does not answer; the latter is now `no_answer`.

--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -276,7 +276,7 @@
 function unreachable(cause: unknown): Result<never, Failure> {
   const refused =
     String((cause as { code?: unknown })?.code) === "ECONNREFUSED";
-  return fail("peer_unavailable", `the instance failed: ${String(cause)}`, {
+  return fail("no_answer", `the instance failed: ${String(cause)}`, {
     outcome: refused ? "not-run" : "unknown",
   });
 }
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -32,6 +32,7 @@
   | "platform_outcome_unknown"
   | "value_too_large"
   | "peer_unavailable"
+  | "no_answer"
   | "not_ready"
   | "leaving"
   /** The zone cannot learn whether the account's key was withdrawn. */
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -35,6 +35,10 @@
 export const ZoneId = id().brand<"ZoneId">();
 export type ZoneId = z.infer<typeof ZoneId>;
 
+/** Names a site: where a group of client addresses is. */
+export const SiteId = id().brand<"SiteId">();
+export type SiteId = z.infer<typeof SiteId>;
+
 /** Names a service. */
 export const ServiceId = id().brand<"ServiceId">();
 export type ServiceId = z.infer<typeof ServiceId>;
--- a/src/decisions/clients/client_map.ts
+++ b/src/decisions/clients/client_map.ts
@@ -146,9 +146,15 @@
     }
   }
 
+  /** By name, so that every instance settles a block that stands twice alike. */
+  #inOrder(): NumberedBlocks[] {
+    return [...this.#sections].sort(([a], [b]) => a < b ? -1 : 1)
+      .map(([, section]) => section);
+  }
+
   #build(family: Family, part: number): RangeTable | undefined {
     const blocks: SiteBlock[] = [];
-    for (const { blocks: packed, numbers } of this.#sections.values()) {
+    for (const { blocks: packed, numbers } of this.#inOrder()) {
       collect(packed[family], { family, part, numbers, into: blocks });
     }
     if (blocks.length === 0) return undefined;
--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -15,6 +15,7 @@
   fromZod,
   type RegionId,
   type ServiceId,
+  type SiteId,
   type ZoneId,
 } from "../core/mod.ts";
 import {
@@ -27,7 +28,10 @@
   SECTION_SCHEMAS,
   SectionName,
   type ServicesSection,
+  type SitesSection,
 } from "./sections.ts";
+import type { SiteSection } from "../decisions/clients/mod.ts";
+import { packSites, type Site } from "./site_blocks.ts";
 
 /** Sections by name, as parsed JSON. */
 export type RawSections = Readonly<Record<string, unknown>>;
@@ -40,6 +44,9 @@
   readonly regions: RegionsSection["regions"];
   readonly links: RegionsSection["links"];
   readonly services: ServicesSection["services"];
+  readonly sites: Readonly<Record<SiteId, Site>>;
+  /** Client blocks of each section that has sites, by the section's name. */
+  readonly siteBlocks: Readonly<Record<string, SiteSection>>;
   readonly drains: readonly DrainEntry[];
 }
 
@@ -101,7 +108,7 @@
   }
   const schema = SECTION_SCHEMAS[kindOf(sectionName.data)];
   const parsed = schema.safeParse(value, { reportInput: true });
-  if (parsed.success) return ok(parsed.data);
+  if (parsed.success) return ok(compact(sectionName.data, parsed.data));
   const found = fromZod("bad_section", parsed.error);
   return fail("bad_section", found.message, {
     path: [name, ...found.path],
@@ -109,6 +116,15 @@
   });
 }
 
+/** A section as the document holds it: blocks go into packed arrays. */
+function compact(
+  name: SectionName,
+  section: Record<string, unknown>,
+): Record<string, unknown> {
+  if (kindOf(name) !== "sites") return section;
+  return packSites(name, section as SitesSection);
+}
+
 /** A document with nothing in it. */
 export function emptyDocument(): Mutable<SteeringDocument> {
   return {
@@ -118,6 +134,8 @@
     regions: {},
     links: [],
     services: {},
+    sites: {},
+    siteBlocks: {},
     drains: [],
   };
 }
@@ -159,6 +177,7 @@
     ...checkRates(document),
     ...checkZones(document),
     ...checkLinks(document),
+    ...checkSites(document),
     ...checkKeys(document),
   ];
 }
@@ -188,6 +207,16 @@
   return issues;
 }
 
+function checkSites(document: SteeringDocument): Failure[] {
+  const zones = new Set<string>(zonesOf(document).map((z) => z.zone));
+  return Object.entries(document.sites).flatMap(([id, site]) =>
+    [...site.zones.entries()].filter(([, zone]) => !zones.has(zone))
+      .map(([i, zone]) =>
+        missing(["sites", id, "zones", i], `availability zone ${zone}`)
+      )
+  );
+}
+
 function checkLinks(document: SteeringDocument): Failure[] {
   return document.links.flatMap((link, i) =>
     ([["from", link.from], ["to", link.to]] as const)
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -12,3 +12,4 @@
 export * from "./manifest.ts";
 export * from "./section_edit.ts";
 export * from "./sections.ts";
+export * from "./site_blocks.ts";
--- a/src/document/sections.ts
+++ b/src/document/sections.ts
@@ -15,9 +15,11 @@
   KeyId,
   RegionId,
   ServiceId,
+  SiteId,
   strict,
   ZoneId,
 } from "../core/mod.ts";
+import { parseBlock } from "../decisions/clients/mod.ts";
 
 const Sha256 = z.string().regex(
   /^[0-9a-f]{64}$/,
@@ -131,6 +133,25 @@
 });
 export type ServicesSection = z.infer<typeof ServicesSection>;
 
+/** Where groups of clients are, and the zones that serve them best. */
+export const SitesSection = strict({
+  sites: z.record(
+    SiteId,
+    strict({
+      /** Availability zones, the best one first. */
+      zones: z.array(ZoneId).min(1).max(20),
+      /** Client addresses in CIDR notation; the longest match counts. */
+      blocks: z.array(
+        z.string().max(50).refine(
+          (text) => parseBlock(text) !== undefined,
+          "must be a block of addresses, such as 203.0.113.0/24 or 2001:db8::/32",
+        ),
+      ).max(100_000).default([]),
+    }),
+  ),
+});
+export type SitesSection = z.infer<typeof SitesSection>;
+
 /** One thing that is to get no new work. */
 export const DrainEntry = z.discriminatedUnion("kind", [
   strict({ kind: z.literal("endpoint"), id: EndpointId }),
@@ -166,6 +187,7 @@
   rates: RatesSection,
   regions: RegionsSection,
   services: ServicesSection,
+  sites: SitesSection,
   drains: DrainsSection,
 } as const;
 
@@ -177,7 +199,7 @@
 
 /** Names a section: its kind, or kind and part. */
 export const SectionName = z.string().max(100).regex(
-  /^(access|accounts|rates|regions|services|drains)(\/[a-z0-9][a-z0-9._-]*)?$/,
+  /^(access|accounts|rates|regions|services|sites|drains)(\/[a-z0-9][a-z0-9._-]*)?$/,
   `must be one of ${SECTION_KINDS.join(", ")}, or one of them and "/part"`,
 ).brand<"SectionName">();
 export type SectionName = z.infer<typeof SectionName>;
--- /dev/null
+++ b/src/document/site_blocks.ts
@@ -0,0 +1,46 @@
+/**
+ * Packs the client blocks of a section. Kept as strings, 1.2 million blocks
+ * would take more memory than control may use on a node.
+ *
+ * @module
+ */
+import type { ZoneId } from "../core/mod.ts";
+import {
+  type Block,
+  packBlocks,
+  parseBlock,
+  type SiteBlock,
+  type SiteSection,
+} from "../decisions/clients/mod.ts";
+import type { SectionName, SitesSection } from "./sections.ts";
+
+/** Where a site's callers are best served, the best zone first. */
+export interface Site {
+  readonly zones: readonly ZoneId[];
+}
+
+/** A `sites` section as the document holds it. */
+export interface PackedSites extends Record<string, unknown> {
+  readonly sites: Record<string, Site>;
+  readonly siteBlocks: Record<string, SiteSection>;
+}
+
+/** Takes blocks out of a checked section into packed arrays. */
+export function packSites(
+  name: SectionName,
+  section: SitesSection,
+): PackedSites {
+  const names = Object.keys(section.sites);
+  const blocks: SiteBlock[] = [];
+  const sites: Record<string, Site> = {};
+  for (const [index, [id, site]] of Object.entries(section.sites).entries()) {
+    sites[id] = { zones: site.zones };
+    for (const text of site.blocks) {
+      blocks.push({ ...parseBlock(text) as Block, site: index });
+    }
+  }
+  return {
+    sites,
+    siteBlocks: { [name]: { names, blocks: packBlocks(blocks) } },
+  };
+}
--- a/src/gateway/caller_app.ts
+++ b/src/gateway/caller_app.ts
@@ -10,9 +10,15 @@
 import { refuse } from "./refusal.ts";
 import type { RequestPath } from "./request_path.ts";
 
+const ClientAddress = z.union([z.ipv4(), z.ipv6()]);
+
 /** One question of a look-up call. */
 export const LookupRequest = z.strictObject({
-  lookups: z.array(z.strictObject({ service: ServiceId.optional() })).min(1)
+  lookups: z.array(z.strictObject({
+    service: ServiceId.optional(),
+    /** The client's address, where another asks for it. */
+    client: ClientAddress.optional(),
+  })).min(1)
     .max(1_000),
 });
 
@@ -25,7 +31,8 @@
 /** What the caller side needs. */
 export interface CallerAppDeps {
   readonly path: RequestPath;
-  readonly lookup: (service?: ServiceId) => LookupAnswer;
+  /** Answers for a client's address. */
+  readonly lookup: (client: string) => LookupAnswer;
   readonly ready: () => boolean;
 }
 
@@ -36,9 +43,7 @@
   const app = express();
   app.disable("x-powered-by");
   app.disable("etag");
-  app.get("/v1/lookup", (_req, res) => {
-    res.json(deps.lookup());
-  });
+  app.get("/v1/lookup", (req, res) => lookupOne(deps, req, res));
   app.post(
     "/v1/lookup",
     express.json({ limit: MAX_LOOKUP_BODY }),
@@ -60,12 +65,28 @@
   retryAfterMs: 1_000,
 });
 
+function lookupOne(deps: CallerAppDeps, req: Request, res: Response): void {
+  const given = ClientAddress.optional().safeParse(req.query["client"]);
+  if (!given.success) {
+    refuse(res, fromZod("bad_request", given.error));
+    return;
+  }
+  res.json(deps.lookup(given.data ?? addressOf(req)));
+}
+
+/** Whoever asks without naming a client asks for itself. */
+function addressOf(req: Request): string {
+  return req.socket.remoteAddress ?? "";
+}
+
 function lookupMany(deps: CallerAppDeps, req: Request, res: Response): void {
   const parsed = LookupRequest.safeParse(req.body);
   if (!parsed.success) {
     refuse(res, fromZod("bad_request", parsed.error));
     return;
   }
-  const answers = parsed.data.lookups.map((l) => deps.lookup(l.service));
+  const answers = parsed.data.lookups.map((l) =>
+    deps.lookup(l.client ?? addressOf(req))
+  );
   res.json({ answers });
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -44,6 +44,7 @@
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { ClientSites } from "./client_sites.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
@@ -106,6 +107,7 @@
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  readonly #sites = new ClientSites();
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
   #joined = false;
@@ -187,6 +189,7 @@
     this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
+    this.#ticks.add(this.#sites);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
@@ -304,7 +307,7 @@
       cfg.caller,
       callerApp({
         path: this.#path,
-        lookup: () => this.#lookup(),
+        lookup: (client) => this.#lookup(client),
         ready: () => this.#serving,
       }),
       callerOptions(this.#deps),
@@ -410,19 +413,25 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
+    this.#sites.adopt(accepted.document);
+    if (!this.#joined) this.#sites.settle();
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
     this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
-  #lookup(): LookupAnswer {
-    const { zone, region } = this.#deps.cfg.instance;
+  /** Near the caller's address if a site has it, else near this instance. */
+  #lookup(client: string): LookupAnswer {
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
     const all = this.#leaving ? others : [...others, this.#self()];
     const candidates = this.#steering.openEntries(all);
     const { entries } = this.#steering;
+    const near = this.#sites.zonesFor(client)
+      .map((zone) => candidates.find((c) => c.zone === zone))
+      .find((c) => c !== undefined);
+    const { zone, region } = near ?? this.#deps.cfg.instance;
     const instances = entries.choose({ zone, region, candidates }).map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
--- /dev/null
+++ b/tools/bench/main.ts
@@ -0,0 +1,21 @@
+/**
+ * `npm run bench -- NAME`: measurements as programs; each prints a table and a
+ * last line of JSON.
+ *
+ * @module
+ */
+import process from "node:process";
+import { benchLookup } from "./lookup.ts";
+
+/** Benchmarks by name; a name is what the command line takes. */
+const BENCHES: Readonly<Record<string, () => void | Promise<void>>> = {
+  lookup: benchLookup,
+};
+const BAD_INPUT = 2;
+
+const bench = BENCHES[process.argv[2] ?? ""];
+if (bench === undefined) {
+  const names = Object.keys(BENCHES).join(", ");
+  console.error(`usage: npm run bench -- NAME, one of: ${names}`);
+  process.exitCode = BAD_INPUT;
+} else await bench();
--- a/tools/demo/workload.ts
+++ b/tools/demo/workload.ts
@@ -143,7 +143,7 @@
 
 /** No instance answered at all: nobody said what became of the request. */
 function resultOf(failure: Failure): SentResult {
-  if (failure.code === "peer_unavailable") return "lost";
+  if (failure.code === "no_answer") return "lost";
   return failure.outcome === "not-run" ? "not_run" : "unknown";
 }
 
