--- a/src/operations/home_operations_test.ts
+++ b/src/operations/home_operations_test.ts
@@ -337,7 +337,6 @@
   let refuse = true;
   fleet.onDispatch = (d) => {
     if (!refuse) return Promise.resolve(answerOf(d.attempt));
-    fleet.dispatches.pop();
     return Promise.resolve(fail("no_capacity", "full", { outcome: "not-run" }));
   };
   fleet.onMessage = (m) => m.kind === "forward" ? "repeat" : "deliver";
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -286,10 +286,18 @@
       runs.set(id, (runs.get(id) ?? 0) + 1);
     }
     for (const [id, n] of runs) if (n > 1) found.push(`${id} ran ${n} times`);
-    for (const { number, id, result } of this.attempts) {
+    const ran = new Set(this.dispatches.map((d) => d.attempt));
+    for (const { number, id, home, result } of this.attempts) {
       if (result?.isErr() && result.error.outcome === "not-run") {
-        const ran = this.dispatches.some((d) => d.attempt === number);
-        if (ran) found.push(`${id}: attempt ${number} ran, told not-run`);
+        if (ran.has(number)) {
+          found.push(`${id}: attempt ${number} ran, told not-run`);
+        }
+      }
+      if (result?.isErr() && result.error.code === "operation_refused") {
+        const underHome = this.dispatches.some((d) =>
+          d.id === id && this.attempts[d.attempt]?.home === home
+        );
+        if (underHome) found.push(`${id}: ran at a home that refused it`);
       }
       if (result?.isOk() && !runs.has(id)) found.push(`${id}: made-up answer`);
     }
@@ -345,6 +353,9 @@
     const dispatch = { attempt, id: req.id, by: node.name };
     this.dispatches.push(dispatch);
     const result = await this.onDispatch(dispatch);
+    if (result.isErr() && result.error.outcome === "not-run") {
+      this.dispatches.splice(this.dispatches.indexOf(dispatch), 1);
+    }
     await node.gate();
     return result;
   }
--- /dev/null
+++ b/src/operations/testing/random_run.ts
@@ -0,0 +1,272 @@
+/**
+ * A randomised run: callers that place and repeat operations while instances
+ * die, pause, leave and are cut off, and messages get lost, late and doubled.
+ *
+ * @module
+ */
+import { fail, SeededRandom, sleep } from "../../core/mod.ts";
+import type { RunResult } from "../operations.ts";
+import { answerOf, type Attempt, FakeFleet, type Fate } from "./fake_fleet.ts";
+
+/** What a run did and found. */
+export interface RandomRunReport {
+  readonly seed: number;
+  readonly steps: number;
+  readonly operations: number;
+  readonly attempts: number;
+  readonly dispatches: number;
+  readonly answered: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  readonly faults: number;
+  readonly violations: readonly string[];
+}
+
+interface Operation {
+  readonly id: string;
+  readonly plain: boolean;
+  home: string | undefined;
+  round: number;
+  uncertain: boolean;
+  done: boolean;
+  outstanding: Attempt[];
+}
+
+const STEP_MS = 60;
+const TAKEOVER_MS = 5_000;
+const MAX_OPEN = 8;
+const ZONES = [["r1", "r1-a"], ["r1", "r1-b"], ["r2", "r2-a"]] as const;
+
+/** Runs `steps` random steps from a seed; stops at the first violation. */
+export async function randomRun(
+  seed: number,
+  steps: number,
+): Promise<RandomRunReport> {
+  const run = new RandomRun(seed);
+  await run.start();
+  let step = 0;
+  while (step < steps && run.violations.length === 0) {
+    await run.step();
+    step += 1;
+  }
+  if (run.violations.length === 0) await run.finish();
+  return run.report(seed, step);
+}
+
+class RandomRun {
+  readonly #random: SeededRandom;
+  readonly #fleet: FakeFleet;
+  readonly #open: Operation[] = [];
+  readonly #deadSince = new Map<string, number>();
+  readonly #homes: ReadonlyMap<string, { zone: string; region: string }>;
+  #leaving = 0;
+  #count = 0;
+  #faults = 0;
+  #faultRate = 0.02;
+
+  constructor(seed: number) {
+    this.#random = new SeededRandom(seed);
+    this.#fleet = new FakeFleet({ seed: seed + 1, zones: ZONES });
+    this.#fleet.onMessage = () => this.#fate();
+    this.#fleet.onDispatch = (d) => this.#work(d.attempt);
+    this.#homes = new Map(
+      [...this.#fleet.nodes.values()].map(({ name, zone, region }) =>
+        [name, { zone, region }] as const
+      ),
+    );
+  }
+
+  get violations(): string[] {
+    return this.#fleet.violations();
+  }
+
+  async start(): Promise<void> {
+    await this.#fleet.pass(1_500);
+  }
+
+  async step(): Promise<void> {
+    const dice = this.#random.next();
+    if (dice < 0.45) this.#place();
+    else if (dice < 0.85) this.#repeat();
+    else if (dice < 0.97) this.#disturb();
+    else await this.#fleet.pass(2_000);
+    await this.#fleet.pass(STEP_MS);
+    this.#settle();
+    this.#takeOver();
+  }
+
+  /** Mends everything and lets what is under way end. */
+  async finish(): Promise<void> {
+    this.#faultRate = 0;
+    this.#fleet.cuts.clear();
+    for (const node of this.#fleet.nodes.values()) node.resume();
+    await this.#fleet.pass(10_000);
+  }
+
+  report(seed: number, steps: number): RandomRunReport {
+    const { attempts, dispatches } = this.#fleet;
+    const outcomes = attempts.map((a) =>
+      a.result?.isErr() ? a.result.error.outcome : a.result && "answered"
+    );
+    const count = (outcome: string) =>
+      outcomes.filter((o) => o === outcome).length;
+    return {
+      seed,
+      steps,
+      operations: this.#count,
+      attempts: attempts.length,
+      dispatches: dispatches.length,
+      answered: count("answered"),
+      notRun: count("not-run"),
+      unknown: count("unknown"),
+      faults: this.#faults,
+      violations: this.violations,
+    };
+  }
+
+  #place(): void {
+    const node = this.#anyNode();
+    if (node === undefined) return;
+    const plain = this.#random.next() < 0.4;
+    const home = plain
+      ? undefined
+      : this.#fleet.node(node).operations.homeOf(this.#anyNode() ?? node);
+    const op: Operation = {
+      id: `op-${this.#count++}`,
+      plain: home === undefined,
+      home,
+      round: 0,
+      uncertain: false,
+      done: false,
+      outstanding: [],
+    };
+    this.#open.push(op);
+    if (this.#open.length > MAX_OPEN) this.#open.shift();
+    this.#send(op, node);
+  }
+
+  #repeat(): void {
+    const op = this.#open[this.#random.below(Math.max(1, this.#open.length))];
+    const node = this.#anyNode();
+    if (op && node) this.#send(op, node);
+  }
+
+  #send(op: Operation, node: string): void {
+    const home = op.home && op.round > 0 ? `${op.home}~${op.round}` : op.home;
+    const patienceMs = 100 + this.#random.below(2_000);
+    const { id } = op;
+    op.outstanding.push(this.#fleet.send(node, { id, home, patienceMs }));
+  }
+
+  /** What a caller does with what it was told; see the caller library. */
+  #settle(): void {
+    for (const op of this.#open) {
+      const told = op.outstanding.filter((a) => a.result !== undefined);
+      op.outstanding = op.outstanding.filter((a) => a.result === undefined);
+      for (const { result } of told) {
+        if (result === undefined) continue;
+        if (result.isOk()) op.done = true;
+        else if (result.error.outcome !== "not-run") op.uncertain = true;
+      }
+      const forGood = told.some((a) =>
+        a.result?.isErr() && a.result.error.code === "operation_refused"
+      );
+      if (forGood && !op.plain && !op.done) this.#takeNewHome(op);
+    }
+  }
+
+  #takeNewHome(op: Operation): void {
+    const node = this.#anyNode();
+    const home = node && this.#fleet.node(node).operations.homeOf(node);
+    if (home === undefined) return;
+    op.home = home;
+    op.round += 1;
+    op.uncertain = false;
+    // What is still under way belongs to the old home, where nothing runs.
+    op.outstanding = [];
+  }
+
+  #disturb(): void {
+    this.#faults += 1;
+    const name = this.#anyNode();
+    if (name === undefined) return;
+    const node = this.#fleet.node(name);
+    const acts = [
+      () => this.#kill(name),
+      () => node.pause(),
+      () => this.#resumeAll(),
+      () => this.#fleet.cut(name, this.#anyNode() ?? name),
+      () => this.#fleet.cuts.clear(),
+      () => void this.#leave(name),
+      () => {
+        this.#faultRate = [0, 0.02, 0.2][this.#random.below(3)] ?? 0;
+      },
+      () => {
+        this.#fleet.platformDown = !this.#fleet.platformDown;
+      },
+    ];
+    acts[this.#random.below(acts.length)]?.();
+  }
+
+  #kill(name: string): void {
+    this.#fleet.kill(name);
+    this.#deadSince.set(name, this.#fleet.clock.now());
+  }
+
+  #resumeAll(): void {
+    for (const node of this.#fleet.nodes.values()) node.resume();
+  }
+
+  /** A planned stop: records are handed over, then the process ends. */
+  async #leave(name: string): Promise<void> {
+    if (this.#leaving > 0) return;
+    this.#leaving += 1;
+    const node = this.#fleet.node(name);
+    node.leaving = true;
+    await sleep(this.#fleet.clock, 300);
+    await node.operations.handOver();
+    await sleep(this.#fleet.clock, 300);
+    if (this.#fleet.nodes.get(name) === node) this.#kill(name);
+    this.#leaving -= 1;
+  }
+
+  /** Dead or long paused holders lose their seats; the dead are replaced. */
+  #takeOver(): void {
+    const now = this.#fleet.clock.now();
+    for (const [name, since] of this.#deadSince) {
+      if (now - since < TAKEOVER_MS) continue;
+      this.#deadSince.delete(name);
+      const home = this.#homes.get(name);
+      if (home === undefined) continue;
+      const mate = [...this.#homes].find(([n, h]) =>
+        n !== name && h.zone === home.zone && this.#fleet.node(n).alive
+      )?.[0];
+      if (mate) this.#fleet.moveSeats(name, mate);
+      this.#fleet.start(name, home);
+      if (!mate) this.#fleet.moveSeats(name, name);
+    }
+  }
+
+  #anyNode(): string | undefined {
+    const up = [...this.#fleet.nodes.values()]
+      .filter((n) => n.alive && !n.paused);
+    return up[this.#random.below(Math.max(1, up.length))]?.name;
+  }
+
+  #fate(): Fate {
+    const fates: Fate[] = ["lose", "repeat", "late"];
+    if (this.#random.next() >= this.#faultRate) return "deliver";
+    this.#faults += 1;
+    return fates[this.#random.below(fates.length)] ?? "deliver";
+  }
+
+  async #work(attempt: number): Promise<RunResult> {
+    const dice = this.#random.next();
+    await sleep(this.#fleet.clock, 10 + this.#random.below(300));
+    if (dice < 0.8) return answerOf(attempt);
+    if (dice < 0.9) {
+      return fail("endpoint_failed", "shed", { outcome: "not-run" });
+    }
+    return fail("endpoint_failed", "broke off", { outcome: "unknown" });
+  }
+}
