--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Failure } from "../core/mod.ts";
+import type { DrainProgress } from "../decisions/drains/mod.ts";
 import type { HeldSeat } from "../membership/mod.ts";
 
 /** What an instance says of itself. */
@@ -18,5 +19,8 @@
   readonly seats: readonly HeldSeat[];
   readonly running: number;
   readonly leaving: boolean;
+  /** Whether the document drains this instance. */
+  readonly drained: boolean;
+  readonly drains: readonly DrainProgress[];
   readonly members: readonly string[];
 }
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,7 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
+import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
   type AcceptedDocument,
   ContentStore,
@@ -45,6 +45,7 @@
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { ClientSites } from "./client_sites.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
@@ -79,11 +80,10 @@
   readonly admin: Listener;
 }
 
-const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
-const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
+const LEAVE_NOTICE_MS = MAX_REUSE_MS;
 
 /**
  * A running entry instance.
@@ -110,6 +110,7 @@
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  readonly #sites = new ClientSites();
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
   #joined = false;
@@ -139,6 +140,7 @@
       limits: this.#budgets.slotLimits,
       document: () => this.#document,
       leaving: () => this.#leaving,
+      running: () => this.#path.running,
     });
     this.#exchange = new PeerExchange({
       ...deps,
@@ -203,6 +205,7 @@
     this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
+    this.#ticks.add(this.#sites);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
@@ -264,6 +267,8 @@
       seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
+      drained: this.#steering.drained,
+      drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
     };
   }
@@ -276,6 +281,7 @@
     await this.#deps.platform.announce(this.#listed());
     await this.#wait(LEAVE_NOTICE_MS);
     await this.#listeners?.caller.drain();
+    await this.#steering.forwardsEnded();
     await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
@@ -319,7 +325,7 @@
       cfg.caller,
       callerApp({
         path: this.#path,
-        lookup: () => this.#lookup(),
+        lookup: (client) => this.#lookup(client),
         ready: () => this.#serving,
       }),
       callerOptions(this.#deps),
@@ -425,25 +431,32 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
+    this.#sites.adopt(accepted.document);
+    if (!this.#joined) this.#sites.settle();
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
     this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
-  #lookup(): LookupAnswer {
-    const { zone, region } = this.#deps.cfg.instance;
+  /** Near the caller's address if a site has it, else near this instance. */
+  #lookup(client: string): LookupAnswer {
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
-    const candidates = this.#leaving ? others : [...others, this.#self()];
-    const instances = chooseEntries(
-      { zone, region, candidates },
-      this.#deps.random,
-    ).map(({ instance, url, zone, region }) => {
-      const home = this.#operations.homeOf(instance);
-      return { instance, url, zone, region, ...(home ? { home } : {}) };
-    });
-    return { reuse_ms: LOOKUP_REUSE_MS, instances };
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const candidates = this.#steering.openEntries(all);
+    const { entries } = this.#steering;
+    const near = this.#sites.zonesFor(client)
+      .map((zone) => candidates.find((c) => c.zone === zone))
+      .find((c) => c !== undefined);
+    const { zone, region } = near ?? this.#deps.cfg.instance;
+    const instances = entries.choose({ zone, region, candidates }).map(
+      ({ instance, url, zone, region }) => {
+        const home = this.#operations.homeOf(instance);
+        return { instance, url, zone, region, ...(home ? { home } : {}) };
+      },
+    );
+    return { reuse_ms: entries.reuseMs(), instances };
   }
 
   #self(): EntryChoice {
