--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -21,6 +21,12 @@
     tags: ["result"],
     help: "Summaries of burn counts written to the store",
   },
+  "drain.duration": {
+    type: "timing",
+    unit: "ms",
+    tags: ["kind", "id"],
+    help: "From a drain's coming in force to the end of its last request here",
+  },
   "endpoint.drain": {
     type: "timing",
     unit: "ms",
--- a/src/instance/listener_test.ts
+++ b/src/instance/listener_test.ts
@@ -204,15 +204,29 @@
   socket.destroy();
 });
 
-test("a key of another certificate is refused at the start", async (t) => {
-  const { files, replace } = await tlsSetup(t);
-  await replace({ cert: CERTIFICATE_ONE.cert, key: CERTIFICATE_TWO.key });
-  const opened = await Listener.open(
-    { host: "127.0.0.1", port: 0 },
-    () => {},
-    { tls: { files, clock: new SystemClock(), log: new SilentLog() } },
-  );
-  const failure = opened._unsafeUnwrapErr();
-  t.is(failure.code, "bad_settings");
-  t.true(failure.message.includes(files.certFile));
-});
+const UNUSABLE: [string, TlsPair][] = [
+  [
+    "a key of another certificate",
+    { cert: CERTIFICATE_ONE.cert, key: CERTIFICATE_TWO.key },
+  ],
+  ["an empty certificate", { cert: "", key: CERTIFICATE_ONE.key }],
+  ["an empty key", { cert: CERTIFICATE_ONE.cert, key: "" }],
+  ["a certificate that is none", { cert: "x", key: CERTIFICATE_ONE.key }],
+];
+
+for (const [name, pair] of UNUSABLE) {
+  test(`${name} is refused`, async (t) => {
+    // A file is empty for a moment while it is written anew. Taken for a
+    // certificate, it would make every handshake fail until the next look.
+    const { files, replace } = await tlsSetup(t);
+    await replace(pair);
+    const opened = await Listener.open(
+      { host: "127.0.0.1", port: 0 },
+      () => {},
+      { tls: { files, clock: new SystemClock(), log: new SilentLog() } },
+    );
+    const failure = opened._unsafeUnwrapErr();
+    t.is(failure.code, "bad_settings");
+    t.true(failure.message.includes(files.certFile));
+  });
+}
--- a/src/instance/tls_files.ts
+++ b/src/instance/tls_files.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { createPrivateKey, X509Certificate } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { createSecureContext } from "node:tls";
 import { ok, type Result } from "neverthrow";
@@ -41,17 +42,28 @@
       readFile(files.certFile, "utf8"),
       readFile(files.keyFile, "utf8"),
     ]);
+    // An empty certificate, as a file is while it is written anew, would pass
+    // for one, and every handshake would fail.
+    const fits = new X509Certificate(cert).checkPrivateKey(
+      createPrivateKey(key),
+    );
+    if (!fits) return unusable(files, "the key is of another certificate");
     createSecureContext({ cert, key });
     return ok({ cert, key });
   } catch (cause) {
     const reason = cause instanceof Error ? cause.message : String(cause);
-    return fail(
-      "bad_settings",
-      `certificate ${files.certFile} and key ${files.keyFile} cannot be used: ${reason}`,
-    );
+    return unusable(files, reason);
   }
 }
 
+function unusable(files: TlsFiles, reason: string): Result<never, Failure> {
+  const { certFile, keyFile } = files;
+  return fail(
+    "bad_settings",
+    `certificate ${certFile} and key ${keyFile} cannot be used: ${reason}`,
+  );
+}
+
 /** What a reloader needs. */
 export interface TlsReloaderDeps {
   readonly files: TlsFiles;
