--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -5,14 +5,15 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
+import type { z } from "zod";
 import {
   type AccountId,
+  checkValue,
   combine,
   fail,
   type Failure,
   failure,
   type FailurePath,
-  fromZod,
   type RegionId,
   type ServiceId,
   type SiteId,
@@ -106,14 +107,15 @@
       },
     );
   }
-  const schema = SECTION_SCHEMAS[kindOf(sectionName.data)];
-  const parsed = schema.safeParse(value, { reportInput: true });
-  if (parsed.success) return ok(compact(sectionName.data, parsed.data));
-  const found = fromZod("bad_section", parsed.error);
-  return fail("bad_section", found.message, {
-    path: [name, ...found.path],
-    issues: found.issues?.map((i) => ({ ...i, path: [name, ...i.path] })),
-  });
+  const schema: z.ZodType<Record<string, unknown>> =
+    SECTION_SCHEMAS[kindOf(sectionName.data)];
+  return checkValue("bad_section", schema, value)
+    .map((section) => compact(sectionName.data, section))
+    .mapErr((found) => ({
+      ...found,
+      path: [name, ...found.path],
+      issues: found.issues?.map((i) => ({ ...i, path: [name, ...i.path] })),
+    }));
 }
 
 /** A section as the document holds it: blocks go into packed arrays. */
--- a/src/gateway/caller_app.ts
+++ b/src/gateway/caller_app.ts
@@ -3,9 +3,14 @@
  *
  * @module
  */
-import express, { type Express, type Request, type Response } from "express";
+import express, {
+  type Express,
+  type NextFunction,
+  type Request,
+  type Response,
+} from "express";
 import { z } from "zod";
-import { failure, fromZod, ServiceId } from "../core/mod.ts";
+import { checkValue, failure, fromZod, ServiceId } from "../core/mod.ts";
 import type { EntryChoice } from "../decisions/lookup/mod.ts";
 import { refuse } from "./refusal.ts";
 import type { RequestPath } from "./request_path.ts";
@@ -57,9 +62,30 @@
   app.use((_req: Request, res: Response) => {
     refuse(res, failure("not_found", "no such path", { outcome: "not-run" }));
   });
+  app.use(refuseThrown);
   return app;
 }
 
+/** What the parser of look-ups throws, and what should not be thrown at all. */
+function refuseThrown(
+  cause: unknown,
+  _req: Request,
+  res: Response,
+  _next: NextFunction,
+): void {
+  const type = cause instanceof Error && "type" in cause ? cause.type : "";
+  if (type === "entity.too.large") {
+    const message = `a look-up's body may have ${MAX_LOOKUP_BODY}`;
+    refuse(res, failure("value_too_large", message, { outcome: "not-run" }));
+  } else if (type !== "") {
+    const message = "the body is not JSON";
+    refuse(res, failure("bad_request", message, { outcome: "not-run" }));
+  } else {
+    const message = "an unforeseen failure";
+    refuse(res, failure("internal", message, { outcome: "unknown" }));
+  }
+}
+
 const NOT_READY = failure("not_ready", "no document is in force here yet", {
   outcome: "not-run",
   retryAfterMs: 1_000,
@@ -80,12 +106,12 @@
 }
 
 function lookupMany(deps: CallerAppDeps, req: Request, res: Response): void {
-  const parsed = LookupRequest.safeParse(req.body);
-  if (!parsed.success) {
-    refuse(res, fromZod("bad_request", parsed.error));
+  const parsed = checkValue("bad_request", LookupRequest, req.body);
+  if (parsed.isErr()) {
+    refuse(res, { ...parsed.error, outcome: "not-run" });
     return;
   }
-  const answers = parsed.data.lookups.map((l) =>
+  const answers = parsed.value.lookups.map((l) =>
     deps.lookup(l.client ?? addressOf(req))
   );
   res.json({ answers });
--- a/src/instance/secrecy_test.ts
+++ b/src/instance/secrecy_test.ts
@@ -1,23 +1,14 @@
-import test, { type ExecutionContext } from "ava";
-import { EndpointServer } from "../../tools/standins/endpoint_server.ts";
+import test from "ava";
 import {
   type Log,
   LOG_TABLE,
   type LogFields,
   METRIC_TABLE,
   type Metrics,
-  SystemClock,
-  SystemRandom,
   type Tags,
 } from "../core/mod.ts";
-import { DocumentStore, type SectionName, sha256 } from "../document/mod.ts";
-import { HttpEndpointClient } from "../endpoints/mod.ts";
-import { ConnectPeerTransport } from "../peers/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
-import { parseSettings } from "../settings/mod.ts";
-import { Instance } from "./instance.ts";
+import { ONLY_KEY as KEY, startOne } from "./testing/one_instance.ts";
 
-const KEY = "mh_0123456789abcdef-secret";
 const MAX_POLLS = 400;
 
 /** Keeps all that is logged and measured. */
@@ -57,68 +48,13 @@
   }
 }
 
-async function setup(t: ExecutionContext) {
-  const endpoint = await EndpointServer.open({
-    id: "mapview-1",
-    service: "mapview",
-    slots: 4,
-    workMs: 1,
-    seed: 1,
-  });
-  const clock = new SystemClock();
-  const random = new SystemRandom();
-  const platform = new MemoryPlatform(clock);
-  const sections = Object.entries({
-    accounts: {
-      accounts: { a1: { keys: [{ id: "k1", sha256: sha256(KEY) }] } },
-    },
-    rates: { rates: { a1: { rate_per_s: 100_000, burst: 100_000 } } },
-    regions: { regions: { gulf: { zones: { "gulf-a": { instances: 1 } } } } },
-    services: {
-      services: {
-        mapview: {
-          routes: [{ method: "GET", path_prefix: "/", idempotent: true }],
-          endpoints: {
-            "mapview-1": {
-              zone: "gulf-a",
-              url: endpoint.url,
-              slots: 4,
-              connections: 9,
-            },
-          },
-        },
-      },
-    },
-  }) as [SectionName, unknown][];
-  const store = new DocumentStore({ platform, clock, random });
-  (await store.apply({ author: "t", sections: new Map(sections) }))
-    ._unsafeUnwrap();
-  const recorder = new Recorder();
-  const started = await Instance.start({
-    cfg: parseSettings({
-      instance: { id: "i1", zone: "gulf-a", region: "gulf" },
-      platform: { url: "http://127.0.0.1:1" },
-    })._unsafeUnwrap(),
-    platform,
-    transport: new ConnectPeerTransport(),
-    endpoints: new HttpEndpointClient(),
-    clock,
-    random,
-    metrics: recorder,
-    log: recorder,
-  });
-  const instance = started._unsafeUnwrap();
-  t.teardown(async () => {
-    await instance.close();
-    await endpoint.close();
-  });
-  return { endpoint, recorder, instance };
-}
-
 test("a key shows in no log, metric or answer, wherever a caller puts it", async (t) => {
   // Callers put keys into paths, ids and headers by mistake. Logs and metrics
   // are read by many; a key in them is a key given away.
-  const { endpoint, recorder, instance } = await setup(t);
+  const recorder = new Recorder();
+  const one = await startOne({ log: recorder, metrics: recorder });
+  const { endpoint, instance } = one;
+  t.teardown(() => one.close());
   const send = async (path: string, init: RequestInit = {}) => {
     const headers = { authorization: `Bearer ${KEY}`, ...init.headers };
     const res = await fetch(instance.callerUrl + path, { ...init, headers });
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -4,13 +4,13 @@
  * @module
  */
 import { readFile } from "node:fs/promises";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { parse } from "smol-toml";
 import { z } from "zod";
 import {
+  checkValue,
   fail,
   type Failure,
-  fromZod,
   InstanceId,
   RegionId,
   strict,
@@ -116,9 +116,7 @@
  * ```
  */
 export function parseSettings(raw: unknown): Result<Settings, Failure> {
-  const parsed = Settings.safeParse(raw, { reportInput: true });
-  if (parsed.success) return ok(parsed.data);
-  return err(fromZod("bad_settings", parsed.error));
+  return checkValue("bad_settings", Settings, raw);
 }
 
 /**
--- a/src/slo/counts.ts
+++ b/src/slo/counts.ts
@@ -110,7 +110,7 @@
 export function addRows(a: BurnRow, b: BurnRow): BurnRow {
   const causes: Record<string, number> = { ...a.causes };
   for (const [cause, n] of Object.entries(b.causes)) {
-    causes[cause] = (causes[cause] ?? 0) + n;
+    causes[cause] = (Object.hasOwn(causes, cause) ? causes[cause] ?? 0 : 0) + n;
   }
   return {
     ...a,
