Search every order of a small lending model, and split the table of rates

Random runs seldom reach the few milliseconds between the end of a borrower's lease and its lender's.

--- a/src/decisions/budgets/mod.ts
+++ b/src/decisions/budgets/mod.ts
@@ -10,5 +10,6 @@
 export * from "./invariant.ts";
 export * from "./lease.ts";
 export * from "./rate_budgets.ts";
+export type { RateRow } from "./rate_row.ts";
 export * from "./seat_shares.ts";
 export * from "./slot_budgets.ts";
--- a/src/decisions/budgets/rate_budgets.ts
+++ b/src/decisions/budgets/rate_budgets.ts
@@ -5,7 +5,6 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { AccountId } from "../../core/mod.ts";
-import { ownerOf } from "../steering/rendezvous.ts";
 import type { SteeringDocument } from "../../document/mod.ts";
 import {
   type BudgetAsk,
@@ -13,9 +12,7 @@
   type BudgetDemand,
   BudgetDemandSchema,
   type BudgetGrant,
-  BudgetGrantSchema,
   BudgetKind,
-  type HeldLoan,
 } from "../../gen/budget_pb.ts";
 import { askEach, byNearness, startingWith } from "./ask_plan.ts";
 import type {
@@ -25,41 +22,20 @@
   Party,
 } from "./budget_table.ts";
 import { isDue, toHeld } from "./held_loan.ts";
-import { ROUNDING } from "./invariant.ts";
 import { LEASE_MS, lenderSpan } from "./lease.ts";
-import type { LentLoan } from "./loan_book.ts";
 import {
   IDLE_AFTER_MS,
-  needOf,
-  type Pool,
   poolFor,
   type RateState,
-  spareOf,
-  surplusOf,
-  tokensToSpare,
   tokensWanted,
   wantOf,
 } from "./rate_policy.ts";
-import { RateShare } from "./rate_share.ts";
+import { giveBackSurplus } from "./give_back.ts";
+import { keeperOf, tokenLenders } from "./keeper.ts";
+import { RateLender } from "./rate_lender.ts";
+import { demandOf, newRow, peerDemands, type RateRow } from "./rate_row.ts";
 import type { Entitlement, SeatShares } from "./seat_shares.ts";
 
-/** One account's row. */
-export interface RateRow {
-  readonly account: AccountId;
-  readonly share: RateShare;
-  /** Requests that wait for a token here. */
-  waiting: number;
-  /** Ticks in a row in which something was missing. */
-  missedTicks: number;
-  /** When another instance last asked for a part. */
-  askedAt: number;
-  pool: Pool;
-  /** The instance that keeps the account's parts together; itself, maybe. */
-  keeper: string | undefined;
-  /** Demand that other instances told, as a fraction of the rate. */
-  readonly peerDemand: Map<string, { demand: number; at: number }>;
-}
-
 /** An instance's part of an account's rate. */
 export interface Spendable {
   /** Of the rate. */
@@ -81,10 +57,6 @@
   readonly onGrown?: (account: AccountId, now: number) => void;
 }
 
-const SHORTEST_LEASE_MS = 100;
-const MOST_LOANS_A_BORROWER = 16;
-const DEMAND_FRESH_MS = 1_500;
-
 interface PlannedAsk {
   readonly wanted: number;
   readonly tokens: number;
@@ -96,16 +68,20 @@
   readonly #deps: RateBudgetsDeps;
   readonly #rows = new Map<AccountId, RateRow>();
   readonly #active = new Set<RateRow>();
+  readonly #lender: RateLender;
   readonly #plan = new Map<string, Map<RateRow, PlannedAsk>>();
   #own: Entitlement = { amount: 0, until: 0 };
   /** How often the own part ended before it was renewed. */
   #lapses = 0;
   /** The own part that rows out of use may still count with. */
   #everywhere = Infinity;
-  #loanId = 0;
 
   constructor(deps: RateBudgetsDeps) {
     this.#deps = deps;
+    this.#lender = new RateLender({
+      incarnation: deps.self.incarnation,
+      state: (row, now) => this.state(row, now),
+    });
   }
 
   /** Rows in use: with demand, with loans, or with requests waiting. */
@@ -144,12 +120,17 @@
     if (this.#ownAt(now).amount < this.#everywhere) this.#refreshAll(now);
     this.#plan.clear();
     const peers = this.#deps.peers();
-    const groups = byNearness(this.#deps.self, peers);
+    const { self } = this.#deps;
+    const groups = byNearness(self, peers);
+    const mates = new Set(
+      peers.filter((p) => p.zone === self.zone).map((p) => p.instance),
+    );
     for (const row of this.#active) {
       this.#refresh(row, now);
       row.share.demand.roll(now);
-      this.#chooseKeeper(row, peers);
-      this.#giveBack(row, now);
+      row.pool = poolFor(row.share.total.burst, this.#deps.shares.size);
+      row.keeper = keeperOf(row, this.#deps.self, peers);
+      giveBackSurplus(row, this.state(row, now), mates);
       this.#planAsks(row, groups, now);
       if (this.#idle(row, now)) this.#active.delete(row);
     }
@@ -182,15 +163,11 @@
     if (row === undefined) return { grants: [] };
     row.peerDemand.set(from.instance, { demand: ask.demand, at: now });
     const grants = ask.held.flatMap((held) =>
-      this.#report(row, held, from, now)
+      this.#lender.report(row, held, from, now)
     );
     if (!(ask.wanted > 0 || ask.tokens > 0)) return { grants };
     row.askedAt = now;
-    const loans = [
-      this.#lendTokens(row, ask, from, now),
-      this.#lendRate(row, ask, from, now),
-    ];
-    grants.push(...loans.filter((loan) => loan !== undefined));
+    grants.push(...this.#lender.lend(row, ask, from, now));
     const demand = create(BudgetDemandSchema, {
       kind: this.kind,
       key: ask.key,
@@ -232,11 +209,7 @@
 
   /** The demand of all instances as far as known, as a fraction of the rate. */
   fleetDemand(row: RateRow, now: number): number {
-    let sum = demandOf(row);
-    for (const { demand, at } of row.peerDemand.values()) {
-      if (now - at < DEMAND_FRESH_MS) sum += demand;
-    }
-    return sum;
+    return peerDemands(row, now).reduce((n, d) => n + d, demandOf(row));
   }
 
   /** What may be spent here of an account's rate, and its tokens at hand. */
@@ -254,9 +227,7 @@
     const keeper = pool !== "none" &&
       row.keeper === this.#deps.self.instance;
     const { seats } = this.#deps.shares.size;
-    const others = [...row.peerDemand.values()]
-      .filter(({ at }) => now - at < DEMAND_FRESH_MS)
-      .map(({ demand }) => demand);
+    const others = peerDemands(row, now);
     return { waiting, now, pool, keeper, askedAt, seats, others };
   }
 
@@ -272,32 +243,7 @@
 
   /** Whom to ask for tokens, nearest first, where tokens may be. */
   tokenLenders(row: RateRow): BudgetPeer[][] {
-    const { self } = this.#deps;
-    const peers = this.#deps.peers();
-    const groups = startingWith(row.keeper, byNearness(self, peers));
-    if (row.pool !== "zone") return groups;
-    const zones = new Set(peers.map((p) => p.zone));
-    const keepers = new Set([...zones].map((zone) => {
-      const members = [...peers, self].filter((p) => p.zone === zone);
-      return ownerOf(row.account, members.map((p) => p.instance));
-    }));
-    return groups.map((g) => g.filter((p) => keepers.has(p.instance)))
-      .filter((group) => group.length > 0);
-  }
-
-  /** Every member works out the same keeper from the members alone. */
-  #chooseKeeper(row: RateRow, peers: readonly BudgetPeer[]): void {
-    const { self, shares } = this.#deps;
-    row.pool = poolFor(row.share.total.burst, shares.size);
-    if (row.pool === "none") {
-      row.keeper = undefined;
-      return;
-    }
-    const members = row.pool === "fleet"
-      ? peers
-      : peers.filter((p) => p.zone === self.zone);
-    const names = [self, ...members].map((p) => p.instance);
-    row.keeper = ownerOf(row.account, names);
+    return tokenLenders(row, this.#deps.self, this.#deps.peers());
   }
 
   #idle(row: RateRow, now: number): boolean {
@@ -326,32 +272,6 @@
     }
   }
 
-  /** The farthest loans go back first: a zone-mate stays in reach in a cut. */
-  #giveBack(row: RateRow, now: number): void {
-    const { share } = row;
-    const borrowed = share.book.borrowedLoans(now);
-    if (row.waiting === 0) {
-      for (const loan of borrowed.filter((l) => l.tokensOnly)) {
-        share.giveBack(loan, loan.amount, now);
-      }
-    }
-    let surplus = surplusOf(share, this.state(row, now));
-    if (surplus <= 0) return;
-    const mates = new Set(
-      byNearness(this.#deps.self, this.#deps.peers())[0]
-        ?.map((p) => p.instance),
-    );
-    const loans = borrowed.filter((l) => !l.tokensOnly).sort((a, b) =>
-      Number(mates.has(a.lender)) - Number(mates.has(b.lender))
-    );
-    for (const loan of loans) {
-      if (surplus <= ROUNDING) return;
-      const by = Math.min(loan.amount, surplus);
-      share.giveBack(loan, by, now);
-      surplus -= by;
-    }
-  }
-
   #planAsks(row: RateRow, groups: BudgetPeer[][], now: number): void {
     const want = this.want(row, now);
     row.missedTicks = want > 0 ? row.missedTicks + 1 : 0;
@@ -388,134 +308,4 @@
       held,
     });
   }
-
-  /** What a borrower says of one loan; gives the prolonged lease, if any. */
-  #report(
-    row: RateRow,
-    held: HeldLoan,
-    from: Party,
-    now: number,
-  ): BudgetGrant[] {
-    if (held.lenderIncarnation !== this.#deps.self.incarnation) return [];
-    const loan = row.share.book.lent(held.id, now);
-    if (loan === undefined || loan.borrower !== from.instance) return [];
-    const { amount, tokensBack } = held;
-    row.share.takeBack(loan, { amount, tokensBack, now });
-    if (loan.amount < amount || loan.amount === 0) return [];
-    if (!held.renew || loan.tokensOnly) return [];
-    if (this.#reclaims(row, loan, now)) {
-      const grant = this.#grant(row, loan, { tokens: 0, leaseMs: 0 });
-      return [{ ...grant, reclaim: true }];
-    }
-    const leaseMs = row.share.rateLease(0, now);
-    if (leaseMs < SHORTEST_LEASE_MS) return [];
-    row.share.book.prolong(loan, now + lenderSpan(leaseMs));
-    return [this.#grant(row, loan, { tokens: 0, leaseMs })];
-  }
-
-  /**
-   * A lender that is short itself lets loans end, no more than it lacks. One
-   * whose own part has fallen below what it lent lets them all end: prolonged,
-   * they would be spent beside the part of whoever has its seat now.
-   */
-  #reclaims(row: RateRow, loan: LentLoan, now: number): boolean {
-    const { share } = row;
-    const short = needOf(share, this.state(row, now)) - share.usable;
-    const coming = share.book.lentLoans(now)
-      .filter((l) => l.reclaimed)
-      .reduce((sum, l) => sum + l.amount, 0);
-    const overLent = share.overLent(now);
-    if (overLent || short - coming > ROUNDING) loan.reclaimed = true;
-    return loan.reclaimed;
-  }
-
-  /** Whole tokens for requests that wait; the rate stays where it is. */
-  #lendTokens(
-    row: RateRow,
-    ask: BudgetAsk,
-    from: Party,
-    now: number,
-  ): BudgetGrant | undefined {
-    const spare = tokensToSpare(row.share, this.state(row, now));
-    const tokens = Math.min(ask.tokens, Math.floor(spare));
-    if (!(tokens >= 1)) return undefined;
-    const amount = tokens / row.share.total.burst;
-    return this.#lend(row, from, { amount, tokens, now, tokensOnly: true });
-  }
-
-  #lendRate(
-    row: RateRow,
-    ask: BudgetAsk,
-    from: Party,
-    now: number,
-  ): BudgetGrant | undefined {
-    const { share } = row;
-    const spare = spareOf(share, this.state(row, now));
-    const amount = Math.min(ask.wanted, spare, share.room);
-    if (!(amount > ROUNDING)) return undefined;
-    const tokens = share.tokens(now) * amount / share.room;
-    return this.#lend(row, from, { amount, tokens, now, tokensOnly: false });
-  }
-
-  #lend(
-    row: RateRow,
-    { instance: borrower }: Party,
-    { amount, tokens, now, tokensOnly }: {
-      amount: number;
-      tokens: number;
-      now: number;
-      tokensOnly: boolean;
-    },
-  ): BudgetGrant | undefined {
-    const { share } = row;
-    const leaseMs = tokensOnly
-      ? share.tokenLease(amount, now)
-      : share.rateLease(amount, now);
-    const loans = share.book.lentLoans(now)
-      .filter((l) => l.borrower === borrower);
-    if (loans.length >= MOST_LOANS_A_BORROWER) return undefined;
-    if (leaseMs < SHORTEST_LEASE_MS) return undefined;
-    const id = ++this.#loanId;
-    const end = now + lenderSpan(leaseMs);
-    const loan = { id, borrower, tokensOnly, amount, end };
-    const moved = share.lend(loan, { tokens, now });
-    return this.#grant(row, loan, { tokens: moved, leaseMs });
-  }
-
-  #grant(
-    row: RateRow,
-    loan: Pick<LentLoan, "id" | "amount" | "tokensOnly">,
-    { tokens, leaseMs }: { tokens: number; leaseMs: number },
-  ): BudgetGrant {
-    return create(BudgetGrantSchema, {
-      kind: this.kind,
-      key: row.account,
-      id: loan.id,
-      amount: loan.amount,
-      tokensOnly: loan.tokensOnly,
-      tokens,
-      leaseMs,
-    });
-  }
-}
-
-function newRow(
-  account: AccountId,
-  total: { ratePerS: number; burst: number },
-  now: number,
-): RateRow {
-  return {
-    account,
-    share: new RateShare(total, now),
-    waiting: 0,
-    missedTicks: 0,
-    askedAt: -Infinity,
-    pool: "none",
-    keeper: undefined,
-    peerDemand: new Map(),
-  };
-}
-
-function demandOf(row: RateRow): number {
-  return row.share.demand.perS / row.share.total.ratePerS;
 }
--- a/src/decisions/budgets/slot_budgets.ts
+++ b/src/decisions/budgets/slot_budgets.ts
@@ -13,7 +13,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import type { EndpointId, ZoneId } from "../../core/mod.ts";
-import type { Service, SteeringDocument } from "../../document/mod.ts";
+import type { SteeringDocument } from "../../document/mod.ts";
 import {
   type BudgetAsk,
   BudgetAskSchema,
@@ -31,8 +31,9 @@
 import { isDue, toHeld } from "./held_loan.ts";
 import { invariant } from "./invariant.ts";
 import { LEASE_MS, leaseWithin, lenderSpan } from "./lease.ts";
-import { type LentLoan, LoanBook } from "./loan_book.ts";
+import type { LentLoan } from "./loan_book.ts";
 import type { SeatShares } from "./seat_shares.ts";
+import { longestMs, newSlotRow, type SlotRow } from "./slot_row.ts";
 
 /** What a table of slots needs. */
 export interface SlotBudgetsDeps {
@@ -45,17 +46,6 @@
   readonly inFlight: (endpoint: EndpointId) => number;
 }
 
-interface SlotRow {
-  readonly endpoint: EndpointId;
-  readonly book: LoanBook;
-  slots: number;
-  wanted: number;
-  /** The most in flight of late; slots below it are not lent or given back. */
-  peak: number;
-  own: number;
-  ownUntil: number;
-}
-
 /** Past its deadline a request may be in flight this long: it is abandoned. */
 const ABANDON_MS = 500;
 const SHORTEST_LEASE_MS = 100;
@@ -167,15 +157,7 @@
       known.slots = slots;
       return;
     }
-    this.#rows.set(endpoint, {
-      endpoint,
-      slots,
-      book: new LoanBook(this.holdMs()),
-      wanted: 0,
-      peak: 0,
-      own: 0,
-      ownUntil: 0,
-    });
+    this.#rows.set(endpoint, newSlotRow(endpoint, slots, this.holdMs()));
   }
 
   /** How long requests of a former holder may run on, from its last start. */
@@ -307,8 +289,3 @@
     return create(BudgetGrantSchema, { kind, key, id, amount, leaseMs });
   }
 }
-
-function longestMs(service: Service): number {
-  const routes = service.routes.map((r) => r.deadline_ms ?? 0);
-  return Math.max(service.deadline_ms, ...routes);
-}
--- /dev/null
+++ b/src/decisions/budgets/testing/lend_model.ts
@@ -0,0 +1,261 @@
+/**
+ * A small model of lending, searched through completely: two instances, one
+ * account, and every order of asking, delivering, repeating, losing, giving
+ * back and waiting, up to a number of steps.
+ *
+ * Clocks run at the two ends of the allowed drift, the lender's fast and the
+ * borrower's slow, which is the worst that a lease can meet.
+ *
+ * @module
+ */
+import { clone } from "@bufbuild/protobuf";
+import type { AccountId, Clock, Timer } from "../../../core/mod.ts";
+import { parseDocument, type SteeringDocument } from "../../../document/mod.ts";
+import { type BudgetPart, BudgetPartSchema } from "../../../gen/budget_pb.ts";
+import type { SeatDirectory } from "../../../membership/mod.ts";
+import { BudgetExchange } from "../budget_exchange.ts";
+import { invariant, ROUNDING } from "../invariant.ts";
+import { MAX_DRIFT } from "../lease.ts";
+import { RateBudgets } from "../rate_budgets.ts";
+import { SeatShares } from "../seat_shares.ts";
+
+/** How far the search goes. */
+export interface SearchBounds {
+  /** Steps from the beginning. */
+  readonly depth: number;
+  /** Messages on the way at once; more are lost. */
+  readonly messages: number;
+}
+
+/** What the search found. */
+export interface SearchResult {
+  readonly states: number;
+  readonly steps: number;
+}
+
+/** One step: an action, and the message that it delivers, if any. */
+interface Step {
+  readonly action: "rate" | "tokens" | "wait" | "return" | "deliver" | "repeat";
+  readonly message: number;
+}
+
+interface Message {
+  readonly to: Side;
+  readonly part: BudgetPart;
+  repeated: boolean;
+}
+
+type Side = "lender" | "borrower";
+
+const ACCOUNT = "a" as AccountId;
+const BURST = 8;
+/** Three steps end just inside a lease, four outside. */
+const STEP_MS = 395;
+const START_MS = 5_000;
+
+/** Searches every order of steps; throws where parts pass the whole. */
+export function searchLending(bounds: SearchBounds): SearchResult {
+  const seen = new Set<string>();
+  let frontier: Step[][] = [[]];
+  let steps = 0;
+  for (let depth = 0; depth < bounds.depth; depth++) {
+    const next: Step[][] = [];
+    for (const path of frontier) {
+      for (const step of replay(path, bounds).enabled()) {
+        const grown = [...path, step];
+        const pair = replay(grown, bounds);
+        steps += 1;
+        const key = pair.key();
+        if (seen.has(key)) continue;
+        seen.add(key);
+        next.push(grown);
+      }
+    }
+    frontier = next;
+  }
+  return { states: seen.size, steps };
+}
+
+function replay(path: readonly Step[], bounds: SearchBounds): Pair {
+  const pair = new Pair(bounds);
+  for (const step of path) {
+    pair.apply(step);
+    pair.check();
+  }
+  return pair;
+}
+
+class DriftingClock implements Clock {
+  ms = START_MS;
+  readonly #speed: number;
+
+  constructor(speed: number) {
+    this.#speed = speed;
+  }
+
+  now(): number {
+    return this.ms * this.#speed;
+  }
+
+  wall(): number {
+    return this.now();
+  }
+
+  after(): Timer {
+    return { close: () => {} };
+  }
+}
+
+class Party {
+  readonly clock: DriftingClock;
+  readonly budgets: RateBudgets;
+  readonly exchange: BudgetExchange;
+
+  constructor(side: Side, speed: number) {
+    this.clock = new DriftingClock(speed);
+    const self = { instance: side, incarnation: side, zone: "z", region: "r" };
+    const shares = new SeatShares({
+      instance: side,
+      seats: seatsOf(side),
+      holdMs: () => 0,
+    });
+    shares.adopt(DOCUMENT, 1, 0);
+    shares.hear("lender", 1);
+    shares.hear("borrower", 1);
+    shares.run(0);
+    this.budgets = new RateBudgets({
+      self,
+      shares,
+      peers: () => [],
+      restMs: () => 0,
+    });
+    this.exchange = new BudgetExchange({ self, clock: this.clock, shares });
+    this.exchange.register(this.budgets);
+    this.budgets.adopt(DOCUMENT, 0);
+  }
+
+  get row() {
+    return this.budgets.open(ACCOUNT, this.clock.now())!;
+  }
+}
+
+class Pair {
+  readonly #lender = new Party("lender", 1 + MAX_DRIFT);
+  readonly #borrower = new Party("borrower", 1 - MAX_DRIFT);
+  readonly #bounds: SearchBounds;
+  #messages: Message[] = [];
+
+  constructor(bounds: SearchBounds) {
+    this.#bounds = bounds;
+  }
+
+  enabled(): Step[] {
+    const actions = ["rate", "tokens", "wait", "return"] as const;
+    const steps: Step[] = actions.map((action) => ({ action, message: 0 }));
+    this.#messages.forEach(({ repeated }, message) => {
+      steps.push({ action: "deliver", message });
+      if (!repeated) steps.push({ action: "repeat", message });
+    });
+    return steps;
+  }
+
+  apply({ action, message }: Step): void {
+    switch (action) {
+      case "rate":
+        return this.#ask({ wanted: 0.25, tokens: 0 });
+      case "tokens":
+        return this.#ask({ wanted: 0, tokens: 1 });
+      case "wait":
+        this.#lender.clock.ms += STEP_MS;
+        this.#borrower.clock.ms += STEP_MS;
+        return;
+      case "return":
+        return this.#giveBack();
+      case "deliver":
+        return this.#deliver(this.#messages.splice(message, 1)[0]!);
+      case "repeat":
+        this.#messages[message]!.repeated = true;
+        return this.#deliver(this.#messages[message]!);
+    }
+  }
+
+  /** Asserts that rate, room and tokens of both stay within the whole. */
+  check(): void {
+    const both = [this.#lender, this.#borrower].map(({ budgets, clock }) =>
+      budgets.spendable(ACCOUNT, clock.now())
+    );
+    const sum = (of: (s: typeof both[number]) => number) =>
+      both.reduce((n, s) => n + of(s), 0);
+    invariant(sum((s) => s.fraction) <= 1 + ROUNDING, "rate passes the whole");
+    invariant(sum((s) => s.room) <= 1 + ROUNDING, "room passes the whole");
+    invariant(sum((s) => s.tokens) <= BURST + ROUNDING, "too many tokens");
+  }
+
+  /** Names the state, so that one reached twice is searched once. */
+  key(): string {
+    const sides = [this.#lender, this.#borrower].map(({ row, clock }) => {
+      const { book } = row.share;
+      const now = clock.now();
+      return [
+        now,
+        book.lentLoans(now),
+        book.borrowedLoans(now),
+        book.endedLoans(now),
+        book.toldTo("lender", now),
+        row.share.tokens(now).toFixed(6),
+      ];
+    });
+    const messages = this.#messages.map((
+      { to, part, repeated },
+    ) => [to, part, repeated]);
+    return JSON.stringify([sides, messages]);
+  }
+
+  #ask(what: { wanted: number; tokens: number }): void {
+    const { budgets, clock, exchange, row } = this.#borrower;
+    const now = clock.now();
+    const ask = budgets.askNow(row, "lender", { ...what, now });
+    this.#send("lender", exchange.call("lender", ask).part);
+  }
+
+  #giveBack(): void {
+    const { row, clock } = this.#borrower;
+    const now = clock.now();
+    for (const loan of row.share.book.borrowedLoans(now)) {
+      row.share.giveBack(loan, loan.amount, now);
+    }
+  }
+
+  #deliver({ to, part }: Message): void {
+    const copy = clone(BudgetPartSchema, part);
+    if (to === "borrower") {
+      const answer = { incarnation: "lender", part: copy };
+      return this.#borrower.exchange.answered(answer as never, "lender");
+    }
+    const call = { instance: "borrower", incarnation: "borrower", part: copy };
+    const answer = this.#lender.exchange.answer(call as never);
+    this.#send("borrower", answer.part);
+  }
+
+  #send(to: Side, part: BudgetPart | undefined): void {
+    if (part === undefined) return;
+    if (this.#messages.length >= this.#bounds.messages) return;
+    this.#messages.push({ to, part, repeated: false });
+  }
+}
+
+function seatsOf(side: Side): SeatDirectory {
+  const index = side === "lender" ? 0 : 1;
+  const zone = "z" as never;
+  const seat = { zone, index, epoch: 1 };
+  return {
+    held: () => [{ ...seat, part: 1, until: Infinity }],
+    entries: () => [{ ...seat, holder: side as never, incarnation: side }],
+  };
+}
+
+const DOCUMENT: SteeringDocument = parseDocument({
+  accounts: { accounts: { [ACCOUNT]: { keys: [] } } },
+  rates: { rates: { [ACCOUNT]: { rate_per_s: 4, burst: BURST } } },
+  regions: { regions: { r: { zones: { z: { instances: 2 } } } } },
+})._unsafeUnwrap();
--- a/src/decisions/limits/borrow_rounds.ts
+++ b/src/decisions/limits/borrow_rounds.ts
@@ -11,7 +11,8 @@
 import type { Clock } from "../../core/mod.ts";
 import { askEach, askTokens } from "../budgets/ask_plan.ts";
 import type { BudgetPeer } from "../budgets/budget_table.ts";
-import type { RateBudgets, RateRow } from "../budgets/rate_budgets.ts";
+import type { RateBudgets } from "../budgets/rate_budgets.ts";
+import type { RateRow } from "../budgets/rate_row.ts";
 import type { BudgetAsk } from "../../gen/budget_pb.ts";
 
 /** Sends one question; `done` is called once, answered or not. */
--- a/src/decisions/limits/leased_limiter.ts
+++ b/src/decisions/limits/leased_limiter.ts
@@ -16,7 +16,8 @@
 import type { SteeringDocument } from "../../document/mod.ts";
 import { LEASE_MS } from "../budgets/lease.ts";
 import { isOver, mayWait, patienceMs } from "../budgets/patience.ts";
-import type { RateBudgets, RateRow } from "../budgets/rate_budgets.ts";
+import type { RateBudgets } from "../budgets/rate_budgets.ts";
+import type { RateRow } from "../budgets/rate_row.ts";
 import type { BorrowRounds } from "./borrow_rounds.ts";
 import type { RateLimiter, TakeOptions } from "./rate_limiter.ts";
 import { noRate, overRate } from "./rate_refusal.ts";
--- a/src/instance/testing/budget_ops.ts
+++ b/src/instance/testing/budget_ops.ts
@@ -33,20 +33,22 @@
   }
   | { readonly kind: "seats"; readonly zone: string; readonly seats: number };
 
-/** Two zones of two, a large and a very small burst, few slots. */
+/** Two zones of two, a large and a very small burst, a few slots. */
 export const FIGURES: FleetFigures = {
   zones: { a: 2, b: 2 },
   rates: {
     large: { rate_per_s: 100, burst: 40 },
     small: { rate_per_s: 4, burst: 2 },
   },
-  slots: 3,
+  slots: 6,
   deadlineMs: 800,
 };
 
 const NODES = 4;
 const MOST_OPS = 40;
 const STEP_MS = 20;
+/** Of the deadline, so that work often outlasts the lease of its slot. */
+const SHORTEST_WORK = 0.3;
 
 /** Draws histories. */
 export function fleetOps(): fc.Arbitrary<FleetOp[]> {
@@ -74,7 +76,7 @@
       arbitrary: fc.record({
         kind: fc.constant("work" as const),
         node,
-        count: fc.integer({ min: 1, max: 6 }),
+        count: fc.integer({ min: 1, max: 8 }),
       }),
     },
     {
@@ -185,7 +187,8 @@
 ): void {
   const node = nodeOf(fleet, op.node);
   for (let i = 0; i < op.count; i++) {
-    fleet.work(node, fleet.random.next() * FIGURES.deadlineMs);
+    const part = SHORTEST_WORK + (1 - SHORTEST_WORK) * fleet.random.next();
+    fleet.work(node, part * FIGURES.deadlineMs);
   }
 }
 
