--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -43,12 +43,15 @@
   type PeerTransport,
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
+import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { ClientSites } from "./client_sites.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
 import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
+import { outcomeLog } from "./outcome_log.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
 import { TickLoop } from "./tick_loop.ts";
@@ -103,9 +106,11 @@
   readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #operations: HomeOperations;
+  readonly #burn: BurnPublisher;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  readonly #sites = new ClientSites();
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
   #joined = false;
@@ -172,8 +177,21 @@
       }),
     });
     this.#exchange.register(this.#operations);
+    this.#burn = new BurnPublisher({
+      ...deps,
+      log: log.child("burn"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      mates: () =>
+        this.#roster.live().filter((m) => m.zone === cfg.instance.zone),
+    });
+    this.#exchange.register(this.#burn);
     this.#path = new RequestPath({
       ...deps,
+      outcomes: outcomeLog({ ...deps, counts: this.#burn.counts, document }),
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
@@ -187,6 +205,7 @@
     this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
+    this.#ticks.add(this.#sites);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
@@ -197,6 +216,7 @@
       name: "steering",
       run: (now) => this.#steering.tick(now),
     });
+    this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -265,6 +285,7 @@
     await this.#operations.handOver();
     await this.#seats.handOver();
     await this.#exchange.flush();
+    await this.#burn.flush();
     await this.close();
   }
 
@@ -304,7 +325,7 @@
       cfg.caller,
       callerApp({
         path: this.#path,
-        lookup: () => this.#lookup(),
+        lookup: (client) => this.#lookup(client),
         ready: () => this.#serving,
       }),
       callerOptions(this.#deps),
@@ -410,19 +431,25 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
+    this.#sites.adopt(accepted.document);
+    if (!this.#joined) this.#sites.settle();
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
     this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
-  #lookup(): LookupAnswer {
-    const { zone, region } = this.#deps.cfg.instance;
+  /** Near the caller's address if a site has it, else near this instance. */
+  #lookup(client: string): LookupAnswer {
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
     const all = this.#leaving ? others : [...others, this.#self()];
     const candidates = this.#steering.openEntries(all);
     const { entries } = this.#steering;
+    const near = this.#sites.zonesFor(client)
+      .map((zone) => candidates.find((c) => c.zone === zone))
+      .find((c) => c !== undefined);
+    const { zone, region } = near ?? this.#deps.cfg.instance;
     const instances = entries.choose({ zone, region, candidates }).map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -19,4 +19,5 @@
 export * as regions from "./decisions/regions/mod.ts";
 export * as retries from "./decisions/retries/mod.ts";
 export * as settings from "./settings/mod.ts";
+export * as slo from "./slo/mod.ts";
 export * as steering from "./decisions/steering/mod.ts";
