--- a/src/decisions/lookup/lookup.ts
+++ b/src/decisions/lookup/lookup.ts
@@ -44,9 +44,18 @@
 const LEAST_WEIGHT = 0.25;
 /** From this zone load on, some callers are sent to the region's other zones. */
 const BUSY_LOAD = 0.7;
+/** Of a tier, as many are ranked for one answer as a zone has at full size. */
+const MAX_RANKED = 40;
 /** At most this part of them, so that zones do not swap their callers. */
 const MAX_SPILL = 0.5;
 
+/** Candidates of the own zone, of the region's other zones, and the rest. */
+type Tiers = readonly [
+  readonly EntryChoice[],
+  readonly EntryChoice[],
+  readonly EntryChoice[],
+];
+
 interface Smoothed {
   load: number;
   at: number;
@@ -58,12 +67,15 @@
  * @example
  * ```ts
  * chooser.observe("i1", 0.4, clock.now());
- * const choices = chooser.choose({ zone, region, candidates });
+ * chooser.prepare({ zone, region, candidates });
+ * const choices = chooser.choose();
  * ```
  */
 export class EntryChooser {
   readonly #random: Random;
   readonly #loads = new Map<InstanceId, Smoothed>();
+  #tiers: Tiers = [[], [], []];
+  #spillPart = 0;
 
   constructor(random: Random) {
     this.#random = random;
@@ -88,18 +100,28 @@
     }
   }
 
+  /** Takes over who may be named; answers then cost the same in any fleet. */
+  prepare({ zone, region, candidates }: LookupQuestion): void {
+    const near = candidates.filter((c) => c.region === region);
+    this.#tiers = [
+      near.filter((c) => c.zone === zone),
+      near.filter((c) => c.zone !== zone),
+      candidates.filter((c) => c.region !== region),
+    ];
+    this.#spillPart = this.#spill();
+  }
+
   /** Near instances first, idle ones more often than busy ones. */
-  choose(question: LookupQuestion): EntryChoice[] {
-    const spill = this.#random.next() < this.#spillPart(question);
-    return question.candidates
-      .map((choice) => ({
-        choice,
-        distance: distance(question, choice, spill),
-        rank: this.#rank(choice),
-      }))
-      .sort((a, b) => a.distance - b.distance || a.rank - b.rank)
-      .slice(0, MAX_CHOICES)
-      .map((c) => c.choice);
+  choose(): EntryChoice[] {
+    const [own, near, far] = this.#tiers;
+    const spill = this.#random.next() < this.#spillPart;
+    const order = spill ? [near, own, far] : [own, near, far];
+    const chosen: EntryChoice[] = [];
+    for (const tier of order) {
+      if (chosen.length >= MAX_CHOICES) break;
+      chosen.push(...this.#ranked(tier));
+    }
+    return chosen.slice(0, MAX_CHOICES);
   }
 
   /** How long an answer may be reused, in milliseconds. */
@@ -108,6 +130,17 @@
     return Math.floor(REUSE_MS * (1 + jitter));
   }
 
+  /** A tier in random order by weight; of a large one, a random stretch. */
+  #ranked(tier: readonly EntryChoice[]): EntryChoice[] {
+    const from = this.#random.below(Math.max(1, tier.length));
+    const size = Math.min(tier.length, MAX_RANKED);
+    const ranked = Array.from({ length: size }, (_, i) => {
+      const choice = tier[(from + i) % tier.length] as EntryChoice;
+      return { choice, rank: this.#rank(choice) };
+    });
+    return ranked.sort((a, b) => a.rank - b.rank).map((r) => r.choice);
+  }
+
   /** Exponential ranks: the first of an order is drawn in proportion to weight. */
   #rank({ instance }: EntryChoice): number {
     return -Math.log(1 - this.#random.next()) / this.#weight(instance);
@@ -123,11 +156,8 @@
   }
 
   /** Part of the zone's callers that the region's other zones should take. */
-  #spillPart({ zone, region, candidates }: LookupQuestion): number {
-    const own = candidates.filter((c) => c.zone === zone);
-    const near = candidates.filter((c) =>
-      c.zone !== zone && c.region === region
-    );
+  #spill(): number {
+    const [own, near] = this.#tiers;
     if (own.length === 0 || near.length === 0) return 0;
     // A zone with an idle instance is not busy: its weights see to that.
     const here = Math.min(...own.map((c) => this.#loadOf(c.instance)));
@@ -140,13 +170,3 @@
     return sum / choices.length;
   }
 }
-
-function distance(
-  question: LookupQuestion,
-  choice: EntryChoice,
-  spill: boolean,
-): number {
-  if (choice.zone === question.zone) return spill ? 1 : 0;
-  if (choice.region === question.region) return spill ? 0 : 1;
-  return 2;
-}
--- a/src/decisions/lookup/lookup_test.ts
+++ b/src/decisions/lookup/lookup_test.ts
@@ -29,12 +29,13 @@
   const chooser = new EntryChooser(new SeededRandom(5));
   const firsts = (candidates = CANDIDATES, draws = 3_000) => {
     const counts = new Map<string, number>();
+    chooser.prepare({
+      zone: "za" as ZoneId,
+      region: "r1" as RegionId,
+      candidates,
+    });
     for (let i = 0; i < draws; i++) {
-      const first = chooser.choose({
-        zone: "za" as ZoneId,
-        region: "r1" as RegionId,
-        candidates,
-      })[0]!.instance;
+      const first = chooser.choose()[0]!.instance;
       counts.set(first, (counts.get(first) ?? 0) + 1);
     }
     return counts;
@@ -49,11 +50,12 @@
   const counts = firsts();
   t.deepEqual([...counts.keys()].sort(), ["a1", "a2", "a3"]);
   for (const n of counts.values()) t.true(n > 900 && n < 1_100);
-  const names = chooser.choose({
+  chooser.prepare({
     zone: "zc" as ZoneId,
     region: "r2" as RegionId,
     candidates: CANDIDATES,
-  }).map((c) => c.instance);
+  });
+  const names = chooser.choose().map((c) => c.instance);
   t.is(names[0], "c1" as InstanceId);
   t.is(names.length, 4);
 });
--- a/src/decisions/steering/fair_queue.ts
+++ b/src/decisions/steering/fair_queue.ts
@@ -19,6 +19,9 @@
   readonly cost: number;
 }
 
+/** Whether a waiter started, cannot start yet, or nobody can. */
+export type StartResult = "started" | "later" | "full";
+
 interface Flow<W extends Waiter> {
   readonly account: AccountId;
   readonly weight: number;
@@ -79,22 +82,19 @@
   }
 
   /**
-   * Takes out the next waiter that `start` accepts, by turn of its account;
-   * what cannot start now keeps its place and does not hold up the others.
+   * Takes out the next waiter that can start, by turn of its account; what
+   * cannot start now keeps its place and does not hold up the others.
    */
-  serve(start: (waiter: W) => boolean): W | undefined {
-    const passed = new Set<Flow<W>>();
-    while (passed.size < this.#flows.size) {
-      const flow = this.#earliest(passed);
-      if (flow === undefined) return undefined;
-      const waiter = flow.waiting.find(start);
-      if (waiter !== undefined) {
-        this.#virtual = Math.max(this.#virtual, flow.tag);
-        flow.tag += waiter.cost / flow.weight;
-        this.remove(waiter);
-        return waiter;
-      }
-      passed.add(flow);
+  serve(tryStart: (waiter: W) => StartResult): W | undefined {
+    const first = this.#earliest();
+    if (first === undefined) return undefined;
+    const tried = this.#serveFlow(first, tryStart);
+    if (tried !== "later") return tried;
+    const rest = [...this.#flows.values()].filter((f) => f !== first)
+      .sort((a, b) => a.tag - b.tag);
+    for (const flow of rest) {
+      const served = this.#serveFlow(flow, tryStart);
+      if (served !== "later") return served;
     }
     return undefined;
   }
@@ -163,14 +163,30 @@
     this.#finish.set(flow.account, flow.tag);
   }
 
-  #earliest(passed: ReadonlySet<Flow<W>>): Flow<W> | undefined {
+  #earliest(): Flow<W> | undefined {
     let first: Flow<W> | undefined;
     for (const flow of this.#flows.values()) {
-      if (passed.has(flow)) continue;
       if (first === undefined || flow.tag < first.tag) first = flow;
     }
     return first;
   }
+
+  /** The waiter that started; undefined if none can; `later` to try others. */
+  #serveFlow(
+    flow: Flow<W>,
+    tryStart: (waiter: W) => StartResult,
+  ): W | undefined | "later" {
+    for (const waiter of flow.waiting) {
+      const result = tryStart(waiter);
+      if (result === "full") return undefined;
+      if (result === "later") continue;
+      this.#virtual = Math.max(this.#virtual, flow.tag);
+      flow.tag += waiter.cost / flow.weight;
+      this.remove(waiter);
+      return waiter;
+    }
+    return "later";
+  }
 }
 
 function backlog(flow: Flow<Waiter>): number {
--- a/src/decisions/steering/service_pool.ts
+++ b/src/decisions/steering/service_pool.ts
@@ -54,6 +54,11 @@
 /** When to come back to a service without a slot here: about two ticks. */
 const NO_SLOT_RETRY_MS = 250;
 const MIN_RETRY_MS = 10;
+/** A queue that was not empty for this long is no burst any more. */
+const STANDING_MS = 500;
+/** Typical times of work that may be waited in a standing queue. */
+const STANDING_WAITS = 1;
+const LEAST_WAIT_MS = 20;
 
 /** The queue and slots of one service at one instance. */
 export class ServicePool {
@@ -66,6 +71,7 @@
   #shortSeenAt = -Infinity;
   #turnedAway = 0;
   #full = false;
+  #emptyAt = -Infinity;
 
   constructor(deps: ServicePoolDeps) {
     this.#deps = deps;
@@ -120,9 +126,10 @@
     this.#pump(now);
   }
 
-  /** A slot if one is free and nobody waits for it. */
+  /** A slot if one is free that nobody who waits may take. */
   tryNow(req: SteeringRequest, now: number): Slot | undefined {
-    if (this.#queue.size > 0) return undefined;
+    this.#pump(now);
+    if (this.#full) return undefined;
     const { cost, long } = this.#assess(req, now);
     const slot = this.#take(req, long, now);
     if (slot !== undefined) this.#queue.charge(req.account, cost);
@@ -177,8 +184,10 @@
     if (!Number.isFinite(waitMs)) {
       return noCapacity(req.service, "no slot", NO_SLOT_RETRY_MS);
     }
-    const late = now + waitMs + this.#least(req) - req.deadline;
+    const late = now + waitMs + this.#within(req) - req.deadline;
     if (late > 0) return noCapacity(req.service, "too long a wait", late);
+    const over = waitMs - this.#longestWait(now);
+    if (over > 0) return noCapacity(req.service, "a standing queue", over);
     if (this.#queue.size < this.#queueLimit) return undefined;
     const victim = this.#queue.victimFor(req.account);
     if (victim === undefined) {
@@ -189,6 +198,16 @@
     return undefined;
   }
 
+  /**
+   * A queue that a burst left may be waited in up to the deadline. One that
+   * has not been empty for long only adds its length to every answer's time;
+   * there just as much may wait as keeps the slots busy.
+   */
+  #longestWait(now: number): number {
+    if (now - this.#emptyAt <= STANDING_MS) return Infinity;
+    return Math.max(LEAST_WAIT_MS, STANDING_WAITS * this.#times.typical);
+  }
+
   /** Milliseconds until a request that comes now would get a slot. */
   #expectedWait(account: AccountId, now: number): number {
     const capacity = this.#slots.capacity(now);
@@ -197,8 +216,8 @@
     return this.#slots.unblockedAt(now) - now + ahead;
   }
 
-  #least(req: SteeringRequest): number {
-    return this.#times.least(req.account, req.work ?? "");
+  #within(req: SteeringRequest): number {
+    return this.#times.within(req.account, req.work ?? "");
   }
 
   #wait(
@@ -218,7 +237,7 @@
       },
     };
     // Later than this the request could not end in time even if it started.
-    const patience = queued.req.deadline - this.#least(queued.req);
+    const patience = queued.req.deadline - this.#within(queued.req);
     const timer = clock.after(Math.max(0, patience - clock.now()), () => {
       this.#turnedAway += 1;
       waiter.settle(this.#tooLate(queued.req));
@@ -243,13 +262,14 @@
     while (this.#queue.size > 0 && !this.#full) {
       let slot: Slot | undefined;
       const waiter = this.#queue.serve((w) => {
-        if (this.#full) return false;
         slot = this.#take(w.req, w.long, now);
-        return slot !== undefined;
+        if (slot !== undefined) return "started";
+        return this.#full ? "full" : "later";
       });
       if (waiter === undefined || slot === undefined) return;
       waiter.settle(ok(slot));
     }
+    if (this.#queue.size === 0) this.#emptyAt = now;
   }
 
   #take(req: SteeringRequest, long: boolean, now: number): Slot | undefined {
--- a/src/decisions/steering/work_times.ts
+++ b/src/decisions/steering/work_times.ts
@@ -15,6 +15,8 @@
   mean: number;
   /** What it takes when nothing is wrong: falls at once, rises slowly. */
   base: number;
+  /** Mean distance from the mean. */
+  deviation: number;
   samples: number;
   usedAt: number;
 }
@@ -27,6 +29,8 @@
 const BASE_RISE = 0.001;
 const IDLE_MS = 60_000;
 const FORGET_EVERY_MS = 10_000;
+/** Two mean deviations above the mean lie nine in ten answers or more. */
+const SAFE_DEVIATIONS = 2;
 /** Samples before a kind's own figures count. */
 const TRUSTED = 3;
 
@@ -43,10 +47,11 @@
     return kind && kind.samples >= TRUSTED ? kind.mean : this.typical;
   }
 
-  /** Least time that such work usually takes; 0 if unknown. */
-  least(account: AccountId, work: string): number {
+  /** Time within which nearly all such work ends; 0 if unknown. */
+  within(account: AccountId, work: string): number {
     const kind = this.#kinds.get(keyOf(account, work));
-    return kind && kind.samples >= TRUSTED ? kind.base : 0;
+    if (kind === undefined || kind.samples < TRUSTED) return 0;
+    return kind.mean + SAFE_DEVIATIONS * kind.deviation;
   }
 
   /** Geometric mean over all work: a few long requests hardly move it. */
@@ -67,7 +72,13 @@
     const key = keyOf(account, work);
     const kind = this.#kinds.get(key);
     if (kind === undefined) {
-      const first = { mean: took, base: took, samples: 1, usedAt: now };
+      const first = {
+        mean: took,
+        base: took,
+        deviation: 0,
+        samples: 1,
+        usedAt: now,
+      };
       this.#kinds.set(key, first);
       return undefined;
     }
@@ -88,6 +99,8 @@
 function update(kind: WorkTime, took: number, now: number): void {
   kind.samples += 1;
   kind.usedAt = now;
+  const distance = Math.abs(took - kind.mean);
+  kind.deviation += MEAN_WEIGHT * (distance - kind.deviation);
   kind.mean += MEAN_WEIGHT * (took - kind.mean);
   const rate = took < kind.base ? BASE_FALL : BASE_RISE;
   kind.base += rate * (took - kind.base);
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -111,6 +111,7 @@
   #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
+  #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
@@ -417,13 +418,9 @@
   }
 
   #lookup(): LookupAnswer {
-    const { zone, region } = this.#deps.cfg.instance;
-    const others: EntryChoice[] = this.#roster.live()
-      .map((m) => ({ ...m, url: m.callerUrl }));
-    const all = this.#leaving ? others : [...others, this.#self()];
-    const candidates = this.#steering.openEntries(all);
     const { entries } = this.#steering;
-    const instances = entries.choose({ zone, region, candidates }).map(
+    this.#prepareEntries();
+    const instances = entries.choose().map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
         return { instance, url, zone, region, ...(home ? { home } : {}) };
@@ -432,6 +429,19 @@
     return { reuse_ms: entries.reuseMs(), instances };
   }
 
+  /** Once a tick: an answer is then drawn without going over all instances. */
+  #prepareEntries(): void {
+    const now = this.#deps.clock.now();
+    if (now - this.#preparedAt < this.#deps.cfg.tick_ms) return;
+    this.#preparedAt = now;
+    const { zone, region } = this.#deps.cfg.instance;
+    const others: EntryChoice[] = this.#roster.live()
+      .map((m) => ({ ...m, url: m.callerUrl }));
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const candidates = this.#steering.openEntries(all);
+    this.#steering.entries.prepare({ zone, region, candidates });
+  }
+
   #self(): EntryChoice {
     const { id, zone, region } = this.#deps.cfg.instance;
     return { instance: id, zone, region, url: this.callerUrl };
