--- a/src/decisions/lookup/lookup.ts
+++ b/src/decisions/lookup/lookup.ts
@@ -20,12 +20,8 @@
   readonly region: RegionId;
 }
 
-/** What the answer depends on. */
-export interface LookupQuestion {
-  readonly zone: ZoneId;
-  readonly region: RegionId;
-  readonly candidates: readonly EntryChoice[];
-}
+/** Where a caller is. */
+export type CallerPlace = Pick<EntryChoice, "zone" | "region">;
 
 /** How many instances an answer names at most. */
 export const MAX_CHOICES = 4;
@@ -49,13 +45,6 @@
 /** At most this part of them, so that zones do not swap their callers. */
 const MAX_SPILL = 0.5;
 
-/** Candidates of the own zone, of the region's other zones, and the rest. */
-type Tiers = readonly [
-  readonly EntryChoice[],
-  readonly EntryChoice[],
-  readonly EntryChoice[],
-];
-
 interface Smoothed {
   load: number;
   at: number;
@@ -67,15 +56,17 @@
  * @example
  * ```ts
  * chooser.observe("i1", 0.4, clock.now());
- * chooser.prepare({ zone, region, candidates });
- * const choices = chooser.choose();
+ * chooser.prepare(candidates);
+ * const choices = chooser.choose({ zone, region });
  * ```
  */
 export class EntryChooser {
   readonly #random: Random;
   readonly #loads = new Map<InstanceId, Smoothed>();
-  #tiers: Tiers = [[], [], []];
-  #spillPart = 0;
+  readonly #spillParts = new Map<ZoneId, number>();
+  #all: readonly EntryChoice[] = [];
+  #byZone = new Map<ZoneId, EntryChoice[]>();
+  #byRegion = new Map<RegionId, EntryChoice[]>();
 
   constructor(random: Random) {
     this.#random = random;
@@ -101,25 +92,31 @@
   }
 
   /** Takes over who may be named; answers then cost the same in any fleet. */
-  prepare({ zone, region, candidates }: LookupQuestion): void {
-    const near = candidates.filter((c) => c.region === region);
-    this.#tiers = [
-      near.filter((c) => c.zone === zone),
-      near.filter((c) => c.zone !== zone),
-      candidates.filter((c) => c.region !== region),
-    ];
-    this.#spillPart = this.#spill();
+  prepare(candidates: readonly EntryChoice[]): void {
+    this.#all = candidates;
+    this.#byZone = groupBy(candidates, (c) => c.zone);
+    this.#byRegion = groupBy(candidates, (c) => c.region);
+    this.#spillParts.clear();
+  }
+
+  /** The zone with its region; undefined if it has nobody to name. */
+  placeOf(zone: ZoneId): CallerPlace | undefined {
+    return this.#byZone.get(zone)?.[0];
   }
 
   /** Near instances first, idle ones more often than busy ones. */
-  choose(): EntryChoice[] {
-    const [own, near, far] = this.#tiers;
-    const spill = this.#random.next() < this.#spillPart;
-    const order = spill ? [near, own, far] : [own, near, far];
+  choose(place: CallerPlace): EntryChoice[] {
+    const { zone, region } = place;
+    const own = () => this.#ranked(this.#byZone.get(zone) ?? []);
+    const near = () =>
+      this.#ranked(this.#byRegion.get(region) ?? [])
+        .filter((c) => c.zone !== zone);
+    const far = () =>
+      this.#ranked(this.#all).filter((c) => c.region !== region);
+    const spill = this.#random.next() < this.#spillPart(place);
     const chosen: EntryChoice[] = [];
-    for (const tier of order) {
-      if (chosen.length >= MAX_CHOICES) break;
-      chosen.push(...this.#ranked(tier));
+    for (const tier of spill ? [near, own, far] : [own, near, far]) {
+      if (chosen.length < MAX_CHOICES) chosen.push(...tier());
     }
     return chosen.slice(0, MAX_CHOICES);
   }
@@ -156,8 +153,18 @@
   }
 
   /** Part of the zone's callers that the region's other zones should take. */
-  #spill(): number {
-    const [own, near] = this.#tiers;
+  #spillPart(place: CallerPlace): number {
+    const known = this.#spillParts.get(place.zone);
+    if (known !== undefined) return known;
+    const part = this.#spill(place);
+    this.#spillParts.set(place.zone, part);
+    return part;
+  }
+
+  #spill({ zone, region }: CallerPlace): number {
+    const own = this.#byZone.get(zone) ?? [];
+    const near = (this.#byRegion.get(region) ?? [])
+      .filter((c) => c.zone !== zone);
     if (own.length === 0 || near.length === 0) return 0;
     // A zone with an idle instance is not busy: its weights see to that.
     const here = Math.min(...own.map((c) => this.#loadOf(c.instance)));
@@ -170,3 +177,16 @@
     return sum / choices.length;
   }
 }
+
+function groupBy<K>(
+  choices: readonly EntryChoice[],
+  keyOf: (choice: EntryChoice) => K,
+): Map<K, EntryChoice[]> {
+  const groups = new Map<K, EntryChoice[]>();
+  for (const choice of choices) {
+    const group = groups.get(keyOf(choice));
+    if (group) group.push(choice);
+    else groups.set(keyOf(choice), [choice]);
+  }
+  return groups;
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -44,6 +44,7 @@
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { ClientSites } from "./client_sites.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
@@ -106,6 +107,7 @@
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  readonly #sites = new ClientSites();
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
   #joined = false;
@@ -188,6 +190,7 @@
     this.#exchange.register(this.#contact);
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
+    this.#ticks.add(this.#sites);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
     this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
     this.#ticks.add({
@@ -305,7 +308,7 @@
       cfg.caller,
       callerApp({
         path: this.#path,
-        lookup: () => this.#lookup(),
+        lookup: (client) => this.#lookup(client),
         ready: () => this.#serving,
       }),
       callerOptions(this.#deps),
@@ -411,16 +414,22 @@
     const now = this.#deps.clock.now();
     this.#document = accepted.document;
     this.#keys.adopt(accepted.document);
+    this.#sites.adopt(accepted.document);
+    if (!this.#joined) this.#sites.settle();
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
     this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
-  #lookup(): LookupAnswer {
+  /** Near the caller's address if a site has it, else near this instance. */
+  #lookup(client: string): LookupAnswer {
     const { entries } = this.#steering;
     this.#prepareEntries();
-    const instances = entries.choose().map(
+    const near = this.#sites.zonesFor(client)
+      .map((zone) => entries.placeOf(zone))
+      .find((place) => place !== undefined);
+    const instances = entries.choose(near ?? this.#deps.cfg.instance).map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
         return { instance, url, zone, region, ...(home ? { home } : {}) };
@@ -434,12 +443,10 @@
     const now = this.#deps.clock.now();
     if (now - this.#preparedAt < this.#deps.cfg.tick_ms) return;
     this.#preparedAt = now;
-    const { zone, region } = this.#deps.cfg.instance;
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
     const all = this.#leaving ? others : [...others, this.#self()];
-    const candidates = this.#steering.openEntries(all);
-    this.#steering.entries.prepare({ zone, region, candidates });
+    this.#steering.entries.prepare(this.#steering.openEntries(all));
   }
 
   #self(): EntryChoice {
--- a/tools/bench/decisions/cost.ts
+++ b/tools/bench/decisions/cost.ts
@@ -118,11 +118,11 @@
     zone: `z${i % size.zones}` as ZoneId,
     region: `r${i % size.zones >> 1}` as RegionId,
   }));
-  const zone = "z0" as ZoneId;
-  chooser.prepare({ zone, region: "r0" as RegionId, candidates });
-  for (let i = 0; i < WARM_UP; i++) chooser.choose();
+  const place = { zone: "z0" as ZoneId, region: "r0" as RegionId };
+  chooser.prepare(candidates);
+  for (let i = 0; i < WARM_UP; i++) chooser.choose(place);
   const from = performance.now();
-  for (let i = 0; i < ROUNDS; i++) chooser.choose();
+  for (let i = 0; i < ROUNDS; i++) chooser.choose(place);
   return (performance.now() - from) / ROUNDS * PER_MS;
 }
 
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run bench -- NAME`: runs one benchmark, which prints a table and ends
- * with a line of JSON.
+ * `npm run bench -- NAME`: measurements as programs; each prints a table and a
+ * last line of JSON.
  *
  * @module
  */
@@ -8,16 +8,16 @@
 import { benchDecisions } from "./decisions/decisions.ts";
 import { benchLookup } from "./lookup.ts";
 
-/** Benchmarks by name. */
+/** Benchmarks by name; a name is what the command line takes. */
 const BENCHES: Readonly<Record<string, () => void | Promise<void>>> = {
   decisions: benchDecisions,
   lookup: benchLookup,
 };
-
 const BAD_INPUT = 2;
-const name = process.argv[2] ?? "";
-const bench = Object.hasOwn(BENCHES, name) ? BENCHES[name] : undefined;
+
+const bench = BENCHES[process.argv[2] ?? ""];
 if (bench === undefined) {
-  console.error(`usage: bench ${Object.keys(BENCHES).join("|")}`);
+  const names = Object.keys(BENCHES).join(", ");
+  console.error(`usage: npm run bench -- NAME, one of: ${names}`);
   process.exitCode = BAD_INPUT;
 } else await bench();
