--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -116,6 +116,7 @@
   #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
+  #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
@@ -441,16 +442,12 @@
 
   /** Near the caller's address if a site has it, else near this instance. */
   #lookup(client: string): LookupAnswer {
-    const others: EntryChoice[] = this.#roster.live()
-      .map((m) => ({ ...m, url: m.callerUrl }));
-    const all = this.#leaving ? others : [...others, this.#self()];
-    const candidates = this.#steering.openEntries(all);
     const { entries } = this.#steering;
+    this.#prepareEntries();
     const near = this.#sites.zonesFor(client)
-      .map((zone) => candidates.find((c) => c.zone === zone))
-      .find((c) => c !== undefined);
-    const { zone, region } = near ?? this.#deps.cfg.instance;
-    const instances = entries.choose({ zone, region, candidates }).map(
+      .map((zone) => entries.placeOf(zone))
+      .find((place) => place !== undefined);
+    const instances = entries.choose(near ?? this.#deps.cfg.instance).map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
         return { instance, url, zone, region, ...(home ? { home } : {}) };
@@ -459,6 +456,17 @@
     return { reuse_ms: entries.reuseMs(), instances };
   }
 
+  /** Once a tick: an answer is then drawn without going over all instances. */
+  #prepareEntries(): void {
+    const now = this.#deps.clock.now();
+    if (now - this.#preparedAt < this.#deps.cfg.tick_ms) return;
+    this.#preparedAt = now;
+    const others: EntryChoice[] = this.#roster.live()
+      .map((m) => ({ ...m, url: m.callerUrl }));
+    const all = this.#leaving ? others : [...others, this.#self()];
+    this.#steering.entries.prepare(this.#steering.openEntries(all));
+  }
+
   #self(): EntryChoice {
     const { id, zone, region } = this.#deps.cfg.instance;
     return { instance: id, zone, region, url: this.callerUrl };
