--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -5,10 +5,12 @@
  * @module
  */
 import process from "node:process";
+import { benchDecisions } from "./decisions/decisions.ts";
 import { benchLookup } from "./lookup.ts";
 
 /** Benchmarks by name; a name is what the command line takes. */
 const BENCHES: Readonly<Record<string, () => void | Promise<void>>> = {
+  decisions: benchDecisions,
   lookup: benchLookup,
 };
 const BAD_INPUT = 2;
