--- a/src/decisions/lookup/lookup.ts
+++ b/src/decisions/lookup/lookup.ts
@@ -20,12 +20,8 @@
   readonly region: RegionId;
 }
 
-/** What the answer depends on. */
-export interface LookupQuestion {
-  readonly zone: ZoneId;
-  readonly region: RegionId;
-  readonly candidates: readonly EntryChoice[];
-}
+/** Where a caller is. */
+export type CallerPlace = Pick<EntryChoice, "zone" | "region">;
 
 /** How many instances an answer names at most. */
 export const MAX_CHOICES = 4;
@@ -44,6 +40,8 @@
 const LEAST_WEIGHT = 0.25;
 /** From this zone load on, some callers are sent to the region's other zones. */
 const BUSY_LOAD = 0.7;
+/** Of a tier, as many are ranked for one answer as a zone has at full size. */
+const MAX_RANKED = 40;
 /** At most this part of them, so that zones do not swap their callers. */
 const MAX_SPILL = 0.5;
 
@@ -58,12 +56,17 @@
  * @example
  * ```ts
  * chooser.observe("i1", 0.4, clock.now());
- * const choices = chooser.choose({ zone, region, candidates });
+ * chooser.prepare(candidates);
+ * const choices = chooser.choose({ zone, region });
  * ```
  */
 export class EntryChooser {
   readonly #random: Random;
   readonly #loads = new Map<InstanceId, Smoothed>();
+  readonly #spillParts = new Map<ZoneId, number>();
+  #all: readonly EntryChoice[] = [];
+  #byZone = new Map<ZoneId, EntryChoice[]>();
+  #byRegion = new Map<RegionId, EntryChoice[]>();
 
   constructor(random: Random) {
     this.#random = random;
@@ -88,18 +91,34 @@
     }
   }
 
+  /** Takes over who may be named; answers then cost the same in any fleet. */
+  prepare(candidates: readonly EntryChoice[]): void {
+    this.#all = candidates;
+    this.#byZone = groupBy(candidates, (c) => c.zone);
+    this.#byRegion = groupBy(candidates, (c) => c.region);
+    this.#spillParts.clear();
+  }
+
+  /** The zone with its region; undefined if it has nobody to name. */
+  placeOf(zone: ZoneId): CallerPlace | undefined {
+    return this.#byZone.get(zone)?.[0];
+  }
+
   /** Near instances first, idle ones more often than busy ones. */
-  choose(question: LookupQuestion): EntryChoice[] {
-    const spill = this.#random.next() < this.#spillPart(question);
-    return question.candidates
-      .map((choice) => ({
-        choice,
-        distance: distance(question, choice, spill),
-        rank: this.#rank(choice),
-      }))
-      .sort((a, b) => a.distance - b.distance || a.rank - b.rank)
-      .slice(0, MAX_CHOICES)
-      .map((c) => c.choice);
+  choose(place: CallerPlace): EntryChoice[] {
+    const { zone, region } = place;
+    const own = () => this.#ranked(this.#byZone.get(zone) ?? []);
+    const near = () =>
+      this.#ranked(this.#byRegion.get(region) ?? [])
+        .filter((c) => c.zone !== zone);
+    const far = () =>
+      this.#ranked(this.#all).filter((c) => c.region !== region);
+    const spill = this.#random.next() < this.#spillPart(place);
+    const chosen: EntryChoice[] = [];
+    for (const tier of spill ? [near, own, far] : [own, near, far]) {
+      if (chosen.length < MAX_CHOICES) chosen.push(...tier());
+    }
+    return chosen.slice(0, MAX_CHOICES);
   }
 
   /** How long an answer may be reused, in milliseconds. */
@@ -108,6 +127,17 @@
     return Math.floor(REUSE_MS * (1 + jitter));
   }
 
+  /** A tier in random order by weight; of a large one, a random stretch. */
+  #ranked(tier: readonly EntryChoice[]): EntryChoice[] {
+    const from = this.#random.below(Math.max(1, tier.length));
+    const size = Math.min(tier.length, MAX_RANKED);
+    const ranked = Array.from({ length: size }, (_, i) => {
+      const choice = tier[(from + i) % tier.length] as EntryChoice;
+      return { choice, rank: this.#rank(choice) };
+    });
+    return ranked.sort((a, b) => a.rank - b.rank).map((r) => r.choice);
+  }
+
   /** Exponential ranks: the first of an order is drawn in proportion to weight. */
   #rank({ instance }: EntryChoice): number {
     return -Math.log(1 - this.#random.next()) / this.#weight(instance);
@@ -123,11 +153,18 @@
   }
 
   /** Part of the zone's callers that the region's other zones should take. */
-  #spillPart({ zone, region, candidates }: LookupQuestion): number {
-    const own = candidates.filter((c) => c.zone === zone);
-    const near = candidates.filter((c) =>
-      c.zone !== zone && c.region === region
-    );
+  #spillPart(place: CallerPlace): number {
+    const known = this.#spillParts.get(place.zone);
+    if (known !== undefined) return known;
+    const part = this.#spill(place);
+    this.#spillParts.set(place.zone, part);
+    return part;
+  }
+
+  #spill({ zone, region }: CallerPlace): number {
+    const own = this.#byZone.get(zone) ?? [];
+    const near = (this.#byRegion.get(region) ?? [])
+      .filter((c) => c.zone !== zone);
     if (own.length === 0 || near.length === 0) return 0;
     // A zone with an idle instance is not busy: its weights see to that.
     const here = Math.min(...own.map((c) => this.#loadOf(c.instance)));
@@ -141,12 +178,15 @@
   }
 }
 
-function distance(
-  question: LookupQuestion,
-  choice: EntryChoice,
-  spill: boolean,
-): number {
-  if (choice.zone === question.zone) return spill ? 1 : 0;
-  if (choice.region === question.region) return spill ? 0 : 1;
-  return 2;
+function groupBy<K>(
+  choices: readonly EntryChoice[],
+  keyOf: (choice: EntryChoice) => K,
+): Map<K, EntryChoice[]> {
+  const groups = new Map<K, EntryChoice[]>();
+  for (const choice of choices) {
+    const group = groups.get(keyOf(choice));
+    if (group) group.push(choice);
+    else groups.set(keyOf(choice), [choice]);
+  }
+  return groups;
 }
--- a/src/decisions/lookup/lookup_test.ts
+++ b/src/decisions/lookup/lookup_test.ts
@@ -29,12 +29,10 @@
   const chooser = new EntryChooser(new SeededRandom(5));
   const firsts = (candidates = CANDIDATES, draws = 3_000) => {
     const counts = new Map<string, number>();
+    chooser.prepare(candidates);
+    const place = { zone: "za" as ZoneId, region: "r1" as RegionId };
     for (let i = 0; i < draws; i++) {
-      const first = chooser.choose({
-        zone: "za" as ZoneId,
-        region: "r1" as RegionId,
-        candidates,
-      })[0]!.instance;
+      const first = chooser.choose(place)[0]!.instance;
       counts.set(first, (counts.get(first) ?? 0) + 1);
     }
     return counts;
@@ -49,11 +47,8 @@
   const counts = firsts();
   t.deepEqual([...counts.keys()].sort(), ["a1", "a2", "a3"]);
   for (const n of counts.values()) t.true(n > 900 && n < 1_100);
-  const names = chooser.choose({
-    zone: "zc" as ZoneId,
-    region: "r2" as RegionId,
-    candidates: CANDIDATES,
-  }).map((c) => c.instance);
+  const place = { zone: "zc" as ZoneId, region: "r2" as RegionId };
+  const names = chooser.choose(place).map((c) => c.instance);
   t.is(names[0], "c1" as InstanceId);
   t.is(names.length, 4);
 });
