--- a/src/document/sections.ts
+++ b/src/document/sections.ts
@@ -29,9 +29,9 @@
 
 /** One key of a client account: its digest, never the key. */
 export const KeyEntry = strict({
-  id: KeyId,
-  sha256: Sha256,
-  withdrawn: z.boolean().default(false),
+  id: KeyId.describe("Names the key; never given out again"),
+  sha256: Sha256.describe("SHA-256 of the key"),
+  withdrawn: z.boolean().default(false).describe("No longer taken"),
 });
 export type KeyEntry = z.infer<typeof KeyEntry>;
 
@@ -40,15 +40,17 @@
   accounts: z.record(
     AccountId,
     strict({
-      name: z.string().max(200).optional(),
-      keys: z.array(KeyEntry).max(50).default([]),
-      /** Part of a queue's turns under contention, against other accounts. */
-      weight: z.number().positive().max(100).default(1),
-      /**
-       * How long a zone cut off from the platform goes on taking this
-       * account's keys, in seconds: it cannot learn of a withdrawal.
-       */
-      cut_off_grace_s: z.number().int().min(0).max(86_400).default(3_600),
+      name: z.string().max(200).optional().describe("For people"),
+      keys: z.array(KeyEntry).max(50).default([]).describe(
+        "Digests of the account's keys",
+      ),
+      weight: z.number().positive().max(100).default(1).describe(
+        "Part of a queue's turns under contention, against other accounts",
+      ),
+      cut_off_grace_s: z.number().int().min(0).max(86_400).default(3_600)
+        .describe(
+          "How long a zone cut off from the platform goes on taking this account's keys, in seconds: it cannot learn of a withdrawal",
+        ),
     }),
   ),
 });
@@ -59,8 +61,12 @@
   rates: z.record(
     AccountId,
     strict({
-      rate_per_s: z.number().positive().max(10_000_000),
-      burst: z.number().positive().max(10_000_000),
+      rate_per_s: z.number().positive().max(10_000_000).describe(
+        "Requests a second, over all instances together",
+      ),
+      burst: z.number().positive().max(10_000_000).describe(
+        "Requests at once above the rate, over all instances together",
+      ),
     }),
   ),
 });
@@ -74,41 +80,55 @@
       zones: z.record(
         ZoneId,
         strict({
-          /** Entry instances the zone is meant to have. */
-          instances: z.number().int().min(1).max(1000).default(2),
+          instances: z.number().int().min(1).max(1000).default(2).describe(
+            "Entry instances the zone is meant to have",
+          ),
         }),
       ),
-      /** Part of the region's slots kept free from other regions' work. */
-      headroom: z.number().min(0).max(1).default(0.2),
+      headroom: z.number().min(0).max(1).default(0.2).describe(
+        "Part of the region's slots kept free from other regions' work",
+      ),
     }),
   ).default({}),
   links: z.array(strict({
-    from: RegionId,
-    to: RegionId,
-    cap_mbit_per_s: z.number().positive(),
-    latency_ms: z.number().nonnegative().default(12),
-  })).default([]),
+    from: RegionId.describe("The region that sends"),
+    to: RegionId.describe("The region that receives"),
+    cap_mbit_per_s: z.number().positive().describe(
+      "What traffic may take of the link in this direction",
+    ),
+    latency_ms: z.number().nonnegative().default(12).describe(
+      "One way, in milliseconds",
+    ),
+  })).default([]).describe("Links between regions, one for each direction"),
 });
 export type RegionsSection = z.infer<typeof RegionsSection>;
 
 /** One endpoint of a service. */
 export const EndpointEntry = strict({
-  zone: ZoneId,
-  url: z.url({ protocol: /^https?$/ }),
-  /** Requests it runs at once. */
-  slots: z.number().int().min(1).max(10_000),
-  /** Connections it takes, over all instances together. */
-  connections: z.number().int().min(1).max(100_000),
+  zone: ZoneId.describe("The availability zone it stands in"),
+  url: z.url({ protocol: /^https?$/ }).describe("Where it is reached"),
+  slots: z.number().int().min(1).max(10_000).describe(
+    "Requests it runs at once",
+  ),
+  connections: z.number().int().min(1).max(100_000).describe(
+    "Connections it takes, over all instances together",
+  ),
 });
 export type EndpointEntry = z.infer<typeof EndpointEntry>;
 
 /** What holds for requests whose method and path match. */
 export const RouteEntry = strict({
-  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"]),
-  path_prefix: z.string().startsWith("/").max(200),
-  /** Whether running such a request twice does no harm. */
-  idempotent: z.boolean(),
-  deadline_ms: Milliseconds.optional(),
+  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "*"])
+    .describe("The method, or any"),
+  path_prefix: z.string().startsWith("/").max(200).describe(
+    "What the path begins with",
+  ),
+  idempotent: z.boolean().describe(
+    "Whether running such a request twice does no harm",
+  ),
+  deadline_ms: Milliseconds.optional().describe(
+    "Instead of the service's, in milliseconds",
+  ),
 });
 export type RouteEntry = z.infer<typeof RouteEntry>;
 
@@ -117,17 +137,29 @@
   services: z.record(
     ServiceId,
     strict({
-      deadline_ms: Milliseconds.default(5_000),
-      /** Requests that may wait for a slot, per entry instance. */
-      queue_limit: z.number().int().min(0).max(100_000).default(256),
-      /** First match counts; no match means the request is not idempotent. */
-      routes: z.array(RouteEntry).max(100).default([]),
-      endpoints: z.record(EndpointId, EndpointEntry).default({}),
+      deadline_ms: Milliseconds.default(5_000).describe(
+        "How long a request may take, in milliseconds",
+      ),
+      queue_limit: z.number().int().min(0).max(100_000).default(256).describe(
+        "Requests that may wait for a slot, per entry instance",
+      ),
+      routes: z.array(RouteEntry).max(100).default([]).describe(
+        "First match counts; no match means the request is not idempotent",
+      ),
+      endpoints: z.record(EndpointId, EndpointEntry).default({}).describe(
+        "What runs the service's requests",
+      ),
       objective: strict({
-        availability: z.number().gt(0).lt(1).default(0.999),
-        latency_ms: Milliseconds.default(500),
-        latency_ratio: z.number().gt(0).lt(1).default(0.99),
-      }).prefault({}),
+        availability: z.number().gt(0).lt(1).default(0.999).describe(
+          "Part of requests that are answered well",
+        ),
+        latency_ms: Milliseconds.default(500).describe(
+          "An answer above this is slow, in milliseconds",
+        ),
+        latency_ratio: z.number().gt(0).lt(1).default(0.99).describe(
+          "Part of good answers that are not slow",
+        ),
+      }).prefault({}).describe("The service-level objective"),
     }),
   ),
 });
@@ -138,15 +170,17 @@
   sites: z.record(
     SiteId,
     strict({
-      /** Availability zones, the best one first. */
-      zones: z.array(ZoneId).min(1).max(20),
-      /** Client addresses in CIDR notation; the longest match counts. */
+      zones: z.array(ZoneId).min(1).max(20).describe(
+        "Availability zones, the best one first",
+      ),
       blocks: z.array(
         z.string().max(50).refine(
           (text) => parseBlock(text) !== undefined,
           "must be a block of addresses, such as 203.0.113.0/24 or 2001:db8::/32",
         ),
-      ).max(100_000).default([]),
+      ).max(100_000).default([]).describe(
+        "Client addresses in CIDR notation; the longest match counts",
+      ),
     }),
   ),
 });
@@ -163,7 +197,9 @@
 
 /** Planned drains. */
 export const DrainsSection = strict({
-  drains: z.array(DrainEntry).max(10_000).default([]),
+  drains: z.array(DrainEntry).max(10_000).default([]).describe(
+    "What is to get no new work",
+  ),
 });
 export type DrainsSection = z.infer<typeof DrainsSection>;
 
@@ -172,9 +208,10 @@
   roles: z.record(
     z.string().max(64),
     strict({
-      token_sha256: Sha256,
-      /** Section names, or kinds, that this role edits; `*` means all. */
-      edits: z.array(z.string()).default([]),
+      token_sha256: Sha256.describe("SHA-256 of the role's bearer token"),
+      edits: z.array(z.string()).default([]).describe(
+        "Section names, or kinds, that this role edits; `*` means all",
+      ),
     }),
   ),
 });
--- /dev/null
+++ b/tools/reference/package_test.ts
@@ -0,0 +1,21 @@
+import test from "ava";
+import { execFile } from "node:child_process";
+import { readFile } from "node:fs/promises";
+import { promisify } from "node:util";
+
+const ROOT = new URL("../../", import.meta.url).pathname;
+
+test("the package is built from the program alone, without tests or fixtures", async (t) => {
+  // A fixture in the package is code that nobody meant to ship, keys of test
+  // certificates among it.
+  const args = ["tsc", "-p", "tsconfig.build.json", "--listFilesOnly"];
+  const { stdout } = await promisify(execFile)("npx", args, { cwd: ROOT });
+  const built = stdout.split("\n").filter((f) =>
+    f.startsWith(ROOT) && !f.includes("/node_modules/")
+  );
+  t.true(built.length > 100);
+  t.deepEqual(built.filter((f) => !f.startsWith(`${ROOT}src/`)), []);
+  t.deepEqual(built.filter((f) => /_test\.ts$|\/testing\//.test(f)), []);
+  const pack = JSON.parse(await readFile(`${ROOT}package.json`, "utf8"));
+  t.deepEqual(pack.files, ["dist", "README.md", "LICENSE"]);
+});
