Keep an incarnation from callers and take calls from known peers alone

Peers prove who they are by their incarnation, and home tokens told it to every caller; the calls that forward and settle operations asked for no proof at all. Whoever reached the peer address could run operations under any account. Tokens now carry a digest of the incarnation, and both calls name the sender with its incarnation; a stranger's runs nothing and shuts nothing out.

--- a/src/operations/forwarder.ts
+++ b/src/operations/forwarder.ts
@@ -18,11 +18,13 @@
 import { type ForwardRequest, ForwardRequestSchema } from "../gen/ledger_pb.ts";
 import type { PeerTransport } from "../peers/mod.ts";
 import { runResultFromWire } from "./codec.ts";
+import type { PeerCredential } from "./home_token.ts";
 import type { OperationRequest, RunResult } from "./operations.ts";
 import type { KnownPlace } from "./places.ts";
 
 /** What forwarding needs. */
 export interface ForwarderDeps {
+  readonly credential: PeerCredential;
   readonly transport: PeerTransport;
   readonly clock: Clock;
   readonly random: Random;
@@ -53,6 +55,7 @@
     const { random, transport, metrics } = this.#deps;
     const msg = create(ForwardRequestSchema, {
       incarnation: to.incarnation,
+      from: this.#deps.credential,
       account: req.account,
       id: req.id,
       fingerprint: req.fingerprint,
--- a/src/operations/home_operations.ts
+++ b/src/operations/home_operations.ts
@@ -27,7 +27,12 @@
 import { Forwarder, requestFromWire } from "./forwarder.ts";
 import { handOver } from "./handover.ts";
 import type { ZoneSeats } from "./home_seat.ts";
-import { parseHome, type Place } from "./home_token.ts";
+import {
+  parseHome,
+  type PeerCredential,
+  type Place,
+  publicIncarnation,
+} from "./home_token.ts";
 import { DEFAULT_LEDGER_LIMITS, Ledger, type LedgerLimits } from "./ledger.ts";
 import type {
   OperationRequest,
@@ -50,7 +55,8 @@
 
 /** What operations over the fleet need. */
 export interface HomeOperationsDeps {
-  readonly self: Place & Vicinity;
+  /** Its incarnation is the one that batches give. */
+  readonly self: PeerCredential & Vicinity;
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
@@ -68,6 +74,7 @@
 export class HomeOperations
   implements Operations, PeerSubsystem, LedgerHandler {
   readonly #deps: HomeOperationsDeps;
+  readonly #self: Place & Vicinity;
   readonly #ledger: Ledger;
   readonly #places: PlaceTable;
   readonly #history: RegionHistory;
@@ -84,17 +91,25 @@
   #sweptAt = 0;
 
   constructor(deps: HomeOperationsDeps) {
-    const { clock, self, transport } = deps;
+    const { clock, transport } = deps;
+    const credential = {
+      instance: deps.self.instance,
+      incarnation: deps.self.incarnation,
+    };
+    const incarnation = publicIncarnation(deps.self.incarnation);
+    const self = { ...deps.self, incarnation };
     const { retentionMs } = deps.limits ?? DEFAULT_LEDGER_LIMITS;
     this.#deps = deps;
+    this.#self = self;
     this.#ledger = new Ledger(deps.limits);
     this.#places = new PlaceTable(clock);
-    this.#queue = new SettleQueue(transport);
+    this.#queue = new SettleQueue(transport, credential);
     this.#history = new RegionHistory({ self, clock, retentionMs });
-    this.#store = new StorePlace({ ...deps, retentionMs });
-    this.#forwarder = new Forwarder(deps);
+    this.#store = new StorePlace({ ...deps, self, retentionMs });
+    this.#forwarder = new Forwarder({ ...deps, credential });
     const parts = {
       ...deps,
+      self,
       ledger: this.#ledger,
       places: this.#places,
       queue: this.#queue,
@@ -148,9 +163,9 @@
 
   /** Forgets what is over its time; to be run each tick. */
   sweep(now: number): void {
-    this.#recovery.sweep(now);
     if (now - this.#sweptAt < SWEEP_EVERY_MS) return;
     this.#sweptAt = now;
+    this.#recovery.sweep(now);
     this.#ledger.expire(now);
     this.#places.sweep(now);
     this.#history.sweep(now);
@@ -169,12 +184,12 @@
     this.#ledger.close();
     await this.#owned.settled();
     const heir = await handOver({
-      ...this.#deps,
+      self: this.#self,
       ledger: this.#ledger,
       places: this.#places,
       queue: this.#queue,
     });
-    if (heir) this.#history.inherited(this.#deps.self.incarnation, heir);
+    if (heir) this.#history.inherited(this.#self.incarnation, heir);
     this.#deps.log.event("operations_handed_over", { heir: heir?.instance });
     return heir !== undefined;
   }
@@ -190,17 +205,23 @@
   absorb(batch: Batch, from: Sender): void {
     this.#places.absorb(batch, from);
     if (from.region !== this.#deps.self.region) return;
-    this.#history.heard(from.instance, from.incarnation);
-    if (batch.ledger) this.#history.absorb(batch.ledger, from.incarnation);
+    const place = this.#places.named(from.instance);
+    if (place === undefined) return;
+    this.#history.heard(place.instance, place.incarnation);
+    if (batch.ledger) this.#history.absorb(batch.ledger, place.incarnation);
   }
 
   settle(req: SettleRequest): SettleResponse {
     return this.#secondSide.settle(req);
   }
 
-  /** Runs an operation that another instance received. */
+  /**
+   * Runs an operation that another instance received. A stranger's is not run:
+   * the account in it is taken at its word.
+   */
   async forward(msg: ForwardRequest): Promise<ForwardResponse> {
-    const { incarnation } = this.#deps.self;
+    const { incarnation } = this.#self;
+    if (!this.#places.recognises(msg.from)) return gone();
     if (msg.incarnation !== "" && msg.incarnation !== incarnation) {
       return gone();
     }
--- a/src/operations/home_operations_test.ts
+++ b/src/operations/home_operations_test.ts
@@ -1,6 +1,11 @@
+import { create } from "@bufbuild/protobuf";
 import test from "ava";
 import { fail, sleep } from "../core/mod.ts";
-import { EntryKind } from "../gen/ledger_pb.ts";
+import {
+  EntryKind,
+  ForwardRequestSchema,
+  SettleRequestSchema,
+} from "../gen/ledger_pb.ts";
 import { TOKEN_LIFE_MS } from "./home_token.ts";
 import { DEFAULT_LEDGER_LIMITS } from "./ledger.ts";
 import {
@@ -472,3 +477,26 @@
   t.deepEqual([told(late), told(inStead)], ["unknown", "unknown"]);
   t.is(fleet.dispatches.length, 0);
 });
+
+/**
+ * Somebody who reaches the peer address sends an operation under an account of
+ * choice, or shuts out another's operation. Taking that at its word would run
+ * requests without any key. What callers learn from tokens must not help.
+ */
+test("a stranger's call runs nothing and shuts nothing out", async (t) => {
+  const { fleet, home } = await makeSetup();
+  const { operations, incarnation } = fleet.node(OWNER);
+  const [, shown] = home.split("~");
+  t.not(shown, incarnation);
+  for (const life of ["", shown ?? ""]) {
+    const from = { instance: MATE, incarnation: life };
+    const forwarded = await operations.forward(
+      create(ForwardRequestSchema, { id: "op", account: "a1", home, from }),
+    );
+    const settled = operations.settle(
+      create(SettleRequestSchema, { incarnation: shown ?? "", from }),
+    );
+    t.true(forwarded.gone && settled.gone);
+  }
+  t.deepEqual(fleet.dispatches, []);
+});
--- a/src/operations/home_token.ts
+++ b/src/operations/home_token.ts
@@ -8,16 +8,36 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import type { Result } from "neverthrow";
 import { ok } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
 
-/** One life of an instance. */
+/** One life of an instance, as callers may know it. */
 export interface Place {
   readonly instance: string;
+  /** From {@link publicIncarnation}. */
   readonly incarnation: string;
 }
 
+/** How an instance shows its peers who it is. */
+export interface PeerCredential {
+  readonly instance: string;
+  /** As its batches give it; known to peers alone. */
+  readonly incarnation: string;
+}
+
+const PUBLIC_DIGITS = 16;
+
+/**
+ * The name of an incarnation that tokens carry. Peers take the incarnation
+ * itself as proof of who calls, so a caller must not learn it.
+ */
+export function publicIncarnation(incarnation: string): string {
+  const digest = createHash("sha256").update(incarnation).digest("hex");
+  return digest.slice(0, PUBLIC_DIGITS);
+}
+
 /** What a token says. */
 export interface HomeToken {
   readonly owner: Place;
--- a/src/operations/places.ts
+++ b/src/operations/places.ts
@@ -5,11 +5,14 @@
  * @module
  */
 import type { Clock } from "../core/mod.ts";
+import type { PeerIdentity } from "../gen/ledger_pb.ts";
 import type { Batch, Sender } from "../gen/peer_pb.ts";
-import type { Place } from "./home_token.ts";
+import { type Place, publicIncarnation } from "./home_token.ts";
 
 /** Another instance as it was last heard. */
 export interface KnownPlace extends Place {
+  /** The incarnation as the instance's own batches give it. */
+  readonly secret: string;
   readonly zone: string;
   readonly region: string;
   readonly peerUrl: string;
@@ -38,6 +41,13 @@
   readonly heardAt: number;
 }
 
+interface Chosen {
+  readonly at: number;
+  readonly places: readonly KnownPlace[];
+}
+
+/** How long a choice of second places is used again, in milliseconds. */
+const CHOSEN_MS = 50;
 /** Readings of ended incarnations are kept this long, in milliseconds. */
 const READING_KEPT_MS = 1_200_000;
 
@@ -47,6 +57,7 @@
   readonly #places = new Map<string, KnownPlace>();
   readonly #suspectUntil = new Map<string, number>();
   readonly #readings = new Map<string, ClockReading>();
+  #chosen: Chosen | undefined;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -54,11 +65,19 @@
 
   /** Takes in what an instance says of itself. */
   absorb(batch: Batch, from: Sender): void {
-    const { instance, incarnation, zone, region, peerUrl, leaving } = from;
-    if (incarnation === "") return;
+    const { instance, zone, region, peerUrl, leaving } = from;
+    if (from.incarnation === "") return;
+    const before = this.#places.get(instance);
+    const incarnation = before?.secret === from.incarnation
+      ? before.incarnation
+      : publicIncarnation(from.incarnation);
+    if (before?.incarnation !== incarnation || before.leaving !== leaving) {
+      this.#chosen = undefined;
+    }
     this.#places.set(instance, {
       instance,
       incarnation,
+      secret: from.incarnation,
       zone,
       region,
       peerUrl,
@@ -97,6 +116,12 @@
     }
   }
 
+  /** Whether a call comes from an instance that was heard. */
+  recognises(from: PeerIdentity | undefined): boolean {
+    const known = from && this.#places.get(from.instance);
+    return known !== undefined && known.secret === from?.incarnation;
+  }
+
   /** An instance as it was last heard, whichever its incarnation. */
   named(instance: string): KnownPlace | undefined {
     return this.#places.get(instance);
@@ -128,6 +153,7 @@
   suspect(place: Place): void {
     const until = this.#clock.now() + PLACE_SUSPECT_MS;
     this.#suspectUntil.set(place.incarnation, until);
+    this.#chosen = undefined;
   }
 
   /**
@@ -135,7 +161,17 @@
    * outlives the loss of the own zone, then the own zone. Instances spread
    * over them by hashing, so that no place gets the records of all others.
    */
-  candidates(self: Place & Vicinity): KnownPlace[] {
+  candidates(self: Place & Vicinity): readonly KnownPlace[] {
+    const now = this.#clock.now();
+    if (this.#chosen && now - this.#chosen.at < CHOSEN_MS) {
+      return this.#chosen.places;
+    }
+    const places = this.#choose(self);
+    this.#chosen = { at: now, places };
+    return places;
+  }
+
+  #choose(self: Place & Vicinity): KnownPlace[] {
     return this.all()
       .filter((p) => p.region === self.region && this.usable(p))
       .map((place) => ({
--- a/src/operations/seat_recovery.ts
+++ b/src/operations/seat_recovery.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../core/mod.ts";
 import type { SeatDirectory } from "../membership/mod.ts";
 import { fenceEntry, resultFromWire } from "./codec.ts";
-import type { Place } from "./home_token.ts";
+import { type Place, publicIncarnation } from "./home_token.ts";
 import type { Ledger, OperationName, RecordView, SeatEpoch } from "./ledger.ts";
 import type { KnownPlace, PlaceTable, Vicinity } from "./places.ts";
 import type { RegionHistory } from "./region_history.ts";
@@ -86,13 +86,14 @@
     const { seats, places, history, self } = this.#deps;
     for (const seat of seats.entries()) {
       if (seat.epoch !== 1 || seat.holder === undefined) continue;
+      if (this.#firstSeen.has(seatKey(seat))) continue;
       const holder = seat.holder === self.instance
         ? self
         : places.named(seat.holder);
       if (holder === undefined || !history.covers(holder.incarnation)) continue;
-      if (seat.incarnation !== "" && seat.incarnation !== holder.incarnation) {
-        continue;
-      }
+      const other = seat.incarnation !== "" &&
+        publicIncarnation(seat.incarnation) !== holder.incarnation;
+      if (other) continue;
       this.#firstSeen.add(seatKey(seat));
     }
   }
--- a/src/operations/second_side.ts
+++ b/src/operations/second_side.ts
@@ -49,9 +49,14 @@
     this.#deps = deps;
   }
 
-  /** Settles a whole request; another incarnation than the one meant refuses. */
+  /**
+   * Settles a whole request. Another incarnation than the one meant refuses,
+   * and so does everybody to a stranger, who could shut out operations.
+   */
   settle(req: SettleRequest): SettleResponse {
-    if (req.incarnation !== this.#deps.self.incarnation) {
+    const { places, self } = this.#deps;
+    const meant = req.incarnation === self.incarnation;
+    if (!meant || !places.recognises(req.from)) {
       return create(SettleResponseSchema, { gone: true });
     }
     const results = req.entries.map((entry) => this.#entry(entry));
--- a/src/operations/settle_queue.ts
+++ b/src/operations/settle_queue.ts
@@ -19,6 +19,7 @@
   type SettleResponse,
 } from "../gen/ledger_pb.ts";
 import type { PeerTransport } from "../peers/mod.ts";
+import type { PeerCredential } from "./home_token.ts";
 import type { KnownPlace } from "./places.ts";
 
 /** What became of an entry, and what the place says of itself. */
@@ -53,10 +54,12 @@
 /** Sends entries; a failure's outcome says whether they may have arrived. */
 export class SettleQueue {
   readonly #transport: PeerTransport;
+  readonly #self: PeerCredential;
   readonly #lanes = new Map<string, Lane>();
 
-  constructor(transport: PeerTransport) {
+  constructor(transport: PeerTransport, self: PeerCredential) {
     this.#transport = transport;
+    this.#self = self;
   }
 
   /** Sends one entry; fails with `peer_unavailable`. */
@@ -102,6 +105,7 @@
     this.#schedule(place, lane);
     const req = create(SettleRequestSchema, {
       incarnation: place.incarnation,
+      from: this.#self,
       entries: batch.map((w) => w.entry),
     });
     const response = await this.#call(place, req);
