Hold the slot of an abandoned request for a second

In a demo on a machine loaded three times over, one endpoint ran one request more than it has slots: it noticed a closed connection later than the 250 ms for which the slot was held. Both sides' event loops lagged by over 600 ms.

The slot is now held for a second. The test of the ejection floor now looks after every step instead of once at the end, since its endpoints hold their slots for longer.

--- a/src/decisions/steering/fair_dispatcher_test.ts
+++ b/src/decisions/steering/fair_dispatcher_test.ts
@@ -12,6 +12,7 @@
 import type { Slot, SteeringRequest } from "./dispatcher.ts";
 import { FairDispatcher } from "./fair_dispatcher.ts";
 import type { SlotLimits } from "./slot_limits.ts";
+import { ABANDON_MARGIN_MS } from "./slot_table.ts";
 
 interface Shape {
   readonly slots: readonly number[];
@@ -216,9 +217,9 @@
 });
 
 const LINGERING = [
-  { result: "cancelled", heldMs: 250 },
-  { result: "failed", heldMs: 250 },
-  { result: "timeout", heldMs: 250 },
+  { result: "cancelled", heldMs: 1_000 },
+  { result: "failed", heldMs: 1_000 },
+  { result: "timeout", heldMs: 1_000 },
   { result: "shed", heldMs: 0 },
   { result: "ok", heldMs: 0 },
 ] as const;
@@ -244,14 +245,16 @@
   // The instance's own network breaks and every endpoint seems to fail.
   // Ejecting all would refuse what some could still serve.
   const { clock, dispatcher, take } = setup({ slots: [4, 4, 4, 4] });
+  let most = 0;
   for (let i = 0; i < 200; i++) {
     (await take()).release("failed", clock.now());
-    clock.advance(300);
+    clock.advance(ABANDON_MARGIN_MS);
+    const ejected = dispatcher.rows().filter((r) =>
+      r.ejected && r.blockedUntil > clock.now()
+    );
+    most = Math.max(most, ejected.length);
   }
-  const ejected = dispatcher.rows().filter((r) =>
-    r.ejected && r.blockedUntil > clock.now()
-  );
-  t.is(ejected.length, 2);
+  t.is(most, 2);
 });
 
 test("a slow endpoint gets little work beside quick ones", async (t) => {
--- a/src/decisions/steering/slot_table.ts
+++ b/src/decisions/steering/slot_table.ts
@@ -36,9 +36,10 @@
 
 /**
  * After its connection was closed an endpoint learns of the abandonment
- * within a round trip and stops; a quarter of a second covers a busy one.
+ * within a round trip and stops, but a busy one looks late: one whose event
+ * loop lagged by 640 ms ran one request too many with a margin of 250 ms.
  */
-export const ABANDON_MARGIN_MS = 250;
+export const ABANDON_MARGIN_MS = 1_000;
 
 /** Results after which the endpoint may still be running the request. */
 const MAY_STILL_RUN: ReadonlySet<WorkResult> = new Set([
