Measure control and the request path, and read only sections that changed

There was no measurement of what control costs as a fleet grows, nor of what a request gains by an entry instance. `npm run bench -- control` runs real processes without requests at four sizes each of zone-mates, zones, accounts and endpoints and fits slopes; `npm run bench -- path` times the same request through an instance and straight to the endpoint. Status tells batches and bytes between instances for it.

A change of the document parsed and checked every section anew, twice. Sections that did not change are now the same objects as before.

--- a/src/admin/admin_app_test.ts
+++ b/src/admin/admin_app_test.ts
@@ -59,6 +59,7 @@
       drained: false,
       drains: [],
       members: [],
+      peers: { batches_sent: 0, listener_bytes: 0 },
     }),
     document: () => document,
     store,
--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -23,4 +23,14 @@
   readonly drained: boolean;
   readonly drains: readonly DrainProgress[];
   readonly members: readonly string[];
+  /** Messages to other instances since the start. */
+  readonly peers: PeerStatus;
+}
+
+/** Messages between instances, as one of them counts them. */
+export interface PeerStatus {
+  /** Batches sent; as many come in from peers that send at the same pace. */
+  readonly batches_sent: number;
+  /** Bytes of connections that peers opened, both ways, headers included. */
+  readonly listener_bytes: number;
 }
--- a/src/document/content_store.ts
+++ b/src/document/content_store.ts
@@ -23,10 +23,16 @@
   parts: z.number().int().min(2).max(MAX_PARTS),
 });
 
+/** A section's text, and what it reads as once somebody asked. */
+interface Content {
+  readonly text: string;
+  value: unknown;
+}
+
 /** Stores and finds contents; what was found once is kept, as it never changes. */
 export class ContentStore {
   readonly #platform: Platform;
-  readonly #cache = new Map<string, string>();
+  readonly #cache = new Map<string, Content>();
 
   constructor(platform: Platform) {
     this.#platform = platform;
@@ -37,21 +43,23 @@
    *
    * Errors: `not_found`, `bad_document` when what stands there is not what the
    * digest names (cut off or overwritten), and the platform's own.
+   *
+   * The same content gives the same value each time, which nobody may change;
+   * so a change of one section costs nothing for the others.
    */
   async get(digest: string): Promise<Result<unknown, Failure>> {
     const cached = this.#cache.get(digest);
-    if (cached !== undefined) return ok(JSON.parse(cached));
+    if (cached !== undefined) return ok(valueOf(cached));
     const head = await this.#read(contentKey(digest));
     if (head.isErr()) return err(head.error);
     const text = await this.#assemble(digest, head.value);
     if (text.isErr()) return err(text.error);
-    this.#remember(digest, text.value);
-    return ok(JSON.parse(text.value));
+    return ok(valueOf(this.#remember(digest, text.value)));
   }
 
   /** Content that was read or offered before, as text. */
   cached(digest: string): string | undefined {
-    return this.#cache.get(digest);
+    return this.#cache.get(digest)?.text;
   }
 
   /** Keeps content that came from elsewhere; gives its digest. */
@@ -126,15 +134,24 @@
     );
   }
 
-  #remember(digest: string, text: string): void {
+  #remember(digest: string, text: string): Content {
+    const known = this.#cache.get(digest);
+    if (known) return known;
     const oldest = this.#cache.keys().next();
     if (this.#cache.size >= MAX_CACHED && !oldest.done) {
       this.#cache.delete(oldest.value);
     }
-    this.#cache.set(digest, text);
+    const content = { text, value: undefined };
+    this.#cache.set(digest, content);
+    return content;
   }
 }
 
+function valueOf(content: Content): unknown {
+  content.value ??= JSON.parse(content.text);
+  return content.value;
+}
+
 function partKey(digest: string, part: number): string {
   return `${contentKey(digest)}/${part}`;
 }
--- a/src/document/document.ts
+++ b/src/document/document.ts
@@ -69,11 +69,12 @@
  */
 export function parseDocument(
   raw: RawSections,
+  parse: SectionParser = parseSection,
 ): Result<SteeringDocument, Failure> {
   const merged = emptyDocument();
   const issues: Failure[] = [];
   for (const [name, value] of Object.entries(raw)) {
-    const section = parseSection(name, value);
+    const section = parse(name, value);
     if (section.isErr()) {
       issues.push(...section.error.issues ?? [section.error]);
     } else issues.push(...merge(merged, name as SectionName, section.value));
@@ -84,6 +85,41 @@
   return err(combine(first.code, issues));
 }
 
+/** Checks one section alone, as {@link parseSection} does. */
+export type SectionParser = (
+  name: string,
+  value: unknown,
+) => Result<Record<string, unknown>, Failure>;
+
+/**
+ * Remembers how each section last read, so that a change of one section does
+ * not check all others again: at a million client blocks that would stop the
+ * process for seconds at every edit.
+ *
+ * @example
+ * ```ts
+ * const sections = new SectionMemo();
+ * parseDocument(raw, sections.parse);
+ * ```
+ */
+export class SectionMemo {
+  readonly #last = new Map<string, ReadSection>();
+
+  /** Values are compared by identity and must not be changed. */
+  readonly parse: SectionParser = (name, value) => {
+    const last = this.#last.get(name);
+    if (last !== undefined && last.value === value) return last.result;
+    const result = parseSection(name, value);
+    this.#last.set(name, { value, result });
+    return result;
+  };
+}
+
+interface ReadSection {
+  readonly value: unknown;
+  readonly result: Result<Record<string, unknown>, Failure>;
+}
+
 /**
  * Checks one section alone.
  *
--- a/src/document/in_force.ts
+++ b/src/document/in_force.ts
@@ -11,7 +11,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { fail, type Failure, failure, fromZod } from "../core/mod.ts";
-import { parseDocument, parseSection } from "./document.ts";
+import { parseDocument, type SectionParser } from "./document.ts";
 import type { AcceptedDocument } from "./document_store.ts";
 import { type Manifest, ManifestEntry } from "./manifest.ts";
 import { SectionName } from "./sections.ts";
@@ -59,31 +59,34 @@
  *
  * @example
  * ```ts
- * const assembled = assemble(manifest, contents, new Map());
+ * const assembled = assemble(manifest, contents, { before: new Map(), parse: parseSection });
  * ```
  */
 export function assemble(
   manifest: AnyManifest,
   contents: ReadonlyMap<string, SectionContent>,
-  before: ReadonlyMap<string, SectionContent>,
+  { before, parse }: {
+    before: ReadonlyMap<string, SectionContent>;
+    parse: SectionParser;
+  },
 ): Result<Assembled, Failure> {
   const raw: Record<string, unknown> = {};
   const sections: Record<string, ManifestEntry> = {};
   const digests = new Map<string, string>();
   const rejected: Failure[] = [];
   for (const [name, entry] of Object.entries(manifest.sections)) {
-    const wanted = usable(name, contents.get(name));
+    const wanted = usable(name, contents.get(name), parse);
     if (wanted.isErr()) rejected.push(wanted.error);
     const content = wanted.isOk()
       ? wanted.value
-      : usable(name, before.get(name)).unwrapOr(undefined);
+      : usable(name, before.get(name), parse).unwrapOr(undefined);
     if (content === undefined) continue;
     raw[name] = content.value;
     sections[name] = entry;
     digests.set(name, content.digest);
   }
   const { generation, write_id } = manifest;
-  return parseDocument(raw).map((document) => ({
+  return parseDocument(raw, parse).map((document) => ({
     accepted: {
       manifest: { generation, write_id, sections } as Manifest,
       raw,
@@ -97,6 +100,7 @@
 function usable(
   name: string,
   content: SectionContent | undefined,
+  parse: SectionParser,
 ): Result<SectionContent, Failure> {
   if (!SectionName.safeParse(name).success) {
     return err(
@@ -106,5 +110,5 @@
   if (content === undefined) {
     return fail("bad_section", "has no usable content", { path: [name] });
   }
-  return parseSection(name, content.value).map(() => content);
+  return parse(name, content.value).map(() => content);
 }
--- a/src/instance/document_follower.ts
+++ b/src/instance/document_follower.ts
@@ -21,6 +21,7 @@
   assemble,
   type ContentStore,
   type SectionContent,
+  SectionMemo,
 } from "../document/mod.ts";
 import {
   type FetchContentResponse,
@@ -63,6 +64,7 @@
   #rejectedGeneration = -1;
   #seen: string | undefined;
   #pollAt = 0;
+  readonly #sections = new SectionMemo();
   #closed = false;
 
   constructor(deps: DocumentFollowerDeps) {
@@ -171,7 +173,10 @@
     if (contents === undefined) return false;
     const before = await this.#before(found);
     if (this.#isKnown(generation)) return true;
-    const assembled = assemble(found.manifest, contents, before);
+    const assembled = assemble(found.manifest, contents, {
+      before,
+      parse: this.#sections.parse,
+    });
     if (assembled.isErr()) {
       this.#rejectedGeneration = generation;
       this.#rejected = [assembled.error];
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -7,7 +7,11 @@
 import type { RequestListener } from "node:http";
 import Emittery from "emittery";
 import { err, ok, type Result } from "neverthrow";
-import { adminApp, type InstanceStatus } from "../admin/mod.ts";
+import {
+  adminApp,
+  type InstanceStatus,
+  type PeerStatus,
+} from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
 import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
@@ -271,9 +275,16 @@
       drained: this.#steering.drained,
       drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
+      peers: this.#peerStatus(),
     };
   }
 
+  #peerStatus(): PeerStatus {
+    const traffic = this.#listeners?.peer.traffic();
+    const bytes = (traffic?.receivedBytes ?? 0) + (traffic?.sentBytes ?? 0);
+    return { batches_sent: this.#exchange.sent, listener_bytes: bytes };
+  }
+
   /** Announces leaving, lets running work end, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
--- a/src/peers/peer_exchange.ts
+++ b/src/peers/peer_exchange.ts
@@ -58,11 +58,17 @@
   /** Ticks at which peers of other zones were told; forgotten with the peer. */
   #toldAt = new Map<string, number>();
   #tick = 0;
+  #sent = 0;
 
   constructor(deps: PeerExchangeDeps) {
     this.#deps = deps;
   }
 
+  /** Batches sent since the start, answers to others' batches apart. */
+  get sent(): number {
+    return this.#sent;
+  }
+
   /** Adds a subsystem, which takes part from the next batch on. */
   register(subsystem: PeerSubsystem): void {
     this.#subsystems.push(subsystem);
@@ -109,6 +115,7 @@
   async #exchange(peer: ExchangePeer): Promise<void> {
     this.#busy.add(peer.peerUrl);
     this.#toldAt.set(peer.peerUrl, this.#tick);
+    this.#sent += 1;
     const askedAt = this.#deps.clock.now();
     const batch = this.#batchFor(peer.instance);
     const answer = await this.#deps.transport.exchange(peer.peerUrl, batch);
--- a/src/peers/peer_server.ts
+++ b/src/peers/peer_server.ts
@@ -35,6 +35,12 @@
 /** A connection that says nothing for this long is closed, in milliseconds. */
 const FIRST_BYTES_MS = 5_000;
 
+/** Bytes that came in and went out, by connections that peers opened. */
+export interface PeerTraffic {
+  readonly receivedBytes: number;
+  readonly sentBytes: number;
+}
+
 /** A listening peer server. */
 export class PeerServer {
   readonly url: string;
@@ -42,6 +48,7 @@
   readonly #http1: Server;
   readonly #http2: Http2Server;
   readonly #sockets = new Set<Socket>();
+  #ended: PeerTraffic = { receivedBytes: 0, sentBytes: 0 };
 
   private constructor(opts: PeerServerOptions, tcp: TcpServer) {
     this.#tcp = tcp;
@@ -66,6 +73,11 @@
     });
   }
 
+  /** Bytes of all connections since the start, headers included. */
+  traffic(): PeerTraffic {
+    return [...this.#sockets].reduce(addTraffic, this.#ended);
+  }
+
   /** Cuts every connection. */
   close(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
@@ -77,7 +89,10 @@
 
   #accept(socket: Socket): void {
     this.#sockets.add(socket);
-    socket.once("close", () => this.#sockets.delete(socket));
+    socket.once("close", () => {
+      this.#sockets.delete(socket);
+      this.#ended = addTraffic(this.#ended, socket);
+    });
     socket.on("error", () => socket.destroy());
     socket.setTimeout(FIRST_BYTES_MS, () => socket.destroy());
     socket.once("readable", () => this.#hand(socket));
@@ -95,3 +110,10 @@
     server.emit("connection", socket);
   }
 }
+
+function addTraffic(sum: PeerTraffic, socket: Socket): PeerTraffic {
+  return {
+    receivedBytes: sum.receivedBytes + socket.bytesRead,
+    sentBytes: sum.sentBytes + socket.bytesWritten,
+  };
+}
--- /dev/null
+++ b/tools/bench/control.ts
@@ -0,0 +1,209 @@
+/**
+ * `npm run bench -- control`: what control costs an entry instance without any
+ * request, in real processes, at rising numbers of one thing at a time.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { type Deployment, OPERATOR_TOKEN } from "../demo/deployments.ts";
+import { Fleet, type FleetInstance } from "../demo/fleet.ts";
+
+const SETTLE_MS = 4_000;
+const SAMPLE_MS = 6_000;
+const MS_PER_S = 1_000;
+/** Kernel clock ticks a second in /proc/PID/stat on Linux. */
+const TICKS_PER_S = 100;
+const BYTES_PER_MB = 1e6;
+const KB = 1_024;
+
+/** One fleet to measure. */
+interface Shape {
+  readonly zones: number;
+  readonly instancesPerZone: number;
+  readonly accounts: number;
+  readonly endpointsPerZone: number;
+}
+
+const BASE: Shape = {
+  zones: 3,
+  instancesPerZone: 2,
+  accounts: 8,
+  endpointsPerZone: 6,
+};
+
+/** What grows, and the shapes at which it is measured. */
+const SERIES: Readonly<Record<string, readonly Shape[]>> = {
+  zone_mates: [1, 2, 4, 6].map((n) => ({ ...BASE, instancesPerZone: n })),
+  far_peers: [1, 3, 6, 10].map((zones) => ({ ...BASE, zones })),
+  accounts: [8, 200, 1_000, 4_000].map((accounts) => ({ ...BASE, accounts })),
+  endpoints: [6, 20, 60, 120].map((endpointsPerZone) => ({
+    ...BASE,
+    endpointsPerZone,
+  })),
+};
+
+/** Averages over the instances of one fleet. */
+interface Sample extends Shape {
+  readonly cpu_ms_per_s: number;
+  readonly rss_mb: number;
+  readonly batches_per_s: number;
+  readonly kb_per_s: number;
+  readonly store_calls_per_s: number;
+}
+
+/** Runs the benchmark and prints tables and a line of JSON. */
+export async function benchControl(): Promise<void> {
+  const alone = await measure({ ...BASE, zones: 1, instancesPerZone: 1 });
+  const series: Record<string, unknown> = {};
+  for (const [name, shapes] of Object.entries(SERIES)) {
+    const samples: Sample[] = [];
+    for (const shape of shapes) samples.push(await measure(shape));
+    console.log(name);
+    console.table(samples);
+    series[name] = { samples, slopes: slopesOf(name, samples) };
+  }
+  console.log(JSON.stringify({ bench: "control", alone, series }));
+}
+
+async function measure(shape: Shape): Promise<Sample> {
+  const fleet = await Fleet.start(deploymentOf(shape));
+  try {
+    await wait(SETTLE_MS);
+    const before = await readAll(fleet);
+    await wait(SAMPLE_MS);
+    const after = await readAll(fleet);
+    const seconds = (after.at - before.at) / MS_PER_S;
+    const perInstance = (of: (r: Reading) => number) =>
+      (of(after) - of(before)) / fleet.instances.length / seconds;
+    return {
+      ...shape,
+      cpu_ms_per_s: round(perInstance((r) => r.cpuMs)),
+      rss_mb: round(after.rssBytes / fleet.instances.length / BYTES_PER_MB),
+      batches_per_s: round(perInstance((r) => r.batches)),
+      // A listener sees the connections that peers opened; an instance has as
+      // many again that it opened itself.
+      kb_per_s: round(2 * perInstance((r) => r.bytes) / KB),
+      store_calls_per_s: round((after.calls - before.calls) / seconds),
+    };
+  } finally {
+    await fleet.close();
+  }
+}
+
+/** Sums over a fleet. */
+interface Reading {
+  readonly at: number;
+  readonly cpuMs: number;
+  readonly rssBytes: number;
+  readonly batches: number;
+  readonly bytes: number;
+  readonly calls: number;
+}
+
+async function readAll(fleet: Fleet): Promise<Reading> {
+  const at = performance.now();
+  const calls = Object.values(await fleet.storeCalls());
+  const status = await Promise.all(fleet.instances.map(statusOf));
+  return {
+    at,
+    cpuMs: sum(fleet.instances.map((i) => cpuMsOf(i))),
+    rssBytes: sum(fleet.instances.map((i) => rssBytesOf(i))),
+    batches: sum(status.map((s) => s.peers.batches_sent)),
+    bytes: sum(status.map((s) => s.peers.listener_bytes)),
+    calls: sum(calls),
+  };
+}
+
+interface Status {
+  readonly peers: {
+    readonly batches_sent: number;
+    readonly listener_bytes: number;
+  };
+}
+
+async function statusOf(instance: FleetInstance): Promise<Status> {
+  const res = await fetch(`${instance.adminUrl}/v1/status`, {
+    headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+  });
+  return await res.json() as Status;
+}
+
+/** User and system time, fields 14 and 15 of /proc/PID/stat. */
+function cpuMsOf({ child }: FleetInstance): number {
+  const stat = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(" ");
+  return (Number(stat[13]) + Number(stat[14])) * MS_PER_S / TICKS_PER_S;
+}
+
+function rssBytesOf({ child }: FleetInstance): number {
+  const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
+  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) * KB;
+}
+
+/** Least squares over the samples, a unit of what grows at a time. */
+function slopesOf(name: string, samples: readonly Sample[]) {
+  const x = samples.map((s) => unitsOf(name, s));
+  const fit = (of: (s: Sample) => number) => round(slope(x, samples.map(of)));
+  return {
+    cpu_ms_per_s: fit((s) => s.cpu_ms_per_s),
+    rss_mb: fit((s) => s.rss_mb),
+    batches_per_s: fit((s) => s.batches_per_s),
+    kb_per_s: fit((s) => s.kb_per_s),
+    store_calls_per_s: fit((s) => s.store_calls_per_s),
+  };
+}
+
+function unitsOf(name: string, s: Sample): number {
+  switch (name) {
+    case "zone_mates":
+      return s.instancesPerZone;
+    case "far_peers":
+      return s.zones * s.instancesPerZone;
+    case "accounts":
+      return s.accounts;
+    default:
+      return s.endpointsPerZone;
+  }
+}
+
+function slope(x: readonly number[], y: readonly number[]): number {
+  const meanX = sum(x) / x.length;
+  const meanY = sum(y) / y.length;
+  const above = sum(x.map((v, i) => (v - meanX) * ((y[i] ?? 0) - meanY)));
+  return above / sum(x.map((v) => (v - meanX) ** 2));
+}
+
+function deploymentOf(shape: Shape): Deployment {
+  const zones = Array.from({ length: shape.zones }, (_, i) => `zone-${i + 1}`);
+  const accounts = Array.from(
+    { length: shape.accounts },
+    (_, i) => [`account-${i + 1}`, { ratePerS: 50, burst: 50 }] as const,
+  );
+  return {
+    regions: { "region-1": zones },
+    instancesPerZone: shape.instancesPerZone,
+    linkMbit: 1_000,
+    connections: 300,
+    services: {
+      web: {
+        targets: shape.endpointsPerZone * shape.zones,
+        slots: 8,
+        idempotent: true,
+        workMs: 10,
+        mix: 1,
+      },
+    },
+    accounts: Object.fromEntries(accounts),
+  };
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((n, v) => n + v, 0);
+}
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -5,13 +5,17 @@
  * @module
  */
 import process from "node:process";
+import { benchControl } from "./control.ts";
 import { benchDecisions } from "./decisions/decisions.ts";
 import { benchLookup } from "./lookup.ts";
+import { benchPath } from "./path.ts";
 
 /** Benchmarks by name; a name is what the command line takes. */
 const BENCHES: Readonly<Record<string, () => void | Promise<void>>> = {
+  control: benchControl,
   decisions: benchDecisions,
   lookup: benchLookup,
+  path: benchPath,
 };
 const BAD_INPUT = 2;
 
--- /dev/null
+++ b/tools/bench/path.ts
@@ -0,0 +1,111 @@
+/**
+ * `npm run bench -- path`: the time a request gains by going through an entry
+ * instance, against the same request sent straight to the endpoint, in one run.
+ *
+ * @module
+ */
+import { Agent, type Dispatcher, request } from "undici";
+import { build, type Histogram } from "hdr-histogram-js";
+import { type Deployment, keyOf } from "../demo/deployments.ts";
+import { Fleet } from "../demo/fleet.ts";
+
+const WARM_UP = 200;
+const REQUESTS = 2_000;
+const CALLERS = 4;
+const US_PER_MS = 1_000;
+const ACCOUNT = "account-1";
+
+const DEPLOYMENT: Deployment = {
+  regions: { "region-1": ["zone-1"] },
+  instancesPerZone: 1,
+  linkMbit: 1_000,
+  connections: 300,
+  services: {
+    web: { targets: 4, slots: 16, idempotent: true, workMs: 0, mix: 1 },
+  },
+  accounts: { [ACCOUNT]: { ratePerS: 100_000, burst: 100_000 } },
+};
+
+/** Whether callers keep their connections or open one a request. */
+type Connections = "kept" | "new";
+
+/** Latency of one way, in milliseconds. */
+interface Latency {
+  readonly p50_ms: number;
+  readonly p99_ms: number;
+}
+
+/** Runs the benchmark and prints a table and a line of JSON. */
+export async function benchPath(): Promise<void> {
+  const fleet = await Fleet.start(DEPLOYMENT);
+  try {
+    const direct = fleet.endpointUrls().map((url) => `${url}/work`);
+    const through = [`${fleet.instances[0]?.callerUrl}/services/web/work`];
+    const rows: Record<string, Latency & { gained_p50_ms: number }> = {};
+    for (const connections of ["kept", "new"] as const) {
+      const base = await measure(direct, connections);
+      const own = await measure(through, connections);
+      const gained = round(own.p50_ms - base.p50_ms);
+      rows[`direct, ${connections}`] = { ...base, gained_p50_ms: 0 };
+      rows[`through, ${connections}`] = { ...own, gained_p50_ms: gained };
+    }
+    console.table(rows);
+    console.log(JSON.stringify({ bench: "path", rows }));
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function measure(
+  urls: readonly string[],
+  connections: Connections,
+): Promise<Latency> {
+  const histogram = build();
+  await sendAll(urls, { connections, count: WARM_UP, histogram: build() });
+  await sendAll(urls, { connections, count: REQUESTS, histogram });
+  return {
+    p50_ms: round(histogram.getValueAtPercentile(50) / US_PER_MS),
+    p99_ms: round(histogram.getValueAtPercentile(99) / US_PER_MS),
+  };
+}
+
+interface Sending {
+  readonly connections: Connections;
+  readonly count: number;
+  readonly histogram: Histogram;
+}
+
+/** A few callers, each with one request at a time. */
+async function sendAll(
+  urls: readonly string[],
+  sending: Sending,
+): Promise<void> {
+  const kept = new Agent({ connections: CALLERS });
+  const callers = Array.from({ length: CALLERS }, async (_, caller) => {
+    for (let i = caller; i < sending.count; i += CALLERS) {
+      const url = urls[i % urls.length] as string;
+      const agent = sending.connections === "kept" ? kept : new Agent();
+      sending.histogram.recordValue(await timeOne(url, agent));
+      if (agent !== kept) await agent.close();
+    }
+  });
+  await Promise.all(callers);
+  await kept.close();
+}
+
+/** Microseconds until the whole answer is there. */
+async function timeOne(url: string, dispatcher: Dispatcher): Promise<number> {
+  const from = performance.now();
+  const headers = {
+    authorization: `Bearer ${keyOf(ACCOUNT)}`,
+    "x-request-id": `${ACCOUNT}/0`,
+  };
+  const res = await request(url, { dispatcher, headers });
+  await res.body.arrayBuffer();
+  if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`);
+  return Math.max(1, Math.round((performance.now() - from) * US_PER_MS));
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/tools/demo/deployments.ts
+++ b/tools/demo/deployments.ts
@@ -24,14 +24,15 @@
 /** One deployment. */
 export interface Deployment {
   readonly regions: Readonly<Record<string, readonly string[]>>;
+  /** Entry instances in each availability zone. */
+  readonly instancesPerZone: number;
   readonly linkMbit: number;
   readonly connections: number;
   readonly services: Readonly<Record<string, DeploymentService>>;
   readonly accounts: Readonly<Record<string, DeploymentAccount>>;
 }
 
-/** Entry instances in each availability zone. */
-export const INSTANCES_PER_ZONE = 2;
+const INSTANCES_PER_ZONE = 2;
 
 /** Deployments by name. */
 export const DEPLOYMENTS: Readonly<
@@ -43,6 +44,7 @@
       "eu-central": ["eu-central-a", "eu-central-b"],
       "ap-east": ["ap-east-a", "ap-east-b"],
     },
+    instancesPerZone: INSTANCES_PER_ZONE,
     linkMbit: 4_000,
     connections: 390,
     services: {
@@ -76,6 +78,7 @@
       piedmont: ["piedmont-a", "piedmont-b"],
       delta: ["delta-a", "delta-b"],
     },
+    instancesPerZone: INSTANCES_PER_ZONE,
     linkMbit: 280,
     connections: 360,
     services: {
@@ -110,6 +113,9 @@
   return `example-key-of-${account}`;
 }
 
+/** The token of the one operator of examples and demos. */
+export const OPERATOR_TOKEN = "example-token-of-the-operator";
+
 /** The document's sections, endpoints at the addresses that `urlOf` names. */
 export function sectionsOf(
   deployment: Deployment,
@@ -120,6 +126,11 @@
 ): Record<string, unknown> {
   const zones = Object.values(deployment.regions).flat();
   return {
+    access: {
+      roles: {
+        operator: { token_sha256: digest(OPERATOR_TOKEN), edits: ["*"] },
+      },
+    },
     regions: regionsOf(deployment),
     accounts: {
       accounts: mapValues(deployment.accounts, (_a, id) => ({
@@ -197,7 +208,7 @@
   return {
     regions: mapValues(deployment.regions, (zones) => ({
       zones: Object.fromEntries(
-        zones.map((z) => [z, { instances: INSTANCES_PER_ZONE }]),
+        zones.map((z) => [z, { instances: deployment.instancesPerZone }]),
       ),
     })),
     links: pairs.map((pair) => ({
--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -21,12 +21,7 @@
 } from "../../src/document/mod.ts";
 import { HttpPlatform } from "../../src/platform/mod.ts";
 import type { EndpointSpec, RunRecord } from "../standins/endpoint_server.ts";
-import {
-  type Deployment,
-  endpointList,
-  INSTANCES_PER_ZONE,
-  sectionsOf,
-} from "./deployments.ts";
+import { type Deployment, endpointList, sectionsOf } from "./deployments.ts";
 import { end, start, type Started } from "./processes.ts";
 
 /** An entry instance of the fleet. */
@@ -119,6 +114,17 @@
     });
   }
 
+  /** Where the endpoints are. */
+  endpointUrls(): string[] {
+    return this.#endpoints.flatMap((e) => e.urls).map(([, url]) => url);
+  }
+
+  /** Store calls so far, by name; a waiting watch is one. */
+  async storeCalls(): Promise<Record<string, number>> {
+    const res = await fetch(`${this.#storeUrl}/calls`);
+    return await res.json() as Record<string, number>;
+  }
+
   /** Makes an endpoint take `factor` times as long. */
   async slowDown(endpoint: string, factor: number): Promise<void> {
     await Promise.all(
@@ -175,7 +181,7 @@
     );
     const started = places.flatMap((place) =>
       Array.from(
-        { length: INSTANCES_PER_ZONE },
+        { length: this.deployment.instancesPerZone },
         (_, i) => this.startInstance(place, i + 1),
       )
     );
--- a/tools/demo/judge_test.ts
+++ b/tools/demo/judge_test.ts
@@ -6,6 +6,7 @@
 
 const DEPLOYMENT: Deployment = {
   regions: { r: ["z"] },
+  instancesPerZone: 1,
   linkMbit: 1,
   connections: 10,
   services: {
