Take the report end to end, and bound the platform's answers

An answer of the platform without end is given up past 100 MB instead of being read until the time limit; the report reads summaries zone by zone, so that no answer grows with the zones.

--- a/src/cli/commands/report.ts
+++ b/src/cli/commands/report.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import { err, ok } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
+import type { Failure } from "../../core/mod.ts";
+import { type SteeringDocument, zonesOf } from "../../document/mod.ts";
+import type { Platform } from "../../platform/mod.ts";
 import {
   BURN_PREFIX,
   burnReport,
@@ -11,6 +14,7 @@
   reportHtml,
   reportText,
   rowsOf,
+  type ZoneSummary,
 } from "../../slo/mod.ts";
 import {
   type CliContext,
@@ -30,14 +34,14 @@
     if (manifest.isErr()) return err(manifest.error);
     const loaded = await store.load(manifest.value.value);
     if (loaded.isErr()) return err(loaded.error);
-    const found = await platform.list(BURN_PREFIX);
+    const { document } = loaded.value;
+    const found = await readSummaries(platform, document);
     if (found.isErr()) return err(found.error);
-    const summaries = found.value.map((v) => parseSummary(v.value))
-      .filter((s) => s !== undefined);
+    const summaries = found.value;
     const truncated = summaries.filter((s) => s.truncated).map((s) => s.zone);
     const report = burnReport({
       rows: summaries.flatMap(rowsOf),
-      document: loaded.value.document,
+      document,
       wall: ctx.clock.wall(),
       truncated: [...new Set(truncated)],
     });
@@ -46,3 +50,20 @@
     return ok(undefined);
   });
 }
+
+/** Zone by zone, so that no answer of the store grows with their number. */
+async function readSummaries(
+  platform: Platform,
+  document: SteeringDocument,
+): Promise<Result<ZoneSummary[], Failure>> {
+  const summaries: ZoneSummary[] = [];
+  for (const { zone } of zonesOf(document)) {
+    const found = await platform.list(`${BURN_PREFIX}${zone}/`);
+    if (found.isErr()) return err(found.error);
+    for (const { value } of found.value) {
+      const summary = parseSummary(value);
+      if (summary !== undefined) summaries.push(summary);
+    }
+  }
+  return ok(summaries);
+}
--- /dev/null
+++ b/src/cli/status_test.ts
@@ -0,0 +1,72 @@
+import test, { type ExecutionContext } from "ava";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+  MemoryMetrics,
+  SeededRandom,
+  SilentLog,
+  SystemClock,
+} from "../core/mod.ts";
+import { DocumentStore, type SectionName, sha256 } from "../document/mod.ts";
+import { startOne } from "../instance/testing/one_instance.ts";
+import { EXIT } from "./exit.ts";
+import { TestCommands } from "./testing/test_context.ts";
+
+const TOKEN = "role-token";
+const MAX_TRIES = 200;
+
+async function setup(t: ExecutionContext) {
+  const one = await startOne({
+    log: new SilentLog(),
+    metrics: new MemoryMetrics(),
+  });
+  t.teardown(() => one.close());
+  const store = new DocumentStore({
+    platform: one.platform,
+    clock: new SystemClock(),
+    random: new SeededRandom(3),
+  });
+  const access = {
+    roles: { ops: { token_sha256: sha256(TOKEN), edits: ["*"] } },
+  };
+  const name = "access" as SectionName;
+  await store.apply({ author: "t", sections: new Map([[name, access]]) });
+  const status = (env: Record<string, string>) => {
+    const platforms = new Map([["http://store", one.platform]]);
+    const at = `--admin ${one.instance.adminUrl} --platform http://store`;
+    return new TestCommands(platforms, env).run(`status --json ${at}`);
+  };
+  return { status };
+}
+
+/** The section comes in force within seconds; the token stands for nothing before. */
+async function untilOk(
+  run: () => Promise<{ code: number; out: string }>,
+): Promise<{ code: number; out: string }> {
+  let last = await run();
+  for (let i = 0; i < MAX_TRIES && last.code !== EXIT.ok; i++) {
+    await new Promise((resolve) => setTimeout(resolve, 25));
+    last = await run();
+  }
+  return last;
+}
+
+test("status asks an instance with a token from the environment or a file", async (t) => {
+  const { status } = await setup(t);
+  const byEnv = await untilOk(() => status({ MAGNOLIAHOOK_TOKEN: TOKEN }));
+  t.is(JSON.parse(byEnv.out).own.instance, "i1");
+  const dir = await mkdtemp(join(tmpdir(), "magnoliahook-token-"));
+  t.teardown(() => rm(dir, { recursive: true }));
+  const file = join(dir, "token");
+  await writeFile(file, `${TOKEN}\n`);
+  const byFile = await status({ MAGNOLIAHOOK_TOKEN_FILE: file });
+  t.is(byFile.code, EXIT.ok, byFile.err);
+});
+
+test("status without a valid token is refused", async (t) => {
+  const { status } = await setup(t);
+  const refused = await status({ MAGNOLIAHOOK_TOKEN: "guess" });
+  t.is(refused.code, EXIT.failed);
+  t.regex(refused.err, /forbidden/);
+});
--- a/src/instance/testing/one_instance.ts
+++ b/src/instance/testing/one_instance.ts
@@ -21,15 +21,44 @@
 export interface OneInstance {
   readonly instance: Instance;
   readonly endpoint: EndpointServer;
+  readonly platform: MemoryPlatform;
   close(): Promise<void>;
 }
 
 /** The key of the only account. */
 export const ONLY_KEY = "mh_0123456789abcdef-secret";
 
+const MAX_POLLS = 400;
+const POLL_MS = 25;
+
+/** Waits until the instance has its seat and lets a request through. */
+export async function untilServing(one: OneInstance): Promise<void> {
+  for (let i = 0; i < MAX_POLLS; i++) {
+    if (await callOnce(one) === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** Sends a request of the only account; gives the answer's status. */
+export async function callOnce(
+  one: OneInstance,
+  init: RequestInit = {},
+): Promise<number> {
+  const url = `${one.instance.callerUrl}/services/mapview/closures`;
+  const headers = { authorization: `Bearer ${ONLY_KEY}`, ...init.headers };
+  const res = await fetch(url, { ...init, headers });
+  await res.arrayBuffer();
+  return res.status;
+}
+
 /** Starts the instance with the service `mapview`, whose GETs are idempotent. */
 export async function startOne(
-  { log, metrics }: { log: Log; metrics: Metrics },
+  { log, metrics, caller = {} }: {
+    log: Log;
+    metrics: Metrics;
+    /** The `caller` part of the settings. */
+    caller?: Readonly<Record<string, unknown>>;
+  },
 ): Promise<OneInstance> {
   const endpoint = await EndpointServer.open({
     id: "mapview-1",
@@ -50,6 +79,7 @@
     cfg: parseSettings({
       instance: { id: "i1", zone: "gulf-a", region: "gulf" },
       platform: { url: "http://127.0.0.1:1" },
+      caller,
     })._unsafeUnwrap(),
     platform,
     transport: new ConnectPeerTransport(),
@@ -64,7 +94,7 @@
     await instance.close();
     await endpoint.close();
   };
-  return { instance, endpoint, close };
+  return { instance, endpoint, platform, close };
 }
 
 function sectionsFor(url: string): Record<string, unknown> {
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -40,6 +40,8 @@
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000;
+/** An answer without end would fill the memory before the time limit ends it. */
+const MAX_ANSWER_BYTES = 100_000_000;
 
 const ObjectList = z.array(
   z.object({ key: z.string(), value: z.string(), version: z.string() }),
@@ -165,7 +167,7 @@
         dispatcher: this.#agent,
         signal: deadline.signal,
       });
-      const text = await res.body.text();
+      const text = await readText(res.body, MAX_ANSWER_BYTES);
       const etag = res.headers.etag?.toString().replaceAll('"', "");
       return answerOf(call, { status: res.statusCode, etag, text });
     } catch (cause) {
@@ -177,6 +179,21 @@
   }
 }
 
+/** Reads a body; throws past `limit` bytes, which is told as unreachable. */
+async function readText(
+  body: AsyncIterable<Uint8Array>,
+  limit: number,
+): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > limit) throw new RangeError(`an answer of over ${limit} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
 function objectPath(key: string): string {
   return `/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
 }
--- a/src/platform/platform_contract_test.ts
+++ b/src/platform/platform_contract_test.ts
@@ -1,4 +1,6 @@
 import test, { type ExecutionContext } from "ava";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import {
   InstanceId,
   MemoryMetrics,
@@ -297,3 +299,28 @@
   t.is(found._unsafeUnwrapErr().code, UNAVAILABLE);
   await s.close();
 });
+
+test("http: an answer without end is given up", async (t) => {
+  // Something else stands behind the platform's address and sends for ever.
+  // Read to the time limit, it would fill the memory of every instance.
+  const server = createServer((_req, res) => {
+    const chunk = "x".repeat(1_000_000);
+    const send = () => {
+      while (!res.destroyed && res.write(chunk));
+    };
+    res.on("drain", send);
+    send();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const platform = new HttpPlatform({
+    baseUrl: `http://127.0.0.1:${port}`,
+    metrics: new MemoryMetrics(),
+    timeoutMs: TIMEOUT_MS,
+  });
+  const got = await platform.get("k");
+  t.regex(got._unsafeUnwrapErr().message, /over 100000000 bytes/);
+  await platform.close();
+  server.closeAllConnections();
+  server.close();
+});
