Shift faster within what is granted, and refuse at once what has no room

When one region of three was drained, 85 of its first 316 requests were refused though the others had room for all: use of a cold zone began at a quarter of what was granted. And once grants were known to be too small, requests still waited half a second before they were refused.

Use now begins at half and grows to all in three seconds, waiting requests go on as soon as room elsewhere is free, and no more wait than run elsewhere.

--- a/src/decisions/regions/region_dispatcher.ts
+++ b/src/decisions/regions/region_dispatcher.ts
@@ -183,8 +183,10 @@
       },
       answered: () => {},
       release: (result, at) => {
-        if (held) rooms.release(room, ENDS[result], at);
+        if (!held) return;
         held = false;
+        rooms.release(room, ENDS[result], at);
+        this.retry(at);
       },
     };
   }
@@ -195,12 +197,27 @@
       drained.instance(instance);
   }
 
+  /**
+   * Before the first grants are told a request may wait for them. Then only as
+   * many wait as run elsewhere, so that each has its turn soon; the rest could
+   * only wait in vain.
+   */
+  #mayPend(service: ServiceId, now: number): boolean {
+    if (this.#pending.size >= MAX_PENDING) return false;
+    const { rooms } = this.#deps;
+    if (!rooms.isFresh(service, now)) return true;
+    const waiting = [...this.#pending].filter((p) => p.req.service === service);
+    return waiting.length < rooms.allowedInAll(service, now);
+  }
+
   #waitForGrant(
     req: SteeringRequest,
     signal: AbortSignal | undefined,
   ): Promise<Result<Slot, Failure>> {
     const { clock } = this.#deps;
-    if (this.#pending.size >= MAX_PENDING) return Promise.resolve(noRoom(req));
+    if (!this.#mayPend(req.service, clock.now())) {
+      return Promise.resolve(noRoom(req));
+    }
     const waitMs = Math.min(GRANT_WAIT_MS, req.deadline - clock.now());
     return new Promise((resolve) => {
       const onAbort = () => pending.settle(gone());
--- a/src/decisions/regions/remote_rooms.ts
+++ b/src/decisions/regions/remote_rooms.ts
@@ -47,9 +47,13 @@
 const HALF_LIFE_MS = 3_000;
 /** Part of the last figure below which caution does not go. */
 const CAUTION_PART = 0.1;
-/** Use of a zone grows from a quarter to all of what is granted in 5 s. */
-const WARM_START = 0.25;
-const WARM_MS = 5_000;
+/**
+ * Use of a zone grows from half to all of what is granted in 3 s. From a
+ * quarter in 5 s, a planned drain of one region of three refused 85 of its
+ * first 316 requests; the granted figure already leaves the headroom free.
+ */
+const WARM_START = 0.5;
+const WARM_MS = 3_000;
 /** A zone unused this long is cold again. */
 const COLD_AFTER_MS = 60_000;
 /** An instance that could not be reached is left out this long. */
@@ -83,6 +87,18 @@
     return [...rooms].reduce((n, r) => n + r.inFlight, 0);
   }
 
+  /** Requests that may be in flight elsewhere at once, over all instances. */
+  allowedInAll(service: ServiceId, now: number): number {
+    const rooms = this.#rooms.get(service)?.values() ?? [];
+    return [...rooms].reduce((n, r) => n + this.allowed(service, r, now), 0);
+  }
+
+  /** Whether any instance has lately told what it grants. */
+  isFresh(service: ServiceId, now: number): boolean {
+    const rooms = this.#rooms.get(service)?.values() ?? [];
+    return [...rooms].some((r) => now - r.heardAt <= FRESH_MS);
+  }
+
   /** Requests running through the instances that `at` picks. */
   inFlightAt(at: (peer: RemotePeer) => boolean): number {
     let sum = 0;
