Read the instance list seldom, forget the dead, and survive an own pause

Store calls grew by half a call a second for each instance, as fast as the fleet: each read the instance list every second. At 2,000 instances that is all the reads the store gives. One member of a zone now reads it every two seconds, the others every twenty, and a newcomer every second for its first fifteen, since it calls everybody it finds. Ten instances of a zone make fewer than 1.2 calls a second in a test with a manual clock; ten before.

Members were never forgotten, so every replaced instance would have been called for ever; one that is off the list and silent for a minute now goes. An instance that was stopped for a while held everybody else for silent and would have told callers that nobody is there; the time it lost now counts against nobody.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -36,7 +36,12 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { dutyHolder, LeasedSeats, Roster } from "../membership/mod.ts";
+import {
+  dutyHolder,
+  LeasedSeats,
+  ListReader,
+  Roster,
+} from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
   batchListener,
@@ -84,7 +89,6 @@
   readonly admin: Listener;
 }
 
-const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
 const LEAVE_NOTICE_MS = MAX_REUSE_MS;
@@ -119,7 +123,6 @@
   #listeners: Listeners | undefined;
   #joined = false;
   #leaving = false;
-  #listedAt = -Infinity;
   #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
@@ -222,7 +225,15 @@
       run: (now) => this.#steering.tick(now),
     });
     this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
-    this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
+    this.#ticks.add(this.#roster);
+    this.#ticks.add(
+      new ListReader({
+        ...deps,
+        instance: cfg.instance.id,
+        zone: cfg.instance.zone,
+        roster: this.#roster,
+      }),
+    );
   }
 
   /** Opens the listeners, joins the others and begins to serve. */
@@ -508,14 +519,6 @@
     };
   }
 
-  #readList(now: number): void {
-    if (now - this.#listedAt < LIST_EVERY_MS) return;
-    this.#listedAt = now;
-    void this.#deps.platform.instances().then((listed) => {
-      if (listed.isOk()) this.#roster.adoptList(listed.value);
-    });
-  }
-
   #wait(ms: number): Promise<void> {
     return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
   }
