--- a/src/gateway/forward_app.ts
+++ b/src/gateway/forward_app.ts
@@ -34,6 +34,7 @@
   INCARNATION_HEADER,
   WORK_HEADER,
 } from "./forwarding.ts";
+import { callerGone } from "./caller_gone.ts";
 import { TIMEOUT_HEADER, toEndpoint } from "./headers.ts";
 import { HEAD_BYTES, pace, PacedStream } from "./pacing.ts";
 import { refuse } from "./refusal.ts";
@@ -127,12 +128,10 @@
       outcome: "not-run",
     });
   }
-  const gone = new AbortController();
-  res.on("close", () => gone.abort());
   return ok({
     req,
     from,
-    signal: gone.signal,
+    signal: callerGone(res),
     steering: {
       service: service.data,
       account: account.data,
--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -27,6 +27,7 @@
 import type { SteeringDocument } from "../document/mod.ts";
 import type { EndpointAnswer } from "../endpoints/mod.ts";
 import type { Operations } from "../operations/mod.ts";
+import { callerGone } from "./caller_gone.ts";
 import { TIMEOUT_HEADER, toEndpoint } from "./headers.ts";
 import type { KeyRing } from "./key_ring.ts";
 import { readOperation } from "./operation_request.ts";
@@ -156,10 +157,8 @@
     const policy = policyFor(entry, req.method, path);
     const timeout = timeoutOf(req, policy.deadlineMs);
     if (timeout.isErr()) return err(timeout.error);
-    const gone = new AbortController();
-    res.on("close", () => gone.abort());
     const deadline = now + timeout.value;
-    const { signal } = gone;
+    const signal = callerGone(res);
     const within = await this.#deps.limiter.take(account.value, {
       deadline,
       signal,
