Keep the ledger's memory to what its bounds say

A kept answer was a view of the message it came in, up to a megabyte, for as long as the record lived, and the bound of 40,000 records stood for 20 MB by guess. Answers are copied now, records stand in one table without a second index of scopes, and a fingerprint has 128 bits.

--- a/src/gateway/operation_request.ts
+++ b/src/gateway/operation_request.ts
@@ -33,6 +33,8 @@
 /** A larger body is refused: it has to be held until the operation ended. */
 const MAX_BODY_BYTES = 1_000_000;
 const GENERATED_ID_BYTES = 16;
+/** 128 bits; each record holds a fingerprint. */
+const FINGERPRINT_DIGITS = 32;
 
 /**
  * Reads an operation; fails with `bad_request`, `value_too_large` or
@@ -96,5 +98,6 @@
   return createHash("sha256")
     .update(`${source.service} ${source.req.method} ${source.path}\n`)
     .update(body)
-    .digest("hex");
+    .digest("hex")
+    .slice(0, FINGERPRINT_DIGITS);
 }
--- a/src/operations/ledger.ts
+++ b/src/operations/ledger.ts
@@ -97,12 +97,14 @@
 }
 
 /**
- * Ten minutes outlast every sensible retry; 40,000 records of about 500 bytes
- * and 8 MB of answers stay below the 32 MB that control may take.
+ * Ten minutes outlast every sensible retry. A record takes about 1.2 kB of
+ * heap, so that 20,000 of them and 8 MB of answers make about 32 MB, what
+ * control may take. That is 33 records a second over the ten minutes; each
+ * operation makes two, at its owner and at its second place.
  */
 export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
   retentionMs: 600_000,
-  maxRecords: 40_000,
+  maxRecords: 20_000,
   maxBytes: 8_000_000,
   maxAnswerBytes: 64_000,
 };
@@ -112,9 +114,9 @@
 /** The table of records of one instance. */
 export class Ledger {
   readonly limits: LedgerLimits;
-  #records = new Map<string, LedgerRecord>();
-  /** Keys of records by account and id, whatever their scope. */
-  #scopes = new Map<string, Set<string>>();
+  /** Records by account and id; nearly always one, whatever its scope. */
+  #records = new Map<string, readonly LedgerRecord[]>();
+  #size = 0;
   #epochs = new Map<string, number>();
   #bytes = 0;
   #runs = 0;
@@ -125,7 +127,7 @@
   }
 
   get size(): number {
-    return this.#records.size;
+    return this.#size;
   }
 
   get bytes(): number {
@@ -152,12 +154,12 @@
     return this.#closed;
   }
 
-  records(): IterableIterator<LedgerRecord> {
-    return this.#records.values();
+  *records(): IterableIterator<LedgerRecord> {
+    for (const records of this.#records.values()) yield* records;
   }
 
   view(name: OperationName): RecordView {
-    return this.#records.get(keyOf(name)) ?? NOTHING;
+    return this.#get(name) ?? NOTHING;
   }
 
   /** Whether an operation is known, under this name or another of its id. */
@@ -195,7 +197,7 @@
    * would then clear the record of one that is being dispatched.
    */
   intent(entry: IntentEntry, now: number): PlaceDecision {
-    const known = this.#records.get(keyOf(entry.name));
+    const known = this.#get(entry.name);
     if (known !== undefined && !isSameOwner(known, entry)) {
       return { ...viewOf(known), accepted: false };
     }
@@ -219,7 +221,7 @@
     run: string,
     { conclusion, now }: { conclusion: Conclusion; now: number },
   ): void {
-    const known = this.#records.get(keyOf(name));
+    const known = this.#get(name);
     if (known === undefined || known.run !== run) return;
     if (known.state !== "intent") return;
     if (conclusion.state === "refused" && name.scope === "") {
@@ -244,7 +246,7 @@
     { seat, now }: { seat?: SeatEpoch | undefined; now: number },
   ): PlaceDecision {
     if (seat) this.#raise(seat);
-    const known = this.#records.get(keyOf(name));
+    const known = this.#get(name);
     if (known !== undefined) return { ...viewOf(known), accepted: true };
     if (seat) return { ...NOTHING, accepted: true };
     if (this.full) return { ...NOTHING, accepted: false };
@@ -261,7 +263,7 @@
 
   /** Takes a leaver's record over, unless more is known here. */
   copy(record: Omit<LedgerRecord, "expiresAt">, now: number): boolean {
-    const known = this.#records.get(keyOf(record.name));
+    const known = this.#get(record.name);
     if (known !== undefined && known.run !== record.run) return true;
     if (known !== undefined && known.state !== "intent") return true;
     if (this.size >= this.limits.maxRecords) return false;
@@ -274,7 +276,7 @@
 
   /** Forgets what is over its time. */
   expire(now: number): void {
-    for (const record of this.#records.values()) {
+    for (const record of this.records()) {
       if (record.expiresAt <= now) this.#drop(record);
     }
   }
@@ -283,7 +285,7 @@
   clone(): Ledger {
     const twin = new Ledger(this.limits);
     twin.#records = new Map(this.#records);
-    for (const [id, keys] of this.#scopes) twin.#scopes.set(id, new Set(keys));
+    twin.#size = this.#size;
     twin.#epochs = new Map(this.#epochs);
     twin.#bytes = this.#bytes;
     twin.#runs = this.#runs;
@@ -297,13 +299,14 @@
    * earlier one counts.
    */
   #find(name: OperationName): LedgerRecord | undefined {
-    const exact = this.#records.get(keyOf(name));
-    if (exact) return exact;
-    for (const key of this.#scopes.get(idOf(name)) ?? []) {
-      const other = this.#records.get(key);
-      if (other && other.state !== "refused") return other;
-    }
-    return undefined;
+    return this.#get(name) ??
+      this.#records.get(idOf(name))?.find((r) => r.state !== "refused");
+  }
+
+  #get(name: OperationName): LedgerRecord | undefined {
+    return this.#records.get(idOf(name))?.find((r) =>
+      r.name.scope === name.scope
+    );
   }
 
   #admitsEpoch(seat: SeatEpoch | undefined): boolean {
@@ -321,27 +324,28 @@
   #kept(answer: RecordedAnswer | undefined): RecordedAnswer | undefined {
     if (answer === undefined) return undefined;
     if (answer.body.length > this.limits.maxAnswerBytes) return undefined;
-    return answer;
+    // A body is often a view of a whole message; kept as it is, it would hold
+    // that message in memory for as long as the record lives.
+    return { ...answer, body: new Uint8Array(answer.body) };
   }
 
   #store(record: Omit<LedgerRecord, "expiresAt">, expiresAt: number): void {
-    const key = keyOf(record.name);
-    const before = this.#records.get(key);
-    this.#bytes += bytesOf(record) - (before ? bytesOf(before) : 0);
-    this.#records.set(key, { ...record, expiresAt });
+    const before = this.#get(record.name);
+    if (before) this.#drop(before);
     const id = idOf(record.name);
-    const keys = this.#scopes.get(id) ?? new Set();
-    this.#scopes.set(id, keys.add(key));
+    const others = this.#records.get(id) ?? [];
+    this.#records.set(id, [...others, { ...record, expiresAt }]);
+    this.#bytes += bytesOf(record);
+    this.#size += 1;
   }
 
   #drop(record: LedgerRecord): void {
-    const key = keyOf(record.name);
-    this.#records.delete(key);
-    this.#bytes -= bytesOf(record);
     const id = idOf(record.name);
-    const keys = this.#scopes.get(id);
-    keys?.delete(key);
-    if (keys?.size === 0) this.#scopes.delete(id);
+    const rest = this.#records.get(id)?.filter((r) => r !== record) ?? [];
+    if (rest.length > 0) this.#records.set(id, rest);
+    else this.#records.delete(id);
+    this.#bytes -= bytesOf(record);
+    this.#size -= 1;
   }
 }
 
--- a/src/operations/ledger_test.ts
+++ b/src/operations/ledger_test.ts
@@ -52,3 +52,18 @@
   t.false(ledger.full);
   t.is(ledger.size, 0);
 });
+
+/**
+ * An answer arrives as a small part of a large message between instances. Kept
+ * as that part, it holds the whole message in memory for ten minutes, and an
+ * instance runs out of memory while its ledger says that it is nearly empty.
+ */
+test("a kept answer does not hold the message it came in", (t) => {
+  const ledger = new Ledger();
+  ledger.intent(intentOf("o.1"), 0);
+  const body = new Uint8Array(1_000_000).subarray(0, 10);
+  const answer = { status: 200, headers: {}, body };
+  const conclusion = { state: "answered", answer } as const;
+  ledger.conclude(NAME, "o.1", { conclusion, now: 0 });
+  t.is(ledger.view(NAME).answer?.body.buffer.byteLength, 10);
+});
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -9,6 +9,7 @@
 import { ok, type Result } from "neverthrow";
 import {
   type AccountId,
+  type Clock,
   fail,
   type Failure,
   type InstanceId,
@@ -19,6 +20,7 @@
   type ServiceId,
   SilentLog,
   sleep,
+  type Timer,
   type ZoneId,
 } from "../../core/mod.ts";
 import {
@@ -81,6 +83,30 @@
 const LATE_MS = 3_000;
 const FLUSHES = 12;
 const LIMIT_MS = 2_000;
+const MAX_OFFSET_MS = 10_000_000;
+
+/** Each process has its own zero of time. */
+class OffsetClock implements Clock {
+  readonly #base: Clock;
+  readonly #offsetMs: number;
+
+  constructor(base: Clock, offsetMs: number) {
+    this.#base = base;
+    this.#offsetMs = offsetMs;
+  }
+
+  now(): number {
+    return this.#base.now() + this.#offsetMs;
+  }
+
+  wall(): number {
+    return this.#base.wall();
+  }
+
+  after(ms: number, run: () => void): Timer {
+    return this.#base.after(ms, run);
+  }
+}
 
 /** One instance of a fake fleet. */
 export class FakeNode {
@@ -91,6 +117,7 @@
   readonly operations: HomeOperations;
   alive = true;
   leaving = false;
+  readonly #clock: Clock;
   #paused: Promise<void> | undefined;
   #resume: (() => void) | undefined;
 
@@ -103,9 +130,11 @@
     this.zone = place.zone;
     this.region = place.region;
     this.incarnation = place.incarnation;
+    const offsetMs = fleet.random.below(MAX_OFFSET_MS);
+    this.#clock = new OffsetClock(fleet.clock, offsetMs);
     this.operations = new HomeOperations({
       self: { ...place, instance: place.name },
-      clock: fleet.clock,
+      clock: this.#clock,
       random: fleet.random,
       metrics: new MemoryMetrics(),
       log: new SilentLog(),
@@ -144,6 +173,10 @@
     this.#paused = undefined;
   }
 
+  sweep(): void {
+    this.operations.sweep(this.#clock.now());
+  }
+
   sender(): Sender {
     return create(SenderSchema, {
       instance: this.name,
@@ -388,7 +421,7 @@
     this.#roundAt = this.clock.now() + ROUND_MS;
     const up = [...this.nodes.values()].filter((n) => n.alive && !n.paused);
     for (const from of up) {
-      from.operations.sweep(this.clock.now());
+      from.sweep();
       for (const to of up) {
         if (from === to || this.cuts.has(`${from.name} ${to.name}`)) continue;
         const batch = create(BatchSchema, { sender: from.sender() });
