Say what status 503 means of each probe

The OpenAPI file gave the probes the refusals of the other routes: liveness was said to answer 503 when the platform is out of reach, which it never does, and an orchestrator written by it would end a serving instance.

--- a/src/admin/routes.ts
+++ b/src/admin/routes.ts
@@ -57,6 +57,8 @@
   /** `none`: no token is asked for; `any`: any role; `owner`: who may edit. */
   readonly access: "none" | "any" | "owner";
   readonly query?: Readonly<Record<string, string>>;
+  /** What status 503 means, of a route that asks for no token. */
+  readonly otherwise?: string;
   /** Whether the request carries a section's content. */
   readonly section?: boolean;
   readonly handle: (
@@ -80,6 +82,7 @@
     path: "/readyz",
     id: "readiness",
     summary: "Whether a document is in force here and the instance stays",
+    otherwise: "No document is in force yet, or the instance is leaving",
     access: "none",
     handle: (deps) => {
       const ready = deps.ready();
--- a/tools/reference/open_api.ts
+++ b/tools/reference/open_api.ts
@@ -19,8 +19,7 @@
   "502": "The answer to a write was lost; read before trying again",
   "503": "The platform cannot be reached; nothing was changed",
 };
-const ALWAYS = ["503"];
-const WITH_TOKEN = ["401", "404"];
+const WITH_TOKEN = ["401", "404", "503"];
 const OF_OWNER = ["400", "403", "412", "413", "422", "428", "502"];
 
 /** Builds the description from the routes themselves. */
@@ -85,7 +84,6 @@
 
 function operationOf(route: AdminRoute): Record<string, unknown> {
   const refused = [
-    ...ALWAYS,
     ...(route.access === "none" ? [] : WITH_TOKEN),
     ...(route.access === "owner" ? OF_OWNER : []),
   ].sort();
@@ -97,6 +95,9 @@
     ...(route.section ? { requestBody: sectionBody() } : {}),
     responses: {
       "200": { description: "Done" },
+      ...(route.otherwise === undefined
+        ? {}
+        : { "503": { description: route.otherwise } }),
       ...Object.fromEntries(refused.map((status) => [status, refusal(status)])),
     },
   };
