--- a/src/decisions/steering/fair_dispatcher.ts
+++ b/src/decisions/steering/fair_dispatcher.ts
@@ -24,7 +24,8 @@
 import { Drained } from "../drains/mod.ts";
 import type { Dispatcher, Slot, SteeringRequest } from "./dispatcher.ts";
 import { type EndpointRow, type LoadHint, makeRow } from "./endpoint_row.ts";
-import { noEndpoint, ServicePool } from "./service_pool.ts";
+import { noEndpoint } from "./refusals.ts";
+import { ServicePool } from "./service_pool.ts";
 import type { SlotLimits } from "./slot_limits.ts";
 
 /** What a dispatcher needs. */
--- a/src/decisions/steering/service_pool.ts
+++ b/src/decisions/steering/service_pool.ts
@@ -22,6 +22,14 @@
 import type { Slot, SteeringRequest } from "./dispatcher.ts";
 import type { EndpointRow } from "./endpoint_row.ts";
 import { FairQueue, type Waiter } from "./fair_queue.ts";
+import { LongWork } from "./long_work.ts";
+import {
+  cancelled,
+  NO_SLOT_RETRY_MS,
+  noCapacity,
+  noEndpoint,
+  retryAfter,
+} from "./refusals.ts";
 import type { SlotLimits } from "./slot_limits.ts";
 import { SlotTable } from "./slot_table.ts";
 import { WorkTimes } from "./work_times.ts";
@@ -42,18 +50,6 @@
   readonly settle: (result: Result<Slot, Failure>) => void;
 }
 
-/** Work beyond this multiple of the typical time counts as long. */
-const LONG_RATIO = 4;
-/**
- * Part of the slots that long work may fill while short work comes too: more
- * and short requests wait for a long one to end; less and long ones starve.
- */
-const LONG_PART = 0.6;
-/** Short work seen this lately, in milliseconds, keeps its slots free. */
-const SHORT_SEEN_MS = 2_000;
-/** When to come back to a service without a slot here: about two ticks. */
-const NO_SLOT_RETRY_MS = 250;
-const MIN_RETRY_MS = 10;
 /** A queue that was not empty for this long is no burst any more. */
 const STANDING_MS = 500;
 /** Typical times of work that may be waited in a standing queue. */
@@ -66,9 +62,8 @@
   readonly #times = new WorkTimes();
   readonly #queue: FairQueue<QueuedRequest>;
   readonly #slots: SlotTable;
+  readonly #long = new LongWork();
   #queueLimit = 0;
-  #longInFlight = 0;
-  #shortSeenAt = -Infinity;
   #turnedAway = 0;
   #full = false;
   #emptyAt = -Infinity;
@@ -161,8 +156,7 @@
 
   #assess(req: SteeringRequest, now: number): { cost: number; long: boolean } {
     const cost = this.#times.expected(req.account, req.work ?? "");
-    const long = cost > LONG_RATIO * this.#times.typical;
-    if (!long) this.#shortSeenAt = now;
+    const long = this.#long.isLong(cost, this.#times.typical, now);
     return { cost, long };
   }
 
@@ -273,7 +267,9 @@
   }
 
   #take(req: SteeringRequest, long: boolean, now: number): Slot | undefined {
-    if (long && !this.#longMayRun(now)) return undefined;
+    if (long && !this.#long.mayRun(this.#slots.capacity(now), now)) {
+      return undefined;
+    }
     const slot = this.#slots.take(req, now);
     if (slot === undefined) {
       if (req.exclude === undefined || req.exclude.size === 0) {
@@ -281,26 +277,7 @@
       }
       return undefined;
     }
-    return long ? this.#countLong(slot) : slot;
-  }
-
-  #longMayRun(now: number): boolean {
-    if (now - this.#shortSeenAt > SHORT_SEEN_MS) return true;
-    const most = Math.floor(this.#slots.capacity(now) * LONG_PART);
-    return this.#longInFlight < Math.max(1, most);
-  }
-
-  #countLong(slot: Slot): Slot {
-    this.#longInFlight += 1;
-    let held = true;
-    return {
-      ...slot,
-      release: (result, now) => {
-        if (held) this.#longInFlight -= 1;
-        held = false;
-        slot.release(result, now);
-      },
-    };
+    return long ? this.#long.count(slot) : slot;
   }
 
   #refuseAll(): void {
@@ -310,34 +287,6 @@
   }
 }
 
-function retryAfter(ms: number): number {
-  return Number.isFinite(ms)
-    ? Math.max(MIN_RETRY_MS, Math.ceil(ms))
-    : NO_SLOT_RETRY_MS;
-}
-
-function noCapacity(
-  service: ServiceId,
-  why: string,
-  retryMs: number,
-): Result<never, Failure> {
-  return fail("no_capacity", `service ${service} has no room: ${why}`, {
-    outcome: "not-run",
-    retryAfterMs: retryAfter(retryMs),
-  });
-}
-
-/** Says that a service has no endpoint that takes work here. */
-export function noEndpoint(service: ServiceId): Result<never, Failure> {
-  return fail("no_endpoint", `service ${service} has no endpoint here`, {
-    outcome: "not-run",
-  });
-}
-
-function cancelled(): Result<never, Failure> {
-  return fail("cancelled", "the caller went away", { outcome: "not-run" });
-}
-
 function withResolvers<T>(): {
   promise: Promise<T>;
   resolve: (value: T) => void;
--- a/tools/bench/decisions/decisions.ts
+++ b/tools/bench/decisions/decisions.ts
@@ -8,12 +8,8 @@
 import { DEPLOYMENTS } from "../../demo/deployments.ts";
 import { type DecisionCost, measureCost, SIZES } from "./cost.ts";
 import { ACCOUNTS, PATTERNS } from "./patterns.ts";
-import {
-  type FleetShape,
-  type LoadPattern,
-  type RunReport,
-  simulate,
-} from "./simulation.ts";
+import type { FleetShape } from "./fleet_shape.ts";
+import { type LoadPattern, type RunReport, simulate } from "./simulation.ts";
 
 /** One pattern at one deployment. */
 interface Comparison {
--- a/tools/bench/decisions/patterns_test.ts
+++ b/tools/bench/decisions/patterns_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { PATTERNS } from "./patterns.ts";
-import { type FleetShape, type RunReport, simulate } from "./simulation.ts";
+import type { FleetShape } from "./fleet_shape.ts";
+import { type RunReport, simulate } from "./simulation.ts";
 
 const SHAPE: FleetShape = {
   zones: 3,
--- a/tools/bench/decisions/simulation.ts
+++ b/tools/bench/decisions/simulation.ts
@@ -22,23 +22,16 @@
   RoundRobinDispatcher,
   type Slot,
 } from "../../../src/decisions/steering/mod.ts";
+import type { SteeringDocument } from "../../../src/document/mod.ts";
 import {
-  parseDocument,
-  type SteeringDocument,
-} from "../../../src/document/mod.ts";
-import type { SeatDirectory } from "../../../src/membership/mod.ts";
+  accountsOf,
+  documentOf,
+  fairShare,
+  type FleetShape,
+  seatsOf,
+} from "./fleet_shape.ts";
 import { LatencyList } from "./latency_list.ts";
 
-/** Size of what is simulated. */
-export interface FleetShape {
-  readonly zones: number;
-  readonly instancesPerZone: number;
-  readonly endpoints: number;
-  readonly slots: number;
-  readonly workMs: number;
-  readonly accounts: number;
-}
-
 /** What callers and endpoints do; loads are parts of the endpoints' capacity. */
 export interface LoadPattern {
   readonly name: string;
@@ -381,54 +374,3 @@
     else this.#due.set(at, [run]);
   }
 }
-
-/** What each may have so that all together have `total`, none more than it wants. */
-function fairShare(wants: readonly number[], total: number): number {
-  const sorted = [...wants].sort((a, b) => a - b);
-  let left = total;
-  for (const [i, want] of sorted.entries()) {
-    const share = left / (sorted.length - i);
-    if (want > share) return share;
-    left -= want;
-  }
-  return Infinity;
-}
-
-function accountsOf(shape: FleetShape): number[] {
-  return Array.from({ length: shape.accounts }, (_, i) => i);
-}
-
-function seatsOf(zone: ZoneId, index: number): SeatDirectory {
-  const seat = { zone, index, epoch: 1, part: 1, until: Infinity };
-  return { held: () => [seat], entries: () => [] };
-}
-
-function documentOf(shape: FleetShape): SteeringDocument {
-  const zones = Array.from({ length: shape.zones }, (_, i) => `z${i}`);
-  const endpoints = Array.from(
-    { length: shape.endpoints },
-    (_, i) => [`e${i}`, {
-      zone: zones[i % zones.length],
-      url: `http://127.0.0.1:${10_000 + i}`,
-      slots: shape.slots,
-      connections: 390,
-    }],
-  );
-  return parseDocument({
-    accounts: {
-      accounts: Object.fromEntries(accountsOf(shape).map((a) => [`a${a}`, {}])),
-    },
-    regions: {
-      regions: {
-        r: {
-          zones: Object.fromEntries(zones.map((z) => [z, {
-            instances: shape.instancesPerZone,
-          }])),
-        },
-      },
-    },
-    services: {
-      services: { s: { endpoints: Object.fromEntries(endpoints) } },
-    },
-  })._unsafeUnwrap();
-}
