Share a caller's look-up among requests that begin together

Each request of the caller library sent a look-up of its own when the last one was over its time, so 20 requests that began together sent 20. On slow instances operations spent their patience on that and were refused as not run without a try.

--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -85,6 +85,7 @@
   readonly #bindings: HomeBindings;
   #choices: Choices | undefined;
   #choicesUntil = -Infinity;
+  #asking: Promise<Choices | undefined> | undefined;
 
   constructor(opts: ClientOptions) {
     this.#opts = opts;
@@ -172,8 +173,20 @@
     return usable[attempt % usable.length] ?? "";
   }
 
+  /**
+   * Requests that need a look-up at the same time share one. Were each to send
+   * its own, every expiry would bring as many look-ups as requests under way,
+   * most of all when instances are slow already.
+   */
   async #lookup(): Promise<Choices | undefined> {
     if (this.#clock.now() < this.#choicesUntil) return this.#choices;
+    this.#asking ??= this.#askAround().finally(() => {
+      this.#asking = undefined;
+    });
+    return await this.#asking;
+  }
+
+  async #askAround(): Promise<Choices | undefined> {
     const known = this.#choices?.instances.map((c) => c.url) ?? [];
     for (const url of [...known, ...this.#opts.seeds]) {
       const choices = await this.#ask(url);
--- a/src/client/client_test.ts
+++ b/src/client/client_test.ts
@@ -24,6 +24,7 @@
 interface Setup {
   readonly client: Client;
   readonly seen: Seen[];
+  readonly lookups: () => number;
 }
 
 /** Two instances whose answers to service requests follow a script. */
@@ -32,10 +33,12 @@
   script: readonly Answer[],
 ): Promise<Setup> {
   const seen: Seen[] = [];
+  let lookups = 0;
   const urls: string[] = [];
   const serve =
     (instance: number) => (req: IncomingMessage, res: ServerResponse) => {
       if (req.url === "/v1/lookup") {
+        lookups += 1;
         const instances = urls.map((url, i) => ({ url, home: `home-${i}` }));
         res.end(JSON.stringify({ reuse_ms: 60_000, instances }));
         return;
@@ -64,7 +67,7 @@
     random: new SeededRandom(1),
   });
   t.teardown(() => client.close());
-  return { client, seen };
+  return { client, seen, lookups: () => lookups };
 }
 
 function answer(
@@ -179,3 +182,14 @@
   t.deepEqual(seen.map((s) => s.home), ["home-0", "home-0", "home-0"]);
   t.is(client.homeOf("op"), "home-0");
 });
+
+/**
+ * Many requests of one caller begin at once when its look-up is over its time.
+ * A look-up for each would fall on instances that may be slow already, and the
+ * requests would spend their patience on it.
+ */
+test("requests that begin together share a look-up", async (t) => {
+  const { client, lookups } = await makeSetup(t, []);
+  await Promise.all(Array.from({ length: 20 }, () => client.send(REQUEST)));
+  t.is(lookups(), 1);
+});
