Stop in order: nothing is cut when an instance is replaced

Cause: the listener closed idle kept connections at once, on which a caller may be sending; seats moved before work that other instances sent had ended; two calls of close failed.

Change: leaving is told to peers and the platform, answers end their connection, the listener takes no new connection after look-ups have run out, idle connections end by the time their answers announced, seats go when nothing runs, and peers hear the last word.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -46,6 +46,7 @@
 import { Listener } from "./listener.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
+import { type Heritage, stopInOrder } from "./stop_sequence.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -102,11 +103,14 @@
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  /** What is handed over at the end, in this order. */
+  readonly #heritage: readonly Heritage[];
   #document: SteeringDocument = emptyDocument();
   #listeners: Listeners | undefined;
   #joined = false;
   #leaving = false;
   #listedAt = -Infinity;
+  #closed: Promise<void> | undefined;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
@@ -180,6 +184,9 @@
     this.#follower = this.#makeFollower();
     this.#exchange.register(this.#follower);
     this.#exchange.register(this.#contact);
+    this.#heritage = [
+      { name: "seats", handOver: () => this.#seats.handOver() },
+    ];
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
     this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
@@ -246,21 +253,45 @@
     };
   }
 
-  /** Announces leaving, lets running work end, then closes. */
+  /** Announces leaving, lets running work end, hands over, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
     this.#seats.leave();
     await this.events.emit("leaving");
-    await this.#deps.platform.announce(this.#listed());
-    await this.#wait(LEAVE_NOTICE_MS);
-    await this.#listeners?.caller.drain();
-    await this.#seats.handOver();
-    await this.#exchange.flush();
+    const { caller, peer } = this.#listeners ?? {};
+    if (caller && peer) {
+      await stopInOrder({
+        ...this.#deps,
+        caller,
+        peer,
+        running: () => this.#running(),
+        announce: async () => {
+          await Promise.all([
+            this.#deps.platform.announce(this.#listed()),
+            this.#exchange.flush(),
+          ]);
+        },
+        flush: () => this.#exchange.flush(),
+        heritage: this.#heritage,
+        noticeMs: LEAVE_NOTICE_MS,
+      });
+    }
     await this.close();
   }
 
+  /** Requests of callers and of other instances that have not ended. */
+  #running(): number {
+    const rows = this.#steering.local.rows();
+    return rows.reduce((n, row) => n + row.inFlight, this.#path.running);
+  }
+
   /** Ends at once, cutting what runs. */
-  async close(): Promise<void> {
+  close(): Promise<void> {
+    this.#closed ??= this.#close();
+    return this.#closed;
+  }
+
+  async #close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
     this.#budgets.close();
@@ -444,8 +475,4 @@
       if (listed.isOk()) this.#roster.adoptList(listed.value);
     });
   }
-
-  #wait(ms: number): Promise<void> {
-    return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
-  }
 }
--- a/src/instance/listener.ts
+++ b/src/instance/listener.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import { ok, type Result } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
 
@@ -14,13 +14,24 @@
   readonly port: number;
 }
 
+/**
+ * How long a connection without a request is kept, in milliseconds. Answers
+ * announce it, so that callers give an idle connection up before its end.
+ */
+export const KEEP_ALIVE_MS = 3_000;
+
 /** A listening HTTP server. */
 export class Listener {
   readonly #server: Server;
   readonly url: string;
+  #leaving = false;
 
   private constructor(server: Server, host: string) {
     this.#server = server;
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.prependListener("request", (_req, res) => {
+      if (this.#leaving) res.setHeader("connection", "close");
+    });
     const { port } = server.address() as AddressInfo;
     this.url = `http://${host}:${port}`;
   }
@@ -41,18 +52,36 @@
     });
   }
 
-  /** Takes no new connection and ends when the running requests have. */
-  drain(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
+  /** From now on each answer ends its connection. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /**
+   * Takes no new connection and ends when no connection is left.
+   *
+   * A connection without a request is not closed at once: its caller may be
+   * sending the next request at this moment and would find it cut. It ends
+   * with the answer to that request, or when it was idle for the time that
+   * answers announce.
+   */
+  async drain(): Promise<void> {
+    this.leave();
+    const timer = setTimeout(() => {
       this.#server.closeIdleConnections();
+    }, KEEP_ALIVE_MS);
+    await new Promise<void>((resolve) => {
+      NetServer.prototype.close.call(this.#server, () => resolve());
     });
+    clearTimeout(timer);
+    this.#server.close();
   }
 
   /** Cuts every connection. */
-  async close(): Promise<void> {
-    const closed = this.drain();
-    this.#server.closeAllConnections();
-    await closed;
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
   }
 }
--- /dev/null
+++ b/src/instance/stop_sequence.ts
@@ -0,0 +1,81 @@
+/**
+ * The order in which an instance ends, so that nothing is cut.
+ *
+ * Pattern it answers: every instance is replaced at any time, under load. What
+ * goes wrong with another order: a listener that closes before callers know
+ * cuts requests; seats that move before running work has ended fill slots
+ * twice; an instance that goes without handing over leaves its seats idle for
+ * a lease and its operations' answers unknown.
+ *
+ * @module
+ */
+import { type Clock, type Log, sleep } from "../core/mod.ts";
+import type { Listener } from "./listener.ts";
+
+/** Something that passes on what it holds before the instance ends. */
+export interface Heritage {
+  readonly name: string;
+  /** Comes back when the others have it; nothing of it is used afterwards. */
+  handOver(): Promise<void>;
+}
+
+/** What a stop needs. */
+export interface StopDeps {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly caller: Listener;
+  readonly peer: Listener;
+  /** Requests that still run here, those that other instances sent included. */
+  readonly running: () => number;
+  /** Tells the platform's list and every peer. */
+  readonly announce: () => Promise<void>;
+  /** Tells every peer what changed last. */
+  readonly flush: () => Promise<void>;
+  /** In the order in which they hand over. */
+  readonly heritage: readonly Heritage[];
+  /** How long callers reuse an answer that still names this instance. */
+  readonly noticeMs: number;
+}
+
+/** An unreachable platform or peer may hold up a step this long, in milliseconds. */
+const STEP_LIMIT_MS = 5_000;
+/** Longer than any deadline of a document, as a bound for what never ends. */
+const RUNNING_LIMIT_MS = 3_600_000;
+const CHECK_MS = 20;
+
+/** Runs the sequence; afterwards nothing runs here and nobody counts on it. */
+export async function stopInOrder(deps: StopDeps): Promise<void> {
+  const { clock, caller, peer } = deps;
+  const notice = sleep(clock, deps.noticeMs);
+  caller.leave();
+  await step(deps, "announce", deps.announce);
+  await notice;
+  await caller.drain();
+  await idle(deps);
+  for (const heritage of deps.heritage) {
+    await step(deps, heritage.name, () => heritage.handOver());
+  }
+  await step(deps, "flush", deps.flush);
+  await step(deps, "peers", () => peer.drain());
+}
+
+async function idle({ clock, running }: StopDeps): Promise<void> {
+  const limit = clock.now() + RUNNING_LIMIT_MS;
+  while (running() > 0 && clock.now() < limit) await sleep(clock, CHECK_MS);
+}
+
+async function step(
+  { clock, log }: StopDeps,
+  name: string,
+  run: () => Promise<void>,
+): Promise<void> {
+  const done = await new Promise<boolean>((resolve) => {
+    const timer = clock.after(STEP_LIMIT_MS, () => resolve(false));
+    const end = (ok: boolean) => {
+      timer.close();
+      resolve(ok);
+    };
+    run().then(() => end(true), () => end(false));
+  });
+  log.event("stop_step", { step: name, done });
+}
--- /dev/null
+++ b/src/instance/stop_test.ts
@@ -0,0 +1,106 @@
+import test from "ava";
+import { Agent, request } from "undici";
+import { Client } from "../client/mod.ts";
+import { FLEET_KEY, LocalFleet } from "./testing/local_fleet.ts";
+
+const WORK_MS = 20;
+const CALLERS = 6;
+const PAUSE_MS = 10;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Calls without a break until told to end; keeps what was not answered. */
+class Load {
+  readonly failures: string[] = [];
+  readonly operations: string[] = [];
+  answered = 0;
+  #ended = false;
+  #loops: Promise<void>[] = [];
+
+  start(url: string): void {
+    this.#loops = Array.from({ length: CALLERS }, (_, i) => this.#loop(url, i));
+  }
+
+  async end(): Promise<void> {
+    this.#ended = true;
+    await Promise.all(this.#loops);
+  }
+
+  async #loop(url: string, caller: number): Promise<void> {
+    const client = new Client({ seeds: [url], key: FLEET_KEY });
+    for (let n = 0; !this.#ended; n++) {
+      const id = `${caller}-${n}`;
+      const idempotent = n % 3 !== 0;
+      const answer = await client.send({
+        service: "s",
+        method: idempotent ? "GET" : "POST",
+        path: `/${id}`,
+        timeoutMs: 1_000,
+        idempotent,
+        ...(idempotent ? {} : { body: id, operationId: id }),
+      });
+      if (!idempotent) this.operations.push(id);
+      if (answer.isErr()) this.failures.push(answer.error.message);
+      else this.answered += 1;
+      await pause(PAUSE_MS);
+    }
+    await client.close();
+  }
+}
+
+test("replacing every instance under load loses nothing", async (t) => {
+  // Operators roll out a new version: each instance gets SIGTERM once its
+  // replacement runs. Callers in the middle of a request, and callers that are
+  // about to reuse a connection, must not notice.
+  const fleet = await LocalFleet.open({
+    endpoints: 3,
+    seats: 2,
+    workMs: WORK_MS,
+  });
+  const first = await fleet.start("i1");
+  const second = await fleet.start("i2");
+  await pause(1_500);
+  const load = new Load();
+  load.start(first.callerUrl);
+  await pause(500);
+  await fleet.start("i3");
+  await first.stop();
+  await fleet.start("i4");
+  await second.stop();
+  await pause(500);
+  await load.end();
+  t.deepEqual(load.failures, []);
+  t.true(load.answered > 100);
+  const runs = fleet.endpoints.flatMap((e) => [...e.runs.values()]);
+  t.is(runs.length, load.operations.length);
+  t.true(runs.every((n) => n === 1));
+  await fleet.close();
+});
+
+test("a kept connection is not cut while its instance leaves", async (t) => {
+  // A caller without the library keeps one connection and sends on it now and
+  // then. Its answers tell it to close; none of its requests is cut.
+  const fleet = await LocalFleet.open({ endpoints: 1, seats: 1, workMs: 5 });
+  const instance = await fleet.start("i1");
+  await pause(1_000);
+  const agent = new Agent({ connections: 1, pipelining: 1 });
+  const send = async () => {
+    const res = await request(`${instance.callerUrl}/services/s/x`, {
+      headers: { authorization: `Bearer ${FLEET_KEY}` },
+      dispatcher: agent,
+    });
+    await res.body.dump();
+    return { status: res.statusCode, connection: res.headers["connection"] };
+  };
+  t.deepEqual(await send(), { status: 200, connection: "keep-alive" });
+  const stopped = instance.stop();
+  for (let i = 0; i < 10; i++) {
+    t.deepEqual(await send(), { status: 200, connection: "close" });
+    await pause(100);
+  }
+  await stopped;
+  await agent.close();
+  await fleet.close();
+});
