--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,8 +13,10 @@
 import {
   type AcceptedDocument,
   ContentStore,
+  DocumentStore,
   emptyDocument,
   type SteeringDocument,
+  zonesOf,
 } from "../document/mod.ts";
 import type { EndpointClient } from "../endpoints/mod.ts";
 import {
@@ -185,6 +187,7 @@
     this.#exchange.register(this.#follower);
     this.#exchange.register(this.#contact);
     this.#heritage = [
+      { name: "operations", handOver: () => this.#operations.handOver() },
       { name: "seats", handOver: () => this.#seats.handOver() },
     ];
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
@@ -338,7 +341,7 @@
     if (peer.isErr()) return err(peer.error);
     const admin = await Listener.open(
       cfg.admin,
-      adminApp({ ready: () => this.ready, status: () => this.status() }),
+      this.#adminApp(),
     );
     if (admin.isErr()) return err(admin.error);
     this.#listeners = {
@@ -349,6 +352,18 @@
     return ok(undefined);
   }
 
+  #adminApp(): RequestListener {
+    const { cfg, platform, clock, random } = this.#deps;
+    return adminApp({
+      ready: () => this.ready,
+      status: () => this.status(),
+      document: () => this.#document,
+      store: new DocumentStore({ platform, clock, random }),
+      platform,
+      bootstrapSha256: cfg.admin.bootstrap_token_sha256,
+    });
+  }
+
   #makeFollower(): DocumentFollower {
     const { cfg, clock, log, platform, random, transport } = this.#deps;
     const contents = new ContentStore(platform);
@@ -420,6 +435,7 @@
     this.#keys.adopt(accepted.document);
     this.#budgets.adopt(accepted.document, accepted.manifest.generation);
     this.#steering.adopt(accepted.document, now);
+    this.#operations.adopt(zonesOf(accepted.document));
     void this.events.emit("document", accepted);
   }
 
@@ -427,7 +443,11 @@
     const { zone, region } = this.#deps.cfg.instance;
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
-    const candidates = this.#leaving ? others : [...others, this.#self()];
+    const open = this.#leaving ? others : [...others, this.#self()];
+    // An instance that waits for its first seat would refuse those sent to it.
+    const holders = new Set(this.#seats.entries().map((s) => s.holder));
+    const seated = open.filter((c) => holders.has(c.instance));
+    const candidates = seated.length > 0 ? seated : open;
     const instances = chooseEntries(
       { zone, region, candidates },
       this.#deps.random,
--- a/src/instance/stop_sequence.ts
+++ b/src/instance/stop_sequence.ts
@@ -16,7 +16,7 @@
 export interface Heritage {
   readonly name: string;
   /** Comes back when the others have it; nothing of it is used afterwards. */
-  handOver(): Promise<void>;
+  handOver(): Promise<unknown>;
 }
 
 /** What a stop needs. */
@@ -67,7 +67,7 @@
 async function step(
   { clock, log }: StopDeps,
   name: string,
-  run: () => Promise<void>,
+  run: () => Promise<unknown>,
 ): Promise<void> {
   const done = await new Promise<boolean>((resolve) => {
     const timer = clock.after(STEP_LIMIT_MS, () => resolve(false));
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -35,8 +35,9 @@
 import { BatchSchema, type Sender, SenderSchema } from "../../gen/peer_pb.ts";
 import type { HeldSeat, SeatEntry } from "../../membership/mod.ts";
 import type { PeerTransport } from "../../peers/mod.ts";
-import { MemoryPlatform } from "../../platform/mod.ts";
+import { MemoryPlatform, type Platform } from "../../platform/mod.ts";
 import { HomeOperations } from "../home_operations.ts";
+import type { ZoneSeats } from "../home_seat.ts";
 import { DEFAULT_LEDGER_LIMITS, type LedgerLimits } from "../ledger.ts";
 import type { OperationRequest, RunResult } from "../operations.ts";
 
@@ -109,7 +110,7 @@
       metrics: new MemoryMetrics(),
       log: new SilentLog(),
       transport: fleet.transport(this),
-      platform: fleet.platform,
+      platform: fleet.platformFor(this),
       seats: {
         entries: () => fleet.seats,
         held: () => fleet.held(this),
@@ -163,7 +164,9 @@
   readonly nodes = new Map<string, FakeNode>();
   readonly attempts: Attempt[] = [];
   readonly dispatches: Dispatch[] = [];
+  platformDown = false;
   seats: SeatEntry[] = [];
+  zones: readonly ZoneSeats[] = [];
   /** Called for each message; says what becomes of it. */
   onMessage: (msg: FakeMessage) => Fate = () => "deliver";
   /** Called when the endpoint got a request; gives its answer. */
@@ -179,8 +182,10 @@
     this.platform = new MemoryPlatform(this.clock);
     this.#limits = { ...DEFAULT_LEDGER_LIMITS, ...opts.limits };
     const zones = opts.zones ?? [["r1", "r1-a"], ["r1", "r1-b"]];
+    const instances = opts.perZone ?? 2;
+    this.zones = zones.map(([, zone]) => ({ zone: zone as ZoneId, instances }));
     for (const [region, zone] of zones) {
-      for (let i = 0; i < (opts.perZone ?? 2); i++) {
+      for (let i = 0; i < instances; i++) {
         const name = `${zone}-${i + 1}`;
         this.start(name, { zone, region });
         this.seats.push({
@@ -205,10 +210,17 @@
     const incarnation = this.random.hex(4);
     const place = { name, ...at, incarnation };
     const node = new FakeNode(this, place, this.#limits);
+    node.operations.adopt(this.zones);
     this.nodes.set(name, node);
     return node;
   }
 
+  /** Puts a document with other seats in force everywhere. */
+  adopt(zones: readonly ZoneSeats[]): void {
+    this.zones = zones;
+    for (const node of this.nodes.values()) node.operations.adopt(zones);
+  }
+
   kill(name: string): void {
     this.node(name).alive = false;
   }
@@ -297,6 +309,26 @@
     };
   }
 
+  /** The store as one node sees it. */
+  platformFor(node: FakeNode): Platform {
+    const down = async () => {
+      await node.gate();
+      return this.platformDown;
+    };
+    const failed = () => fail("platform_unavailable", "down");
+    const store = this.platform;
+    return {
+      get: async (key) => await down() ? failed() : await store.get(key),
+      list: async (key) => await down() ? failed() : await store.list(key),
+      put: async (key, value, condition) =>
+        await down() ? failed() : await store.put(key, value, condition),
+      watch: () => Promise.resolve(failed()),
+      instances: () => Promise.resolve(failed()),
+      announce: () => Promise.resolve(failed()),
+      close: () => Promise.resolve(),
+    };
+  }
+
   held(node: FakeNode): HeldSeat[] {
     return this.seats.filter((s) => s.holder === node.name).map((s) => ({
       zone: s.zone,
@@ -349,7 +381,7 @@
       for (const to of up) {
         if (from === to || this.cuts.has(`${from.name} ${to.name}`)) continue;
         const batch = create(BatchSchema, { sender: from.sender() });
-        from.operations.fill(batch);
+        from.operations.fill(batch, to.name);
         to.operations.absorb(batch, from.sender());
       }
     }
