Leave the peer listener open until the last word is said

Cause: the peer listener became a server of its own without a drain. Work that other instances sent is already waited for by the slots it fills.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -263,12 +263,11 @@
     this.#leaving = true;
     this.#seats.leave();
     await this.events.emit("leaving");
-    const { caller, peer } = this.#listeners ?? {};
-    if (caller && peer) {
+    const caller = this.#listeners?.caller;
+    if (caller) {
       await stopInOrder({
         ...this.#deps,
         caller,
-        peer,
         running: () => this.#running(),
         announce: async () => {
           await Promise.all([
--- a/src/instance/stop_sequence.ts
+++ b/src/instance/stop_sequence.ts
@@ -24,7 +24,6 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly caller: Listener;
-  readonly peer: Listener;
   /** Requests that still run here, those that other instances sent included. */
   readonly running: () => number;
   /** Tells the platform's list and every peer. */
@@ -45,7 +44,7 @@
 
 /** Runs the sequence; afterwards nothing runs here and nobody counts on it. */
 export async function stopInOrder(deps: StopDeps): Promise<void> {
-  const { clock, caller, peer } = deps;
+  const { clock, caller } = deps;
   const notice = sleep(clock, deps.noticeMs);
   caller.leave();
   await step(deps, "announce", deps.announce);
@@ -56,7 +55,6 @@
     await step(deps, heritage.name, () => heritage.handOver());
   }
   await step(deps, "flush", deps.flush);
-  await step(deps, "peers", () => peer.drain());
 }
 
 async function idle({ clock, running }: StopDeps): Promise<void> {
