--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -9,7 +9,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { adminApp, type InstanceStatus } from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
-import { chooseEntries, type EntryChoice } from "../decisions/lookup/mod.ts";
+import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
   type AcceptedDocument,
   ContentStore,
@@ -47,6 +47,7 @@
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
+import { callerOptions } from "./caller_options.ts";
 import { Listener } from "./listener.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
@@ -77,11 +78,10 @@
   readonly admin: Listener;
 }
 
-const LOOKUP_REUSE_MS = 2_000;
 const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
-const LEAVE_NOTICE_MS = LOOKUP_REUSE_MS;
+const LEAVE_NOTICE_MS = MAX_REUSE_MS;
 
 /**
  * A running entry instance.
@@ -139,6 +139,7 @@
       limits: this.#budgets.slotLimits,
       document: () => this.#document,
       leaving: () => this.#leaving,
+      running: () => this.#path.running,
     });
     this.#exchange = new PeerExchange({
       ...deps,
@@ -189,6 +190,7 @@
     this.#exchange.register(this.#follower);
     this.#exchange.register(this.#contact);
     this.#heritage = [
+      { name: "forwards", handOver: () => this.#steering.forwardsEnded() },
       { name: "operations", handOver: () => this.#operations.handOver() },
       { name: "seats", handOver: () => this.#seats.handOver() },
     ];
@@ -254,6 +256,8 @@
       seats: this.#seats.held(this.#deps.clock.now()),
       running: this.#path.running,
       leaving: this.#leaving,
+      drained: this.#steering.drained,
+      drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
     };
   }
@@ -333,6 +337,7 @@
         lookup: () => this.#lookup(),
         ready: () => this.#serving,
       }),
+      callerOptions(this.#deps),
     );
     if (caller.isErr()) return err(caller.error);
     const peer = await PeerServer.open({
@@ -445,19 +450,23 @@
     const { zone, region } = this.#deps.cfg.instance;
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
-    const open = this.#leaving ? others : [...others, this.#self()];
-    // An instance that waits for its first seat would refuse those sent to it.
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const candidates = this.#steering.openEntries(this.#seated(all));
+    const { entries } = this.#steering;
+    const instances = entries.choose({ zone, region, candidates }).map(
+      ({ instance, url, zone, region }) => {
+        const home = this.#operations.homeOf(instance);
+        return { instance, url, zone, region, ...(home ? { home } : {}) };
+      },
+    );
+    return { reuse_ms: entries.reuseMs(), instances };
+  }
+
+  /** An instance that waits for its first seat would refuse those sent to it. */
+  #seated(entries: EntryChoice[]): EntryChoice[] {
     const holders = new Set(this.#seats.entries().map((s) => s.holder));
-    const seated = open.filter((c) => holders.has(c.instance));
-    const candidates = seated.length > 0 ? seated : open;
-    const instances = chooseEntries(
-      { zone, region, candidates },
-      this.#deps.random,
-    ).map(({ instance, url, zone, region }) => {
-      const home = this.#operations.homeOf(instance);
-      return { instance, url, zone, region, ...(home ? { home } : {}) };
-    });
-    return { reuse_ms: LOOKUP_REUSE_MS, instances };
+    const seated = entries.filter((e) => holders.has(e.instance));
+    return seated.length > 0 ? seated : entries;
   }
 
   #self(): EntryChoice {
