Wait between replacements until a moved seat counts

Cause: the replacement test was flaky, with six to nine not-run refusals at once: an instance that got its seat by hand-over may use it only after loans that the former holder made have ended, and the other holder left within 0.1 s after that hand-over.

Change: the test waits 3.5 s between two replacements, as operators are to.

--- a/src/instance/stop_test.ts
+++ b/src/instance/stop_test.ts
@@ -6,6 +6,11 @@
 const WORK_MS = 20;
 const CALLERS = 6;
 const PAUSE_MS = 10;
+/**
+ * A seat that changed hands counts once its former holder's loans have ended;
+ * operators wait this long before they stop the next instance.
+ */
+const BETWEEN_MS = 3_500;
 
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
@@ -59,14 +64,17 @@
     seats: 2,
     workMs: WORK_MS,
   });
+  t.teardown(() => fleet.close());
   const first = await fleet.start("i1");
   const second = await fleet.start("i2");
   await pause(1_500);
   const load = new Load();
+  t.teardown(() => load.end());
   load.start(first.callerUrl);
   await pause(500);
   await fleet.start("i3");
   await first.stop();
+  await pause(BETWEEN_MS);
   await fleet.start("i4");
   await second.stop();
   await pause(500);
@@ -76,13 +84,13 @@
   const runs = fleet.endpoints.flatMap((e) => [...e.runs.values()]);
   t.is(runs.length, load.operations.length);
   t.true(runs.every((n) => n === 1));
-  await fleet.close();
 });
 
 test("a kept connection is not cut while its instance leaves", async (t) => {
   // A caller without the library keeps one connection and sends on it now and
   // then. Its answers tell it to close; none of its requests is cut.
   const fleet = await LocalFleet.open({ endpoints: 1, seats: 1, workMs: 5 });
+  t.teardown(() => fleet.close());
   const instance = await fleet.start("i1");
   await pause(1_000);
   const agent = new Agent({ connections: 1, pipelining: 1 });
@@ -102,5 +110,4 @@
   }
   await stopped;
   await agent.close();
-  await fleet.close();
 });
