--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -39,6 +39,7 @@
   type PeerTransport,
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
+import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { ClientSites } from "./client_sites.ts";
 import type { DocumentFollower } from "./document_follower.ts";
@@ -53,6 +54,7 @@
   makeFollower,
   makeSeats,
 } from "./instance_parts.ts";
+import { outcomeLog } from "./outcome_log.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
 import { type Heritage, stopInOrder } from "./stop_sequence.ts";
@@ -106,6 +108,7 @@
   readonly #seats: LeasedSeats;
   readonly #exchange: PeerExchange;
   readonly #operations: HomeOperations;
+  readonly #burn: BurnPublisher;
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
@@ -117,6 +120,7 @@
   #leaving = false;
   #listedAt = -Infinity;
   #closed: Promise<void> | undefined;
+  #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
@@ -180,8 +184,21 @@
       runner,
     });
     this.#exchange.register(this.#operations);
+    this.#burn = new BurnPublisher({
+      ...deps,
+      log: log.child("burn"),
+      self: {
+        ...cfg.instance,
+        instance: cfg.instance.id,
+        incarnation: this.#incarnation,
+      },
+      mates: () =>
+        this.#roster.live().filter((m) => m.zone === cfg.instance.zone),
+    });
+    this.#exchange.register(this.#burn);
     this.#path = new RequestPath({
       ...deps,
+      outcomes: outcomeLog({ ...deps, counts: this.#burn.counts, document }),
       keys: this.#keys,
       limiter: this.#budgets.limiter,
       sender,
@@ -199,6 +216,7 @@
       { name: "forwards", handOver: () => this.#steering.forwardsEnded() },
       { name: "operations", handOver: () => this.#operations.handOver() },
       { name: "seats", handOver: () => this.#seats.handOver() },
+      { name: "burn", handOver: () => this.#burn.flush() },
     ];
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
@@ -213,6 +231,7 @@
       name: "steering",
       run: (now) => this.#steering.tick(now),
     });
+    this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
     this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
   }
 
@@ -428,16 +447,12 @@
 
   /** Near the caller's address if a site has it, else near this instance. */
   #lookup(client: string): LookupAnswer {
-    const others: EntryChoice[] = this.#roster.live()
-      .map((m) => ({ ...m, url: m.callerUrl }));
-    const all = this.#leaving ? others : [...others, this.#self()];
-    const candidates = this.#steering.openEntries(this.#seated(all));
     const { entries } = this.#steering;
+    this.#prepareEntries();
     const near = this.#sites.zonesFor(client)
-      .map((zone) => candidates.find((c) => c.zone === zone))
-      .find((c) => c !== undefined);
-    const { zone, region } = near ?? this.#deps.cfg.instance;
-    const instances = entries.choose({ zone, region, candidates }).map(
+      .map((zone) => entries.placeOf(zone))
+      .find((place) => place !== undefined);
+    const instances = entries.choose(near ?? this.#deps.cfg.instance).map(
       ({ instance, url, zone, region }) => {
         const home = this.#operations.homeOf(instance);
         return { instance, url, zone, region, ...(home ? { home } : {}) };
@@ -453,6 +468,18 @@
     return seated.length > 0 ? seated : entries;
   }
 
+  /** Once a tick: an answer is then drawn without going over all instances. */
+  #prepareEntries(): void {
+    const now = this.#deps.clock.now();
+    if (now - this.#preparedAt < this.#deps.cfg.tick_ms) return;
+    this.#preparedAt = now;
+    const others: EntryChoice[] = this.#roster.live()
+      .map((m) => ({ ...m, url: m.callerUrl }));
+    const all = this.#leaving ? others : [...others, this.#self()];
+    const open = this.#steering.openEntries(this.#seated(all));
+    this.#steering.entries.prepare(open);
+  }
+
   #self(): EntryChoice {
     const { id, zone, region } = this.#deps.cfg.instance;
     return { instance: id, zone, region, url: this.callerUrl };
--- /dev/null
+++ b/src/instance/secrecy_test.ts
@@ -0,0 +1,92 @@
+import test from "ava";
+import {
+  type Log,
+  LOG_TABLE,
+  type LogFields,
+  METRIC_TABLE,
+  type Metrics,
+  type Tags,
+} from "../core/mod.ts";
+import { ONLY_KEY as KEY, startOne } from "./testing/one_instance.ts";
+
+const MAX_POLLS = 400;
+
+/** Keeps all that is logged and measured. */
+class Recorder implements Log, Metrics {
+  readonly lines: string[] = [];
+  readonly events: { name: string; fields: LogFields }[] = [];
+  readonly metrics: { name: string; tags: Tags }[] = [];
+
+  event(name: string, fields: LogFields = {}): void {
+    this.lines.push(`${name} ${JSON.stringify(fields)}`);
+    this.events.push({ name, fields });
+  }
+
+  child(): Log {
+    return this;
+  }
+
+  count(name: string, tags: Tags = {}): void {
+    this.#keep(name, tags);
+  }
+
+  gauge(name: string, _value: number, tags: Tags = {}): void {
+    this.#keep(name, tags);
+  }
+
+  timing(name: string, _ms: number, tags: Tags = {}): void {
+    this.#keep(name, tags);
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  #keep(name: string, tags: Tags): void {
+    this.lines.push(`${name} ${JSON.stringify(tags)}`);
+    this.metrics.push({ name, tags });
+  }
+}
+
+test("a key shows in no log, metric or answer, wherever a caller puts it", async (t) => {
+  // Callers put keys into paths, ids and headers by mistake. Logs and metrics
+  // are read by many; a key in them is a key given away.
+  const recorder = new Recorder();
+  const one = await startOne({ log: recorder, metrics: recorder });
+  const { endpoint, instance } = one;
+  t.teardown(() => one.close());
+  const send = async (path: string, init: RequestInit = {}) => {
+    const headers = { authorization: `Bearer ${KEY}`, ...init.headers };
+    const res = await fetch(instance.callerUrl + path, { ...init, headers });
+    recorder.lines.push(await res.text());
+    return res.status;
+  };
+  let status = 0;
+  for (let i = 0; i < MAX_POLLS && status !== 200; i++) {
+    status = await send("/services/mapview/closures");
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  t.is(status, 200);
+  await send(`/services/${KEY}/closures`);
+  await send("/services/mapview/x", {
+    method: "POST",
+    body: "{}",
+    headers: { "idempotency-key": `${KEY} ${KEY}` },
+  });
+  await send("/services/mapview/x", { headers: { "x-timeout-ms": KEY } });
+  await send("/services/mapview/x", {
+    headers: { authorization: `Bearer ${KEY}x` },
+  });
+  await send("/v1/lookup", { method: "POST", body: `{"lookups": "${KEY}"}` });
+  t.true(recorder.metrics.some((m) => m.tags["service"] === "mapview"));
+  t.deepEqual(recorder.lines.filter((line) => line.includes(KEY)), []);
+  t.false(endpoint.runs.some((run) => run.keySeen));
+  for (const { name, fields } of recorder.events) {
+    const listed = LOG_TABLE[name]?.fields ?? [];
+    t.true(Object.keys(fields).every((f) => listed.includes(f)), name);
+  }
+  for (const { name, tags } of recorder.metrics) {
+    const listed = METRIC_TABLE[name]?.tags ?? [];
+    t.true(Object.keys(tags).every((f) => listed.includes(f)), name);
+  }
+});
