--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -7,7 +7,11 @@
 import type { RequestListener } from "node:http";
 import Emittery from "emittery";
 import { err, ok, type Result } from "neverthrow";
-import { adminApp, type InstanceStatus } from "../admin/mod.ts";
+import {
+  adminApp,
+  type InstanceStatus,
+  type PeerStatus,
+} from "../admin/mod.ts";
 import type { Clock, Failure, Log, Metrics, Random } from "../core/mod.ts";
 import { type EntryChoice, MAX_REUSE_MS } from "../decisions/lookup/mod.ts";
 import {
@@ -285,6 +289,14 @@
       drained: this.#steering.drained,
       drains: this.#steering.drains.progress(),
       members: this.#roster.live().map((m) => m.instance),
+      peers: this.#peerStatus(),
+    };
+  }
+
+  #peerStatus(): PeerStatus {
+    return {
+      batches_sent: this.#exchange.sent,
+      listener_bytes: this.#listeners.peerBytes(),
     };
   }
 
--- a/src/instance/instance_listeners.ts
+++ b/src/instance/instance_listeners.ts
@@ -38,6 +38,8 @@
   readonly peerUrl: string;
   readonly adminUrl: string;
   open(handlers: InstanceHandlers): Promise<Result<void, Failure>>;
+  /** Bytes that passed the peer listener so far, both ways. */
+  peerBytes(): number;
   /** From now on callers are told to go elsewhere. */
   leave(): void;
   /** Takes no new caller; comes back when all were answered. */
@@ -94,6 +96,11 @@
     return ok(undefined);
   }
 
+  peerBytes(): number {
+    const traffic = this.#sockets.peer?.traffic();
+    return (traffic?.receivedBytes ?? 0) + (traffic?.sentBytes ?? 0);
+  }
+
   leave(): void {
     this.#sockets.caller?.leave();
   }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -20,6 +20,8 @@
   readonly parts?: InstanceParts;
   /** Kinds of fault that are left out, to shorten a trace. */
   readonly without?: ReadonlySet<string>;
+  /** What strikes at which step, in place of what chance would bring. */
+  readonly script?: ReadonlyMap<number, readonly FaultKind[]>;
 }
 
 /** What came of it. */
@@ -45,6 +47,8 @@
 /** Kinds of fault, in the order in which they are tried without. */
 export const FAULTS = [
   "kill",
+  "region dies",
+  "measurements stop",
   "pause",
   "cut",
   "one-way cut",
@@ -60,6 +64,9 @@
   "mend",
 ] as const;
 
+/** A kind of fault. */
+export type FaultKind = typeof FAULTS[number];
+
 /** Runs until the steps are over or a property does not hold. */
 export async function soak(opts: SoakOptions): Promise<SoakResult> {
   const run = new SoakRun(opts);
@@ -94,7 +101,7 @@
     const violations: Violation[] = [];
     while (this.#step < this.#opts.steps && violations.length === 0) {
       this.#step += 1;
-      if (this.#random.next() < FAULT_CHANCE) this.#strike();
+      this.#strikeAt(this.#step);
       for (let i = 0; i < REQUESTS_A_STEP; i++) this.#call();
       await this.#world.step();
       this.#checks.step();
@@ -168,8 +175,16 @@
     if (writes && answer.status !== 200) this.#retries.push(attempt);
   }
 
-  #strike(): void {
-    const kind = this.#pick(FAULTS) ?? "mend";
+  #strikeAt(step: number): void {
+    const { script } = this.#opts;
+    const kinds = script?.get(step) ?? [];
+    for (const kind of kinds) this.#strike(kind);
+    if (script === undefined && this.#random.next() < FAULT_CHANCE) {
+      this.#strike(this.#pick(FAULTS) ?? "mend");
+    }
+  }
+
+  #strike(kind: FaultKind): void {
     if (this.#opts.without?.has(kind)) return;
     const target = this.#apply(kind);
     if (target === undefined) return;
@@ -191,7 +206,7 @@
   }
 
   /** Does something to the fleet; gives what it was done to. */
-  #apply(kind: typeof FAULTS[number]): string | undefined {
+  #apply(kind: FaultKind): string | undefined {
     const { network, nodes, endpoints } = this.#world;
     const node = this.#pick(nodes.filter((n) => !n.stopping));
     const other = this.#pick(nodes);
@@ -202,10 +217,15 @@
         this.#world.kill(node);
         this.#refill(node.zone);
         return node.name;
+      case "region dies":
+        return this.#killRegion();
+      case "measurements stop":
+        endpoints.faults.probes = 1;
+        return "everywhere";
       case "stop":
         return this.#stop(node);
       case "pause":
-        if (node.clock.paused) node.clock.resume();
+        if (node.clock.paused) node.clock.resume(() => this.#checks.step());
         else node.clock.pause();
         return node.name;
       case "cut":
@@ -248,14 +268,23 @@
     const { network, nodes, endpoints } = this.#world;
     network.cuts.clear();
     Object.assign(network.faults, { drop: 0, repeat: 0 });
-    endpoints.faults.lose = 0;
+    Object.assign(endpoints.faults, { lose: 0, probes: 0 });
     for (const n of nodes) {
-      n.clock.resume();
+      n.clock.resume(() => this.#checks.step());
       Object.assign(n.platform.faults, { down: 0, lost: 0, stale: 0 });
     }
     for (const { zone } of ZONES) this.#refill(zone);
   }
 
+  /** Every process of a region dies; new ones start there when all is mended. */
+  #killRegion(): string {
+    const region = this.#pick(ZONES)?.region ?? "";
+    const zones = ZONES.filter((z) => z.region === region).map((z) => z.zone);
+    const there = this.#world.nodes.filter((n) => zones.includes(n.zone));
+    for (const node of there) this.#world.kill(node);
+    return region;
+  }
+
   #refill(zone: string): void {
     const there = this.#world.nodes.filter((n) => n.zone === zone);
     const region = ZONES.find((z) => z.zone === zone)?.region ?? "";
--- a/tools/soak/soak_clock.ts
+++ b/tools/soak/soak_clock.ts
@@ -58,9 +58,11 @@
     if (this.#state === "running") this.#state = "paused";
   }
 
-  resume(): void {
+  /** Goes on; `awake` looks at it before it has read anything. */
+  resume(awake: () => void = () => {}): void {
     if (this.#state !== "paused") return;
     this.#state = "running";
+    awake();
     for (const run of this.#held.splice(0)) run();
   }
 
--- a/tools/soak/soak_endpoints.ts
+++ b/tools/soak/soak_endpoints.ts
@@ -40,7 +40,7 @@
 /** All endpoints, by the path of their URL. */
 export class SoakEndpoints {
   readonly inFlight: Map<string, number> = new Map();
-  readonly faults = { lose: 0 };
+  readonly faults = { lose: 0, probes: 0 };
   /** Called when a run begins. */
   onRun: (run: EndpointRun) => void = () => {};
   /** Called for a body that crosses between instances. */
@@ -61,7 +61,9 @@
       send: (req) => this.#send(from, req),
       probe: () =>
         Promise.resolve(
-          ok<EndpointReport, Failure>({ ready: true, inFlight: undefined }),
+          this.#random.next() < this.faults.probes
+            ? fail<EndpointReport>("endpoint_failed", "no report")
+            : ok<EndpointReport, Failure>({ ready: true, inFlight: undefined }),
         ),
       close: () => Promise.resolve(),
     };
--- a/tools/soak/soak_test.ts
+++ b/tools/soak/soak_test.ts
@@ -5,9 +5,10 @@
 } from "../../src/instance/mod.ts";
 import { LeasedSeats } from "../../src/membership/mod.ts";
 import { LocalOperations } from "../../src/operations/mod.ts";
-import { soak } from "./soak.ts";
+import { type FaultKind, soak } from "./soak.ts";
 
 const STEPS = 100;
+const EDITS_AT = [10, 30, 50, 70, 90, 110, 130, 150];
 
 for (const seed of [1, 2]) {
   test(`what must always hold does, seed ${seed}`, async (t) => {
@@ -36,39 +37,47 @@
 
 const PLANTED: readonly {
   name: string;
-  seed: number;
   steps: number;
   parts: InstanceParts;
+  script: readonly (readonly [number, readonly FaultKind[]])[];
   property: string;
 }[] = [
   {
     name: "a lease that is not checked after a pause",
-    seed: 4,
-    steps: 200,
+    steps: 170,
     parts: { seats: UncheckedSeats },
+    script: [[3, ["pause"]], [150, ["mend"]]],
     property: "no client account gets more than its rate",
   },
   {
     name: "a generation compared by differs",
-    seed: 2,
     steps: 250,
     parts: { follower: DiffersFollower },
+    script: [
+      [3, Array(8).fill("store stale")],
+      ...EDITS_AT.map((step) => [step, ["race"]] as const),
+    ],
     property: "a document never reverts",
   },
   {
     name: "operations without a second place",
-    seed: 2,
     steps: 50,
     parts: { operations: LocalOperations },
+    script: [],
     property: "an operation runs at most once",
   },
 ];
 
-for (const { name, seed, steps, parts, property } of PLANTED) {
+for (const { name, steps, parts, script, property } of PLANTED) {
   test(`the run catches ${name}`, async (t) => {
     // The fault is handed in as a class. A check that lets it pass would let
     // the same mistake pass in the library.
-    const { violations } = await soak({ seed, steps, parts });
+    const { violations } = await soak({
+      seed: 2,
+      steps,
+      parts,
+      script: new Map(script),
+    });
     t.true(violations.some((v) => v.property === property));
   });
 }
--- a/tools/soak/soak_world.ts
+++ b/tools/soak/soak_world.ts
@@ -192,6 +192,10 @@
     return Promise.resolve(ok(undefined));
   }
 
+  peerBytes(): number {
+    return 0;
+  }
+
   leave(): void {}
 
   /** Callers were told; what they sent has to end. */
