--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -65,6 +65,11 @@
     fields: ["code"],
     help: "The zone's seat table could not be read or written",
   },
+  stop_step: {
+    namespace: "",
+    fields: ["step", "done"],
+    help: "A step of the stop has ended; not done means it took too long",
+  },
   system_failed: {
     namespace: "",
     fields: ["system", "cause"],
--- a/src/membership/leased_seats.ts
+++ b/src/membership/leased_seats.ts
@@ -210,7 +210,7 @@
     if (promise && promise.incarnation === this.#self.incarnation) {
       const by = { holder: from.instance, incarnation: from.incarnation };
       this.#promises.add(by, {
-        askedMs: promise.askedMs,
+        askedMs: promise.final ? Infinity : promise.askedMs,
         seats: promise.seats,
       });
     }
@@ -248,7 +248,9 @@
 
   /**
    * A promise names only seats that this instance has not tried to take: a
-   * take-over of unknown effect may already stand in the store.
+   * take-over of unknown effect may already stand in the store. Who leaves
+   * takes none any more; without its last word the others' seats would shrink
+   * to the floor when it leaves while the store is down.
    */
   #promiseTo(mate: Ask) {
     const taken = this.#attempts.flatMap((a) => a.taken);
@@ -258,7 +260,8 @@
         : []
     );
     const { incarnation, askedMs } = mate;
-    return create(SeatPromiseSchema, { incarnation, askedMs, seats });
+    const final = this.#leaving;
+    return create(SeatPromiseSchema, { incarnation, askedMs, seats, final });
   }
 
   #ask(now: number): Ask {
--- a/src/membership/leased_seats_test.ts
+++ b/src/membership/leased_seats_test.ts
@@ -60,6 +60,17 @@
   await fleet.run(120_000, () => t.is(fleet.inUse(), 3));
 });
 
+test("who leaves while the store is down takes nothing from its mates", async (t) => {
+  // An instance is replaced during an outage. Its own seat has to wait for the
+  // store, but callers of its mates must not notice that it went.
+  const fleet = fleetOf(["a", "b", "c"]);
+  await fleet.run(3_000);
+  for (const node of fleet.nodes) node.platform.faults.down = 1;
+  await fleet.run(10_000);
+  await fleet.stop(fleet.nodes[0]!);
+  await fleet.run(60_000, () => t.is(fleet.inUse(), 2));
+});
+
 test("an instance with neither store nor mates keeps the floor alone", async (t) => {
   // A cable is pulled: the instance runs on and callers near it still reach
   // it. Its mate takes the rest of its seat; together they never have more.
--- a/src/membership/seat_lease.ts
+++ b/src/membership/seat_lease.ts
@@ -21,7 +21,7 @@
 
 /** A promise as it came back from a mate. */
 export interface Promised {
-  /** When this instance asked for it, on its own clock. */
+  /** When this instance asked for it, on its own clock; Infinity if it lasts. */
   readonly askedMs: number;
   readonly seats: readonly { readonly index: number; readonly epoch: number }[];
 }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -40,6 +40,7 @@
 const JOIN_STEPS = 80;
 const REQUESTS_A_STEP = 3;
 const FAULT_CHANCE = 0.03;
+const MEND_CHANCE = 0.2;
 const RETRY_CHANCE = 0.3;
 const MAX_BODY = 2_000;
 const MAX_PER_ZONE = 3;
@@ -180,7 +181,8 @@
     const kinds = script?.get(step) ?? [];
     for (const kind of kinds) this.#strike(kind);
     if (script === undefined && this.#random.next() < FAULT_CHANCE) {
-      this.#strike(this.#pick(FAULTS) ?? "mend");
+      const mends = this.#random.next() < MEND_CHANCE;
+      this.#strike(mends ? "mend" : this.#pick(FAULTS) ?? "mend");
     }
   }
 
@@ -207,6 +209,7 @@
 
   /** Does something to the fleet; gives what it was done to. */
   #apply(kind: FaultKind): string | undefined {
+    if (kind === "mend") return this.#mend();
     const { network, nodes, endpoints } = this.#world;
     const node = this.#pick(nodes.filter((n) => !n.stopping));
     const other = this.#pick(nodes);
@@ -258,13 +261,10 @@
         void this.#edit("rates");
         void this.#edit("drains");
         return "rates and drains";
-      case "mend":
-        this.#mend();
-        return "all";
     }
   }
 
-  #mend(): void {
+  #mend(): string {
     const { network, nodes, endpoints } = this.#world;
     network.cuts.clear();
     Object.assign(network.faults, { drop: 0, repeat: 0 });
@@ -273,7 +273,11 @@
       n.clock.resume(() => this.#checks.step());
       Object.assign(n.platform.faults, { down: 0, lost: 0, stale: 0 });
     }
-    for (const { zone } of ZONES) this.#refill(zone);
+    for (const { zone } of ZONES) {
+      this.#refill(zone);
+      this.#refill(zone);
+    }
+    return "all";
   }
 
   /** Every process of a region dies; new ones start there when all is mended. */
--- a/tools/soak/soak_world.ts
+++ b/tools/soak/soak_world.ts
@@ -21,6 +21,11 @@
   type InstanceParts,
 } from "../../src/instance/mod.ts";
 import { FaultyPlatform } from "../../src/membership/testing/faulty_platform.ts";
+import {
+  LeasedSeats,
+  type LeasedSeatsDeps,
+  SEAT_TIMING,
+} from "../../src/membership/mod.ts";
 import { MemoryPlatform } from "../../src/platform/mod.ts";
 import { parseSettings } from "../../src/settings/mod.ts";
 import { documentSections, ZONES } from "./soak_document.ts";
@@ -40,6 +45,7 @@
 
 export const STEP_MS = 50;
 const TURNS = 12;
+const HOLD_MS = 20_000;
 
 /** Everything that runs in one soak. */
 export class SoakWorld {
@@ -64,7 +70,7 @@
       clock: this.clock,
       random: this.random,
     });
-    this.#parts = parts;
+    this.#parts = { seats: ShortHoldSeats, ...parts };
   }
 
   /** Publishes the document and starts two instances a zone. */
@@ -167,6 +173,13 @@
   }
 }
 
+/** An hour's hold would leave a zone whose instances all died dark to the end. */
+class ShortHoldSeats extends LeasedSeats {
+  constructor(deps: LeasedSeatsDeps) {
+    super({ ...deps, timing: { ...SEAT_TIMING, holdMs: HOLD_MS } });
+  }
+}
+
 /** Listeners without sockets: the node's name is its address. */
 class SoakListeners implements InstanceListeners {
   readonly #node: SoakNode;
