--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -35,7 +35,12 @@
 import type { Sender } from "../gen/peer_pb.ts";
 import { SenderSchema } from "../gen/peer_pb.ts";
 import { create } from "@bufbuild/protobuf";
-import { dutyHolder, type LeasedSeats, Roster } from "../membership/mod.ts";
+import {
+  dutyHolder,
+  type LeasedSeats,
+  ListReader,
+  Roster,
+} from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
   type DocumentTransport,
@@ -85,7 +90,6 @@
   leaving: undefined;
 }
 
-const LIST_EVERY_MS = 1_000;
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
 const LEAVE_NOTICE_MS = MAX_REUSE_MS;
@@ -122,7 +126,6 @@
   #document: SteeringDocument = emptyDocument();
   #joined = false;
   #leaving = false;
-  #listedAt = -Infinity;
   #closed: Promise<void> | undefined;
   #preparedAt = -Infinity;
 
@@ -236,7 +239,15 @@
       run: (now) => this.#steering.tick(now),
     });
     this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
-    this.#ticks.add({ name: "list", run: (now) => this.#readList(now) });
+    this.#ticks.add(this.#roster);
+    this.#ticks.add(
+      new ListReader({
+        ...deps,
+        instance: cfg.instance.id,
+        zone: cfg.instance.zone,
+        roster: this.#roster,
+      }),
+    );
   }
 
   /** Opens the listeners, joins the others and begins to serve. */
@@ -521,12 +532,4 @@
       state: this.#leaving ? "leaving" : "live",
     };
   }
-
-  #readList(now: number): void {
-    if (now - this.#listedAt < LIST_EVERY_MS) return;
-    this.#listedAt = now;
-    void this.#deps.platform.instances().then((listed) => {
-      if (listed.isOk()) this.#roster.adoptList(listed.value);
-    });
-  }
 }
