Shorten loans to 900 ms, test failures one by one, and note the design

When the one instance died that all callers of an account used, its parts stayed away for the whole loan: 204 of 16,914 requests within rate were refused (1.206%). With loans of 900 ms in place of 1,200 it is 134 (0.792%).

A slot taken back with its lease was the one deliberate fault that the random runs did not find; a test that cuts a borrower off while it works finds it. Others cover a burst smaller than the fleet, an account over its rate, a long pause, an idle account's burst, and a seat that the document adds.

--- a/src/decisions/budgets/lease.ts
+++ b/src/decisions/budgets/lease.ts
@@ -13,13 +13,14 @@
 /**
  * Length of a loan, in milliseconds.
  *
- * It is what is lost when a borrower dies, and what a pause may cost: shorter
- * loses parts to a slow message, longer keeps a dead borrower's part away.
+ * A dead borrower's part is away for so long: with 1,200 instead, 1.206% of
+ * the requests within rate were refused when the one instance died that all
+ * callers used, with 900 it was 0.792%. Shorter loses parts to slow messages.
  */
-export const LEASE_MS = 1_200;
+export const LEASE_MS = 900;
 
 /** A loan is prolonged once less than this is left, in milliseconds. */
-export const RENEW_BELOW_MS = 800;
+export const RENEW_BELOW_MS = 650;
 
 /** How far a clock may run fast or slow; quartz is a hundred times better. */
 export const MAX_DRIFT = 0.01;
--- a/src/decisions/budgets/testing/lend_model.ts
+++ b/src/decisions/budgets/testing/lend_model.ts
@@ -50,7 +50,7 @@
 const ACCOUNT = "a" as AccountId;
 const BURST = 8;
 /** Three steps end just inside a lease, four outside. */
-const STEP_MS = 395;
+const STEP_MS = 295;
 const START_MS = 5_000;
 
 /** Searches every order of steps; throws where parts pass the whole. */
--- /dev/null
+++ b/src/instance/fleet_budgets_test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import type { AccountId } from "../core/mod.ts";
+import { BudgetFleet, type FleetFigures } from "./testing/budget_fleet.ts";
+
+const ACCOUNT = "a" as AccountId;
+
+function figures(over: Partial<FleetFigures> = {}): FleetFigures {
+  return {
+    zones: { x: 2, y: 2 },
+    rates: { a: { rate_per_s: 100, burst: 50 } },
+    slots: 6,
+    deadlineMs: 800,
+    ...over,
+  };
+}
+
+async function startFleet(over: Partial<FleetFigures> = {}, seed = 1) {
+  const fleet = new BudgetFleet(seed, figures(over));
+  await fleet.advance(1_500);
+  const [first, second] = fleet.live();
+  return { fleet, first: first!, second: second! };
+}
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>;
+
+/** Offers requests evenly at one instance; counts what became of them. */
+async function offer(
+  { fleet, first }: Fleet,
+  { perS, seconds }: { perS: number; seconds: number },
+) {
+  const tally = { ok: 0, refused: 0, withoutRetry: 0, slowestMs: 0 };
+  for (let i = 0; i < perS * seconds; i++) {
+    const at = fleet.time.now;
+    void fleet.request(first, "a", 800)?.then((result) => {
+      if (result.isOk()) {
+        tally.ok += 1;
+        return;
+      }
+      tally.refused += 1;
+      tally.slowestMs = Math.max(tally.slowestMs, fleet.time.now - at);
+      if (!((result.error.retryAfterMs ?? 0) > 0)) tally.withoutRetry += 1;
+    });
+    await fleet.advance(1_000 / perS);
+  }
+  await fleet.advance(800);
+  return tally;
+}
+
+// All callers of an account use one of four instances. With parts that never
+// move three quarters of its requests are refused though it keeps its rate.
+test("callers that all use one instance get the whole rate", async (t) => {
+  const tally = await offer(await startFleet(), { perS: 90, seconds: 4 });
+  t.is(tally.refused, 0);
+  t.is(tally.ok, 360);
+});
+
+// The burst is smaller than the number of instances, so that no instance has
+// a whole token of its own, and each request would be refused for ever.
+test("a burst smaller than the fleet still serves requests", async (t) => {
+  const rates = { a: { rate_per_s: 4, burst: 2 } };
+  const tally = await offer(await startFleet({ rates }), {
+    perS: 3,
+    seconds: 6,
+  });
+  t.is(tally.refused, 0);
+});
+
+// One tenant sends four times its rate. It must not get more, and what it does
+// not get is refused at once with a time to come back, not after a long wait.
+test("an account over its rate is refused at once", async (t) => {
+  const fleet = await startFleet();
+  await offer(fleet, { perS: 400, seconds: 2 });
+  const tally = await offer(fleet, { perS: 400, seconds: 2 });
+  t.true(tally.refused > 500, `only ${tally.refused} were refused`);
+  t.is(tally.withoutRetry, 0);
+  t.true(tally.slowestMs < 200, `a refusal took ${tally.slowestMs} ms`);
+  t.is(fleet.fleet.overRate("a"), 0);
+});
+
+// An instance stands still for longer than its leases while others take its
+// parts over. If it went on with what it had, the account would get its rate
+// twice for a moment.
+test("a pause longer than the lease leaves nothing to spend", async (t) => {
+  const { fleet, first } = await startFleet();
+  await offer({ fleet, first, second: first }, { perS: 90, seconds: 2 });
+  const before = first.budgets.spendable(ACCOUNT, first.clock.now());
+  t.true(before.fraction > 0.25, `had ${before.fraction}`);
+  fleet.pause(first, 4_000);
+  await fleet.advance(3_999);
+  const after = first.budgets.spendable(ACCOUNT, first.clock.now());
+  t.deepEqual(after, { fraction: 0, room: 0, tokens: 0 });
+});
+
+// An idle account's burst must be there when it is wanted, also where nobody
+// looked at the account while its seat was renewed many times.
+test("an account that was idle has its whole burst", async (t) => {
+  const { fleet } = await startFleet();
+  await fleet.advance(8_000);
+  const tokens = fleet.live().map(({ budgets, clock }) =>
+    budgets.spendable(ACCOUNT, clock.now()).tokens
+  );
+  t.is(Math.round(tokens.reduce((n, x) => n + x, 0)), 50);
+});
+
+// An instance that has borrowed slots no longer reaches its neighbour. It
+// begins requests until its lease ends, and they run on until their deadline.
+// Were the slots lent out again with the lease, the endpoint would run more
+// requests than it has slots. Both always have work; every event is checked.
+test("borrowed slots stay taken while work in them runs", async (t) => {
+  let borrowed = 0;
+  for (let cutMs = 0; cutMs < 400; cutMs += 50) {
+    const { fleet, first, second } = await startFleet({ zones: { x: 2 } });
+    const endpoint = "endpoint-x" as never;
+    for (let ms = 0; ms < 1_000 + cutMs; ms += 10) {
+      fleet.work(first, 790);
+      await fleet.advance(10);
+    }
+    const limit = first.budgets.slotLimits.limit(endpoint, first.clock.now());
+    borrowed = Math.max(borrowed, limit - 3);
+    fleet.faults.drop = 1;
+    for (let ms = 0; ms < 3_000; ms += 10) {
+      fleet.work(first, 790);
+      fleet.work(second, 790);
+      await fleet.advance(10);
+    }
+  }
+  t.true(borrowed > 0, "nothing was borrowed");
+});
+
+// The document adds seats while one instance does not hear of it for a while.
+// A new instance that used its part at once would make the parts pass the
+// whole; every event is checked.
+test("a new seat counts only when everybody divides anew", async (t) => {
+  const { fleet } = await startFleet();
+  fleet.change(figures({ zones: { x: 3, y: 2 } }), 3_000);
+  const added = fleet.start("x-3", "x");
+  const parts: number[] = [];
+  for (let i = 0; i < 60; i++) {
+    await fleet.advance(100);
+    parts.push(added.budgets.spendable(ACCOUNT, added.clock.now()).fraction);
+  }
+  t.is(parts[0], 0);
+  t.true(Math.abs(parts[59]! - 1 / 5) < 1e-9, `ended with ${parts[59]}`);
+});
