--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -25,7 +25,6 @@
 import type { EndpointClient } from "../endpoints/mod.ts";
 import {
   callerApp,
-  FORWARD_PATH,
   forwardApp,
   KeyRing,
   type LookupAnswer,
@@ -38,31 +37,36 @@
 import { create } from "@bufbuild/protobuf";
 import {
   dutyHolder,
-  LeasedSeats,
+  type LeasedSeats,
   ListReader,
   Roster,
 } from "../membership/mod.ts";
 import { HomeOperations } from "../operations/mod.ts";
 import {
-  batchListener,
   type DocumentTransport,
   PeerExchange,
-  peerListener,
-  PeerServer,
   type PeerTransport,
 } from "../peers/mod.ts";
 import type { ListedInstance, Platform } from "../platform/mod.ts";
 import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { ClientSites } from "./client_sites.ts";
-import { DocumentFollower } from "./document_follower.ts";
+import type { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
-import { callerOptions } from "./caller_options.ts";
-import { Listener } from "./listener.ts";
+import {
+  type InstanceListeners,
+  SocketListeners,
+} from "./instance_listeners.ts";
+import {
+  type InstanceParts,
+  makeFollower,
+  makeSeats,
+} from "./instance_parts.ts";
 import { outcomeLog } from "./outcome_log.ts";
 import { PlatformContact } from "./platform_contact.ts";
 import { Steering } from "./steering.ts";
+import { type Heritage, stopInOrder } from "./stop_sequence.ts";
 import { TickLoop } from "./tick_loop.ts";
 
 /** All that an instance is handed; nothing is global. */
@@ -75,6 +79,9 @@
   readonly random: Random;
   readonly metrics: Metrics;
   readonly log: Log;
+  /** Sockets by the settings, unless handed in. */
+  readonly listeners?: InstanceListeners;
+  readonly parts?: InstanceParts;
 }
 
 /** What an instance tells those who listen. */
@@ -83,12 +90,6 @@
   leaving: undefined;
 }
 
-interface Listeners {
-  readonly caller: Listener;
-  readonly peer: PeerServer;
-  readonly admin: Listener;
-}
-
 const INCARNATION_BYTES = 8;
 /** Callers hold a look-up's answer this long; then they know of the leaving. */
 const LEAVE_NOTICE_MS = MAX_REUSE_MS;
@@ -105,6 +106,7 @@
 export class Instance {
   readonly events: Emittery<InstanceEvents> = new Emittery();
   readonly #deps: InstanceDeps;
+  readonly #listeners: InstanceListeners;
   readonly #incarnation: string;
   readonly #keys: KeyRing;
   readonly #contact: PlatformContact;
@@ -118,21 +120,24 @@
   readonly #path: RequestPath;
   readonly #follower: DocumentFollower;
   readonly #ticks: TickLoop;
+  /** What is handed over at the end, in this order. */
+  readonly #heritage: readonly Heritage[];
   readonly #sites = new ClientSites();
   #document: SteeringDocument = emptyDocument();
-  #listeners: Listeners | undefined;
   #joined = false;
   #leaving = false;
+  #closed: Promise<void> | undefined;
   #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
     this.#deps = deps;
+    this.#listeners = deps.listeners ?? new SocketListeners(deps);
     this.#incarnation = random.hex(INCARNATION_BYTES);
     this.#contact = new PlatformContact(clock);
     this.#keys = new KeyRing(() => this.#contact.ageMs());
     this.#roster = new Roster(clock, cfg.instance.id);
-    this.#seats = new LeasedSeats({
+    this.#seats = makeSeats(deps.parts, {
       ...deps,
       instance: cfg.instance.id,
       zone: cfg.instance.zone,
@@ -167,6 +172,13 @@
       links,
       identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
     });
+    const runner = new OperationDispatch({
+      ...deps,
+      sender,
+      retries,
+      dispatcher,
+      document,
+    });
     this.#operations = new HomeOperations({
       ...deps,
       log: log.child("operations"),
@@ -176,13 +188,7 @@
         incarnation: this.#incarnation,
       },
       seats: this.#seats,
-      runner: new OperationDispatch({
-        ...deps,
-        sender,
-        retries,
-        dispatcher,
-        document,
-      }),
+      runner,
     });
     this.#exchange.register(this.#operations);
     this.#burn = new BurnPublisher({
@@ -205,12 +211,20 @@
       sender,
       retries,
       dispatcher,
-      operations: this.#operations,
+      operations: deps.parts?.operations
+        ? new deps.parts.operations(runner)
+        : this.#operations,
       document,
     });
     this.#follower = this.#makeFollower();
     this.#exchange.register(this.#follower);
     this.#exchange.register(this.#contact);
+    this.#heritage = [
+      { name: "forwards", handOver: () => this.#steering.forwardsEnded() },
+      { name: "operations", handOver: () => this.#operations.handOver() },
+      { name: "seats", handOver: () => this.#seats.handOver() },
+      { name: "burn", handOver: () => this.#burn.flush() },
+    ];
     this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
     this.#ticks.add(this.#budgets);
     this.#ticks.add(this.#sites);
@@ -252,17 +266,17 @@
 
   /** Where callers reach this instance. */
   get callerUrl(): string {
-    return this.#listeners?.caller.url ?? "";
+    return this.#listeners.callerUrl;
   }
 
   /** Where other instances reach this one. */
   get peerUrl(): string {
-    return this.#listeners?.peer.url ?? "";
+    return this.#listeners.peerUrl;
   }
 
   /** Where operators reach this instance. */
   get adminUrl(): string {
-    return this.#listeners?.admin.url ?? "";
+    return this.#listeners.adminUrl;
   }
 
   /** Whether a document is in force and the instance is not leaving. */
@@ -291,34 +305,51 @@
   }
 
   #peerStatus(): PeerStatus {
-    const traffic = this.#listeners?.peer.traffic();
-    const bytes = (traffic?.receivedBytes ?? 0) + (traffic?.sentBytes ?? 0);
-    return { batches_sent: this.#exchange.sent, listener_bytes: bytes };
+    return {
+      batches_sent: this.#exchange.sent,
+      listener_bytes: this.#listeners.peerBytes(),
+    };
   }
 
-  /** Announces leaving, lets running work end, then closes. */
+  /** Announces leaving, lets running work end, hands over, then closes. */
   async stop(): Promise<void> {
     this.#leaving = true;
     this.#seats.leave();
     await this.events.emit("leaving");
-    await this.#deps.platform.announce(this.#listed());
-    await this.#wait(LEAVE_NOTICE_MS);
-    await this.#listeners?.caller.drain();
-    await this.#steering.forwardsEnded();
-    await this.#operations.handOver();
-    await this.#seats.handOver();
-    await this.#exchange.flush();
-    await this.#burn.flush();
+    await stopInOrder({
+      ...this.#deps,
+      listeners: this.#listeners,
+      running: () => this.#running(),
+      announce: async () => {
+        await Promise.all([
+          this.#deps.platform.announce(this.#listed()),
+          this.#exchange.flush(),
+        ]);
+      },
+      flush: () => this.#exchange.flush(),
+      heritage: this.#heritage,
+      noticeMs: LEAVE_NOTICE_MS,
+    });
     await this.close();
   }
 
+  /** Requests of callers and of other instances that have not ended. */
+  #running(): number {
+    const rows = this.#steering.local.rows();
+    return rows.reduce((n, row) => n + row.inFlight, this.#path.running);
+  }
+
   /** Ends at once, cutting what runs. */
-  async close(): Promise<void> {
+  close(): Promise<void> {
+    this.#closed ??= this.#close();
+    return this.#closed;
+  }
+
+  async #close(): Promise<void> {
     this.#ticks.close();
     this.#follower.close();
     this.#budgets.close();
-    const { caller, peer, admin } = this.#listeners ?? {};
-    await Promise.all([caller?.close(), peer?.close(), admin?.close()]);
+    await this.#listeners.close();
     await this.#deps.transport.close();
     await this.#deps.endpoints.close();
     await this.#deps.platform.close();
@@ -342,35 +373,20 @@
     this.#joined = true;
   }
 
-  async #open(): Promise<Result<void, Failure>> {
-    const { cfg } = this.#deps;
-    const caller = await Listener.open(
-      cfg.caller,
-      callerApp({
+  #open(): Promise<Result<void, Failure>> {
+    return this.#listeners.open({
+      caller: callerApp({
         path: this.#path,
         lookup: (client) => this.#lookup(client),
         ready: () => this.#serving,
       }),
-      callerOptions(this.#deps),
-    );
-    if (caller.isErr()) return err(caller.error);
-    const peer = await PeerServer.open({
-      ...cfg.peer,
-      http1: this.#peerHandler(),
-      http2: batchListener((batch) => this.#exchange.answer(batch)),
+      admin: this.#adminApp(),
+      forwards: this.#forwardApp(),
+      batch: (batch) => this.#exchange.answer(batch),
+      ledger: this.#operations,
+      borrow: (call) => this.#budgets.answer(call),
+      document: this.#follower,
     });
-    if (peer.isErr()) return err(peer.error);
-    const admin = await Listener.open(
-      cfg.admin,
-      this.#adminApp(),
-    );
-    if (admin.isErr()) return err(admin.error);
-    this.#listeners = {
-      caller: caller.value,
-      peer: peer.value,
-      admin: admin.value,
-    };
-    return ok(undefined);
   }
 
   #adminApp(): RequestListener {
@@ -390,7 +406,7 @@
     const contents = new ContentStore(platform);
     const contact = this.#contact;
     const { id, zone } = cfg.instance;
-    return new DocumentFollower({
+    return makeFollower(this.#deps.parts, {
       source: new DocumentSource({
         platform,
         contents,
@@ -429,25 +445,15 @@
     return this.#joined && this.#follower.generation > 0;
   }
 
-  /** Forwarded requests beside the peers' own messages. */
-  #peerHandler(): RequestListener {
-    const peers = peerListener({
-      ledger: this.#operations,
-      borrow: (call) => this.#budgets.answer(call),
-      document: this.#follower,
-    });
+  #forwardApp(): RequestListener {
     const { intake, links, exchange } = this.#steering;
-    const forwards = forwardApp({
+    return forwardApp({
       ...this.#deps,
       intake,
       links,
       region: this.#deps.cfg.instance.region,
       peerOf: (identity) => exchange.peerOf(identity),
     });
-    return (req, res) => {
-      if (req.url?.startsWith(`${FORWARD_PATH}/`)) forwards(req, res);
-      else peers(req, res);
-    };
   }
 
   #adopt(accepted: AcceptedDocument): void {
@@ -478,6 +484,13 @@
     return { reuse_ms: entries.reuseMs(), instances };
   }
 
+  /** An instance that waits for its first seat would refuse those sent to it. */
+  #seated(entries: EntryChoice[]): EntryChoice[] {
+    const holders = new Set(this.#seats.entries().map((s) => s.holder));
+    const seated = entries.filter((e) => holders.has(e.instance));
+    return seated.length > 0 ? seated : entries;
+  }
+
   /** Once a tick: an answer is then drawn without going over all instances. */
   #prepareEntries(): void {
     const now = this.#deps.clock.now();
@@ -486,7 +499,8 @@
     const others: EntryChoice[] = this.#roster.live()
       .map((m) => ({ ...m, url: m.callerUrl }));
     const all = this.#leaving ? others : [...others, this.#self()];
-    this.#steering.entries.prepare(this.#steering.openEntries(all));
+    const open = this.#steering.openEntries(this.#seated(all));
+    this.#steering.entries.prepare(open);
   }
 
   #self(): EntryChoice {
@@ -501,7 +515,7 @@
       zone,
       region,
       incarnation: this.#incarnation,
-      peerUrl: this.#listeners?.peer.url ?? "",
+      peerUrl: this.#listeners.peerUrl,
       callerUrl: this.callerUrl,
       leaving: this.#leaving,
     });
@@ -513,13 +527,9 @@
       instance: id,
       zone,
       region,
-      peerUrl: this.#listeners?.peer.url ?? "",
+      peerUrl: this.#listeners.peerUrl,
       callerUrl: this.callerUrl,
       state: this.#leaving ? "leaving" : "live",
     };
   }
-
-  #wait(ms: number): Promise<void> {
-    return new Promise((resolve) => this.#deps.clock.after(ms, resolve));
-  }
 }
--- a/src/instance/listener.ts
+++ b/src/instance/listener.ts
@@ -13,7 +13,7 @@
   createServer as createTlsServer,
   type Server as TlsServer,
 } from "node:https";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { type Clock, fail, type Failure, type Log } from "../core/mod.ts";
 import {
@@ -29,6 +29,11 @@
   readonly port: number;
 }
 
+/**
+ * How long a connection without a request is kept, in milliseconds, where no
+ * limits are given. Answers announce it, so that callers give an idle connection up before its end.
+ */
+export const KEEP_ALIVE_MS = 3_000;
 /** What a listener may have besides its address. */
 export interface ListenerOptions {
   readonly limits?: ListenerLimits;
@@ -48,6 +53,7 @@
   readonly #server: Server;
   readonly #parts: readonly Closeable[];
   readonly url: string;
+  #leaving = false;
 
   private constructor(
     server: Server,
@@ -59,6 +65,9 @@
   ) {
     this.#server = server;
     this.#parts = parts;
+    server.prependListener("request", (_req, res) => {
+      if (this.#leaving) res.setHeader("connection", "close");
+    });
     const { port } = server.address() as AddressInfo;
     this.url = `${scheme}://${host}:${port}`;
   }
@@ -76,6 +85,7 @@
     if (made.isErr()) return err(made.error);
     const { server, parts } = made.value;
     const guard = opts.limits && new LimitGuard(server, opts.limits);
+    if (guard === undefined) server.keepAliveTimeout = KEEP_ALIVE_MS;
     server.on("request", (req, res) => {
       if (guard === undefined || guard.admit(req, res)) handler(req, res);
     });
@@ -90,20 +100,38 @@
     );
   }
 
-  /** Takes no new connection and ends when the running requests have. */
-  drain(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
+  /** From now on each answer ends its connection. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /**
+   * Takes no new connection and ends when no connection is left.
+   *
+   * A connection without a request is not closed at once: its caller may be
+   * sending the next request at this moment and would find it cut. It ends
+   * with the answer to that request, or after a few seconds, when every caller
+   * has asked anew where to go.
+   */
+  async drain(): Promise<void> {
+    this.leave();
+    const timer = setTimeout(() => {
       this.#server.closeIdleConnections();
+    }, Math.min(KEEP_ALIVE_MS, this.#server.keepAliveTimeout));
+    await new Promise<void>((resolve) => {
+      NetServer.prototype.close.call(this.#server, () => resolve());
     });
+    clearTimeout(timer);
+    this.#server.close();
   }
 
   /** Cuts every connection. */
-  async close(): Promise<void> {
+  close(): Promise<void> {
     for (const part of this.#parts) part.close();
-    const closed = this.drain();
-    this.#server.closeAllConnections();
-    await closed;
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeAllConnections();
+    });
   }
 }
 
--- a/src/membership/testing/faulty_platform.ts
+++ b/src/membership/testing/faulty_platform.ts
@@ -23,6 +23,11 @@
   lateMs: number;
 }
 
+type Found = Result<Versioned<string> | undefined, Failure>;
+
+/** How many reads are kept, to be shown again as stale ones. */
+const KEEP_CHANCE = 0.3;
+
 /** No faults. */
 export function noFaults(): PlatformFaults {
   return { down: 0, lost: 0, stale: 0, lateMs: 3_000 };
@@ -49,12 +54,7 @@
   ): Promise<Result<Versioned<string> | undefined, Failure>> {
     this.calls += 1;
     if (this.#chance(this.faults.down)) return unavailable();
-    if (this.#chance(this.faults.stale) && this.#earlier.has(key)) {
-      return ok(this.#earlier.get(key));
-    }
-    const found = await this.#inner.get(key);
-    if (found.isOk() && this.#chance(0.3)) this.#earlier.set(key, found.value);
-    return found;
+    return this.#seen(key, await this.#inner.get(key));
   }
 
   async put(
@@ -91,7 +91,8 @@
     this.calls += 1;
     if (this.#chance(this.faults.down)) return unavailable();
     const found = await this.#inner.watch(key, seen, waitMs);
-    return this.#chance(this.faults.down) ? unavailable() : found;
+    if (this.#chance(this.faults.down)) return unavailable();
+    return this.#seen(key, found);
   }
 
   async instances(): Promise<Result<readonly ListedInstance[], Failure>> {
@@ -110,6 +111,16 @@
     return Promise.resolve();
   }
 
+  /** What a copy that is behind shows, or what stands. */
+  #seen(key: string, found: Found): Found {
+    const isStale = this.#chance(this.faults.stale) && this.#earlier.has(key);
+    const earlier = this.#earlier.get(key);
+    if (found.isOk() && this.#chance(KEEP_CHANCE)) {
+      this.#earlier.set(key, found.value);
+    }
+    return isStale ? ok(earlier) : found;
+  }
+
   #chance(of: number): boolean {
     return of > 0 && this.#random.next() < of;
   }
