Judge refusals of an account over its rate by what it was given

The judge had let the first request that finds a token be the one within rate; the instances had let in others, as many.

A refusal is now wrongful where its request could have run beside everything that did run without passing rate and burst. For an account within its rate this is the same as before: each of its requests takes a token. Three cases show where the two differ, one of them a token that was left unused and still counts.

The demo also left its processes behind when it was ended from outside, and they slowed what was measured next; it now ends them.

--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -8,6 +8,7 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { stringify } from "smol-toml";
 import {
   MemoryMetrics,
@@ -44,6 +45,9 @@
   readonly adminUrl: string;
 }
 
+/** Exit code of a runner that was ended from outside. */
+const INTERRUPTED = 130;
+const SIGNALS = ["SIGINT", "SIGTERM"] as const;
 const TSX = "--import=tsx";
 const SETTLE_POLL_MS = 100;
 const SETTLE_LIMIT_MS = 15_000;
@@ -64,6 +68,9 @@
   /** Starts all processes and waits until every instance is ready. */
   static async start(deployment: Deployment): Promise<Fleet> {
     const fleet = new Fleet(deployment);
+    // A runner that is ended from outside would leave its processes behind,
+    // and they would slow down whatever is measured next on the machine.
+    for (const signal of SIGNALS) process.once(signal, fleet.#abandon);
     try {
       await fleet.#start();
       return fleet;
@@ -74,6 +81,7 @@
   }
 
   async close(): Promise<void> {
+    for (const signal of SIGNALS) process.off(signal, this.#abandon);
     await Promise.all(this.#children.map((child) => end(child, "SIGKILL")));
     if (this.#dir) await rm(this.#dir, { recursive: true });
   }
@@ -145,6 +153,10 @@
     return all.flat();
   }
 
+  readonly #abandon = () => {
+    void this.close().then(() => process.exit(INTERRUPTED));
+  };
+
   async #start(): Promise<void> {
     this.#dir = await mkdtemp(join(tmpdir(), "magnoliahook-"));
     const store = await this.#launch<{ url: string }>([
--- a/tools/demo/judge.ts
+++ b/tools/demo/judge.ts
@@ -6,7 +6,7 @@
  */
 import { TokenBucket } from "../../src/decisions/limits/mod.ts";
 import type { RunRecord } from "../standins/endpoint_server.ts";
-import type { Deployment } from "./deployments.ts";
+import type { Deployment, DeploymentAccount } from "./deployments.ts";
 import type { EventRecord, SentRecord } from "./records.ts";
 
 /** All that is judged. */
@@ -40,6 +40,7 @@
   readonly worst_account_ok_ratio: number;
 }
 
+const MS_PER_S = 1_000;
 const WITHDRAWAL_MS = 5_000;
 const DRAIN_MS = 2_000;
 const MAX_REASON = 160;
@@ -86,24 +87,72 @@
 }
 
 /**
- * Requests that one bucket for the whole fleet would have let in. A request
- * that it would have refused spends nothing.
+ * Requests within their account's rate and burst: all that were not refused,
+ * and each refused one that could have run beside all that did. Which of two
+ * equal requests of an account over its rate is let in does not matter.
  */
 function withinRate({ deployment, sent, event }: Evidence): Set<SentRecord> {
   const within = new Set<SentRecord>();
-  const buckets = bucketsOf(deployment, sent[0]?.sentAt ?? 0);
-  for (const s of [...sent].sort((a, b) => a.sentAt - b.sentAt)) {
-    if (
-      s.account === event.withdrawnAccount &&
-      s.endedAt >= (event.withdrawnAt ?? 0)
-    ) {
-      continue;
-    }
-    if (buckets.get(s.account)?.take(s.sentAt)) within.add(s);
+  for (const [account, size] of Object.entries(deployment.accounts)) {
+    const own = sent.filter((s) => s.account === account && hadKey(s, event))
+      .sort((a, b) => a.sentAt - b.sentAt);
+    addWithin(own, size, within);
   }
   return within;
 }
 
+function hadKey(s: SentRecord, event: EventRecord): boolean {
+  return s.account !== event.withdrawnAccount ||
+    s.endedAt < (event.withdrawnAt ?? 0);
+}
+
+function addWithin(
+  own: readonly SentRecord[],
+  size: DeploymentAccount,
+  within: Set<SentRecord>,
+): void {
+  let tokens = size.burst;
+  let at = own[0]?.sentAt ?? 0;
+  for (const [i, s] of own.entries()) {
+    tokens = fill(tokens, s.sentAt - at, size);
+    at = s.sentAt;
+    const runs = s.result !== "not_run" || fits(own, { from: i, tokens, size });
+    if (!runs) continue;
+    tokens -= 1;
+    within.add(s);
+  }
+}
+
+/** Whether a token spent here is missing to nothing that did run later. */
+function fits(
+  own: readonly SentRecord[],
+  { from, tokens, size }: {
+    from: number;
+    tokens: number;
+    size: DeploymentAccount;
+  },
+): boolean {
+  let left = tokens - 1;
+  let at = own[from]?.sentAt ?? 0;
+  for (const later of own.slice(from + 1)) {
+    if (left < 0) return false;
+    left = fill(left, later.sentAt - at, size);
+    at = later.sentAt;
+    // A full bucket is the same whether or not the token was spent.
+    if (left >= size.burst) return true;
+    if (later.result !== "not_run") left -= 1;
+  }
+  return left >= 0;
+}
+
+function fill(
+  tokens: number,
+  elapsedMs: number,
+  { ratePerS, burst }: DeploymentAccount,
+): number {
+  return Math.min(burst, tokens + elapsedMs / MS_PER_S * ratePerS);
+}
+
 function bucketsOf(
   deployment: Deployment,
   now: number,
--- a/tools/demo/judge_test.ts
+++ b/tools/demo/judge_test.ts
@@ -118,6 +118,31 @@
     expect: { wrongful_refusals: 0, worst_account_ok_ratio: 1 },
     broken: false,
   },
+  {
+    name: "a refusal before others that used up the burst",
+    sent: [sent("1", { result: "not_run" }), sent("2"), sent("3")],
+    runs: [ran("2"), ran("3")],
+    expect: { wrongful_refusals: 0, worst_account_ok_ratio: 1 },
+    broken: false,
+  },
+  {
+    name: "a refusal before another that left a token unused",
+    sent: [sent("1", { result: "not_run" }), sent("2")],
+    runs: [ran("2")],
+    expect: { wrongful_refusals: 1, worst_account_ok_ratio: 0.5 },
+    broken: false,
+  },
+  {
+    name: "a refusal whose token would have been there again later",
+    sent: [
+      sent("1", { result: "not_run" }),
+      sent("2", { sentAt: 1_000, endedAt: 1_010 }),
+      sent("3", { sentAt: 1_000, endedAt: 1_010 }),
+    ],
+    runs: [ran("2", { startedAt: 1_001 }), ran("3", { startedAt: 1_001 })],
+    expect: { wrongful_refusals: 1 },
+    broken: false,
+  },
   {
     name: "a run five seconds and more after its key was withdrawn",
     sent: [],
