Let a retry after a try that may have run spend the rate again

An account's rate was spent once a request, however often it was tried. An endpoint that takes requests and breaks off has them tried elsewhere, up to three times, each a run that the account's rate did not pay for. A retry after a try whose outcome is unknown now takes a token first, and without one the failure stands; a try that surely did not run has spent nothing.

The new test failed before (one token for two runs) and passes now (two), and a try that did not run still spends one.

--- a/src/gateway/request_path.ts
+++ b/src/gateway/request_path.ts
@@ -214,9 +214,24 @@
       }, clock.now());
       if (waitMs === undefined) return err(last);
       await sleep(clock, waitMs);
+      const paid = await this.#payAgain(admitted, answer.error);
+      if (paid.isErr()) return err(last);
     }
   }
 
+  /**
+   * A try that may have run has used its part of the account's rate. Without
+   * this, an account whose endpoints fail would run more than its rate, once
+   * more for each retry.
+   */
+  async #payAgain(
+    { account, deadline, signal }: Admitted,
+    failed: Failure,
+  ): Promise<Result<void, Failure>> {
+    if (failed.outcome === "not-run") return ok(undefined);
+    return await this.#deps.limiter.take(account, { deadline, signal });
+  }
+
   /** Not idempotent: runs under an operation id, at most once. */
   async #runOnce(
     admitted: Admitted,
