Take a new home from a new look-up after a refusal

The caller library did take another home after each refusal, but from the look-up it already had, whose homes in that region all named the same place, and so failed three times within a third of a second.

A new home now comes from a new look-up. The new test, two instances whose homes change with each look-up, failed before (look-up 1 twice) and passes now.

An attempt whose outcome is unknown now marks the operation before it is decided whether to try again, where it was lost if the deadline left no time.

--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -121,12 +121,12 @@
       }
       const outcome = outcomeOf(last.error, binding);
       last = err({ ...last.error, outcome });
-      if (!mayRetry(last.error, binding)) break;
-      binding = this.#rebind(binding, { failure: last.error, next: i + 1 });
+      const again = mayRetry(last.error, binding);
+      if (outcome === "unknown") binding = { ...binding, uncertain: true };
       const waitMs = this.#backoff(i, last.error);
-      if (this.#clock.now() + waitMs >= deadline) break;
+      if (!again || this.#clock.now() + waitMs >= deadline) break;
       await sleep(this.#clock, waitMs);
-      if (outcome === "not-run") this.#choicesUntil = -Infinity;
+      if (outcome === "not-run") binding = await this.#rebind(binding, i + 1);
     }
     if (req.operationId) this.#bindings.keep(req.operationId, binding);
     return last;
@@ -155,13 +155,14 @@
     return { home, round: 0, uncertain: false };
   }
 
-  /** A new home only after a true `not-run`; else the old one stays. */
-  #rebind(
-    binding: HomeBinding,
-    { failure, next }: { failure: Failure; next: number },
-  ): HomeBinding {
-    if (failure.outcome !== "not-run") return { ...binding, uncertain: true };
-    const homes = this.#choices?.instances ?? [];
+  /**
+   * A new home, after a true `not-run` alone, from a new look-up: the homes
+   * known so far may share what refused the request, as when the instance
+   * that keeps their second records has died.
+   */
+  async #rebind(binding: HomeBinding, next: number): Promise<HomeBinding> {
+    this.#choicesUntil = -Infinity;
+    const homes = (await this.#lookup())?.instances ?? [];
     const home = homes[next % Math.max(1, homes.length)]?.home;
     return { home, round: binding.round + 1, uncertain: false };
   }
--- a/src/client/client_test.ts
+++ b/src/client/client_test.ts
@@ -31,6 +31,7 @@
 async function makeSetup(
   t: ExecutionContext,
   script: readonly Answer[],
+  homeOf: (instance: number, lookup: number) => string = (i) => `home-${i}`,
 ): Promise<Setup> {
   const seen: Seen[] = [];
   let lookups = 0;
@@ -39,7 +40,10 @@
     (instance: number) => (req: IncomingMessage, res: ServerResponse) => {
       if (req.url === "/v1/lookup") {
         lookups += 1;
-        const instances = urls.map((url, i) => ({ url, home: `home-${i}` }));
+        const instances = urls.map((url, i) => ({
+          url,
+          home: homeOf(i, lookups),
+        }));
         res.end(JSON.stringify({ reuse_ms: 60_000, instances }));
         return;
       }
@@ -188,6 +192,28 @@
  * A look-up for each would fall on instances that may be slow already, and the
  * requests would spend their patience on it.
  */
+test("after a refusal the next home comes from a new look-up", async (t) => {
+  // The instance that kept the second records of every home known so far has
+  // died. Tried again at those homes, the request is refused until the
+  // look-up runs out, although new homes would take it.
+  const { client, seen } = await makeSetup(
+    t,
+    [NO_ROOM, "ok"],
+    (instance, lookup) => `home-${instance}-${lookup}`,
+  );
+  const sent = await client.send({
+    service: "orders",
+    method: "POST",
+    path: "/",
+    body: "x",
+    timeoutMs: 2_000,
+    idempotent: false,
+  });
+  t.true(sent.isOk());
+  const lookups = seen.map((s) => /^home-\d-(\d)/.exec(s.home)?.[1]);
+  t.deepEqual(lookups, ["1", "2"]);
+});
+
 test("requests that begin together share a look-up", async (t) => {
   const { client, lookups } = await makeSetup(t, []);
   await Promise.all(Array.from({ length: 20 }, () => client.send(REQUEST)));
