Parse client addresses without the network module

The decision code that finds a client's site took its address checks from node:net, where decisions import no network. It now uses the patterns of the schema library, and the code for zone names and dotted groups within IPv6, which those patterns refuse, is gone. The block and map tests pass as before (19).

--- a/src/decisions/clients/cidr.ts
+++ b/src/decisions/clients/cidr.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { isIPv4, isIPv6 } from "node:net";
+import { z } from "zod";
 
 /** An address family. */
 export type Family = "v4" | "v6";
@@ -18,6 +18,7 @@
   readonly length: number;
 }
 
+const { ipv4: IPV4, ipv6: IPV6 } = z.core.regexes;
 const V4_IN_V6 = "::ffff:";
 const GROUPS_USED = 3;
 const GROUPS = 8;
@@ -63,10 +64,10 @@
  */
 export function parseAddress(text: string): Address | undefined {
   const plain = text.startsWith(V4_IN_V6) ? text.slice(V4_IN_V6.length) : text;
-  if (isIPv4(plain)) {
+  if (IPV4.test(plain)) {
     return { family: "v4", value: v4Value(plain), lowBits: false };
   }
-  return isIPv6(text) ? parseV6(text) : undefined;
+  return IPV6.test(text) ? parseV6(text) : undefined;
 }
 
 /** How many addresses a block of this length holds. */
@@ -79,7 +80,7 @@
 }
 
 function parseV6(text: string): Address {
-  const [head = "", tail] = (text.split("%")[0] ?? "").split("::");
+  const [head = "", tail] = text.split("::");
   const before = groupsOf(head);
   const after = tail === undefined ? [] : groupsOf(tail);
   const zeros = GROUPS - before.length - after.length;
@@ -95,10 +96,5 @@
 }
 
 function groupsOf(text: string): number[] {
-  if (text === "") return [];
-  return text.split(":").flatMap((group) => {
-    if (!group.includes(".")) return [parseInt(group, 16)];
-    const value = v4Value(group);
-    return [Math.floor(value / 65_536), value % 65_536];
-  });
+  return text === "" ? [] : text.split(":").map((group) => parseInt(group, 16));
 }
