Keep the random run that ran an operation twice

Its shortest trace has lost messages between instances, a pause 269 steps before, stale reads of the store, and an instance that stopped in good order 53 steps before.

Until it is mended, "at most once" holds in what was run otherwise, and not always.

--- a/tools/soak/soak_test.ts
+++ b/tools/soak/soak_test.ts
@@ -10,6 +10,14 @@
 const STEPS = 100;
 const EDITS_AT = [10, 30, 50, 70, 90, 110, 130, 150];
 
+test("what must always hold does, seed 205 at 480 steps", async (t) => {
+  // A tenth of the messages between instances is lost, an instance was paused
+  // earlier, and another stops in good order. A caller that repeats its request
+  // has it run a second time, as a doubled order. How is not known yet.
+  const result = await soak({ seed: 205, steps: 480 });
+  t.deepEqual(result.violations, []);
+});
+
 for (const seed of [1, 2]) {
   test(`what must always hold does, seed ${seed}`, async (t) => {
     // Instances die, pause and leave, messages and answers are lost, operators
