Order sections once a rebuild, and drop what the change had left over

Read again, the client map sorted its sections anew for each of up to 4,096 parts of a rebuild; they are now put in order once a rebuild. The order of blocks stood in three places and is one function. `ClientMap.sections` and the unary `Exchange` call, which nothing uses since batches go over a kept stream, are gone.

--- a/src/decisions/clients/client_map.ts
+++ b/src/decisions/clients/client_map.ts
@@ -11,6 +11,7 @@
  */
 import { blockSize, type Family, parseAddress } from "./cidr.ts";
 import {
+  byStart,
   lowerBound,
   type PackedBlocks,
   type PackedFamily,
@@ -83,19 +84,15 @@
     this.#swap(name, undefined);
   }
 
-  /** Names of the sections held. */
-  sections(): string[] {
-    return [...this.#sections.keys()];
-  }
-
   /** Rebuilds up to `limit` stale parts and gives how many are left. */
   rebuild(limit: number): number {
+    const sections = this.#inOrder();
     let done = 0;
     for (const family of ["v4", "v6"] as const) {
       for (const part of this.#stale[family]) {
         if (done++ >= limit) return this.stale;
         this.#stale[family].delete(part);
-        this.#tables[family][part] = this.#build(family, part);
+        this.#tables[family][part] = buildTable(sections, { family, part });
       }
     }
     return this.stale;
@@ -151,16 +148,18 @@
     return [...this.#sections].sort(([a], [b]) => a < b ? -1 : 1)
       .map(([, section]) => section);
   }
+}
 
-  #build(family: Family, part: number): RangeTable | undefined {
-    const blocks: SiteBlock[] = [];
-    for (const { blocks: packed, numbers } of this.#inOrder()) {
-      collect(packed[family], { family, part, numbers, into: blocks });
-    }
-    if (blocks.length === 0) return undefined;
-    blocks.sort((a, b) => a.start - b.start || a.length - b.length);
-    return flatten(family, blocks);
+function buildTable(
+  sections: readonly NumberedBlocks[],
+  { family, part }: Pick<Collecting, "family" | "part">,
+): RangeTable | undefined {
+  const blocks: SiteBlock[] = [];
+  for (const { blocks: packed, numbers } of sections) {
+    collect(packed[family], { family, part, numbers, into: blocks });
   }
+  if (blocks.length === 0) return undefined;
+  return flatten(family, blocks.sort(byStart));
 }
 
 function partOf(family: Family, value: number): number {
@@ -269,5 +268,5 @@
 function compare(a: SiteBlock | undefined, b: SiteBlock | undefined): number {
   if (a === undefined) return 1;
   if (b === undefined) return -1;
-  return a.start - b.start || a.length - b.length;
+  return byStart(a, b);
 }
--- a/src/decisions/clients/packed_blocks.ts
+++ b/src/decisions/clients/packed_blocks.ts
@@ -32,7 +32,7 @@
   family: Family,
 ): PackedFamily {
   const own = blocks.filter((b) => b.family === family)
-    .sort((a, b) => a.start - b.start || a.length - b.length);
+    .sort(byStart);
   return {
     starts: startArray(family, own.map((b) => b.start)),
     lengths: Uint8Array.from(own, (b) => b.length),
@@ -40,6 +40,11 @@
   };
 }
 
+/** The order of packed blocks: by start, the wider one first. */
+export function byStart(a: Block, b: Block): number {
+  return a.start - b.start || a.length - b.length;
+}
+
 /** Numbers of a family in the smallest array that holds them exactly. */
 export function startArray(
   family: Family,
--- a/src/peers/connect_transport.ts
+++ b/src/peers/connect_transport.ts
@@ -288,7 +288,6 @@
   return connectNodeAdapter({
     routes: (router) => {
       router.service(PeerService, {
-        exchange: (batch) => handler(batch),
         converse: (batches) => answerEach(batches, handler),
       });
     },
