Move the product's own store interface to src/store

Cause: the folder platform/ at the root is to hold the adapter to the users' platform, and src/platform held the product's own store interface; one word would have meant two things. Change: the folder is renamed, imports follow; nothing else changes. Ruled out: renaming the interface Platform too; it would touch every test. Measured: types, formatter and linter clean.

--- a/src/admin/admin_app_test.ts
+++ b/src/admin/admin_app_test.ts
@@ -8,8 +8,8 @@
   type SteeringDocument,
 } from "../document/mod.ts";
 import { Listener } from "../instance/listener.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
-import { FaultyPlatform } from "../platform/testing/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
+import { FaultyPlatform } from "../store/testing/mod.ts";
 import { adminApp } from "./admin_app.ts";
 import { ADMIN_ROUTES } from "./routes.ts";
 
--- a/src/admin/bootstrap_test.ts
+++ b/src/admin/bootstrap_test.ts
@@ -9,7 +9,7 @@
 import { HttpEndpointClient } from "../endpoints/mod.ts";
 import { Instance } from "../instance/mod.ts";
 import { ConnectPeerTransport } from "../peers/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
 import { parseSettings } from "../settings/mod.ts";
 
 const BOOTSTRAP = "bootstrap-token";
--- a/src/admin/routes.ts
+++ b/src/admin/routes.ts
@@ -18,7 +18,7 @@
   SectionName,
   type SteeringDocument,
 } from "../document/mod.ts";
-import type { ListedInstance, Platform } from "../platform/mod.ts";
+import type { ListedInstance, Platform } from "../store/mod.ts";
 import { mayEdit, type Role } from "./access.ts";
 import { etagOf } from "./answers.ts";
 import type { InstanceStatus } from "./status.ts";
--- a/src/cli/commands/report.ts
+++ b/src/cli/commands/report.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Failure } from "../../core/mod.ts";
 import { type SteeringDocument, zonesOf } from "../../document/mod.ts";
-import type { Platform } from "../../platform/mod.ts";
+import type { Platform } from "../../store/mod.ts";
 import {
   BURN_PREFIX,
   burnReport,
--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -12,7 +12,7 @@
   type Random,
 } from "../core/mod.ts";
 import { DocumentStore } from "../document/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../store/mod.ts";
 import { loadSettings } from "../settings/mod.ts";
 import { EXIT, type ExitCode, exitCodeOf } from "./exit.ts";
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -15,7 +15,7 @@
 import { HttpEndpointClient } from "../endpoints/mod.ts";
 import { Instance } from "../instance/mod.ts";
 import { ConnectPeerTransport } from "../peers/mod.ts";
-import { HttpPlatform } from "../platform/mod.ts";
+import { HttpPlatform } from "../store/mod.ts";
 import { loadSettings, type Settings } from "../settings/mod.ts";
 import { type CliContext, PLATFORM_TOKEN } from "./context.ts";
 import { EXIT, type ExitCode } from "./exit.ts";
--- a/src/cli/system_context.ts
+++ b/src/cli/system_context.ts
@@ -6,7 +6,7 @@
 import { readFile, writeFile } from "node:fs/promises";
 import process from "node:process";
 import { MemoryMetrics, SystemClock, SystemRandom } from "../core/mod.ts";
-import { HttpPlatform } from "../platform/mod.ts";
+import { HttpPlatform } from "../store/mod.ts";
 import type { CliContext } from "./context.ts";
 
 /** Commands against the machine's files, environment and network. */
--- a/src/cli/testing/test_context.ts
+++ b/src/cli/testing/test_context.ts
@@ -5,7 +5,7 @@
  */
 import { readFile, writeFile } from "node:fs/promises";
 import { MemoryMetrics, SeededRandom, SystemClock } from "../../core/mod.ts";
-import { HttpPlatform, type Platform } from "../../platform/mod.ts";
+import { HttpPlatform, type Platform } from "../../store/mod.ts";
 import type { CliContext } from "../context.ts";
 import type { ExitCode } from "../exit.ts";
 import { run } from "../program.ts";
--- a/src/document/document_store.ts
+++ b/src/document/document_store.ts
@@ -13,7 +13,7 @@
   type Random,
   sleep,
 } from "../core/mod.ts";
-import type { Platform, Versioned } from "../platform/mod.ts";
+import type { Platform, Versioned } from "../store/mod.ts";
 import {
   parseDocument,
   type RawSections,
--- a/src/document/document_store_faults_test.ts
+++ b/src/document/document_store_faults_test.ts
@@ -1,7 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { type Failure, SeededRandom, SystemClock } from "../core/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
-import { FaultyPlatform } from "../platform/testing/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
+import { FaultyPlatform } from "../store/testing/mod.ts";
 import { DocumentStore, type Edit } from "./document_store.ts";
 import { contentKey, MANIFEST_KEY } from "./manifest.ts";
 import type { SectionName } from "./sections.ts";
--- a/src/document/document_store_test.ts
+++ b/src/document/document_store_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { ManualClock, SeededRandom } from "../core/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
 import { DocumentStore, type Edit } from "./document_store.ts";
 import type { SectionName } from "./sections.ts";
 
--- a/src/document/hostile_input_test.ts
+++ b/src/document/hostile_input_test.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { MemoryMetrics, SystemClock } from "../core/mod.ts";
-import { HttpPlatform, MemoryPlatform } from "../platform/mod.ts";
+import { HttpPlatform, MemoryPlatform } from "../store/mod.ts";
 import { loadSettings, parseSettings } from "../settings/mod.ts";
 import { parseSummary } from "../slo/mod.ts";
 import {
--- a/src/document/manifest_writer.ts
+++ b/src/document/manifest_writer.ts
@@ -6,7 +6,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type Clock, type Failure, failure, sleep } from "../core/mod.ts";
-import type { Platform, Versioned } from "../platform/mod.ts";
+import type { Platform, Versioned } from "../store/mod.ts";
 import { canonicalJson, type Manifest, MANIFEST_KEY } from "./manifest.ts";
 
 /** What a writer needs. */
--- a/src/instance/document_follower_test.ts
+++ b/src/instance/document_follower_test.ts
@@ -6,8 +6,8 @@
   type SectionName,
 } from "../document/mod.ts";
 import type { DocumentTransport } from "../peers/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
-import { FaultyPlatform } from "../platform/testing/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
+import { FaultyPlatform } from "../store/testing/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { PlatformContact } from "./platform_contact.ts";
--- a/src/instance/document_in_force_test.ts
+++ b/src/instance/document_in_force_test.ts
@@ -21,8 +21,8 @@
 import { KeyRing } from "../gateway/mod.ts";
 import { BatchSchema, SenderSchema } from "../gen/peer_pb.ts";
 import type { DocumentTransport } from "../peers/mod.ts";
-import { MemoryPlatform, type Platform } from "../platform/mod.ts";
-import { FaultyPlatform } from "../platform/testing/mod.ts";
+import { MemoryPlatform, type Platform } from "../store/mod.ts";
+import { FaultyPlatform } from "../store/testing/mod.ts";
 import { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
 import { PlatformContact } from "./platform_contact.ts";
--- a/src/instance/document_source.ts
+++ b/src/instance/document_source.ts
@@ -14,7 +14,7 @@
   type SectionContent,
 } from "../document/mod.ts";
 import type { DocumentTransport } from "../peers/mod.ts";
-import type { Platform, Versioned } from "../platform/mod.ts";
+import type { Platform, Versioned } from "../store/mod.ts";
 import type { PlatformContact } from "./platform_contact.ts";
 
 /** A manifest as it was found. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -47,7 +47,7 @@
   PeerExchange,
   type PeerTransport,
 } from "../peers/mod.ts";
-import type { ListedInstance, Platform } from "../platform/mod.ts";
+import type { ListedInstance, Platform } from "../store/mod.ts";
 import { BurnPublisher } from "../slo/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { ClientSites } from "./client_sites.ts";
--- a/src/instance/testing/budget_fleet.ts
+++ b/src/instance/testing/budget_fleet.ts
@@ -45,7 +45,7 @@
 } from "../../membership/mod.ts";
 import { FaultyPlatform } from "../../membership/testing/faulty_platform.ts";
 import type { PeerSubsystem } from "../../peers/mod.ts";
-import { MemoryPlatform } from "../../platform/mod.ts";
+import { MemoryPlatform } from "../../store/mod.ts";
 import { FleetBudgets, type ReachablePeer } from "../fleet_budgets.ts";
 import { FakeSeats, SeatTable } from "./fake_seats.ts";
 import { ProcessClock, VirtualTime } from "./virtual_time.ts";
--- a/src/instance/testing/local_fleet.ts
+++ b/src/instance/testing/local_fleet.ts
@@ -14,7 +14,7 @@
 import { DocumentStore, type SectionName, sha256 } from "../../document/mod.ts";
 import { HttpEndpointClient } from "../../endpoints/mod.ts";
 import { ConnectPeerTransport } from "../../peers/mod.ts";
-import { MemoryPlatform } from "../../platform/mod.ts";
+import { MemoryPlatform } from "../../store/mod.ts";
 import { parseSettings } from "../../settings/mod.ts";
 import { Instance } from "../instance.ts";
 import { CountingEndpoint } from "./counting_endpoint.ts";
--- a/src/membership/leased_seats.ts
+++ b/src/membership/leased_seats.ts
@@ -24,7 +24,7 @@
 } from "../gen/membership_pb.ts";
 import type { Batch, Sender } from "../gen/peer_pb.ts";
 import type { PeerSubsystem } from "../peers/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../store/mod.ts";
 import { rankFor } from "./duty.ts";
 import { leaseOn, PromiseBook } from "./seat_lease.ts";
 import { fromMessage, toMessage } from "./seat_messages.ts";
--- a/src/membership/list_reader.ts
+++ b/src/membership/list_reader.ts
@@ -10,7 +10,7 @@
  * @module
  */
 import type { Clock, InstanceId, Random, ZoneId } from "../core/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../store/mod.ts";
 import { dutyHolder } from "./duty.ts";
 import type { Roster } from "./roster.ts";
 
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -7,7 +7,7 @@
 import { type Clock, InstanceId, RegionId, ZoneId } from "../core/mod.ts";
 import type { Batch, Sender } from "../gen/peer_pb.ts";
 import type { PeerSubsystem } from "../peers/mod.ts";
-import type { ListedInstance } from "../platform/mod.ts";
+import type { ListedInstance } from "../store/mod.ts";
 
 /** An instance as this one knows it. */
 export interface Member extends ListedInstance {
--- a/src/membership/roster_test.ts
+++ b/src/membership/roster_test.ts
@@ -8,7 +8,7 @@
   ZoneId,
 } from "../core/mod.ts";
 import { BatchSchema, SenderSchema } from "../gen/peer_pb.ts";
-import { type ListedInstance, MemoryPlatform } from "../platform/mod.ts";
+import { type ListedInstance, MemoryPlatform } from "../store/mod.ts";
 import { ListReader } from "./list_reader.ts";
 import { FORGET_MS, Roster, SILENT_MS } from "./roster.ts";
 
--- a/src/membership/seat_store.ts
+++ b/src/membership/seat_store.ts
@@ -6,7 +6,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { fail, type Failure, type Metrics } from "../core/mod.ts";
-import type { Platform, PutCondition } from "../platform/mod.ts";
+import type { Platform, PutCondition } from "../store/mod.ts";
 import { EMPTY_TABLE, seatsKey, SeatTable } from "./seat_table.ts";
 
 /** A table with the store's version of it; none when the store has none. */
--- a/src/membership/testing/faulty_platform.ts
+++ b/src/membership/testing/faulty_platform.ts
@@ -10,7 +10,7 @@
   Platform,
   PutCondition,
   Versioned,
-} from "../../platform/mod.ts";
+} from "../../store/mod.ts";
 
 /** Chances of each fault, from 0 to 1. */
 export interface PlatformFaults {
--- a/src/membership/testing/seat_fleet.ts
+++ b/src/membership/testing/seat_fleet.ts
@@ -18,7 +18,7 @@
 } from "../../core/mod.ts";
 import { parseDocument, type SteeringDocument } from "../../document/mod.ts";
 import { BatchSchema, type Sender, SenderSchema } from "../../gen/peer_pb.ts";
-import { MemoryPlatform } from "../../platform/mod.ts";
+import { MemoryPlatform } from "../../store/mod.ts";
 import { LeasedSeats } from "../leased_seats.ts";
 import { FaultyPlatform } from "./faulty_platform.ts";
 
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -15,7 +15,7 @@
 export * as membership from "./membership/mod.ts";
 export * as operations from "./operations/mod.ts";
 export * as peers from "./peers/mod.ts";
-export * as platform from "./platform/mod.ts";
+export * as platform from "./store/mod.ts";
 export * as regions from "./decisions/regions/mod.ts";
 export * as retries from "./decisions/retries/mod.ts";
 export * as settings from "./settings/mod.ts";
--- a/src/operations/home_operations.ts
+++ b/src/operations/home_operations.ts
@@ -22,7 +22,7 @@
   PeerSubsystem,
   PeerTransport,
 } from "../peers/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../store/mod.ts";
 import { runResultToWire } from "./codec.ts";
 import { Forwarder, requestFromWire } from "./forwarder.ts";
 import { handOver } from "./handover.ts";
--- a/src/operations/store_place.ts
+++ b/src/operations/store_place.ts
@@ -12,7 +12,7 @@
 import { ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { type Clock, fail, type Failure, sleep } from "../core/mod.ts";
-import type { Platform, Versioned } from "../platform/mod.ts";
+import type { Platform, Versioned } from "../store/mod.ts";
 import type { Place } from "./home_token.ts";
 import {
   type Conclusion,
--- a/src/operations/testing/fake_fleet.ts
+++ b/src/operations/testing/fake_fleet.ts
@@ -37,7 +37,7 @@
 import { BatchSchema, type Sender, SenderSchema } from "../../gen/peer_pb.ts";
 import type { HeldSeat, SeatEntry } from "../../membership/mod.ts";
 import type { PeerTransport } from "../../peers/mod.ts";
-import { MemoryPlatform, type Platform } from "../../platform/mod.ts";
+import { MemoryPlatform, type Platform } from "../../store/mod.ts";
 import { HomeOperations } from "../home_operations.ts";
 import type { ZoneSeats } from "../home_seat.ts";
 import { DEFAULT_LEDGER_LIMITS, type LedgerLimits } from "../ledger.ts";
--- a/src/slo/burn_publisher.ts
+++ b/src/slo/burn_publisher.ts
@@ -18,7 +18,7 @@
 } from "../gen/burn_pb.ts";
 import type { Batch, Sender } from "../gen/peer_pb.ts";
 import type { PeerSubsystem } from "../peers/mod.ts";
-import type { Platform } from "../platform/mod.ts";
+import type { Platform } from "../store/mod.ts";
 import { BurnCounts, type BurnRow, INTERVAL_MS } from "./counts.ts";
 import {
   emptySummary,
--- a/src/slo/burn_test.ts
+++ b/src/slo/burn_test.ts
@@ -11,8 +11,8 @@
 import { parseDocument, type SteeringDocument } from "../document/mod.ts";
 import { BatchSchema, SenderSchema } from "../gen/peer_pb.ts";
 import { dutyHolder } from "../membership/mod.ts";
-import { MemoryPlatform } from "../platform/mod.ts";
-import { FaultyPlatform } from "../platform/testing/mod.ts";
+import { MemoryPlatform } from "../store/mod.ts";
+import { FaultyPlatform } from "../store/testing/mod.ts";
 import {
   BurnCounts,
   BurnPublisher,
--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -20,7 +20,7 @@
   type SectionName,
   sha256,
 } from "../../src/document/mod.ts";
-import { HttpPlatform } from "../../src/platform/mod.ts";
+import { HttpPlatform } from "../../src/store/mod.ts";
 import type { EndpointSpec, RunRecord } from "../standins/endpoint_server.ts";
 import { type Deployment, endpointList, sectionsOf } from "./deployments.ts";
 import { end, start, type Started } from "./processes.ts";
--- a/tools/operations/second_place_latency.ts
+++ b/tools/operations/second_place_latency.ts
@@ -40,7 +40,7 @@
   type Operations,
 } from "../../src/operations/mod.ts";
 import { ConnectPeerTransport, peerListener } from "../../src/peers/mod.ts";
-import { HttpPlatform } from "../../src/platform/mod.ts";
+import { HttpPlatform } from "../../src/store/mod.ts";
 import { EndpointServer } from "../standins/endpoint_server.ts";
 import { StoreServer } from "../standins/store_server.ts";
 
--- a/tools/soak/soak_world.ts
+++ b/tools/soak/soak_world.ts
@@ -26,7 +26,7 @@
   type LeasedSeatsDeps,
   SEAT_TIMING,
 } from "../../src/membership/mod.ts";
-import { MemoryPlatform } from "../../src/platform/mod.ts";
+import { MemoryPlatform } from "../../src/store/mod.ts";
 import { parseSettings } from "../../src/settings/mod.ts";
 import { documentSections, ZONES } from "./soak_document.ts";
 import { SoakClock } from "./soak_clock.ts";
--- a/tools/standins/store_server.ts
+++ b/tools/standins/store_server.ts
@@ -8,11 +8,11 @@
 import { z } from "zod";
 import { type Failure, SystemClock } from "../../src/core/mod.ts";
 import { Listener } from "../../src/instance/mod.ts";
-import { InstanceEntry, MemoryPlatform } from "../../src/platform/mod.ts";
+import { InstanceEntry, MemoryPlatform } from "../../src/store/mod.ts";
 import {
   FaultyPlatform,
   type PlatformFaults,
-} from "../../src/platform/testing/mod.ts";
+} from "../../src/store/testing/mod.ts";
 
 const MAX_BODY = "2mb";
 
