--- a/ava.config.js
+++ b/ava.config.js
@@ -4,5 +4,5 @@
   workerThreads: false,
   concurrency: 6,
   timeout: "120s",
-  files: ["src/**/*_test.ts", "tools/**/*_test.ts"],
+  files: ["src/**/*_test.ts", "tools/**/*_test.ts", "platform/**/*_test.ts"],
 };
--- a/src/core/failure.ts
+++ b/src/core/failure.ts
@@ -29,6 +29,8 @@
   | "operation_refused"
   | "endpoint_failed"
   | "platform_unavailable"
+  /** The store has dropped the history that a watch asks for. */
+  | "history_lost"
   | "platform_outcome_unknown"
   | "value_too_large"
   | "peer_unavailable"
--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -20,6 +20,11 @@
     fields: ["code"],
     help: "A summary of burn counts was not written; the next brings it",
   },
+  digest_rejected: {
+    namespace: "fleet",
+    fields: ["reason"],
+    help: "The first datagram that was no digest; further ones are not logged",
+  },
   document_in_force: {
     namespace: "document",
     fields: ["generation", "rejected"],
@@ -40,21 +45,114 @@
     fields: ["code"],
     help: "The manifest could not be watched; polling goes on",
   },
+  endpoint_changed: {
+    namespace: "steering",
+    fields: ["endpoint", "service", "zone", "draining", "coldMs"],
+    help: "An endpoint registered, started anew, began to drain or turned cold",
+  },
+  endpoint_removed: {
+    namespace: "steering",
+    fields: ["endpoint", "reason"],
+    help:
+      "An endpoint is used no more; lapsed means that its entry stayed away after the store was back",
+  },
+  endpoint_unreadable: {
+    namespace: "steering",
+    fields: ["endpoint"],
+    help: "An entry that names no endpoint to use",
+  },
   instance_started: {
     namespace: "",
     fields: ["instance"],
     help: "The listeners are open and the first document was looked for",
   },
+  instances_listed: {
+    namespace: "fleet",
+    fields: ["instances"],
+    help: "This instance is on the list of instances and has read it",
+  },
+  instances_unlisted: {
+    namespace: "fleet",
+    fields: ["code"],
+    help:
+      "The list of instances could not be written or read; it is tried again",
+  },
+  lines_left_out: {
+    namespace: "",
+    fields: ["lines"],
+    help: "Lines that the last second left out, to bound the volume",
+  },
   operations_handed_over: {
     namespace: "operations",
     fields: ["heir"],
     help: "At a stop, the ledger went to another instance",
   },
+  peer_forgotten: {
+    namespace: "fleet",
+    fields: ["peer"],
+    help: "A silent instance is taken to have ended",
+  },
+  peer_silent: {
+    namespace: "fleet",
+    fields: ["peer"],
+    help: "An instance is not heard; callers are not sent there",
+  },
   peer_unavailable: {
     namespace: "peers",
     fields: ["peer"],
     help: "An exchange with another instance failed",
   },
+  plan_in_force: {
+    namespace: "steering",
+    fields: ["plan", "routes", "accounts"],
+    help: "A plan came in force",
+  },
+  plan_missing: {
+    namespace: "steering",
+    fields: ["name", "plan"],
+    help: "The plan was taken away; the last one stays in force",
+  },
+  plan_unreadable: {
+    namespace: "steering",
+    fields: ["name"],
+    help: "A plan that cannot be read; the last one stays in force",
+  },
+  request_answered: {
+    namespace: "requests",
+    fields: [
+      "request",
+      "route",
+      "account",
+      "service",
+      "plan",
+      "tries",
+      "tried",
+      "leftMs",
+      "endpoint",
+      "status",
+      "tookMs",
+    ],
+    help: "A request was answered by an endpoint; one in 64 by its id",
+  },
+  request_refused: {
+    namespace: "requests",
+    fields: [
+      "request",
+      "route",
+      "account",
+      "service",
+      "plan",
+      "tries",
+      "tried",
+      "leftMs",
+      "code",
+      "outcome",
+      "reason",
+      "retryAfterMs",
+      "tookMs",
+    ],
+    help: "A request was refused or failed",
+  },
   seat_taken_over: {
     namespace: "seats",
     fields: ["index"],
@@ -65,11 +163,36 @@
     fields: ["code"],
     help: "The zone's seat table could not be read or written",
   },
+  stop_begun: {
+    namespace: "",
+    fields: ["graceMs"],
+    help: "The stop began",
+  },
   stop_step: {
     namespace: "",
     fields: ["step", "done"],
     help: "A step of the stop has ended; not done means it took too long",
   },
+  stopped: {
+    namespace: "",
+    fields: ["tookMs"],
+    help: "The stop has ended",
+  },
+  store_history_lost: {
+    namespace: "steering",
+    fields: ["kind"],
+    help: "The store dropped the history of a kind; all of it is read again",
+  },
+  store_lost: {
+    namespace: "steering",
+    fields: ["kind", "code"],
+    help: "The store does not answer for a kind of object",
+  },
+  store_regained: {
+    namespace: "steering",
+    fields: ["kind", "lostMs"],
+    help: "The store answers again for a kind of object",
+  },
   system_failed: {
     namespace: "",
     fields: ["system", "cause"],
@@ -85,4 +208,14 @@
     fields: ["file"],
     help: "A replaced certificate holds for new connections",
   },
+  zone_evacuated: {
+    namespace: "steering",
+    fields: ["zone"],
+    help: "A zone's endpoints get no new requests",
+  },
+  zone_restored: {
+    namespace: "steering",
+    fields: ["zone"],
+    help: "A zone's endpoints get requests again",
+  },
 };
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -27,6 +27,12 @@
     tags: ["kind", "id"],
     help: "From a drain's coming in force to the end of its last request here",
   },
+  "endpoint.duration": {
+    type: "timing",
+    unit: "ms",
+    tags: [],
+    help: "From sending a request to an endpoint to its whole answer",
+  },
   "endpoint.drain": {
     type: "timing",
     unit: "ms",
--- /dev/null
+++ b/src/decisions/placement/endpoint_verdicts.ts
@@ -0,0 +1,116 @@
+/**
+ * Which endpoints fail or stay silent, judged by what became of requests.
+ *
+ * The load it answers: an endpoint that fails part of its requests while its
+ * health check is good, or that went dark without a word. Its own objects go to
+ * it again and again, so a caller of such an object sees nothing but failures
+ * until the registry notices, which takes several seconds. Requests tell it
+ * within a few answers, at no cost.
+ *
+ * Probes are not used: they wait for a slot like a request, and lie about
+ * endpoints that fail only part of their work.
+ *
+ * @module
+ */
+import type { EndpointId } from "../../core/mod.ts";
+import type { EndpointRow } from "../../traffic/mod.ts";
+
+/** What one request says of its endpoint. */
+export type Evidence = "good" | "failed" | "unreachable" | "shed";
+
+/** Part of a new result in the moving mean: about the last eight count. */
+const SAMPLE_PART = 0.12;
+/**
+ * Above this mean of failures an endpoint is set aside. Sound endpoints fail
+ * one in 250; three failures in a row, or a third of the last eight, are no
+ * accident, while a single failure (0.12) is.
+ */
+const FAILING = 0.3;
+/** How long it is set aside at first and at most, in milliseconds. */
+const FIRST_ASIDE_MS = 1_000;
+const MOST_ASIDE_MS = 8_000;
+/**
+ * The longest that a request may be out with no sign of life from its endpoint
+ * before the endpoint counts as silent, in milliseconds. Most work takes less.
+ */
+const SILENT_MS = 1_500;
+/**
+ * Part of a service's endpoints that may be set aside. When more seem to fail,
+ * the fault is likelier here or in the requests, and the rest could not take
+ * the load.
+ */
+const MOST_ASIDE_PART = 0.5;
+
+interface Verdict {
+  failing: number;
+  asideUntil: number;
+  asideMs: number;
+  heardAt: number;
+  /** When the oldest request without an answer was sent; undefined if none. */
+  waitingSince: number | undefined;
+}
+
+/** Verdicts of one instance. */
+export class EndpointVerdicts {
+  readonly #verdicts = new Map<EndpointId, Verdict>();
+
+  /** Notes that a request goes out. */
+  sent(row: EndpointRow, now: number): void {
+    this.#of(row.id, now).waitingSince ??= now;
+  }
+
+  /** Notes what became of a request. */
+  heard(row: EndpointRow, evidence: Evidence, now: number): void {
+    const verdict = this.#of(row.id, now);
+    if (evidence !== "unreachable") {
+      verdict.heardAt = now;
+      verdict.waitingSince = row.inFlight > 0 ? now : undefined;
+    }
+    if (evidence === "unreachable") return this.#setAside(verdict, now);
+    const sample = evidence === "good" ? 0 : 1;
+    verdict.failing += (sample - verdict.failing) * SAMPLE_PART;
+    if (verdict.failing > FAILING) this.#setAside(verdict, now);
+    else if (evidence === "good") verdict.asideMs = FIRST_ASIDE_MS;
+  }
+
+  /** The endpoints that are not set aside, or all if too many are. */
+  usable(rows: readonly EndpointRow[], now: number): readonly EndpointRow[] {
+    const good = rows.filter((row) => !this.isAside(row, now));
+    if (good.length === rows.length) return rows;
+    return good.length < rows.length * (1 - MOST_ASIDE_PART) ? rows : good;
+  }
+
+  isAside(row: EndpointRow, now: number): boolean {
+    const verdict = this.#verdicts.get(row.id);
+    if (verdict === undefined) return false;
+    if (now < verdict.asideUntil) return true;
+    return verdict.waitingSince !== undefined &&
+      now - verdict.waitingSince > SILENT_MS && row.inFlight > 0;
+  }
+
+  forget(id: EndpointId): void {
+    this.#verdicts.delete(id);
+  }
+
+  /** Sets aside for twice as long each time, and forgets what led to it. */
+  #setAside(verdict: Verdict, now: number): void {
+    if (now < verdict.asideUntil) return;
+    verdict.asideUntil = now + verdict.asideMs;
+    verdict.asideMs = Math.min(MOST_ASIDE_MS, verdict.asideMs * 2);
+    verdict.failing = 0;
+  }
+
+  #of(id: EndpointId, now: number): Verdict {
+    const known = this.#verdicts.get(id);
+    if (known !== undefined) return known;
+    const fresh: Verdict = {
+      failing: 0,
+      asideUntil: -Infinity,
+      asideMs: FIRST_ASIDE_MS,
+      heardAt: now,
+      waitingSince: undefined,
+    };
+    this.#verdicts.set(id, fresh);
+    return fresh;
+  }
+}
--- /dev/null
+++ b/src/decisions/placement/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Which endpoint a request goes to: by object, load, health and cold starts.
+ *
+ * @module
+ */
+export * from "./affinity_placement.ts";
+export * from "./cold_limits.ts";
+export * from "./endpoint_verdicts.ts";
+export * from "./least_load_placement.ts";
+export * from "./occupancy.ts";
+export * from "./placement.ts";
+export * from "./usual_times.ts";
+export * from "./weighted_choice.ts";
--- /dev/null
+++ b/src/decisions/quotas/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Rates of client accounts over the whole fleet.
+ *
+ * @module
+ */
+export * from "./account_quotas.ts";
+export * from "./demand_counter.ts";
+export * from "./demand_shares.ts";
--- a/src/decisions/steering/rendezvous.ts
+++ b/src/decisions/steering/rendezvous.ts
@@ -6,6 +6,8 @@
  * @module
  */
 
+import { hash } from "../../core/mod.ts";
+
 /**
  * The member with the highest hash for `key`; undefined if there is none.
  *
@@ -29,14 +31,3 @@
   }
   return owner;
 }
-
-/** FNV-1a with the finalizer of MurmurHash3, so that near names fall apart. */
-export function hash(text: string): number {
-  let h = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) {
-    h = Math.imul(h ^ text.charCodeAt(i), 0x01000193);
-  }
-  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b);
-  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
-  return (h ^ (h >>> 16)) >>> 0;
-}
--- /dev/null
+++ b/src/edge/edge_settings.ts
@@ -0,0 +1,30 @@
+/**
+ * What an instance in this composition is told at its start.
+ *
+ * @module
+ */
+import type { InstanceId, RegionId, ZoneId } from "../core/mod.ts";
+import type { RetryAllowance } from "../decisions/retries/mod.ts";
+
+/** Settings of one instance. */
+export interface EdgeSettings {
+  readonly instance: {
+    readonly id: InstanceId;
+    readonly zone: ZoneId;
+    readonly region: RegionId;
+  };
+  /** The region of each availability zone. */
+  readonly zones: ReadonlyMap<ZoneId, RegionId>;
+  readonly listen: {
+    /** Host and port for callers. */
+    readonly caller: string;
+    /** Host and port for digests of other instances. */
+    readonly digest: string;
+  };
+  /** Where other instances may be found before any is known. */
+  readonly seeds: readonly string[];
+  /** Time between the stop's signal and the process's forced end, in ms. */
+  readonly graceMs: number;
+  /** The fleet's budget for second sends. */
+  readonly retries: RetryAllowance;
+}
--- /dev/null
+++ b/src/edge/http_endpoint_sender.ts
@@ -0,0 +1,137 @@
+/**
+ * Endpoints over HTTP/1.1, with connections that are kept and chosen here.
+ *
+ * A connection carries one request at a time. Which one a request takes decides
+ * whether it is lost when the endpoint closes an idle connection just then, so
+ * the connections are kept one by one and not in a pool of the library's: one
+ * that rested nearly as long as the endpoint allows is not used.
+ *
+ * @module
+ */
+import { Client } from "undici";
+import type { Clock } from "../core/mod.ts";
+import type { EndpointRow } from "../traffic/mod.ts";
+import type {
+  EndpointSender,
+  OutgoingRequest,
+  Sending,
+  SendResult,
+} from "./endpoint_sender.ts";
+import { Exchange } from "./exchange.ts";
+import type { RequestCodec } from "./request_codec.ts";
+
+/**
+ * How long a connection may take to open, in milliseconds: a few round trips
+ * between regions and a lost packet's first repeat do not fit, a busy endpoint
+ * does. An endpoint that is gone without a word costs a request this long.
+ */
+const CONNECT_MS = 500;
+/**
+ * How long an idle connection is kept where the endpoint does not say, in
+ * milliseconds.
+ */
+const IDLE_MS = 4_000;
+/**
+ * How much sooner than the endpoint says an idle connection is let go, in
+ * milliseconds: its close may be on the way.
+ */
+const IDLE_MARGIN_MS = 1_000;
+
+/** A connection that is open or about to be. */
+interface Connection {
+  readonly client: Client;
+  idleSince: number;
+  closed: boolean;
+}
+
+/** Idle connections by endpoint, the longest idle first. */
+export class HttpEndpointSender implements EndpointSender {
+  readonly #codec: RequestCodec;
+  readonly #clock: Clock;
+  readonly #idle = new WeakMap<EndpointRow, Connection[]>();
+  readonly #open = new Set<Connection>();
+  /** Connections opened since the start, for metrics. */
+  opened = 0;
+
+  constructor(codec: RequestCodec, clock: Clock) {
+    this.#codec = codec;
+    this.#clock = clock;
+  }
+
+  send(endpoint: EndpointRow, req: OutgoingRequest): Sending {
+    const connection = this.#take(endpoint);
+    let exchange: Exchange | undefined;
+    const result = new Promise<SendResult>((settle) => {
+      const released = (reusable: boolean) => {
+        if (reusable) this.#giveBack(endpoint, connection);
+        else this.#drop(connection);
+      };
+      exchange = new Exchange(req, this.#codec, { settle, released });
+      connection.client.dispatch({
+        method: req.method,
+        path: req.path,
+        headers: req.headers,
+        body: req.body ?? null,
+      }, exchange);
+    });
+    const cancel = () => {
+      if (exchange?.cancel() === false) this.#drop(connection);
+    };
+    return { result, cancel };
+  }
+
+  forget(endpoint: EndpointRow): void {
+    for (const connection of this.#idle.get(endpoint) ?? []) {
+      this.#drop(connection);
+    }
+    this.#idle.delete(endpoint);
+  }
+
+  async close(): Promise<void> {
+    const open = [...this.#open];
+    this.#open.clear();
+    await Promise.all(open.map((c) => c.client.destroy()));
+  }
+
+  /** The longest idle one has most surely shown what is wrong with it. */
+  #take(endpoint: EndpointRow): Connection {
+    const idle = this.#idle.get(endpoint) ?? [];
+    for (let next = idle.shift(); next !== undefined; next = idle.shift()) {
+      const restedMs = this.#clock.now() - next.idleSince;
+      if (!next.closed && restedMs < IDLE_MS) return next;
+      this.#drop(next);
+    }
+    return this.#connect(endpoint);
+  }
+
+  #connect(endpoint: EndpointRow): Connection {
+    const client = new Client(`http://${endpoint.record.address}`, {
+      pipelining: 1,
+      connect: { timeout: CONNECT_MS, keepAlive: false },
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const connection: Connection = { client, idleSince: 0, closed: false };
+    this.opened++;
+    this.#open.add(connection);
+    client.on("disconnect", () => this.#drop(connection));
+    return connection;
+  }
+
+  #giveBack(endpoint: EndpointRow, connection: Connection): void {
+    if (connection.closed) return;
+    connection.idleSince = this.#clock.now();
+    const idle = this.#idle.get(endpoint) ?? [];
+    const open = idle.filter((other) => !other.closed);
+    this.#idle.set(endpoint, [...open, connection]);
+  }
+
+  #drop(connection: Connection): void {
+    connection.closed = true;
+    if (!this.#open.delete(connection)) return;
+    // Whoever waits on it has been told by the exchange.
+    connection.client.destroy().catch(() => {});
+  }
+}
--- /dev/null
+++ b/src/edge/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * The composition for a platform on which endpoints register themselves and
+ * operators write one plan: every instance sends to every endpoint.
+ *
+ * @module
+ */
+export * from "./caller_server.ts";
+export * from "./edge_instance.ts";
+export * from "./edge_settings.ts";
+export * from "./endpoint_sender.ts";
+export * from "./http_endpoint_sender.ts";
+export * from "./instance_list.ts";
+export * from "./plain_server.ts";
+export * from "./request_codec.ts";
+export * from "./request_flow.ts";
+export * from "./stop_plan.ts";
+export * from "./traffic_state.ts";
--- /dev/null
+++ b/src/edge/plain_server.ts
@@ -0,0 +1,76 @@
+/**
+ * A small listener for questions that are answered at once: readiness, the
+ * directory, metrics.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { createServer, type Server } from "node:http";
+import { splitAddress } from "../fleet/mod.ts";
+
+/** An answer held in memory. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly body?: string;
+}
+
+/** Answers a method and a URL. */
+export type PlainHandler = (
+  method: string,
+  url: string,
+) => PlainAnswer | Promise<PlainAnswer>;
+
+/** A listener with one handler. */
+export class PlainServer {
+  readonly #server: Server;
+
+  private constructor(server: Server) {
+    this.#server = server;
+  }
+
+  /**
+   * Listens at host and port.
+   *
+   * @example
+   * ```ts
+   * await PlainServer.listen("127.0.0.1:0", () => ({ status: 200 }));
+   * ```
+   */
+  static listen(address: string, handle: PlainHandler): Promise<PlainServer> {
+    const { host, port } = splitAddress(address);
+    const server = createServer({ noDelay: true }, async (req, res) => {
+      req.resume();
+      const { status, contentType, body = "" } = await handle(
+        req.method ?? "GET",
+        req.url ?? "/",
+      );
+      const type = contentType === undefined
+        ? []
+        : ["Content-Type", contentType];
+      const length = String(Buffer.byteLength(body));
+      res.writeHead(status, [...type, "Content-Length", length]);
+      res.end(body);
+    });
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, () => {
+        server.off("error", reject);
+        resolve(new PlainServer(server));
+      });
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null ? address.port : 0;
+  }
+
+  close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    this.#server.closeAllConnections();
+    return closed;
+  }
+}
--- /dev/null
+++ b/src/edge/steering_intake.ts
@@ -0,0 +1,183 @@
+/**
+ * Takes what the followers read into the state that requests are steered by.
+ *
+ * @module
+ */
+import type { Clock, EndpointId, Log, Timer, ZoneId } from "../core/mod.ts";
+import type { KindSink, StoredEntry } from "../follower/mod.ts";
+import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
+import type { TrafficState } from "./traffic_state.ts";
+
+/**
+ * How long after the store's return a missing entry is not taken as gone, in
+ * milliseconds. While the store is away endpoints cannot renew their entries
+ * and these lapse, all at once; those that live are back within two seconds.
+ */
+const LAPSE_HOLD_MS = 2_300;
+
+/** Takes in plans. */
+export class PlanIntake implements KindSink<TrafficPlan> {
+  readonly #state: TrafficState;
+  readonly #log: Log;
+  readonly #adopted: (plan: TrafficPlan) => void;
+
+  constructor(
+    state: TrafficState,
+    log: Log,
+    adopted: (plan: TrafficPlan) => void,
+  ) {
+    this.#state = state;
+    this.#log = log;
+    this.#adopted = adopted;
+  }
+
+  replaced(entries: readonly StoredEntry<TrafficPlan>[]): void {
+    for (const entry of entries) this.changed(entry);
+  }
+
+  changed({ name, value }: StoredEntry<TrafficPlan>): void {
+    if (value === undefined) {
+      this.#log.event("plan_unreadable", { name });
+      return;
+    }
+    if (!this.#state.adopt(value)) return;
+    this.#log.event("plan_in_force", {
+      plan: value.version,
+      routes: value.routes.length,
+      accounts: value.accounts.length,
+    });
+    this.#adopted(value);
+  }
+
+  /** A plan that is taken away leaves the last one in force. */
+  deleted(name: string): void {
+    this.#log.event("plan_missing", { name, plan: this.#state.planVersion });
+  }
+
+  contact(): void {}
+}
+
+/** Takes in the endpoints' registrations. */
+export class EndpointIntake implements KindSink<EndpointRecord> {
+  readonly #state: TrafficState;
+  readonly #clock: Clock;
+  readonly #log: Log;
+  readonly #listed: () => void;
+  /** Entries that are missing since the store was away. */
+  readonly #missing = new Map<EndpointId, Timer>();
+  #inTouch = true;
+  #regainedAt = -Infinity;
+
+  constructor(opts: {
+    readonly state: TrafficState;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly listed: () => void;
+  }) {
+    this.#state = opts.state;
+    this.#clock = opts.clock;
+    this.#log = opts.log;
+    this.#listed = opts.listed;
+  }
+
+  replaced(entries: readonly StoredEntry<EndpointRecord>[]): void {
+    const named = new Set(entries.map(({ name }) => name as EndpointId));
+    for (const row of [...this.#state.endpoints.rows()]) {
+      if (!named.has(row.id)) this.deleted(row.id);
+    }
+    for (const entry of entries) this.changed(entry);
+    this.#listed();
+  }
+
+  changed({ name, value }: StoredEntry<EndpointRecord>): void {
+    const id = name as EndpointId;
+    this.#missing.get(id)?.close();
+    this.#missing.delete(id);
+    if (value === undefined) {
+      this.#log.event("endpoint_unreadable", { endpoint: id });
+      this.#state.endpoints.remove(id);
+      return;
+    }
+    this.#note(value);
+    this.#state.endpoints.put(value, this.#clock.now());
+  }
+
+  deleted(name: string): void {
+    const id = name as EndpointId;
+    const row = this.#state.endpoints.get(id);
+    if (row === undefined || this.#missing.has(id)) return;
+    const holdMs = this.#holdMs();
+    if (holdMs <= 0 || row.record.draining) return this.#remove(id, "gone");
+    const timer = this.#clock.after(holdMs, () => {
+      this.#missing.delete(id);
+      this.#remove(id, "lapsed");
+    });
+    this.#missing.set(id, timer);
+  }
+
+  contact(inTouch: boolean): void {
+    this.#inTouch = inTouch;
+    if (inTouch) this.#regainedAt = this.#clock.now();
+  }
+
+  close(): void {
+    for (const timer of this.#missing.values()) timer.close();
+  }
+
+  #holdMs(): number {
+    if (!this.#inTouch) return LAPSE_HOLD_MS;
+    return this.#regainedAt + LAPSE_HOLD_MS - this.#clock.now();
+  }
+
+  #remove(id: EndpointId, reason: string): void {
+    this.#log.event("endpoint_removed", { endpoint: id, reason });
+    this.#state.endpoints.remove(id);
+  }
+
+  #note(record: EndpointRecord): void {
+    const known = this.#state.endpoints.get(record.id)?.record;
+    const same = known !== undefined && known.bornAt === record.bornAt &&
+      known.draining === record.draining && known.coldMs === record.coldMs;
+    if (same) return;
+    this.#log.event("endpoint_changed", {
+      endpoint: record.id,
+      service: record.service,
+      zone: record.zone,
+      draining: record.draining,
+      coldMs: record.coldMs,
+    });
+  }
+}
+
+/** Takes in evacuations, each named after its zone. */
+export class EvacuationIntake implements KindSink<true> {
+  readonly #state: TrafficState;
+  readonly #clock: Clock;
+  readonly #log: Log;
+
+  constructor(state: TrafficState, clock: Clock, log: Log) {
+    this.#state = state;
+    this.#clock = clock;
+    this.#log = log;
+  }
+
+  replaced(entries: readonly StoredEntry<true>[]): void {
+    const named = new Set(entries.map(({ name }) => name));
+    for (const zone of this.#state.evacuatedZones()) {
+      if (!named.has(zone)) this.deleted(zone);
+    }
+    for (const entry of entries) this.changed(entry);
+  }
+
+  changed({ name }: StoredEntry<true>): void {
+    if (!this.#state.evacuate(name as ZoneId)) return;
+    this.#log.event("zone_evacuated", { zone: name });
+  }
+
+  deleted(name: string): void {
+    if (!this.#state.restore(name as ZoneId, this.#clock.now())) return;
+    this.#log.event("zone_restored", { zone: name });
+  }
+
+  contact(): void {}
+}
--- /dev/null
+++ b/src/fleet/address.ts
@@ -0,0 +1,27 @@
+/**
+ * Host and port as one text.
+ *
+ * @module
+ */
+
+/** A place to connect to. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/**
+ * Splits `host:port` at its last colon.
+ *
+ * @example
+ * ```ts
+ * splitAddress("10.1.0.23:8389"); // { host: "10.1.0.23", port: 8389 }
+ * ```
+ */
+export function splitAddress(address: string): HostPort {
+  const colon = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/src/fleet/digest_exchange.ts
@@ -0,0 +1,100 @@
+/**
+ * Sends digests to the other instances and takes in theirs.
+ *
+ * Datagrams and not streams: a digest that is late is worth nothing, a stream
+ * behind a partition hangs until a time limit ends it, and one that hangs is
+ * not told apart from one whose peer has nothing to say.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { Clock, Log, Random, Timer } from "../core/mod.ts";
+import { decodeDigest, type Digest, encodeDigest } from "./digest.ts";
+import type { PeerTable } from "./peer_table.ts";
+
+/** Carries datagrams. */
+export interface DatagramTransport {
+  /** Sends without waiting; a datagram may be lost. */
+  send(address: string, bytes: Buffer): void;
+  onDatagram(take: (bytes: Uint8Array) => void): void;
+  close(): Promise<void>;
+}
+
+/**
+ * How often digests go out, in milliseconds. Shares of rates lag by this; four
+ * a second to each of a dozen instances take under 1% of a small core.
+ */
+export const DIGEST_EVERY_MS = 250;
+/** A silent instance is sent only each so many digests: it may be gone. */
+const SILENT_EVERY = 4;
+
+/** What the exchange works with. */
+export interface DigestExchangeOptions {
+  readonly transport: DatagramTransport;
+  readonly peers: PeerTable;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  /** Addresses to try while no instance is known. */
+  readonly seeds: readonly string[];
+  /** This instance's digest of this moment. */
+  readonly compose: (seq: number) => Digest;
+}
+
+/** The exchange of one instance. */
+export class DigestExchange {
+  readonly #opts: DigestExchangeOptions;
+  #timer: Timer | undefined;
+  #seq = 0;
+  #rejected = 0;
+
+  constructor(opts: DigestExchangeOptions) {
+    this.#opts = opts;
+    opts.transport.onDatagram((bytes) => this.#take(bytes));
+  }
+
+  /** Sends the first digest at once, then one each period. */
+  start(): void {
+    this.tell();
+    this.#schedule();
+  }
+
+  /** Sends a digest now, as after a change that others should know at once. */
+  tell(): void {
+    const { compose, peers, transport, seeds } = this.#opts;
+    const bytes = encodeDigest(compose(this.#seq++));
+    let told = 0;
+    for (const peer of peers.peers()) {
+      if (peer.silent && this.#seq % SILENT_EVERY !== 0) continue;
+      transport.send(peer.profile.digestAddress, bytes);
+      told++;
+    }
+    if (told > 0) return;
+    for (const seed of seeds) transport.send(seed, bytes);
+  }
+
+  async close(): Promise<void> {
+    this.#timer?.close();
+    await this.#opts.transport.close();
+  }
+
+  #schedule(): void {
+    const { clock, random, peers } = this.#opts;
+    const waitMs = DIGEST_EVERY_MS * (0.9 + 0.2 * random.next());
+    this.#timer = clock.after(waitMs, () => {
+      peers.tick(clock.now());
+      this.tell();
+      this.#schedule();
+    });
+  }
+
+  #take(bytes: Uint8Array): void {
+    const { peers, clock, log } = this.#opts;
+    const digest = decodeDigest(bytes);
+    if (digest.isOk()) return peers.heard(digest.value, clock.now());
+    this.#rejected++;
+    if (this.#rejected === 1) {
+      log.event("digest_rejected", { reason: digest.error.message });
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/directory.ts
@@ -0,0 +1,44 @@
+/**
+ * Which instances callers are sent to.
+ *
+ * Callers choose one of the named instances at random for each connection, so
+ * the answer names those of the caller's region: close, and the failure of one
+ * moves only its own part of the callers. A region without any is served by the
+ * others.
+ *
+ * @module
+ */
+import type { RegionId } from "../core/mod.ts";
+import type { InstanceProfile, InstanceState } from "./digest.ts";
+import type { PeerTable } from "./peer_table.ts";
+
+/** This instance's own part of the answer. */
+export interface OwnEntry {
+  readonly profile: InstanceProfile;
+  readonly state: InstanceState;
+}
+
+/**
+ * Most addresses that an answer names: what a caller takes from one answer.
+ */
+const MOST_ADDRESSES = 64;
+
+/**
+ * Addresses for callers of a region.
+ *
+ * @example
+ * ```ts
+ * callerAddresses(peers, own, region); // ["10.1.0.23:8389"]
+ * ```
+ */
+export function callerAddresses(
+  peers: PeerTable,
+  own: OwnEntry,
+  region: RegionId | undefined,
+): string[] {
+  const serving = peers.serving().map((p) => p.profile);
+  if (own.state === "serving") serving.push(own.profile);
+  const near = serving.filter((p) => p.region === region);
+  const named = near.length > 0 ? near : serving;
+  return named.map((p) => p.callerAddress).sort().slice(0, MOST_ADDRESSES);
+}
--- /dev/null
+++ b/src/fleet/peer_table.ts
@@ -0,0 +1,126 @@
+/**
+ * The other instances, and which of them live.
+ *
+ * @module
+ */
+import type { InstanceId } from "../core/mod.ts";
+import type { Digest, InstanceProfile, InstanceState } from "./digest.ts";
+
+/**
+ * Without a digest for this long an instance counts as silent, in milliseconds:
+ * six digests in a row. Callers are not sent to it any more.
+ */
+export const SILENT_AFTER_MS = 1_500;
+/**
+ * A silent instance is left out of the fleet's size after this, in
+ * milliseconds. Until then it may be alive behind a partition and spend its
+ * part of rates and budgets; a restart takes a few seconds.
+ */
+export const FORGOTTEN_AFTER_MS = 60_000;
+
+/** Another instance as this one knows it. */
+export interface Peer {
+  profile: InstanceProfile;
+  state: InstanceState;
+  start: string;
+  seq: number;
+  /** When it was last heard; never if undefined. */
+  heardAt: number | undefined;
+  /** When it was first heard of. */
+  knownAt: number;
+  silent: boolean;
+}
+
+/** What changes among the instances. */
+export interface PeerEvents {
+  /** A digest came that is newer than the last. */
+  told(digest: Digest, now: number): void;
+  /** An instance is heard no more. */
+  silent(peer: Peer): void;
+  /** An instance is taken to have ended. */
+  forgotten(peer: Peer): void;
+}
+
+/** Instances known from the list, from digests and from hearsay. */
+export class PeerTable {
+  readonly #own: InstanceId;
+  readonly #events: PeerEvents;
+  readonly #peers = new Map<InstanceId, Peer>();
+  /** The fleet is taken to be at least this large until the list was read. */
+  #assumed: number;
+
+  constructor(own: InstanceId, assumed: number, events: PeerEvents) {
+    this.#own = own;
+    this.#assumed = assumed;
+    this.#events = events;
+  }
+
+  /** Instances that may be serving, this one included. */
+  get fleetSize(): number {
+    return Math.max(this.#assumed, this.#peers.size + 1);
+  }
+
+  peers(): readonly Peer[] {
+    return [...this.#peers.values()];
+  }
+
+  /** Adds an instance that was heard of. */
+  learn(profile: InstanceProfile, now: number): void {
+    if (profile.id === this.#own) return;
+    const known = this.#peers.get(profile.id);
+    if (known !== undefined) return;
+    this.#peers.set(profile.id, {
+      profile,
+      state: "starting",
+      start: "",
+      seq: -1,
+      heardAt: undefined,
+      knownAt: now,
+      silent: true,
+    });
+  }
+
+  /** The list of instances was read: the fleet's size is known. */
+  listed(profiles: readonly InstanceProfile[], now: number): void {
+    for (const profile of profiles) this.learn(profile, now);
+    this.#assumed = 1;
+  }
+
+  /** Takes in a digest; one that is not newer than the last is dropped. */
+  heard(digest: Digest, now: number): void {
+    const { profile } = digest;
+    if (profile.id === this.#own) return;
+    this.learn(profile, now);
+    for (const other of digest.others) this.learn(other, now);
+    const peer = this.#peers.get(profile.id);
+    if (peer === undefined) return;
+    if (peer.start === digest.start && digest.seq <= peer.seq) return;
+    peer.profile = profile;
+    peer.state = digest.state;
+    peer.start = digest.start;
+    peer.seq = digest.seq;
+    peer.heardAt = now;
+    peer.silent = false;
+    this.#events.told(digest, now);
+  }
+
+  /** Looks for instances that fell silent or have ended. */
+  tick(now: number): void {
+    for (const peer of this.#peers.values()) {
+      const unheardMs = now - (peer.heardAt ?? peer.knownAt);
+      if (unheardMs > SILENT_AFTER_MS && !peer.silent) {
+        peer.silent = true;
+        this.#events.silent(peer);
+      }
+      if (unheardMs > FORGOTTEN_AFTER_MS) {
+        this.#peers.delete(peer.profile.id);
+        this.#events.forgotten(peer);
+      }
+    }
+  }
+
+  /** Instances that are heard and take callers. */
+  serving(): readonly Peer[] {
+    return this.peers().filter((p) => !p.silent && p.state === "serving");
+  }
+}
--- /dev/null
+++ b/src/follower/kind_source.ts
@@ -0,0 +1,58 @@
+/**
+ * What a follower asks of the store for one kind of object.
+ *
+ * @module
+ */
+import type { Result } from "neverthrow";
+import type { Failure } from "../core/mod.ts";
+
+/** One object, decoded. */
+export interface StoredEntry<T> {
+  readonly name: string;
+  /** Undefined where it cannot be read. */
+  readonly value: T | undefined;
+}
+
+/** All objects of the kind at one revision of the store. */
+export interface Snapshot<T> {
+  readonly entries: readonly StoredEntry<T>[];
+  readonly revision: number;
+}
+
+/** What happened to one object. */
+export interface StoredChange<T> {
+  readonly entry: StoredEntry<T>;
+  readonly deleted: boolean;
+}
+
+/** What happened since a revision. */
+export interface Changes<T> {
+  readonly changes: readonly StoredChange<T>[];
+  readonly revision: number;
+}
+
+/**
+ * One kind of object in the store.
+ *
+ * Failures: `history_lost` (changes since the revision cannot be had any more),
+ * `platform_unavailable`, `rate_exceeded`.
+ */
+export interface KindSource<T> {
+  list(signal: AbortSignal): Promise<Result<Snapshot<T>, Failure>>;
+  /** Waits until something changes after `revision`, `waitMs` at most. */
+  watch(
+    revision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<Changes<T>, Failure>>;
+}
+
+/** Takes what a follower learns. */
+export interface KindSink<T> {
+  /** These are all objects there are. */
+  replaced(entries: readonly StoredEntry<T>[]): void;
+  changed(entry: StoredEntry<T>): void;
+  deleted(name: string): void;
+  /** The store does not answer, or answers again. */
+  contact(inTouch: boolean): void;
+}
--- /dev/null
+++ b/src/telemetry/text_metrics.ts
@@ -0,0 +1,116 @@
+/**
+ * Metrics as text, for whoever fetches them.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { METRIC_TABLE, type Metrics, type Tags } from "../core/mod.ts";
+
+/**
+ * Upper bounds of the latency histograms, in milliseconds: from a refusal on
+ * the spot to a caller's patience.
+ */
+const LATENCY_BOUNDS_MS = [
+  1,
+  5,
+  10,
+  25,
+  50,
+  100,
+  150,
+  200,
+  250,
+  300,
+  400,
+  500,
+  600,
+  800,
+  1_000,
+  1_500,
+  2_500,
+  4_000,
+  6_000,
+];
+/** Series a metric may have; further ones are counted under "other". */
+const MOST_SERIES = 200;
+
+/** Keeps metrics in memory and writes them as text. */
+export class TextMetrics implements Metrics {
+  readonly #registry = new Registry();
+  readonly #counters = new Map<string, Counter>();
+  readonly #gauges = new Map<string, Gauge>();
+  readonly #histograms = new Map<string, Histogram>();
+  readonly #series = new Map<string, Set<string>>();
+
+  count(name: string, tags: Tags = {}, by = 1): void {
+    const counter = known(
+      this.#counters,
+      name,
+      () => new Counter(this.#describe(name)),
+    );
+    counter.inc(this.#bounded(name, tags), by);
+  }
+
+  gauge(name: string, value: number, tags: Tags = {}): void {
+    const gauge = known(
+      this.#gauges,
+      name,
+      () => new Gauge(this.#describe(name)),
+    );
+    gauge.set(this.#bounded(name, tags), value);
+  }
+
+  timing(name: string, ms: number, tags: Tags = {}): void {
+    const histogram = known(
+      this.#histograms,
+      name,
+      () =>
+        new Histogram({ ...this.#describe(name), buckets: LATENCY_BOUNDS_MS }),
+    );
+    histogram.observe(this.#bounded(name, tags), ms);
+  }
+
+  /** All metrics as text. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  close(): Promise<void> {
+    this.#registry.clear();
+    return Promise.resolve();
+  }
+
+  #describe(name: string) {
+    const entry = METRIC_TABLE[name];
+    return {
+      name: `magnoliahook_${name.replaceAll(".", "_")}`,
+      help: entry?.help ?? name,
+      labelNames: [...entry?.tags ?? []],
+      registers: [this.#registry],
+    };
+  }
+
+  /** Tags, or "other" once a metric has too many series. */
+  #bounded(name: string, tags: Tags): Record<string, string> {
+    const labels = METRIC_TABLE[name]?.tags ?? [];
+    const key = labels.map((label) => tags[label] ?? "").join(" ");
+    const series = known(this.#series, name, () => new Set<string>());
+    if (series.size < MOST_SERIES) series.add(key);
+    const kept = series.has(key);
+    return Object.fromEntries(
+      labels.map((label) => [label, kept ? tags[label] ?? "" : "other"]),
+    );
+  }
+}
+
+function known<T>(map: Map<string, T>, name: string, make: () => T): T {
+  const found = map.get(name);
+  if (found !== undefined) return found;
+  const made = make();
+  map.set(name, made);
+  return made;
+}
