Count what the whole fleet admits of an account, and hand its tokens round

Change: digests carry what each instance admitted; each keeps the fleet's level from that and brings its own tokens to its share of it each tick. What silent instances may spend is set aside by the division that held when they were last heard. Refused callers are told times of their own.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -1,30 +1,37 @@
 /**
  * Admission by a client account's rate and burst over the whole fleet.
  *
- * Every instance spends from a bucket of its own, sized by its share of the
- * account's rate. The sum of the buckets is the account's rate and burst while
- * the instances know of each other's demand, and close to it otherwise: a share
- * that grows brings no tokens with it, and an instance that starts has an empty
- * bucket, so neither a move of callers nor a restart of the whole fleet hands
- * out the burst a second time.
- *
  * @module
  */
-import type { AccountId } from "../../core/mod.ts";
+import type { AccountId, InstanceId } from "../../core/mod.ts";
 import type { Account } from "../../traffic/mod.ts";
-import { TokenBucket } from "../limits/token_bucket.ts";
 import { DemandCounter } from "./demand_counter.ts";
-import type { DemandShares } from "./demand_shares.ts";
+import { DemandShares } from "./demand_shares.ts";
+import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
+import { ReturnSchedule } from "./return_schedule.ts";
 
-/**
- * Tokens that a bucket can always hold, so that an account with a small burst
- * is served at every instance. In requests.
- */
-const LEAST_BURST = 1;
-/** Tokens at the start: the first request of an account is let in. */
-const FIRST_TOKENS = 1;
 /** The longest that a refused caller is told to stay away, in milliseconds. */
 const LONGEST_RETRY_MS = 2_000;
+/**
+ * Parts of the rate and burst that are handed out. Instances that were cut off
+ * overspend until they notice: with a third of them cut off in the moment in
+ * which an account begins to send five times its rate, by 16% of the most that
+ * it may send in five seconds if all of both were handed out, and by less than
+ * 10% so. An account within its rate uses less than this of either.
+ */
+const USED_RATE = 0.97;
+const USED_BURST = 0.85;
+const MS_PER_S = 1_000;
+
+/** What an instance tells the others of one account. */
+export interface AccountUse {
+  /** Requests a second that it was asked for lately. */
+  readonly perS: number;
+  /** Requests admitted since its start. */
+  readonly admitted: number;
+  /** The fleet's tokens as far as it knows. */
+  readonly level: number;
+}
 
 /** Whether a request is within its account's rate. */
 export type Admission =
@@ -35,19 +42,33 @@
     readonly retryAfterMs: number;
   };
 
+interface Row {
+  account: Account;
+  readonly bucket: FleetBucket;
+  readonly returns: ReturnSchedule;
+}
+
 /** Buckets of one instance. */
 export class AccountQuotas {
   readonly #shares: DemandShares;
   readonly #counter = new DemandCounter();
-  readonly #buckets = new Map<AccountId, TokenBucket>();
+  readonly #rows = new Map<AccountId, Row>();
 
-  constructor(shares: DemandShares) {
-    this.#shares = shares;
+  constructor(own: InstanceId, fleetSize: () => number) {
+    this.#shares = new DemandShares(own, fleetSize);
   }
 
-  /** What this instance was asked for lately, to tell the others. */
-  demand(now: number): Map<AccountId, number> {
-    return this.#counter.rates(now);
+  /** Takes over the accounts of a plan; the levels of known ones go on. */
+  adopt(accounts: readonly Account[], now: number): void {
+    const kept = new Set(accounts.map((a) => a.id));
+    for (const id of this.#rows.keys()) {
+      if (!kept.has(id)) this.#rows.delete(id);
+    }
+    for (const account of accounts) {
+      const known = this.#rows.get(account.id);
+      if (known !== undefined) known.account = account;
+      else this.#add(account, now);
+    }
   }
 
   /**
@@ -62,29 +83,78 @@
   take(account: Account, now: number): Admission {
     if (account.ratePerS <= 0) return { admitted: true, share: 1 };
     this.#counter.asked(account.id, now);
-    const share = this.#shares.own(account.id);
-    const bucket = this.#bucket(account, share, now);
-    if (bucket.take(now)) return { admitted: true, share };
-    const waitMs = bucket.waitMs(now);
-    return {
-      admitted: false,
-      share,
-      retryAfterMs: Math.min(LONGEST_RETRY_MS, waitMs),
+    const row = this.#rows.get(account.id) ?? this.#add(account, now);
+    const rate = this.#rate(row.account);
+    const { share } = rate;
+    if (row.bucket.take(rate, now)) return { admitted: true, share };
+    const firstMs = row.bucket.waitMs(rate);
+    const everyMs = MS_PER_S / Math.max(1e-3, rate.ratePerS * share);
+    const retryAfterMs = row.returns.next(now, firstMs, everyMs);
+    return { admitted: false, share, retryAfterMs };
+  }
+
+  /**
+   * Brings all buckets to their share, and gives what to tell the others:
+   * accounts without demand are left out.
+   */
+  tick(now: number): Map<AccountId, AccountUse> {
+    const demand = this.#counter.rates(now);
+    this.#shares.tick(demand);
+    const uses = new Map<AccountId, AccountUse>();
+    for (const [id, { account, bucket }] of this.#rows) {
+      if (account.ratePerS <= 0) continue;
+      bucket.rebalance(this.#rate(account), now);
+      const perS = demand.get(id);
+      if (perS === undefined) continue;
+      const { admitted, level } = bucket;
+      uses.set(id, { perS, admitted, level });
+    }
+    return uses;
+  }
+
+  /** Takes in what another instance tells. */
+  told(
+    from: { readonly instance: InstanceId; readonly start: string },
+    uses: ReadonlyMap<AccountId, AccountUse>,
+    now: number,
+  ): void {
+    const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
+    this.#shares.told(from.instance, demand);
+    for (const [id, { admitted, level }] of uses) {
+      const row = this.#rows.get(id);
+      if (row === undefined) continue;
+      const rate = this.#rate(row.account);
+      row.bucket.hear({ ...from, admitted, level }, rate, now);
+    }
+  }
+
+  /** An instance has ended. */
+  forget(instance: InstanceId): void {
+    this.#shares.forget(instance);
+  }
+
+  /** An instance is heard no more. */
+  silent(instance: InstanceId): void {
+    this.#shares.silent(instance);
+    for (const { bucket } of this.#rows.values()) bucket.silent(instance);
+  }
+
+  #add(account: Account, now: number): Row {
+    const row: Row = {
+      account,
+      bucket: new FleetBucket(now),
+      returns: new ReturnSchedule(LONGEST_RETRY_MS),
     };
+    this.#rows.set(account.id, row);
+    return row;
   }
 
-  #bucket(account: Account, share: number, now: number): TokenBucket {
-    const size = {
-      ratePerS: account.ratePerS * share,
-      burst: Math.max(LEAST_BURST, account.burst * share),
+  #rate(account: Account): FleetRate {
+    return {
+      ratePerS: account.ratePerS * USED_RATE,
+      burst: account.burst * USED_BURST,
+      share: this.#shares.own(account.id),
+      reserved: this.#shares.reserved(account.id),
     };
-    const known = this.#buckets.get(account.id);
-    if (known !== undefined) {
-      known.resize(size, now);
-      return known;
-    }
-    const fresh = new TokenBucket(size, now, FIRST_TOKENS);
-    this.#buckets.set(account.id, fresh);
-    return fresh;
   }
 }
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -29,13 +29,37 @@
 /** Requests a second by account that an instance was asked for lately. */
 export type Demand = ReadonlyMap<AccountId, number>;
 
+/** What shares were worked out from at one moment. */
+interface Division {
+  /** Requests a second of all instances that are heard, by account. */
+  readonly demand: ReadonlyMap<AccountId, number>;
+  /** The part of the rate that silent instances hold, by account. */
+  readonly reserved: ReadonlyMap<AccountId, number>;
+  /** Silent instances, each of which holds a part of the floor at least. */
+  readonly silent: number;
+  /** Instances that are not silent, and how many of them have told. */
+  readonly heard: number;
+  readonly told: number;
+}
+
+interface Told {
+  readonly demand: Demand;
+  /**
+   * How the rate was divided when this was told. A share that is set aside goes
+   * by this: by the time that an instance counts as silent, callers may press
+   * on the others, and its share would seem to have been small.
+   */
+  readonly division: Division;
+}
+
 /** Demands of the fleet as one instance knows them. */
 export class DemandShares {
   readonly #own: InstanceId;
   readonly #fleetSize: () => number;
-  readonly #demands = new Map<InstanceId, Demand>();
+  readonly #told = new Map<InstanceId, Told>();
   /** Shares of silent instances, as they were when last heard. */
   readonly #reserved = new Map<InstanceId, ReadonlyMap<AccountId, number>>();
+  #division: Division;
 
   /**
    * @param own This instance.
@@ -45,31 +69,40 @@
   constructor(own: InstanceId, fleetSize: () => number) {
     this.#own = own;
     this.#fleetSize = fleetSize;
+    this.#division = this.#divide();
   }
 
-  /** Takes in what an instance was asked for, this one included. */
+  /** Takes in what an instance was asked for. */
   told(instance: InstanceId, demand: Demand): void {
     this.#reserved.delete(instance);
-    this.#demands.set(instance, demand);
+    this.#told.set(instance, { demand, division: this.#division });
+  }
+
+  /** Takes in this instance's own demand and divides anew; run once a tick. */
+  tick(demand: Demand): void {
+    this.told(this.#own, demand);
+    this.#division = this.#divide();
   }
 
   /** Sets aside the share of an instance that is not heard any more. */
   silent(instance: InstanceId): void {
-    const demand = this.#demands.get(instance);
-    if (demand === undefined || instance === this.#own) return;
+    const told = this.#told.get(instance);
+    if (told === undefined || instance === this.#own) return;
     const shares = new Map<AccountId, number>();
-    for (const account of demand.keys()) {
-      shares.set(account, this.#share(instance, account));
+    for (const account of told.demand.keys()) {
+      shares.set(account, shareOf(told, account));
     }
-    this.#demands.delete(instance);
+    this.#told.delete(instance);
     this.#reserved.set(instance, shares);
+    this.#division = this.#divide();
   }
 
   /** Leaves out an instance that has ended. */
   forget(instance: InstanceId): void {
     if (instance === this.#own) return;
-    this.#demands.delete(instance);
+    this.#told.delete(instance);
     this.#reserved.delete(instance);
+    this.#division = this.#divide();
   }
 
   /**
@@ -81,31 +114,48 @@
    * ```
    */
   own(account: AccountId): number {
-    return this.#share(this.#own, account);
+    const demand = this.#told.get(this.#own)?.demand ?? NO_DEMAND;
+    return shareOf({ demand, division: this.#division }, account);
   }
 
-  #share(instance: InstanceId, account: AccountId): number {
-    const fleet = Math.max(1, this.#fleetSize());
-    const equal = 1 / fleet;
-    const free = 1 - this.#reservedOf(account, equal);
-    const heard = Math.max(1, fleet - this.#reserved.size);
-    const mine = this.#demands.get(instance)?.get(account) ?? 0;
-    let told = 0;
-    for (const demand of this.#demands.values()) {
-      told += demand.get(account) ?? 0;
-    }
-    // Those that have not told yet are taken to be asked as much as the rest.
-    const all = told * heard / Math.max(1, this.#demands.size);
-    const even = free / heard;
-    if (all < LEAST_DEMAND) return even;
-    return EQUAL_PART * even + (1 - EQUAL_PART) * free * mine / all;
+  /** The part of an account's rate that silent instances hold, in [0, 1]. */
+  reserved(account: AccountId): number {
+    return reservedOf(this.#division, account);
   }
 
-  #reservedOf(account: AccountId, equal: number): number {
-    let reserved = 0;
-    for (const shares of this.#reserved.values()) {
-      reserved += shares.get(account) ?? EQUAL_PART * equal;
-    }
-    return Math.min(1, reserved);
+  #divide(): Division {
+    const demand = new Map<AccountId, number>();
+    for (const told of this.#told.values()) addAll(demand, told.demand);
+    const reserved = new Map<AccountId, number>();
+    for (const shares of this.#reserved.values()) addAll(reserved, shares);
+    const silent = this.#reserved.size;
+    const heard = Math.max(1, this.#fleetSize() - silent);
+    return { demand, reserved, silent, heard, told: this.#told.size };
+  }
+}
+
+const NO_DEMAND: Demand = new Map();
+
+function addAll(sums: Map<AccountId, number>, parts: Demand): void {
+  for (const [account, part] of parts) {
+    sums.set(account, (sums.get(account) ?? 0) + part);
   }
 }
+
+function shareOf({ demand, division }: Told, account: AccountId): number {
+  const { heard, told } = division;
+  const free = 1 - reservedOf(division, account);
+  const even = free / heard;
+  // Those that have not told yet are taken to be asked as much as the rest.
+  const all = (division.demand.get(account) ?? 0) * heard / Math.max(1, told);
+  if (all < LEAST_DEMAND) return even;
+  const mine = Math.min(1, (demand.get(account) ?? 0) / all);
+  return EQUAL_PART * even + (1 - EQUAL_PART) * free * mine;
+}
+
+/** Silent instances that were not asked for the account hold their floor. */
+function reservedOf(division: Division, account: AccountId): number {
+  const { reserved, silent, heard } = division;
+  const floor = EQUAL_PART * silent / (silent + heard);
+  return Math.min(1, Math.max(floor, reserved.get(account) ?? 0));
+}
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -19,7 +19,7 @@
   EndpointVerdicts,
   type Placement,
 } from "../decisions/placement/mod.ts";
-import { AccountQuotas, DemandShares } from "../decisions/quotas/mod.ts";
+import { AccountQuotas } from "../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import {
   callerAddresses,
@@ -83,7 +83,6 @@
   readonly #start: string;
   readonly #state: TrafficState;
   readonly #peers: PeerTable;
-  readonly #shares: DemandShares;
   readonly #quotas: AccountQuotas;
   readonly #verdicts = new EndpointVerdicts();
   readonly #cold = new ColdLimits();
@@ -115,20 +114,19 @@
       cfg.zones.size * ASSUMED_PER_ZONE,
       {
         told: (digest) => this.#told(digest),
+        quiet: ({ profile }) => this.#quotas.silent(profile.id),
         silent: ({ profile }) => {
-          this.#shares.silent(profile.id);
           this.#inFlightTold.delete(profile.id);
           log.event("peer_silent", { peer: profile.id });
         },
         forgotten: ({ profile }) => {
-          this.#shares.forget(profile.id);
+          this.#quotas.forget(profile.id);
           log.event("peer_forgotten", { peer: profile.id });
         },
       },
     );
     const fleetSize = () => this.#peers.fleetSize;
-    this.#shares = new DemandShares(cfg.instance.id, fleetSize);
-    this.#quotas = new AccountQuotas(this.#shares);
+    this.#quotas = new AccountQuotas(cfg.instance.id, fleetSize);
     this.#exchange = new DigestExchange({
       transport,
       peers: this.#peers,
@@ -241,7 +239,10 @@
   #follow(sources: SteeringSources): readonly KindFollower<unknown>[] {
     const { clock, random, log } = this.#opts;
     const common = { clock, random, log };
-    const adopted = (plan: TrafficPlan) => this.#server?.limit(plan.limits);
+    const adopted = (plan: TrafficPlan) => {
+      this.#quotas.adopt(plan.accounts, clock.now());
+      this.#server?.limit(plan.limits);
+    };
     return [
       new KindFollower({
         ...common,
@@ -272,8 +273,7 @@
 
   #compose(seq: number): Digest {
     const now = this.#opts.clock.now();
-    const demand = this.#quotas.demand(now);
-    this.#shares.told(this.#profile.id, demand);
+    const uses = this.#quotas.tick(now);
     const inFlight = new Map(
       [...this.#state.endpoints.rows()].filter((row) => row.inFlight > 0)
         .map((row) => [row.id, row.inFlight] as const),
@@ -284,7 +284,7 @@
       start: this.#start,
       seq,
       planVersion: this.#state.planVersion,
-      demand,
+      uses,
       inFlight,
       others: this.#someOthers(),
     };
@@ -299,7 +299,9 @@
   }
 
   #told(digest: Digest): void {
-    this.#shares.told(digest.profile.id, digest.demand);
+    const { profile, start, uses } = digest;
+    const now = this.#opts.clock.now();
+    this.#quotas.told({ instance: profile.id, start }, uses, now);
     this.#inFlightTold.set(digest.profile.id, digest.inFlight);
     for (const row of this.#state.endpoints.rows()) {
       let sum = 0;
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -18,6 +18,7 @@
   type RegionId,
   type ZoneId,
 } from "../core/mod.ts";
+import type { AccountUse } from "../decisions/quotas/mod.ts";
 
 /** Whether an instance takes callers. */
 export type InstanceState = "starting" | "serving" | "leaving";
@@ -43,8 +44,8 @@
   readonly seq: number;
   /** Version of the plan in force there; 0 before the first. */
   readonly planVersion: number;
-  /** Requests a second by account. */
-  readonly demand: ReadonlyMap<AccountId, number>;
+  /** What was asked of and admitted for accounts. */
+  readonly uses: ReadonlyMap<AccountId, AccountUse>;
   /** Requests out at endpoints; none where there is no entry. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
   /** Some other instances, for those who could not read the list. */
@@ -59,13 +60,16 @@
 /** Profile as a list, to keep digests small. */
 type ProfileRow = [string, string, string, string, string];
 
+/** Requests a second, requests admitted, tokens. */
+type UseRow = [number, number, number];
+
 interface DigestJson {
   readonly p: ProfileRow;
   readonly s: InstanceState;
   readonly b: string;
   readonly n: number;
   readonly v: number;
-  readonly d: Record<string, number>;
+  readonly d: Record<string, UseRow>;
   readonly f: Record<string, number>;
   readonly o: ProfileRow[];
 }
@@ -85,7 +89,7 @@
     b: digest.start,
     n: digest.seq,
     v: digest.planVersion,
-    d: rounded(digest.demand),
+    d: useRows(digest.uses),
     f: Object.fromEntries(digest.inFlight),
     o: digest.others.map(profileRow),
   };
@@ -116,7 +120,7 @@
     start: json.b,
     seq: json.n,
     planVersion: json.v,
-    demand: numbers<AccountId>(json.d),
+    uses: readUses(json.d),
     inFlight: numbers<EndpointId>(json.f),
     others: json.o.flatMap((row) => {
       const other = readProfile(row);
@@ -161,11 +165,29 @@
   });
 }
 
-function rounded(rates: ReadonlyMap<string, number>): Record<string, number> {
-  const entries = [...rates].map(([name, rate]) =>
-    [name, Math.round(rate * 100) / 100] as const
-  );
-  return Object.fromEntries(entries);
+function useRows(
+  uses: ReadonlyMap<AccountId, AccountUse>,
+): Record<string, UseRow> {
+  const rows: Record<string, UseRow> = {};
+  for (const [account, { perS, admitted, level }] of uses) {
+    rows[account] = [round(perS), admitted, round(level)];
+  }
+  return rows;
+}
+
+function readUses(rows: Record<string, unknown>): Map<AccountId, AccountUse> {
+  const uses = new Map<AccountId, AccountUse>();
+  for (const [account, row] of Object.entries(rows)) {
+    if (!Array.isArray(row) || !row.every(Number.isFinite)) continue;
+    const [perS, admitted, level] = row as UseRow;
+    if (!(perS >= 0) || !(admitted >= 0) || level === undefined) continue;
+    uses.set(account as AccountId, { perS, admitted, level });
+  }
+  return uses;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
 }
 
 function numbers<Id extends string>(
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -6,6 +6,13 @@
 import type { InstanceId } from "../core/mod.ts";
 import type { Digest, InstanceProfile, InstanceState } from "./digest.ts";
 
+/**
+ * Without a digest for this long an instance's share of rates is set aside, in
+ * milliseconds: one digest and a half. If it is cut off, callers may already
+ * press on both sides, and shares that follow their demand would add up to more
+ * than the rate.
+ */
+export const QUIET_AFTER_MS = 400;
 /**
  * Without a digest for this long an instance counts as silent, in milliseconds:
  * six digests in a row. Callers are not sent to it any more.
@@ -28,6 +35,7 @@
   heardAt: number | undefined;
   /** When it was first heard of. */
   knownAt: number;
+  quiet: boolean;
   silent: boolean;
 }
 
@@ -35,6 +43,8 @@
 export interface PeerEvents {
   /** A digest came that is newer than the last. */
   told(digest: Digest, now: number): void;
+  /** An instance was not heard lately; it may be cut off. */
+  quiet(peer: Peer): void;
   /** An instance is heard no more. */
   silent(peer: Peer): void;
   /** An instance is taken to have ended. */
@@ -76,6 +86,7 @@
       seq: -1,
       heardAt: undefined,
       knownAt: now,
+      quiet: true,
       silent: true,
     });
   }
@@ -100,6 +111,7 @@
     peer.start = digest.start;
     peer.seq = digest.seq;
     peer.heardAt = now;
+    peer.quiet = false;
     peer.silent = false;
     this.#events.told(digest, now);
   }
@@ -108,6 +120,10 @@
   tick(now: number): void {
     for (const peer of this.#peers.values()) {
       const unheardMs = now - (peer.heardAt ?? peer.knownAt);
+      if (unheardMs > QUIET_AFTER_MS && !peer.quiet) {
+        peer.quiet = true;
+        this.#events.quiet(peer);
+      }
       if (unheardMs > SILENT_AFTER_MS && !peer.silent) {
         peer.silent = true;
         this.#events.silent(peer);
