--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -30,8 +30,8 @@
   "endpoint.duration": {
     type: "timing",
     unit: "ms",
-    tags: [],
-    help: "From sending a request to an endpoint to its whole answer",
+    tags: ["service"],
+    help: "From sending a request to an endpoint to what became of it",
   },
   "endpoint.drain": {
     type: "timing",
@@ -112,6 +112,12 @@
     tags: ["result"],
     help: "Health probes sent to endpoints",
   },
+  "refusal.duration": {
+    type: "timing",
+    unit: "ms",
+    tags: [],
+    help: "From a request's arrival to its refusal or failure",
+  },
   "request.duration": {
     type: "timing",
     unit: "ms",
--- a/src/decisions/placement/affinity_placement.ts
+++ b/src/decisions/placement/affinity_placement.ts
@@ -17,12 +17,10 @@
  * @module
  */
 import type { EndpointRow } from "../../traffic/mod.ts";
-import { rankEndpoints } from "./object_ranking.ts";
+import { ObjectRanking } from "./object_ranking.ts";
 import { occupancy } from "./occupancy.ts";
 import type { Placed, Placement, PlacementAsk } from "./placement.ts";
 
-/** Endpoints that an object is served by: its home and one to spill to. */
-const PLACES = 2;
 /**
  * How full a home may be before its requests spill, as a part of its slots. A
  * few that wait cost less than a first visit elsewhere; played loads lose one
@@ -43,8 +41,6 @@
  * than none; where little is, first visits would push out what is at home.
  */
 const IDLE_FILL = 0.3;
-/** The soonest that a refused caller is told to come back, in milliseconds. */
-const LEAST_RETRY_MS = 100;
 /**
  * What an endpoint in another region counts as fuller, as a part of its slots:
  * with as much room in both, work stays in its region.
@@ -53,77 +49,69 @@
 
 /** Rendezvous hashing by affinity key, spilling to one other endpoint. */
 export class AffinityPlacement implements Placement {
+  readonly #ranking = new ObjectRanking();
+
   choose(
-    candidates: readonly EndpointRow[],
+    endpoints: readonly EndpointRow[],
     ask: PlacementAsk,
     now: number,
   ): Placed {
-    const { affinityKey, region, regions } = ask;
-    if (affinityKey === undefined) return leastLoaded(candidates, ask, now);
-    const object = { affinityKey, region, regions };
-    const places = rankEndpoints(candidates, object, PLACES);
-    const [home, second] = places;
-    if (home !== undefined && fill(home, now) < HOME_FILL) {
-      return { endpoint: home, why: "home" };
-    }
-    if (second !== undefined && fill(second, now) < SPILL_FILL) {
+    const { affinityKey, region, regions, usable } = ask;
+    if (affinityKey === undefined) return leastLoaded(endpoints, ask, now);
+    const object = { affinityKey, region, regions, usable };
+    const { home, second } = this.#ranking.places(endpoints, object);
+    if (home === undefined) return { endpoint: undefined, waitMs: 0 };
+    const homeFill = fillOf(home, now);
+    if (homeFill < HOME_FILL) return { endpoint: home, why: "home" };
+    const secondFill = second === undefined ? Infinity : fillOf(second, now);
+    if (second !== undefined && secondFill < SPILL_FILL) {
       return { endpoint: second, why: "spill" };
     }
-    const shorter = leastFilled(places, ask, now);
-    if (shorter !== undefined && fill(shorter, now) < mostFill(ask)) {
-      return { endpoint: shorter, why: "queue" };
-    }
-    const idle = leastFilled(candidates, ask, now);
-    if (idle !== undefined && fill(idle, now) < IDLE_FILL) {
+    const shorter = second === undefined || homeFill <= secondFill
+      ? home
+      : second;
+    const least = Math.min(homeFill, secondFill);
+    if (least < mostFill(ask)) return { endpoint: shorter, why: "queue" };
+    const idle = leastFilled(endpoints, ask, now);
+    if (idle !== undefined && fillOf(idle, now) < IDLE_FILL) {
       return { endpoint: idle, why: "idle" };
     }
-    return noRoom(shorter, ask, now);
+    return { endpoint: undefined, waitMs: (least - 1) * ask.usualMs };
   }
 }
 
 /** The endpoint with the lowest part of its slots taken, if it has room. */
 export function leastLoaded(
-  candidates: readonly EndpointRow[],
+  endpoints: readonly EndpointRow[],
   ask: PlacementAsk,
   now: number,
 ): Placed {
-  const best = leastFilled(candidates, ask, now);
-  if (best === undefined || fill(best, now) >= mostFill(ask)) {
-    return noRoom(best, ask, now);
-  }
-  return { endpoint: best, why: "load" };
+  const best = leastFilled(endpoints, ask, now);
+  if (best === undefined) return { endpoint: undefined, waitMs: 0 };
+  const fill = fillOf(best, now);
+  if (fill < mostFill(ask)) return { endpoint: best, why: "load" };
+  return { endpoint: undefined, waitMs: (fill - 1) * ask.usualMs };
 }
 
 function leastFilled(
-  rows: readonly EndpointRow[],
+  endpoints: readonly EndpointRow[],
   ask: PlacementAsk,
   now: number,
 ): EndpointRow | undefined {
   let best: EndpointRow | undefined;
   let bestFill = Infinity;
-  for (const row of rows) {
+  for (const row of endpoints) {
     const abroad = row.region === ask.region ? 0 : ABROAD_FILL;
-    const part = fill(row, now) + abroad;
-    if (part < bestFill) [best, bestFill] = [row, part];
+    const part = fillOf(row, now) + abroad;
+    if (part < bestFill && ask.usable(row)) [best, bestFill] = [row, part];
   }
   return best;
 }
 
-/** Refuses, until about when the queue that is too long has been worked off. */
-function noRoom(
-  row: EndpointRow | undefined,
-  ask: PlacementAsk,
-  now: number,
-): Placed {
-  const waiting = row === undefined ? 1 : Math.max(0, fill(row, now) - 1);
-  const retryAfterMs = Math.max(LEAST_RETRY_MS, waiting * ask.usualMs);
-  return { endpoint: undefined, retryAfterMs };
-}
-
 function mostFill({ rank }: PlacementAsk): number {
   return MOST_FILL[Math.min(rank, MOST_FILL.length - 1)] ?? MOST_FILL[0];
 }
 
-function fill(row: EndpointRow, now: number): number {
+function fillOf(row: EndpointRow, now: number): number {
   return occupancy(row, now) / Math.max(1, row.record.slots);
 }
--- a/src/decisions/placement/affinity_placement_test.ts
+++ b/src/decisions/placement/affinity_placement_test.ts
@@ -10,7 +10,7 @@
 import {
   AffinityPlacement,
   LeastLoadPlacement,
-  rankEndpoints,
+  ObjectRanking,
   regionWeights,
 } from "./mod.ts";
 import { play, type PlayOptions } from "./testing/placement_play.ts";
@@ -124,9 +124,16 @@
 test("a region without endpoints, or callers beyond all, is still placed", (t) => {
   const regions = ["riga", "frankfurt", "osaka"] as RegionId[];
   const only = rows({ osaka: 3 });
-  const ask = { affinityKey: "7", region: "riga" as RegionId, regions };
-  t.is(rankEndpoints(only, ask, 2).length, 2);
-  t.deepEqual(rankEndpoints([], ask, 2), []);
+  const ask = {
+    affinityKey: "7",
+    region: "riga" as RegionId,
+    regions,
+    usable: () => true,
+  };
+  const { home, second } = new ObjectRanking().places(only, ask);
+  t.true(home !== undefined && second !== undefined && home !== second);
+  const none = new ObjectRanking().places([], ask);
+  t.deepEqual(none, { home: undefined, second: undefined });
 });
 
 test("an object keeps its places when another endpoint comes", (t) => {
@@ -135,12 +142,18 @@
   const regions = ["riga", "frankfurt", "osaka"] as RegionId[];
   const before = rows({ riga: 2, frankfurt: 8, osaka: 10 });
   const after = rows({ riga: 2, frankfurt: 8, osaka: 11 });
+  const ranking = new ObjectRanking();
   let moved = 0;
   for (let i = 0; i < 300; i++) {
-    const ask = { affinityKey: `o${i}`, region: "osaka" as RegionId, regions };
-    const [a] = rankEndpoints(before, ask, 1);
-    const [b] = rankEndpoints(after, ask, 1);
-    if (a?.id !== b?.id) moved++;
+    const ask = {
+      affinityKey: `o${i}`,
+      region: "osaka" as RegionId,
+      regions,
+      usable: () => true,
+    };
+    const a = ranking.places(before, ask);
+    const b = ranking.places(after, ask);
+    if (a.home?.id !== b.home?.id) moved++;
   }
   t.true(moved / 300 < 0.15, `${moved} of 300 moved`);
 });
--- a/src/decisions/placement/endpoint_verdicts.ts
+++ b/src/decisions/placement/endpoint_verdicts.ts
@@ -34,11 +34,7 @@
  * before the endpoint counts as silent, in milliseconds. Most work takes less.
  */
 const SILENT_MS = 1_500;
-/**
- * Part of a service's endpoints that may be set aside. When more seem to fail,
- * the fault is likelier here or in the requests, and the rest could not take
- * the load.
- */
+/** Part of a service's endpoints that may be set aside. */
 const MOST_ASIDE_PART = 0.5;
 
 interface Verdict {
@@ -73,11 +69,15 @@
     else if (evidence === "good") verdict.asideMs = FIRST_ASIDE_MS;
   }
 
-  /** The endpoints that are not set aside, or all if too many are. */
-  usable(rows: readonly EndpointRow[], now: number): readonly EndpointRow[] {
-    const good = rows.filter((row) => !this.isAside(row, now));
-    if (good.length === rows.length) return rows;
-    return good.length < rows.length * (1 - MOST_ASIDE_PART) ? rows : good;
+  /**
+   * Whether so many of a service's endpoints are set aside that all are used:
+   * the fault is likelier here or in the requests, and the rest could not take
+   * the load.
+   */
+  tooManyAside(rows: readonly EndpointRow[], now: number): boolean {
+    let aside = 0;
+    for (const row of rows) if (this.isAside(row, now)) aside++;
+    return aside > rows.length * MOST_ASIDE_PART;
   }
 
   isAside(row: EndpointRow, now: number): boolean {
--- a/src/decisions/placement/least_load_placement.ts
+++ b/src/decisions/placement/least_load_placement.ts
@@ -10,10 +10,10 @@
 /** For comparison with {@link AffinityPlacement} in one run. */
 export class LeastLoadPlacement implements Placement {
   choose(
-    candidates: readonly EndpointRow[],
+    endpoints: readonly EndpointRow[],
     ask: PlacementAsk,
     now: number,
   ): Placed {
-    return leastLoaded(candidates, ask, now);
+    return leastLoaded(endpoints, ask, now);
   }
 }
--- a/src/decisions/placement/object_ranking.ts
+++ b/src/decisions/placement/object_ranking.ts
@@ -21,39 +21,82 @@
   readonly region: RegionId;
   /** Regions with callers. */
   readonly regions: readonly RegionId[];
+  readonly usable: (row: EndpointRow) => boolean;
+}
+
+/** The two first endpoints of an object. */
+export interface Places {
+  readonly home: EndpointRow | undefined;
+  readonly second: EndpointRow | undefined;
 }
 
 /**
- * The first endpoints of an object, by weighted rendezvous hashing (Thaler and
- * Ravishankar 1998; weights by the logarithm of the hash). Every instance of a
- * region finds the same ones without a message, and when an endpoint comes or
- * goes only its own objects move.
- *
- * @example
- * ```ts
- * const [home, second] = rankEndpoints(rows, ask, 2);
- * ```
+ * Ranks endpoints by weighted rendezvous hashing (Thaler and Ravishankar 1998;
+ * weights by the logarithm of the hash). Every instance of a region finds the
+ * same places without a message, and when an endpoint comes or goes only its
+ * own objects move.
  */
-export function rankEndpoints(
-  rows: readonly EndpointRow[],
+export class ObjectRanking {
+  /** Weights of the endpoints by caller's region, for each set of endpoints. */
+  readonly #weights = new WeakMap<
+    readonly EndpointRow[],
+    Map<RegionId, Float64Array>
+  >();
+
+  /**
+   * The first two endpoints that can be used.
+   *
+   * @example
+   * ```ts
+   * const { home, second } = ranking.places(endpoints, ask);
+   * ```
+   */
+  places(endpoints: readonly EndpointRow[], ask: ObjectAsk): Places {
+    const weights = this.#weightsOf(endpoints, ask);
+    const object = hash(ask.affinityKey);
+    let home: EndpointRow | undefined;
+    let second: EndpointRow | undefined;
+    let highest = -1;
+    let next = -1;
+    for (const [i, row] of endpoints.entries()) {
+      const draw = (mix(object ^ row.seed) + 1) / (HASHES + 1);
+      const score = -(weights[i] ?? LAST_RESORT) / Math.log(draw);
+      if (score <= next || !ask.usable(row)) continue;
+      if (score > highest) {
+        [second, next] = [home, highest];
+        [home, highest] = [row, score];
+      } else {
+        [second, next] = [row, score];
+      }
+    }
+    return { home, second };
+  }
+
+  #weightsOf(endpoints: readonly EndpointRow[], ask: ObjectAsk): Float64Array {
+    const byRegion = this.#weights.get(endpoints) ?? new Map();
+    this.#weights.set(endpoints, byRegion);
+    const known = byRegion.get(ask.region);
+    if (known !== undefined) return known;
+    const fresh = endpointWeights(endpoints, ask);
+    byRegion.set(ask.region, fresh);
+    return fresh;
+  }
+}
+
+/** Each endpoint's part of the work of a region's callers. */
+function endpointWeights(
+  endpoints: readonly EndpointRow[],
   ask: ObjectAsk,
-  count: number,
-): EndpointRow[] {
-  const weights = regionWeights(rows, ask.regions, ask.region);
+): Float64Array {
+  const ofRegion = regionWeights(endpoints, ask.regions, ask.region);
   const slots = new Map<RegionId, number>();
-  for (const { region, record } of rows) {
+  for (const { region, record } of endpoints) {
     slots.set(region, (slots.get(region) ?? 0) + record.slots);
   }
-  const object = hash(ask.affinityKey);
-  const scored = rows.map((row) => {
-    const ofRegion = weights.get(row.region) ?? 0;
-    const part = row.record.slots / (slots.get(row.region) ?? 1);
-    const weight = Math.max(LAST_RESORT, ofRegion * part);
-    const draw = (mix(object ^ row.seed) + 1) / (HASHES + 1);
-    return { row, score: -weight / Math.log(draw) };
+  return Float64Array.from(endpoints, ({ region, record }) => {
+    const part = record.slots / (slots.get(region) ?? 1);
+    return Math.max(LAST_RESORT, (ofRegion.get(region) ?? 0) * part);
   });
-  scored.sort((a, b) => b.score - a.score || (a.row.id < b.row.id ? -1 : 1));
-  return scored.slice(0, count).map(({ row }) => row);
 }
 
 /** The finalizer of MurmurHash3: near inputs fall apart. */
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -16,25 +16,32 @@
   readonly regions: readonly RegionId[];
   /** How urgent it is; 0 is the most urgent. */
   readonly rank: number;
-  /** Time left until the caller's deadline, in milliseconds. */
-  readonly leftMs: number;
   /** How long a request of the service usually takes, in milliseconds. */
   readonly usualMs: number;
+  /**
+   * Whether an endpoint can be used now. Those that cannot keep their objects:
+   * where an object is at home must not change with every failure.
+   */
+  readonly usable: (row: EndpointRow) => boolean;
 }
 
 /** What came of a placement. */
 export type Placed =
-  | { readonly endpoint: EndpointRow; readonly why: string }
+  | { readonly endpoint: EndpointRow; readonly why: PlacedBy }
   /** No endpoint can take the request in time. */
-  | { readonly endpoint: undefined; readonly retryAfterMs: number };
+  | { readonly endpoint: undefined; readonly waitMs: number };
+
+/** Why an endpoint was chosen. */
+export type PlacedBy = "home" | "spill" | "queue" | "idle" | "load";
 
 /**
- * Chooses among the endpoints that may be used for a request. Sees no network
- * and no clock of its own.
+ * Chooses among the endpoints of a service that are there. Sees no network and
+ * no clock of its own. The same array stands for the same endpoints, so what is
+ * worked out from it may be kept.
  */
 export interface Placement {
   choose(
-    candidates: readonly EndpointRow[],
+    endpoints: readonly EndpointRow[],
     ask: PlacementAsk,
     now: number,
   ): Placed;
--- a/src/decisions/placement/testing/placement_play.ts
+++ b/src/decisions/placement/testing/placement_play.ts
@@ -64,6 +64,7 @@
 /** An endpoint's queue, in rounds of its slots. */
 const QUEUE_ROUNDS = 3;
 const SPREAD = 0.15;
+const LEAST_RETRY_MS = 50;
 
 interface Job {
   readonly object: string;
@@ -98,6 +99,8 @@
   readonly region: string;
   readonly placement: Placement;
   readonly rows = new Map<EndpointId, EndpointRow>();
+  /** The rows as one array, the same until they change. */
+  known: readonly EndpointRow[] = [];
   usualMs = 200;
 
   constructor(region: string, placement: Placement) {
@@ -182,6 +185,7 @@
       const row = new EndpointRow(record, region as RegionId, opts);
       instance.rows.set(id, row);
     }
+    instance.known = [...instance.rows.values()];
   }
 
   #lose(): void {
@@ -190,7 +194,10 @@
     for (const endpoint of this.#endpoints) {
       if (endpoint.id !== loses.endpoint) continue;
       endpoint.gone = true;
-      for (const instance of this.#instances) instance.rows.delete(endpoint.id);
+      for (const instance of this.#instances) {
+        instance.rows.delete(endpoint.id);
+        instance.known = [...instance.rows.values()];
+      }
     }
   }
 
@@ -215,16 +222,17 @@
     const near = this.#instances.filter((i) => i.region === region);
     const instance = near[this.#random.below(near.length)];
     if (instance === undefined) return;
-    const placed = instance.placement.choose([...instance.rows.values()], {
+    const placed = instance.placement.choose(instance.known, {
       affinityKey: object,
       region: region as RegionId,
       regions: Object.keys(this.#opts.endpoints) as RegionId[],
-      leftMs: this.#opts.deadlineMs - (this.#now - sentAt),
+      usable: () => true,
       usualMs: instance.usualMs,
       rank: 2,
     }, this.#now);
     if (placed.endpoint === undefined) {
-      this.#refuse(region, object, sentAt, retried, placed.retryAfterMs);
+      const waitMs = Math.max(LEAST_RETRY_MS, placed.waitMs);
+      this.#refuse(region, object, sentAt, retried, waitMs);
       return;
     }
     const row = placed.endpoint;
--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -8,7 +8,7 @@
 import { DemandCounter } from "./demand_counter.ts";
 import { DemandShares } from "./demand_shares.ts";
 import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
-import { ReturnSchedule } from "./return_schedule.ts";
+import { ReturnSchedule } from "../limits/return_schedule.ts";
 
 /** The longest that a refused caller is told to stay away, in milliseconds. */
 const LONGEST_RETRY_MS = 2_000;
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -7,4 +7,3 @@
 export * from "./demand_counter.ts";
 export * from "./demand_shares.ts";
 export * from "./fleet_bucket.ts";
-export * from "./return_schedule.ts";
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -26,7 +26,7 @@
  * ends may arrive in the next one, and an instance that starts anew forgets
  * what it spent.
  */
-const USED_PART = 0.6;
+const USED_PART = 0.8;
 /** Steps of the window: what is forgotten at once is one step's count. */
 const STEPS = 10;
 
--- /dev/null
+++ b/src/edge/admission.ts
@@ -0,0 +1,108 @@
+/**
+ * What a request needs before an endpoint is chosen: a route, a client account,
+ * a place within the account's rate, and a service.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, fail, type Failure, failure } from "../core/mod.ts";
+import { WeightedChoice } from "../decisions/placement/mod.ts";
+import type { AccountQuotas } from "../decisions/quotas/mod.ts";
+import type { Account, Route, RouteTable } from "../traffic/mod.ts";
+import { homeRegions } from "./home_regions.ts";
+import type { TrafficState } from "./traffic_state.ts";
+import type { CallerRequest, Trip } from "./trip.ts";
+
+/** How long a caller is taken to wait that does not say, in milliseconds. */
+const DEFAULT_PATIENCE_MS = 30_000;
+/**
+ * How long before the caller's deadline this instance answers, in milliseconds:
+ * about the way back to the caller. Later, the answer meets a caller that left.
+ */
+const ANSWER_MARGIN_MS = 15;
+/** When to come back to an instance that has no plan yet, in milliseconds. */
+const START_RETRY_MS = 500;
+
+/** Lets requests in at one instance. */
+export class Admission {
+  readonly #state: TrafficState;
+  readonly #quotas: AccountQuotas;
+  readonly #clock: Clock;
+  readonly #weights = new WeightedChoice();
+
+  constructor(state: TrafficState, quotas: AccountQuotas, clock: Clock) {
+    this.#state = state;
+    this.#quotas = quotas;
+    this.#clock = clock;
+  }
+
+  /**
+   * Lets a request in and spends one of its account's rate.
+   *
+   * Failures: `not_ready`, `not_found`, `unauthenticated`, `rate_exceeded`,
+   * `no_endpoint`.
+   */
+  admit(req: CallerRequest): Result<Trip, Failure> {
+    const { table } = this.#state;
+    if (table === undefined) {
+      return fail("not_ready", "this instance has no plan yet", {
+        outcome: "not-run",
+        retryAfterMs: START_RETRY_MS,
+      });
+    }
+    const { fields } = req;
+    const route = table.route(fields.host, fields.path);
+    if (route === undefined) return fail("not_found", "no such route");
+    const account = accountOf(table, route, fields.key);
+    if (account === "unknown") {
+      return fail("unauthenticated", "the key is not known");
+    }
+    const limited = this.#spend(account);
+    if (limited !== undefined) return err(limited);
+    const service = this.#weights.next(route);
+    if (service === undefined) {
+      return fail("no_endpoint", "the route has no service", {
+        outcome: "not-run",
+      });
+    }
+    return ok({
+      req,
+      route,
+      account,
+      service,
+      regions: homeRegions(route, account),
+      deadline: deadlineOf(req, route),
+      planVersion: table.plan.version,
+      tried: new Set(),
+      chosenBy: "",
+      mayHaveRun: false,
+    });
+  }
+
+  #spend(account: Account | undefined): Failure | undefined {
+    if (account === undefined) return undefined;
+    const spent = this.#quotas.take(account, this.#clock.now());
+    if (spent.admitted) return undefined;
+    const share = Math.round(spent.share * 100);
+    return failure(
+      "rate_exceeded",
+      `account ${account.id} is over its rate, of which ${share}% are here`,
+      { outcome: "not-run", retryAfterMs: spent.retryAfterMs },
+    );
+  }
+}
+
+function accountOf(
+  table: RouteTable,
+  route: Route,
+  key: string | undefined,
+): Account | undefined | "unknown" {
+  if (route.isPublic || !table.hasAccounts) return undefined;
+  return (key === undefined ? undefined : table.account(key)) ?? "unknown";
+}
+
+function deadlineOf(req: CallerRequest, route: Route): number {
+  const patienceMs = req.fields.patienceMs ?? DEFAULT_PATIENCE_MS;
+  const leftMs = Math.min(patienceMs, route.timeoutMs) - ANSWER_MARGIN_MS;
+  return req.arrivedAt + leftMs;
+}
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -19,7 +19,8 @@
 import { splitAddress } from "../fleet/mod.ts";
 import type { AnswerSink } from "./endpoint_sender.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { CallerRequest, FlowAnswer } from "./request_flow.ts";
+import type { FlowAnswer } from "./request_flow.ts";
+import type { CallerRequest } from "./trip.ts";
 
 /** Serves one request. */
 export type RequestHandler = (req: CallerRequest) => Promise<FlowAnswer>;
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -15,8 +15,6 @@
 import { sleep } from "../core/mod.ts";
 import {
   AffinityPlacement,
-  ColdLimits,
-  EndpointVerdicts,
   type Placement,
 } from "../decisions/placement/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
@@ -36,11 +34,14 @@
   EndpointRow,
   TrafficPlan,
 } from "../traffic/mod.ts";
+import { Admission } from "./admission.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { EdgeSettings } from "./edge_settings.ts";
+import { EndpointChooser } from "./endpoint_chooser.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { type InstanceList, joinList } from "./instance_list.ts";
 import { LapseWatch } from "./lapse_watch.ts";
+import { OutcomeJournal } from "./outcome_journal.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import { RequestFlow } from "./request_flow.ts";
 import {
@@ -85,8 +86,7 @@
   readonly #state: TrafficState;
   readonly #peers: PeerTable;
   readonly #quotas: AccountQuotas;
-  readonly #verdicts = new EndpointVerdicts();
-  readonly #cold = new ColdLimits();
+  readonly #chooser: EndpointChooser;
   readonly #sender: HttpEndpointSender;
   readonly #exchange: DigestExchange;
   readonly #lapses = new LapseWatch();
@@ -128,6 +128,13 @@
       },
     );
     const fleetSize = () => this.#peers.fleetSize;
+    this.#chooser = new EndpointChooser({
+      state: this.#state,
+      placement: opts.placement ?? new AffinityPlacement(),
+      fleetSize,
+      region: cfg.instance.region,
+      regions: [...new Set(cfg.zones.values())],
+    });
     this.#quotas = new AccountQuotas(cfg.instance.id, fleetSize);
     this.#exchange = new DigestExchange({
       transport,
@@ -221,22 +228,16 @@
   }
 
   #flow(): RequestFlow {
-    const { cfg, clock, log, metrics, codec, placement } = this.#opts;
+    const { cfg, clock, log, metrics, codec } = this.#opts;
     return new RequestFlow({
-      state: this.#state,
-      codec,
+      admission: new Admission(this.#state, this.#quotas, clock),
+      chooser: this.#chooser,
       sender: this.#sender,
-      placement: placement ?? new AffinityPlacement(),
-      verdicts: this.#verdicts,
-      cold: this.#cold,
-      quotas: this.#quotas,
+      codec,
       retries: new SharedRetryBudget(cfg.retries),
       fleetSize: () => this.#peers.fleetSize,
-      region: cfg.instance.region,
-      regions: [...new Set(cfg.zones.values())],
+      journal: new OutcomeJournal(clock, log, metrics),
       clock,
-      log,
-      metrics,
     });
   }
 
@@ -270,8 +271,7 @@
   }
 
   #forget(row: EndpointRow): void {
-    this.#verdicts.forget(row.id);
-    this.#cold.forget(row.id);
+    this.#chooser.forget(row);
     this.#sender.forget(row);
   }
 
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -4,14 +4,18 @@
  *
  * @module
  */
+export * from "./admission.ts";
 export * from "./caller_server.ts";
 export * from "./edge_instance.ts";
 export * from "./edge_settings.ts";
+export * from "./endpoint_chooser.ts";
 export * from "./endpoint_sender.ts";
 export * from "./http_endpoint_sender.ts";
 export * from "./instance_list.ts";
+export * from "./outcome_journal.ts";
 export * from "./plain_server.ts";
 export * from "./request_codec.ts";
 export * from "./request_flow.ts";
 export * from "./stop_plan.ts";
 export * from "./traffic_state.ts";
+export * from "./trip.ts";
--- /dev/null
+++ b/src/edge/outcome_journal.ts
@@ -0,0 +1,100 @@
+/**
+ * What is logged and counted of each request's end.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Failure,
+  isSampled,
+  type Log,
+  type LogFields,
+  type Metrics,
+} from "../core/mod.ts";
+import type { EndpointRow } from "../traffic/mod.ts";
+import type { CallerRequest, Trip } from "./trip.ts";
+
+/** Writes the ends of requests at one instance. */
+export class OutcomeJournal {
+  readonly #clock: Clock;
+  readonly #log: Log;
+  readonly #metrics: Metrics;
+
+  constructor(clock: Clock, log: Log, metrics: Metrics) {
+    this.#clock = clock;
+    this.#log = log;
+    this.#metrics = metrics;
+  }
+
+  /** An endpoint's answer goes to the caller. */
+  answered(trip: Trip, endpoint: EndpointRow, status: number): void {
+    const tookMs = this.#clock.now() - trip.req.arrivedAt;
+    const { service } = trip;
+    const result = status < 500 ? "answered" : "endpoint_error";
+    this.#metrics.count("requests", { service, result });
+    this.#metrics.timing("request.duration", tookMs, { service });
+    if (status < 500 && !isSampled(trip.req.fields.requestId)) return;
+    this.#log.event("request_answered", {
+      ...this.#about(trip),
+      endpoint: endpoint.id,
+      status,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
+  /** A request is refused or failed; without a trip it was not let in. */
+  refused(req: CallerRequest, why: Failure, trip?: Trip): void {
+    const tookMs = this.#clock.now() - req.arrivedAt;
+    const service = trip?.service ?? "none";
+    this.#metrics.count("requests", { service, result: why.code });
+    this.#metrics.timing("refusal.duration", tookMs);
+    this.#log.event("request_refused", {
+      ...(trip === undefined
+        ? { request: req.fields.requestId }
+        : this.#about(trip)),
+      code: why.code,
+      outcome: why.outcome,
+      reason: why.message,
+      retryAfterMs: why.retryAfterMs === undefined
+        ? undefined
+        : Math.round(why.retryAfterMs),
+      tookMs: Math.round(tookMs),
+    });
+  }
+
+  /** The caller left before its answer. */
+  gone(trip: Trip): void {
+    const { service } = trip;
+    this.#metrics.count("requests", { service, result: "caller_gone" });
+  }
+
+  /** A try at an endpoint has ended. */
+  tried(endpoint: EndpointRow, tookMs: number): void {
+    const { service } = endpoint.record;
+    this.#metrics.timing("endpoint.duration", tookMs, { service });
+  }
+
+  /** What is said of a request's way. */
+  #about(trip: Trip): LogFields {
+    const { req, route, account, service, planVersion, tried } = trip;
+    return {
+      request: req.fields.requestId,
+      route: route.name,
+      account: account?.id,
+      service,
+      plan: planVersion,
+      tries: tried.size,
+      tried: [...tried].map((row) => this.#asSeen(row)).join(" "),
+      chosenBy: trip.chosenBy,
+      leftMs: Math.round(trip.deadline - this.#clock.now()),
+    };
+  }
+
+  /** An endpoint with what it holds and how old its load report is. */
+  #asSeen(row: EndpointRow): string {
+    const { id, inFlight, peersInFlight, reportedAt } = row;
+    const held = `${inFlight}+${peersInFlight}/${row.record.slots}`;
+    if (row.report === undefined) return `${id}(${held})`;
+    return `${id}(${held},${Math.round(this.#clock.now() - reportedAt)}ms)`;
+  }
+}
--- a/src/edge/traffic_state.ts
+++ b/src/edge/traffic_state.ts
@@ -29,6 +29,10 @@
   readonly endpoints: EndpointTable;
   #table: RouteTable | undefined;
   readonly #evacuated = new Set<ZoneId>();
+  /** Answers of `eligible`, until an endpoint or a zone changes. */
+  readonly #eligible = new Map<string, readonly EndpointRow[]>();
+  #eligibleAt = -1;
+  #zoneChanges = 0;
 
   constructor(
     regionOf: (zone: ZoneId) => RegionId | undefined,
@@ -62,12 +66,14 @@
   evacuate(zone: ZoneId): boolean {
     if (this.#evacuated.has(zone)) return false;
     this.#evacuated.add(zone);
+    this.#zoneChanges++;
     return true;
   }
 
   /** Ends a zone's evacuation; gives whether that is news. */
   restore(zone: ZoneId, now: number): boolean {
     if (!this.#evacuated.delete(zone)) return false;
+    this.#zoneChanges++;
     for (const row of this.endpoints.rows()) {
       if (row.record.zone !== zone) continue;
       row.coldUntil = Math.max(row.coldUntil, now + COLD_AFTER_EVACUATION_MS);
@@ -79,14 +85,25 @@
     return [...this.#evacuated];
   }
 
-  /** Endpoints of a service that new requests may go to. */
+  /**
+   * Endpoints of a service that new requests may go to. The same array until
+   * something changes.
+   */
   eligible(
     service: ServiceId,
     regions: ReadonlySet<RegionId> | undefined,
   ): readonly EndpointRow[] {
-    return this.endpoints.ofService(service).filter((row) =>
+    const changes = this.endpoints.changes + this.#zoneChanges;
+    if (changes !== this.#eligibleAt) this.#eligible.clear();
+    this.#eligibleAt = changes;
+    const key = `${service} ${regions === undefined ? "" : [...regions]}`;
+    const known = this.#eligible.get(key);
+    if (known !== undefined) return known;
+    const rows = this.endpoints.ofService(service).filter((row) =>
       !row.record.draining && !this.#evacuated.has(row.record.zone) &&
       (regions === undefined || regions.has(row.region))
     );
+    this.#eligible.set(key, rows);
+    return rows;
   }
 }
--- /dev/null
+++ b/src/edge/trip.ts
@@ -0,0 +1,40 @@
+/**
+ * A caller's request, and what was decided about it on its way.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { RegionId, ServiceId } from "../core/mod.ts";
+import type { Account, EndpointRow, Route } from "../traffic/mod.ts";
+import type { CallerFields, RawHeaders } from "./request_codec.ts";
+
+/** A caller's request, read to its end. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly headers: RawHeaders;
+  readonly fields: CallerFields;
+  readonly body: Buffer | undefined;
+  /** When its first bytes came, on the instance's clock. */
+  readonly arrivedAt: number;
+  /** Ends when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** A request that was let in. */
+export interface Trip {
+  readonly req: CallerRequest;
+  readonly route: Route;
+  readonly account: Account | undefined;
+  readonly service: ServiceId;
+  /** Regions that may serve it; all if undefined. */
+  readonly regions: ReadonlySet<RegionId> | undefined;
+  /** When the caller or the route gives up, on the instance's clock. */
+  readonly deadline: number;
+  readonly planVersion: number;
+  /** Endpoints it was sent to. */
+  readonly tried: Set<EndpointRow>;
+  /** Why the last of them was chosen. */
+  chosenBy: string;
+  /** Whether an endpoint may have run it. */
+  mayHaveRun: boolean;
+}
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -81,6 +81,7 @@
   readonly #regionOf: (zone: ZoneId) => RegionId | undefined;
   readonly #seedOf: (id: EndpointId) => number;
   readonly #events: EndpointTableEvents;
+  #changes = 0;
 
   constructor(
     regionOf: (zone: ZoneId) => RegionId | undefined,
@@ -92,6 +93,11 @@
     this.#events = events;
   }
 
+  /** Counts up with each change of an endpoint. */
+  get changes(): number {
+    return this.#changes;
+  }
+
   get size(): number {
     return this.#rows.size;
   }
@@ -116,6 +122,7 @@
   put(record: EndpointRecord, now: number): void {
     const region = this.#regionOf(record.zone);
     if (region === undefined) return this.remove(record.id);
+    this.#changes++;
     const known = this.#rows.get(record.id);
     if (known !== undefined && sameStart(known.record, record)) {
       known.record = record;
@@ -134,6 +141,7 @@
   remove(id: EndpointId): void {
     const row = this.#rows.get(id);
     if (row === undefined) return;
+    this.#changes++;
     this.#rows.delete(id);
     const { service } = row.record;
     const left = this.ofService(service).filter((r) => r !== row);
