Look for a break behind the end of an answer without a length

Traced by logging the events of the sockets: of ten such ends five took a write and were whole, five refused it with ECONNRESET and were exactly those that were cut. Change: the end of such an answer is held back 20 ms, then an empty line is written; a connection that refuses it broke. Ruled out: the socket's own errors alone (none come before a write); a half-close (finishes without an error on both).

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -130,9 +130,19 @@
     return !ended || !this.#isChunked();
   }
 
+  /** Whether an answer has begun whose end is that of the connection. */
+  get endsWithConnection(): boolean {
+    return this.#status !== 0 && !this.#isChunked() &&
+      !this.#names("content-length");
+  }
+
   #isChunked(): boolean {
+    return this.#names("transfer-encoding");
+  }
+
+  #names(field: string): boolean {
     return this.#headers.some((name, i) =>
-      i % 2 === 0 && name.toLowerCase() === "transfer-encoding"
+      i % 2 === 0 && name.toLowerCase() === field
     );
   }
 
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -8,7 +8,6 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import type { Clock } from "../core/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
@@ -18,6 +17,7 @@
   Sending,
   SendResult,
 } from "./endpoint_sender.ts";
+import { observe, type ObservedConnection } from "./connection_end.ts";
 import { Exchange } from "./exchange.ts";
 import type { RequestCodec } from "./request_codec.ts";
 
@@ -39,16 +39,18 @@
 const IDLE_MARGIN_MS = 1_000;
 
 /** A connection that is open or about to be. */
-interface Connection {
+interface Connection extends ObservedConnection {
   readonly client: Client;
   idleSince: number;
   closed: boolean;
-  /** What the socket has shown; see `ConnectionState`. */
-  ended: boolean;
-  broken: boolean;
 }
 
-const connect = buildConnector({ timeout: CONNECT_MS, keepAlive: false });
+const connect = buildConnector({
+  timeout: CONNECT_MS,
+  keepAlive: false,
+  // Whether an answer is whole may show only after the other side's end.
+  allowHalfOpen: true,
+} as buildConnector.BuildOptions);
 
 /** Idle connections by endpoint, the longest idle first. */
 export class HttpEndpointSender implements EndpointSender {
@@ -67,6 +69,7 @@
   send(endpoint: EndpointRow, req: OutgoingRequest): Sending {
     const connection = this.#take(endpoint);
     let exchange: Exchange | undefined;
+    const { client } = connection;
     const result = new Promise<SendResult>((settle) => {
       const released = (reusable: boolean) => {
         if (reusable) this.#giveBack(endpoint, connection);
@@ -77,7 +80,8 @@
         released,
         connection,
       });
-      connection.client.dispatch({
+      connection.exchange = exchange;
+      client.dispatch({
         method: req.method,
         path: req.path,
         headers: req.headers,
@@ -121,7 +125,7 @@
         connect(opts, (...made) => {
           // Before the library's own listeners, so that this is known when
           // they tell what they make of it.
-          if (made[1]) observe(made[1], connection);
+          if (made[1]) observe(made[1], connection, this.#clock);
           callback(...made);
         }),
       keepAliveTimeout: IDLE_MS,
@@ -135,6 +139,7 @@
       closed: false,
       ended: false,
       broken: false,
+      exchange: undefined,
     };
     this.opened++;
     this.#open.add(connection);
@@ -144,6 +149,7 @@
 
   #giveBack(endpoint: EndpointRow, connection: Connection): void {
     if (connection.closed) return;
+    connection.exchange = undefined;
     connection.idleSince = this.#clock.now();
     const idle = this.#idle.get(endpoint) ?? [];
     const open = idle.filter((other) => !other.closed);
@@ -157,8 +163,3 @@
     connection.client.destroy().catch(() => {});
   }
 }
-
-function observe(socket: Socket, connection: Connection): void {
-  socket.on("end", () => connection.ended = true);
-  socket.on("error", () => connection.broken = true);
-}
