Read changed settings on SIGHUP or when the file changes, and outlive a fault

Cause: a process that gets SIGHUP without a handler ends, and cuts its requests; settings may also change without a signal. Change: the file is read anew on the signal and every five seconds; the time for a stop and the retry budget come in force at once. A fault in the handling of one request is logged and closes its connection alone. Measured: three tests.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -171,6 +171,16 @@
     fields: ["code"],
     help: "The zone's seat table could not be read or written",
   },
+  settings_reloaded: {
+    namespace: "",
+    fields: ["graceMs", "retryRatio", "retrySlack"],
+    help: "Changed settings were read and are in force",
+  },
+  settings_unreadable: {
+    namespace: "",
+    fields: ["reason"],
+    help: "Changed settings cannot be read; the ones before stay in force",
+  },
   stop_begun: {
     namespace: "",
     fields: ["graceMs"],
@@ -201,6 +211,12 @@
     fields: ["kind", "lostMs"],
     help: "The store answers again for a kind of object",
   },
+  request_handler_failed: {
+    namespace: "requests",
+    fields: ["cause"],
+    help:
+      "A fault of the program ended a request; its connection was closed, the others go on",
+  },
   system_failed: {
     namespace: "",
     fields: ["system", "cause"],
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -76,6 +76,12 @@
     this.#allowance = allowance;
   }
 
+  /** Takes over a new budget; what was spent stays spent. */
+  setAllowance(allowance: RetryAllowance): void {
+    if (allowance.windowMs !== this.#allowance.windowMs) this.#counts.clear();
+    this.#allowance = allowance;
+  }
+
   /** Counts a request of a caller. */
   request(service: ServiceId, now: number): void {
     this.#of(service).at(now).requests++;
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -14,7 +14,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Clock, Failure } from "../core/mod.ts";
+import type { Clock, Failure, Log } from "../core/mod.ts";
 import { failure } from "../core/mod.ts";
 import { splitAddress } from "../fleet/mod.ts";
 import type { AnswerSink } from "./endpoint_sender.ts";
@@ -32,6 +32,7 @@
   readonly codec: RequestCodec;
   readonly clock: Clock;
   readonly handle: RequestHandler;
+  readonly log: Log;
 }
 
 /** Header fields larger than this are refused with 431, in bytes. */
@@ -121,6 +122,9 @@
     res.sendDate = false;
     try {
       await this.#answer(req, res);
+    } catch (cause) {
+      this.#opts.log.event("request_handler_failed", { cause: String(cause) });
+      res.destroy();
     } finally {
       this.#open--;
       if (this.#open === 0) this.#onIdle?.();
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -93,6 +93,8 @@
   readonly #endpointIntake: EndpointIntake;
   readonly #followers: readonly KindFollower<unknown>[];
   readonly #abort = new AbortController();
+  readonly #retries: SharedRetryBudget;
+  #graceMs: number;
   readonly #inFlightTold = new Map<InstanceId, Digest["inFlight"]>();
   #server: CallerServer | undefined;
   #endpointsListed = false;
@@ -102,6 +104,8 @@
     this.#opts = opts;
     const { cfg, clock, random, log, transport, codec, sources } = opts;
     this.#start = random.hex(8);
+    this.#retries = new SharedRetryBudget(cfg.retries);
+    this.#graceMs = cfg.graceMs;
     this.#profile = {
       ...cfg.instance,
       callerAddress: cfg.listen.caller,
@@ -179,15 +183,29 @@
     return callerAddresses(this.#peers, own, region);
   }
 
+  /**
+   * Takes over what may change while it runs: the time for a stop and the
+   * budget for second sends. Who and where it is holds until its next start.
+   */
+  reconfigure(cfg: EdgeSettings): void {
+    this.#graceMs = cfg.graceMs;
+    this.#retries.setAllowance(cfg.retries);
+    this.#opts.log.event("settings_reloaded", {
+      graceMs: cfg.graceMs,
+      retryRatio: cfg.retries.ratio,
+      retrySlack: cfg.retries.slack,
+    });
+  }
+
   /** Stops without cutting a request; resolves when all is closed. */
   async stop(): Promise<void> {
     if (this.#leaving) return;
-    const { clock, cfg, log } = this.#opts;
-    const plan = stopPlan(cfg.graceMs);
+    const { clock, log } = this.#opts;
+    const plan = stopPlan(this.#graceMs);
     this.#leaving = true;
     this.#server?.leave();
     this.#exchange.tell();
-    log.event("stop_begun", { graceMs: cfg.graceMs });
+    log.event("stop_begun", { graceMs: this.#graceMs });
     const began = clock.now();
     await sleep(clock, plan.stopListeningMs);
     this.#server?.stopListening();
@@ -216,6 +234,7 @@
       codec,
       clock,
       handle: (req) => flow.handle(req),
+      log,
     });
     for (const follower of this.#followers) void follower.run();
     void joinList(sources.instances, this.#profile, {
@@ -228,13 +247,13 @@
   }
 
   #flow(): RequestFlow {
-    const { cfg, clock, log, metrics, codec } = this.#opts;
+    const { clock, log, metrics, codec } = this.#opts;
     return new RequestFlow({
       admission: new Admission(this.#state, this.#quotas, clock),
       chooser: this.#chooser,
       sender: this.#sender,
       codec,
-      retries: new SharedRetryBudget(cfg.retries),
+      retries: this.#retries,
       fleetSize: () => this.#peers.fleetSize,
       journal: new OutcomeJournal(clock, log, metrics),
       clock,
--- /dev/null
+++ b/src/edge/settings_watch_test.ts
@@ -0,0 +1,45 @@
+import test from "ava";
+import { err, ok, type Result } from "neverthrow";
+import { type Failure, failure, ManualClock, SilentLog } from "../core/mod.ts";
+import { SettingsWatch } from "./settings_watch.ts";
+
+function watch(texts: readonly (string | Failure)[]) {
+  const seen: string[] = [];
+  const left = [...texts];
+  const read = (): Promise<Result<string, Failure>> => {
+    const next = left.shift() ?? "first";
+    return Promise.resolve(typeof next === "string" ? ok(next) : err(next));
+  };
+  const clock = new ManualClock();
+  const settings = new SettingsWatch("first", {
+    read,
+    parse: (text) =>
+      text === "" ? err(failure("bad_settings", "empty")) : ok(text),
+    changed: (text) => seen.push(text),
+    clock,
+    log: new SilentLog(),
+  });
+  return { settings, seen, clock };
+}
+
+test("settings that changed are taken over once", async (t) => {
+  const { settings, seen } = watch(["first", "second", "second"]);
+  for (let i = 0; i < 3; i++) await settings.look();
+  t.deepEqual(seen, ["second"]);
+});
+
+test("settings that cannot be read leave the last ones in force", async (t) => {
+  // An operator's tool writes the file while it is read: half of it is there.
+  const gone = failure("bad_settings", "no such file");
+  const { settings, seen } = watch(["", gone, "second"]);
+  for (let i = 0; i < 3; i++) await settings.look();
+  t.deepEqual(seen, ["second"]);
+});
+
+test("settings are looked at without a signal too", async (t) => {
+  const { seen, clock } = watch(["second"]);
+  clock.advance(5_000);
+  await Promise.resolve();
+  await Promise.resolve();
+  t.deepEqual(seen, ["second"]);
+});
