Send to a cold endpoint in turns that lapse

Cause: buckets of one token each fill at all instances at the same pace after an endpoint turns cold; with ten instances, four requests a second and a cold time above three seconds all ten tokens can be spent in one second, 13 where 11 are borne. Change: each instance has a short turn in rounds as long as the fleet's rate asks for, spread by hashing; what it does not use lapses. Ruled out: buckets with a random start (all are full after one round).

--- a/src/decisions/placement/cold_limits.ts
+++ b/src/decisions/placement/cold_limits.ts
@@ -4,22 +4,26 @@
  * The load it answers: an endpoint that starts, or comes back, takes the part
  * of the traffic that its place in the hashing gives it, from every instance at
  * once, and crashes under it. Nobody counts the fleet's requests in time, so
- * each instance keeps to its part of the rate: the sum stays under the limit in
- * any second, with instances in touch or not.
+ * each instance sends one request in its own short part of each round, and the
+ * rounds are as long as the fleet's rate asks for. What an instance does not
+ * use lapses: saved up, the parts of all instances could be spent in the same
+ * second. The sum stays near the rate with instances in touch or not.
  *
  * @module
  */
-import { type BucketSize, TokenBucket } from "../limits/token_bucket.ts";
-import type { EndpointId } from "../../core/mod.ts";
+import { type EndpointId, hash, type InstanceId } from "../../core/mod.ts";
 import type { EndpointRow } from "../../traffic/mod.ts";
 
 /**
  * Part of the stated rate that is used. Requests sent in one second may arrive
- * in the next, which bunches two instances' parts.
+ * in the next, which bunches instances' parts.
  */
 const USED_PART = 0.8;
-/** Tokens a bucket holds: one, so that instances cannot save up for a burst. */
-const BURST = 1;
+/** An instance's part of a round, as a part of the round and in ms at most. */
+const TURN_PART = 0.3;
+const LONGEST_TURN_MS = 300;
+const MS_PER_S = 1_000;
+const HASHES = 0x1_0000_0000;
 
 /** What a cold endpoint bears, and how many share it. */
 export interface ColdRate {
@@ -29,41 +33,53 @@
   readonly instances: number;
 }
 
-/** Rates of the cold endpoints at one instance. */
+/** When an instance may send to the cold endpoints. */
 export class ColdLimits {
-  readonly #buckets = new Map<EndpointId, TokenBucket>();
+  readonly #own: InstanceId;
+  /** The round in which each endpoint was last sent a request. */
+  readonly #used = new Map<EndpointId, number>();
+
+  constructor(own: InstanceId) {
+    this.#own = own;
+  }
 
   /** Whether the endpoint is cold now. */
   isCold(row: EndpointRow, now: number): boolean {
     return now < row.coldUntil;
   }
 
-  /** Whether one request more has room at a cold endpoint. */
+  /** Whether one request more may go to a cold endpoint now. */
   hasRoom(row: EndpointRow, rate: ColdRate, now: number): boolean {
-    return this.#bucket(row, rate, now).tokens(now) >= 1;
+    const { round, isTurn } = this.#turn(row, rate, now);
+    return isTurn && this.#used.get(row.id) !== round;
   }
 
   /** Takes one request's room at a cold endpoint, if there is any. */
   take(row: EndpointRow, rate: ColdRate, now: number): boolean {
-    return this.#bucket(row, rate, now).take(now);
+    if (!this.hasRoom(row, rate, now)) return false;
+    this.#used.set(row.id, this.#turn(row, rate, now).round);
+    return true;
   }
 
   forget(id: EndpointId): void {
-    this.#buckets.delete(id);
+    this.#used.delete(id);
   }
 
-  #bucket(row: EndpointRow, rate: ColdRate, now: number): TokenBucket {
-    const size: BucketSize = {
-      ratePerS: rate.ratePerS * USED_PART / Math.max(1, rate.instances),
-      burst: BURST,
-    };
-    const known = this.#buckets.get(row.id);
-    if (known === undefined) {
-      const fresh = new TokenBucket(size, now);
-      this.#buckets.set(row.id, fresh);
-      return fresh;
-    }
-    known.resize(size, now);
-    return known;
+  /**
+   * The round, and whether it is this instance's turn in it. Turns are spread
+   * by hashing, so that instances which learn of a cold endpoint together do
+   * not send to it together.
+   */
+  #turn(
+    row: EndpointRow,
+    rate: ColdRate,
+    now: number,
+  ): { readonly round: number; readonly isTurn: boolean } {
+    const perS = rate.ratePerS * USED_PART / Math.max(1, rate.instances);
+    const roundMs = MS_PER_S / Math.max(perS, 1e-6);
+    const offset = hash(`${this.#own} ${row.id}`) / HASHES * roundMs;
+    const at = now + offset;
+    const turnMs = Math.min(LONGEST_TURN_MS, roundMs * TURN_PART);
+    return { round: Math.floor(at / roundMs), isTurn: at % roundMs < turnMs };
   }
 }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -136,6 +136,7 @@
       state: this.#state,
       placement: opts.placement ?? new AffinityPlacement(),
       fleetSize,
+      own: cfg.instance.id,
       region: cfg.instance.region,
       regions: [...new Set(cfg.zones.values())],
     });
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -7,6 +7,7 @@
 import {
   fail,
   type Failure,
+  type InstanceId,
   type RegionId,
   type ServiceId,
 } from "../core/mod.ts";
@@ -30,6 +31,8 @@
   readonly placement: Placement;
   /** Instances that may be sending, this one included. */
   readonly fleetSize: () => number;
+  /** This instance. */
+  readonly own: InstanceId;
   /** This instance's region. */
   readonly region: RegionId;
   /** Every region with callers. */
@@ -40,12 +43,13 @@
 export class EndpointChooser {
   readonly #opts: EndpointChooserOptions;
   readonly #verdicts = new EndpointVerdicts();
-  readonly #cold = new ColdLimits();
+  readonly #cold: ColdLimits;
   readonly #usual = new UsualTimes();
   readonly #comeBack = new ComeBack();
 
   constructor(opts: EndpointChooserOptions) {
     this.#opts = opts;
+    this.#cold = new ColdLimits(opts.own);
   }
 
   /**
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -62,6 +62,7 @@
         state: this.state,
         placement: new AffinityPlacement(),
         fleetSize,
+        own: "i1" as InstanceId,
         region: R1,
         regions: [R1, R2],
       }),
@@ -321,7 +322,7 @@
   const path = new Path({
     endpoints: [
       { id: "e1" as EndpointId, coldMs: 3_000 },
-      { id: "e2" as EndpointId, slots: 200 },
+      { id: "e2" as EndpointId },
     ],
   });
   for (let i = 0; i < 100; i++) {
