Print a request's way from the logs of several instances

Cause: on-call engineers have a request's id and the logs; its lines lie in several files, and what an instance believed stands in lines without the id. Change: magnoliahook explain REQUEST FILE... prints the lines of the request in order of time, each after what its instance had learned of the plan, its peers and the endpoints that it tried.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -13,6 +13,7 @@
   show,
 } from "./commands/document.ts";
 import { changeDrain, listDrains } from "./commands/drains.ts";
+import { explain } from "./commands/explain.ts";
 import { issue, withdraw } from "./commands/keys.ts";
 import { reportBurn } from "./commands/report.ts";
 import { status } from "./commands/status.ts";
@@ -164,6 +165,15 @@
     run: (ctx, _args, opts) =>
       status(ctx, { admin: text(opts["admin"]) }, opts),
   },
+  {
+    usage: "explain <request>",
+    help:
+      "Print a request's way from the logs of several instances, named after it, with what each had learned before",
+    options: [JSON_OPTION],
+    examples: ["explain 9c41d07be2a35f68 entry-1.log entry-2.log"],
+    run: (ctx, [request = ""], opts) =>
+      explain(ctx, { request, files: rest(opts) }, opts),
+  },
   {
     usage: "report burn",
     help:
@@ -258,6 +268,12 @@
   return (command?.options ?? []).map((o) => `--${o.flag}`);
 }
 
+/** Words after those that the usage names. */
+function rest(opts: OptionValues): string[] {
+  const words: unknown = opts["_"];
+  return Array.isArray(words) ? words.map(String) : [];
+}
+
 function text(value: unknown): string | undefined {
   return value === undefined ? undefined : String(value);
 }
