--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -4,14 +4,7 @@
  *
  * @module
  */
-import type {
-  Clock,
-  InstanceId,
-  Log,
-  Metrics,
-  Random,
-  RegionId,
-} from "../core/mod.ts";
+import type { Clock, Log, Metrics, Random, RegionId } from "../core/mod.ts";
 import { sleep } from "../core/mod.ts";
 import {
   AffinityPlacement,
@@ -42,6 +35,7 @@
 import { type InstanceList, joinList } from "./instance_list.ts";
 import { LapseWatch } from "./lapse_watch.ts";
 import { OutcomeJournal } from "./outcome_journal.ts";
+import { PeerLoad } from "./peer_load.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import { RequestFlow } from "./request_flow.ts";
 import {
@@ -95,7 +89,7 @@
   readonly #abort = new AbortController();
   readonly #retries: SharedRetryBudget;
   #graceMs: number;
-  readonly #inFlightTold = new Map<InstanceId, Digest["inFlight"]>();
+  readonly #peerLoad = new PeerLoad();
   #server: CallerServer | undefined;
   #endpointsListed = false;
   #leaving = false;
@@ -122,7 +116,7 @@
         told: (digest) => this.#told(digest),
         quiet: ({ profile }) => this.#quotas.silent(profile.id),
         silent: ({ profile }) => {
-          this.#inFlightTold.delete(profile.id);
+          this.#peerLoad.silent(profile.id);
           log.event("peer_silent", { peer: profile.id });
         },
         forgotten: ({ profile }) => {
@@ -324,17 +318,10 @@
   }
 
   #told(digest: Digest): void {
-    const { profile, start, uses } = digest;
+    const { profile, start, uses, inFlight } = digest;
     const now = this.#opts.clock.now();
     this.#quotas.told({ instance: profile.id, start }, uses, now);
     if (digest.storeInTouch) this.#lapses.otherInTouch(now);
-    this.#inFlightTold.set(digest.profile.id, digest.inFlight);
-    for (const row of this.#state.endpoints.rows()) {
-      let sum = 0;
-      for (const told of this.#inFlightTold.values()) {
-        sum += told.get(row.id) ?? 0;
-      }
-      row.peersInFlight = sum;
-    }
+    this.#peerLoad.told(profile.id, inFlight, this.#state.endpoints.rows());
   }
 }
--- a/src/edge/testing/traffic_fixtures.ts
+++ b/src/edge/testing/traffic_fixtures.ts
@@ -23,7 +23,7 @@
   return {
     name: "r1",
     host: "h",
-    pathPrefix: "/p/",
+    prefix: "/p/",
     idempotent: true,
     timeoutMs: 2_000,
     aimMs: 300,
--- a/src/traffic/plan.ts
+++ b/src/traffic/plan.ts
@@ -18,7 +18,7 @@
   readonly name: string;
   readonly host: string;
   /** Begins and ends with a slash. */
-  readonly pathPrefix: string;
+  readonly prefix: string;
   /** Whether a request may run more than once. */
   readonly idempotent: boolean;
   /** The longest a caller is kept waiting, in milliseconds. */
--- a/src/traffic/route_table.ts
+++ b/src/traffic/route_table.ts
@@ -26,7 +26,7 @@
       this.#byHost.set(route.host, routes);
     }
     for (const routes of this.#byHost.values()) {
-      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+      routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
     for (const account of plan.accounts) {
       for (const key of account.keys) this.#byKey.set(key, account);
@@ -35,7 +35,7 @@
 
   /** The route with the longest prefix that begins the path. */
   route(host: string, path: string): Route | undefined {
-    return this.#byHost.get(host)?.find((r) => path.startsWith(r.pathPrefix));
+    return this.#byHost.get(host)?.find((r) => path.startsWith(r.prefix));
   }
 
   /** The account that holds a key. */
