Drop what nothing reads, and make one piece of three that stood twice

Left: keepAliveMs is read from answers and used by nobody but its test, since the HTTP library keeps the connections by the same field; the assertion stays.

--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -36,7 +36,8 @@
   const lines: LogLine[] = [];
   for (const file of files) {
     try {
-      lines.push(...parseLines(await ctx.readFile(file)));
+      // One by one: a day's log has more lines than a call takes arguments.
+      for (const line of parseLines(await ctx.readFile(file))) lines.push(line);
     } catch (cause) {
       const why = `cannot read ${file}: ${String(cause)}`;
       return report(ctx, opts, failure("bad_request", why));
--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -13,6 +13,19 @@
   readonly help: string;
 }
 
+/** What is said of a request's way, however it ended. */
+const WAY_FIELDS = [
+  "request",
+  "route",
+  "account",
+  "service",
+  "plan",
+  "tries",
+  "tried",
+  "chosenBy",
+  "leftMs",
+] as const;
+
 /** Every event. */
 export const LOG_TABLE: Readonly<Record<string, LogEntry>> = {
   budget_suspended: {
@@ -126,15 +139,7 @@
   request_answered: {
     namespace: "requests",
     fields: [
-      "request",
-      "route",
-      "account",
-      "service",
-      "plan",
-      "tries",
-      "tried",
-      "chosenBy",
-      "leftMs",
+      ...WAY_FIELDS,
       "endpoint",
       "status",
       "tookMs",
@@ -144,15 +149,7 @@
   request_refused: {
     namespace: "requests",
     fields: [
-      "request",
-      "route",
-      "account",
-      "service",
-      "plan",
-      "tries",
-      "tried",
-      "chosenBy",
-      "leftMs",
+      ...WAY_FIELDS,
       "code",
       "outcome",
       "reason",
--- a/src/decisions/placement/endpoint_verdicts.ts
+++ b/src/decisions/placement/endpoint_verdicts.ts
@@ -41,7 +41,6 @@
   failing: number;
   asideUntil: number;
   asideMs: number;
-  heardAt: number;
   /** When the oldest request without an answer was sent; undefined if none. */
   waitingSince: number | undefined;
 }
@@ -52,14 +51,13 @@
 
   /** Notes that a request goes out. */
   sent(row: EndpointRow, now: number): void {
-    this.#of(row.id, now).waitingSince ??= now;
+    this.#of(row.id).waitingSince ??= now;
   }
 
   /** Notes what became of a request. */
   heard(row: EndpointRow, evidence: Evidence, now: number): void {
-    const verdict = this.#of(row.id, now);
+    const verdict = this.#of(row.id);
     if (evidence !== "unreachable") {
-      verdict.heardAt = now;
       verdict.waitingSince = row.inFlight > 0 ? now : undefined;
     }
     if (evidence === "unreachable") return this.#setAside(verdict, now);
@@ -100,14 +98,13 @@
     verdict.failing = 0;
   }
 
-  #of(id: EndpointId, now: number): Verdict {
+  #of(id: EndpointId): Verdict {
     const known = this.#verdicts.get(id);
     if (known !== undefined) return known;
     const fresh: Verdict = {
       failing: 0,
       asideUntil: -Infinity,
       asideMs: FIRST_ASIDE_MS,
-      heardAt: now,
       waitingSince: undefined,
     };
     this.#verdicts.set(id, fresh);
--- a/src/decisions/placement/weighted_choice.ts
+++ b/src/decisions/placement/weighted_choice.ts
@@ -39,11 +39,6 @@
     return chosen;
   }
 
-  /** Starts anew, for a plan whose weights may differ. */
-  clear(): void {
-    this.#earned.clear();
-  }
-
   #of(route: string): Map<ServiceId, number> {
     const known = this.#earned.get(route);
     if (known !== undefined) return known;
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -16,8 +16,8 @@
 } from "node:http";
 import type { Clock, Failure, Log } from "../core/mod.ts";
 import { failure } from "../core/mod.ts";
-import { splitAddress } from "../fleet/mod.ts";
 import type { AnswerSink } from "./endpoint_sender.ts";
+import { closeAtOnce, listenAt } from "./listening.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { FlowAnswer } from "./request_flow.ts";
 import type { CallerRequest } from "./trip.ts";
@@ -68,21 +68,10 @@
   }
 
   /** Listens; gives the server once connections are taken. */
-  static listen(opts: CallerServerOptions): Promise<CallerServer> {
+  static async listen(opts: CallerServerOptions): Promise<CallerServer> {
     const server = new CallerServer(opts);
-    const { host, port } = splitAddress(opts.address);
-    return new Promise((resolve, reject) => {
-      server.#server.once("error", reject);
-      server.#server.listen(port, host, BACKLOG, () => {
-        server.#server.off("error", reject);
-        resolve(server);
-      });
-    });
-  }
-
-  get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" && address !== null ? address.port : 0;
+    await listenAt(server.#server, opts.address, BACKLOG);
+    return server;
   }
 
   /** Sets how long connections may rest, in ms, and how large bodies may be. */
@@ -110,11 +99,7 @@
 
   /** Closes everything at once. */
   close(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeAllConnections();
-    return closed;
+    return closeAtOnce(this.#server);
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -15,7 +15,6 @@
   readonly body: Buffer | undefined;
   /** The id that the answer has to name. */
   readonly requestId: string;
-  readonly idempotent: boolean;
 }
 
 /** Takes the rest of an answer that is too long to be held. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -186,12 +186,13 @@
     }
     const bytes = Buffer.concat(this.#held);
     this.#held = [];
-    const { status, headers } = {
+    this.#finish({
+      kind: "answer",
       status: this.#status,
       headers: this.#headers,
-    };
-    const body = { bytes, rest };
-    this.#finish({ kind: "answer", status, headers, fields, body });
+      fields,
+      body: { bytes, rest },
+    });
   }
 
   #rest(): AnswerRest {
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -58,8 +58,6 @@
   readonly #clock: Clock;
   readonly #idle = new WeakMap<EndpointRow, Connection[]>();
   readonly #open = new Set<Connection>();
-  /** Connections opened since the start, for metrics. */
-  opened = 0;
 
   constructor(codec: RequestCodec, clock: Clock) {
     this.#codec = codec;
@@ -141,7 +139,6 @@
       broken: false,
       exchange: undefined,
     };
-    this.opened++;
     this.#open.add(connection);
     client.on("disconnect", () => this.#drop(connection));
     return connection;
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -50,7 +50,6 @@
     headers: ["id", requestId],
     body: undefined,
     requestId,
-    idempotent: true,
   };
 }
 
--- a/src/edge/instance_list.ts
+++ b/src/edge/instance_list.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import type { Clock, Failure, Log, Random } from "../core/mod.ts";
 import { sleep } from "../core/mod.ts";
 import type { InstanceProfile, PeerTable } from "../fleet/mod.ts";
@@ -41,10 +41,12 @@
   const { peers, clock, random, log, signal } = opts;
   while (!signal.aborted) {
     const announced = await list.announce(profile, signal);
-    const read = announced.isOk() ? await list.read(signal) : announced;
+    const read = announced.isOk()
+      ? await list.read(signal)
+      : err(announced.error);
     if (signal.aborted) return;
     if (read.isOk()) {
-      peers.listed(read.value ?? [], clock.now());
+      peers.listed(read.value, clock.now());
       log.event("instances_listed", { instances: peers.fleetSize });
       return;
     }
--- a/src/edge/plain_server.ts
+++ b/src/edge/plain_server.ts
@@ -6,7 +6,7 @@
  */
 import { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
-import { splitAddress } from "../fleet/mod.ts";
+import { closeAtOnce, listenAt } from "./listening.ts";
 
 /** An answer held in memory. */
 export interface PlainAnswer {
@@ -37,8 +37,10 @@
    * await PlainServer.listen("127.0.0.1:0", () => ({ status: 200 }));
    * ```
    */
-  static listen(address: string, handle: PlainHandler): Promise<PlainServer> {
-    const { host, port } = splitAddress(address);
+  static async listen(
+    address: string,
+    handle: PlainHandler,
+  ): Promise<PlainServer> {
     const server = createServer({ noDelay: true }, async (req, res) => {
       req.resume();
       const { status, contentType, body = "" } = await handle(
@@ -52,25 +54,11 @@
       res.writeHead(status, [...type, "Content-Length", length]);
       res.end(body);
     });
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, () => {
-        server.off("error", reject);
-        resolve(new PlainServer(server));
-      });
-    });
-  }
-
-  get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" && address !== null ? address.port : 0;
+    await listenAt(server, address);
+    return new PlainServer(server);
   }
 
   close(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeAllConnections();
-    return closed;
+    return closeAtOnce(this.#server);
   }
 }
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -84,7 +84,7 @@
 
   async #send(trip: Trip, endpoint: EndpointRow): Promise<SendResult> {
     const { clock, codec, sender, chooser, journal } = this.#opts;
-    const { req, account, tried, deadline, route } = trip;
+    const { req, account, tried, deadline } = trip;
     const sentAt = clock.now();
     tried.add(endpoint);
     chooser.sent(endpoint, sentAt);
@@ -98,7 +98,6 @@
       }),
       body: req.body,
       requestId: req.fields.requestId,
-      idempotent: route.idempotent,
     });
     const result = await this.#await(sending, trip);
     const now = clock.now();
--- a/src/telemetry/json_log.ts
+++ b/src/telemetry/json_log.ts
@@ -25,6 +25,8 @@
 const BUFFER_BYTES = 1_048_576;
 /** Lines are written together once there are so many bytes. */
 const WRITE_BYTES = 4_096;
+/** The second over which lines are counted, in milliseconds. */
+const COUNTED_MS = 1_000;
 /** How often what is buffered is written, in milliseconds. */
 const FLUSH_MS = 1_000;
 /** Longer values are cut, in characters: they come from callers. */
@@ -90,7 +92,7 @@
 export function tickLog(log: JsonLog, clock: Clock): Timer {
   let timer: Timer;
   const next = () => {
-    timer = clock.after(FLUSH_MS, () => {
+    timer = clock.after(COUNTED_MS, () => {
       log.tick();
       next();
     });
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -98,10 +98,6 @@
     return this.#changes;
   }
 
-  get size(): number {
-    return this.#rows.size;
-  }
-
   rows(): IterableIterator<EndpointRow> {
     return this.#rows.values();
   }
