Ask who is there before an id of an old seat is taken for new

Ruled out, by a trace of every record of the id: the hand-over (the heir had the record), an intent lost or late, the tombstone (known to the newcomer), and expiry.

Whoever is asked about a seat now also says whom it knows to be there, and the newcomer counts those, and those it heard of itself, as missing until they answer; who left in good order is answered for by its heir.

--- a/src/operations/region_history.ts
+++ b/src/operations/region_history.ts
@@ -70,6 +70,11 @@
     return [...this.#lostAt.keys()];
   }
 
+  /** Incarnations that are there as far as known, by their word or others'. */
+  present(): string[] {
+    return [...this.#heard.keys()];
+  }
+
   isHeir(incarnation: string): boolean {
     return [...this.#heirs.values()].some((h) =>
       h.heir.incarnation === incarnation
--- a/src/operations/seat_homes_test.ts
+++ b/src/operations/seat_homes_test.ts
@@ -196,6 +196,39 @@
   t.deepEqual(fleet.dispatches, []);
 });
 
+/**
+ * Messages between instances are lost, so one that has just started knows of a
+ * place only by what the others say. That place holds the record of an order,
+ * and its owner leaves. The newcomer takes the seat over, asks everybody it
+ * knows, and the order of a caller that repeats it would be placed twice.
+ */
+test("a newcomer does not take for new what an unheard place may know", async (t) => {
+  const { fleet, owner } = await makeSetup();
+  let second = "";
+  fleet.onMessage = ({ entries, to }) => {
+    if (entries.includes(EntryKind.INTENT)) second = to;
+    return "deliver";
+  };
+  const first = fleet.send(owner, { id: ID });
+  await fleet.pass(300);
+  const { zone, region } = fleet.node(owner);
+  fleet.start("newcomer", { zone, region });
+  fleet.cut("newcomer", second);
+  await fleet.pass(1_500);
+  fleet.node(owner).leaving = true;
+  await fleet.pass(100);
+  const handed = fleet.node(owner).operations.handOver();
+  await fleet.pass(300);
+  t.true(await handed);
+  fleet.kill(owner);
+  fleet.moveSeats(owner, "newcomer");
+  await fleet.pass(200);
+  const again = fleet.send("newcomer", { id: ID });
+  await fleet.pass(1_000);
+  t.deepEqual([first, again].map(told), ["done by 0", "unknown"]);
+  t.deepEqual(fleet.violations(), []);
+});
+
 /**
  * A single instance without any peer records in the store, and the store goes
  * down. Dispatching without a second record would make the next crash a
--- a/src/operations/seat_recovery.ts
+++ b/src/operations/seat_recovery.ts
@@ -42,6 +42,8 @@
   readonly view: RecordView | undefined;
   readonly historyMs: number;
   readonly lost: readonly string[];
+  /** Whom that place knows to be there. */
+  readonly heard: readonly string[];
 }
 
 /**
@@ -152,17 +154,25 @@
     return { kind: "clear" };
   }
 
-  /** Incarnations that did not answer, or that somebody says were lost. */
+  /**
+   * Incarnations that did not answer, or that somebody says were lost or are
+   * there. The last matter where messages are lost: a newcomer may have heard
+   * nothing yet of the very place that holds the record, and an operation
+   * would run twice for want of one question.
+   */
   #missing(asked: readonly Asked[], here: boolean): string[] {
-    const silent = asked.filter((a) => a.view === undefined)
-      .map((a) => a.place.incarnation);
-    const heard = new Set(
-      asked.filter((a) => a.view !== undefined).map((a) => a.place.incarnation),
+    const { history, self } = this.#deps;
+    const answered = new Set([self.incarnation]);
+    const named = here ? [...history.lost(), ...history.present()] : [];
+    for (const { place, view, lost, heard } of asked) {
+      if (view !== undefined) answered.add(place.incarnation);
+      named.push(place.incarnation, ...lost, ...heard);
+    }
+    // Who left in good order is answered for by its heir.
+    const holders = named.map((incarnation) =>
+      history.resolve({ instance: "", incarnation }).incarnation
     );
-    heard.add(this.#deps.self.incarnation);
-    const own = here ? this.#deps.history.lost() : [];
-    const lost = [...own, ...asked.flatMap((a) => a.lost)];
-    return [...new Set([...silent, ...lost])].filter((i) => !heard.has(i));
+    return [...new Set(holders)].filter((i) => !answered.has(i));
   }
 
   async #askPlace(
@@ -175,11 +185,11 @@
       fenceEntry(name, { seat }),
     );
     if (settled.isErr()) {
-      return { place, view: undefined, historyMs: 0, lost: [] };
+      return { place, view: undefined, historyMs: 0, lost: [], heard: [] };
     }
     const { result, response } = settled.value;
-    const { historyMs, lost } = response;
-    return { place, view: resultFromWire(result), historyMs, lost };
+    const { historyMs, lost, heard } = response;
+    return { place, view: resultFromWire(result), historyMs, lost, heard };
   }
 
   #placesOf(region: string): KnownPlace[] {
--- a/src/operations/second_side.ts
+++ b/src/operations/second_side.ts
@@ -65,6 +65,7 @@
       results,
       historyMs: history.lengthMs,
       lost: history.lost(),
+      heard: req.entries.some(asksForSeat) ? history.present() : [],
     });
   }
 
@@ -131,3 +132,8 @@
     return this.#deps.places.ageOf(owner, issuedMs) > TOKEN_LIFE_MS;
   }
 }
+
+/** Whether a seat's new holder asks, who has to know whom else to ask. */
+function asksForSeat({ kind, seat }: LedgerEntry): boolean {
+  return kind === EntryKind.FENCE && seat !== undefined;
+}
--- a/tools/soak/soak_test.ts
+++ b/tools/soak/soak_test.ts
@@ -11,9 +11,10 @@
 const EDITS_AT = [10, 30, 50, 70, 90, 110, 130, 150];
 
 test("what must always hold does, seed 205 at 480 steps", async (t) => {
-  // A tenth of the messages between instances is lost, an instance was paused
-  // earlier, and another stops in good order. A caller that repeats its request
-  // has it run a second time, as a doubled order. How is not known yet.
+  // A tenth of the messages between instances is lost while one stops in good
+  // order and another takes its place. The newcomer has not heard of the place
+  // that holds the leaver's records, does not ask it, and a caller that repeats
+  // its request has it run a second time, as a doubled order.
   const result = await soak({ seed: 205, steps: 480 });
   t.deepEqual(result.violations, []);
 });
