Move a leaver's seats once its loans have ended, and say when a seat is in use

Ruled out: a grant taken twice, a loan prolonged past its lease, a lapse not noticed at the borrower.

Cause 2 (stop_test "replacing every instance under load", red beside busy processes): operators were told to wait for the replacement's start, and the test for 3.5 s; nothing told whether the seat it took over was in use.

--- a/src/admin/admin_app_test.ts
+++ b/src/admin/admin_app_test.ts
@@ -54,6 +54,7 @@
       rejected: [],
       contact_age_ms: null,
       seats: [],
+      settled: false,
       running: 0,
       leaving: false,
       drained: false,
--- a/src/admin/status.ts
+++ b/src/admin/status.ts
@@ -17,6 +17,11 @@
   /** How long there has been no contact with the platform; null if never. */
   readonly contact_age_ms: number | null;
   readonly seats: readonly HeldSeat[];
+  /**
+   * Whether the parts of those seats are in use. A seat that changed hands
+   * rests until requests and loans of its former holder have surely ended.
+   */
+  readonly settled: boolean;
   readonly running: number;
   readonly leaving: boolean;
   /** Whether the document drains this instance. */
--- a/src/decisions/budgets/budget_table.ts
+++ b/src/decisions/budgets/budget_table.ts
@@ -38,6 +38,10 @@
   answer(ask: BudgetAsk, from: Party, now: number): LenderAnswer;
   /** Takes in a grant that ends at `end` on this instance's clock. */
   accept(grant: BudgetGrant, from: Party, end: number, now: number): void;
+  /** Lends and prolongs nothing from now on. */
+  stopLending(): void;
+  /** Whether another instance may be using what was lent from here. */
+  lends(now: number): boolean;
   /** Takes in what another instance's callers ask for. */
   learn(demand: BudgetDemand, from: Party, now: number): void;
 }
--- a/src/decisions/budgets/rate_budgets.ts
+++ b/src/decisions/budgets/rate_budgets.ts
@@ -124,6 +124,16 @@
     return row;
   }
 
+  stopLending(): void {
+    this.#lender.close();
+  }
+
+  lends(now: number): boolean {
+    return [...this.#rows.values()].some(({ share }) =>
+      share.book.lentTotal(now) > 0
+    );
+  }
+
   /** Gives back what is not needed and plans what to ask; once a tick. */
   run(now: number): void {
     if (this.#ownAt(now).amount < this.#everywhere) this.#refreshAll(now);
--- a/src/decisions/budgets/rate_lender.ts
+++ b/src/decisions/budgets/rate_lender.ts
@@ -38,11 +38,17 @@
 export class RateLender {
   readonly #deps: RateLenderDeps;
   #loanId = 0;
+  #closed = false;
 
   constructor(deps: RateLenderDeps) {
     this.#deps = deps;
   }
 
+  /** Lends nothing and prolongs nothing from now on. */
+  close(): void {
+    this.#closed = true;
+  }
+
   /** Lends what a question asks for, as far as there is any to spare. */
   lend(
     row: RateRow,
@@ -50,6 +56,7 @@
     from: Party,
     now: number,
   ): BudgetGrant[] {
+    if (this.#closed) return [];
     const loans = [
       this.#lendTokens(row, ask, from, now),
       this.#lendRate(row, ask, from, now),
@@ -70,7 +77,7 @@
     const { amount, tokensBack } = held;
     row.share.takeBack(loan, { amount, tokensBack, now });
     if (loan.amount < amount || loan.amount === 0) return [];
-    if (!held.renew || loan.tokensOnly) return [];
+    if (!held.renew || loan.tokensOnly || this.#closed) return [];
     if (this.#reclaims(row, loan, now)) {
       const grant = this.#grant(row, loan, { tokens: 0, leaseMs: 0 });
       return [{ ...grant, reclaim: true }];
--- a/src/decisions/budgets/seat_shares.ts
+++ b/src/decisions/budgets/seat_shares.ts
@@ -126,6 +126,16 @@
     });
   }
 
+  /**
+   * Whether there are seats and all of them count, so that this instance has
+   * what falls to it. Until then whoever relies on it finds no room here.
+   */
+  settled(now: number, holdMs: number): boolean {
+    const held = this.#deps.seats.held(now);
+    return held.length > 0 &&
+      held.every((seat) => this.#counts(seat, now, holdMs));
+  }
+
   /** Whole units of a total that belongs to one availability zone. */
   units(
     total: number,
--- a/src/decisions/budgets/slot_budgets.ts
+++ b/src/decisions/budgets/slot_budgets.ts
@@ -62,6 +62,7 @@
   readonly #plan = new Map<string, Map<SlotRow, number>>();
   #longestMs = 0;
   #loanId = 0;
+  #lending = true;
 
   constructor(deps: SlotBudgetsDeps) {
     this.#deps = deps;
@@ -97,6 +98,14 @@
     if (row !== undefined) row.wanted = wanted;
   }
 
+  stopLending(): void {
+    this.#lending = false;
+  }
+
+  lends(now: number): boolean {
+    return [...this.#rows.values()].some((row) => row.book.lentTotal(now) > 0);
+  }
+
   /** Gives back what is free and plans what to ask; once a tick. */
   run(now: number): void {
     this.#plan.clear();
@@ -165,11 +174,21 @@
     return lenderSpan(LEASE_MS + this.#longestMs + ABANDON_MS);
   }
 
+  /** Whether the slots of every seat held here are in use. */
+  settled(now: number): boolean {
+    return this.#deps.shares.settled(now, this.#restingMs());
+  }
+
+  /** How long a seat's slots still rest once the seat has changed hands. */
+  #restingMs(): number {
+    return Math.max(0, this.holdMs() - this.#deps.restMs());
+  }
+
   #limit(row: SlotRow, now: number): number {
     const own = this.#deps.shares.units(row.slots, {
       zone: this.#deps.self.zone as ZoneId,
       now,
-      holdMs: Math.max(0, this.holdMs() - this.#deps.restMs()),
+      holdMs: this.#restingMs(),
     });
     row.own = own.amount;
     row.ownUntil = own.until;
@@ -228,7 +247,8 @@
     if (loan === undefined || loan.borrower !== from.instance) return [];
     row.book.returned(loan, held.amount, now);
     if (loan.amount < held.amount || loan.amount === 0) return [];
-    if (!held.renew || this.#reclaims(row, loan, now)) return [];
+    if (!held.renew || !this.#lending) return [];
+    if (this.#reclaims(row, loan, now)) return [];
     const leaseMs = leaseWithin(row.ownUntil - now);
     if (leaseMs < SHORTEST_LEASE_MS) return [];
     row.book.prolong(loan, this.#lentUntil(leaseMs, now));
@@ -253,6 +273,7 @@
     from: Party,
     now: number,
   ): BudgetGrant | undefined {
+    if (!this.#lending) return undefined;
     const limit = this.#limit(row, now);
     const used = Math.max(this.#deps.inFlight(row.endpoint), row.peak);
     const spare = limit - Math.ceil(used) - row.wanted - RESERVE;
--- a/src/instance/fleet_budgets.ts
+++ b/src/instance/fleet_budgets.ts
@@ -4,7 +4,13 @@
  *
  * @module
  */
-import type { AccountId, Clock, EndpointId, Log } from "../core/mod.ts";
+import {
+  type AccountId,
+  type Clock,
+  type EndpointId,
+  type Log,
+  sleep,
+} from "../core/mod.ts";
 import {
   BudgetExchange,
   type BudgetPeer,
@@ -49,6 +55,9 @@
   readonly log?: Log;
 }
 
+/** How often it is looked whether what was lent has come back, in ms. */
+const LENT_CHECK_MS = 20;
+
 /** Rates and slots of one instance. */
 export class FleetBudgets implements PeerSubsystem, System, Lenders {
   readonly name = "budgets";
@@ -144,11 +153,36 @@
     });
   }
 
+  /** Whether what falls to the seats held here is in use. */
+  settled(now: number): boolean {
+    return this.#slots.settled(now);
+  }
+
   /** What may be spent here of an account's rate, and its tokens at hand. */
   spendable(account: AccountId, now: number): Spendable {
     return this.#rates.spendable(account, now);
   }
 
+  /**
+   * Lends nothing more and waits until what is lent has ended: whoever gets the
+   * seats uses their parts at once, beside those that still had them on loan,
+   * which shows as an account above its rate. Loans of rates last 0.9 s, those
+   * of slots as long as the requests in them.
+   */
+  async handOver(): Promise<void> {
+    const tables = [this.#rates, this.#slots];
+    for (const table of tables) table.stopLending();
+    const { clock } = this.#deps;
+    while (tables.some((table) => table.lends(clock.now()))) {
+      await sleep(clock, LENT_CHECK_MS);
+    }
+  }
+
+  /** The longest that `handOver` takes, in milliseconds. */
+  handOverLimitMs(): number {
+    return this.#slots.holdMs() + LENT_CHECK_MS;
+  }
+
   /** Refuses whatever waits. */
   close(): void {
     this.limiter.close();
--- a/src/instance/fleet_budgets_test.ts
+++ b/src/instance/fleet_budgets_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import type { AccountId } from "../core/mod.ts";
+import type { LeasedSeats } from "../membership/mod.ts";
 import { BudgetFleet, type FleetFigures } from "./testing/budget_fleet.ts";
 
 const ACCOUNT = "a" as AccountId;
@@ -142,3 +143,39 @@
   t.is(parts[0], 0);
   t.true(Math.abs(parts[59]! - 1 / 5) < 1e-9, `ended with ${parts[59]}`);
 });
+
+// An instance stops in good order while others use parts that it lent them.
+// Its seat goes to a zone-mate, which uses the whole of it at once. Were the
+// loans not waited for, the account would get more than its rate until they
+// end; every event is checked.
+test("a leaver's seat moves on once what it lent has ended", async (t) => {
+  const fleet = new BudgetFleet(1, figures({ deadlineMs: 1_000 }), {
+    leased: true,
+  });
+  await fleet.advance(3_000);
+  const [leaver, , busy] = fleet.live();
+  const lent: number[] = [];
+  for (let i = 0; i < 200; i++) {
+    void fleet.request(busy!, "a", 800);
+    await fleet.advance(10);
+    lent.push(busy!.budgets.spendable(ACCOUNT, busy!.clock.now()).fraction);
+  }
+  t.true(Math.max(...lent) > 3 / 4, "too little was lent");
+  const seats = leaver!.seats as LeasedSeats;
+  seats.leave();
+  leaver!.sender.leaving = true;
+  let given = false;
+  void leaver!.budgets.handOver().then(() => seats.handOver())
+    .then(() => {
+      given = true;
+      // It tells its peers before it ends.
+      fleet.time.after(200, () => fleet.kill(leaver!.instance));
+    });
+  for (let i = 0; i < 300; i++) {
+    void fleet.request(busy!, "a", 800);
+    await fleet.advance(10);
+  }
+  t.true(given);
+  const [heir] = fleet.live();
+  t.is(heir!.seats.held(heir!.clock.now()).length, 2);
+});
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -222,6 +222,11 @@
     this.#heritage = [
       { name: "forwards", handOver: () => this.#steering.forwardsEnded() },
       { name: "operations", handOver: () => this.#operations.handOver() },
+      {
+        name: "budgets",
+        limitMs: () => this.#budgets.handOverLimitMs(),
+        handOver: () => this.#budgets.handOver(),
+      },
       { name: "seats", handOver: () => this.#seats.handOver() },
       { name: "burn", handOver: () => this.#burn.flush() },
     ];
@@ -288,13 +293,15 @@
   status(): InstanceStatus {
     const { id, zone } = this.#deps.cfg.instance;
     const age = this.#contact.ageMs();
+    const now = this.#deps.clock.now();
     return {
       instance: id,
       zone,
       generation: this.#follower.generation,
       rejected: this.#follower.rejected,
       contact_age_ms: Number.isFinite(age) ? Math.round(age) : null,
-      seats: this.#seats.held(this.#deps.clock.now()),
+      seats: this.#seats.held(now),
+      settled: this.#budgets.settled(now),
       running: this.#path.running,
       leaving: this.#leaving,
       drained: this.#steering.drained,
--- a/src/instance/stop_sequence.ts
+++ b/src/instance/stop_sequence.ts
@@ -3,8 +3,8 @@
  *
  * Pattern it answers: every instance is replaced at any time, under load. What
  * goes wrong with another order: a listener that closes before callers know
- * cuts requests; seats that move before running work has ended fill slots
- * twice; an instance that goes without handing over leaves its seats idle for
+ * cuts requests; seats that move before running work and loans have ended fill
+ * slots and spend rates twice; an instance that goes without handing over leaves its seats idle for
  * a lease and its operations' answers unknown.
  *
  * @module
@@ -15,6 +15,8 @@
 /** Something that passes on what it holds before the instance ends. */
 export interface Heritage {
   readonly name: string;
+  /** How long it may take, in milliseconds, where that is not the usual. */
+  readonly limitMs?: () => number;
   /** Comes back when the others have it; nothing of it is used afterwards. */
   handOver(): Promise<unknown>;
 }
@@ -52,7 +54,8 @@
   await listeners.drain();
   await idle(deps);
   for (const heritage of deps.heritage) {
-    await step(deps, heritage.name, () => heritage.handOver());
+    const limitMs = heritage.limitMs?.() ?? STEP_LIMIT_MS;
+    await step(deps, heritage.name, () => heritage.handOver(), limitMs);
   }
   await step(deps, "flush", deps.flush);
 }
@@ -66,9 +69,10 @@
   { clock, log }: StopDeps,
   name: string,
   run: () => Promise<unknown>,
+  limitMs = STEP_LIMIT_MS,
 ): Promise<void> {
   const done = await new Promise<boolean>((resolve) => {
-    const timer = clock.after(STEP_LIMIT_MS, () => resolve(false));
+    const timer = clock.after(limitMs, () => resolve(false));
     const end = (ok: boolean) => {
       timer.close();
       resolve(ok);
--- a/src/instance/stop_test.ts
+++ b/src/instance/stop_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Agent, request } from "undici";
 import { Client } from "../client/mod.ts";
+import type { Instance } from "./instance.ts";
 import { FLEET_KEY, LocalFleet } from "./testing/local_fleet.ts";
 
 const WORK_MS = 20;
@@ -8,16 +9,19 @@
 /** Few enough to end within the notice, also on a busy machine. */
 const LEAVING_CALLS = 10;
 const PAUSE_MS = 10;
-/**
- * A seat that changed hands counts once its former holder's loans have ended;
- * operators wait this long before they stop the next instance.
- */
-const BETWEEN_MS = 3_500;
+const LONG_DEADLINE_MS = 5_000;
+/** How often an operator looks whether a replacement can be relied on. */
+const LOOK_MS = 50;
 
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/** A seat that changed hands rests; operators wait before the next stop. */
+async function settled(replacement: Instance): Promise<void> {
+  while (!replacement.status().settled) await pause(LOOK_MS);
+}
+
 /** Calls without a break until told to end; keeps what was not answered. */
 class Load {
   readonly failures: string[] = [];
@@ -44,7 +48,7 @@
         service: "s",
         method: idempotent ? "GET" : "POST",
         path: `/${id}`,
-        timeoutMs: 1_000,
+        timeoutMs: LONG_DEADLINE_MS,
         idempotent,
         ...(idempotent ? {} : { body: id, operationId: id }),
       });
@@ -61,10 +65,13 @@
   // Operators roll out a new version: each instance gets SIGTERM once its
   // replacement runs. Callers in the middle of a request, and callers that are
   // about to reuse a connection, must not notice.
+  // The seat of the first rests longer than both stops take, so that an
+  // operator who did not wait for it would leave the zone without a slot.
   const fleet = await LocalFleet.open({
     endpoints: 3,
     seats: 2,
     workMs: WORK_MS,
+    deadlineMs: LONG_DEADLINE_MS,
   });
   t.teardown(() => fleet.close());
   const first = await fleet.start("i1");
@@ -74,9 +81,9 @@
   t.teardown(() => load.end());
   load.start(first.callerUrl);
   await pause(500);
-  await fleet.start("i3");
+  const third = await fleet.start("i3");
   await first.stop();
-  await pause(BETWEEN_MS);
+  await settled(third);
   await fleet.start("i4");
   await second.stop();
   await pause(500);
--- a/src/instance/testing/local_fleet.ts
+++ b/src/instance/testing/local_fleet.ts
@@ -23,6 +23,7 @@
 export const FLEET_KEY = "test-key";
 const TICK_MS = 20;
 const SLOTS = 16;
+const DEADLINE_MS = 1_000;
 
 /** What a fleet is made of. */
 export interface LocalFleetOptions {
@@ -30,6 +31,11 @@
   readonly seats: number;
   /** How long an endpoint works on a request, in milliseconds. */
   readonly workMs: number;
+  /**
+   * How long callers may wait at most, in milliseconds; a seat that changed
+   * hands rests a little longer.
+   */
+  readonly deadlineMs?: number;
 }
 
 /** A fleet in one zone. */
@@ -98,7 +104,7 @@
 
 function sectionsOf(
   endpoints: readonly CountingEndpoint[],
-  { seats }: LocalFleetOptions,
+  { seats, deadlineMs = DEADLINE_MS }: LocalFleetOptions,
 ): Record<string, unknown> {
   const entries = endpoints.map((e, i) => [`e${i}`, {
     zone: "z1",
@@ -115,7 +121,7 @@
     services: {
       services: {
         s: {
-          deadline_ms: 1_000,
+          deadline_ms: deadlineMs,
           routes: [{ method: "GET", path_prefix: "/", idempotent: true }],
           endpoints: Object.fromEntries(entries),
         },
