Ask the store from the start by zone, gather changes, and say who asks

An instance now lists once and listens for 0.7 s before it asks, instances that start count, and after changes the next call waits 0.1 s for more. One that begins to ask tells once that the store answers it: it may have gone by others' word that the store is away.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -86,7 +86,7 @@
   #graceMs: number;
   #server: CallerServer | undefined;
   #snapshotServer: PlainServer | undefined;
-  #roles: Roles = { speaks: true, asksStore: true };
+  #roles: Roles = { speaks: false, asksStore: false };
   #endpointsListed = false;
   #leaving = false;
 
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -106,7 +106,7 @@
   readonly #roles: ZoneRoles;
   readonly #digests: DigestExchange;
   readonly #zoneExchange: ZoneExchange;
-  #current: Roles = { speaks: true, asksStore: true };
+  #current: Roles = { speaks: false, asksStore: false };
 
   constructor(opts: FleetMemberOptions) {
     this.#opts = opts;
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -33,6 +33,14 @@
 /** How long those before one must be there before it gives a role up, in ms. */
 const GIVE_UP_MS = 2_000;
 
+/**
+ * How long an instance that starts waits for the others' word before it asks
+ * the store, in milliseconds: a few digests. All instances start at the same
+ * moment, and so do the endpoints; asking at once, each of 80 was woken by each
+ * registration, which was two thirds of a day's calls.
+ */
+const LISTEN_FIRST_MS = 700;
+
 /** What an instance does for its zone. */
 export interface Roles {
   readonly speaks: boolean;
@@ -42,7 +50,8 @@
 /** Roles of one instance. */
 export class ZoneRoles {
   readonly #own: { readonly id: InstanceId; readonly capacity: number };
-  #asks = true;
+  #asks = false;
+  #startedAt: number | undefined;
   /** Since when too few before this one ask; undefined while enough do. */
   #shortSince: number | undefined;
   #enoughSince: number | undefined;
@@ -54,9 +63,11 @@
   /** Works out the roles from what the zone's other instances told. */
   update(mates: readonly Peer[], now: number): Roles {
     const before = mates.filter((m) =>
-      !m.quiet && m.state === "serving" && this.#comesBefore(m)
+      !m.quiet && m.state !== "leaving" && this.#comesBefore(m)
     );
-    this.#asks = this.#decideAsking(before, now);
+    this.#startedAt ??= now;
+    const listening = now - this.#startedAt < LISTEN_FIRST_MS;
+    this.#asks = !listening && this.#decideAsking(before, now);
     return { speaks: before.length === 0, asksStore: this.#asks };
   }
 
--- a/src/follower/kind_follower.ts
+++ b/src/follower/kind_follower.ts
@@ -42,6 +42,12 @@
  * back shows with the answer, and until then drains go unseen.
  */
 const LOST_WAIT_MS = 100;
+/**
+ * How long after changes the next call comes, in milliseconds. Changes come in
+ * groups, as when a service is scaled out, and one call brings all that there
+ * are. A drain is seen by this much later, of the two seconds that it has.
+ */
+const GATHER_MS = 100;
 /** How long after a failure the next call comes, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 /**
@@ -78,15 +84,19 @@
   readonly #abort = new AbortController();
   readonly #mirror = new KindMirror();
   readonly #catchup: Catchup;
-  #asks = true;
+  #asks = false;
   #wake: (() => void) | undefined;
   /** Undefined while everything has to be read. */
   #revision: number | undefined;
   #everRead = false;
+  /** Whether more changes are likely to follow the last ones soon. */
+  #gather = false;
   /** The highest revision at which another instance knows of a change. */
   #heard = 0;
   #failures = 0;
   #lostAt: number | undefined;
+  /** Whether this instance has yet to learn if the store answers it. */
+  #unconfirmed = false;
 
   constructor(opts: KindFollowerOptions<T>) {
     this.#opts = opts;
@@ -113,10 +123,13 @@
       : await this.#watch(this.#revision);
     if (this.#abort.signal.aborted) return;
     if (failed !== undefined) await this.#recover(failed);
+    else if (this.#gather) await sleep(this.#opts.clock, GATHER_MS);
+    this.#gather = false;
   }
 
   /** Whether this instance asks the store itself, or is told by others. */
   setAsking(asks: boolean): void {
+    if (asks && !this.#asks) this.#unconfirmed = true;
     this.#asks = asks;
     if (asks) this.#wake?.();
   }
@@ -188,6 +201,7 @@
     const after = this.#mirror.chainedAt;
     const fresh = news.revision > (this.#revision ?? 0);
     if (fresh && news.changes.length > 0) {
+      this.#gather = true;
       this.#take(news.changes);
       this.#relay(after, this.#mirror.append(news), news.changes);
     }
@@ -267,9 +281,11 @@
   }
 
   #inTouch(): void {
+    const { kind, log, sink, clock } = this.#opts;
     this.#failures = 0;
+    if (this.#unconfirmed && this.#lostAt === undefined) sink.contact(true);
+    this.#unconfirmed = false;
     if (this.#lostAt === undefined) return;
-    const { kind, log, sink, clock } = this.#opts;
     const lostMs = Math.round(clock.now() - this.#lostAt);
     this.#lostAt = undefined;
     sink.contact(true);
--- a/src/follower/kind_follower_test.ts
+++ b/src/follower/kind_follower_test.ts
@@ -233,3 +233,26 @@
   t.deepEqual(seen, ["list", "all c"]);
   t.is(followed.changedAt, 8);
 });
+
+test("an instance that begins to ask says once that the store answers it", async (t) => {
+  // Until then it went by what others said of the store, which may have been
+  // that it is away. Taken on for good, entries that lapse would be held though
+  // the store is there.
+  const { seen, step, followed } = follower(
+    list(5, "a"),
+    changed(7, "b"),
+    changed(9, "c"),
+  );
+  await step();
+  followed.setAsking(true);
+  followed.setAsking(true);
+  await step();
+  await step();
+  t.deepEqual(seen.slice(2), [
+    "watch 5",
+    "in touch",
+    "changed b",
+    "watch 7",
+    "changed c",
+  ]);
+});
