--- a/src/follower/kind_follower.ts
+++ b/src/follower/kind_follower.ts
@@ -208,12 +208,14 @@
     this.#revision = Math.max(this.#revision ?? 0, news.revision);
   }
 
-  /** Hands on what is newer than what is known of each object. */
+  /** Takes in what is newer than what is known of each object. */
   #take(changes: readonly StoredChange<T>[]): void {
+    this.#hand(changes.filter((change) => this.#mirror.take(change)));
+  }
+
+  #hand(changes: readonly StoredChange<T>[]): void {
     const { sink } = this.#opts;
-    for (const change of changes) {
-      if (!this.#mirror.take(change)) continue;
-      const { entry, deleted } = change;
+    for (const { entry, deleted } of changes) {
       if (deleted) sink.deleted(entry.name);
       else sink.changed(entry);
     }
@@ -272,7 +274,10 @@
       if (entry !== undefined) entries.push(entry);
     }
     if (holdMs > 0) sink.holdDeleted?.(holdMs);
-    sink.replaced(entries);
+    // What is known already is not told again: an endpoint's entry says how
+    // long it is cold from then on.
+    if (this.#everRead) this.#hand(this.#mirror.difference(entries));
+    else sink.replaced(entries);
     this.#mirror.adopt({ entries, revision }, changedAt);
     this.#everRead = true;
     this.#revision = revision;
--- a/src/follower/kind_mirror.ts
+++ b/src/follower/kind_mirror.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import type { Changes, Snapshot, StoredChange } from "./kind_source.ts";
+import type {
+  Changes,
+  Snapshot,
+  StoredChange,
+  StoredEntry,
+} from "./kind_source.ts";
 
 interface Kept {
   readonly revision: number;
@@ -51,6 +56,20 @@
     this.#chainedAt = all.revision;
   }
 
+  /** What of a list differs from what is known. */
+  difference<T>(entries: readonly StoredEntry<T>[]): StoredChange<T>[] {
+    const named = new Set(entries.map(({ name }) => name));
+    const gone = [...this.#kept].filter(([name]) => !named.has(name))
+      .map(([name, { revision, raw }]): StoredChange<T> => ({
+        entry: { name, revision, value: undefined, raw },
+        deleted: true,
+      }));
+    const changed = entries
+      .filter((e) => this.#kept.get(e.name)?.revision !== e.revision)
+      .map((entry): StoredChange<T> => ({ entry, deleted: false }));
+    return [...gone, ...changed];
+  }
+
   /** Takes in one change; gives false where it is older than what is known. */
   take({ entry, deleted }: StoredChange<unknown>): boolean {
     const { name, revision, raw } = entry;
