--- a/tools/process_soak/tcp_proxy.ts
+++ b/tools/process_soak/tcp_proxy.ts
@@ -55,12 +55,16 @@
   }
 
   close(): Promise<void> {
-    this.#resetAll();
+    // Reset all at once, these left the event loop polling for good.
+    for (const socket of this.#sockets) socket.destroy();
     return new Promise((resolve) => this.#server.close(() => resolve()));
   }
 
   #resetAll(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) {
+      if (socket.connecting) socket.destroy();
+      else socket.resetAndDestroy();
+    }
     this.#sockets.clear();
   }
 
