Take a second signal to stop, and follow a speaker that leaves at once

The listener had been for one signal, so the second ended the process at once. Ruled out: the stop's own order (one signal cuts nothing in 50 stops), the freeze before it.

Cause 2: an instance that spoke for its zone went on speaking while it left, and when it ended other zones heard nothing for a second and set the zone's share of rates aside. A leaver does not speak, and the others follow whoever says that it leaves. fleet_member_test "when its speaker leaves" fails before.

--- a/src/cli/system_context.ts
+++ b/src/cli/system_context.ts
@@ -5,7 +5,12 @@
  */
 import { readFile, writeFile } from "node:fs/promises";
 import process from "node:process";
-import { MemoryMetrics, SystemClock, SystemRandom } from "../core/mod.ts";
+import {
+  MemoryMetrics,
+  stopSignal,
+  SystemClock,
+  SystemRandom,
+} from "../core/mod.ts";
 import { HttpPlatform } from "../store/mod.ts";
 import type { CliContext } from "./context.ts";
 
@@ -29,10 +34,3 @@
     stopped: stopSignal,
   };
 }
-
-function stopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
-}
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -16,4 +16,5 @@
 export * from "./metrics.ts";
 export * from "./nearest.ts";
 export * from "./random.ts";
+export * from "./stop_signal.ts";
 export * from "./strict.ts";
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -265,7 +265,10 @@
     if (this.#peers.isMesh) {
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
     }
-    this.#current = this.#roles.update(this.#peers.mates(), now);
+    const roles = this.#roles.update(this.#peers.mates(), now);
+    // The others tell a leaver nothing any more, so it knows nobody to speak of.
+    const speaks = roles.speaks && digest.state !== "leaving";
+    this.#current = { ...roles, speaks };
     this.#opts.events.roles(this.#current);
     const tellsZones = this.#periods % ZONES_EVERY === 0;
     if (this.#handsOut && tellsZones) this.#zoneExchange.tell(digest);
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -185,10 +185,29 @@
   // Everybody hears of everybody through one instance. It loses power; until
   // the next hands out, shares of rates are set aside.
   const fleet = await fleetOf(PER_ZONE);
-  const [hub, ...others] = fleet.of("a2");
+  const hub = fleet.of("a2").find((m) => m.roles.speaks);
+  const others = fleet.of("a2").filter((m) => m !== hub);
   fleet.kill(hub!);
   fleet.pass(2_000);
   for (const other of others) {
     t.is(other.groups.size, PER_ZONE - 2 + ZONES.length - 1);
   }
 });
+
+test("a zone is heard on when its speaker leaves", async (t) => {
+  // The speaker is replaced. Were it heard until it ends, its zone would be
+  // quiet for a second then, with its share of every account's rate set aside.
+  const fleet = await fleetOf(PER_ZONE);
+  const speaker = fleet.of("b1").find((m) => m.roles.speaks);
+  const [one] = fleet.of("a1");
+  const group = one!.groups.get("zone b1")!;
+  speaker!.state = "leaving";
+  fleet.pass(1_500);
+  t.not(one!.groups.get("zone b1")?.start, group.start);
+  fleet.kill(speaker!);
+  one!.quiet.length = 0;
+  fleet.pass(4_000);
+  t.deepEqual(one!.quiet, []);
+  const serving = one!.member.serving().map((p) => p.id);
+  t.is(serving.filter((id) => id.startsWith("b1")).length, PER_ZONE - 1);
+});
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -21,6 +21,7 @@
   FleetMember,
   type GroupNews,
   type InstanceProfile,
+  type InstanceState,
   type Roles,
 } from "../mod.ts";
 
@@ -30,10 +31,13 @@
   readonly member: FleetMember;
   readonly groups: Map<string, GroupNews>;
   readonly relayed: RelayedChanges[];
+  /** Groups that fell quiet, in order. */
+  readonly quiet: string[];
   readonly uses: Map<AccountId, AccountUse>;
   readonly inFlight: Map<EndpointId, number>;
   roles: Roles;
   storeInTouch: boolean;
+  state: InstanceState;
   alive: boolean;
   take: (bytes: Uint8Array) => void;
 }
@@ -85,7 +89,7 @@
     };
     const events = {
       told: (news: GroupNews) => void entry.groups.set(news.group, news),
-      quiet: () => {},
+      quiet: (group: InstanceId) => void entry.quiet.push(group),
       silent: (group: InstanceId) => void entry.groups.delete(group),
       forgotten: (group: InstanceId) => void entry.groups.delete(group),
       roles: (roles: Roles) => void (entry.roles = roles),
@@ -95,10 +99,12 @@
       profile,
       groups: new Map(),
       relayed: [],
+      quiet: [],
       uses: new Map(),
       inFlight: new Map(),
       roles: { speaks: true, asksStore: true },
       storeInTouch: true,
+      state: "serving",
       alive: true,
       take: () => {},
       member: new FleetMember({
@@ -111,7 +117,7 @@
         random: this.#random,
         log: new SilentLog(),
         report: () => ({
-          state: "serving",
+          state: entry.state,
           planVersion: 1,
           storeInTouch: entry.storeInTouch,
           changes: new Map([["plans", 1]]),
--- a/src/fleet/zone_table.ts
+++ b/src/fleet/zone_table.ts
@@ -44,7 +44,8 @@
   /**
    * Takes in a digest unless it is older than the last. While two instances of
    * a zone speak, as when one took over from one that was only slow, the first
-   * is heard: their counts do not go together. Gives whether it was taken in.
+   * is heard: their counts do not go together. One that leaves is followed at
+   * once. Gives whether the digest was taken in.
    */
   heard(digest: ZoneDigest, now: number): boolean {
     const { zone, speaker, start, seq } = digest;
@@ -53,7 +54,8 @@
       const { digest: last } = row;
       const same = last.speaker === speaker && last.start === start;
       if (same && seq <= last.seq) return false;
-      if (!same && !row.quiet && last.speaker !== speaker) return false;
+      const followed = last.speaker === speaker || hasLeft(last, digest);
+      if (!same && !row.quiet && !followed) return false;
       if (!same && !row.quiet) this.#events.quiet(zone);
     }
     this.#rows.set(zone, { digest, heardAt: now, quiet: false, silent: false });
@@ -102,6 +104,12 @@
   }
 }
 
+/** Whether who spoke last is known to leave, or to be gone. */
+function hasLeft(last: ZoneDigest, next: ZoneDigest): boolean {
+  const before = next.members.find((m) => m.profile.id === last.speaker);
+  return before === undefined || before.state === "leaving";
+}
+
 /** A zone counts like one instance where rates are shared. */
 export function groupOf(zone: ZoneId): InstanceId {
   return `zone ${zone}` as InstanceId;
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -97,11 +97,15 @@
     this.#child?.kill("SIGKILL");
   }
 
-  /** Stops it in good order, and by force once its time is over. */
+  /**
+   * Stops it in good order, and by force once its time is over. Told again, it
+   * is sent the signal again.
+   */
   stop(): void {
     const child = this.#child;
-    if (child === undefined || this.stoppingSince !== undefined) return;
+    if (child === undefined) return;
     this.#touch();
+    if (this.stoppingSince !== undefined) return void child.kill("SIGTERM");
     this.stoppingSince = Date.now();
     child.kill("SIGTERM");
     const graceMs = this.opts.graceS * MS_PER_S;
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -37,6 +37,21 @@
   t.true(faults > 0);
 });
 
+test.serial("an instance that is told to stop twice cuts nothing", async (t) => {
+  // A roll-out is begun anew while it is under way, so that instances get the
+  // signal a second time while they let their requests end. Callers whose
+  // requests run see their connections close.
+  const soak = new ProcessSoak({
+    seed: 7,
+    seconds: SECONDS,
+    perZone: 2,
+    program: await program(),
+    only: ["stop in turn"],
+  });
+  const { violations } = await soak.run();
+  t.deepEqual(violations, []);
+});
+
 const PLANTED: readonly {
   readonly name: string;
   readonly fault: PlantedFault;
