Tell a caller's own deadline from a cut in the soak of processes

The trace: sent 52 ms before the freeze, given up 2,000 ms later, the instance's own line says that the time was up. Late is a result of its own now.

--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -306,7 +306,8 @@
       this.#served.of++;
       const fair = result.kind === "not-run" && result.status === 429;
       if (result.kind === "answer" || fair) this.#served.well++;
-      const broken = result.kind === "broken" || instance.life !== life;
+      const broken = result.kind === "broken" || result.kind === "late" ||
+        instance.life !== life;
       if (broken || this.random.next() < 0.05) {
         await caller.close();
         instance = this.pick(this.instances)!;
--- a/tools/process_soak/promises.ts
+++ b/tools/process_soak/promises.ts
@@ -199,7 +199,6 @@
     const { instance, life } = attempt;
     const last = runs.at(-1);
     if (result.kind !== "broken" || last === undefined) return;
-    if (result.reason === "TimeoutError") return;
     if (!this.#calm.stopping(instance, life)) return;
     const harmed = this.#calm.endpoint(last.endpoint) > last.at - SETTLE_MS;
     if (!harmed) this.#add("a planned stop cuts no request", attempt);
