--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -8,21 +8,13 @@
  *
  * @module
  */
-import type {
-  AccountId,
-  Clock,
-  EndpointId,
-  InstanceId,
-  Log,
-  Random,
-} from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import type { Clock, InstanceId, Log, Random } from "../core/mod.ts";
 import type { RelayedChanges } from "../follower/mod.ts";
 import { decodeChanges, encodeChanges } from "./change_relay.ts";
 import { Datagrams, type DatagramTransport } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
 import { DigestExchange } from "./digest_exchange.ts";
-import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import type { InstanceProfile } from "./instance_profile.ts";
 import { type Peer, PeerTable } from "./peer_table.ts";
 import type { ZoneDigest } from "./zone_digest.ts";
 import { ZoneExchange } from "./zone_exchange.ts";
@@ -32,27 +24,21 @@
 import { groupOf, ZoneTable } from "./zone_table.ts";
 
 /** What an instance says of itself each time. */
-export interface SelfReport {
-  readonly state: InstanceState;
-  readonly planVersion: number;
-  readonly storeInTouch: boolean;
-  readonly changes: ReadonlyMap<string, number>;
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
-  readonly inFlight: ReadonlyMap<EndpointId, number>;
-}
+export type SelfReport = Pick<
+  Digest,
+  "state" | "planVersion" | "storeInTouch" | "changes" | "uses" | "inFlight"
+>;
 
 /** What an instance or a zone told. */
-export interface GroupNews {
+export interface GroupNews extends
+  Pick<
+    Digest,
+    "start" | "storeInTouch" | "changes" | "uses" | "inFlight"
+  > {
   /** The instance, or a name for the zone. */
   readonly group: InstanceId;
-  /** Counts begin anew with each start. */
-  readonly start: string;
   /** How many instances it stands for. */
   readonly instances: number;
-  readonly storeInTouch: boolean;
-  readonly changes: ReadonlyMap<string, number>;
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
-  readonly inFlight: ReadonlyMap<EndpointId, number>;
 }
 
 /** Takes in what happens among the instances. */
@@ -266,7 +252,7 @@
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
     }
     const roles = this.#roles.update(this.#peers.mates(), now);
-    // The others tell a leaver nothing any more, so it knows nobody to speak of.
+    // The next speaks from the moment at which it hears that this one leaves.
     const speaks = roles.speaks && digest.state !== "leaving";
     this.#current = { ...roles, speaks };
     this.#opts.events.roles(this.#current);
