--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -15,6 +15,7 @@
 export * from "./metric_table.ts";
 export * from "./metrics.ts";
 export * from "./nearest.ts";
+export * from "./packed_json.ts";
 export * from "./random.ts";
 export * from "./stop_signal.ts";
 export * from "./strict.ts";
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -17,6 +17,24 @@
   hex(bytes: number): string;
 }
 
+/**
+ * Some of a list, as many as `most`: those that follow one chosen at random.
+ *
+ * @example
+ * ```ts
+ * someOf(["a", "b", "c"], 2, random); // ["c", "a"], say
+ * ```
+ */
+export function someOf<T>(
+  list: readonly T[],
+  most: number,
+  random: Random,
+): T[] {
+  if (list.length === 0) return [];
+  const from = random.below(list.length);
+  return [...list.slice(from), ...list.slice(0, from)].slice(0, most);
+}
+
 const STEPS = 0x7fffffff;
 
 /** Repeatable numbers from a seed; for tests, soaks and decisions. */
--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -8,6 +8,7 @@
 import { DemandCounter } from "./demand_counter.ts";
 import { DemandShares } from "./demand_shares.ts";
 import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
+import { DIRECT_LAG_MS } from "./news_lag.ts";
 import { ReturnSchedule } from "../limits/return_schedule.ts";
 
 /** The longest that a refused caller is told to stay away, in milliseconds. */
@@ -21,8 +22,6 @@
  */
 const USED_RATE = 0.97;
 const USED_BURST = 0.85;
-/** A digest's period and the way, in milliseconds. */
-const USUAL_LAG_MS = 400;
 const MS_PER_S = 1_000;
 
 /** What an instance tells the others of one account. */
@@ -64,7 +63,7 @@
   constructor(
     own: InstanceId,
     fleetSize: () => number,
-    lagMs: () => number = () => USUAL_LAG_MS,
+    lagMs: () => number = () => DIRECT_LAG_MS,
   ) {
     this.#shares = new DemandShares(own, fleetSize);
     this.#lagMs = lagMs;
--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -2,14 +2,13 @@
 import type { AccountId, InstanceId } from "../../core/mod.ts";
 import { SeededRandom } from "../../core/mod.ts";
 import type { Account } from "../../traffic/mod.ts";
-import { ZONE_LAG_MS } from "../../fleet/mod.ts";
-import { AccountQuotas } from "./mod.ts";
+import { AccountQuotas, BY_ZONE_LAG_MS } from "./mod.ts";
 
 /** How often instances tell each other, in milliseconds. */
 const TICK_MS = 250;
 /** How late what they tell arrives, in milliseconds: directly, and by zone. */
 const LAG_MS = 15;
-const BY_ZONE_LAG_MS = 400;
+const ZONE_MAIL_MS = 400;
 const STEP_MS = 5;
 /** When an instance's share is set aside that is not heard, in ms. */
 const QUIET_AFTER_MS = 400;
@@ -63,7 +62,7 @@
   #fresh(id: string, size: number): AccountQuotas {
     const quotas = this.#lagMs === LAG_MS
       ? new AccountQuotas(id as InstanceId, () => size)
-      : new AccountQuotas(id as InstanceId, () => size, () => ZONE_LAG_MS);
+      : new AccountQuotas(id as InstanceId, () => size, () => BY_ZONE_LAG_MS);
     quotas.adopt([this.#account], this.now);
     return quotas;
   }
@@ -194,7 +193,7 @@
     // 78 instances know of each other's admissions most of a second late, and
     // the account begins to send five times its rate at all of them.
     const subject = account({ ratePerS, burst: ratePerS });
-    const fleet = new Fleet(78, subject, 4, BY_ZONE_LAG_MS);
+    const fleet = new Fleet(78, subject, 4, ZONE_MAIL_MS);
     const calm = () => ratePerS / 1.6 / 78;
     fleet.run(5_000, calm);
     const askedBefore = fleet.asked;
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -7,3 +7,4 @@
 export * from "./demand_counter.ts";
 export * from "./demand_shares.ts";
 export * from "./fleet_bucket.ts";
+export * from "./news_lag.ts";
--- /dev/null
+++ b/src/decisions/quotas/news_lag.ts
@@ -0,0 +1,16 @@
+/**
+ * How old what the others told may be when tokens are handed round.
+ *
+ * As much of a rate is left alone as they may have admitted meanwhile.
+ *
+ * @module
+ */
+
+/** Told one by one: a digest's period and the way, in milliseconds. */
+export const DIRECT_LAG_MS = 400;
+/**
+ * Told by zone: that of two more, in milliseconds. At 1,000 a third of the
+ * requests of an account well within its rate of 60 a second found no token on
+ * 78 instances, played without a network, and at 500 accounts passed their rate.
+ */
+export const BY_ZONE_LAG_MS = 800;
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -66,9 +66,7 @@
 
   send(endpoint: EndpointRow, req: OutgoingRequest): Sending {
     const connection = this.#take(endpoint);
-    const restedMs = connection.idleSince === undefined
-      ? undefined
-      : this.#clock.now() - connection.idleSince;
+    const restedMs = this.#restedMs(connection);
     let exchange: Exchange | undefined;
     const { client } = connection;
     const result = new Promise<SendResult>((settle) => {
@@ -132,13 +130,18 @@
     const idle = this.#idle.get(endpoint) ?? [];
     const limitMs = this.#limits.of(endpoint);
     for (let next = idle.shift(); next !== undefined; next = idle.shift()) {
-      const restedMs = this.#clock.now() - (next.idleSince ?? 0);
+      const restedMs = this.#restedMs(next) ?? 0;
       if (!next.closed && restedMs < limitMs) return next;
       this.#drop(next);
     }
     return this.#connect(endpoint);
   }
 
+  /** How long a connection rests; undefined before its first request ended. */
+  #restedMs({ idleSince }: Connection): number | undefined {
+    return idleSince === undefined ? undefined : this.#clock.now() - idleSince;
+  }
+
   #connect(endpoint: EndpointRow): Connection {
     const client = new Client(`http://${endpoint.record.address}`, {
       pipelining: 1,
--- a/src/edge/listening.ts
+++ b/src/edge/listening.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Server } from "node:http";
+import type { AddressInfo, Server as SocketServer } from "node:net";
 import { splitAddress } from "../fleet/mod.ts";
 
 /**
@@ -12,7 +13,7 @@
  * @param backlog Connections that may wait to be accepted, if not the usual.
  */
 export function listenAt(
-  server: Server,
+  server: SocketServer,
   address: string,
   backlog?: number,
 ): Promise<void> {
@@ -26,6 +27,11 @@
   });
 }
 
+/** The port at which a server listens. */
+export function boundPort(server: SocketServer): number {
+  return (server.address() as AddressInfo).port;
+}
+
 /** Closes a server and every connection to it at once. */
 export function closeAtOnce(server: Server): Promise<void> {
   const closed = new Promise<void>((resolve) => {
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -12,6 +12,7 @@
 export * from "./endpoint_sender.ts";
 export * from "./http_endpoint_sender.ts";
 export * from "./instance_list.ts";
+export * from "./listening.ts";
 export * from "./outcome_journal.ts";
 export * from "./plain_server.ts";
 export * from "./request_codec.ts";
--- a/src/edge/peer_load.ts
+++ b/src/edge/peer_load.ts
@@ -40,11 +40,6 @@
     this.#told.delete(group);
   }
 
-  /** What is known of an endpoint that has only now become known here. */
-  of(endpoint: EndpointId): number {
-    return this.#sums.get(endpoint) ?? 0;
-  }
-
   #add(endpoint: EndpointId, more: number): void {
     const sum = (this.#sums.get(endpoint) ?? 0) + more;
     if (sum > 0) this.#sums.set(endpoint, sum);
--- a/src/edge/peer_snapshots.ts
+++ b/src/edge/peer_snapshots.ts
@@ -7,10 +7,17 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { ok, type Result } from "neverthrow";
 import { Agent } from "undici";
-import { Deadline, fail, type Failure, type Random } from "../core/mod.ts";
+import {
+  Deadline,
+  fail,
+  type Failure,
+  packJson,
+  type Random,
+  someOf,
+  unpackJson,
+} from "../core/mod.ts";
 import { type InstanceProfile, splitAddress } from "../fleet/mod.ts";
 import type { RelayedSnapshot } from "../follower/mod.ts";
 import type { PlainAnswer } from "./plain_server.ts";
@@ -19,8 +26,6 @@
 const FETCH_MS = 800;
 /** Instances that are tried. */
 const TRIED = 2;
-/** The fastest level. */
-const LEVEL = 1;
 const PATH = "/kinds/";
 
 /** Where an instance serves snapshots: the port beside that for digests. */
@@ -37,7 +42,7 @@
   if (!url.startsWith(PATH)) return { status: 404 };
   const snapshot = snapshotOf(url.slice(PATH.length));
   if (snapshot === undefined) return { status: 503 };
-  const body = deflateRawSync(JSON.stringify(snapshot), { level: LEVEL });
+  const body = packJson(snapshot);
   return { status: 200, contentType: "application/octet-stream", body };
 }
 
@@ -60,9 +65,7 @@
     from: readonly InstanceProfile[],
     signal: AbortSignal,
   ): Promise<Result<RelayedSnapshot, Failure>> {
-    const first = from.length === 0 ? 0 : this.#random.below(from.length);
-    const tried = [...from.slice(first), ...from.slice(0, first)];
-    for (const profile of tried.slice(0, TRIED)) {
+    for (const profile of someOf(from, TRIED, this.#random)) {
       const snapshot = await this.#ask(kind, profile, signal);
       if (snapshot !== undefined) return ok(snapshot);
     }
@@ -99,8 +102,8 @@
 }
 
 function readSnapshot(bytes: Buffer): RelayedSnapshot | undefined {
-  const json = JSON.parse(inflateRawSync(bytes).toString("utf8"));
-  const { revision, changedAt, objects, holdMs } = json as RelayedSnapshot;
+  const snapshot = unpackJson(bytes) as RelayedSnapshot;
+  const { revision, changedAt, objects, holdMs } = snapshot;
   const figures = [revision, changedAt, holdMs].every(Number.isFinite);
-  return figures && Array.isArray(objects) ? json : undefined;
+  return figures && Array.isArray(objects) ? snapshot : undefined;
 }
--- a/src/fleet/datagrams.ts
+++ b/src/fleet/datagrams.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import type { Result } from "neverthrow";
+import type { Failure, Log } from "../core/mod.ts";
 
 /** Carries datagrams. */
 export interface DatagramTransport {
@@ -33,10 +35,12 @@
 /** Sends and hands out datagrams by sort. */
 export class Datagrams {
   readonly #transport: DatagramTransport;
+  readonly #log: Log;
   readonly #takers = new Map<number, (bytes: Uint8Array) => void>();
 
-  constructor(transport: DatagramTransport) {
+  constructor(transport: DatagramTransport, log: Log) {
     this.#transport = transport;
+    this.#log = log;
     transport.onDatagram((bytes) => {
       const [sort = 0] = bytes;
       this.#takers.get(sort)?.(bytes.subarray(1));
@@ -54,6 +58,25 @@
     this.#takers.set(SORTS[sort], take);
   }
 
+  /**
+   * Says how a sort of datagram is read, and who takes it in. The first that
+   * cannot be read is logged; anything can reach an open port.
+   */
+  onRead<T>(
+    sort: DatagramSort,
+    decode: (bytes: Uint8Array) => Result<T, Failure>,
+    take: (value: T, bytes: Uint8Array) => void,
+  ): void {
+    let rejected = false;
+    this.on(sort, (bytes) => {
+      const read = decode(bytes);
+      if (read.isOk()) return take(read.value, bytes);
+      if (rejected) return;
+      rejected = true;
+      this.#log.event("digest_rejected", { reason: read.error.message });
+    });
+  }
+
   /** Hands over what came inside another datagram. */
   take(sort: DatagramSort, bytes: Uint8Array): void {
     this.#takers.get(SORTS[sort])?.(bytes);
--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -7,32 +7,44 @@
  *
  * @module
  */
-import type { Clock, Log, Random, Timer } from "../core/mod.ts";
+import type { Clock, Random, Timer } from "../core/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import { decodeDigest, type Digest, encodeDigest } from "./digest.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
-import type { PeerTable } from "./peer_table.ts";
+import type { Peer, PeerTable } from "./peer_table.ts";
 
 /**
  * How often digests go out, in milliseconds. Shares of rates lag by this; four
  * a second to each of a dozen instances take under 1% of a small core.
  */
 export const DIGEST_EVERY_MS = 250;
-/** A silent instance is sent only each so many digests: it may be gone. */
+/** Silent instances are told only each so many periods: they may be gone. */
 const SILENT_EVERY = 4;
 
+/**
+ * Those of some instances that are told in a period.
+ *
+ * @param seq Counts the periods.
+ */
+export function toTell(
+  peers: readonly Peer[],
+  seq: number,
+): readonly InstanceProfile[] {
+  const also = (seq + 1) % SILENT_EVERY === 0;
+  return peers.filter((p) => !p.silent || also).map((p) => p.profile);
+}
+
 /** What the exchange works with. */
 export interface DigestExchangeOptions {
   readonly datagrams: Datagrams;
   readonly peers: PeerTable;
   readonly clock: Clock;
   readonly random: Random;
-  readonly log: Log;
   /** Addresses to try while no instance is known. */
   readonly seeds: readonly string[];
-  /** To whom digests go; undefined for everybody that is told one by one. */
-  readonly only: () => readonly InstanceProfile[] | undefined;
-  /** Told of each digest that came by itself, as it came. */
+  /** To whom a digest goes. */
+  readonly recipients: (seq: number) => readonly InstanceProfile[];
+  /** Told of each digest that came, as it came. */
   readonly came: (from: InstanceProfile, bytes: Uint8Array) => void;
   /** This instance's digest of this moment. */
   readonly compose: (seq: number) => Digest;
@@ -45,11 +57,14 @@
   readonly #opts: DigestExchangeOptions;
   #timer: Timer | undefined;
   #seq = 0;
-  #rejected = 0;
 
   constructor(opts: DigestExchangeOptions) {
     this.#opts = opts;
-    opts.datagrams.on("digest", (bytes) => this.#take(bytes));
+    const { datagrams, peers, clock, came } = opts;
+    datagrams.onRead("digest", decodeDigest, (digest, bytes) => {
+      peers.heard(digest, clock.now());
+      came(digest.profile, bytes);
+    });
   }
 
   /** Sends the first digest at once, then one each period. */
@@ -60,21 +75,14 @@
 
   /** Sends a digest now, as after a change that others should know at once. */
   tell(): void {
-    const { compose, datagrams, seeds, told } = this.#opts;
+    const { compose, recipients, datagrams, seeds, told } = this.#opts;
     const digest = compose(this.#seq++);
     const bytes = encodeDigest(digest);
-    const to = this.#recipients().map((p) => p.digestAddress);
+    const to = recipients(digest.seq).map((p) => p.digestAddress);
     datagrams.send("digest", to.length > 0 ? to : seeds, bytes);
     told(digest, bytes);
   }
 
-  #recipients(): readonly InstanceProfile[] {
-    const { peers, only } = this.#opts;
-    const also = this.#seq % SILENT_EVERY === 0;
-    return only() ?? peers.peers().filter((p) => !p.silent || also)
-      .map((p) => p.profile);
-  }
-
   close(): void {
     this.#timer?.close();
   }
@@ -88,17 +96,4 @@
       this.#schedule();
     });
   }
-
-  #take(bytes: Uint8Array): void {
-    const { peers, clock, log, came } = this.#opts;
-    const digest = decodeDigest(bytes);
-    if (digest.isOk()) {
-      peers.heard(digest.value, clock.now());
-      return came(digest.value.profile, bytes);
-    }
-    this.#rejected++;
-    if (this.#rejected === 1) {
-      log.event("digest_rejected", { reason: digest.error.message });
-    }
-  }
 }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -8,12 +8,19 @@
  *
  * @module
  */
-import type { Clock, InstanceId, Log, Random } from "../core/mod.ts";
+import {
+  type Clock,
+  type InstanceId,
+  type Log,
+  type Random,
+  someOf,
+} from "../core/mod.ts";
+import { BY_ZONE_LAG_MS, DIRECT_LAG_MS } from "../decisions/quotas/mod.ts";
 import type { RelayedChanges } from "../follower/mod.ts";
 import { decodeChanges, encodeChanges } from "./change_relay.ts";
 import { Datagrams, type DatagramTransport } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
-import { DigestExchange } from "./digest_exchange.ts";
+import { DigestExchange, toTell } from "./digest_exchange.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import { type Peer, PeerTable } from "./peer_table.ts";
 import type { ZoneDigest } from "./zone_digest.ts";
@@ -75,17 +82,6 @@
 /** Instances that each digest names for those that could not read the list. */
 const OTHERS_TOLD = 3;
 const START_BYTES = 8;
-/** Silent instances are told each so many periods: they may be gone. */
-const SILENT_EVERY = 4;
-/**
- * How old what others told of themselves may be, in milliseconds: a digest's
- * period and the way; by zone, that of two more. At 1,000 a third of the
- * requests of an account well within its rate of 60 a second found no token on
- * 78 instances, played without a network, and at 500 accounts passed their rate.
- */
-const MESH_LAG_MS = 400;
-export const ZONE_LAG_MS = 800;
-
 /** This instance's part in the fleet. */
 export class FleetMember {
   readonly #opts: FleetMemberOptions;
@@ -98,14 +94,13 @@
   readonly #digests: DigestExchange;
   readonly #zoneExchange: ZoneExchange;
   readonly #hub: ZoneHub;
-  #periods = 0;
   #current: Roles = { speaks: false, asksStore: false };
 
   constructor(opts: FleetMemberOptions) {
     this.#opts = opts;
     const { profile, capacity, clock, random, log, seeds, events } = opts;
     this.#start = random.hex(START_BYTES);
-    this.#datagrams = new Datagrams(opts.transport);
+    this.#datagrams = new Datagrams(opts.transport, log);
     this.#peers = new PeerTable(profile, opts.assumed, {
       told: (digest, now) => this.#told(digest, now),
       quiet: ({ profile }) => events.quiet(profile.id),
@@ -124,13 +119,12 @@
       peers: this.#peers,
       clock,
       random,
-      log,
     };
     this.#hub = new ZoneHub(this.#datagrams);
     this.#digests = new DigestExchange({
       ...common,
       seeds,
-      only: () => this.#hubs(),
+      recipients: (seq) => this.#recipients(seq),
       came: (from, bytes) => {
         if (this.#handsOut) this.#hub.gather(from.id, "digest", bytes);
       },
@@ -143,7 +137,7 @@
       sums: this.#sums,
       came: (from, bytes, direct) => this.#zoneCame(from, bytes, direct),
     });
-    this.#datagrams.on("changes", (bytes) => this.#relayed(bytes));
+    this.#datagrams.onRead("changes", decodeChanges, events.relayed);
   }
 
   /** Instances that may be serving, this one included. */
@@ -153,7 +147,7 @@
 
   /** How old what is known of the others may be, in milliseconds. */
   get lagMs(): number {
-    return this.#peers.isMesh ? MESH_LAG_MS : ZONE_LAG_MS;
+    return this.#peers.isMesh ? DIRECT_LAG_MS : BY_ZONE_LAG_MS;
   }
 
   /** Whether another instance of the zone asks the store and is answered. */
@@ -191,14 +185,13 @@
 
   /** Instances that know of a change of a kind, those of the zone first. */
   knowing(kind: string, revision: number): readonly InstanceProfile[] {
-    const { zone } = this.#opts.profile;
     const known = this.#peers.peers().filter((p) =>
       !p.quiet && p.state === "serving" &&
       (p.changes.get(kind) ?? 0) >= revision
-    );
-    const near = known.filter((p) => p.profile.zone === zone);
-    const far = known.filter((p) => p.profile.zone !== zone);
-    return [...near, ...far].map((p) => p.profile);
+    ).map((p) => p.profile);
+    const near = known.filter((p) => this.#peers.isOwnZone(p.zone));
+    const far = known.filter((p) => !this.#peers.isOwnZone(p.zone));
+    return [...near, ...far];
   }
 
   async close(): Promise<void> {
@@ -211,12 +204,16 @@
     return !this.#peers.isMesh && this.#current.speaks;
   }
 
-  /** Whom this instance tells of itself; undefined for everybody. */
-  #hubs(): readonly InstanceProfile[] | undefined {
-    if (this.#peers.isMesh) return undefined;
+  /** Whom this instance tells of itself. */
+  #recipients(seq: number): readonly InstanceProfile[] {
+    const everybody = this.#peers.isMesh ||
+      this.#peers.mates().every((m) => m.quiet);
+    return everybody ? toTell(this.#peers.peers(), seq) : this.#hubs();
+  }
+
+  /** The others of the zone that all of it tell. */
+  #hubs(): readonly InstanceProfile[] {
     const mates = this.#peers.mates();
-    const heard = mates.some((m) => !m.quiet);
-    if (!heard) return undefined;
     const hubs = this.#roles.hubs(mates);
     return mates.map((m) => m.profile).filter(({ id }) => hubs.includes(id));
   }
@@ -227,23 +224,21 @@
       return this.#hub.gather(groupOf(from.zone), "zonePassedOn", bytes);
     }
     if (!direct) return;
-    const hubs = this.#hubs()?.map((hub) => hub.digestAddress) ?? [];
+    const hubs = this.#hubs().map((hub) => hub.digestAddress);
     this.#datagrams.send("zonePassedOn", hubs, bytes);
   }
 
   /** Hands out what was gathered since the last time. */
-  #handOut(own: Uint8Array): void {
+  #handOut({ profile, seq }: Digest, own: Uint8Array): void {
     if (!this.#handsOut) return this.#hub.clear();
-    this.#hub.gather(this.#opts.profile.id, "digest", own);
-    const also = this.#periods % SILENT_EVERY === 0;
-    const to = this.#peers.mates().filter((m) => !m.silent || also);
-    this.#hub.handOut(to.map((m) => m.profile.digestAddress));
+    this.#hub.gather(profile.id, "digest", own);
+    const to = toTell(this.#peers.mates(), seq);
+    this.#hub.handOut(to.map((mate) => mate.digestAddress));
   }
 
   /** What follows each digest of this instance. */
   #period(digest: Digest, bytes: Uint8Array): void {
     const now = this.#opts.clock.now();
-    this.#periods++;
     this.#zones.tick(now);
     if (this.#peers.isMesh) {
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
@@ -254,7 +249,7 @@
     this.#current = { ...roles, speaks };
     this.#opts.events.roles(this.#current);
     if (this.#handsOut) this.#zoneExchange.tell(digest);
-    this.#handOut(bytes);
+    this.#handOut(digest, bytes);
   }
 
   #compose(seq: number): Digest {
@@ -274,19 +269,16 @@
   }
 
   #someOthers(): InstanceProfile[] {
-    const { random } = this.#opts;
     const heard = [
       ...this.#peers.peers().filter((p) => !p.silent),
       ...this.#peers.far(),
     ];
-    const from = heard.length === 0 ? 0 : random.below(heard.length);
-    return [...heard.slice(from), ...heard.slice(0, from)]
-      .slice(0, OTHERS_TOLD).map((p) => p.profile);
+    return someOf(heard, OTHERS_TOLD, this.#opts.random).map((p) => p.profile);
   }
 
   #told(digest: Digest, now: number): void {
     const { profile } = digest;
-    if (profile.zone === this.#opts.profile.zone) this.#sums.told(digest);
+    if (this.#peers.isOwnZone(profile.zone)) this.#sums.told(digest);
     this.#opts.events.told({ ...digest, group: profile.id, instances: 1 }, now);
   }
 
@@ -316,10 +308,4 @@
     this.#opts.log.event("peer_silent", { peer: group });
     this.#opts.events.silent(group);
   }
-
-  #relayed(bytes: Uint8Array): void {
-    const batch = decodeChanges(bytes);
-    if (batch.isOk()) return this.#opts.events.relayed(batch.value);
-    this.#opts.log.event("digest_rejected", { reason: batch.error.message });
-  }
 }
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -77,7 +77,6 @@
   readonly #peers = new Map<InstanceId, Peer>();
   /** The fleet is taken to be at least this large until the list was read. */
   #assumed: number;
-
   #wasMesh = true;
 
   constructor(
@@ -106,23 +105,22 @@
 
   /** Instances that are told of one by one. */
   peers(): readonly Peer[] {
-    const all = [...this.#peers.values()];
-    return this.isMesh ? all : all.filter((p) => this.#isMate(p));
+    return [...this.#peers.values()].filter((p) => !this.#isFar(p));
   }
 
   /** The other instances of this zone. */
   mates(): readonly Peer[] {
-    return [...this.#peers.values()].filter((p) => this.#isMate(p));
+    return [...this.#peers.values()]
+      .filter((p) => this.isOwnZone(p.profile.zone));
   }
 
   /** Instances of other zones, as far as they are told of by zone. */
   far(): readonly Peer[] {
-    if (this.isMesh) return [];
-    return [...this.#peers.values()].filter((p) => !this.#isMate(p));
+    return [...this.#peers.values()].filter((p) => this.#isFar(p));
   }
 
-  #isMate({ profile }: Peer): boolean {
-    return profile.zone === this.#own.zone;
+  #isFar({ profile }: Peer): boolean {
+    return !this.isMesh && !this.isOwnZone(profile.zone);
   }
 
   /** Adds an instance that was heard of. */
@@ -130,7 +128,7 @@
     if (profile.id === this.#own.id) return;
     const known = this.#peers.get(profile.id);
     if (known !== undefined) {
-      if (!this.isMesh && !this.#isMate(known)) known.knownAt = now;
+      if (this.#isFar(known)) known.knownAt = now;
       return;
     }
     this.#peers.set(profile.id, {
@@ -163,7 +161,7 @@
     for (const other of digest.others) this.learn(other, now);
     const peer = this.#peers.get(profile.id);
     if (peer === undefined) return;
-    if (!this.isMesh && !this.#isMate(peer)) return;
+    if (this.#isFar(peer)) return;
     if (peer.start === digest.start && digest.seq <= peer.seq) return;
     peer.profile = profile;
     peer.state = digest.state;
@@ -185,7 +183,7 @@
     const quietMs = this.isMesh ? QUIET_AFTER_MS : QUIET_HANDED_OUT_MS;
     for (const peer of this.#peers.values()) {
       const unheardMs = now - Math.max(peer.heardAt ?? 0, peer.knownAt);
-      const isFar = !this.isMesh && !this.#isMate(peer);
+      const isFar = this.#isFar(peer);
       if (!isFar && unheardMs > quietMs && !peer.quiet) {
         peer.quiet = true;
         this.#events.quiet(peer);
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -12,8 +12,7 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import {
   type AccountId,
@@ -21,7 +20,9 @@
   fail,
   type Failure,
   type InstanceId,
+  packJson,
   type RegionId,
+  unpackJson,
   type ZoneId,
 } from "../core/mod.ts";
 import type { AccountUse } from "../decisions/quotas/mod.ts";
@@ -66,8 +67,6 @@
 /** Longer ones are dropped unread, in bytes, as sent and unpacked. */
 const MAX_BYTES = 32_768;
 const MAX_UNPACKED_BYTES = 262_144;
-/** The fastest level: higher ones save a tenth of the bytes at most. */
-const LEVEL = 1;
 
 /** Id, address for callers, address for digests, state. */
 type MemberRow = [string, string, string, InstanceState];
@@ -111,7 +110,7 @@
     d: useRows(digest.uses),
     f: Object.fromEntries(digest.inFlight),
   };
-  return deflateRawSync(JSON.stringify(json), { level: LEVEL });
+  return packJson(json);
 }
 
 /**
@@ -156,8 +155,7 @@
 function unpack(bytes: Uint8Array): Result<ZoneDigestJson, Failure> {
   let json: unknown;
   try {
-    const text = inflateRawSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES });
-    json = JSON.parse(Buffer.from(text).toString("utf8"));
+    json = unpackJson(bytes, MAX_UNPACKED_BYTES);
   } catch {
     return fail("bad_request", "the datagram cannot be unpacked");
   }
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Clock, Log, Random, ZoneId } from "../core/mod.ts";
+import { type Clock, type Random, someOf, type ZoneId } from "../core/mod.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
@@ -42,24 +42,26 @@
   ) => void;
   readonly clock: Clock;
   readonly random: Random;
-  readonly log: Log;
 }
 
 /** The exchange between zones at one instance. */
 export class ZoneExchange {
   readonly #opts: ZoneExchangeOptions;
-  #rejected = 0;
 
   constructor(opts: ZoneExchangeOptions) {
     this.#opts = opts;
     const { datagrams } = opts;
-    datagrams.on("zone", (bytes) => this.#take(bytes, true));
-    datagrams.on("zonePassedOn", (bytes) => this.#take(bytes, false));
+    datagrams.onRead("zone", decodeZoneDigest, (digest, bytes) => {
+      this.#take(digest, bytes, true);
+    });
+    datagrams.onRead("zonePassedOn", decodeZoneDigest, (digest, bytes) => {
+      this.#take(digest, bytes, false);
+    });
   }
 
   /** Tells the other zones of this one; `own` is this instance's digest. */
   tell(own: Digest): void {
-    const { datagrams, peers, zones } = this.#opts;
+    const { datagrams, peers, zones, random } = this.#opts;
     const byZone = new Map<ZoneId, InstanceProfile[]>();
     for (const { profile } of peers.far()) {
       const there = byZone.get(profile.zone) ?? [];
@@ -68,17 +70,12 @@
     if (byZone.size === 0) return;
     const to = [...byZone].flatMap(([zone, there]) => {
       const speaker = zones.speaker(zone);
-      return speaker === undefined ? this.#some(there) : [speaker];
+      return speaker === undefined ? someOf(there, TRIED, random) : [speaker];
     });
     const addresses = to.map((profile) => profile.digestAddress);
     datagrams.send("zone", addresses, encodeZoneDigest(this.#compose(own)));
   }
 
-  #some(there: readonly InstanceProfile[]): InstanceProfile[] {
-    const from = this.#opts.random.below(there.length);
-    return [...there.slice(from), ...there.slice(0, from)].slice(0, TRIED);
-  }
-
   #compose(own: Digest): ZoneDigest {
     const { peers, sums } = this.#opts;
     const heard = peers.mates().filter((m) => !m.silent);
@@ -100,20 +97,11 @@
     };
   }
 
-  #take(bytes: Uint8Array, direct: boolean): void {
-    const { peers, zones, came, clock, log } = this.#opts;
-    const read = decodeZoneDigest(bytes);
-    if (read.isErr()) {
-      this.#rejected++;
-      if (this.#rejected === 1) {
-        log.event("digest_rejected", { reason: read.error.message });
-      }
-      return;
-    }
+  #take(digest: ZoneDigest, bytes: Uint8Array, direct: boolean): void {
+    const { peers, zones, came, clock } = this.#opts;
     const now = clock.now();
-    for (const { profile } of read.value.members) peers.learn(profile, now);
-    if (!peers.isMesh && !peers.isOwnZone(read.value.zone)) {
-      if (zones.heard(read.value, now)) came(read.value, bytes, direct);
-    }
+    for (const { profile } of digest.members) peers.learn(profile, now);
+    if (peers.isMesh || peers.isOwnZone(digest.zone)) return;
+    if (zones.heard(digest, now)) came(digest, bytes, direct);
   }
 }
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -49,24 +49,28 @@
   readonly asksStore: boolean;
 }
 
+/** What instances are ranked by. */
+interface Ranked {
+  readonly id: InstanceId;
+  readonly capacity: number;
+}
+
 /** Roles of one instance. */
 export class ZoneRoles {
-  readonly #own: { readonly id: InstanceId; readonly capacity: number };
+  readonly #own: Ranked;
   #asks = false;
   #startedAt: number | undefined;
   /** Since when too few before this one ask; undefined while enough do. */
   #shortSince: number | undefined;
   #enoughSince: number | undefined;
 
-  constructor(own: { readonly id: InstanceId; readonly capacity: number }) {
+  constructor(own: Ranked) {
     this.#own = own;
   }
 
   /** Works out the roles from what the zone's other instances told. */
   update(mates: readonly Peer[], now: number): Roles {
-    const before = mates.filter((m) =>
-      !m.quiet && m.state !== "leaving" && this.#comesBefore(m)
-    );
+    const before = present(mates).filter((m) => this.#comesBefore(m));
     this.#startedAt ??= now;
     const listening = now - this.#startedAt < LISTEN_FIRST_MS;
     this.#asks = !listening && this.#decideAsking(before, now);
@@ -78,12 +82,8 @@
    * hands out what all tell, and the one that will if it dies.
    */
   hubs(mates: readonly Peer[]): readonly InstanceId[] {
-    const heard = mates.filter((m) => !m.quiet && m.state !== "leaving");
-    const before = heard.filter((m) => this.#comesBefore(m));
-    const after = heard.filter((m) => !this.#comesBefore(m));
-    const ranked = [...before].sort(byRank).map((m) => m.profile.id);
-    const later = [...after].sort(byRank).map((m) => m.profile.id);
-    return [...ranked, this.#own.id, ...later].slice(0, HUBS);
+    const ranked = [this.#own, ...present(mates).map(rankedOf)].sort(order);
+    return ranked.slice(0, HUBS).map(({ id }) => id);
   }
 
   #decideAsking(before: readonly Peer[], now: number): boolean {
@@ -102,16 +102,11 @@
     return now - this.#shortSince >= turnMs;
   }
 
-  #comesBefore({ capacity, profile }: Peer): boolean {
-    return order({ capacity, id: profile.id }, this.#own) < 0;
+  #comesBefore(mate: Peer): boolean {
+    return order(rankedOf(mate), this.#own) < 0;
   }
 }
 
-interface Ranked {
-  readonly id: InstanceId;
-  readonly capacity: number;
-}
-
 /** The strongest come first; among equals any order does, if it is one. */
 function order(a: Ranked, b: Ranked): number {
   if (a.capacity !== b.capacity) return b.capacity - a.capacity;
@@ -120,9 +115,11 @@
   return a.id < b.id ? -1 : 1;
 }
 
-function byRank(a: Peer, b: Peer): number {
-  return order(
-    { id: a.profile.id, capacity: a.capacity },
-    { id: b.profile.id, capacity: b.capacity },
-  );
+function rankedOf({ profile, capacity }: Peer): Ranked {
+  return { id: profile.id, capacity };
+}
+
+/** Those that are heard and stay. */
+function present(mates: readonly Peer[]): readonly Peer[] {
+  return mates.filter((m) => !m.quiet && m.state !== "leaving");
 }
--- a/src/follower/kind_follower.ts
+++ b/src/follower/kind_follower.ts
@@ -287,13 +287,13 @@
 
   #inTouch(): void {
     const { kind, log, sink, clock } = this.#opts;
+    const lostAt = this.#lostAt;
     this.#failures = 0;
-    if (this.#unconfirmed && this.#lostAt === undefined) sink.contact(true);
-    this.#unconfirmed = false;
-    if (this.#lostAt === undefined) return;
-    const lostMs = Math.round(clock.now() - this.#lostAt);
     this.#lostAt = undefined;
-    sink.contact(true);
+    if (lostAt !== undefined || this.#unconfirmed) sink.contact(true);
+    this.#unconfirmed = false;
+    if (lostAt === undefined) return;
+    const lostMs = Math.round(clock.now() - lostAt);
     log.event("store_regained", { kind, lostMs });
   }
 
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -87,9 +87,9 @@
     case "endpoint link":
       return strikeEndpointLink(world, forMs);
     case "plan":
-      return world.newPlan();
+      return world.operators.newPlan();
     case "withdraw":
-      return world.withdrawKey();
+      return world.operators.withdrawKey();
   }
 }
 
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -12,15 +12,13 @@
 import { KINDS } from "../../platform/names.ts";
 import { EndpointStandIn } from "../../platform/testing/endpoint_stand_in.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
-import {
-  endpointEntry,
-  planSpec,
-} from "../../platform/testing/plan_objects.ts";
-import { StandInCaller } from "../../platform/testing/stand_in_caller.ts";
+import { endpointEntry } from "../../platform/testing/plan_objects.ts";
 import { SeededRandom } from "../../src/core/mod.ts";
 import { type FaultName, FAULTS, strike } from "./faults.ts";
 import { InstanceProcess } from "./instance_process.ts";
-import { Promises, type SentAttempt, type Violation } from "./promises.ts";
+import { Promises, type Violation } from "./promises.ts";
+import { SoakCallers } from "./soak_callers.ts";
+import { SERVICES, SoakOperators } from "./soak_operators.ts";
 import { TcpProxy } from "./tcp_proxy.ts";
 
 /** What a run does. */
@@ -57,25 +55,11 @@
   draining: boolean;
 }
 
-/** A client account; it holds two keys at a time. */
-interface SoakAccount {
-  readonly id: string;
-  keys: string[];
-  readonly ratePerS: number;
-  readonly burst: number;
-}
-
 const ZONES = { "a1": "east", "a2": "east", "b1": "west" };
-const HOST = "soak.example";
-const SERVICES = ["reads", "writes"] as const;
 const ENDPOINTS_A_SERVICE = 4;
 const SLOTS = 8;
 const WORK_MS = 40;
 const GRACE_S = 4;
-const CALLERS = 12;
-const BETWEEN_REQUESTS_MS = 15;
-const PATIENCE_MS = 2_000;
-const OBJECTS = 40;
 const FAULT_EVERY_MS = 900;
 /** At the end all is mended; then most requests are to be served again. */
 const MEND_MS = 6_000;
@@ -92,20 +76,13 @@
   readonly trace: string[] = [];
   readonly promises: Promises;
   store!: ObjectStoreServer;
+  operators!: SoakOperators;
   storeDisturbedAt = 0;
   readonly #opts: ProcessSoakOptions;
   readonly #began = Date.now();
-  readonly #accounts: SoakAccount[] = [
-    { id: "large", keys: ["l0", "l1"], ratePerS: 2_000, burst: 2_000 },
-    { id: "small", keys: ["s0", "s1"], ratePerS: 20, burst: 20 },
-  ];
-  readonly #callers: Promise<void>[] = [];
+  #callers: SoakCallers | undefined;
   #dir = "";
-  #version = 1;
-  #requests = 0;
   #endpointNumber = 0;
-  #ended = false;
-  #served = { of: 0, well: 0 };
 
   constructor(opts: ProcessSoakOptions) {
     this.#opts = opts;
@@ -139,47 +116,6 @@
     return from[this.random.below(Math.max(1, from.length))];
   }
 
-  /** Puts a new version of the plan in the store. */
-  publish(): void {
-    const version = this.#version;
-    const routes = [{ prefix: "/reads/", service: "reads", idempotent: true }, {
-      prefix: "/writes/",
-      service: "writes",
-      idempotent: false,
-    }];
-    for (let since = 2; since <= version; since++) {
-      const prefix = `/since${since}/`;
-      routes.push({ prefix, service: "reads", idempotent: true });
-    }
-    const spec = planSpec({
-      version,
-      host: HOST,
-      routes: routes.map((r) => ({ ...r, timeoutS: 1.5 })),
-      services: SERVICES,
-      accounts: this.#accounts,
-    });
-    this.store.write(KINDS.plan, "main", spec);
-    this.promises.planAcknowledged(version);
-  }
-
-  /** A new version adds a route. */
-  newPlan(): string {
-    this.#version++;
-    this.publish();
-    return `version ${this.#version}`;
-  }
-
-  /** A new version withdraws an account's older key. */
-  withdrawKey(): string {
-    const account = this.pick(this.#accounts) ?? this.#accounts[0]!;
-    const [old = "", kept = ""] = account.keys;
-    account.keys = [kept, `${account.id}${this.#version}`];
-    this.#version++;
-    this.publish();
-    this.promises.keyWithdrawn(old);
-    return old;
-  }
-
   /** Starts an endpoint; on a port that another had, if one is given. */
   async addEndpoint(service: string, port = 0): Promise<SoakEndpoint> {
     const zone = this.pick(Object.keys(ZONES)) ?? "a1";
@@ -215,22 +151,26 @@
   }
 
   async #open(): Promise<void> {
-    const { perZone, program, seed } = this.#opts;
     this.#dir = await mkdtemp(join(tmpdir(), "magnoliahook-soak-"));
     this.store = await ObjectStoreServer.listen();
-    for (const { id, ratePerS, burst } of this.#accounts) {
-      this.promises.limit(id, ratePerS, burst);
-    }
+    this.operators = new SoakOperators(this);
     for (const service of SERVICES) {
       for (let i = 0; i < ENDPOINTS_A_SERVICE; i++) {
         await this.addEndpoint(service);
       }
     }
-    this.publish();
-    const storePort = Number(this.store.address.split(":")[1]);
+    this.operators.publish();
+    await this.#startInstances();
+    await this.#allReady();
+    this.#callers = new SoakCallers(this);
+    this.#callers.start();
+  }
+
+  async #startInstances(): Promise<void> {
+    const { perZone, program, seed } = this.#opts;
     for (const [zone, region] of Object.entries(ZONES)) {
       for (let i = 0; i < perZone; i++) {
-        const link = await TcpProxy.listen(storePort);
+        const link = await TcpProxy.listen(this.store.port);
         this.storeLinks.push(link);
         const n = this.instances.length + 1;
         const instance = new InstanceProcess({
@@ -248,8 +188,6 @@
         instance.start();
       }
     }
-    await this.#allReady();
-    for (let i = 0; i < CALLERS; i++) this.#callers.push(this.#call(i));
   }
 
   async #allReady(): Promise<void> {
@@ -276,84 +214,32 @@
       this.trace.push(`${atMs} ms: ${name}, ${what}`);
     }
     await sleep(MEND_MS);
-    this.#served = { of: 0, well: 0 };
-    await sleep(LAST_MS);
-    const { of, well } = this.#served;
-    if (well < of * LEAST_SERVED || of === 0) {
-      this.promises.violations.push({
-        atMs: Date.now() - this.#began,
-        property: "once all is mended requests are served",
-        detail: `${well} of ${of}`,
-        request: "",
-      });
-    }
-    this.#ended = true;
-    await Promise.all(this.#callers);
+    await this.#checkServed();
     return faults;
   }
 
-  /** Calls without a break, over a connection that is kept while it lasts. */
-  async #call(number: number): Promise<void> {
-    let instance = this.pick(this.instances)!;
-    let { life } = instance;
-    let caller = new StandInCaller(instance.callerAddress);
-    while (!this.#ended) {
-      const attempt = this.#attempt(number, instance);
-      this.promises.sent(attempt);
-      const result = await caller.send(attempt);
-      this.promises.answered(attempt, result);
-      this.#requests++;
-      this.#served.of++;
-      const fair = result.kind === "not-run" && result.status === 429;
-      if (result.kind === "answer" || fair) this.#served.well++;
-      const broken = result.kind === "broken" || result.kind === "late" ||
-        instance.life !== life;
-      if (broken || this.random.next() < 0.05) {
-        await caller.close();
-        instance = this.pick(this.instances)!;
-        ({ life } = instance);
-        caller = new StandInCaller(instance.callerAddress);
-      }
-      await sleep(BETWEEN_REQUESTS_MS);
-    }
-    await caller.close();
-  }
-
-  #attempt(number: number, instance: InstanceProcess): SentAttempt {
-    const account = this.random.next() < 0.5
-      ? this.#accounts[0]!
-      : this.#accounts[1]!;
-    const newest = this.#version > 1 && this.random.next() < 0.15;
-    const idempotent = newest || this.random.next() < 0.5;
-    const prefix = newest
-      ? `/since${this.#version}/`
-      : idempotent
-      ? "/reads/"
-      : "/writes/";
-    return {
-      request: `q${number}-${this.#requests}-${this.random.hex(4)}`,
-      host: HOST,
-      path: `${prefix}x`,
-      key: this.pick(account.keys) ?? "",
-      object: String(this.random.below(OBJECTS)),
-      idempotent,
-      patienceMs: PATIENCE_MS,
-      account: account.id,
-      instance: instance.opts.id,
-      life: instance.life,
-      sentAt: Date.now(),
-      since: newest ? this.#version : 1,
-    };
+  /** Once all is mended most requests are to be served again. */
+  async #checkServed(): Promise<void> {
+    const served = await this.#callers?.servedIn(LAST_MS);
+    const { of, well } = served ?? { of: 0, well: 0 };
+    if (of > 0 && well >= of * LEAST_SERVED) return;
+    this.promises.violations.push({
+      atMs: Date.now() - this.#began,
+      property: "once all is mended requests are served",
+      detail: `${well} of ${of}`,
+      request: "",
+    });
   }
 
   async #result(faults: number): Promise<ProcessSoakResult> {
+    await this.#callers?.end();
     const { seed, seconds } = this.#opts;
     const { violations } = this.promises;
     return {
       seed,
       seconds,
       processes: this.instances.length,
-      requests: this.#requests,
+      requests: this.#callers?.requests ?? 0,
       faults,
       violations,
       trace: this.trace,
@@ -373,8 +259,7 @@
   }
 
   async #close(): Promise<void> {
-    this.#ended = true;
-    await Promise.allSettled(this.#callers);
+    await this.#callers?.end();
     await Promise.all(this.instances.map((i) => i.close()));
     await Promise.all(this.storeLinks.map((link) => link.close()));
     for (const { stand, proxy } of this.endpoints) {
--- a/tools/process_soak/tcp_proxy.ts
+++ b/tools/process_soak/tcp_proxy.ts
@@ -6,6 +6,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { connect, createServer, type Server, type Socket } from "node:net";
+import { boundPort, listenAt } from "../../src/edge/mod.ts";
 
 /** What the link does. */
 export type LinkMode =
@@ -32,16 +33,14 @@
   }
 
   /** Listens before a port of loopback. */
-  static listen(target: number): Promise<TcpProxy> {
+  static async listen(target: number): Promise<TcpProxy> {
     const proxy = new TcpProxy(target);
-    return new Promise((resolve) => {
-      proxy.#server.listen(0, "127.0.0.1", () => resolve(proxy));
-    });
+    await listenAt(proxy.#server, "127.0.0.1:0");
+    return proxy;
   }
 
   get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" ? address?.port ?? 0 : 0;
+    return boundPort(this.#server);
   }
 
   /** Changes the link; what vanished meanwhile does not come back. */
