--- /dev/null
+++ b/src/decisions/starting/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Decisions at an instance's start.
+ *
+ * @module
+ */
+export * from "./start_gate.ts";
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -101,8 +101,13 @@
   return (key === undefined ? undefined : table.account(key)) ?? "unknown";
 }
 
+/** How long a request's caller waits from its arrival on, in milliseconds. */
+export function patienceOf({ fields }: CallerRequest): number {
+  return fields.patienceMs ?? DEFAULT_PATIENCE_MS;
+}
+
 function deadlineOf(req: CallerRequest, route: Route): number {
-  const patienceMs = req.fields.patienceMs ?? DEFAULT_PATIENCE_MS;
-  const leftMs = Math.min(patienceMs, route.timeoutMs) - ANSWER_MARGIN_MS;
+  const patienceMs = Math.min(patienceOf(req), route.timeoutMs);
+  const leftMs = patienceMs - ANSWER_MARGIN_MS;
   return req.arrivedAt + leftMs;
 }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -12,6 +12,7 @@
 } from "../decisions/placement/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import { StartGate } from "../decisions/starting/mod.ts";
 import {
   callerAddresses,
   type DatagramTransport,
@@ -80,6 +81,7 @@
   readonly #endpointIntake: EndpointIntake;
   readonly #followers: SteeringFollowers;
   readonly #snapshots: PeerSnapshots;
+  readonly #gate: StartGate;
   readonly #abort = new AbortController();
   readonly #retries: SharedRetryBudget;
   readonly #peerLoad: PeerLoad;
@@ -94,6 +96,7 @@
     this.#opts = opts;
     const { cfg, clock, random, log, codec, sources } = opts;
     this.#retries = new SharedRetryBudget(cfg.retries);
+    this.#gate = new StartGate(clock);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
       ...cfg.instance,
@@ -134,7 +137,7 @@
       clock,
       log,
       lapses: this.#lapses,
-      listed: () => this.#endpointsListed = true,
+      listed: () => this.#listed(),
     });
     this.#followers = new SteeringFollowers({
       sources,
@@ -251,6 +254,7 @@
   #flow(): RequestFlow {
     const { clock, log, metrics, codec } = this.#opts;
     return new RequestFlow({
+      gate: this.#gate,
       admission: new Admission(this.#state, this.#quotas, clock),
       chooser: this.#chooser,
       sender: this.#sender,
@@ -265,6 +269,16 @@
   #adopted(plan: TrafficPlan): void {
     this.#quotas.adopt(plan.accounts, this.#opts.clock.now());
     this.#server?.limit(plan.limits);
+    this.#openGate();
+  }
+
+  #listed(): void {
+    this.#endpointsListed = true;
+    this.#openGate();
+  }
+
+  #openGate(): void {
+    if (this.ready && !this.#gate.isOpen) this.#gate.open();
   }
 
   #forget(row: EndpointRow): void {
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -10,8 +10,9 @@
   type FailureDetails,
 } from "../core/mod.ts";
 import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import type { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
-import type { Admission } from "./admission.ts";
+import { type Admission, patienceOf } from "./admission.ts";
 import type { EndpointChooser } from "./endpoint_chooser.ts";
 import type { EndpointSender, Sending, SendResult } from "./endpoint_sender.ts";
 import type { OutcomeJournal } from "./outcome_journal.ts";
@@ -30,6 +31,8 @@
 
 /** What the flow works with. */
 export interface RequestFlowOptions {
+  /** Open once the instance has a plan and the endpoints. */
+  readonly gate: StartGate;
   readonly admission: Admission;
   readonly chooser: EndpointChooser;
   readonly sender: EndpointSender;
@@ -56,7 +59,11 @@
 
   /** Serves a request; never throws. */
   async handle(req: CallerRequest): Promise<FlowAnswer> {
-    const { admission, retries, clock } = this.#opts;
+    const { gate, admission, retries, clock } = this.#opts;
+    if (!gate.isOpen) {
+      await gate.pass({ patienceMs: patienceOf(req), signal: req.signal });
+    }
+    if (req.signal.aborted) return { kind: "gone" };
     const admitted = admission.admit(req);
     if (admitted.isErr()) return this.#refuse(req, admitted.error);
     const trip = admitted.value;
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -13,6 +13,7 @@
 import { AffinityPlacement } from "../decisions/placement/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import { Admission } from "./admission.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
@@ -40,6 +41,7 @@
   readonly state: TrafficState;
   readonly sender: ScriptedSender;
   readonly gone = new AbortController();
+  readonly gate: StartGate;
   readonly #flow: RequestFlow;
 
   constructor(setup: Setup = {}) {
@@ -56,7 +58,10 @@
     const fleetSize = () => 1;
     const quotas = new AccountQuotas("i1" as InstanceId, fleetSize);
     quotas.adopt(this.state.table?.plan.accounts ?? [], 0);
+    this.gate = new StartGate(clock);
+    if (setup.plan !== "none") this.gate.open();
     this.#flow = new RequestFlow({
+      gate: this.gate,
       admission: new Admission(this.state, quotas, clock),
       chooser: new EndpointChooser({
         state: this.state,
@@ -262,7 +267,20 @@
   // It has just started and the store does not answer. Told that there is no
   // such route, its callers would not come back.
   const path = new Path({ plan: "none" });
-  t.is(told(await path.ask()), "not_ready not-run");
+  const answer = path.ask();
+  path.clock.advance(250);
+  t.is(told(await answer), "not_ready not-run");
+});
+
+test("a request that comes before the plan is served when it is there", async (t) => {
+  // All instances were killed and callers are back a moment before the plan.
+  // Sent away, they would come back half a second later with a retry spent.
+  const path = new Path({ plan: "none" });
+  const answer = path.ask();
+  path.clock.advance(200);
+  path.state.adopt(plan());
+  path.gate.open();
+  t.is(told(await answer), "answer 200");
 });
 
 test("an endpoint is told the time that is left, by caller and route", async (t) => {
