Break a cycle of imports, take look-ups out of the instance, drop tuning stories

Change: what faults strike is an interface of its own (struck_world.ts), look-ups stand in entry_lookup.ts, ticks are registered in one method.

--- a/src/decisions/quotas/news_lag.ts
+++ b/src/decisions/quotas/news_lag.ts
@@ -8,9 +8,5 @@
 
 /** Told one by one: a digest's period and the way, in milliseconds. */
 export const DIRECT_LAG_MS = 400;
-/**
- * Told by zone: that of two more, in milliseconds. At 1,000 a third of the
- * requests of an account well within its rate of 60 a second found no token on
- * 78 instances, played without a network, and at 500 accounts passed their rate.
- */
+/** Told by zone: that of two more, in milliseconds. */
 export const BY_ZONE_LAG_MS = 800;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -27,7 +27,6 @@
   callerApp,
   forwardApp,
   KeyRing,
-  type LookupAnswer,
   OperationDispatch,
   RequestPath,
   SlotSender,
@@ -53,6 +52,7 @@
 import { ClientSites } from "./client_sites.ts";
 import type { DocumentFollower } from "./document_follower.ts";
 import { DocumentSource } from "./document_source.ts";
+import { EntryLookup } from "./entry_lookup.ts";
 import { FleetBudgets } from "./fleet_budgets.ts";
 import {
   type InstanceListeners,
@@ -123,11 +123,11 @@
   /** What is handed over at the end, in this order. */
   readonly #heritage: readonly Heritage[];
   readonly #sites = new ClientSites();
+  readonly #lookup: EntryLookup;
   #document: SteeringDocument = emptyDocument();
   #joined = false;
   #leaving = false;
   #closed: Promise<void> | undefined;
-  #preparedAt = -Infinity;
 
   private constructor(deps: InstanceDeps) {
     const { cfg, clock, log, random } = deps;
@@ -216,6 +216,17 @@
         : this.#operations,
       document,
     });
+    this.#lookup = new EntryLookup({
+      clock,
+      everyMs: cfg.tick_ms,
+      own: () => this.#entry(),
+      leaving: () => this.#leaving,
+      sites: this.#sites,
+      roster: this.#roster,
+      seats: this.#seats,
+      steering: this.#steering,
+      operations: this.#operations,
+    });
     this.#follower = this.#makeFollower();
     this.#exchange.register(this.#follower);
     this.#exchange.register(this.#contact);
@@ -230,29 +241,7 @@
       { name: "seats", handOver: () => this.#seats.handOver() },
       { name: "burn", handOver: () => this.#burn.flush() },
     ];
-    this.#ticks = new TickLoop(clock, log, cfg.tick_ms);
-    this.#ticks.add(this.#budgets);
-    this.#ticks.add(this.#sites);
-    this.#ticks.add({ name: "peers", run: () => this.#exchange.run() });
-    this.#ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
-    this.#ticks.add({
-      name: "operations",
-      run: (now) => this.#operations.sweep(now),
-    });
-    this.#ticks.add({
-      name: "steering",
-      run: (now) => this.#steering.tick(now),
-    });
-    this.#ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
-    this.#ticks.add(this.#roster);
-    this.#ticks.add(
-      new ListReader({
-        ...deps,
-        instance: cfg.instance.id,
-        zone: cfg.instance.zone,
-        roster: this.#roster,
-      }),
-    );
+    this.#ticks = this.#makeTicks();
   }
 
   /** Opens the listeners, joins the others and begins to serve. */
@@ -384,7 +373,7 @@
     return this.#listeners.open({
       caller: callerApp({
         path: this.#path,
-        lookup: (client) => this.#lookup(client),
+        lookup: (client) => this.#lookup.answer(client),
         ready: () => this.#serving,
       }),
       admin: this.#adminApp(),
@@ -434,6 +423,35 @@
     });
   }
 
+  /** What runs each tick, in this order. */
+  #makeTicks(): TickLoop {
+    const { cfg, clock, log } = this.#deps;
+    const ticks = new TickLoop(clock, log, cfg.tick_ms);
+    ticks.add(this.#budgets);
+    ticks.add(this.#sites);
+    ticks.add({ name: "peers", run: () => this.#exchange.run() });
+    ticks.add({ name: "seats", run: (now) => this.#seats.run(now) });
+    ticks.add({
+      name: "operations",
+      run: (now) => this.#operations.sweep(now),
+    });
+    ticks.add({
+      name: "steering",
+      run: (now) => this.#steering.tick(now),
+    });
+    ticks.add({ name: "burn", run: (now) => this.#burn.run(now) });
+    ticks.add(this.#roster);
+    ticks.add(
+      new ListReader({
+        ...this.#deps,
+        instance: cfg.instance.id,
+        zone: cfg.instance.zone,
+        roster: this.#roster,
+      }),
+    );
+    return ticks;
+  }
+
   #makeBudgets(): FleetBudgets {
     const { clock, cfg, log, transport } = this.#deps;
     const { id, zone, region } = cfg.instance;
@@ -476,42 +494,7 @@
     void this.events.emit("document", accepted);
   }
 
-  /** Near the caller's address if a site has it, else near this instance. */
-  #lookup(client: string): LookupAnswer {
-    const { entries } = this.#steering;
-    this.#prepareEntries();
-    const near = this.#sites.zonesFor(client)
-      .map((zone) => entries.placeOf(zone))
-      .find((place) => place !== undefined);
-    const instances = entries.choose(near ?? this.#deps.cfg.instance).map(
-      ({ instance, url, zone, region }) => {
-        const home = this.#operations.homeOf(instance);
-        return { instance, url, zone, region, ...(home ? { home } : {}) };
-      },
-    );
-    return { reuse_ms: entries.reuseMs(), instances };
-  }
-
-  /** An instance that waits for its first seat would refuse those sent to it. */
-  #seated(entries: EntryChoice[]): EntryChoice[] {
-    const holders = new Set(this.#seats.entries().map((s) => s.holder));
-    const seated = entries.filter((e) => holders.has(e.instance));
-    return seated.length > 0 ? seated : entries;
-  }
-
-  /** Once a tick: an answer is then drawn without going over all instances. */
-  #prepareEntries(): void {
-    const now = this.#deps.clock.now();
-    if (now - this.#preparedAt < this.#deps.cfg.tick_ms) return;
-    this.#preparedAt = now;
-    const others: EntryChoice[] = this.#roster.live()
-      .map((m) => ({ ...m, url: m.callerUrl }));
-    const all = this.#leaving ? others : [...others, this.#self()];
-    const open = this.#steering.openEntries(this.#seated(all));
-    this.#steering.entries.prepare(open);
-  }
-
-  #self(): EntryChoice {
+  #entry(): EntryChoice {
     const { id, zone, region } = this.#deps.cfg.instance;
     return { instance: id, zone, region, url: this.callerUrl };
   }
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -7,7 +7,7 @@
 import { KINDS } from "../../platform/names.ts";
 import type { StoreFaults } from "../../platform/testing/object_store_server.ts";
 import type { EndpointFaults } from "../../platform/testing/endpoint_stand_in.ts";
-import type { ProcessSoak, SoakEndpoint } from "./process_soak.ts";
+import type { SoakEndpoint, StruckWorld } from "./struck_world.ts";
 import type { LinkMode } from "./tcp_proxy.ts";
 
 /** Kinds of fault. */
@@ -43,7 +43,7 @@
 
 /** Strikes; gives what was struck. */
 export function strike(
-  world: ProcessSoak,
+  world: StruckWorld,
   name: FaultName,
 ): string | Promise<string> {
   const instance = world.pick(world.instances)!;
@@ -93,7 +93,7 @@
   }
 }
 
-function linkMode(world: ProcessSoak): LinkMode {
+function linkMode(world: StruckWorld): LinkMode {
   return world.pick<LinkMode>([
     { kind: "delay", ms: 200 },
     { kind: "reset" },
@@ -102,7 +102,7 @@
   ]) ?? { kind: "reset" };
 }
 
-function strikeStoreLink(world: ProcessSoak, forMs: number): string {
+function strikeStoreLink(world: StruckWorld, forMs: number): string {
   const i = world.random.below(world.instances.length);
   const [link, instance] = [world.storeLinks[i]!, world.instances[i]!];
   const mode = linkMode(world);
@@ -113,7 +113,7 @@
 }
 
 function strikeStore(
-  world: ProcessSoak,
+  world: StruckWorld,
   faults: StoreFaults,
   forMs: number,
 ): string {
@@ -127,12 +127,12 @@
   return `for ${forMs} ms`;
 }
 
-function serving(world: ProcessSoak): SoakEndpoint[] {
+function serving(world: StruckWorld): SoakEndpoint[] {
   return world.endpoints.filter((e) => !e.draining);
 }
 
 /** One to spare of a service that has enough of them. */
-function spare(world: ProcessSoak): SoakEndpoint | undefined {
+function spare(world: StruckWorld): SoakEndpoint | undefined {
   const all = serving(world);
   const enough = all.filter(({ stand }) => {
     const { service } = stand.opts;
@@ -143,7 +143,7 @@
 }
 
 /** It ends without a word; another service's may get its address. */
-async function crash(world: ProcessSoak): Promise<string> {
+async function crash(world: StruckWorld): Promise<string> {
   const endpoint = spare(world);
   if (endpoint === undefined) return "none to spare";
   const { stand } = endpoint;
@@ -159,7 +159,7 @@
 }
 
 /** It says that it leaves, serves on for a while, and ends. */
-async function drain(world: ProcessSoak): Promise<string> {
+async function drain(world: StruckWorld): Promise<string> {
   const endpoint = spare(world);
   if (endpoint === undefined) return "none to spare";
   endpoint.draining = true;
@@ -170,7 +170,7 @@
   return id;
 }
 
-function strikeAnswers(world: ProcessSoak, forMs: number): string {
+function strikeAnswers(world: StruckWorld, forMs: number): string {
   const endpoint = world.pick(serving(world));
   if (endpoint === undefined) return "none";
   const fault = world.pick<keyof EndpointFaults>(
@@ -182,7 +182,7 @@
   return `${endpoint.stand.opts.id} ${fault} for ${forMs} ms`;
 }
 
-function strikeEndpointLink(world: ProcessSoak, forMs: number): string {
+function strikeEndpointLink(world: StruckWorld, forMs: number): string {
   const endpoint = world.pick(serving(world));
   if (endpoint === undefined) return "none";
   const mode = linkMode(world);
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -19,6 +19,7 @@
 import { Promises, type Violation } from "./promises.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import { SERVICES, SoakOperators } from "./soak_operators.ts";
+import type { SoakEndpoint, StruckWorld } from "./struck_world.ts";
 import { TcpProxy } from "./tcp_proxy.ts";
 
 /** What a run does. */
@@ -47,14 +48,6 @@
   readonly lines: readonly string[];
 }
 
-/** An endpoint with the link before it. */
-export interface SoakEndpoint {
-  readonly stand: EndpointStandIn;
-  readonly proxy: TcpProxy;
-  disturbedAt: number;
-  draining: boolean;
-}
-
 const ZONES = { "a1": "east", "a2": "east", "b1": "west" };
 const ENDPOINTS_A_SERVICE = 4;
 const SLOTS = 8;
@@ -68,7 +61,7 @@
 const START_LIMIT_MS = 15_000;
 
 /** The world of one run. */
-export class ProcessSoak {
+export class ProcessSoak implements StruckWorld {
   readonly random: SeededRandom;
   readonly instances: InstanceProcess[] = [];
   readonly storeLinks: TcpProxy[] = [];
@@ -116,7 +109,6 @@
     return from[this.random.below(Math.max(1, from.length))];
   }
 
-  /** Starts an endpoint; on a port that another had, if one is given. */
   async addEndpoint(service: string, port = 0): Promise<SoakEndpoint> {
     const zone = this.pick(Object.keys(ZONES)) ?? "a1";
     const stand = await EndpointStandIn.listen({
@@ -135,7 +127,6 @@
     return endpoint;
   }
 
-  /** Writes an endpoint's entry as it now is. */
   register({ stand, proxy, draining }: SoakEndpoint): void {
     const { id, service, zone, slots } = stand.opts;
     const { spec, status } = endpointEntry({
