Write digests in a quarter of the bytes

Hypothesis: the same news in a quarter of the bytes takes that much off the price, without being later. Change: the wire format of protocol buffers without descriptors; endpoints, accounts and kinds as hashes of four bytes that the reader looks up among the names it knows (names that share a hash are written out); who the sender is and one hearsay go along with one digest in eight, with the first of a start, and with twelve hearsays when a newcomer was heard. A digest stays whole: nothing depends on an earlier one. An instance of the previous build is heard and answered in its own format.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -21,6 +21,7 @@
   type GroupNews,
   type InstanceProfile,
   type InstanceState,
+  NameBook,
   type Roles,
   type SelfReport,
 } from "../fleet/mod.ts";
@@ -42,7 +43,7 @@
 import { PlainServer } from "./plain_server.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import { RequestFlow } from "./request_flow.ts";
-import { SteeringFollowers } from "./steering_followers.ts";
+import { KINDS, SteeringFollowers } from "./steering_followers.ts";
 import {
   EndpointIntake,
   EvacuationIntake,
@@ -82,6 +83,7 @@
   readonly #followers: SteeringFollowers;
   readonly #snapshots: PeerSnapshots;
   readonly #gate: StartGate;
+  readonly #book = new NameBook();
   readonly #abort = new AbortController();
   readonly #retries: SharedRetryBudget;
   readonly #peerLoad: PeerLoad;
@@ -97,6 +99,7 @@
     const { cfg, clock, random, log, codec, sources } = opts;
     this.#retries = new SharedRetryBudget(cfg.retries);
     this.#gate = new StartGate(clock);
+    for (const kind of KINDS) this.#book.learn(kind);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
       ...cfg.instance,
@@ -106,6 +109,7 @@
     this.#sender = new HttpEndpointSender(codec, clock);
     this.#snapshots = new PeerSnapshots(random);
     this.#state = new TrafficState((zone) => cfg.zones.get(zone), {
+      added: (row) => this.#book.learn(row.id),
       removed: (row) => this.#forget(row),
     });
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
@@ -115,6 +119,7 @@
       assumed: cfg.zones.size * ASSUMED_PER_ZONE,
       seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
       transport: opts.transport,
+      book: this.#book,
       clock,
       random,
       log,
@@ -267,6 +272,7 @@
   }
 
   #adopted(plan: TrafficPlan): void {
+    for (const { id } of plan.accounts) this.#book.learn(id);
     this.#quotas.adopt(plan.accounts, this.#opts.clock.now());
     this.#server?.limit(plan.limits);
     this.#openGate();
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -48,6 +48,7 @@
     const { clock } = this;
     this.sender = setup.sender ?? new ScriptedSender();
     this.state = new TrafficState((zone) => REGIONS.get(zone), {
+      added: () => {},
       removed: () => {},
     });
     if (setup.plan !== "none") this.state.adopt(plan(setup.plan));
--- a/src/edge/steering_followers.ts
+++ b/src/edge/steering_followers.ts
@@ -15,6 +15,9 @@
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import type { SteeringSources } from "./steering_sources.ts";
 
+/** Kinds of object, as instances name them to each other. */
+export const KINDS = ["plans", "endpoints", "evacuations"] as const;
+
 /** What takes in each kind. */
 export interface SteeringSinks {
   readonly plans: KindSink<TrafficPlan>;
--- a/src/fleet/datagrams.ts
+++ b/src/fleet/datagrams.ts
@@ -17,7 +17,7 @@
 
 /** What a datagram holds, and its first byte. */
 const SORTS = {
-  /** What an instance tells of itself. */
+  /** What an instance of the previous build tells of itself. */
   digest: 1,
   /** What a zone's speaker tells to another zone. */
   zone: 2,
@@ -27,6 +27,8 @@
   changes: 4,
   /** Several digests, handed out within a zone. */
   bundle: 5,
+  /** What an instance tells of itself. */
+  compactDigest: 6,
 } as const;
 
 /** A sort of datagram. */
--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -8,9 +8,11 @@
  * @module
  */
 import type { Clock, Random, Timer } from "../core/mod.ts";
+import { decodeCompact, encodeCompact } from "./compact_digest.ts";
 import type { Datagrams } from "./datagrams.ts";
 import { decodeDigest, type Digest, encodeDigest } from "./digest.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import type { NameBook } from "./name_book.ts";
 import type { Peer, PeerTable } from "./peer_table.ts";
 
 /**
@@ -18,6 +20,9 @@
  * a second to each of a dozen instances take under 1% of a small core.
  */
 export const DIGEST_EVERY_MS = 250;
+/** Each so many digests say who the sender is, as do the first of a start. */
+const INTRODUCED_EVERY = 8;
+const INTRODUCED_FIRST = 4;
 /** Silent instances are told only each so many periods: they may be gone. */
 const SILENT_EVERY = 4;
 
@@ -38,6 +43,7 @@
 export interface DigestExchangeOptions {
   readonly datagrams: Datagrams;
   readonly peers: PeerTable;
+  readonly book: NameBook;
   readonly clock: Clock;
   readonly random: Random;
   /** Addresses to try while no instance is known. */
@@ -46,8 +52,8 @@
   readonly recipients: (seq: number) => readonly InstanceProfile[];
   /** Told of each digest that came, as it came. */
   readonly came: (from: InstanceProfile, bytes: Uint8Array) => void;
-  /** This instance's digest of this moment. */
-  readonly compose: (seq: number) => Digest;
+  /** This instance's digest of this moment; `toNewcomer` where one reads it. */
+  readonly compose: (seq: number, toNewcomer: boolean) => Digest;
   /** Run each period, after the digest went out. */
   readonly told: (digest: Digest, bytes: Uint8Array) => void;
 }
@@ -57,14 +63,26 @@
   readonly #opts: DigestExchangeOptions;
   #timer: Timer | undefined;
   #seq = 0;
+  #last: Digest | undefined;
+  /** Whether an instance was heard that has just started. */
+  #newcomer = false;
 
   constructor(opts: DigestExchangeOptions) {
     this.#opts = opts;
-    const { datagrams, peers, clock, came } = opts;
-    datagrams.onRead("digest", decodeDigest, (digest, bytes) => {
+    const { datagrams, peers, book, clock, came } = opts;
+    const profileOf = (idHash: number) => peers.profileOf(idHash);
+    const decode = (bytes: Uint8Array) =>
+      decodeCompact(bytes, { book, profileOf });
+    datagrams.onRead("compactDigest", decode, (digest, bytes) => {
+      if (digest === undefined) return;
+      if (digest.seq < INTRODUCED_FIRST) this.#newcomer = true;
       peers.heard(digest, clock.now());
       came(digest.profile, bytes);
     });
+    datagrams.onRead("digest", decodeDigest, (digest) => {
+      peers.heard(digest, clock.now());
+      this.#answerEarlierBuild(digest.profile);
+    });
   }
 
   /** Sends the first digest at once, then one each period. */
@@ -75,11 +93,16 @@
 
   /** Sends a digest now, as after a change that others should know at once. */
   tell(): void {
-    const { compose, recipients, datagrams, seeds, told } = this.#opts;
-    const digest = compose(this.#seq++);
-    const bytes = encodeDigest(digest);
+    const { compose, recipients, datagrams, book, seeds, told } = this.#opts;
+    const seq = this.#seq++;
+    const introduces = this.#newcomer || seq < INTRODUCED_FIRST ||
+      seq % INTRODUCED_EVERY === 0;
+    const digest = compose(seq, this.#newcomer);
+    this.#newcomer = false;
+    this.#last = digest;
+    const bytes = encodeCompact(digest, { book, introduces });
     const to = recipients(digest.seq).map((p) => p.digestAddress);
-    datagrams.send("digest", to.length > 0 ? to : seeds, bytes);
+    datagrams.send("compactDigest", to.length > 0 ? to : seeds, bytes);
     told(digest, bytes);
   }
 
@@ -87,6 +110,17 @@
     this.#timer?.close();
   }
 
+  /**
+   * While builds change, an instance of the previous one cannot read what is
+   * told to all. It is told in its own format each time that it tells, or it
+   * would take this one for gone and set its share of rates aside.
+   */
+  #answerEarlierBuild({ digestAddress }: InstanceProfile): void {
+    if (this.#last === undefined) return;
+    const bytes = encodeDigest(this.#last);
+    this.#opts.datagrams.send("digest", [digestAddress], bytes);
+  }
+
   #schedule(): void {
     const { clock, random, peers } = this.#opts;
     const waitMs = DIGEST_EVERY_MS * (0.9 + 0.2 * random.next());
--- /dev/null
+++ b/src/fleet/digest_exchange_test.ts
@@ -0,0 +1,109 @@
+import test from "ava";
+import { Buffer } from "node:buffer";
+import {
+  type InstanceId,
+  ManualClock,
+  type RegionId,
+  SeededRandom,
+  SilentLog,
+  type ZoneId,
+} from "../core/mod.ts";
+import {
+  Datagrams,
+  decodeDigest,
+  type Digest,
+  DigestExchange,
+  encodeDigest,
+  type InstanceProfile,
+  NameBook,
+  PeerTable,
+} from "./mod.ts";
+
+const SORT_OF_EARLIER_BUILD = 1;
+
+function profile(id: string): InstanceProfile {
+  return {
+    id: id as InstanceId,
+    zone: "gulf-a" as ZoneId,
+    region: "gulf" as RegionId,
+    callerAddress: `${id}:80`,
+    digestAddress: `${id}:70`,
+  };
+}
+
+function digest(id: string, opts: Partial<Digest> = {}): Digest {
+  return {
+    profile: profile(id),
+    state: "serving",
+    start: "s1",
+    seq: 1,
+    planVersion: 7,
+    storeInTouch: true,
+    asksStore: true,
+    capacity: 0.5,
+    changes: new Map(),
+    uses: new Map(),
+    inFlight: new Map(),
+    others: [],
+    ...opts,
+  };
+}
+
+/** The exchange of instance `i0`, and what it sent by address. */
+function exchange() {
+  const sent: { address: string; bytes: Buffer }[] = [];
+  let take: (bytes: Uint8Array) => void = () => {};
+  const datagrams = new Datagrams({
+    send: (address, bytes) => sent.push({ address, bytes }),
+    onDatagram: (taker) => take = taker,
+    close: () => Promise.resolve(),
+  }, new SilentLog());
+  const heard: InstanceId[] = [];
+  const own = { id: "i0" as InstanceId, zone: "gulf-a" as ZoneId };
+  const peers = new PeerTable(own, 1, {
+    told: ({ profile }) => heard.push(profile.id),
+    quiet: () => {},
+    silent: () => {},
+    forgotten: () => {},
+  });
+  const exchange = new DigestExchange({
+    datagrams,
+    peers,
+    book: new NameBook(),
+    clock: new ManualClock(),
+    random: new SeededRandom(1),
+    seeds: ["seed:70"],
+    recipients: () => [],
+    came: () => {},
+    compose: (seq) => digest("i0", { seq }),
+    told: () => {},
+  });
+  return { exchange, sent, heard, take: (bytes: Buffer) => take(bytes) };
+}
+
+test("an instance of the previous build is heard, and answered in its format", (t) => {
+  // Builds change one instance at a time. One that cannot read what it is told
+  // takes the others for gone: it would set their shares of rates aside and
+  // send its callers to itself alone.
+  const { exchange: subject, sent, heard, take } = exchange();
+  subject.tell();
+  sent.length = 0;
+  const bytes = encodeDigest(digest("old"));
+  take(Buffer.concat([Buffer.of(SORT_OF_EARLIER_BUILD), bytes]));
+  t.deepEqual(heard, ["old" as InstanceId]);
+  t.deepEqual(sent.map((s) => s.address), ["old:70"]);
+  const answer = sent[0]?.bytes ?? Buffer.alloc(0);
+  t.is(answer[0], SORT_OF_EARLIER_BUILD);
+  const read = decodeDigest(answer.subarray(1))._unsafeUnwrap();
+  t.is(read.profile.id, "i0" as InstanceId);
+});
+
+test("an instance of this build is not answered digest by digest", (t) => {
+  // All tell all by themselves; an answer to each would double what is sent.
+  const first = exchange();
+  const second = exchange();
+  first.exchange.tell();
+  const told = first.sent[0]?.bytes ?? Buffer.alloc(0);
+  second.take(told);
+  t.deepEqual(second.sent, []);
+});
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -22,6 +22,7 @@
 import type { Digest } from "./digest.ts";
 import { DigestExchange, toTell } from "./digest_exchange.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import type { NameBook } from "./name_book.ts";
 import { type Peer, PeerTable } from "./peer_table.ts";
 import type { ZoneDigest } from "./zone_digest.ts";
 import { ZoneExchange } from "./zone_exchange.ts";
@@ -72,6 +73,8 @@
   readonly assumed: number;
   readonly seeds: readonly string[];
   readonly transport: DatagramTransport;
+  /** Names that digests give as hashes; whoever learns of one adds it. */
+  readonly book: NameBook;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -79,9 +82,15 @@
   readonly events: FleetEvents;
 }
 
-/** Instances that each digest names for those that could not read the list. */
-const OTHERS_TOLD = 3;
-const START_BYTES = 8;
+/**
+ * Instances that a digest names for those that could not read the list, and
+ * that it names when one has just started.
+ */
+const OTHERS_TOLD = 1;
+const OTHERS_TOLD_NEWCOMERS = 12;
+/** Enough that an instance's starts differ. */
+const START_BYTES = 4;
+
 /** This instance's part in the fleet. */
 export class FleetMember {
   readonly #opts: FleetMemberOptions;
@@ -123,12 +132,13 @@
     this.#hub = new ZoneHub(this.#datagrams);
     this.#digests = new DigestExchange({
       ...common,
+      book: opts.book,
       seeds,
       recipients: (seq) => this.#recipients(seq),
       came: (from, bytes) => {
-        if (this.#handsOut) this.#hub.gather(from.id, "digest", bytes);
+        if (this.#handsOut) this.#hub.gather(from.id, "compactDigest", bytes);
       },
-      compose: (seq) => this.#compose(seq),
+      compose: (seq, toNewcomer) => this.#compose(seq, toNewcomer),
       told: (digest, bytes) => this.#period(digest, bytes),
     });
     this.#zoneExchange = new ZoneExchange({
@@ -231,7 +241,7 @@
   /** Hands out what was gathered since the last time. */
   #handOut({ profile, seq }: Digest, own: Uint8Array): void {
     if (!this.#handsOut) return this.#hub.clear();
-    this.#hub.gather(profile.id, "digest", own);
+    this.#hub.gather(profile.id, "compactDigest", own);
     const to = toTell(this.#peers.mates(), seq);
     this.#hub.handOut(to.map((mate) => mate.digestAddress));
   }
@@ -252,7 +262,7 @@
     this.#handOut(digest, bytes);
   }
 
-  #compose(seq: number): Digest {
+  #compose(seq: number, toNewcomer: boolean): Digest {
     const { profile, capacity, report } = this.#opts;
     const { asksStore } = this.#current;
     const self = report();
@@ -264,16 +274,18 @@
       storeInTouch: asksStore && self.storeInTouch,
       asksStore,
       capacity,
-      others: this.#someOthers(),
+      others: this.#someOthers(
+        toNewcomer ? OTHERS_TOLD_NEWCOMERS : OTHERS_TOLD,
+      ),
     };
   }
 
-  #someOthers(): InstanceProfile[] {
+  #someOthers(most: number): InstanceProfile[] {
     const heard = [
       ...this.#peers.peers().filter((p) => !p.silent),
       ...this.#peers.far(),
     ];
-    return someOf(heard, OTHERS_TOLD, this.#opts.random).map((p) => p.profile);
+    return someOf(heard, most, this.#opts.random).map((p) => p.profile);
   }
 
   #told(digest: Digest, now: number): void {
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -5,12 +5,14 @@
  */
 export * from "./address.ts";
 export * from "./change_relay.ts";
+export * from "./compact_digest.ts";
 export * from "./datagrams.ts";
 export * from "./digest.ts";
 export * from "./digest_exchange.ts";
 export * from "./directory.ts";
 export * from "./fleet_member.ts";
 export * from "./instance_profile.ts";
+export * from "./name_book.ts";
 export * from "./peer_table.ts";
 export * from "./udp_transport.ts";
 export * from "./zone_digest.ts";
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { InstanceId, ZoneId } from "../core/mod.ts";
+import { hash, type InstanceId, type ZoneId } from "../core/mod.ts";
 import type { Digest } from "./digest.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 
@@ -75,6 +75,8 @@
   readonly #own: { readonly id: InstanceId; readonly zone: ZoneId };
   readonly #events: PeerEvents;
   readonly #peers = new Map<InstanceId, Peer>();
+  /** Instances by the hash of their id; the last that was learned. */
+  readonly #byHash = new Map<number, InstanceId>();
   /** The fleet is taken to be at least this large until the list was read. */
   #assumed: number;
   #wasMesh = true;
@@ -123,6 +125,12 @@
     return !this.isMesh && !this.isOwnZone(profile.zone);
   }
 
+  /** Who an instance is, by the hash of its id. */
+  profileOf(idHash: number): InstanceProfile | undefined {
+    const id = this.#byHash.get(idHash);
+    return id === undefined ? undefined : this.#peers.get(id)?.profile;
+  }
+
   /** Adds an instance that was heard of. */
   learn(profile: InstanceProfile, now: number): void {
     if (profile.id === this.#own.id) return;
@@ -131,6 +139,7 @@
       if (this.#isFar(known)) known.knownAt = now;
       return;
     }
+    this.#byHash.set(hash(profile.id), profile.id);
     this.#peers.set(profile.id, {
       profile,
       state: "starting",
@@ -194,6 +203,7 @@
       }
       if (unheardMs > FORGOTTEN_AFTER_MS) {
         this.#peers.delete(peer.profile.id);
+        this.#byHash.delete(hash(peer.profile.id));
         if (!isFar) this.#events.forgotten(peer);
       }
     }
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -22,6 +22,7 @@
   type GroupNews,
   type InstanceProfile,
   type InstanceState,
+  NameBook,
   type Roles,
 } from "../mod.ts";
 
@@ -52,6 +53,8 @@
   readonly members: TestMember[] = [];
   /** Datagrams sent, and of these such that cross between regions, in bytes. */
   readonly sent = { count: 0, bytes: 0, acrossBytes: 0 };
+  /** Names that all members know, as from the plan and the registry. */
+  readonly book = new NameBook();
   readonly #random = new SeededRandom(1);
 
   constructor(zones: readonly string[], perZone: number) {
@@ -114,15 +117,15 @@
         seeds: [],
         transport: this.#transport(profile, () => entry),
         clock: this.clock,
+        book: this.book,
         random: this.#random,
         log: new SilentLog(),
         report: () => ({
+          ...this.#known(entry),
           state: entry.state,
           planVersion: 1,
           storeInTouch: entry.storeInTouch,
           changes: new Map([["plans", 1]]),
-          uses: entry.uses,
-          inFlight: entry.inFlight,
         }),
         events,
       }),
@@ -130,6 +133,14 @@
     this.members.push(entry);
   }
 
+  /** What a member uses and has in flight, whose names all others know. */
+  #known({ uses, inFlight }: TestMember) {
+    for (const name of [...uses.keys(), ...inFlight.keys(), "plans"]) {
+      this.book.learn(name);
+    }
+    return { uses, inFlight };
+  }
+
   #transport(
     from: InstanceProfile,
     own: () => TestMember,
--- a/src/fleet/zone_hub.ts
+++ b/src/fleet/zone_hub.ts
@@ -17,7 +17,10 @@
 import type { Datagrams, DatagramSort } from "./datagrams.ts";
 
 /** What can be gathered. */
-type Gathered = Extract<DatagramSort, "digest" | "zonePassedOn">;
+type Gathered = Extract<
+  DatagramSort,
+  "digest" | "zonePassedOn" | "compactDigest"
+>;
 
 interface Part {
   readonly sort: Gathered;
@@ -28,7 +31,11 @@
 const MOST_BYTES = 32_768;
 /** Sort and length before each part, in bytes. */
 const HEAD_BYTES = 5;
-const SORTS: readonly Gathered[] = ["digest", "zonePassedOn"];
+const SORTS: readonly Gathered[] = [
+  "digest",
+  "zonePassedOn",
+  "compactDigest",
+];
 
 /** Parts of one period, the latest of each sender. */
 export class ZoneHub {
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -70,6 +70,8 @@
 
 /** What changed in the table, for those who keep state beside it. */
 export interface EndpointTableEvents {
+  /** An endpoint is there. */
+  added(row: EndpointRow): void;
   /** An endpoint is gone, or started anew under its id. */
   removed(row: EndpointRow): void;
 }
@@ -132,6 +134,7 @@
     const rows = this.#byService.get(record.service);
     if (rows === undefined) this.#byService.set(record.service, [row]);
     else rows.push(row);
+    this.#events.added(row);
   }
 
   remove(id: EndpointId): void {
