Let two instances of each region ask the store in small fleets

Change: up to 24 instances, two of each region ask for all of it and pass on each change, as two of each zone do beyond. Whoever knows less fetches what it lacks, as before.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -345,7 +345,7 @@
     if (changed) log.event("roles_changed", { speaks, asksStore });
     this.#followers.setAsking(asksStore);
     if (asksStore) return;
-    if (this.#member.mateInTouch) this.#lapses.regained(clock.now());
+    if (this.#member.neighbourInTouch) this.#lapses.regained(clock.now());
     else this.#lapses.lost(clock.now());
   }
 }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -60,7 +60,7 @@
   forgotten(group: InstanceId): void;
   /** What this instance is to do for its zone. */
   roles(roles: Roles): void;
-  /** Changes that another instance of the zone read in the store. */
+  /** Changes that a neighbour read in the store. */
   relayed(changes: RelayedChanges): void;
 }
 
@@ -160,9 +160,9 @@
     return this.#peers.isMesh ? DIRECT_LAG_MS : BY_ZONE_LAG_MS;
   }
 
-  /** Whether another instance of the zone asks the store and is answered. */
-  get mateInTouch(): boolean {
-    return this.#peers.mates().some((m) => !m.quiet && m.storeInTouch);
+  /** Whether one that asks the store for this one too is answered. */
+  get neighbourInTouch(): boolean {
+    return this.#peers.neighbours().some((n) => !n.quiet && n.storeInTouch);
   }
 
   start(): void {
@@ -185,11 +185,11 @@
     return [...near, ...this.#zones.serving()];
   }
 
-  /** Passes on changes to the instances of the zone that do not ask. */
+  /** Passes on changes to the neighbours that do not ask. */
   relay(batch: RelayedChanges): void {
-    const to = this.#peers.mates().filter((m) => !m.quiet && !m.asksStore);
+    const to = this.#peers.neighbours().filter((n) => !n.quiet && !n.asksStore);
     if (to.length === 0) return;
-    const addresses = to.map((m) => m.profile.digestAddress);
+    const addresses = to.map((n) => n.profile.digestAddress);
     this.#datagrams.send("changes", addresses, encodeChanges(batch));
   }
 
@@ -253,7 +253,11 @@
     if (this.#peers.isMesh) {
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
     }
-    const roles = this.#roles.update(this.#peers.mates(), now);
+    const roles = this.#roles.update(
+      this.#peers.mates(),
+      this.#peers.neighbours(),
+      now,
+    );
     // The next speaks from the moment at which it hears that this one leaves.
     const speaks = roles.speaks && digest.state !== "leaving";
     this.#current = { ...roles, speaks };
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { hash, type InstanceId, type ZoneId } from "../core/mod.ts";
+import {
+  hash,
+  type InstanceId,
+  type RegionId,
+  type ZoneId,
+} from "../core/mod.ts";
 import type { Digest } from "./digest.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 
@@ -70,9 +75,16 @@
   forgotten(peer: Peer): void;
 }
 
+/** Who and where this instance is. */
+export interface OwnPlace {
+  readonly id: InstanceId;
+  readonly zone: ZoneId;
+  readonly region: RegionId;
+}
+
 /** Instances known from the list, from digests and from hearsay. */
 export class PeerTable {
-  readonly #own: { readonly id: InstanceId; readonly zone: ZoneId };
+  readonly #own: OwnPlace;
   readonly #events: PeerEvents;
   readonly #peers = new Map<InstanceId, Peer>();
   /** Instances by the hash of their id; the last that was learned. */
@@ -82,7 +94,7 @@
   #wasMesh = true;
 
   constructor(
-    own: { readonly id: InstanceId; readonly zone: ZoneId },
+    own: OwnPlace,
     assumed: number,
     events: PeerEvents,
   ) {
@@ -116,6 +128,17 @@
       .filter((p) => this.isOwnZone(p.profile.zone));
   }
 
+  /**
+   * The others among which a few ask the store for all, and are told by them:
+   * those of the region while all are heard one by one, so that a zone with one
+   * or two instances need not ask for itself, else those of the zone.
+   */
+  neighbours(): readonly Peer[] {
+    if (!this.isMesh) return this.mates();
+    return [...this.#peers.values()]
+      .filter((p) => p.profile.region === this.#own.region);
+  }
+
   /** Instances of other zones, as far as they are told of by zone. */
   far(): readonly Peer[] {
     return [...this.#peers.values()].filter((p) => this.#isFar(p));
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -1,8 +1,8 @@
 /**
- * Which instances of a zone do what one or two do for all of it: speak to the
- * other zones, and ask the store.
+ * Which instances do what one or two do for others: speak to the other zones for
+ * their own, and ask the store for those beside them.
  *
- * Every instance works it out from the digests of its zone. Two that see
+ * Every instance works it out from the digests of the others. Two that see
  * different ones may both take a role for a while, which costs messages and
  * calls and does no harm. What goes wrong otherwise is that nobody takes it: so
  * a role is taken at once when those before one fall quiet, and given up only
@@ -14,13 +14,13 @@
 import type { Peer } from "./peer_table.ts";
 
 /**
- * Instances of a zone that ask the store. With one, a change that it learns
- * just before it dies is known to nobody in the zone until another asks; each
+ * Instances beside each other that ask the store. With one, a change that it
+ * learns just before it dies is known to none of them until another asks; each
  * further one costs a call for each change.
  */
 const ASKING = 2;
 /**
- * Instances of a zone that ask the store at most while it answers none of
+ * Instances beside each other that ask the store at most while it answers none of
  * them. Where it turns single instances away, the fifth is hardly luckier than
  * the first four; while it is away for all, each costs two calls a second.
  */
@@ -43,7 +43,7 @@
  */
 const LISTEN_FIRST_MS = 700;
 
-/** What an instance does for its zone. */
+/** What an instance does for others. */
 export interface Roles {
   readonly speaks: boolean;
   readonly asksStore: boolean;
@@ -68,13 +68,23 @@
     this.#own = own;
   }
 
-  /** Works out the roles from what the zone's other instances told. */
-  update(mates: readonly Peer[], now: number): Roles {
-    const before = present(mates).filter((m) => this.#comesBefore(m));
+  /**
+   * Works out the roles from what the others told.
+   *
+   * @param mates The zone's other instances, for which one speaks.
+   * @param neighbours Those among which two ask the store for all.
+   */
+  update(
+    mates: readonly Peer[],
+    neighbours: readonly Peer[],
+    now: number,
+  ): Roles {
     this.#startedAt ??= now;
     const listening = now - this.#startedAt < LISTEN_FIRST_MS;
-    this.#asks = !listening && this.#decideAsking(before, now);
-    return { speaks: before.length === 0, asksStore: this.#asks };
+    this.#asks = !listening &&
+      this.#decideAsking(this.#before(neighbours), now);
+    const speaks = this.#before(mates).length === 0;
+    return { speaks, asksStore: this.#asks };
   }
 
   /**
@@ -102,8 +112,9 @@
     return now - this.#shortSince >= turnMs;
   }
 
-  #comesBefore(mate: Peer): boolean {
-    return order(rankedOf(mate), this.#own) < 0;
+  /** Those that are there and come before this one. */
+  #before(others: readonly Peer[]): readonly Peer[] {
+    return present(others).filter((o) => order(rankedOf(o), this.#own) < 0);
   }
 }
 
