--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -16,13 +16,10 @@
 import {
   callerAddresses,
   type DatagramTransport,
-  type FleetEvents,
   FleetMember,
-  type GroupNews,
   type InstanceProfile,
   type InstanceState,
   NameBook,
-  type Roles,
   type SelfReport,
 } from "../fleet/mod.ts";
 import type { EndpointRow, TrafficPlan } from "../traffic/mod.ts";
@@ -30,6 +27,7 @@
 import { CallerServer } from "./caller_server.ts";
 import type { EdgeSettings } from "./edge_settings.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
+import { FleetNews } from "./fleet_news.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { joinList } from "./instance_list.ts";
 import { LapseWatch } from "./lapse_watch.ts";
@@ -90,7 +88,6 @@
   #graceMs: number;
   #server: CallerServer | undefined;
   #snapshotServer: PlainServer | undefined;
-  #roles: Roles = { speaks: false, asksStore: false };
   #endpointsListed = false;
   #leaving = false;
 
@@ -113,19 +110,6 @@
       removed: (row) => this.#forget(row),
     });
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
-    this.#member = new FleetMember({
-      profile: this.#profile,
-      capacity: cfg.capacity,
-      assumed: cfg.zones.size * ASSUMED_PER_ZONE,
-      seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
-      transport: opts.transport,
-      book: this.#book,
-      clock,
-      random,
-      log,
-      report: () => this.#report(),
-      events: this.#fleetEvents(),
-    });
     const fleetSize = () => this.#member.fleetSize;
     this.#chooser = new EndpointChooser({
       state: this.#state,
@@ -163,6 +147,27 @@
         return this.#snapshots.fetch(kind, from, signal);
       },
     });
+    this.#member = new FleetMember({
+      profile: this.#profile,
+      capacity: cfg.capacity,
+      assumed: cfg.zones.size * ASSUMED_PER_ZONE,
+      seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
+      transport: opts.transport,
+      book: this.#book,
+      clock,
+      random,
+      log,
+      report: () => this.#report(),
+      events: new FleetNews({
+        quotas: this.#quotas,
+        peerLoad: this.#peerLoad,
+        followers: this.#followers,
+        lapses: this.#lapses,
+        neighbourInTouch: () => this.#member.neighbourInTouch,
+        clock,
+        log,
+      }),
+    });
   }
 
   /** Starts an instance; it is ready once it has a plan and the endpoints. */
@@ -309,43 +314,4 @@
       inFlight,
     };
   }
-
-  #fleetEvents(): FleetEvents {
-    return {
-      told: (news, now) => this.#told(news, now),
-      quiet: (group) => this.#quotas.silent(group),
-      silent: (group) => this.#peerLoad.silent(group),
-      forgotten: (group) => {
-        this.#quotas.forget(group);
-        this.#peerLoad.silent(group);
-      },
-      roles: (roles) => this.#takeRoles(roles),
-      relayed: (changes) => this.#followers.told(changes),
-    };
-  }
-
-  #told(news: GroupNews, now: number): void {
-    const { group: instance, start, instances, uses, inFlight } = news;
-    this.#quotas.told({ instance, start, instances }, uses, now);
-    if (news.storeInTouch) this.#lapses.otherInTouch(now);
-    this.#peerLoad.told(instance, inFlight);
-    this.#followers.heardOf(news.changes);
-  }
-
-  /**
-   * What one does not ask the store for it is told by others; while none of
-   * those is in touch with the store, neither is this one.
-   */
-  #takeRoles(roles: Roles): void {
-    const { clock, log } = this.#opts;
-    const { speaks, asksStore } = roles;
-    const changed = speaks !== this.#roles.speaks ||
-      asksStore !== this.#roles.asksStore;
-    this.#roles = roles;
-    if (changed) log.event("roles_changed", { speaks, asksStore });
-    this.#followers.setAsking(asksStore);
-    if (asksStore) return;
-    if (this.#member.neighbourInTouch) this.#lapses.regained(clock.now());
-    else this.#lapses.lost(clock.now());
-  }
 }
--- /dev/null
+++ b/src/edge/fleet_news.ts
@@ -0,0 +1,76 @@
+/**
+ * Hands what the other instances tell to the parts that go by it.
+ *
+ * @module
+ */
+import type { Clock, InstanceId, Log } from "../core/mod.ts";
+import type { AccountQuotas } from "../decisions/quotas/mod.ts";
+import type { FleetEvents, GroupNews, Roles } from "../fleet/mod.ts";
+import type { RelayedChanges } from "../follower/mod.ts";
+import type { LapseWatch } from "./lapse_watch.ts";
+import type { PeerLoad } from "./peer_load.ts";
+import type { SteeringFollowers } from "./steering_followers.ts";
+
+/** Who goes by what is told. */
+export interface FleetNewsOptions {
+  readonly quotas: AccountQuotas;
+  readonly peerLoad: PeerLoad;
+  readonly followers: SteeringFollowers;
+  readonly lapses: LapseWatch;
+  /** Whether one that asks the store for this instance too is answered. */
+  readonly neighbourInTouch: () => boolean;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** What happens among the instances, as one of them takes it. */
+export class FleetNews implements FleetEvents {
+  readonly #opts: FleetNewsOptions;
+  #roles: Roles = { speaks: false, asksStore: false };
+
+  constructor(opts: FleetNewsOptions) {
+    this.#opts = opts;
+  }
+
+  told(news: GroupNews, now: number): void {
+    const { quotas, lapses, peerLoad, followers } = this.#opts;
+    const { group: instance, start, instances, uses, inFlight } = news;
+    quotas.told({ instance, start, instances }, uses, now);
+    if (news.storeInTouch) lapses.otherInTouch(now);
+    peerLoad.told(instance, inFlight);
+    followers.heardOf(news.changes);
+  }
+
+  quiet(group: InstanceId): void {
+    this.#opts.quotas.silent(group);
+  }
+
+  silent(group: InstanceId): void {
+    this.#opts.peerLoad.silent(group);
+  }
+
+  forgotten(group: InstanceId): void {
+    this.#opts.quotas.forget(group);
+    this.#opts.peerLoad.silent(group);
+  }
+
+  relayed(changes: RelayedChanges): void {
+    this.#opts.followers.told(changes);
+  }
+
+  /**
+   * What one does not ask the store for it is told by others; while none of
+   * those is in touch with the store, neither is this one.
+   */
+  roles({ speaks, asksStore }: Roles): void {
+    const { clock, log, followers, lapses, neighbourInTouch } = this.#opts;
+    const changed = speaks !== this.#roles.speaks ||
+      asksStore !== this.#roles.asksStore;
+    this.#roles = { speaks, asksStore };
+    if (changed) log.event("roles_changed", { speaks, asksStore });
+    followers.setAsking(asksStore);
+    if (asksStore) return;
+    if (neighbourInTouch()) lapses.regained(clock.now());
+    else lapses.lost(clock.now());
+  }
+}
