Start again, and let nothing out that isolated instances only seem to have

Shares are now first divided when they are asked for. Instances that started anew while others were cut off shared what those still held: 1.004 for 388 a second. Change: tokens are raised to the level's share only where all that may spend were heard; until then the bucket is filled at nine tenths of the rate. Ruled out: the window's count and the tolerance spent ahead, which were the same with and without. A leftover for debugging is gone, limits are worked out once a plan, and 'all have told' now means each one that is heard.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -11,6 +11,7 @@
 import { DIRECT_LAG_MS } from "./news_lag.ts";
 import {
   NO_WINDOW,
+  type RateLimit,
   rateLimit,
   type RateWindow,
   tolerated,
@@ -47,6 +48,9 @@
 
 interface Row {
   account: Account;
+  limit: RateLimit;
+  /** Requests a window that are tolerated beyond the limit. */
+  tolerated: number;
   readonly bucket: FleetBucket;
   readonly returns: ReturnSchedule;
 }
@@ -66,11 +70,10 @@
   readonly #shares: DemandShares;
   readonly #counter = new DemandCounter();
   readonly #rows = new Map<AccountId, Row>();
-
   readonly #fleetSize: () => number;
   readonly #lagMs: () => number;
   readonly #window: RateWindow;
-  /** Others that told since all of them had. */
+  /** Others that told since all of them last had. */
   readonly #heard = new Set<InstanceId>();
 
   constructor(own: InstanceId, opts: AccountQuotasOptions) {
@@ -88,8 +91,8 @@
     }
     for (const account of accounts) {
       const known = this.#rows.get(account.id);
-      if (known !== undefined) known.account = account;
-      else this.#add(account, now);
+      if (known === undefined) this.#add(account, now);
+      else Object.assign(known, this.#limitsOf(account));
     }
   }
 
@@ -106,7 +109,7 @@
     if (account.ratePerS <= 0) return { admitted: true, share: 1 };
     this.#counter.asked(account.id, now);
     const row = this.#rows.get(account.id) ?? this.#add(account, now);
-    const rate = this.#rate(row.account);
+    const rate = this.#rate(row);
     const { share } = rate;
     if (row.bucket.take(rate, now)) return { admitted: true, share };
     const firstMs = row.bucket.waitMs(rate);
@@ -124,9 +127,10 @@
     this.#shares.tick(demand);
     const allTold = this.#allTold();
     const uses = new Map<AccountId, AccountUse>();
-    for (const [id, { account, bucket }] of this.#rows) {
+    for (const [id, row] of this.#rows) {
+      const { account, bucket } = row;
       if (account.ratePerS <= 0) continue;
-      const rate = this.#rate(account);
+      const rate = this.#rate(row);
       bucket.rebalance(rate, allTold, now);
       const perS = demand.get(id);
       if (perS === undefined) continue;
@@ -153,7 +157,7 @@
     for (const [id, { admitted, level }] of uses) {
       const row = this.#rows.get(id);
       if (row === undefined) continue;
-      const rate = this.#rate(row.account);
+      const rate = this.#rate(row);
       row.bucket.hear({ instance, start, admitted, level }, rate, now);
     }
   }
@@ -171,7 +175,7 @@
 
   #add(account: Account, now: number): Row {
     const row: Row = {
-      account,
+      ...this.#limitsOf(account),
       bucket: new FleetBucket(now),
       returns: new ReturnSchedule(LONGEST_RETRY_MS),
     };
@@ -179,27 +183,30 @@
     return row;
   }
 
+  #limitsOf(account: Account): Pick<Row, "account" | "limit" | "tolerated"> {
+    return {
+      account,
+      limit: rateLimit(account, this.#window),
+      tolerated: tolerated(account, this.#window),
+    };
+  }
+
   /** Whether all that may spend have told since this was last so. */
   #allTold(): boolean {
     const { allKnown, others } = this.#shares;
-    if (!allKnown || this.#heard.size < others) return false;
+    if (!allKnown || !others.every((id) => this.#heard.has(id))) return false;
     this.#heard.clear();
     return true;
   }
 
-  debugRate(account: Account) {
-    return this.#rate(account);
-  }
-  #rate(account: Account): FleetRate {
-    const limit = rateLimit(account, this.#window);
+  #rate({ account: { id }, limit, tolerated }: Row): FleetRate {
     return {
       ...limit,
-      ahead: tolerated(account, this.#window) * AHEAD_PART /
-        Math.max(1, this.#fleetSize()),
-      share: this.#shares.own(account.id),
-      reserved: this.#shares.reserved(account.id),
+      ahead: tolerated * AHEAD_PART / Math.max(1, this.#fleetSize()),
+      share: this.#shares.own(id),
+      reserved: this.#shares.reserved(id),
       allKnown: this.#shares.allKnown,
-      othersPerS: this.#shares.othersPerS(account.id),
+      othersPerS: this.#shares.othersPerS(id),
       lagMs: this.#lagMs(),
     };
   }
--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -13,7 +13,7 @@
 } from "./testing/quota_fleet.ts";
 
 /** Random runs for each size of account. */
-const RUNS = 5;
+const RUNS = 60;
 /** How long a killed instance is away, in milliseconds. */
 const DOWN_MS = 700;
 
@@ -265,6 +265,50 @@
   return fleet.members.indexOf(member) >= fleet.members.length - count;
 }
 
+/** Runs that once passed the limit, by what was wrong. */
+const PASSED_ONCE: readonly {
+  readonly why: string;
+  readonly ratePerS: number;
+  readonly seed: number;
+  readonly happenings: readonly Happening[];
+}[] = [
+  {
+    why:
+      "alone after a restart, an instance gave its part of a level again and again that only it spent from",
+    ratePerS: 88,
+    seed: 697,
+    happenings: [
+      { kind: "cut", count: 4 },
+      { kind: "cut", count: 2 },
+      { kind: "kill", count: 11 },
+      { kind: "demand", times: 4.79, hot: 1 },
+      { kind: "kill", count: 4 },
+      { kind: "demand", times: 5.78, hot: 6 },
+    ],
+  },
+  {
+    why:
+      "instances that started anew shared a rate of which two they never heard held a third",
+    ratePerS: 388,
+    seed: 259,
+    happenings: [
+      { kind: "cut", count: 2 },
+      { kind: "demand", times: 2.5762412444680356, hot: 0 },
+      { kind: "kill", count: 10 },
+      { kind: "demand", times: 4.825216282404359, hot: 3 },
+      { kind: "demand", times: 0, hot: 0 },
+    ],
+  },
+];
+
+for (const { why, ratePerS, seed, happenings } of PASSED_ONCE) {
+  test(`no window passes the limit any more: ${why}`, (t) => {
+    const subject = account({ ratePerS, burst: ratePerS });
+    const most = mostAfter(happenings, subject, seed);
+    t.true(most <= bound(subject), `${most} of ${bound(subject)}`);
+  });
+}
+
 test("whatever is cut off, killed or moved, no window passes the limit", (t) => {
   // Instances are cut off, heal, die and start anew in any order while an
   // account's demand jumps between nothing and six times its rate and from one
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -74,7 +74,8 @@
   readonly #told = new Map<InstanceId, Told>();
   /** Shares of silent instances, as they were when last heard. */
   readonly #reserved = new Map<InstanceId, Reserved>();
-  #division: Division;
+  /** Undefined until it is first asked for: the fleet is not there before. */
+  #known: Division | undefined;
   /** The oldest first. */
   readonly #snapshots: Snapshot[] = [];
 
@@ -86,7 +87,6 @@
   constructor(own: InstanceId, fleetSize: () => number) {
     this.#own = own;
     this.#fleetSize = fleetSize;
-    this.#division = this.#divide();
   }
 
   /** Takes in what an instance, or several as one, were asked for. */
@@ -98,7 +98,7 @@
   /** Takes in this instance's own demand and divides anew; run once a tick. */
   tick(demand: Demand): void {
     this.told(this.#own, demand);
-    this.#division = this.#divide();
+    this.#known = this.#divide();
     const snapshot = { told: new Map(this.#told), division: this.#division };
     this.#snapshots.push(snapshot);
     if (this.#snapshots.length > TICKS_KEPT) this.#snapshots.shift();
@@ -118,7 +118,7 @@
     this.#told.delete(instance);
     const { instances } = told;
     this.#reserved.set(instance, { shares, instances });
-    this.#division = this.#divide();
+    this.#known = this.#divide();
   }
 
   /** Leaves out an instance that has ended. */
@@ -126,7 +126,7 @@
     if (instance === this.#own) return;
     this.#told.delete(instance);
     this.#reserved.delete(instance);
-    this.#division = this.#divide();
+    this.#known = this.#divide();
   }
 
   /**
@@ -148,8 +148,8 @@
   }
 
   /** Others that are heard, each instance or zone as one. */
-  get others(): number {
-    return this.#told.size - (this.#told.has(this.#own) ? 1 : 0);
+  get others(): readonly InstanceId[] {
+    return [...this.#told.keys()].filter((id) => id !== this.#own);
   }
 
   /** Requests a second that the others were asked for of an account. */
@@ -164,6 +164,10 @@
     return reservedOf(this.#division, account);
   }
 
+  get #division(): Division {
+    return this.#known ??= this.#divide();
+  }
+
   #divide(): Division {
     const demand = new Map<AccountId, number>();
     for (const told of this.#told.values()) addAll(demand, told.demand);
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -151,7 +151,8 @@
     const heard = heardPart(rate);
     // Of what those that hear each other may spend, this instance's part.
     const part = heard > 0 ? Math.min(1, rate.share / heard) : 0;
-    const surplus = level - unheard(rate);
+    // Where some were never heard, the level lacks what they spend.
+    const surplus = rate.allKnown ? level - unheard(rate) : 0;
     const least = surplus >= 1 ? Math.max(LEAST_TOKENS, surplus * part) : 0;
     const most = Math.max(LEAST_TOKENS, level * part);
     this.#tokens = Math.max(least, Math.min(this.#tokens, most));
--- a/src/decisions/quotas/rate_limit.ts
+++ b/src/decisions/quotas/rate_limit.ts
@@ -35,6 +35,11 @@
  * overspend until they notice; what is left and what is tolerated cover that.
  */
 const USED_RATE = 0.97;
+/**
+ * Part of the rate that is handed out while it is not known what the window
+ * holds: some that were never heard may be spending more than their share.
+ */
+const UNSURE_RATE = 0.9;
 const USED_BURST = 0.6;
 
 const MS_PER_S = 1_000;
@@ -55,13 +60,25 @@
 export function rateLimit(account: Account, window: RateWindow): RateLimit {
   const { ratePerS, burst } = account;
   const { windowMs } = window;
-  const usedPerS = ratePerS * USED_RATE;
-  const common = { firstPerS: usedPerS, burst: burst * USED_BURST, windowMs };
+  const usedBurst = burst * USED_BURST;
   if (windowMs <= 0) {
-    return { ...common, ratePerS: usedPerS, perWindow: Infinity };
+    const usedPerS = ratePerS * USED_RATE;
+    return {
+      ratePerS: usedPerS,
+      firstPerS: usedPerS,
+      burst: usedBurst,
+      perWindow: Infinity,
+      windowMs,
+    };
   }
   const perWindow = allowedPerWindow(account, window);
-  return { ...common, ratePerS: perWindow * MS_PER_S / windowMs, perWindow };
+  return {
+    ratePerS: perWindow * MS_PER_S / windowMs,
+    firstPerS: ratePerS * UNSURE_RATE,
+    burst: usedBurst,
+    perWindow,
+    windowMs,
+  };
 }
 
 /** Requests a window that the platform tolerates beyond an account's limit. */
