Let requests wait at their object's home, by what instances have in flight

The greater of an endpoint's report and what is known to be in flight there, which both lag, said 'full' with slots free. An endpoint that shed while full was set aside, and all its objects were visited anew elsewhere. Change: requests wait at home as long as that serves them in time and go to the second place only then, if a slot is free; no idle endpoints. Load reports are logged but not counted. What an endpoint sheds is no evidence against it.

--- a/src/decisions/placement/affinity_placement.ts
+++ b/src/decisions/placement/affinity_placement.ts
@@ -1,16 +1,17 @@
 /**
- * Placement by object, with spill under load.
+ * Placement by object.
  *
  * The load it answers: endpoints that work several times as long on an object
  * they have not handled lately, and remember a few dozen. Spread by load alone,
  * nearly every request is such a first one, and the services are over capacity
- * without a single fault. So each object has a home among the endpoints.
+ * without a single fault. So each object has a home among the endpoints, and its
+ * requests wait there for a while. Only what would wait too long goes to the
+ * object's second place, if a slot is free there.
  *
- * What goes wrong where it spills freely: at a load that warm endpoints bear
- * with ease, a burst fills some homes; what spills takes several times as long
- * elsewhere and pushes out objects that are at home there, so more homes fill,
- * and it goes on after the burst has passed. So an object has one other place
- * besides its home, and no third.
+ * What goes wrong where requests spill sooner, or to any idle endpoint: what
+ * spills takes several times as long there and pushes out objects that are at
+ * home there. So more homes fill, more spills, and endpoints forget more than
+ * they keep; it goes on after the burst that began it has passed.
  *
  * @module
  */
@@ -20,60 +21,41 @@
 import type { Placed, Placement, PlacementAsk } from "./placement.ts";
 
 /**
- * How full a home may be before its requests spill, as a part of its slots. A
- * few that wait cost less than a first visit elsewhere.
- */
-const HOME_FILL = 1.3;
-/** How full the second place may be to take what spills: a slot is free. */
-const SPILL_FILL = 1;
-/**
- * How full both may be before a request is refused, by its rank. Beyond this
- * what waits is late and makes late what comes after it; the most urgent get in
- * a little longer, so that they are not refused before the others.
+ * How full a home may be before requests go elsewhere or are refused, by their
+ * rank, as a part of its slots. Beyond this what waits is late and makes late
+ * what comes after it; the most urgent get in a little longer, so that they are
+ * not refused before the others.
  */
 const MOST_FILL = [2.2, 2, 1.8] as const;
-/**
- * How idle an endpoint that does not know the object has to be to take what
- * both places have no room for. Where much is idle, a late answer is better
- * than none; where little is, first visits would push out what is at home.
- */
-const IDLE_FILL = 0.3;
+/** Up to this a slot is free, and nothing waits. */
+const ALL_SLOTS = 1;
 /**
  * What an endpoint in another region counts as fuller, as a part of its slots:
  * with as much room in both, work stays in its region.
  */
 const ABROAD_FILL = 0.1;
 
-/** Rendezvous hashing by affinity key, spilling to one other endpoint. */
+/** Rendezvous hashing by affinity key, with a second place for each object. */
 export class AffinityPlacement implements Placement {
   readonly #ranking = new ObjectRanking();
 
   choose(
     endpoints: readonly EndpointRow[],
     ask: PlacementAsk,
-    now: number,
   ): Placed {
-    const { affinityKey, region, regions, bound, usable } = ask;
-    if (affinityKey === undefined) return leastLoaded(endpoints, ask, now);
-    const object = { affinityKey, region, regions, bound, usable };
+    const { affinityKey } = ask;
+    if (affinityKey === undefined) return leastLoaded(endpoints, ask);
+    const object = { ...ask, affinityKey };
     const { home, second } = this.#ranking.places(endpoints, object);
     if (home === undefined) return { endpoint: undefined, waitMs: 0 };
-    const homeFill = fillOf(home, now);
-    if (homeFill < HOME_FILL) return { endpoint: home, why: "home" };
-    const secondFill = second === undefined ? Infinity : fillOf(second, now);
-    if (second !== undefined && secondFill < SPILL_FILL) {
-      return { endpoint: second, why: "spill" };
+    const fill = fillOf(home);
+    if (fill < mostFill(ask)) {
+      return { endpoint: home, why: fill < ALL_SLOTS ? "home" : "queue" };
     }
-    const shorter = second === undefined || homeFill <= secondFill
-      ? home
-      : second;
-    const least = Math.min(homeFill, secondFill);
-    if (least < mostFill(ask)) return { endpoint: shorter, why: "queue" };
-    const idle = leastFilled(endpoints, ask, now);
-    if (idle !== undefined && fillOf(idle, now) < IDLE_FILL) {
-      return { endpoint: idle, why: "idle" };
+    if (second !== undefined && fillOf(second) < ALL_SLOTS) {
+      return { endpoint: second, why: "spill" };
     }
-    return { endpoint: undefined, waitMs: (least - 1) * ask.usualMs };
+    return { endpoint: undefined, waitMs: (fill - 1) * ask.usualMs };
   }
 }
 
@@ -81,11 +63,10 @@
 export function leastLoaded(
   endpoints: readonly EndpointRow[],
   ask: PlacementAsk,
-  now: number,
 ): Placed {
-  const best = leastFilled(endpoints, ask, now);
+  const best = leastFilled(endpoints, ask);
   if (best === undefined) return { endpoint: undefined, waitMs: 0 };
-  const fill = fillOf(best, now);
+  const fill = fillOf(best);
   if (fill < mostFill(ask)) return { endpoint: best, why: "load" };
   return { endpoint: undefined, waitMs: (fill - 1) * ask.usualMs };
 }
@@ -93,13 +74,12 @@
 function leastFilled(
   endpoints: readonly EndpointRow[],
   ask: PlacementAsk,
-  now: number,
 ): EndpointRow | undefined {
   let best: EndpointRow | undefined;
   let bestFill = Infinity;
   for (const row of endpoints) {
     const abroad = row.region === ask.region ? 0 : ABROAD_FILL;
-    const part = fillOf(row, now) + abroad;
+    const part = fillOf(row) + abroad;
     if (part < bestFill && ask.usable(row)) [best, bestFill] = [row, part];
   }
   return best;
@@ -109,6 +89,6 @@
   return MOST_FILL[Math.min(rank, MOST_FILL.length - 1)] ?? MOST_FILL[0];
 }
 
-function fillOf(row: EndpointRow, now: number): number {
-  return occupancy(row, now) / Math.max(1, row.record.slots);
+function fillOf(row: EndpointRow): number {
+  return occupancy(row) / Math.max(1, row.record.slots);
 }
--- a/src/decisions/placement/affinity_placement_test.ts
+++ b/src/decisions/placement/affinity_placement_test.ts
@@ -124,6 +124,33 @@
   t.deepEqual(shown, [["riga", 30], ["frankfurt", 20], ["osaka", 50]]);
 });
 
+test("an object's requests wait at its home before they go elsewhere", (t) => {
+  // A burst fills a home. Elsewhere each request takes several times as long and
+  // pushes out what is at home there.
+  const all = rows({ riga: 4 });
+  const ask = {
+    affinityKey: "o1",
+    region: "riga" as RegionId,
+    regions: ["riga" as RegionId],
+    bound: NOTHING_BOUND,
+    rank: 0,
+    usualMs: 200,
+    usable: () => true,
+  };
+  const placement = new AffinityPlacement();
+  const { home, second } = new ObjectRanking().places(all, ask);
+  const whereAt = (homeHolds: number, secondHolds: number) => {
+    home!.inFlight = homeHolds;
+    second!.inFlight = secondHolds;
+    return placement.choose(all, ask);
+  };
+  t.like(whereAt(8, 0), { endpoint: home, why: "home" });
+  t.like(whereAt(18, 0), { endpoint: home, why: "queue" });
+  t.like(whereAt(20, 8), { endpoint: second, why: "spill" });
+  // Both full: others that do not know the object are left alone.
+  t.is(whereAt(20, 9).endpoint, undefined);
+});
+
 test("work that may be done elsewhere leaves a small region to work bound to it", (t) => {
   // A large account may be served in one region only, which has a sixth of the
   // slots. Where other accounts' requests go there too, its callers are refused
--- a/src/decisions/placement/come_back.ts
+++ b/src/decisions/placement/come_back.ts
@@ -43,7 +43,7 @@
 
   /** For a caller whose request an endpoint shed, in milliseconds from now. */
   whenShed(row: EndpointRow, outlook: RoomOutlook, now: number): number {
-    const fill = occupancy(row, now) / Math.max(1, row.record.slots);
+    const fill = occupancy(row) / Math.max(1, row.record.slots);
     if (fill < 1) return SOON_MS;
     return this.whenFull(outlook, (fill - 1) * outlook.usualMs, now);
   }
--- a/src/decisions/placement/endpoint_verdicts.ts
+++ b/src/decisions/placement/endpoint_verdicts.ts
@@ -61,6 +61,9 @@
       verdict.waitingSince = row.inFlight > 0 ? now : undefined;
     }
     if (evidence === "unreachable") return this.#setAside(verdict, now);
+    // It is full, or says so: it lives, and another may take what it shed. Set
+    // aside, all its objects would be visited anew elsewhere.
+    if (evidence === "shed") return;
     const sample = evidence === "good" ? 0 : 1;
     verdict.failing += (sample - verdict.failing) * SAMPLE_PART;
     if (verdict.failing > FAILING) this.#setAside(verdict, now);
--- a/src/decisions/placement/least_load_placement.ts
+++ b/src/decisions/placement/least_load_placement.ts
@@ -9,11 +9,7 @@
 
 /** For comparison with {@link AffinityPlacement} in one run. */
 export class LeastLoadPlacement implements Placement {
-  choose(
-    endpoints: readonly EndpointRow[],
-    ask: PlacementAsk,
-    now: number,
-  ): Placed {
-    return leastLoaded(endpoints, ask, now);
+  choose(endpoints: readonly EndpointRow[], ask: PlacementAsk): Placed {
+    return leastLoaded(endpoints, ask);
   }
 }
--- a/src/decisions/placement/occupancy.ts
+++ b/src/decisions/placement/occupancy.ts
@@ -1,31 +1,23 @@
 /**
- * How many requests an endpoint holds, from reports that lag.
+ * How many requests an endpoint holds.
  *
  * @module
  */
 import type { EndpointRow } from "../../traffic/mod.ts";
 
 /**
- * A report older than this says little: endpoints answer several times a second
- * each, and a burst doubles their load within half a second. In milliseconds.
- */
-export const REPORT_FRESH_MS = 400;
-
-/**
- * Requests an endpoint holds, running and waiting, as far as known: its last
- * report while that is fresh, and what this instance and its peers have there.
+ * Requests an endpoint holds, running and waiting: what this instance and its
+ * peers have there, as they last told.
+ *
+ * What endpoints say of their own load is not counted. It is of the moment of
+ * their last answer here, and the greater of two numbers that both lag is most
+ * of the time too great: requests would be refused with slots free.
  *
  * @example
  * ```ts
- * if (occupancy(row, now) < row.record.slots) send(row);
+ * if (occupancy(row) < row.record.slots) send(row);
  * ```
  */
-export function occupancy(row: EndpointRow, now: number): number {
-  const known = row.inFlight + row.peersInFlight;
-  const { report } = row;
-  if (report === undefined || now - row.reportedAt > REPORT_FRESH_MS) {
-    return known;
-  }
-  const reported = report.running + report.waiting + row.sentSinceReport;
-  return Math.max(known, reported);
+export function occupancy(row: EndpointRow): number {
+  return row.inFlight + row.peersInFlight;
 }
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -35,7 +35,7 @@
   | { readonly endpoint: undefined; readonly waitMs: number };
 
 /** Why an endpoint was chosen. */
-export type PlacedBy = "home" | "spill" | "queue" | "idle" | "load";
+export type PlacedBy = "home" | "queue" | "spill" | "load";
 
 /**
  * Chooses among the endpoints of a service that are there. Sees no network and
@@ -43,9 +43,5 @@
  * worked out from it may be kept.
  */
 export interface Placement {
-  choose(
-    endpoints: readonly EndpointRow[],
-    ask: PlacementAsk,
-    now: number,
-  ): Placed;
+  choose(endpoints: readonly EndpointRow[], ask: PlacementAsk): Placed;
 }
--- a/src/decisions/placement/testing/placement_play.ts
+++ b/src/decisions/placement/testing/placement_play.ts
@@ -260,7 +260,7 @@
       usable: () => true,
       usualMs: instance.usualMs,
       rank: 2,
-    }, this.#now);
+    });
     if (placed.endpoint === undefined) {
       const waitMs = Math.max(LEAST_RETRY_MS, placed.waitMs);
       this.#refuse(region, object, sentAt, retried, waitMs);
@@ -268,7 +268,6 @@
     }
     const row = placed.endpoint;
     row.inFlight++;
-    row.sentSinceReport++;
     const wayMs = row.region === region ? IN_REGION_MS : BETWEEN_REGIONS_MS;
     const job = { object, region, sentAt, instance, row, wayMs, retried };
     this.#after(wayMs, () => this.#reach(job));
@@ -311,14 +310,8 @@
       if (endsAt > this.#now) continue;
       endpoint.running.splice(i, 1);
       remember(endpoint.memory, job.object, this.#opts.remembers);
-      const report = {
-        running: endpoint.running.length,
-        waiting: endpoint.queue.length,
-        slots: this.#opts.slots,
-      };
       this.#after(job.wayMs, () => {
         job.row.inFlight--;
-        job.row.reported(report, this.#now);
         this.#answered(job);
       });
     }
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -78,7 +78,7 @@
       usable: (row) =>
         !tried.has(row) && this.#bearsOne(row, now) &&
         (spareAside || !this.#verdicts.isAside(row, now)),
-    }, now);
+    });
     if (placed.endpoint === undefined) {
       const outlook = this.#outlook(service, endpoints);
       const waitMs = this.#comeBack.whenFull(outlook, placed.waitMs, now);
@@ -94,7 +94,6 @@
   /** Notes that a request goes out. */
   sent(row: EndpointRow, now: number): void {
     row.inFlight++;
-    row.sentSinceReport++;
     this.#verdicts.sent(row, now);
   }
 
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -370,6 +370,23 @@
   t.is(new Set(path.sender.sent.map((s) => s.endpoint)).size, 2);
 });
 
+test("an endpoint that sheds keeps its objects", async (t) => {
+  // Its slots are full for a moment. Set aside, it would lose all its objects to
+  // endpoints that do not know them, and they would be full next.
+  const path = new Path({
+    sender: new ScriptedSender(
+      ...Array.from(
+        { length: 10 },
+        (_, i) => i % 2 === 0 ? shed() : answered(),
+      ),
+    ),
+  });
+  for (let i = 0; i < 5; i++) t.is(told(await path.ask()), "answer 200");
+  t.is(told(await path.ask()), "answer 200");
+  const { sent } = path.sender;
+  t.is(sent.at(-1)?.endpoint, sent[0]?.endpoint);
+});
+
 test("a weighted route keeps to its weights", async (t) => {
   const services = [
     { service: "s" as ServiceId, weight: 90 },
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -38,10 +38,9 @@
   coldUntil: number;
   /** Spreads affinity keys over endpoints; the same on every instance. */
   readonly seed: number;
-  /** The latest load report and what this instance did since. */
+  /** The latest load report, and when it came. */
   report: LoadReport | undefined;
   reportedAt = -Infinity;
-  sentSinceReport = 0;
   /** Requests of other instances in flight here, as they last told. */
   peersInFlight = 0;
 
@@ -64,7 +63,6 @@
   reported(report: LoadReport, now: number): void {
     this.report = report;
     this.reportedAt = now;
-    this.sentSinceReport = 0;
   }
 }
 
