--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -82,7 +82,7 @@
     name: "what others admit is not counted",
     fault: {
       file: "fleet_bucket.ts",
-      text: "this.#level -= Math.max(0, news.admitted - from);",
+      text: "this.#spend(Math.max(0, news.admitted - from), now);",
       instead: "void from;",
     },
     only: ["plan"],
