--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -9,8 +9,8 @@
  * does no harm; one from a sender that is not known yet is passed over until
  * the next that says who it is.
  *
- * Written with the wire format of protocol buffers, without descriptors, which
- * take a restarted instance longer to load than all its digests to write.
+ * Written in the wire format of protocol buffers, without descriptors: what a
+ * restarted instance has to load delays its first answer.
  *
  * @module
  */
@@ -73,8 +73,6 @@
 /**
  * Writes a digest as a datagram.
  *
- * @param introduces Whether it says who its sender is, and of whom it heard.
- *
  * @example
  * ```ts
  * const bytes = encodeCompact(digest, { book, introduces: true });
@@ -83,7 +81,11 @@
  */
 export function encodeCompact(
   digest: Digest,
-  opts: { readonly book: NameBook; readonly introduces: boolean },
+  opts: {
+    readonly book: NameBook;
+    /** Whether it says who its sender is, and of whom it heard. */
+    readonly introduces: boolean;
+  },
 ): Uint8Array {
   const { profile, seq } = digest;
   const { book, introduces } = opts;
