Give the soak's instances the window by which rates are judged

Cause: the soak judges rates by a window of five seconds, as deployments do, but its settings did not state it, so instances ran without. Change: the settings state the window, as the deployment's template does.

--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -186,5 +186,10 @@
 ratio = 0.2
 slack = 20
 window_s = 10
+
+[rates]
+window_s = 5
+overshoot = 0.1
+slack = 20
 `;
 }
