Make the digests that two tests use in one place

fleet_test and digest_exchange_test each made the same instance and the same digest; both now take them from testing/digest_fixtures.ts. compact_digest_test keeps its own, whose addresses are as long as real ones since it counts bytes. No assertion changed; formatter, linter, types and the 39 tests of src/fleet pass.

--- a/src/fleet/digest_exchange_test.ts
+++ b/src/fleet/digest_exchange_test.ts
@@ -3,52 +3,21 @@
 import {
   type InstanceId,
   ManualClock,
-  type RegionId,
   SeededRandom,
   SilentLog,
-  type ZoneId,
 } from "../core/mod.ts";
 import {
   Datagrams,
   decodeDigest,
-  type Digest,
   DigestExchange,
   encodeDigest,
-  type InstanceProfile,
   NameBook,
   PeerTable,
 } from "./mod.ts";
+import { digest, profile } from "./testing/digest_fixtures.ts";
 
 const SORT_OF_EARLIER_BUILD = 1;
 
-function profile(id: string): InstanceProfile {
-  return {
-    id: id as InstanceId,
-    zone: "gulf-a" as ZoneId,
-    region: "gulf" as RegionId,
-    callerAddress: `${id}:80`,
-    digestAddress: `${id}:70`,
-  };
-}
-
-function digest(id: string, opts: Partial<Digest> = {}): Digest {
-  return {
-    profile: profile(id),
-    state: "serving",
-    start: "s1",
-    seq: 1,
-    planVersion: 7,
-    storeInTouch: true,
-    asksStore: true,
-    capacity: 0.5,
-    changes: new Map(),
-    uses: new Map(),
-    inFlight: new Map(),
-    others: [],
-    ...opts,
-  };
-}
-
 /** The exchange of instance `i0`, and what it sent by address. */
 function exchange() {
   const sent: { address: string; bytes: Buffer }[] = [];
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -1,48 +1,13 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
-import type {
-  AccountId,
-  EndpointId,
-  InstanceId,
-  RegionId,
-  ZoneId,
-} from "../core/mod.ts";
+import type { AccountId, EndpointId, RegionId } from "../core/mod.ts";
 import {
   callerAddresses,
   decodeDigest,
-  type Digest,
   encodeDigest,
-  type InstanceProfile,
   PeerTable,
 } from "./mod.ts";
-
-function profile(id: string, region = "gulf"): InstanceProfile {
-  return {
-    id: id as InstanceId,
-    zone: `${region}-a` as ZoneId,
-    region: region as RegionId,
-    callerAddress: `${id}:80`,
-    digestAddress: `${id}:70`,
-  };
-}
-
-function digest(id: string, opts: Partial<Digest> = {}): Digest {
-  return {
-    profile: profile(id),
-    state: "serving",
-    start: "s1",
-    seq: 1,
-    planVersion: 7,
-    storeInTouch: true,
-    asksStore: true,
-    capacity: 0.5,
-    changes: new Map(),
-    uses: new Map(),
-    inFlight: new Map(),
-    others: [],
-    ...opts,
-  };
-}
+import { digest, profile } from "./testing/digest_fixtures.ts";
 
 /** A table that writes down what it tells. */
 function table(assumed = 1) {
--- /dev/null
+++ b/src/fleet/testing/digest_fixtures.ts
@@ -0,0 +1,37 @@
+/**
+ * Instances and their digests for tests.
+ *
+ * @module
+ */
+import type { InstanceId, RegionId, ZoneId } from "../../core/mod.ts";
+import type { Digest, InstanceProfile } from "../mod.ts";
+
+/** An instance of zone `a` of a region. */
+export function profile(id: string, region = "gulf"): InstanceProfile {
+  return {
+    id: id as InstanceId,
+    zone: `${region}-a` as ZoneId,
+    region: region as RegionId,
+    callerAddress: `${id}:80`,
+    digestAddress: `${id}:70`,
+  };
+}
+
+/** What an instance tells that serves. */
+export function digest(id: string, opts: Partial<Digest> = {}): Digest {
+  return {
+    profile: profile(id),
+    state: "serving",
+    start: "s1",
+    seq: 1,
+    planVersion: 7,
+    storeInTouch: true,
+    asksStore: true,
+    capacity: 0.5,
+    changes: new Map(),
+    uses: new Map(),
+    inFlight: new Map(),
+    others: [],
+    ...opts,
+  };
+}
