--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -26,19 +26,25 @@
 } from "../core/mod.ts";
 import type { AccountUse } from "../decisions/quotas/mod.ts";
 import type { Digest } from "./digest.ts";
-import {
-  isName,
-  type ProfileRow,
-  profileRow,
-  readProfile,
-} from "./digest_rows.ts";
+import { isName } from "./digest_rows.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
+import {
+  readInFlight,
+  readName,
+  readProfileField,
+  readRows,
+  readUse,
+  readWhole,
+  writeInFlight,
+  writeName,
+  writeProfile,
+  writeRows,
+  writeUses,
+} from "./wire_rows.ts";
 
 /** Longer datagrams are dropped unread, in bytes. */
 const MAX_BYTES = 16_384;
-/** Rates and levels are told to a tenth. */
-const TENTHS = 10;
 
 /** Field numbers of the message; they do not change between builds. */
 const FIELD = {
@@ -54,8 +60,6 @@
   inFlight: 10,
   other: 11,
 } as const;
-/** Stands before a name that is written out, where its hash is not its own. */
-const WRITTEN_OUT = 0;
 
 const STATES: readonly InstanceState[] = ["starting", "serving", "leaving"];
 /** Parts of the flags: a number of `STATES` in the lowest bits, and these. */
@@ -96,22 +100,15 @@
   out.tag(FIELD.seq, WireType.Varint).uint64(seq);
   out.tag(FIELD.planVersion, WireType.Varint).uint64(digest.planVersion);
   out.tag(FIELD.capacity, WireType.Bit64).double(digest.capacity);
-  rows(out, FIELD.changes, digest.changes, (kind, revision) => {
+  writeRows(out, FIELD.changes, digest.changes, (kind, revision) => {
     writeName(out, kind, book);
     out.uint64(revision);
   });
-  rows(out, FIELD.uses, digest.uses, (account, use) => {
-    writeName(out, account, book);
-    out.uint64(tenths(use.perS)).uint64(use.admitted);
-    out.sint64(tenths(use.level));
-  });
-  rows(out, FIELD.inFlight, byCount(digest.inFlight), (n, endpoints) => {
-    out.uint64(n).uint32(endpoints.length);
-    for (const endpoint of endpoints) writeName(out, endpoint, book);
-  });
+  writeUses(out, FIELD.uses, { uses: digest.uses, book });
+  writeInFlight(out, FIELD.inFlight, { inFlight: digest.inFlight, book });
   if (introduces) {
-    profileField(out, FIELD.profile, profile);
-    for (const other of digest.others) profileField(out, FIELD.other, other);
+    writeProfile(out, FIELD.profile, profile);
+    for (const other of digest.others) writeProfile(out, FIELD.other, other);
   }
   return out.finish();
 }
@@ -200,12 +197,13 @@
   }
 
   #field(field: number, type: WireType, reader: BinaryReader): void {
+    const { book } = this.#names;
     switch (field) {
       case FIELD.senderHash:
         this.#senderHash = reader.fixed32();
         return;
       case FIELD.profile:
-        this.#profile = readProfile(profileOf(reader));
+        this.#profile = readProfileField(reader);
         return;
       case FIELD.flags:
         this.#flags = reader.uint32();
@@ -214,37 +212,32 @@
         this.#start = reader.string();
         return;
       case FIELD.seq:
-        this.#seq = whole(reader);
+        this.#seq = readWhole(reader);
         return;
       case FIELD.planVersion:
-        this.#planVersion = whole(reader);
+        this.#planVersion = readWhole(reader);
         return;
       case FIELD.capacity:
         this.#capacity = reader.double();
         return;
       case FIELD.changes:
-        return this.#rows(reader, (rows) => {
-          const kind = this.#name(rows);
-          const revision = whole(rows);
+        return readRows(reader, (rows) => {
+          const kind = readName(rows, book);
+          const revision = readWhole(rows);
           if (kind !== undefined) this.#changes.set(kind, revision);
         });
       case FIELD.uses:
-        return this.#rows(reader, (rows) => {
-          const account = this.#name(rows);
-          const use = readUse(rows);
-          if (account !== undefined) this.#uses.set(account as AccountId, use);
+        return readRows(reader, (rows) => {
+          const row = readUse(rows, book);
+          if (row !== undefined) this.#uses.set(...row);
         });
       case FIELD.inFlight:
-        return this.#rows(reader, (rows) => {
-          const n = whole(rows);
-          for (let left = rows.uint32(); left > 0; left--) {
-            const endpoint = this.#name(rows);
-            if (endpoint === undefined) continue;
-            this.#inFlight.set(endpoint as EndpointId, n);
-          }
-        });
+        return readRows(
+          reader,
+          (rows) => readInFlight(rows, this.#inFlight, book),
+        );
       case FIELD.other: {
-        const other = readProfile(profileOf(reader));
+        const other = readProfileField(reader);
         if (other.isOk()) this.#others.push(other.value);
         return;
       }
@@ -252,86 +245,9 @@
         reader.skip(type, field);
     }
   }
-
-  #rows(reader: BinaryReader, take: (rows: BinaryReader) => void): void {
-    const rows = new BinaryReader(reader.bytes());
-    while (rows.pos < rows.len) take(rows);
-  }
-
-  /** A row's name; undefined where it is not known here. */
-  #name(rows: BinaryReader): string | undefined {
-    const key = rows.fixed32();
-    if (key !== WRITTEN_OUT) return this.#names.book.nameOf(key);
-    const name = rows.string();
-    return isName(name) ? name : undefined;
-  }
-}
-
-/** Writes rows as one field, without a tag for each number. */
-function rows<K, V>(
-  out: BinaryWriter,
-  field: number,
-  values: ReadonlyMap<K, V>,
-  write: (key: K, value: V) => void,
-): void {
-  if (values.size === 0) return;
-  out.tag(field, WireType.LengthDelimited).fork();
-  for (const [key, value] of values) write(key, value);
-  out.join();
-}
-
-/** Most endpoints hold one or two requests of an instance. */
-function byCount(
-  inFlight: ReadonlyMap<EndpointId, number>,
-): Map<number, EndpointId[]> {
-  const groups = new Map<number, EndpointId[]>();
-  for (const [endpoint, n] of inFlight) {
-    const group = groups.get(n);
-    if (group === undefined) groups.set(n, [endpoint]);
-    else group.push(endpoint);
-  }
-  return groups;
-}
-
-function writeName(out: BinaryWriter, name: string, book: NameBook): void {
-  const key = hash(name);
-  if (key !== WRITTEN_OUT && book.isClear(name)) out.fixed32(key);
-  else out.fixed32(WRITTEN_OUT).string(name);
-}
-
-function readUse(rows: BinaryReader): AccountUse {
-  return {
-    perS: whole(rows) / TENTHS,
-    admitted: whole(rows),
-    level: Number(rows.sint64()) / TENTHS,
-  };
 }
 
 function flagsOf({ state, storeInTouch, asksStore }: Digest): number {
   return STATES.indexOf(state) | (storeInTouch ? STORE_IN_TOUCH : 0) |
     (asksStore ? ASKS_STORE : 0);
 }
-
-function profileField(
-  out: BinaryWriter,
-  field: number,
-  profile: InstanceProfile,
-): void {
-  const text = JSON.stringify(profileRow(profile));
-  out.tag(field, WireType.LengthDelimited).string(text);
-}
-
-function profileOf(reader: BinaryReader): ProfileRow {
-  return JSON.parse(reader.string());
-}
-
-function tenths(value: number): number {
-  return Math.round(value * TENTHS);
-}
-
-/** A whole number; one that is too large to be exact is no digest's. */
-function whole(reader: BinaryReader): number {
-  const value = Number(reader.uint64());
-  if (!Number.isSafeInteger(value)) throw new RangeError("number too large");
-  return value;
-}
