Read the lists from instances that have them at a fleet's first start

Cause: at the first start each instance reads every page of every list itself: 13 calls each with 80 instances and 356 endpoints in pages of 50, 14 with 195 and 340.

Change: where the settings say that the whole fleet starts for the first time, an instance that does not watch the store waits up to four seconds for one that has read a kind, and fetches it from there; watchers read at once. Every other start is as before: callers are there and wait. A kind without objects counts as read, with revision 1, so it too can be fetched.

Tests: read from a peer, from the store where no peer answers, watchers do not wait.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -67,6 +67,12 @@
 /** Until the list is read, each zone is taken to have this many instances. */
 const ASSUMED_PER_ZONE = 2;
 
+/**
+ * How long an instance waits at the fleet's first start for others to read the
+ * store for it, in milliseconds. Callers come much later.
+ */
+const FIRST_START_MS = 4_000;
+
 /** A running instance. */
 export class EdgeInstance {
   readonly #opts: EdgeOptions;
@@ -141,6 +147,7 @@
       clock,
       random,
       log,
+      peersFirstMs: cfg.firstStart ? FIRST_START_MS : 0,
       relay: (changes) => this.#member.relay(changes),
       fetch: (kind, atLeast, signal) => {
         const from = this.#member.knowing(kind, atLeast);
@@ -274,12 +281,18 @@
       codec,
       retries: this.#retries,
       fleetSize: () => this.#member.fleetSize,
-      journal: new OutcomeJournal(clock, log, metrics),
+      journal: new OutcomeJournal({
+        clock,
+        log,
+        metrics,
+        planVersion: () => this.#state.planVersion,
+      }),
       clock,
     });
   }
 
   #adopted(plan: TrafficPlan): void {
+    this.#opts.metrics.gauge("plan.in_force", plan.version);
     for (const { id } of plan.accounts) this.#book.learn(id);
     this.#quotas.adopt(plan.accounts, this.#opts.clock.now());
     this.#server?.limit(plan.limits);
--- a/src/edge/edge_settings.ts
+++ b/src/edge/edge_settings.ts
@@ -24,6 +24,8 @@
     /** Host and port for digests of other instances. */
     readonly digest: string;
   };
+  /** Whether the whole fleet starts for the first time. */
+  readonly firstStart: boolean;
   /** Where other instances may be found before any is known. */
   readonly seeds: readonly string[];
   /** Time between the stop's signal and the process's forced end, in ms. */
--- a/src/edge/steering_followers.ts
+++ b/src/edge/steering_followers.ts
@@ -34,6 +34,8 @@
   readonly log: Log;
   readonly relay: (changes: RelayedChanges) => void;
   readonly fetch: FetchFromPeer;
+  /** How long to wait for instances that have read everything, in ms. */
+  readonly peersFirstMs: number;
 }
 
 /** Followers by kind. */
--- a/src/follower/kind_follower.ts
+++ b/src/follower/kind_follower.ts
@@ -58,6 +58,9 @@
 /** A call that asks only for what has changed by now waits so long, in ms. */
 const NO_WAIT_MS = 1;
 
+/** How often an instance that waits for others looks for them, in ms. */
+const PEER_LOOK_MS = 250;
+
 /** Fetches all objects of a kind from an instance that knows a revision. */
 export type FetchFromPeer = (
   kind: string,
@@ -76,6 +79,11 @@
   /** Told of changes that came from the store, to pass them on. */
   readonly relay?: (changes: RelayedChanges) => void;
   readonly fetch?: FetchFromPeer;
+  /**
+   * How long an instance that does not watch the store waits at its start for
+   * another one that has read everything, in milliseconds.
+   */
+  readonly peersFirstMs?: number;
 }
 
 /** Follows until closed. */
@@ -84,6 +92,7 @@
   readonly #abort = new AbortController();
   readonly #mirror = new KindMirror();
   readonly #catchup: Catchup;
+  readonly #startedAt: number;
   #asks = false;
   #wake: (() => void) | undefined;
   /** Undefined while everything has to be read. */
@@ -100,6 +109,7 @@
 
   constructor(opts: KindFollowerOptions<T>) {
     this.#opts = opts;
+    this.#startedAt = opts.clock.now();
     this.#catchup = new Catchup(opts.clock, () => this.#catchUp());
   }
 
@@ -173,12 +183,35 @@
 
   async #list(): Promise<Failure | undefined> {
     const { source } = this.#opts;
+    if (this.#waitsForPeers) {
+      const copied = await this.#readFromPeer();
+      if (copied || this.#abort.signal.aborted) return undefined;
+    }
     const read = await source.list(this.#abort.signal);
     if (read.isOk()) return this.#replace(read.value);
     const copied = await this.#fetch(0);
     return copied ? undefined : read.error;
   }
 
+  get #waitsForPeers(): boolean {
+    const { clock, peersFirstMs = 0 } = this.#opts;
+    const waits = clock.now() < this.#startedAt + peersFirstMs;
+    return waits && !this.#everRead && !this.#asks;
+  }
+
+  /**
+   * Load: at a fleet's first start each instance reads every page of every list,
+   * 14 calls each with 340 endpoints, long before the first caller comes.
+   */
+  async #readFromPeer(): Promise<boolean> {
+    while (this.#waitsForPeers) {
+      if (this.#heard > 0 && await this.#fetch(this.#heard)) return true;
+      await sleep(this.#opts.clock, PEER_LOOK_MS);
+      if (this.#abort.signal.aborted) return false;
+    }
+    return false;
+  }
+
   #replace(all: Snapshot<T>): undefined {
     // Before the entries: what is missing means something else after an outage.
     this.#inTouch();
--- a/src/follower/kind_follower_test.ts
+++ b/src/follower/kind_follower_test.ts
@@ -39,6 +39,11 @@
 
 /** A follower over scripted replies, with what it asked and told. */
 function follower(...replies: Reply[]) {
+  return waitingFollower(0, ...replies);
+}
+
+/** The same, which waits so long for instances that have read everything. */
+function waitingFollower(peersFirstMs: number, ...replies: Reply[]) {
   const seen: string[] = [];
   const left = [...replies];
   const next = <T>(call: string): Promise<Result<T, Failure>> => {
@@ -76,6 +81,7 @@
     clock,
     random: new SeededRandom(1),
     log: new SilentLog(),
+    peersFirstMs,
     relay: (batch) => relayed.push(batch),
     fetch: (_kind, atLeast) => {
       const { snapshot } = peer;
@@ -268,3 +274,44 @@
   await pass(200);
   t.deepEqual(seen, ["list", "all a", "changed c"]);
 });
+
+// Guards against a first start in which every instance reads every list.
+test("at a first start lists are read from an instance that has them", async (t) => {
+  const { seen, followed, peer, pass } = waitingFollower(4_000, list(5, "a"));
+  const done = followed.step();
+  await pass(1_000);
+  t.deepEqual(seen, []);
+  const objects = [{ name: "b", revision: 7 }];
+  peer.snapshot = { revision: 7, changedAt: 7, objects, holdMs: 0 };
+  followed.heardOf(7);
+  await pass(250);
+  await done;
+  t.deepEqual(seen, ["all b"]);
+});
+
+// Guards against a first start that waits for instances that never answer.
+test("without an instance that has the lists, they are read from the store", async (t) => {
+  const { seen, followed, pass } = waitingFollower(1_000, list(5, "a"));
+  const done = followed.step();
+  for (let i = 0; i < 5; i++) await pass(250);
+  await done;
+  t.deepEqual(seen, ["list", "all a"]);
+});
+
+// Guards against watchers that wait for each other.
+test("an instance that watches the store reads the lists at once", async (t) => {
+  const { seen, followed, pass } = waitingFollower(60_000, list(5, "a"));
+  followed.setAsking(true);
+  const done = followed.step();
+  await pass(0);
+  await done;
+  t.deepEqual(seen, ["list", "in touch", "all a"]);
+});
+
+// Guards against fetching a kind without objects from the store for ever.
+test("a kind without objects counts as read", async (t) => {
+  const { followed, step } = follower(list(5));
+  t.is(followed.changedAt, 0);
+  await step();
+  t.true(followed.changedAt > 0);
+});
--- a/src/follower/kind_mirror.ts
+++ b/src/follower/kind_mirror.ts
@@ -16,6 +16,9 @@
   readonly raw: unknown;
 }
 
+/** Below any revision of an object, and above that of what was never read. */
+const READ = 1;
+
 /** Objects by name. */
 export class KindMirror {
   readonly #kept = new Map<string, Kept>();
@@ -42,7 +45,7 @@
    * nobody was told of, so the list itself counts as a change.
    */
   replace(all: Snapshot<unknown>, opts: { readonly again: boolean }): void {
-    const newest = Math.max(0, ...all.entries.map((e) => e.revision));
+    const newest = Math.max(READ, ...all.entries.map((e) => e.revision));
     this.adopt(all, opts.again ? all.revision : newest);
   }
 
