--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -88,6 +88,13 @@
     tags: [],
     help: "Time until a second place has the record, before dispatch",
   },
+  "plan.in_force": {
+    type: "gauge",
+    unit: "version",
+    tags: [],
+    help:
+      "Version of the plan that requests are steered by; 0 before the first",
+  },
   "platform.calls": {
     type: "count",
     unit: "calls",
@@ -149,4 +156,11 @@
     tags: ["result"],
     help: "Writes of the zone's seat table",
   },
+  "settings.in_force": {
+    type: "gauge",
+    unit: "flag",
+    tags: ["digest"],
+    help:
+      "1 for the settings in force, by the first digits of the file's SHA-256; 0 for earlier ones",
+  },
 };
--- a/src/edge/outcome_journal.ts
+++ b/src/edge/outcome_journal.ts
@@ -19,8 +19,19 @@
   readonly #clock: Clock;
   readonly #log: Log;
   readonly #metrics: Metrics;
+  readonly #planVersion: () => number;
 
-  constructor(clock: Clock, log: Log, metrics: Metrics) {
+  /** @param opts `planVersion` is that of the plan in force; 0 before any. */
+  constructor(
+    opts: {
+      readonly clock: Clock;
+      readonly log: Log;
+      readonly metrics: Metrics;
+      readonly planVersion: () => number;
+    },
+  ) {
+    const { clock, log, metrics, planVersion } = opts;
+    this.#planVersion = planVersion;
     this.#clock = clock;
     this.#log = log;
     this.#metrics = metrics;
@@ -50,7 +61,7 @@
     this.#metrics.timing("refusal.duration", tookMs);
     this.#log.event("request_refused", {
       ...(trip === undefined
-        ? { request: req.fields.requestId }
+        ? { request: req.fields.requestId, plan: this.#planVersion() }
         : this.#about(trip)),
       code: why.code,
       outcome: why.outcome,
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -80,7 +80,12 @@
         windowMs: 10_000,
       }),
       fleetSize,
-      journal: new OutcomeJournal(clock, new SilentLog(), new MemoryMetrics()),
+      journal: new OutcomeJournal({
+        clock,
+        log: new SilentLog(),
+        metrics: new MemoryMetrics(),
+        planVersion: () => this.state.planVersion,
+      }),
       clock,
     });
   }
--- a/src/telemetry/json_log.ts
+++ b/src/telemetry/json_log.ts
@@ -49,14 +49,22 @@
   }
 
   /**
+   * @param inForce Fields of every line that change while the process runs.
+   *
    * @example
    * ```ts
    * const log = JsonLog.to(stdoutSink(), { instance: "i1" }, clock);
    * ```
    */
-  static to(sink: LineSink, base: LogFields, clock: Clock): JsonLog {
+  static to(
+    sink: LineSink,
+    base: LogFields,
+    clock: Clock,
+    inForce: () => LogFields = () => ({}),
+  ): JsonLog {
     const logger = pino({
       base,
+      mixin: () => ({ ...inForce() }),
       timestamp: () => `,"time":${Math.round(clock.wall())}`,
       formatters: { level: (label) => ({ level: label }) },
       messageKey: "event",
