--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -17,6 +17,7 @@
 export * from "./plain_server.ts";
 export * from "./request_codec.ts";
 export * from "./request_flow.ts";
+export * from "./settings_in_force.ts";
 export * from "./settings_watch.ts";
 export * from "./stop_plan.ts";
 export * from "./traffic_state.ts";
