--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -279,10 +279,12 @@
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
     }
     const warm = this.#peers.isZoneHeard(now);
+    // How large the fleet is shows with the list.
+    const relayed = !this.#peers.isMesh || !this.#peers.isListed;
     const roles = this.#roles.update(
       this.#peers.mates(),
       this.#peers.neighbours(),
-      { now, warm },
+      { now, warm, relayed },
     );
     // The next speaks from the moment at which it hears that this one leaves.
     const speaks = roles.speaks && digest.state !== "leaving";
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -133,6 +133,11 @@
     return Math.max(this.#assumed, this.#peers.size + 1);
   }
 
+  /** Whether the list of instances was read. */
+  get isListed(): boolean {
+    return this.#assumed === 1;
+  }
+
   /** Whether all instances tell each other everything one by one. */
   get isMesh(): boolean {
     return this.#peers.size < MOST_IN_MESH;
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -29,7 +29,9 @@
  * How long each further instance waits before it steps in, in milliseconds: one
  * digest and a bit, so that it has heard whether the one before did.
  */
-const STEP_IN_MS = 550;
+const STEP_IN_MS = 300;
+/** The same where digests come through a relay, in milliseconds. */
+const STEP_IN_RELAYED_MS = 550;
 /** Instances of a zone that everybody tells: one, and one in case it dies. */
 const HUBS = 2;
 /**
@@ -46,7 +48,21 @@
  * moment, and so do the endpoints; asking at once, each of 80 was woken by each
  * registration, which was two thirds of a day's calls.
  */
-const LISTEN_FIRST_MS = 1_500;
+const LISTEN_FIRST_MS = 700;
+/** The same in a fleet with relays, in ms: until the zone has found its own. */
+const LISTEN_FIRST_RELAYED_MS = 1_500;
+
+/** What roles are worked out at. */
+export interface RolesMoment {
+  readonly now: number;
+  /** Whether instances hear each other through relays. */
+  readonly relayed: boolean;
+  /**
+   * Whether most of the zone reports to this instance, so that its sums are
+   * whole.
+   */
+  readonly warm: boolean;
+}
 
 /** What an instance does for others. */
 export interface Roles {
@@ -81,19 +97,19 @@
    *
    * @param mates The zone's other instances, for which one speaks.
    * @param neighbours Those among which two ask the store for all.
-   * @param warm Whether most of the zone reports to this instance, so that its
-   * sums are whole.
    */
   update(
     mates: readonly Peer[],
     neighbours: readonly Peer[],
-    { now, warm }: { readonly now: number; readonly warm: boolean },
+    moment: RolesMoment,
   ): Roles {
+    const { now, relayed } = moment;
     this.#startedAt ??= now;
-    const listening = now - this.#startedAt < LISTEN_FIRST_MS;
+    const listenMs = relayed ? LISTEN_FIRST_RELAYED_MS : LISTEN_FIRST_MS;
+    const listening = now - this.#startedAt < listenMs;
     this.#asks = !listening &&
-      this.#decideAsking(this.#before(neighbours), now);
-    this.#speaks = this.#decideSpeaking(this.#before(mates), { now, warm });
+      this.#decideAsking(this.#before(neighbours), moment);
+    this.#speaks = this.#decideSpeaking(this.#before(mates), moment);
     return { speaks: this.#speaks, asksStore: this.#asks };
   }
 
@@ -109,7 +125,7 @@
   /** One that takes over speaks before the last one stops, and not after. */
   #decideSpeaking(
     before: readonly Peer[],
-    { now, warm }: { readonly now: number; readonly warm: boolean },
+    { now, warm }: RolesMoment,
   ): boolean {
     if (before.some((m) => m.relays)) {
       this.#unrelayedSince = undefined;
@@ -121,7 +137,10 @@
     return warm && now - this.#unrelayedSince >= turnMs;
   }
 
-  #decideAsking(before: readonly Peer[], now: number): boolean {
+  #decideAsking(
+    before: readonly Peer[],
+    { now, relayed }: RolesMoment,
+  ): boolean {
     const asking = before.filter((m) => m.asksStore);
     const inTouch = asking.filter((m) => m.storeInTouch);
     if (inTouch.length >= ASKING) {
@@ -133,7 +152,8 @@
     this.#shortSince ??= now;
     if (this.#asks || before.length < ASKING) return true;
     if (asking.length >= MOST_ASKING_IN_VAIN) return false;
-    const turnMs = (before.length - ASKING + 1) * STEP_IN_MS;
+    const stepMs = relayed ? STEP_IN_RELAYED_MS : STEP_IN_MS;
+    const turnMs = (before.length - ASKING + 1) * stepMs;
     return now - this.#shortSince >= turnMs;
   }
 
