--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -157,6 +157,7 @@
     this.#member = new FleetMember({
       profile: this.#profile,
       capacity: cfg.capacity,
+      firstStart: cfg.firstStart,
       assumed: cfg.zones.size * ASSUMED_PER_ZONE,
       seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
       transport: opts.transport,
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -65,6 +65,8 @@
   readonly profile: InstanceProfile;
   /** How much it can carry, compared with the others. */
   readonly capacity: number;
+  /** Whether the whole fleet starts for the first time. */
+  readonly firstStart: boolean;
   /** Instances that are assumed until the list of them is read. */
   readonly assumed: number;
   readonly seeds: readonly string[];
@@ -125,7 +127,8 @@
       forgotten: (zone) => this.#forgetGroup(groupOf(zone)),
     });
     this.#feed = new FleetFeed(events);
-    this.#roles = new ZoneRoles({ id: profile.id, capacity });
+    const { firstStart } = opts;
+    this.#roles = new ZoneRoles({ id: profile.id, capacity }, firstStart);
     const common = {
       datagrams: this.#datagrams,
       peers: this.#peers,
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -97,7 +97,7 @@
   restart(entry: TestMember): void {
     entry.groups.clear();
     entry.alive = true;
-    entry.member = this.#member(entry);
+    entry.member = this.#member(entry, { firstStart: false });
     // It takes what is sent to it from the next microtask on.
     queueMicrotask(() => {
       entry.member.start();
@@ -130,12 +130,15 @@
       take: () => {},
     };
     const member = entry as TestMember;
-    member.member = this.#member(member);
+    member.member = this.#member(member, { firstStart: true });
     this.members.push(member);
     this.#byAddress.set(profile.digestAddress, member);
   }
 
-  #member(entry: TestMember): FleetMember {
+  #member(
+    entry: TestMember,
+    { firstStart }: { readonly firstStart: boolean },
+  ): FleetMember {
     const { profile, capacity } = entry;
     const events = {
       told: (news: GroupNews, now: number) => {
@@ -157,6 +160,7 @@
     return new FleetMember({
       profile,
       capacity,
+      firstStart,
       assumed: 2,
       seeds: [],
       transport: this.#transport(profile, () => entry),
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -49,8 +49,11 @@
  * registration, which was two thirds of a day's calls.
  */
 const LISTEN_FIRST_MS = 700;
-/** The same in a fleet with relays, in ms: until the zone has found its own. */
-const LISTEN_FIRST_RELAYED_MS = 1_500;
+/**
+ * The same at the fleet's first start, in milliseconds: until zones have found
+ * their relays. Later starts must see drains soon.
+ */
+const LISTEN_FIRST_START_MS = 1_500;
 
 /** What roles are worked out at. */
 export interface RolesMoment {
@@ -79,6 +82,7 @@
 /** Roles of one instance. */
 export class ZoneRoles {
   readonly #own: Ranked;
+  readonly #listenMs: number;
   #asks = false;
   #speaks = false;
   /** Since when none of those before this one relays. */
@@ -88,8 +92,10 @@
   #shortSince: number | undefined;
   #enoughSince: number | undefined;
 
-  constructor(own: Ranked) {
+  /** @param firstStart Whether the whole fleet starts for the first time. */
+  constructor(own: Ranked, firstStart = false) {
     this.#own = own;
+    this.#listenMs = firstStart ? LISTEN_FIRST_START_MS : LISTEN_FIRST_MS;
   }
 
   /**
@@ -103,10 +109,9 @@
     neighbours: readonly Peer[],
     moment: RolesMoment,
   ): Roles {
-    const { now, relayed } = moment;
+    const { now } = moment;
     this.#startedAt ??= now;
-    const listenMs = relayed ? LISTEN_FIRST_RELAYED_MS : LISTEN_FIRST_MS;
-    const listening = now - this.#startedAt < listenMs;
+    const listening = now - this.#startedAt < this.#listenMs;
     this.#asks = !listening &&
       this.#decideAsking(this.#before(neighbours), moment);
     this.#speaks = this.#decideSpeaking(this.#before(mates), moment);
