--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -12,7 +12,7 @@
  */
 import { Buffer } from "node:buffer";
 import { BinaryReader, BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
-import { err, ok, type Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import {
   type AccountId,
   type EndpointId,
