Let instances that do not serve yet hand out the lists they have read

At a first start nobody serves before the plan is written, so nobody was asked and each read the store after four seconds. Whoever knows a kind's revision has read it.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -215,7 +215,7 @@
   /** Instances that know of a change of a kind, those of the zone first. */
   knowing(kind: string, revision: number): readonly InstanceProfile[] {
     const known = this.#peers.peers().filter((p) =>
-      !p.quiet && p.state === "serving" &&
+      !p.quiet && p.state !== "leaving" &&
       (p.changes.get(kind) ?? 0) >= revision
     ).map((p) => p.profile);
     const near = known.filter((p) => this.#peers.isOwnZone(p.zone));
@@ -244,7 +244,7 @@
     return this.#hubs().map((hub) => hub.digestAddress);
   }
 
-  /** The others of the zone that all of it tell. */
+  /** The others of the zone to which all of it report. */
   #hubs(): readonly InstanceProfile[] {
     const mates = this.#peers.mates();
     const hubs = this.#roles.hubs(mates);
@@ -271,7 +271,7 @@
     if (itself !== undefined) this.#peers.relayed(itself, changes, now);
   }
 
-  /** What follows each digest of this instance. */
+  /** Works out roles after each digest, and relays where that is this one's. */
   #period(digest: Digest): void {
     const now = this.#opts.clock.now();
     this.#zones.tick(now);
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -261,3 +261,14 @@
   const serving = one!.member.serving().map((p) => p.id);
   t.is(serving.filter((id) => id.startsWith("b1")).length, PER_ZONE - 1);
 });
+
+// Guards against a first start that reads the store at every instance since
+// none serves before the first plan.
+test("an instance that has read a kind is asked for it before it serves", async (t) => {
+  const fleet = new MemberFleet(ZONES, PER_ZONE);
+  for (const member of fleet.members) member.state = "starting";
+  await Promise.resolve();
+  fleet.pass(SETTLED_MS);
+  const last = fleet.of("a1").at(-1)!;
+  t.true(last.member.knowing("plans", 1).length > 0);
+});
