Suspect a relay as soon as it falls silent, not as late as its zone

A relay's own aggregate counted as hearsay of it, so it was missed after 1.3 s in place of 0.7 and its zone was without one for so long. The fleet without a network did not show it: digest and aggregate arrive there at the same moment.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -11,7 +11,6 @@
  */
 import {
   type Clock,
-  hash,
   type InstanceId,
   type Log,
   type Random,
@@ -261,14 +260,12 @@
   }
 
   #toldByRelay(aggregate: FleetAggregate): void {
-    const { relay, members, changes } = aggregate;
-    if (this.#peers.isMesh || !this.#peers.isOwnZone(relay.zone)) return;
+    const { zone } = aggregate.relay;
+    if (this.#peers.isMesh || !this.#peers.isOwnZone(zone)) return;
     const now = this.#opts.clock.now();
     if (!this.#relays) return this.#relayFollower.take(aggregate, now);
     // Of two relays one has to learn that the other is there.
-    this.#peers.learn(relay, now);
-    const itself = members.find(({ idHash }) => idHash === hash(relay.id));
-    if (itself !== undefined) this.#peers.relayed(itself, changes, now);
+    this.#peers.heardRelay(aggregate, now);
   }
 
   /** Works out roles after each digest, and relays where that is this one's. */
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -272,3 +272,14 @@
   const last = fleet.of("a1").at(-1)!;
   t.true(last.member.knowing("plans", 1).length > 0);
 });
+
+// Guards against a zone that hears of nobody for longer than a share of rates
+// may be left to instances that are cut off.
+test("the next relays within a second of a relay's end", async (t) => {
+  const fleet = await fleetOf(PER_ZONE);
+  const relay = fleet.of("c2").find((m) => m.roles.speaks)!;
+  fleet.kill(relay);
+  fleet.pass(1_000);
+  const others = fleet.of("c2").filter((m) => m !== relay);
+  t.is(others.filter((m) => m.roles.speaks).length, 1);
+});
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -10,7 +10,7 @@
   type ZoneId,
 } from "../core/mod.ts";
 import type { Digest } from "./digest.ts";
-import type { AggregateMember } from "./fleet_aggregate.ts";
+import type { AggregateMember, FleetAggregate } from "./fleet_aggregate.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 
 /**
@@ -77,6 +77,9 @@
   changes: ReadonlyMap<string, number>;
 }
 
+/** What a relay says of its zone. */
+type ZoneReport = Pick<FleetAggregate, "relay" | "members" | "changes">;
+
 /** What an instance reports of its state. */
 type PeerStatus = Pick<
   Peer,
@@ -235,10 +238,17 @@
     this.#events.told(digest, now);
   }
 
-  /** Takes in what the zone's relay says of an instance of the zone. */
-  relayed(
+  /** Takes in what a relay of the zone says of itself. */
+  heardRelay(aggregate: ZoneReport, now: number): void {
+    const { relay, members } = aggregate;
+    this.learn(relay, now);
+    const itself = members.find(({ idHash }) => idHash === hash(relay.id));
+    if (itself !== undefined) this.#relayed(itself, aggregate, now);
+  }
+
+  #relayed(
     { idHash, upToDate, ...status }: AggregateMember,
-    changes: ReadonlyMap<string, number>,
+    { relay, changes }: ZoneReport,
     now: number,
   ): void {
     const id = this.#byHash.get(idHash);
@@ -246,19 +256,17 @@
     if (peer === undefined || !this.isOwnZone(peer.profile.zone)) return;
     const known = upToDate ? changes : peer.changes;
     this.#update(peer, { ...status, changes: known }, now);
+    if (peer.profile.id === relay.id) peer.directAt = now;
   }
 
   /**
    * Takes in all that the zone's relay hears of the zone. An instance that it
    * does not name may be cut off.
    */
-  relayedZone(
-    members: readonly AggregateMember[],
-    changes: ReadonlyMap<string, number>,
-    now: number,
-  ): void {
+  heardZone(aggregate: ZoneReport, now: number): void {
+    const { members } = aggregate;
     const named = new Set(members.map(({ idHash }) => idHash));
-    for (const member of members) this.relayed(member, changes, now);
+    for (const member of members) this.#relayed(member, aggregate, now);
     for (const peer of this.mates()) {
       const unheardMs = now - (peer.directAt ?? -Infinity);
       const heard = named.has(hash(peer.profile.id)) ||
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -88,7 +88,7 @@
     this.#relay = { id: relay.id, start, seq, heardAt: now };
     this.#suspect = false;
     this.#unreachable = false;
-    this.#peers.relayedZone(aggregate.members, aggregate.changes, now);
+    this.#peers.heardZone(aggregate, now);
     if (aggregate.farServing !== undefined) {
       this.#farServing = aggregate.farServing.flatMap((idHash) =>
         this.#peers.refresh(idHash, now) ?? []
