--- a/src/edge/fleet_news.ts
+++ b/src/edge/fleet_news.ts
@@ -1,5 +1,5 @@
 /**
- * Hands what the other instances tell to the parts that go by it.
+ * Handlers of gossip: rates, load, the store's watch and expiry follow it.
  *
  * @module
  */
@@ -11,19 +11,19 @@
 import type { PeerLoad } from "./peer_load.ts";
 import type { SteeringFollowers } from "./steering_followers.ts";
 
-/** Who goes by what is told. */
+/** What handles gossip. */
 export interface FleetNewsOptions {
   readonly quotas: AccountQuotas;
   readonly peerLoad: PeerLoad;
   readonly followers: SteeringFollowers;
   readonly lapses: LapseWatch;
-  /** Whether one that asks the store for this instance too is answered. */
+  /** Whether a watcher of the store that serves this instance is answered. */
   readonly neighbourInTouch: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
 
-/** What happens among the instances, as one of them takes it. */
+/** Gossip handlers of one instance. */
 export class FleetNews implements FleetEvents {
   readonly #opts: FleetNewsOptions;
   #roles: Roles = { speaks: false, asksStore: false };
@@ -59,8 +59,8 @@
   }
 
   /**
-   * What one does not ask the store for it is told by others; while none of
-   * those is in touch with the store, neither is this one.
+   * An instance that does not watch the store is in touch with it while one that
+   * watches for it is.
    */
   roles({ speaks, asksStore }: Roles): void {
     const { clock, log, followers, lapses, neighbourInTouch } = this.#opts;
--- a/src/edge/peer_load.ts
+++ b/src/edge/peer_load.ts
@@ -1,5 +1,5 @@
 /**
- * What the other instances have in flight at endpoints, as they last told.
+ * Requests of other instances in flight at endpoints, as last reported.
  *
  * @module
  */
@@ -13,8 +13,10 @@
 export type RowOf = (endpoint: EndpointId) => EndpointRow | undefined;
 
 /**
- * Adds up what the others told, for the endpoints' rows. Only what changed is
- * added: summed anew over all that told, 80 instances took a tenth of a core.
+ * Sums reports for the endpoints' rows, by their differences.
+ *
+ * Load: summed anew with each report, the cost grows with the square of the
+ * fleet.
  */
 export class PeerLoad {
   readonly #told = new Map<InstanceId, InFlight>();
@@ -25,14 +27,14 @@
     this.#rowOf = rowOf;
   }
 
-  /** Takes in what an instance, or a zone as one, told. */
+  /** Takes in the report of a group: an instance, a zone, or the fleet. */
   told(group: InstanceId, inFlight: InFlight): void {
     this.silent(group);
     this.#told.set(group, inFlight);
     for (const [endpoint, n] of inFlight) this.#add(endpoint, n);
   }
 
-  /** Leaves out what is not heard any more. */
+  /** Leaves out a group that is unreachable. */
   silent(group: InstanceId): void {
     for (const [endpoint, n] of this.#told.get(group) ?? []) {
       this.#add(endpoint, -n);
--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -1,9 +1,8 @@
 /**
- * Sends digests to the other instances and takes in theirs.
+ * Gossip: sends digests to other instances and receives theirs.
  *
- * Datagrams and not streams: a digest that is late is worth nothing, a stream
- * behind a partition hangs until a time limit ends it, and one that hangs is
- * not told apart from one whose peer has nothing to say.
+ * Datagrams and not streams: a late digest is worthless, and a stream behind a
+ * partition looks like one whose peer is idle until it times out.
  *
  * @module
  */
@@ -15,19 +14,16 @@
 import type { NameBook } from "./name_book.ts";
 import type { Peer, PeerTable } from "./peer_table.ts";
 
-/**
- * How often digests go out, in milliseconds. Shares of rates lag by this; four
- * a second to each of a dozen instances take under 1% of a small core.
- */
+/** Period of digests, in milliseconds; shares of rates lag by it. */
 export const DIGEST_EVERY_MS = 250;
-/** Each so many digests say who the sender is, as do the first of a start. */
+/** One digest in so many carries the sender's profile, as do the first. */
 const INTRODUCED_EVERY = 8;
 export const INTRODUCED_FIRST = 4;
-/** Silent instances are told only each so many periods: they may be gone. */
+/** Unreachable instances get one digest in so many: they may be gone. */
 const SILENT_EVERY = 4;
 
 /**
- * Those of some instances that are told in a period.
+ * Recipients of a period.
  *
  * @param seq Counts the periods.
  */
@@ -52,7 +48,7 @@
   readonly recipients: (seq: number) => readonly InstanceProfile[];
   /** This instance's digest of this moment; `toNewcomer` where one reads it. */
   readonly compose: (seq: number, toNewcomer: boolean) => Digest;
-  /** Run each period, after the digest went out. */
+  /** Runs each period, after the digest was sent. */
   readonly told: (digest: Digest) => void;
 }
 
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -1,10 +1,8 @@
 /**
- * Speaks for this instance's zone to the others, and hears theirs.
+ * Exchange of digests between the relays of zones.
  *
- * A zone's digest goes to the instance that speaks for the other zone, which
- * passes it on to its own. Where none is heard there, it goes to some instance
- * of that zone, which passes it on just the same: so two zones find each other
- * without knowing who speaks.
+ * Where the relay of a zone is not known, digests go to some of its instances,
+ * which pass them on: zones find each other without knowing the relays.
  *
  * @module
  */
@@ -24,7 +22,7 @@
 import type { GroupSums } from "./group_sums.ts";
 import type { ZoneTable } from "./zone_table.ts";
 
-/** Instances tried at a time in a zone of which no speaker is heard. */
+/** Instances tried at a time in a zone whose relay is not known. */
 const TRIED = 2;
 /** Each so many digests say who the members are. */
 const INTRODUCED_EVERY = 8;
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -1,12 +1,11 @@
 /**
- * Which instances do what one or two do for others: speak to the other zones for
- * their own, and ask the store for those beside them.
+ * Roles that one or two instances have for others: the zone's relay, and the
+ * watchers of the store.
  *
- * Every instance works it out from the digests of the others. Two that see
- * different ones may both take a role for a while, which costs messages and
- * calls and does no harm. What goes wrong otherwise is that nobody takes it: so
- * a role is taken at once when those before one fall quiet, and given up only
- * when they have been there for a while.
+ * Each instance ranks those it hears. Two that hear different ones may hold a
+ * role at the same time, which costs messages and does no harm; a role that
+ * nobody holds would leave changes unseen, so it is taken as soon as those
+ * ranked higher are suspect, and given up only once they hold it.
  *
  * @module
  */
@@ -32,7 +31,7 @@
 const STEP_IN_MS = 300;
 /** The same where digests come through a relay, in milliseconds. */
 const STEP_IN_RELAYED_MS = 550;
-/** Instances of a zone that everybody tells: one, and one in case it dies. */
+/** Instances to which a zone reports: its relay and one standing by. */
 const HUBS = 2;
 /**
  * How long each further instance waits for those before it to relay, in
@@ -118,16 +117,13 @@
     return { speaks: this.#speaks, asksStore: this.#asks };
   }
 
-  /**
-   * Whom the zone's instances tell, this one perhaps among them: the one that
-   * hands out what all tell, and the one that will if it dies.
-   */
+  /** The zone's relay and the one standing by; this one may be among them. */
   hubs(mates: readonly Peer[]): readonly InstanceId[] {
     const ranked = [this.#own, ...present(mates).map(rankedOf)].sort(order);
     return ranked.slice(0, HUBS).map(({ id }) => id);
   }
 
-  /** One that takes over speaks before the last one stops, and not after. */
+  /** A relay steps down once one ranked higher relays, and not before. */
   #decideSpeaking(
     before: readonly Peer[],
     { now, warm }: RolesMoment,
--- a/src/fleet/zone_table.ts
+++ b/src/fleet/zone_table.ts
@@ -1,5 +1,5 @@
 /**
- * The other zones, as their speakers tell of them.
+ * The other zones, as their relays report them.
  *
  * @module
  */
@@ -8,8 +8,8 @@
 import type { ZoneDigest } from "./zone_digest.ts";
 
 /**
- * Without a digest for this long a zone's share of rates is set aside, in
- * milliseconds: two digests and the way through this zone's speaker.
+ * A zone without a digest for this long is suspect and its share of rates set
+ * aside, in milliseconds: two digests and the way through this zone's relay.
  */
 const QUIET_AFTER_MS = 900;
 /** Callers are not sent to a zone that is not heard for this long, in ms. */
@@ -88,7 +88,7 @@
     return [...this.#rows.keys()];
   }
 
-  /** Who speaks for a zone that is heard. */
+  /** The relay of a zone that is heard. */
   speaker(zone: ZoneId): InstanceProfile | undefined {
     const row = this.#rows.get(zone);
     if (row === undefined || row.quiet) return undefined;
