Read and write what all digests report in one place, and hash texts in one

Cause: the digests of instances, of zones and the aggregate each had their own loop over the fields, their own rows for changes, uses and requests in flight, and two had their own bits for an instance's state; the list of states stood four times.

Change: report_rows has the rows, wire_rows the loop, status_bits the state, and instance_profile the list of states; sha256 moved from the document module to core, which re-exports it as before. A digest that cannot be read is logged with the same words for all three.

Ruled out: one message for all three. They share rows, not fields.

The tests of src/fleet, document, admin, core and platform pass unchanged.

--- a/src/admin/access.ts
+++ b/src/admin/access.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import { ok, type Result } from "neverthrow";
-import { fail, type Failure } from "../core/mod.ts";
+import { fail, type Failure, sha256 } from "../core/mod.ts";
 import {
   kindOf,
   type SectionName,
@@ -43,7 +42,7 @@
   if (token === undefined) {
     return fail("unauthenticated", "no bearer token came with the request");
   }
-  const digest = createHash("sha256").update(token).digest("hex");
+  const digest = sha256(token);
   const roles = Object.entries(deps.document().roles);
   if (roles.length === 0 && digest === deps.bootstrapSha256) {
     return ok({ name: "bootstrap", edits: [EVERYTHING] });
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -17,5 +17,6 @@
 export * from "./nearest.ts";
 export * from "./packed_json.ts";
 export * from "./random.ts";
+export * from "./sha256.ts";
 export * from "./stop_signal.ts";
 export * from "./strict.ts";
--- a/src/document/content_store.ts
+++ b/src/document/content_store.ts
@@ -8,9 +8,9 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { fail, type Failure } from "../core/mod.ts";
+import { fail, type Failure, sha256 } from "../core/mod.ts";
 import type { Platform } from "../store/mod.ts";
-import { contentKey, sha256 } from "./manifest.ts";
+import { contentKey } from "./manifest.ts";
 
 /** UTF-16 units in a part; three bytes each at most stay below a megabyte. */
 const PART_LENGTH = 300_000;
--- a/src/document/document_store.ts
+++ b/src/document/document_store.ts
@@ -11,6 +11,7 @@
   failure,
   fromZod,
   type Random,
+  sha256,
   sleep,
 } from "../core/mod.ts";
 import type { Platform, Versioned } from "../store/mod.ts";
@@ -26,7 +27,6 @@
   Manifest,
   MANIFEST_KEY,
   type ManifestEntry,
-  sha256,
 } from "./manifest.ts";
 import { ManifestWriter } from "./manifest_writer.ts";
 import type { SectionName } from "./sections.ts";
--- a/src/document/manifest.ts
+++ b/src/document/manifest.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import { z } from "zod";
 import { SectionName } from "./sections.ts";
 
@@ -54,11 +53,6 @@
   return JSON.stringify(value, (_key, v) => sorted(v));
 }
 
-/** The digest by which content is named. */
-export function sha256(text: string): string {
-  return createHash("sha256").update(text).digest("hex");
-}
-
 function sorted(value: unknown): unknown {
   if (value === null || typeof value !== "object" || Array.isArray(value)) {
     return value;
--- a/src/document/mod.ts
+++ b/src/document/mod.ts
@@ -13,3 +13,4 @@
 export * from "./section_edit.ts";
 export * from "./sections.ts";
 export * from "./site_blocks.ts";
+export { sha256 } from "../core/mod.ts";
--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -14,33 +14,24 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { BinaryReader, BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
-import { err, ok, type Result } from "neverthrow";
 import {
-  type AccountId,
-  type EndpointId,
-  fail,
-  type Failure,
-  hash,
-} from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+  type BinaryReader,
+  BinaryWriter,
+  WireType,
+} from "@bufbuild/protobuf/wire";
+import { err, ok, type Result } from "neverthrow";
+import { fail, type Failure, hash } from "../core/mod.ts";
 import type { Digest } from "./digest.ts";
 import { isName } from "./digest_rows.ts";
-import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
+import { ReportDraft, writeReport } from "./report_rows.ts";
+import { statusBits, statusOf } from "./status_bits.ts";
 import {
-  readInFlight,
-  readName,
+  readMessage,
   readProfileField,
-  readRows,
-  readUse,
   readWhole,
-  writeInFlight,
-  writeName,
   writeProfile,
-  writeRows,
-  writeUses,
 } from "./wire_rows.ts";
 
 /** Longer datagrams are dropped unread, in bytes. */
@@ -61,13 +52,6 @@
   other: 11,
 } as const;
 
-const STATES: readonly InstanceState[] = ["starting", "serving", "leaving"];
-/** Parts of the flags: a number of `STATES` in the lowest bits, and these. */
-const STATE_BITS = 3;
-const STORE_IN_TOUCH = 4;
-const ASKS_STORE = 8;
-const RELAYS = 16;
-
 /** What a reader knows of names. */
 export interface DigestNames {
   readonly book: NameBook;
@@ -96,17 +80,12 @@
   const { book, introduces } = opts;
   const out = new BinaryWriter();
   out.tag(FIELD.senderHash, WireType.Bit32).fixed32(hash(profile.id));
-  out.tag(FIELD.flags, WireType.Varint).uint32(flagsOf(digest));
+  out.tag(FIELD.flags, WireType.Varint).uint32(statusBits(digest));
   out.tag(FIELD.start, WireType.LengthDelimited).string(digest.start);
   out.tag(FIELD.seq, WireType.Varint).uint64(seq);
   out.tag(FIELD.planVersion, WireType.Varint).uint64(digest.planVersion);
   out.tag(FIELD.capacity, WireType.Bit64).double(digest.capacity);
-  writeRows(out, FIELD.changes, digest.changes, (kind, revision) => {
-    writeName(out, kind, book);
-    out.uint64(revision);
-  });
-  writeUses(out, FIELD.uses, { uses: digest.uses, book });
-  writeInFlight(out, FIELD.inFlight, { inFlight: digest.inFlight, book });
+  writeReport(out, digest, { fields: FIELD, book });
   if (introduces) {
     writeProfile(out, FIELD.profile, profile);
     for (const other of digest.others) writeProfile(out, FIELD.other, other);
@@ -124,18 +103,12 @@
   bytes: Uint8Array,
   names: DigestNames,
 ): Result<Digest | undefined, Failure> {
-  if (bytes.length > MAX_BYTES) {
-    return fail("bad_request", "the datagram is too long");
-  }
   const draft = new Draft(names);
-  try {
-    // The reader takes values out of the bytes; the socket's buffer is used
-    // again.
-    draft.read(new BinaryReader(Buffer.from(bytes)));
-  } catch (cause) {
-    return fail("bad_request", `the datagram is no digest: ${String(cause)}`);
-  }
-  return draft.finish();
+  return readMessage(
+    bytes,
+    MAX_BYTES,
+    (field, reader) => draft.read(field, reader),
+  ).andThen(() => draft.finish());
 }
 
 /** A digest as far as it is read. */
@@ -148,47 +121,34 @@
   #seq = -1;
   #planVersion = 0;
   #capacity = 0;
-  readonly #changes = new Map<string, number>();
-  readonly #uses = new Map<AccountId, AccountUse>();
-  readonly #inFlight = new Map<EndpointId, number>();
+  readonly #report: ReportDraft;
   readonly #others: InstanceProfile[] = [];
 
   constructor(names: DigestNames) {
     this.#names = names;
-  }
-
-  read(reader: BinaryReader): void {
-    while (reader.pos < reader.len) {
-      const [field, type] = reader.tag();
-      this.#field(field, type, reader);
-    }
+    this.#report = new ReportDraft(FIELD, names.book);
   }
 
   finish(): Result<Digest | undefined, Failure> {
-    const flags = this.#flags ?? 0;
-    const state = STATES[flags & STATE_BITS];
-    if (
-      this.#flags === undefined || state === undefined ||
-      !isName(this.#start) || this.#seq < 0
-    ) {
+    const status = this.#flags === undefined
+      ? undefined
+      : statusOf(this.#flags);
+    if (status === undefined || !isName(this.#start) || this.#seq < 0) {
       return fail("bad_request", "the datagram is no digest");
     }
     if (this.#profile?.isErr()) return err(this.#profile.error);
     const profile = this.#profile?.unwrapOr(undefined) ?? this.#known();
     if (profile === undefined) return ok(undefined);
     return ok({
+      ...status,
       profile,
-      state,
       start: this.#start,
       seq: this.#seq,
       planVersion: this.#planVersion,
-      storeInTouch: (flags & STORE_IN_TOUCH) !== 0,
-      asksStore: (flags & ASKS_STORE) !== 0,
-      relays: (flags & RELAYS) !== 0,
       capacity: this.#capacity > 0 ? this.#capacity : 0,
-      changes: this.#changes,
-      uses: this.#uses,
-      inFlight: this.#inFlight,
+      changes: this.#report.changes,
+      uses: this.#report.uses,
+      inFlight: this.#report.inFlight,
       others: this.#others,
     });
   }
@@ -198,59 +158,37 @@
     return this.#names.profileOf(this.#senderHash);
   }
 
-  #field(field: number, type: WireType, reader: BinaryReader): void {
-    const { book } = this.#names;
+  /** Reads a field; gives false where it is not known. */
+  read(field: number, reader: BinaryReader): boolean {
     switch (field) {
       case FIELD.senderHash:
         this.#senderHash = reader.fixed32();
-        return;
+        return true;
       case FIELD.profile:
         this.#profile = readProfileField(reader);
-        return;
+        return true;
       case FIELD.flags:
         this.#flags = reader.uint32();
-        return;
+        return true;
       case FIELD.start:
         this.#start = reader.string();
-        return;
+        return true;
       case FIELD.seq:
         this.#seq = readWhole(reader);
-        return;
+        return true;
       case FIELD.planVersion:
         this.#planVersion = readWhole(reader);
-        return;
+        return true;
       case FIELD.capacity:
         this.#capacity = reader.double();
-        return;
-      case FIELD.changes:
-        return readRows(reader, (rows) => {
-          const kind = readName(rows, book);
-          const revision = readWhole(rows);
-          if (kind !== undefined) this.#changes.set(kind, revision);
-        });
-      case FIELD.uses:
-        return readRows(reader, (rows) => {
-          const row = readUse(rows, book);
-          if (row !== undefined) this.#uses.set(...row);
-        });
-      case FIELD.inFlight:
-        return readRows(
-          reader,
-          (rows) => readInFlight(rows, this.#inFlight, book),
-        );
+        return true;
       case FIELD.other: {
         const other = readProfileField(reader);
         if (other.isOk()) this.#others.push(other.value);
-        return;
+        return true;
       }
       default:
-        reader.skip(type, field);
+        return this.#report.read(field, reader);
     }
   }
 }
-
-function flagsOf(digest: Digest): number {
-  const { state, storeInTouch, asksStore, relays } = digest;
-  return STATES.indexOf(state) | (storeInTouch ? STORE_IN_TOUCH : 0) |
-    (asksStore ? ASKS_STORE : 0) | (relays ? RELAYS : 0);
-}
--- a/src/fleet/digest_rows.ts
+++ b/src/fleet/digest_rows.ts
@@ -13,7 +13,11 @@
   type ZoneId,
 } from "../core/mod.ts";
 import type { AccountUse } from "../decisions/quotas/mod.ts";
-import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import {
+  INSTANCE_STATES,
+  type InstanceProfile,
+  type InstanceState,
+} from "./instance_profile.ts";
 
 /** Names longer than this are no names of ours, in characters. */
 const MAX_NAME = 128;
@@ -25,7 +29,7 @@
 export type UseRow = [number, number, number];
 
 export function isState(value: unknown): value is InstanceState {
-  return value === "starting" || value === "serving" || value === "leaving";
+  return INSTANCE_STATES.some((state) => state === value);
 }
 
 export function isRecord(value: unknown): boolean {
--- a/src/fleet/fleet_aggregate.ts
+++ b/src/fleet/fleet_aggregate.ts
@@ -9,53 +9,46 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { BinaryReader, BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
-import { err, ok, type Result } from "neverthrow";
 import {
-  type AccountId,
-  type EndpointId,
-  fail,
-  type Failure,
-} from "../core/mod.ts";
-import type { AccountUse, Reserved } from "../decisions/quotas/mod.ts";
+  type BinaryReader,
+  BinaryWriter,
+  WireType,
+} from "@bufbuild/protobuf/wire";
+import { err, ok, type Result } from "neverthrow";
+import { fail, type Failure } from "../core/mod.ts";
+import type { Reserved } from "../decisions/quotas/mod.ts";
 import { isName } from "./digest_rows.ts";
-import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
+import { type Report, ReportDraft, writeReport } from "./report_rows.ts";
+import {
+  FREE_BIT,
+  type InstanceStatus,
+  statusBits,
+  statusOf,
+} from "./status_bits.ts";
 import {
-  readInFlight,
-  readName,
+  readMessage,
   readProfileField,
   readRows,
-  readShare,
-  readUse,
   readWhole,
-  writeInFlight,
-  writeName,
   writeProfile,
-  writeRows,
-  writeShares,
-  writeUses,
 } from "./wire_rows.ts";
 
 /** An instance of the zone as the relay knows it. */
-export interface AggregateMember {
+export interface AggregateMember extends InstanceStatus {
   readonly idHash: number;
   /** Hash of the instance's start. */
   readonly startHash: number;
   /** The instance's last digest that the sums contain. */
   readonly seq: number;
-  readonly state: InstanceState;
-  readonly asksStore: boolean;
-  readonly storeInTouch: boolean;
-  readonly relays: boolean;
   /** Whether it knows all changes that the aggregate names. */
   readonly upToDate: boolean;
   readonly capacity: number;
 }
 
-/** One aggregate. */
-export interface FleetAggregate {
+/** One aggregate: its changes are the highest that any instance knows of. */
+export interface FleetAggregate extends Report {
   readonly relay: InstanceProfile;
   /** Differs with each start of the relay. */
   readonly start: string;
@@ -65,10 +58,6 @@
   readonly instances: number;
   /** Whether an instance that watches the store is answered. */
   readonly storeInTouch: boolean;
-  /** The highest revision that any instance knows of, by kind. */
-  readonly changes: ReadonlyMap<string, number>;
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
-  readonly inFlight: ReadonlyMap<EndpointId, number>;
   /** What is set aside for instances that the relay does not hear. */
   readonly reserved: Reserved;
   /** Instances of the zone that the relay hears, itself included. */
@@ -102,12 +91,7 @@
   profile: 13,
 } as const;
 
-const STATES: readonly InstanceState[] = ["starting", "serving", "leaving"];
-const STATE_BITS = 3;
-const ASKS_STORE = 4;
-const STORE_IN_TOUCH = 8;
-const UP_TO_DATE = 16;
-const RELAYS = 32;
+const UP_TO_DATE = FREE_BIT;
 
 /**
  * Writes an aggregate as a datagram.
@@ -121,21 +105,16 @@
   aggregate: FleetAggregate,
   book: NameBook,
 ): Uint8Array {
-  const { changes, uses, inFlight, reserved, members, farServing } = aggregate;
+  const { reserved, members, farServing } = aggregate;
   const out = new BinaryWriter();
   writeProfile(out, FIELD.relay, aggregate.relay);
   out.tag(FIELD.start, WireType.LengthDelimited).string(aggregate.start);
   out.tag(FIELD.seq, WireType.Varint).uint64(aggregate.seq);
   out.tag(FIELD.instances, WireType.Varint).uint32(aggregate.instances);
   out.tag(FIELD.storeInTouch, WireType.Varint).bool(aggregate.storeInTouch);
-  writeRows(out, FIELD.changes, changes, (kind, revision) => {
-    writeName(out, kind, book);
-    out.uint64(revision);
-  });
-  writeUses(out, FIELD.uses, { uses, book });
-  writeInFlight(out, FIELD.inFlight, { inFlight, book });
+  const { shares } = reserved;
+  writeReport(out, aggregate, { fields: FIELD, book, shares });
   out.tag(FIELD.reservedInstances, WireType.Varint).uint32(reserved.instances);
-  writeShares(out, FIELD.reserved, { shares: reserved.shares, book });
   out.tag(FIELD.members, WireType.LengthDelimited).fork();
   for (const member of members) writeMember(out, member);
   out.join();
@@ -159,46 +138,29 @@
   bytes: Uint8Array,
   book: NameBook,
 ): Result<FleetAggregate, Failure> {
-  if (bytes.length > MAX_BYTES) {
-    return fail("bad_request", "the datagram is too long");
-  }
   const draft = new Draft(book);
-  try {
-    // The reader takes values out of the bytes; the socket's buffer is used
-    // again.
-    draft.read(new BinaryReader(Buffer.from(bytes)));
-  } catch (cause) {
-    return fail("bad_request", `the datagram is cut: ${String(cause)}`);
-  }
-  return draft.finish();
+  return readMessage(
+    bytes,
+    MAX_BYTES,
+    (field, reader) => draft.read(field, reader),
+  ).andThen(() => draft.finish());
 }
 
 /** An aggregate as far as it is read. */
 class Draft {
-  readonly #book: NameBook;
+  readonly #report: ReportDraft;
   #relay: Result<InstanceProfile, Failure> | undefined;
   #start = "";
   #seq = -1;
   #instances = 0;
   #storeInTouch = false;
   #reservedInstances = 0;
-  readonly #changes = new Map<string, number>();
-  readonly #uses = new Map<AccountId, AccountUse>();
-  readonly #inFlight = new Map<EndpointId, number>();
-  readonly #shares = new Map<AccountId, number>();
   readonly #members: AggregateMember[] = [];
   #farServing: number[] | undefined;
   readonly #profiles: InstanceProfile[] = [];
 
   constructor(book: NameBook) {
-    this.#book = book;
-  }
-
-  read(reader: BinaryReader): void {
-    while (reader.pos < reader.len) {
-      const [field, type] = reader.tag();
-      this.#field(field, type, reader);
-    }
+    this.#report = new ReportDraft(FIELD, book);
   }
 
   finish(): Result<FleetAggregate, Failure> {
@@ -206,109 +168,84 @@
       return fail("bad_request", "the datagram is no aggregate");
     }
     if (this.#relay.isErr()) return err(this.#relay.error);
+    const { changes, uses, inFlight, shares } = this.#report;
     return ok({
       relay: this.#relay.value,
       start: this.#start,
       seq: this.#seq,
       instances: this.#instances,
       storeInTouch: this.#storeInTouch,
-      changes: this.#changes,
-      uses: this.#uses,
-      inFlight: this.#inFlight,
-      reserved: { shares: this.#shares, instances: this.#reservedInstances },
+      changes,
+      uses,
+      inFlight,
+      reserved: { shares, instances: this.#reservedInstances },
       members: this.#members,
       farServing: this.#farServing,
       profiles: this.#profiles,
     });
   }
 
-  #field(field: number, type: WireType, reader: BinaryReader): void {
-    const book = this.#book;
+  /** Reads a field; gives false where it is not known. */
+  read(field: number, reader: BinaryReader): boolean {
     switch (field) {
       case FIELD.relay:
         this.#relay = readProfileField(reader);
-        return;
+        return true;
       case FIELD.start:
         this.#start = reader.string();
-        return;
+        return true;
       case FIELD.seq:
         this.#seq = readWhole(reader);
-        return;
+        return true;
       case FIELD.instances:
         this.#instances = reader.uint32();
-        return;
+        return true;
       case FIELD.storeInTouch:
         this.#storeInTouch = reader.bool();
-        return;
-      case FIELD.changes:
-        return readRows(reader, (rows) => {
-          const kind = readName(rows, book);
-          const revision = readWhole(rows);
-          if (kind !== undefined) this.#changes.set(kind, revision);
-        });
-      case FIELD.uses:
-        return readRows(reader, (rows) => {
-          const row = readUse(rows, book);
-          if (row !== undefined) this.#uses.set(...row);
-        });
-      case FIELD.inFlight:
-        return readRows(
-          reader,
-          (rows) => readInFlight(rows, this.#inFlight, book),
-        );
+        return true;
       case FIELD.reservedInstances:
         this.#reservedInstances = reader.uint32();
-        return;
-      case FIELD.reserved:
-        return readRows(reader, (rows) => {
-          const row = readShare(rows, book);
-          if (row !== undefined) this.#shares.set(...row);
-        });
+        return true;
       case FIELD.members:
-        return readRows(reader, (rows) => this.#members.push(readMember(rows)));
+        readRows(reader, (rows) => this.#members.push(readMember(rows)));
+        return true;
       case FIELD.farServing: {
         const serving: number[] = [];
         readRows(reader, (rows) => serving.push(rows.fixed32()));
         this.#farServing = serving;
-        return;
+        return true;
       }
       case FIELD.profile: {
         const profile = readProfileField(reader);
         if (profile.isOk()) this.#profiles.push(profile.value);
-        return;
+        return true;
       }
       default:
-        reader.skip(type, field);
+        return this.#report.read(field, reader);
     }
   }
 }
 
 function writeMember(out: BinaryWriter, member: AggregateMember): void {
-  const flags = STATES.indexOf(member.state) |
-    (member.asksStore ? ASKS_STORE : 0) |
-    (member.storeInTouch ? STORE_IN_TOUCH : 0) |
-    (member.upToDate ? UP_TO_DATE : 0) | (member.relays ? RELAYS : 0);
+  const bits = statusBits(member) | (member.upToDate ? UP_TO_DATE : 0);
   out.fixed32(member.idHash).fixed32(member.startHash).uint64(member.seq);
   // In full: peers rank each other by it and must all find the same order.
-  out.uint32(flags).double(member.capacity);
+  out.uint32(bits).double(member.capacity);
 }
 
 function readMember(rows: BinaryReader): AggregateMember {
   const idHash = rows.fixed32();
   const startHash = rows.fixed32();
   const seq = readWhole(rows);
-  const flags = rows.uint32();
-  const state = STATES[flags & STATE_BITS];
-  if (state === undefined) throw new RangeError("no such state");
+  const bits = rows.uint32();
+  const status = statusOf(bits);
+  if (status === undefined) throw new RangeError("no such state");
   return {
+    ...status,
     idHash,
     startHash,
     seq,
-    state,
-    asksStore: (flags & ASKS_STORE) !== 0,
-    storeInTouch: (flags & STORE_IN_TOUCH) !== 0,
-    upToDate: (flags & UP_TO_DATE) !== 0,
-    relays: (flags & RELAYS) !== 0,
+    upToDate: (bits & UP_TO_DATE) !== 0,
     capacity: Math.max(0, rows.double()),
   };
 }
--- a/src/fleet/instance_profile.ts
+++ b/src/fleet/instance_profile.ts
@@ -5,8 +5,11 @@
  */
 import type { InstanceId, RegionId, ZoneId } from "../core/mod.ts";
 
+/** States in the order in which digests number them. */
+export const INSTANCE_STATES = ["starting", "serving", "leaving"] as const;
+
 /** Whether an instance takes callers. */
-export type InstanceState = "starting" | "serving" | "leaving";
+export type InstanceState = (typeof INSTANCE_STATES)[number];
 
 /** Where an instance stands and can be reached. */
 export interface InstanceProfile {
--- a/src/fleet/wire_rows.ts
+++ b/src/fleet/wire_rows.ts
@@ -1,22 +1,17 @@
 /**
- * Rows of digests in the wire format of protocol buffers: names as hashes,
- * counts as varints.
+ * Parts of messages in the wire format of protocol buffers: names as hashes,
+ * counts as varints, rows without a tag for each number.
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import {
   BinaryReader,
   type BinaryWriter,
   WireType,
 } from "@bufbuild/protobuf/wire";
-import type { Result } from "neverthrow";
-import {
-  type AccountId,
-  type EndpointId,
-  type Failure,
-  hash,
-} from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import { ok, type Result } from "neverthrow";
+import { fail, type Failure, hash } from "../core/mod.ts";
 import {
   isName,
   type ProfileRow,
@@ -26,10 +21,6 @@
 import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
 
-/** Rates and levels are rounded to a tenth. */
-const TENTHS = 10;
-/** Shares are rounded to a ten-thousandth. */
-const SHARE_UNITS = 10_000;
 /** Precedes a name in full, where its hash is ambiguous. */
 const WRITTEN_OUT = 0;
 
@@ -77,90 +68,6 @@
   return isName(name) ? name : undefined;
 }
 
-/** Writes the uses of accounts as one field. */
-export function writeUses(
-  out: BinaryWriter,
-  field: number,
-  opts: {
-    readonly uses: ReadonlyMap<AccountId, AccountUse>;
-    readonly book: NameBook;
-  },
-): void {
-  writeRows(out, field, opts.uses, (account, use) => {
-    writeName(out, account, opts.book);
-    out.uint64(tenths(use.perS)).uint64(use.admitted);
-    out.sint64(tenths(use.level));
-  });
-}
-
-/** Reads one account's use; undefined where the account is not known here. */
-export function readUse(
-  rows: BinaryReader,
-  book: NameBook,
-): [AccountId, AccountUse] | undefined {
-  const account = readName(rows, book);
-  const use = {
-    perS: readWhole(rows) / TENTHS,
-    admitted: readWhole(rows),
-    level: Number(rows.sint64()) / TENTHS,
-  };
-  return account === undefined ? undefined : [account as AccountId, use];
-}
-
-/** Writes parts of rates as one field. */
-export function writeShares(
-  out: BinaryWriter,
-  field: number,
-  opts: {
-    readonly shares: ReadonlyMap<AccountId, number>;
-    readonly book: NameBook;
-  },
-): void {
-  writeRows(out, field, opts.shares, (account, share) => {
-    writeName(out, account, opts.book);
-    // Rounded up: what is set aside must not shrink on the way.
-    out.uint32(Math.ceil(share * SHARE_UNITS));
-  });
-}
-
-/** Reads one account's part; undefined where the account is not known here. */
-export function readShare(
-  rows: BinaryReader,
-  book: NameBook,
-): [AccountId, number] | undefined {
-  const account = readName(rows, book);
-  const share = rows.uint32() / SHARE_UNITS;
-  return account === undefined ? undefined : [account as AccountId, share];
-}
-
-/** Writes requests in flight by endpoint as one field, grouped by count. */
-export function writeInFlight(
-  out: BinaryWriter,
-  field: number,
-  opts: {
-    readonly inFlight: ReadonlyMap<EndpointId, number>;
-    readonly book: NameBook;
-  },
-): void {
-  writeRows(out, field, byCount(opts.inFlight), (n, endpoints) => {
-    out.uint64(n).uint32(endpoints.length);
-    for (const endpoint of endpoints) writeName(out, endpoint, opts.book);
-  });
-}
-
-/** Reads the endpoints with one count into `inFlight`. */
-export function readInFlight(
-  rows: BinaryReader,
-  inFlight: Map<EndpointId, number>,
-  book: NameBook,
-): void {
-  const n = readWhole(rows);
-  for (let left = rows.uint32(); left > 0; left--) {
-    const endpoint = readName(rows, book);
-    if (endpoint !== undefined) inFlight.set(endpoint as EndpointId, n);
-  }
-}
-
 /** Writes an instance's profile. */
 export function writeProfile(
   out: BinaryWriter,
@@ -185,19 +92,29 @@
   return value;
 }
 
-/** Most endpoints hold one or two requests of an instance. */
-function byCount(
-  inFlight: ReadonlyMap<EndpointId, number>,
-): Map<number, EndpointId[]> {
-  const groups = new Map<number, EndpointId[]>();
-  for (const [endpoint, n] of inFlight) {
-    const group = groups.get(n);
-    if (group === undefined) groups.set(n, [endpoint]);
-    else group.push(endpoint);
+/**
+ * Reads a message field by field; `take` gives whether it knows a field.
+ *
+ * Errors: `bad_request` where the bytes are too long or no message.
+ */
+export function readMessage(
+  bytes: Uint8Array,
+  mostBytes: number,
+  take: (field: number, reader: BinaryReader) => boolean,
+): Result<void, Failure> {
+  if (bytes.length > mostBytes) {
+    return fail("bad_request", "the datagram is too long");
   }
-  return groups;
-}
-
-function tenths(value: number): number {
-  return Math.round(value * TENTHS);
+  try {
+    // The reader takes values out of the bytes; the socket's buffer is used
+    // again.
+    const reader = new BinaryReader(Buffer.from(bytes));
+    while (reader.pos < reader.len) {
+      const [field, type] = reader.tag();
+      if (!take(field, reader)) reader.skip(type, field);
+    }
+  } catch (cause) {
+    return fail("bad_request", `the datagram is no digest: ${String(cause)}`);
+  }
+  return ok(undefined);
 }
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -10,12 +10,13 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { BinaryReader, BinaryWriter, WireType } from "@bufbuild/protobuf/wire";
+import {
+  type BinaryReader,
+  BinaryWriter,
+  WireType,
+} from "@bufbuild/protobuf/wire";
 import { ok, type Result } from "neverthrow";
 import {
-  type AccountId,
-  type EndpointId,
   fail,
   type Failure,
   hash,
@@ -23,25 +24,22 @@
   type RegionId,
   type ZoneId,
 } from "../core/mod.ts";
-import type { AccountUse, Reserved } from "../decisions/quotas/mod.ts";
+import type { Reserved } from "../decisions/quotas/mod.ts";
 import type { DigestNames } from "./compact_digest.ts";
 import { isName } from "./digest_rows.ts";
-import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import {
+  INSTANCE_STATES,
+  type InstanceProfile,
+  type InstanceState,
+} from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
+import { type Report, ReportDraft, writeReport } from "./report_rows.ts";
 import {
-  readInFlight,
-  readName,
+  readMessage,
   readProfileField,
   readRows,
-  readShare,
-  readUse,
   readWhole,
-  writeInFlight,
-  writeName,
   writeProfile,
-  writeRows,
-  writeShares,
-  writeUses,
 } from "./wire_rows.ts";
 
 /** An instance of the zone. */
@@ -50,8 +48,8 @@
   readonly state: InstanceState;
 }
 
-/** One digest of a zone. */
-export interface ZoneDigest {
+/** One digest of a zone: its changes are those that the relay knows of. */
+export interface ZoneDigest extends Report {
   readonly zone: ZoneId;
   readonly region: RegionId;
   /** The zone's relay. */
@@ -62,18 +60,12 @@
   readonly seq: number;
   /** Whether an instance of the zone watches the store, and is answered. */
   readonly storeInTouch: boolean;
-  /** Revision of the last change that the relay knows of, by kind. */
-  readonly changes: ReadonlyMap<string, number>;
   /** Instances of the zone that are heard, the relay included. */
   readonly members: readonly ZoneMember[];
   /** Instances whose uses are in the sums. */
   readonly instances: number;
   /** What is set aside for instances of the zone that are not heard. */
   readonly reserved: Reserved;
-  /** What was asked of and admitted for accounts, summed. */
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
-  /** Requests out at endpoints, summed; none where there is no entry. */
-  readonly inFlight: ReadonlyMap<EndpointId, number>;
 }
 
 /** Longer datagrams are dropped unread, in bytes. */
@@ -96,8 +88,6 @@
   uses: 14,
   inFlight: 15,
 } as const;
-const STATES: readonly InstanceState[] = ["starting", "serving", "leaving"];
-
 /**
  * Writes a zone's digest as a datagram.
  *
@@ -115,7 +105,7 @@
   },
 ): Uint8Array {
   const { book, introduces } = opts;
-  const { changes, members, reserved, uses, inFlight } = digest;
+  const { members, reserved } = digest;
   const out = new BinaryWriter();
   out.tag(FIELD.zone, WireType.LengthDelimited).string(digest.zone);
   out.tag(FIELD.region, WireType.LengthDelimited).string(digest.region);
@@ -123,13 +113,9 @@
   out.tag(FIELD.start, WireType.LengthDelimited).string(digest.start);
   out.tag(FIELD.seq, WireType.Varint).uint64(digest.seq);
   out.tag(FIELD.storeInTouch, WireType.Varint).bool(digest.storeInTouch);
-  writeRows(out, FIELD.changes, changes, (kind, revision) => {
-    writeName(out, kind, book);
-    out.uint64(revision);
-  });
   out.tag(FIELD.members, WireType.LengthDelimited).fork();
   for (const { profile, state } of members) {
-    out.fixed32(hash(profile.id)).uint32(STATES.indexOf(state));
+    out.fixed32(hash(profile.id)).uint32(INSTANCE_STATES.indexOf(state));
   }
   out.join();
   for (const { profile } of introduces ? members : []) {
@@ -137,9 +123,8 @@
   }
   out.tag(FIELD.instances, WireType.Varint).uint32(digest.instances);
   out.tag(FIELD.reservedInstances, WireType.Varint).uint32(reserved.instances);
-  writeShares(out, FIELD.reserved, { shares: reserved.shares, book });
-  writeUses(out, FIELD.uses, { uses, book });
-  writeInFlight(out, FIELD.inFlight, { inFlight, book });
+  const { shares } = reserved;
+  writeReport(out, digest, { fields: FIELD, book, shares });
   return out.finish();
 }
 
@@ -152,18 +137,12 @@
   bytes: Uint8Array,
   names: DigestNames,
 ): Result<ZoneDigest, Failure> {
-  if (bytes.length > MAX_BYTES) {
-    return fail("bad_request", "the datagram is too long");
-  }
   const draft = new Draft(names);
-  try {
-    // The reader takes values out of the bytes; the socket's buffer is used
-    // again.
-    draft.read(new BinaryReader(Buffer.from(bytes)));
-  } catch (cause) {
-    return fail("bad_request", `the datagram is cut: ${String(cause)}`);
-  }
-  return draft.finish();
+  return readMessage(
+    bytes,
+    MAX_BYTES,
+    (field, reader) => draft.read(field, reader),
+  ).andThen(() => draft.finish());
 }
 
 /** A zone's digest as far as it is read. */
@@ -177,22 +156,13 @@
   #storeInTouch = false;
   #instances = 0;
   #reservedInstances = 0;
-  readonly #changes = new Map<string, number>();
+  readonly #report: ReportDraft;
   readonly #members: { idHash: number; state: InstanceState }[] = [];
   readonly #profiles = new Map<number, InstanceProfile>();
-  readonly #shares = new Map<AccountId, number>();
-  readonly #uses = new Map<AccountId, AccountUse>();
-  readonly #inFlight = new Map<EndpointId, number>();
 
   constructor(names: DigestNames) {
     this.#names = names;
-  }
-
-  read(reader: BinaryReader): void {
-    while (reader.pos < reader.len) {
-      const [field, type] = reader.tag();
-      this.#field(field, type, reader);
-    }
+    this.#report = new ReportDraft(FIELD, names.book);
   }
 
   finish(): Result<ZoneDigest, Failure> {
@@ -200,6 +170,7 @@
     if (!names.every(isName) || this.#seq < 0) {
       return fail("bad_request", "the datagram is no digest of a zone");
     }
+    const { changes, uses, inFlight, shares } = this.#report;
     return ok({
       zone: this.#zone as ZoneId,
       region: this.#region as RegionId,
@@ -207,80 +178,62 @@
       start: this.#start,
       seq: this.#seq,
       storeInTouch: this.#storeInTouch,
-      changes: this.#changes,
+      changes,
       members: this.#members.flatMap((member) => this.#known(member)),
       instances: this.#instances,
-      reserved: { shares: this.#shares, instances: this.#reservedInstances },
-      uses: this.#uses,
-      inFlight: this.#inFlight,
+      reserved: { shares, instances: this.#reservedInstances },
+      uses,
+      inFlight,
     });
   }
 
-  #field(field: number, type: WireType, reader: BinaryReader): void {
-    const { book } = this.#names;
+  /** Reads a field; gives false where it is not known. */
+  read(field: number, reader: BinaryReader): boolean {
     switch (field) {
       case FIELD.zone:
         this.#zone = reader.string();
-        return;
+        return true;
       case FIELD.region:
         this.#region = reader.string();
-        return;
+        return true;
       case FIELD.speaker:
         this.#speaker = reader.string();
-        return;
+        return true;
       case FIELD.start:
         this.#start = reader.string();
-        return;
+        return true;
       case FIELD.seq:
         this.#seq = readWhole(reader);
-        return;
+        return true;
       case FIELD.storeInTouch:
         this.#storeInTouch = reader.bool();
-        return;
-      case FIELD.changes:
-        return readRows(reader, (rows) => {
-          const kind = readName(rows, book);
-          const revision = readWhole(rows);
-          if (kind !== undefined) this.#changes.set(kind, revision);
-        });
+        return true;
       case FIELD.members:
-        return readRows(reader, (rows) => {
-          const idHash = rows.fixed32();
-          const state = STATES[rows.uint32()];
-          if (state !== undefined) this.#members.push({ idHash, state });
-        });
+        readRows(reader, (rows) => this.#member(rows));
+        return true;
       case FIELD.profile: {
         const profile = readProfileField(reader);
-        if (profile.isErr()) return;
+        if (profile.isErr()) return true;
         this.#profiles.set(hash(profile.value.id), profile.value);
-        return;
+        return true;
       }
       case FIELD.instances:
         this.#instances = reader.uint32();
-        return;
+        return true;
       case FIELD.reservedInstances:
         this.#reservedInstances = reader.uint32();
-        return;
-      case FIELD.reserved:
-        return readRows(reader, (rows) => {
-          const row = readShare(rows, book);
-          if (row !== undefined) this.#shares.set(...row);
-        });
-      case FIELD.uses:
-        return readRows(reader, (rows) => {
-          const row = readUse(rows, book);
-          if (row !== undefined) this.#uses.set(...row);
-        });
-      case FIELD.inFlight:
-        return readRows(
-          reader,
-          (rows) => readInFlight(rows, this.#inFlight, book),
-        );
+        return true;
       default:
-        reader.skip(type, field);
+        return this.#report.read(field, reader);
     }
   }
 
+  #member(rows: BinaryReader): void {
+    const idHash = rows.fixed32();
+    const state = INSTANCE_STATES[rows.uint32()];
+    if (state !== undefined) this.#members.push({ idHash, state });
+  }
+
   /** A member that is not known yet is left out until it is introduced. */
   #known(
     member: { readonly idHash: number; readonly state: InstanceState },
