Keep what groups report once, and sum a zone once a period

Cause: the relay kept the last news and the suspects of each group in maps of its own beside its sums, and summed the zone's instances a second time, for the zone, beside the sums that other zones are told. The member fed both with each digest and put four parts of a relay's period together itself. The exchange of zones told of every digest with a flag that its only reader dropped half by. Two test fleets counted admissions in windows and drew arrivals with the same lines, and a test wrote the fixture of a digest again.

Change: GroupSums keeps each group's last news, so who is heard follows from it. The relay sums the zone once, tells it to other zones, and adds those zones for its own. A relay's period is ZoneRelay.publish. The exchange passes on only what came from the zone itself. A zone's peers are matched by id and not by hashing their names each period. AdmissionTimes and arrivals serve both test fleets.

Ruled out: taking who is heard from FleetFeed, which drops stale groups, and reading what is set aside when it is published.

--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -77,8 +77,8 @@
 
 for (const ratePerS of [88, 17]) {
   test(`an account of ${ratePerS} a second beyond its rate gets more than the rate`, (t) => {
-    // With a token or two at each instance, some come in where nobody asks. The
-    // account must still get its whole rate.
+    // With a token or two at each instance, some lie at instances without
+    // requests. The account must still get its whole rate.
     const subject = account({ ratePerS, burst: ratePerS });
     const { passed, most } = passedBeyond(subject);
     t.true(passed >= 20 * ratePerS, `${passed} of ${20 * ratePerS}`);
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -44,8 +44,8 @@
 const LEAST_TOKENS = 1;
 /**
  * What an instance can save up of a small burst, as a part of what it may spend
- * ahead: with a single token at each of a dozen instances, one that comes in
- * where nobody asks is lost.
+ * ahead: with a single token at each of a dozen instances, one at an instance
+ * without requests is lost.
  */
 const SAVED_AHEAD = 0.5;
 /**
--- a/src/decisions/quotas/rate_limit.ts
+++ b/src/decisions/quotas/rate_limit.ts
@@ -14,7 +14,7 @@
   readonly slack: number;
 }
 
-/** Rates that nobody judges by a window: a rate and a burst, as they are. */
+/** No window: rates and bursts apply as they are. */
 export const NO_WINDOW: RateWindow = { windowMs: 0, overshoot: 0, slack: 0 };
 
 /** An account's limit, as buckets use it. */
--- a/src/decisions/quotas/testing/quota_fleet.ts
+++ b/src/decisions/quotas/testing/quota_fleet.ts
@@ -1,6 +1,6 @@
 /**
- * Instances that tell each other what they admitted of one account, without a
- * network: late, cut off from each other, killed and started anew.
+ * Instances that gossip what they admitted of one account, without a network:
+ * late, cut off from each other, killed and started anew.
  *
  * @module
  */
@@ -16,6 +16,7 @@
   DIRECT_LAG_MS,
   type RateWindow,
 } from "../mod.ts";
+import { AdmissionTimes, arrivals } from "./arrivals.ts";
 
 /** How the platform judges rates. */
 export const WINDOW: RateWindow = {
@@ -23,9 +24,9 @@
   overshoot: 0.1,
   slack: 20,
 };
-/** How often instances tell each other, in milliseconds. */
+/** Period of gossip, in milliseconds. */
 const TICK_MS = 250;
-/** How late what they tell arrives, in milliseconds: directly, and by zone. */
+/** Delay of gossip, in milliseconds: direct, and by zone. */
 const LAG_MS = 15;
 export const ZONE_MAIL_MS = 400;
 const STEP_MS = 5;
@@ -54,13 +55,13 @@
   cut: boolean;
 }
 
-/** Instances that tell each other what they admitted, without a network. */
+/** Instances that gossip what they admitted, without a network. */
 export class QuotaFleet {
   readonly members: QuotaMember[];
   readonly #account: Account;
   readonly #lagMs: number;
   readonly #random: SeededRandom;
-  readonly #admittedAt: number[] = [];
+  readonly #admitted = new AdmissionTimes();
   readonly #mail: { at: number; run: () => void }[] = [];
   asked = 0;
   now = 0;
@@ -116,7 +117,7 @@
 
   /** Lets requests come at `perS(member)` for a time; gives how many passed. */
   run(forMs: number, perS: (member: QuotaMember) => number): number {
-    const before = this.#admittedAt.length;
+    const before = this.#admitted.count;
     const end = this.now + forMs;
     while (this.now < end) {
       this.now += STEP_MS;
@@ -126,28 +127,20 @@
         this.#arrive(member, perS(member));
       }
     }
-    return this.#admittedAt.length - before;
+    return this.#admitted.count - before;
   }
 
   /** The most that passed in any window of this length. */
   mostWithin(windowMs: number): number {
-    let most = 0;
-    let first = 0;
-    for (const [last, at] of this.#admittedAt.entries()) {
-      while (at - (this.#admittedAt[first] ?? at) >= windowMs) first++;
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
+    return this.#admitted.mostWithin(windowMs);
   }
 
   #arrive(member: QuotaMember, perS: number): void {
-    const expected = perS * STEP_MS / 1_000;
-    const whole = Math.floor(expected);
-    const more = this.#random.next() < expected - whole ? 1 : 0;
-    for (let i = 0; i < whole + more; i++) {
-      this.asked++;
+    const asked = arrivals(perS * STEP_MS / 1_000, this.#random);
+    this.asked += asked;
+    for (let i = 0; i < asked; i++) {
       const { admitted } = member.quotas.take(this.#account, this.now);
-      if (admitted) this.#admittedAt.push(this.now);
+      if (admitted) this.#admitted.add(this.now);
     }
   }
 
--- a/src/fleet/compact_digest_test.ts
+++ b/src/fleet/compact_digest_test.ts
@@ -17,6 +17,7 @@
   type InstanceProfile,
   NameBook,
 } from "./mod.ts";
+import { digest as digestOf } from "./testing/digest_fixtures.ts";
 
 function profile(id: string): InstanceProfile {
   return {
@@ -28,27 +29,13 @@
   };
 }
 
+const KNOWN = profile("i1");
+
 function digest(opts: Partial<Digest> = {}): Digest {
-  return {
-    profile: profile("i1"),
-    state: "serving",
-    start: "8f14e45f",
-    seq: 41,
-    planVersion: 7,
-    storeInTouch: true,
-    asksStore: false,
-    relays: false,
-    capacity: 0.5,
-    changes: new Map(),
-    uses: new Map(),
-    inFlight: new Map(),
-    others: [],
-    ...opts,
-  };
+  const own = { profile: KNOWN, start: "8f14e45f", seq: 41, asksStore: false };
+  return digestOf("i1", { ...own, ...opts });
 }
 
-const KNOWN = profile("i1");
-
 /** A reader that knows the sender and these names. */
 function reader(...names: string[]) {
   const book = new NameBook();
--- a/src/fleet/datagrams.ts
+++ b/src/fleet/datagrams.ts
@@ -25,7 +25,7 @@
   zonePassedOn: 9,
   /** Changes in the store, passed on within a zone. */
   changes: 4,
-  /** Several digests, as a relay of an earlier build sends them. */
+  /** Several datagrams in one, from a relay. */
   bundle: 5,
   /** What an instance tells of itself. */
   compactDigest: 6,
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -15,25 +15,24 @@
   type Log,
   type Random,
   someOf,
+  type ZoneId,
 } from "../core/mod.ts";
 import {
   BY_ZONE_LAG_MS,
   DIRECT_LAG_MS,
   type Reservation,
-  sumOfReserved,
 } from "../decisions/quotas/mod.ts";
 import type { RelayedChanges } from "../follower/mod.ts";
-import { Bundle, readBundles } from "./bundles.ts";
+import { readBundles } from "./bundles.ts";
 import { decodeChanges, encodeChanges } from "./change_relay.ts";
 import { Datagrams, type DatagramTransport } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
-import { DigestExchange, INTRODUCED_FIRST, toTell } from "./digest_exchange.ts";
+import { DigestExchange, toTell } from "./digest_exchange.ts";
 import { decodeAggregate, type FleetAggregate } from "./fleet_aggregate.ts";
 import { FleetFeed, type GroupEvents } from "./fleet_feed.ts";
-import { GroupSums } from "./group_sums.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
-import { type Peer, PeerTable } from "./peer_table.ts";
+import { PeerTable } from "./peer_table.ts";
 import { RelayFollower } from "./relay_follower.ts";
 import type { ZoneDigest } from "./zone_digest.ts";
 import { ZoneExchange } from "./zone_exchange.ts";
@@ -95,16 +94,11 @@
   readonly #datagrams: Datagrams;
   readonly #peers: PeerTable;
   readonly #zones: ZoneTable;
-  /** Of the zone, for the other zones. */
-  readonly #sums = new GroupSums();
   readonly #feed: FleetFeed;
   readonly #relay: ZoneRelay;
-  /** Other zones' digests, for the one that would relay next. */
-  readonly #forStandby: Bundle;
   readonly #relayFollower: RelayFollower;
   readonly #roles: ZoneRoles;
   readonly #digests: DigestExchange;
-  readonly #zoneExchange: ZoneExchange;
   #current: Roles = { speaks: false, asksStore: false };
   #reservations: readonly Reservation[] = [];
 
@@ -116,7 +110,7 @@
     this.#peers = new PeerTable(profile, opts.assumed, {
       told: (digest, now) => this.#told(digest, now),
       quiet: ({ profile }) => this.#suspect(profile.id),
-      silent: (peer) => this.#silent(peer),
+      silent: ({ profile }) => this.#unreachable(profile.id),
       forgotten: ({ profile }) => this.#forgotten(profile.id),
     });
     this.#zones = new ZoneTable({
@@ -138,10 +132,17 @@
     this.#relay = new ZoneRelay({
       ...common,
       zones: this.#zones,
+      exchange: new ZoneExchange({
+        ...common,
+        zones: this.#zones,
+        passOn: (zone, bytes) => this.#passOn(zone, bytes),
+      }),
     });
     const own = { id: profile.id, start: this.#start };
-    const feed = this.#feed;
-    this.#relayFollower = new RelayFollower(own, { peers: this.#peers, feed });
+    this.#relayFollower = new RelayFollower(own, {
+      peers: this.#peers,
+      feed: this.#feed,
+    });
     this.#digests = new DigestExchange({
       ...common,
       seeds,
@@ -149,19 +150,12 @@
       compose: (seq, toNewcomer) => this.#compose(seq, toNewcomer),
       told: (digest) => this.#period(digest),
     });
-    this.#zoneExchange = new ZoneExchange({
-      ...common,
-      zones: this.#zones,
-      sums: this.#sums,
-      came: (from, bytes, direct) => this.#zoneCame(from, bytes, direct),
-    });
     this.#datagrams.onRead("changes", decodeChanges, events.relayed);
     this.#datagrams.onRead(
       "aggregate",
       (bytes) => decodeAggregate(bytes, opts.book),
       (aggregate) => this.#toldByRelay(aggregate),
     );
-    this.#forStandby = new Bundle(this.#datagrams);
     readBundles(this.#datagrams);
   }
 
@@ -251,11 +245,8 @@
   }
 
   /** Another zone's digest goes to whoever relays, or may have to soon. */
-  #zoneCame({ zone }: ZoneDigest, bytes: Uint8Array, direct: boolean): void {
-    if (!direct) return;
-    if (this.#relays) {
-      return this.#forStandby.gather(zone, "zonePassedOn", bytes);
-    }
+  #passOn(zone: ZoneId, bytes: Uint8Array): void {
+    if (this.#relays) return this.#relay.keep(zone, bytes);
     this.#datagrams.send("zonePassedOn", this.#hubAddresses(), bytes);
   }
 
@@ -291,11 +282,10 @@
     if (this.#relays || this.#peers.isMesh) this.#followGroups(now);
     this.#opts.events.roles(this.#current);
     if (!this.#relays) return;
-    const zonePeers = new Set(this.#peers.mates().map((m) => m.profile.id));
-    const ofZone = this.#reservations.filter((r) => zonePeers.has(r.group));
-    this.#zoneExchange.tell(digest, sumOfReserved(ofZone));
-    this.#relay.publish(digest, sumOfReserved(this.#reservations));
-    this.#forStandby.send(this.#hubAddresses());
+    this.#relay.publish(digest, {
+      reservations: this.#reservations,
+      standby: this.#hubAddresses(),
+    });
   }
 
   #followGroups(now: number): void {
@@ -331,14 +321,9 @@
   }
 
   #told(digest: Digest, now: number): void {
-    const { profile, start, seq, uses, inFlight } = digest;
-    const group = profile.id;
-    const news = { ...digest, group, instances: 1 };
-    if (this.#peers.isOwnZone(profile.zone)) {
-      const fresh = seq < INTRODUCED_FIRST;
-      this.#sums.report({ group, start, uses, inFlight, fresh });
-      this.#relay.report(news, seq);
-    }
+    const { profile, seq } = digest;
+    const news = { ...digest, group: profile.id, instances: 1 };
+    if (this.#peers.isOwnZone(profile.zone)) this.#relay.reportPeer(news, seq);
     this.#feed.told(news, now);
   }
 
@@ -349,21 +334,15 @@
       group: groupOf(zone),
       start: `${speaker} ${start}`,
     };
-    this.#relay.report(news);
+    this.#relay.reportZone(news);
     this.#feed.told(news, now);
   }
 
   #suspect(group: InstanceId): void {
-    this.#sums.suspect(group);
     this.#relay.suspect(group);
     this.#feed.suspect(group);
   }
 
-  #silent({ profile }: Peer): void {
-    this.#sums.unreachable(profile.id);
-    this.#unreachable(profile.id);
-  }
-
   #unreachable(group: InstanceId): void {
     this.#opts.log.event("peer_silent", { peer: group });
     this.#relay.unreachable(group);
@@ -371,7 +350,6 @@
   }
 
   #forgotten(id: InstanceId): void {
-    this.#sums.forget(id);
     this.#opts.log.event("peer_forgotten", { peer: id });
     this.#forgetGroup(id);
   }
--- a/src/fleet/group_sums.ts
+++ b/src/fleet/group_sums.ts
@@ -6,23 +6,19 @@
  */
 import type { AccountId, EndpointId, InstanceId } from "../core/mod.ts";
 import type { AccountUse } from "../decisions/quotas/mod.ts";
+import type { GroupNews } from "./fleet_feed.ts";
+import type { Report } from "./report_rows.ts";
 
-/** What one instance, or a zone as one, reported. */
-export interface GroupReport {
-  readonly group: InstanceId;
-  /** Differs with each start of the group. */
-  readonly start: string;
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
-  readonly inFlight: ReadonlyMap<EndpointId, number>;
-  /** Whether all that it admitted was admitted just now. */
-  readonly fresh: boolean;
-}
+/** Uses of accounts and requests in flight, of an instance or of several. */
+export type Sums = Pick<Report, "uses" | "inFlight">;
 
-interface Group extends Pick<GroupReport, "start" | "uses" | "inFlight"> {
+interface Group {
+  readonly news: GroupNews;
+  readonly suspect: boolean;
   /** Requests admitted since the start, accounts out of use included. */
   readonly admitted: Map<AccountId, number>;
   /** Whether accounts that were not reported yet begin at zero. */
-  fromZero: boolean;
+  readonly fromZero: boolean;
 }
 
 /**
@@ -36,22 +32,30 @@
   readonly #admitted = new Map<AccountId, number>();
   readonly #own = new Map<AccountId, number>();
 
-  /** Takes in a report. */
-  report({ group, start, uses, inFlight, fresh }: GroupReport): void {
-    const before = this.#groups.get(group);
-    const same = before?.start === start;
-    const suspect = before?.start === SUSPECT;
-    const admitted = same ? before.admitted : new Map<AccountId, number>();
-    const fromZero = same
-      ? before.fromZero
-      : fresh || (before !== undefined && !suspect);
-    for (const [account, use] of uses) {
+  /** The last news of the groups that are not suspect. */
+  get heard(): readonly GroupNews[] {
+    return [...this.#groups.values()]
+      .filter(({ suspect }) => !suspect).map(({ news }) => news);
+  }
+
+  /**
+   * Takes in a report.
+   *
+   * @param opts Whether all that the group admitted was admitted just now.
+   */
+  report(news: GroupNews, { fresh }: { readonly fresh: boolean }): void {
+    const before = this.#groups.get(news.group);
+    const counted = before?.suspect === false ? before : undefined;
+    const same = counted?.news.start === news.start;
+    const admitted = same ? counted.admitted : new Map<AccountId, number>();
+    const fromZero = same ? counted.fromZero : fresh || counted !== undefined;
+    for (const [account, use] of news.uses) {
       // What one admitted before it was first heard was reported by another.
       if (!fromZero && !admitted.has(account)) {
         admitted.set(account, use.admitted);
       } else this.#count(account, use.admitted, admitted);
     }
-    this.#groups.set(group, { start, uses, inFlight, admitted, fromZero });
+    this.#groups.set(news.group, { news, suspect: false, admitted, fromZero });
   }
 
   /**
@@ -61,29 +65,33 @@
   suspect(group: InstanceId): void {
     const known = this.#groups.get(group);
     if (known === undefined) return;
-    const rebased = { admitted: new Map(), fromZero: false, start: SUSPECT };
-    this.#groups.set(group, { ...known, ...rebased, uses: NO_USES });
+    const news = { ...known.news, uses: NO_USES };
+    this.#groups.set(group, { ...known, news, suspect: true });
   }
 
   /** Leaves out what an unreachable group is asked for and has in flight. */
   unreachable(group: InstanceId): void {
     const known = this.#groups.get(group);
     if (known === undefined) return;
-    const none = { uses: NO_USES, inFlight: NO_FLIGHT };
-    this.#groups.set(group, { ...known, ...none });
+    const news = { ...known.news, uses: NO_USES, inFlight: NO_FLIGHT };
+    this.#groups.set(group, { ...known, news });
   }
 
   forget(group: InstanceId): void {
     this.#groups.delete(group);
   }
 
-  /** Uses of all groups, this instance's own included. */
-  uses(own: ReadonlyMap<AccountId, AccountUse>): Map<AccountId, AccountUse> {
+  /** Sums over all groups and `own`, what is reported besides them. */
+  with(own: Sums): Sums {
+    return { uses: this.#uses(own.uses), inFlight: this.#inFlight(own) };
+  }
+
+  #uses(own: ReadonlyMap<AccountId, AccountUse>): Map<AccountId, AccountUse> {
     for (const [account, { admitted }] of own) {
       this.#count(account, admitted, this.#own);
     }
     const sums = new Map<AccountId, AccountUse>();
-    const all = [own, ...[...this.#groups.values()].map((g) => g.uses)];
+    const all = [own, ...[...this.#groups.values()].map((g) => g.news.uses)];
     for (const uses of all) {
       for (const [account, use] of uses) {
         const sum = sums.get(account);
@@ -97,13 +105,10 @@
     return sums;
   }
 
-  /** Requests of all groups at endpoints, this instance's own included. */
-  inFlight(
-    own: ReadonlyMap<EndpointId, number>,
-  ): Map<EndpointId, number> {
-    const sums = new Map(own);
-    for (const { inFlight } of this.#groups.values()) {
-      for (const [endpoint, n] of inFlight) {
+  #inFlight(own: Sums): Map<EndpointId, number> {
+    const sums = new Map(own.inFlight);
+    for (const { news } of this.#groups.values()) {
+      for (const [endpoint, n] of news.inFlight) {
         sums.set(endpoint, (sums.get(endpoint) ?? 0) + n);
       }
     }
@@ -122,7 +127,5 @@
   }
 }
 
-/** Stands for the start of a group that was suspected; no start is empty. */
-const SUSPECT = "";
 const NO_USES: ReadonlyMap<AccountId, AccountUse> = new Map();
 const NO_FLIGHT: ReadonlyMap<EndpointId, number> = new Map();
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -146,6 +146,11 @@
     return this.#peers.size < MOST_IN_MESH;
   }
 
+  isZonePeer(id: InstanceId): boolean {
+    const peer = this.#peers.get(id);
+    return peer !== undefined && this.isOwnZone(peer.profile.zone);
+  }
+
   isOwnZone(zone: ZoneId): boolean {
     return zone === this.#own.zone;
   }
@@ -265,11 +270,11 @@
    */
   heardZone(aggregate: ZoneReport, now: number): void {
     const { members } = aggregate;
-    const named = new Set(members.map(({ idHash }) => idHash));
+    const named = new Set(members.map((m) => this.#byHash.get(m.idHash)));
     for (const member of members) this.#relayed(member, aggregate, now);
     for (const peer of this.mates()) {
       const unheardMs = now - (peer.directAt ?? -Infinity);
-      const heard = named.has(hash(peer.profile.id)) ||
+      const heard = named.has(peer.profile.id) ||
         unheardMs <= QUIET_HANDED_OUT_MS;
       if (!heard) this.#suspect(peer);
     }
--- a/src/fleet/testing/rated_fleet.ts
+++ b/src/fleet/testing/rated_fleet.ts
@@ -7,6 +7,10 @@
 import { SeededRandom } from "../../core/mod.ts";
 import { AccountQuotas } from "../../decisions/quotas/mod.ts";
 import { account, WINDOW } from "../../decisions/quotas/testing/quota_fleet.ts";
+import {
+  AdmissionTimes,
+  arrivals,
+} from "../../decisions/quotas/testing/arrivals.ts";
 import type { Account } from "../../traffic/mod.ts";
 import { MemberFleet, type TestMember } from "./member_fleet.ts";
 
@@ -21,7 +25,7 @@
   readonly #fleet: MemberFleet;
   readonly #quotas = new Map<TestMember, AccountQuotas>();
   readonly #random = new SeededRandom(5);
-  readonly #admittedAt: number[] = [];
+  readonly #admitted = new AdmissionTimes();
   asked = 0;
 
   private constructor(fleet: MemberFleet, rate: { readonly ratePerS: number }) {
@@ -88,7 +92,7 @@
    * member; gives how many were admitted.
    */
   run(forMs: number, times: number): number {
-    const before = this.#admittedAt.length;
+    const before = this.#admitted.count;
     const { clock, members } = this.#fleet;
     const perStep = this.account.ratePerS * times * STEP_MS / 1_000;
     for (let left = forMs; left > 0; left -= STEP_MS) {
@@ -98,7 +102,7 @@
         this.#arrive(member, perStep * part, clock.now());
       }
     }
-    return this.#admittedAt.length - before;
+    return this.#admitted.count - before;
   }
 
   /** Sum of the parts of the rate that members take for theirs. */
@@ -110,13 +114,7 @@
 
   /** The most that was admitted in any window of this length. */
   mostWithin(windowMs: number): number {
-    let most = 0;
-    let first = 0;
-    for (const [last, at] of this.#admittedAt.entries()) {
-      while (at - (this.#admittedAt[first] ?? at) >= windowMs) first++;
-      most = Math.max(most, last - first + 1);
-    }
-    return most;
+    return this.#admitted.mostWithin(windowMs);
   }
 
   #equip(member: TestMember): void {
@@ -140,11 +138,10 @@
   #arrive(member: TestMember, expected: number, now: number): void {
     const quotas = this.#quotas.get(member);
     if (quotas === undefined) return;
-    const whole = Math.floor(expected);
-    const more = this.#random.next() < expected - whole ? 1 : 0;
-    for (let i = 0; i < whole + more; i++) {
-      this.asked++;
-      if (quotas.take(this.account, now).admitted) this.#admittedAt.push(now);
+    const asked = arrivals(expected, this.#random);
+    this.asked += asked;
+    for (let i = 0; i < asked; i++) {
+      if (quotas.take(this.account, now).admitted) this.#admitted.add(now);
     }
   }
 }
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -19,7 +19,7 @@
   type ZoneDigest,
   type ZoneMember,
 } from "./zone_digest.ts";
-import type { GroupSums } from "./group_sums.ts";
+import type { Sums } from "./group_sums.ts";
 import type { ZoneTable } from "./zone_table.ts";
 
 /** Instances tried at a time in a zone whose relay is not known. */
@@ -33,16 +33,8 @@
   readonly book: NameBook;
   readonly peers: PeerTable;
   readonly zones: ZoneTable;
-  readonly sums: GroupSums;
-  /**
-   * Told of each digest of a zone that came; `direct` where it came from that
-   * zone and not through an instance of this one.
-   */
-  readonly came: (
-    from: ZoneDigest,
-    bytes: Uint8Array,
-    direct: boolean,
-  ) => void;
+  /** Passes on a digest that came from its zone itself. */
+  readonly passOn: (zone: ZoneId, bytes: Uint8Array) => void;
   readonly clock: Clock;
   readonly random: Random;
 }
@@ -60,20 +52,19 @@
     const decode = (bytes: Uint8Array) =>
       decodeZoneDigest(bytes, { book, profileOf });
     datagrams.onRead("zone", decode, (digest, bytes) => {
-      this.#take(digest, bytes, true);
-    });
-    datagrams.onRead("zonePassedOn", decode, (digest, bytes) => {
-      this.#take(digest, bytes, false);
+      if (this.#take(digest)) opts.passOn(digest.zone, bytes);
     });
+    datagrams.onRead("zonePassedOn", decode, (digest) => this.#take(digest));
   }
 
   /**
-   * Tells the other zones of this one; `own` is this instance's digest.
+   * Tells the other zones of this one.
    *
-   * @param reserved What is set aside for the zone's instances that are not
-   * heard: they may be serving behind a partition.
+   * @param own This instance's digest.
+   * @param zone Sums of the zone, and what is set aside for its instances that
+   * are not heard: they may be serving behind a partition.
    */
-  tell(own: Digest, reserved: Reserved): void {
+  tell(own: Digest, zone: Sums & { readonly reserved: Reserved }): void {
     const { datagrams, book, peers, zones, random } = this.#opts;
     const byZone = new Map<ZoneId, InstanceProfile[]>();
     for (const { profile } of peers.far()) {
@@ -82,8 +73,8 @@
     }
     if (byZone.size === 0) return;
     let introduces = this.#told++ % INTRODUCED_EVERY === 0;
-    const to = [...byZone].flatMap(([zone, there]) => {
-      const relay = zones.speaker(zone);
+    const to = [...byZone].flatMap(([other, there]) => {
+      const relay = zones.speaker(other);
       if (relay !== undefined) return [relay];
       introduces = true;
       return someOf(there, TRIED, random);
@@ -92,12 +83,15 @@
     datagrams.send(
       "zone",
       addresses,
-      encodeZoneDigest(this.#compose(own, reserved), { book, introduces }),
+      encodeZoneDigest(this.#compose(own, zone), { book, introduces }),
     );
   }
 
-  #compose(own: Digest, reserved: Reserved): ZoneDigest {
-    const { peers, sums } = this.#opts;
+  #compose(
+    own: Digest,
+    zone: Sums & { readonly reserved: Reserved },
+  ): ZoneDigest {
+    const { peers } = this.#opts;
     const heard = peers.mates().filter((m) => !m.silent);
     const members: ZoneMember[] = [own, ...heard].map(({ profile, state }) => ({
       profile,
@@ -113,17 +107,16 @@
       changes: own.changes,
       members,
       instances: 1 + heard.filter((m) => !m.quiet).length,
-      reserved,
-      uses: sums.uses(own.uses),
-      inFlight: sums.inFlight(own.inFlight),
+      ...zone,
     };
   }
 
-  #take(digest: ZoneDigest, bytes: Uint8Array, direct: boolean): void {
-    const { peers, zones, came, clock } = this.#opts;
+  /** Gives whether the digest is newer than the last of its zone. */
+  #take(digest: ZoneDigest): boolean {
+    const { peers, zones, clock } = this.#opts;
     const now = clock.now();
     for (const { profile } of digest.members) peers.learn(profile, now);
-    if (peers.isMesh || peers.isOwnZone(digest.zone)) return;
-    if (zones.heard(digest, now)) came(digest, bytes, direct);
+    if (peers.isMesh || peers.isOwnZone(digest.zone)) return false;
+    return zones.heard(digest, now);
   }
 }
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -1,6 +1,6 @@
 /**
- * Sums what the instances of a zone and the other zones report, and tells the
- * zone once a period.
+ * Sums what the instances of a zone and the other zones report, and tells both
+ * once a period.
  *
  * Load: each instance tells two of its zone, and one of them tells all, so what
  * an instance reads and writes does not grow with the fleet. Without the second
@@ -14,8 +14,14 @@
   type InstanceId,
   type Random,
   someOf,
+  type ZoneId,
 } from "../core/mod.ts";
-import type { Reserved } from "../decisions/quotas/mod.ts";
+import {
+  type Reservation,
+  type Reserved,
+  sumOfReserved,
+} from "../decisions/quotas/mod.ts";
+import { Bundle } from "./bundles.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
 import { INTRODUCED_FIRST, toTell } from "./digest_exchange.ts";
@@ -25,10 +31,11 @@
   type FleetAggregate,
 } from "./fleet_aggregate.ts";
 import type { GroupNews } from "./fleet_feed.ts";
-import { GroupSums } from "./group_sums.ts";
+import { GroupSums, type Sums } from "./group_sums.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
 import type { Peer, PeerTable } from "./peer_table.ts";
+import type { ZoneExchange } from "./zone_exchange.ts";
 import type { ZoneTable } from "./zone_table.ts";
 
 /** Aggregates between two that name the other zones' serving instances. */
@@ -47,74 +54,105 @@
   readonly book: NameBook;
   readonly peers: PeerTable;
   readonly zones: ZoneTable;
+  readonly exchange: ZoneExchange;
   readonly clock: Clock;
   readonly random: Random;
 }
 
-/** Relays at one instance, while it is the zone's relay. */
+/** Sums reports at each instance, and relays them where it is the relay. */
 export class ZoneRelay {
   readonly #opts: ZoneRelayOptions;
-  readonly #sums = new GroupSums();
-  readonly #groups = new Map<InstanceId, GroupNews>();
-  readonly #suspects = new Set<InstanceId>();
+  readonly #zonePeers = new GroupSums();
+  readonly #otherZones = new GroupSums();
+  /** Other zones' digests, for the one that would relay next. */
+  readonly #forStandby: Bundle;
   #newcomer = false;
   #allProfilesAt = -Infinity;
 
   constructor(opts: ZoneRelayOptions) {
     this.#opts = opts;
+    this.#forStandby = new Bundle(opts.datagrams);
   }
 
-  /** Takes in what an instance of the zone or another zone reported. */
-  report(news: GroupNews, seq?: number): void {
-    const fresh = seq !== undefined && seq < INTRODUCED_FIRST;
+  /** An instance of the zone reported. */
+  reportPeer(news: GroupNews, seq: number): void {
+    const fresh = seq < INTRODUCED_FIRST;
     this.#newcomer ||= fresh;
-    this.#sums.report({ ...news, fresh });
-    this.#groups.set(news.group, news);
-    this.#suspects.delete(news.group);
+    this.#zonePeers.report(news, { fresh });
+  }
+
+  /** Another zone reported. */
+  reportZone(news: GroupNews): void {
+    this.#otherZones.report(news, { fresh: false });
   }
 
   suspect(group: InstanceId): void {
-    this.#sums.suspect(group);
-    this.#suspects.add(group);
+    this.#zonePeers.suspect(group);
+    this.#otherZones.suspect(group);
   }
 
   unreachable(group: InstanceId): void {
-    this.#sums.unreachable(group);
+    this.#zonePeers.unreachable(group);
+    this.#otherZones.unreachable(group);
   }
 
   forget(group: InstanceId): void {
-    this.#sums.forget(group);
-    this.#groups.delete(group);
-    this.#suspects.delete(group);
+    this.#zonePeers.forget(group);
+    this.#otherZones.forget(group);
+  }
+
+  /** Keeps another zone's digest for the one that stands by. */
+  keep(zone: ZoneId, bytes: Uint8Array): void {
+    this.#forStandby.gather(zone, "zonePassedOn", bytes);
   }
 
-  /** Tells the zone; `own` is this instance's digest of this moment. */
-  publish(own: Digest, reserved: Reserved): void {
-    const { datagrams, book, peers } = this.#opts;
+  /**
+   * Tells the other zones, this one, and the instance that stands by.
+   *
+   * @param own This instance's digest of this moment.
+   */
+  publish(
+    own: Digest,
+    opts: {
+      /** What is set aside for groups that are not heard. */
+      readonly reservations: readonly Reservation[];
+      /** Addresses of those that stand by. */
+      readonly standby: readonly string[];
+    },
+  ): void {
+    const { datagrams, book, peers, exchange } = this.#opts;
+    const { reservations, standby } = opts;
+    const zone = this.#zonePeers.with(own);
+    const ofZone = reservations.filter(({ group }) => peers.isZonePeer(group));
+    exchange.tell(own, { ...zone, reserved: sumOfReserved(ofZone) });
+    const aggregate = this.#compose(own, {
+      ...this.#otherZones.with(zone),
+      reserved: sumOfReserved(reservations),
+    });
     const to = toTell(peers.mates(), own.seq).map((m) => m.digestAddress);
-    const aggregate = this.#compose(own, reserved);
     datagrams.send("aggregate", to, encodeAggregate(aggregate, book));
+    this.#forStandby.send(standby);
   }
 
-  #compose(own: Digest, reserved: Reserved): FleetAggregate {
+  #compose(
+    own: Digest,
+    fleet: Sums & { readonly reserved: Reserved },
+  ): FleetAggregate {
     const { peers, zones } = this.#opts;
-    const heard = [...this.#groups.values()]
-      .filter(({ group }) => !this.#suspects.has(group));
+    const heard = [...this.#zonePeers.heard, ...this.#otherZones.heard];
     const changes = latest([own.changes, ...heard.map((g) => g.changes)]);
     const mates = peers.mates().filter((m) => !m.quiet);
     const far = own.seq % FAR_EVERY === 0
       ? zones.serving().map(({ id }) => hash(id))
       : undefined;
     return {
+      ...fleet,
       relay: own.profile,
       start: own.start,
       seq: own.seq,
       instances: heard.reduce((n, { instances }) => n + instances, 1),
       storeInTouch: own.storeInTouch || heard.some((g) => g.storeInTouch),
       changes,
-      uses: this.#sums.uses(own.uses),
-      inFlight: this.#sums.inFlight(own.inFlight),
-      reserved,
       members: [
         memberOf(own.profile, own, changes),
         ...mates.map((mate) => memberOf(mate.profile, mate, changes)),
