Send to endpoints and the store on the runtime's own HTTP client

A restarted instance runs each function a few dozen times, so what counts is how much code there is, not how fast it is once optimised: undici came with a second parser (WebAssembly, compiled on other threads), HTTP/2, and a client, a pool and a request class beside those that the server has loaded anyway.

Change: EndpointConnections extends the runtime's Agent at its documented points: it opens half-open connections, follows how they end, closes idle ones that rested too long or that send something, and reuses the oldest first. Exchange follows a ClientRequest. No test was changed: whatever is not surely the whole answer to this request still does not reach a caller.

--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -8,6 +8,7 @@
 export * from "./deadline.ts";
 export * from "./failure.ts";
 export * from "./hash.ts";
+export * from "./http_calls.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
 export * from "./log_sampling.ts";
--- a/src/edge/connection_end.ts
+++ b/src/edge/connection_end.ts
@@ -1,31 +1,30 @@
 /**
- * How a connection ended: in order, or by a break that shows late.
+ * Detects how a connection ended: in order, or by a reset that shows late.
  *
  * An answer without a length ends with its connection. If the endpoint breaks
- * off, its end can be read just like an orderly one, and the break shows only
- * when something is written. Taken for whole, half an answer would reach the
- * caller as a success: one sees complete answers with bodies that are too short,
- * only from endpoints that do not state a length.
+ * off, the end may be read like an orderly one, and the reset shows only on the
+ * next write; half an answer would pass for a whole one.
  *
  * @module
  */
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
-import type { Exchange } from "./exchange.ts";
 
 /** What the socket of a connection has shown. */
 export interface ObservedConnection {
+  /** It was established. */
+  opened: boolean;
   /** The other side has closed it in order. */
   ended: boolean;
   /** It broke. */
   broken: boolean;
-  /** The request that it carries at present. */
-  exchange: Exchange | undefined;
+  /** Whether the answer on it has begun and ends with the connection. */
+  endsWithConnection: boolean;
 }
 
 /**
- * How long after the other side's end a break may still show, in milliseconds:
- * the end and the break set out together and take the same way.
+ * How long after the other side's end a reset may still show, in milliseconds:
+ * both set out together and take the same way.
  */
 const LINGER_MS = 20;
 /** An empty line, which a server passes over. */
@@ -37,16 +36,16 @@
   connection: ObservedConnection,
   clock: Clock,
 ): void {
+  socket.on("connect", () => connection.opened = true);
   socket.on("end", () => connection.ended = true);
   socket.on("error", () => connection.broken = true);
   const emit = socket.emit.bind(socket) as (...args: unknown[]) => boolean;
   socket.emit = (event: string | symbol, ...args: unknown[]): boolean => {
-    const undecided = event === "end" &&
-      connection.exchange?.endsWithConnection;
+    const undecided = event === "end" && connection.endsWithConnection;
     if (!undecided) return emit(event, ...args);
     clock.after(LINGER_MS, () => {
       if (socket.destroyed) return;
-      // A write after a break fails, which destroys the socket with an error.
+      // A write after a reset fails, which destroys the socket with an error.
       socket.write(EMPTY_LINE, (error) => {
         if (!error) emit(event, ...args);
       });
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -241,9 +241,9 @@
     this.#endpointIntake.close();
     await this.#member.close();
     await this.#snapshotServer?.close();
-    await this.#snapshots.close();
+    this.#snapshots.close();
     await this.#server?.close();
-    await this.#sender.close();
+    this.#sender.close();
   }
 
   async #run(): Promise<void> {
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -84,5 +84,5 @@
   send(endpoint: EndpointRow, req: OutgoingRequest): Sending;
   /** Lets the connections to an endpoint go. */
   forget(endpoint: EndpointRow): void;
-  close(): Promise<void>;
+  close(): void;
 }
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -4,180 +4,142 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { Dispatcher } from "undici";
-import type {
-  AnswerRest,
-  AnswerSink,
-  OutgoingRequest,
-  SendResult,
-} from "./endpoint_sender.ts";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import type { EndpointConnection } from "./endpoint_connections.ts";
+import type { AnswerRest, AnswerSink, SendResult } from "./endpoint_sender.ts";
 import type { AnswerFields, RequestCodec } from "./request_codec.ts";
 
 /**
  * Answers up to this size are held until they are whole, in bytes: one that
- * breaks off can then be had from another endpoint, or be told as a failure,
- * where a caller would otherwise get half of it. Nearly all are smaller.
+ * breaks off can then be had from another endpoint, or be reported as a
+ * failure, where a caller would otherwise get half of it.
  */
 const HELD_BYTES = 262_144;
 
-/** The connection that an exchange runs on, as far as the socket shows. */
-export interface ConnectionState {
-  /** The other side has closed it in order. */
-  readonly ended: boolean;
-  /** It broke. */
-  readonly broken: boolean;
+/** What an exchange works with. */
+export interface ExchangeOptions {
+  /** The id that the answer has to name. */
+  readonly requestId: string;
+  readonly codec: RequestCodec;
+  readonly settle: (result: SendResult) => void;
 }
 
-/** Follows one request through undici's callbacks. */
-export class Exchange implements Dispatcher.DispatchHandler {
-  readonly #req: OutgoingRequest;
-  readonly #codec: RequestCodec;
-  readonly #settle: (result: SendResult) => void;
-  /** Called once the connection is free, or broken. */
-  readonly #released: (reusable: boolean) => void;
-  readonly #connection: ConnectionState;
-  #controller: Dispatcher.DispatchController | undefined;
-  #status = 0;
-  #headers: string[] = [];
+/** Follows one request from its connection to the end of its answer. */
+export class Exchange {
+  readonly #opts: ExchangeOptions;
+  readonly #req: ClientRequest;
+  #connection: EndpointConnection | undefined;
+  #res: IncomingMessage | undefined;
   #fields: AnswerFields | undefined;
   #held: Buffer[] = [];
   #heldBytes = 0;
   #settled = false;
-  #cancelled = false;
   #sink: AnswerSink | undefined;
   #failure: string | undefined;
   #ended = false;
 
-  constructor(
-    req: OutgoingRequest,
-    codec: RequestCodec,
-    done: {
-      readonly settle: (result: SendResult) => void;
-      readonly released: (reusable: boolean) => void;
-      readonly connection: ConnectionState;
-    },
-  ) {
+  constructor(req: ClientRequest, opts: ExchangeOptions) {
+    this.#opts = opts;
     this.#req = req;
-    this.#codec = codec;
-    this.#settle = done.settle;
-    this.#released = done.released;
-    this.#connection = done.connection;
+    req.on("response", (res: IncomingMessage) => this.#onResponse(res));
+    req.on("error", (error) => this.#onError(error));
+  }
+
+  /** How long the connection had been idle; undefined if it was new. */
+  get restedMs(): number | undefined {
+    return this.#connection?.restedMs;
   }
 
   /** Whether bytes of the request may have gone out. */
   get sent(): boolean {
-    return this.#controller !== undefined;
+    return this.#connection?.opened === true;
   }
 
-  /** Ends the exchange; gives false if it has not begun yet. */
-  cancel(): boolean {
-    this.#cancelled = true;
-    this.#finish({ kind: "cancelled", sent: this.sent });
-    this.#controller?.abort(new Error("cancelled"));
-    return this.sent;
+  /** Takes the connection that the request goes out on. */
+  attach(connection: EndpointConnection | undefined): void {
+    this.#connection = connection;
   }
 
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#cancelled) controller.abort(new Error("cancelled"));
+  /** Ends the exchange; the endpoint sees its connection close. */
+  cancel(): void {
+    this.#finish({ kind: "cancelled", sent: this.sent });
+    this.#req.destroy();
   }
 
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    status: number,
-  ): void {
-    if (status < 200) return;
-    this.#status = status;
-    this.#headers = texts(controller.rawHeaders);
-    this.#fields = this.#codec.readAnswer(status, this.#headers);
-    if (this.#isAnswer(this.#fields)) return;
-    this.#finish({ kind: "unknown", reason: "foreign" });
-    controller.abort(new Error("the answer is that of another request"));
+  #onResponse(res: IncomingMessage): void {
+    const status = res.statusCode ?? 0;
+    this.#res = res;
+    this.#fields = this.#opts.codec.readAnswer(status, res.rawHeaders);
+    if (!this.#isAnswer(this.#fields)) {
+      this.#finish({ kind: "unknown", reason: "foreign" });
+      this.#req.destroy();
+      return;
+    }
+    if (this.#connection !== undefined) {
+      this.#connection.endsWithConnection = endsWithConnection(res);
+    }
+    res.on("data", (chunk: Buffer) => this.#onData(res, chunk));
+    res.on("end", () => this.#onEnd(res));
+    res.on("error", () => this.#brokeOff("cut"));
   }
 
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
+  #onData(res: IncomingMessage, chunk: Buffer): void {
     if (this.#sink !== undefined) {
-      if (!this.#sink.data(chunk)) controller.pause();
+      if (!this.#sink.data(chunk)) res.pause();
       return;
     }
     this.#held.push(chunk);
     this.#heldBytes += chunk.length;
     if (this.#heldBytes <= HELD_BYTES) return;
-    controller.pause();
-    this.#answer(this.#rest());
+    res.pause();
+    this.#answer(res, this.#rest(res));
   }
 
-  onResponseEnd(): void {
-    const whole = this.#isWhole();
-    this.#released(whole && !this.#connection.ended);
-    if (!whole) return this.#brokeOff("cut");
+  #onEnd(res: IncomingMessage): void {
+    if (!this.#isWhole(res)) return this.#brokeOff("cut");
     this.#ended = true;
     if (this.#sink !== undefined) this.#sink.end();
-    else this.#answer(undefined);
-  }
-
-  /**
-   * Whether an answer that the library takes for whole is. It also takes one
-   * for whole whose connection was to close and broke, or closed between two
-   * chunks; the caller would get half an answer as a success.
-   */
-  #isWhole(): boolean {
-    const { ended, broken } = this.#connection;
-    if (broken) return false;
-    return !ended || !this.#isChunked();
-  }
-
-  /** Whether an answer has begun whose end is that of the connection. */
-  get endsWithConnection(): boolean {
-    return this.#status !== 0 && !this.#isChunked() &&
-      !this.#names("content-length");
-  }
-
-  #isChunked(): boolean {
-    return this.#names("transfer-encoding");
+    else this.#answer(res, undefined);
   }
 
-  #names(field: string): boolean {
-    return this.#headers.some((name, i) =>
-      i % 2 === 0 && name.toLowerCase() === field
-    );
+  /** The parser takes an answer without a length for whole after a reset. */
+  #isWhole(res: IncomingMessage): boolean {
+    const reset = this.#connection?.broken === true && endsWithConnection(res);
+    return res.complete && !reset;
   }
 
   #brokeOff(reason: "cut" | "malformed" | "broken"): void {
+    if (this.#ended) return;
+    if (this.#connection !== undefined) this.#connection.spoiled = true;
     this.#failure = reason;
     this.#sink?.fail(reason);
     this.#finish({ kind: "unknown", reason });
   }
 
-  onResponseError(
-    _controller: Dispatcher.DispatchController,
-    error: Error & { code?: string },
-  ): void {
-    this.#released(false);
-    const why = error.code ?? error.message;
-    const malformed = error.name === "HTTPParserError";
+  #onError(error: Error & { readonly code?: string }): void {
+    const res = this.#res;
+    // What follows a whole answer does not concern it; its end is yet to come.
+    if (res?.complete && !endsWithConnection(res)) return;
     if (!this.sent) {
-      this.#finish({ kind: "unsent", reason: why });
-      return;
+      const reason = error.code ?? error.message;
+      return this.#finish({ kind: "unsent", reason });
     }
-    const begun = this.#status !== 0;
+    const malformed = error.code?.startsWith("HPE_") === true;
+    const begun = res !== undefined;
     this.#brokeOff(begun ? "cut" : malformed ? "malformed" : "broken");
   }
 
   /**
    * Whether this answers the request that was sent. An answer to an earlier
    * request can come late, where that to the next one is due; the caller would
-   * get what is somebody else's. A refusal may come without an id.
+   * get somebody else's. A refusal may come without an id.
    */
   #isAnswer({ requestId, notRun, moved }: AnswerFields): boolean {
     if (requestId === undefined) return notRun || moved;
-    return requestId === this.#req.requestId;
+    return requestId === this.#opts.requestId;
   }
 
-  #answer(rest: AnswerRest | undefined): void {
+  #answer(res: IncomingMessage, rest: AnswerRest | undefined): void {
     const fields = this.#fields;
     if (fields === undefined || this.#settled) return;
     if (fields.moved || fields.notRun) {
@@ -188,38 +150,34 @@
     this.#held = [];
     this.#finish({
       kind: "answer",
-      status: this.#status,
-      headers: this.#headers,
+      status: res.statusCode ?? 0,
+      headers: res.rawHeaders,
       fields,
       body: { bytes, rest },
     });
   }
 
-  #rest(): AnswerRest {
+  #rest(res: IncomingMessage): AnswerRest {
     return {
       pipe: (sink) => {
         this.#sink = sink;
         if (this.#failure !== undefined) sink.fail(this.#failure);
         else if (this.#ended) sink.end();
-        else this.#controller?.resume();
+        else res.resume();
       },
-      resume: () => this.#controller?.resume(),
-      cancel: () => this.#controller?.abort(new Error("cancelled")),
+      resume: () => void res.resume(),
+      cancel: () => void this.#req.destroy(),
     };
   }
 
   #finish(result: SendResult): void {
     if (this.#settled) return;
     this.#settled = true;
-    this.#settle(result);
+    this.#opts.settle(result);
   }
 }
 
-function texts(
-  raw: Dispatcher.DispatchController["rawHeaders"],
-): string[] {
-  if (!Array.isArray(raw)) return [];
-  return raw.map((part) =>
-    typeof part === "string" ? part : part.toString("latin1")
-  );
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] === undefined &&
+    headers["content-length"] === undefined;
 }
--- a/src/edge/peer_snapshots.ts
+++ b/src/edge/peer_snapshots.ts
@@ -6,13 +6,12 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { ok, type Result } from "neverthrow";
-import { Agent } from "undici";
 import {
-  Deadline,
   fail,
   type Failure,
+  HttpCalls,
   packJson,
   type Random,
   someOf,
@@ -49,7 +48,7 @@
 /** Fetches snapshots. */
 export class PeerSnapshots {
   readonly #random: Random;
-  readonly #agent = new Agent({ connect: { timeout: FETCH_MS } });
+  readonly #calls = new HttpCalls(FETCH_MS);
 
   constructor(random: Random) {
     this.#random = random;
@@ -72,8 +71,8 @@
     return fail("peer_unavailable", "no instance told what it knows");
   }
 
-  async close(): Promise<void> {
-    await this.#agent.destroy();
+  close(): void {
+    this.#calls.close();
   }
 
   /** Undefined where there is no answer; another one is asked then. */
@@ -82,21 +81,17 @@
     { digestAddress }: InstanceProfile,
     signal: AbortSignal,
   ): Promise<RelayedSnapshot | undefined> {
-    const deadline = new Deadline(FETCH_MS, signal);
     try {
-      const res = await this.#agent.request({
-        origin: `http://${snapshotAddress(digestAddress)}`,
-        path: PATH + kind,
+      const { status, body } = await this.#calls.call({
+        ...splitAddress(snapshotAddress(digestAddress)),
         method: "GET",
-        signal: deadline.signal,
+        path: PATH + kind,
+        timeoutMs: FETCH_MS,
+        signal,
       });
-      const bytes = Buffer.from(await res.body.arrayBuffer());
-      if (res.statusCode !== 200) return undefined;
-      return readSnapshot(bytes);
+      return status === 200 ? readSnapshot(body) : undefined;
     } catch {
       return undefined;
-    } finally {
-      deadline.close();
     }
   }
 }
