Bundle the daemon as CommonJS with code compiled at the build, and measure it

Of the 410 ms until its settings are read (profiled beside a load) 173 were the loader of modules and compiling the file, 24 the stream of standard output, which nothing used but its descriptor.

Change: npm run bench -- start and -- request run the bundled program against the stand-ins and read the processor time of its threads. The bundle is a loader and the daemon as CommonJS; the build runs the daemon under a small load and keeps what was compiled. The runtime rejects the cache where version, flags or source differ and compiles as before. Logs go to descriptor 1.

--- a/src/telemetry/json_log.ts
+++ b/src/telemetry/json_log.ts
@@ -7,7 +7,6 @@
  *
  * @module
  */
-import process from "node:process";
 import pino, { type Logger } from "pino";
 import type { Clock, Log, LogFields, Timer } from "../core/mod.ts";
 
@@ -27,6 +26,8 @@
 const WRITE_BYTES = 4_096;
 /** The second over which lines are counted, in milliseconds. */
 const COUNTED_MS = 1_000;
+/** `process.stdout` would open a stream of its own, which a start pays for. */
+const STDOUT_FD = 1;
 /** How often what is buffered is written, in milliseconds. */
 const FLUSH_MS = 1_000;
 /** Longer values are cut, in characters: they come from callers. */
@@ -112,7 +113,7 @@
 /** Standard output, written without waiting and dropped when it is full. */
 export function stdoutSink(): LineSink & { flush(): void } {
   const out = pino.destination({
-    fd: process.stdout.fd,
+    fd: STDOUT_FD,
     sync: false,
     minLength: WRITE_BYTES,
     maxLength: BUFFER_BYTES,
--- /dev/null
+++ b/tools/bench/instance_cost.ts
@@ -0,0 +1,125 @@
+/**
+ * `npm run bench -- start` and `-- request`: processor time of the bundled
+ * program against this repository's stand-ins, its threads apart.
+ *
+ * @module
+ */
+import { readdirSync, readFileSync } from "node:fs";
+import process from "node:process";
+import { PROGRAM, RUNTIME_FLAGS } from "../bundle/program.ts";
+import type { InstanceProcess } from "../process_soak/instance_process.ts";
+import { StandInWorld } from "../standins/stand_in_world.ts";
+
+/** Other flags of the runtime can be tried, separated by spaces. */
+const NODE_FLAGS = process.env.BENCH_FLAGS?.split(" ") ?? RUNTIME_FLAGS;
+const MEASURED = { program: PROGRAM, nodeFlags: NODE_FLAGS };
+const STARTS = 6;
+const START_MS = 2_500;
+const START_PER_S = 50;
+const RATES_PER_S = [0, 5, 50, 500];
+const SAMPLE_MS = 8_000;
+const MS_PER_S = 1_000;
+/** Kernel clock ticks a second in /proc on Linux. */
+const TICKS_PER_S = 100;
+
+/** Processor time of a process, in milliseconds. */
+interface ProcessorTime {
+  readonly mainMs: number;
+  /** Threads of the runtime: compiler, collector, file system. */
+  readonly otherMs: number;
+}
+
+/** Prints what a start costs until 2.5 s after it, callers included. */
+export async function benchStart(): Promise<void> {
+  const world = await StandInWorld.open();
+  try {
+    const rows: ProcessorTime[] = [];
+    for (let i = 0; i < STARTS; i++) {
+      const instance = world.start(MEASURED);
+      const load = world.load(instance, START_PER_S, START_MS);
+      await wait(START_MS);
+      rows.push(processorTime(instance));
+      await load;
+      await instance.close();
+    }
+    const main_ms = median(rows.map((row) => row.mainMs));
+    const other_ms = median(rows.map((row) => row.otherMs));
+    console.table(rows);
+    console.log(JSON.stringify({ bench: "start", main_ms, other_ms }));
+  } finally {
+    await world.close();
+  }
+}
+
+/** Prints what requests cost at rising rates, each in a new process. */
+export async function benchRequest(): Promise<void> {
+  const world = await StandInWorld.open();
+  try {
+    const rows = [];
+    let idleMs = 0;
+    for (const perS of RATES_PER_S) {
+      const { time, answered } = await measure(world, perS);
+      const totalMs = time.mainMs + time.otherMs;
+      if (perS === 0) idleMs = totalMs;
+      rows.push({
+        per_s: perS,
+        main_ms_per_s: round(time.mainMs / SAMPLE_MS * MS_PER_S),
+        other_ms_per_s: round(time.otherMs / SAMPLE_MS * MS_PER_S),
+        ms_per_request: round((totalMs - idleMs) / Math.max(1, answered)),
+        answered,
+      });
+    }
+    console.table(rows);
+    console.log(JSON.stringify({ bench: "request", rows }));
+  } finally {
+    await world.close();
+  }
+}
+
+/** Processor time of a fresh instance over the sample, once it is ready. */
+async function measure(
+  world: StandInWorld,
+  perS: number,
+): Promise<{ time: ProcessorTime; answered: number }> {
+  const instance = world.start(MEASURED);
+  while (!await instance.ready()) await wait(100);
+  await wait(START_MS);
+  const before = processorTime(instance);
+  const answered = await world.load(instance, perS, SAMPLE_MS);
+  const after = processorTime(instance);
+  await instance.close();
+  const time = {
+    mainMs: after.mainMs - before.mainMs,
+    otherMs: after.otherMs - before.otherMs,
+  };
+  return { time, answered };
+}
+
+/** User and system time of each thread, fields 14 and 15 of its stat file. */
+function processorTime({ pid }: InstanceProcess): ProcessorTime {
+  if (pid === undefined) throw new Error("the instance has ended");
+  let mainMs = 0;
+  let otherMs = 0;
+  for (const thread of readdirSync(`/proc/${pid}/task`)) {
+    const stat = readFileSync(`/proc/${pid}/task/${thread}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    const ticks = Number(fields[11]) + Number(fields[12]);
+    const ms = ticks * MS_PER_S / TICKS_PER_S;
+    if (thread === String(pid)) mainMs += ms;
+    else otherMs += ms;
+  }
+  return { mainMs, otherMs };
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -8,6 +8,7 @@
 import { benchControl } from "./control.ts";
 import { benchDecisions } from "./decisions/decisions.ts";
 import { benchFleet } from "./fleet.ts";
+import { benchRequest, benchStart } from "./instance_cost.ts";
 import { benchLookup } from "./lookup.ts";
 import { benchPath } from "./path.ts";
 
@@ -18,6 +19,8 @@
   fleet: benchFleet,
   lookup: benchLookup,
   path: benchPath,
+  request: benchRequest,
+  start: benchStart,
 };
 const BAD_INPUT = 2;
 
--- a/tools/bundle/bundle.ts
+++ b/tools/bundle/bundle.ts
@@ -1,64 +1,68 @@
 /**
- * Makes the daemon for the platform one file.
+ * Bundles the daemon for the platform.
  *
  * Instances restart with a part of a core, and callers are refused until they
  * are up, so what a library loads and the daemon does not use is left out: of
- * undici all but connections and requests, of zod the texts in other languages.
+ * zod the texts in other languages. The files are CommonJS, whose loader does
+ * less work at a start than that of modules.
  *
  * @module
  */
-import { build, type Plugin } from "esbuild";
+import { build, type BuildOptions, type Plugin } from "esbuild";
+import { DAEMON, PROGRAM } from "./program.ts";
 
-/** The parts of undici that the daemon uses. */
-const UNDICI = `
-  const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
-  Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
-  exports.Agent = require("undici/lib/dispatcher/agent.js");
-  exports.Client = require("undici/lib/dispatcher/client.js");
-  exports.buildConnector = require("undici/lib/core/connect.js");
-`;
 /** The texts of zod that the daemon uses. */
 const LOCALES = `export { default as en } from "./en.js";`;
 
 const lean: Plugin = {
   name: "lean",
   setup(setup) {
-    setup.onResolve({ filter: /^undici$/ }, () => ({
-      path: "undici",
-      namespace: "lean",
-    }));
-    setup.onLoad({ filter: /^undici$/, namespace: "lean" }, () => ({
-      contents: UNDICI,
-      resolveDir: ".",
-    }));
     setup.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({
       contents: LOCALES,
     }));
   },
 };
 
+const COMMON: BuildOptions = {
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  minifySyntax: true,
+  minifyWhitespace: true,
+};
+
+/** Bundles the daemon: the program and what it loads. */
+export async function bundle(): Promise<void> {
+  await build({
+    ...COMMON,
+    entryPoints: ["tools/bundle/loader.ts"],
+    outfile: PROGRAM,
+  });
+  await build({
+    ...COMMON,
+    entryPoints: ["platform/main.ts"],
+    outfile: DAEMON,
+    plugins: [lean],
+    // The loader hands in what is required.
+    banner: { js: "(function(require){" },
+    footer: { js: "})" },
+  });
+}
+
 /**
- * Bundles the daemon into a file.
+ * Bundles the daemon into one file that runs by itself.
  *
  * @param plugins Changes to what is bundled, before the usual ones.
  */
-export async function bundle(
+export async function bundleAlone(
   outfile: string,
   plugins: readonly Plugin[] = [],
 ): Promise<void> {
   await build({
+    ...COMMON,
     entryPoints: ["platform/main.ts"],
     outfile,
-    bundle: true,
-    platform: "node",
-    target: "node20",
-    format: "esm",
-    minifySyntax: true,
-    minifyWhitespace: true,
     plugins: [...plugins, lean],
-    banner: {
-      js: "import { createRequire } from 'node:module';" +
-        "const require = createRequire(import.meta.url);",
-    },
   });
 }
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -20,6 +20,8 @@
   readonly program: string;
   readonly dir: string;
   readonly graceS: number;
+  /** Flags of the runtime, before the program. */
+  readonly nodeFlags?: readonly string[];
 }
 
 const RESTART_MS = 300;
@@ -52,6 +54,11 @@
     return `${this.opts.host}:${CALLER_PORT}`;
   }
 
+  /** The process id; undefined while it is down. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   get running(): boolean {
     return this.#child !== undefined && !this.#frozen;
   }
@@ -63,7 +70,8 @@
     this.life++;
     this.stoppingSince = undefined;
     this.#touch();
-    const child = spawn(process.execPath, [program], {
+    const flags = this.opts.nodeFlags ?? [];
+    const child = spawn(process.execPath, [...flags, program], {
       env: { ...process.env, MAGNOLIAHOOK_SETTINGS: join(dir, `${id}.toml`) },
       stdio: ["ignore", "pipe", "pipe"],
     });
@@ -90,6 +98,11 @@
     }
   }
 
+  /** Sends the process a signal that neither ends nor stops it. */
+  signal(name: NodeJS.Signals): void {
+    this.#child?.kill(name);
+  }
+
   kill(): void {
     this.#touch();
     // A stop that ends in a kill promises nothing.
--- a/tools/process_soak/main.ts
+++ b/tools/process_soak/main.ts
@@ -14,7 +14,7 @@
     seed: { type: "string", default: "1" },
     seconds: { type: "string", default: "40" },
     "per-zone": { type: "string", default: "2" },
-    program: { type: "string", default: "target/magnoliahook.js" },
+    program: { type: "string", default: "target/magnoliahook.cjs" },
   },
 });
 const result = await new ProcessSoak({
--- /dev/null
+++ b/tools/standins/stand_in_world.ts
@@ -0,0 +1,172 @@
+/**
+ * A store, endpoints and callers for one instance, all on loopback.
+ *
+ * @module
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { EndpointStandIn } from "../../platform/testing/endpoint_stand_in.ts";
+import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
+import {
+  endpointEntry,
+  planSpec,
+} from "../../platform/testing/plan_objects.ts";
+import { StandInCaller } from "../../platform/testing/stand_in_caller.ts";
+import { InstanceProcess } from "../process_soak/instance_process.ts";
+
+const HOST = "127.0.0.9";
+const CALLER_HOST = "shop.example";
+const ZONE = "zone-1";
+const ENDPOINTS = 40;
+const ACCOUNTS = 80;
+const OBJECTS = 200;
+const CALLERS = 64;
+/** Objects on a page of the store's lists. */
+const LIST_PAGE = 50;
+const MS_PER_S = 1_000;
+
+/** What an instance runs. */
+export interface Program {
+  readonly program: string;
+  /** Flags of the runtime, before the program. */
+  readonly nodeFlags: readonly string[];
+}
+
+/** A store, endpoints and callers in this process; instances are others. */
+export class StandInWorld {
+  readonly #store: ObjectStoreServer;
+  readonly #endpoints: readonly EndpointStandIn[];
+  readonly #dir: string;
+  #sent = 0;
+
+  private constructor(
+    store: ObjectStoreServer,
+    endpoints: readonly EndpointStandIn[],
+    dir: string,
+  ) {
+    this.#store = store;
+    this.#endpoints = endpoints;
+    this.#dir = dir;
+  }
+
+  static async open(): Promise<StandInWorld> {
+    const store = await ObjectStoreServer.listen(LIST_PAGE);
+    const endpoints: EndpointStandIn[] = [];
+    for (let i = 0; i < ENDPOINTS; i++) {
+      const id = `e-${i}`;
+      const endpoint = await EndpointStandIn.listen({
+        id,
+        service: "web",
+        zone: ZONE,
+        slots: 9,
+        workMs: 20,
+        random: () => 0.5,
+        onRun: () => {},
+      });
+      endpoints.push(endpoint);
+      const { spec, status } = endpointEntry({
+        service: "web",
+        address: `127.0.0.1:${endpoint.port}`,
+        zone: ZONE,
+        slots: 9,
+        draining: false,
+        bornAt: 1_000,
+      });
+      store.write("servers", id, spec, status);
+    }
+    store.write("config", "main", planOfAccounts());
+    return new StandInWorld(
+      store,
+      endpoints,
+      await mkdtemp(join(tmpdir(), "bench-")),
+    );
+  }
+
+  /** Starts an instance as a process of its own. */
+  start({ program, nodeFlags }: Program): InstanceProcess {
+    const instance = new InstanceProcess({
+      id: "bench-1",
+      zone: ZONE,
+      region: "region-1",
+      zones: { [ZONE]: "region-1" },
+      host: HOST,
+      storePort: this.#store.port,
+      program,
+      dir: this.#dir,
+      graceS: 1,
+      nodeFlags,
+    });
+    instance.start();
+    return instance;
+  }
+
+  /** Sends requests at even distances; gives how many were answered whole. */
+  async load(
+    instance: InstanceProcess,
+    perS: number,
+    forMs: number,
+  ): Promise<number> {
+    const callers = Array.from(
+      { length: CALLERS },
+      () => new StandInCaller(instance.callerAddress),
+    );
+    const until = performance.now() + forMs;
+    const gapMs = perS === 0 ? forMs : MS_PER_S / perS;
+    const pending: Promise<boolean>[] = [];
+    let next = performance.now();
+    while (performance.now() < until) {
+      while (perS > 0 && next <= performance.now()) {
+        pending.push(this.#send(callers));
+        next += gapMs;
+      }
+      await wait(Math.min(gapMs, until - performance.now()));
+    }
+    const results = await Promise.all(pending);
+    await Promise.all(callers.map((caller) => caller.close()));
+    return results.filter((answered) => answered).length;
+  }
+
+  async #send(callers: readonly StandInCaller[]): Promise<boolean> {
+    const n = this.#sent++;
+    const caller = callers[n % callers.length] as StandInCaller;
+    const result = await caller.send({
+      request: `r${n}`,
+      host: CALLER_HOST,
+      path: n % 3 === 0 ? `/reads/${n}` : `/writes/${n}`,
+      key: `key-${n % ACCOUNTS}`,
+      object: `o${n % OBJECTS}`,
+      idempotent: n % 3 === 0,
+      patienceMs: 4_000,
+    });
+    return result.kind === "answer" && result.faithful;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.#endpoints.map((endpoint) => endpoint.close()));
+    await this.#store.close();
+    await rm(this.#dir, { recursive: true, force: true });
+  }
+}
+
+function planOfAccounts(): Record<string, unknown> {
+  return planSpec({
+    version: 7,
+    host: CALLER_HOST,
+    routes: [
+      { prefix: "/reads/", service: "web", idempotent: true, timeoutS: 4 },
+      { prefix: "/writes/", service: "web", idempotent: false, timeoutS: 4 },
+    ],
+    services: ["web"],
+    accounts: Array.from({ length: ACCOUNTS }, (_, i) => ({
+      id: `account-${i}`,
+      keys: [`key-${i}`],
+      ratePerS: 1_000,
+      burst: 1_000,
+    })),
+  });
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
