Wait longer between two watches while changes keep coming

While endpoints change several times a second, each of 12 watchers calls every 100 ms.

Change: BatchPause doubles the pause from 100 to 400 ms while changes follow each other, and begins anew after a quiet spell. A change that comes alone is seen as soon as before; in a series a drain is seen 0.3 s later, of the two seconds that it has.

--- a/src/follower/kind_follower.ts
+++ b/src/follower/kind_follower.ts
@@ -19,6 +19,7 @@
 import type { Clock, Failure, Log, Random } from "../core/mod.ts";
 import { fail, sleep } from "../core/mod.ts";
 import type { Result } from "neverthrow";
+import { BatchPause } from "./batch_pause.ts";
 import { Catchup } from "./catchup.ts";
 import type {
   Changes,
@@ -42,12 +43,6 @@
  * back shows with the answer, and until then drains go unseen.
  */
 const LOST_WAIT_MS = 100;
-/**
- * How long after changes the next call comes, in milliseconds. Changes come in
- * groups, as when a service is scaled out, and one call brings all that there
- * are. A drain is seen by this much later, of the two seconds that it has.
- */
-const GATHER_MS = 100;
 /** How long after a failure the next call comes, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 /**
@@ -98,8 +93,9 @@
   /** Undefined while everything has to be read. */
   #revision: number | undefined;
   #everRead = false;
-  /** Whether more changes are likely to follow the last ones soon. */
-  #gather = false;
+  readonly #pause = new BatchPause();
+  /** How long to wait for more changes before the next call, in ms. */
+  #pauseMs = 0;
   /** The highest revision at which another instance knows of a change. */
   #heard = 0;
   #failures = 0;
@@ -133,8 +129,8 @@
       : await this.#watch(this.#revision);
     if (this.#abort.signal.aborted) return;
     if (failed !== undefined) await this.#recover(failed);
-    else if (this.#gather) await sleep(this.#opts.clock, GATHER_MS);
-    this.#gather = false;
+    else if (this.#pauseMs > 0) await sleep(this.#opts.clock, this.#pauseMs);
+    this.#pauseMs = 0;
   }
 
   /** Whether this instance asks the store itself, or is told by others. */
@@ -234,7 +230,7 @@
     const after = this.#mirror.chainedAt;
     const fresh = news.revision > (this.#revision ?? 0);
     if (fresh && news.changes.length > 0) {
-      this.#gather = true;
+      this.#pauseMs = this.#pause.next(this.#opts.clock.now());
       this.#take(news.changes);
       this.#relay(after, this.#mirror.append(news), news.changes);
     }
