--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -16,7 +16,7 @@
 /** Bundles the program, with a mistake if one is given. */
 async function program(fault?: PlantedFault): Promise<string> {
   const dir = await mkdtemp(join(tmpdir(), "magnoliahook-bundle-"));
-  const file = join(dir, "magnoliahook.mjs");
+  const file = join(dir, "magnoliahook.cjs");
   await bundleAlone(file, fault === undefined ? [] : [planted(fault)]);
   return file;
 }
@@ -62,7 +62,7 @@
     name: "a request that may have run is sent again",
     fault: {
       file: "request_flow.ts",
-      text: "trip.route.idempotent && this.#mayTryElsewhere(trip)",
+      text: "ctx.route.idempotent && this.#mayTryElsewhere(trip)",
       instead: "this.#mayTryElsewhere(trip)",
     },
     only: ["endpoint answers"],
