Quote the line of the planted mistake as it reads now

The commit before renamed half of it, so the mistake could not be planted and one test of the soak of processes failed before it began. What it asserts is unchanged.

--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -62,8 +62,8 @@
     name: "a request that may have run is sent again",
     fault: {
       file: "request_flow.ts",
-      text: "ctx.route.idempotent && this.#mayTryElsewhere(trip)",
-      instead: "this.#mayTryElsewhere(trip)",
+      text: "ctx.route.idempotent && this.#mayTryElsewhere(ctx)",
+      instead: "this.#mayTryElsewhere(ctx)",
     },
     only: ["endpoint answers"],
     property: "what may run once runs once",
