--- /dev/null
+++ b/src/core/http_calls_test.ts
@@ -0,0 +1,60 @@
+import test from "ava";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type HttpCall, HttpCalls } from "./mod.ts";
+
+function serve(listener: RequestListener): Promise<Server> {
+  const server = createServer(listener);
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve(server));
+  });
+}
+
+function callTo(server: Server, change: Partial<HttpCall> = {}): HttpCall {
+  return {
+    host: "127.0.0.1",
+    port: (server.address() as AddressInfo).port,
+    method: "GET",
+    path: "/",
+    timeoutMs: 5_000,
+    signal: new AbortController().signal,
+    ...change,
+  };
+}
+
+test("a call gives status and body, and reuses its connection", async (t) => {
+  let connections = 0;
+  const server = await serve((req, res) => res.end(`${req.method} ok`));
+  server.on("connection", () => connections++);
+  const calls = new HttpCalls(500);
+  const first = await calls.call(callTo(server));
+  const second = await calls.call(callTo(server, { method: "POST", json: {} }));
+  t.deepEqual([first.status, first.body.toString()], [200, "GET ok"]);
+  t.is(second.body.toString(), "POST ok");
+  t.is(connections, 1);
+  calls.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+// Guards against a caller that waits for ever on a server that hangs.
+test("a call that is not answered in time fails", async (t) => {
+  const server = await serve(() => {});
+  const calls = new HttpCalls(500);
+  await t.throwsAsync(calls.call(callTo(server, { timeoutMs: 50 })));
+  calls.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+// Guards against half an answer that is taken for the whole.
+test("an answer that breaks off fails the call", async (t) => {
+  const server = await serve((_, res) => {
+    res.writeHead(200, { "content-length": "10" });
+    res.write("half", () => res.destroy());
+  });
+  const calls = new HttpCalls(500);
+  await t.throwsAsync(calls.call(callTo(server)));
+  calls.close();
+  server.close();
+});
--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -218,6 +218,29 @@
   t.true(asked <= accounts.length, `${asked} times`);
 });
 
+// Guards against ticks that cost each instance work on all accounts of a plan.
+test("a tick works out the rates of accounts in use only", (t) => {
+  let asked = 0;
+  const fleetSize = () => {
+    asked++;
+    return 12;
+  };
+  const accounts = Array.from(
+    { length: 140 },
+    (_, i) => account({ id: `account-${i}` as AccountId }),
+  );
+  const quotas = new AccountQuotas("i0" as InstanceId, { fleetSize });
+  quotas.adopt(accounts, 0);
+  const [used] = accounts;
+  t.truthy(used);
+  if (used !== undefined) quotas.take(used, 0);
+  asked = 0;
+  const ticks = 4;
+  for (let i = 1; i <= ticks; i++) t.is(quotas.tick(i * 250).size, 1);
+  // Once for the division of demand, once for the account's rate.
+  t.true(asked <= 2 * ticks, `${asked} times`);
+});
+
 /** What may happen to a fleet and to an account's demand. */
 type Happening =
   | { readonly kind: "demand"; readonly times: number; readonly hot: number }
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -17,7 +17,10 @@
   close(): void;
 }
 
-function listen(script: Script): Promise<Endpoint> {
+function listen(
+  script: Script,
+  onBytes: (chunk: Buffer) => void = () => {},
+): Promise<Endpoint> {
   let taken = 0;
   const open = new Set<Socket>();
   const server = createServer((socket) => {
@@ -25,7 +28,10 @@
     open.add(socket);
     let requests = 0;
     socket.on("error", () => {});
-    socket.on("data", () => script(socket, ++requests));
+    socket.on("data", (chunk) => {
+      onBytes(chunk);
+      script(socket, ++requests);
+    });
   });
   return new Promise((resolve) => {
     server.listen(0, "127.0.0.1", () => {
@@ -63,7 +69,7 @@
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: endpoint.address });
   const result = await sender.send(row, outgoing()).result;
-  await sender.close();
+  sender.close();
   endpoint.close();
   return result;
 }
@@ -161,27 +167,24 @@
 
 for (const { name, script, want } of CASES) {
   test(`${name}: ${want}`, async (t) => {
-    // A faulty endpoint breaks its answers off in every way. Whatever is not
-    // surely the whole answer to this request must not reach a caller.
+    // Guards against half an answer, or another's, that reaches a caller.
     t.is(summary(await sendTo(script)), want);
   });
 }
 
 test("an endpoint that does not listen was sent nothing", async (t) => {
-  // An endpoint has just ended. Its requests can go elsewhere, those that may
-  // run only once too, since no byte of them can have arrived.
+  // Guards against a request that is not tried elsewhere though it never ran.
   const gone = await listen(() => {});
   gone.close();
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: gone.address });
   const result = await sender.send(row, outgoing()).result;
-  await sender.close();
+  sender.close();
   t.is(result.kind, "unsent");
 });
 
 test("bytes after a whole answer end the connection, and no request meets them", async (t) => {
-  // A faulty endpoint sends a second answer behind the first. Were the
-  // connection used again, the next caller would get it.
+  // Guards against an extra answer that reaches the next caller.
   const endpoint = await listen((socket) => {
     const whole = answer("Content-Length: 2\r\n", "ab");
     socket.write(whole + whole);
@@ -191,12 +194,44 @@
   const first = await sender.send(row, outgoing()).result;
   await new Promise((resolve) => setTimeout(resolve, 50));
   const second = await sender.send(row, outgoing()).result;
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.deepEqual([summary(first), summary(second)], ["answer ab", "answer ab"]);
   t.is(endpoint.connections(), 2);
 });
 
+test("bytes that come while a connection is idle close it", async (t) => {
+  // Guards against late bytes that are read as the next request's answer.
+  const endpoint = await listen((socket) => {
+    socket.write(answer("Content-Length: 2\r\n", "ab"));
+    setTimeout(() => socket.write("HTTP/1.1 200 O"), 10);
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, outgoing()).result;
+  await new Promise((resolve) => setTimeout(resolve, 60));
+  const second = await sender.send(row, outgoing()).result;
+  sender.close();
+  endpoint.close();
+  t.is(summary(second), "answer ab");
+  t.is(endpoint.connections(), 2);
+});
+
+test("a request without a body states that it has none", async (t) => {
+  // Guards against a chunked body at endpoints that cannot read one.
+  let head = "";
+  const endpoint = await listen((socket) => {
+    socket.write(answer("Content-Length: 2\r\n", "ab"));
+  }, (chunk) => head += chunk);
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, { ...outgoing(), method: "POST" }).result;
+  sender.close();
+  endpoint.close();
+  t.regex(head, /content-length: 0/i);
+  t.notRegex(head, /transfer-encoding/i);
+});
+
 test("a connection is used again after a whole answer", async (t) => {
   const endpoint = await listen((socket) =>
     socket.write(answer("Content-Length: 2\r\n", "ab"))
@@ -205,14 +240,13 @@
   const row = endpointRow({ address: endpoint.address });
   await sender.send(row, outgoing()).result;
   await sender.send(row, outgoing()).result;
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.is(endpoint.connections(), 1);
 });
 
 test("a request that is cancelled closes its connection at the endpoint", async (t) => {
-  // The caller has left. The endpoint goes on with its work unless it sees the
-  // connection close.
+  // Guards against endpoints that work for callers who have left.
   let closed: () => void;
   const seen = new Promise<void>((resolve) => closed = resolve);
   const endpoint = await listen((socket) => {
@@ -225,7 +259,7 @@
   sending.cancel();
   const result = await sending.result;
   await seen;
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.deepEqual(result, { kind: "cancelled", sent: true });
 });
@@ -256,15 +290,13 @@
       fail: (reason) => t.fail(reason),
     });
   });
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.is(bytes, piece.length * pieces);
 });
 
 test("an endpoint that forgets idle connections loses one request, not one each time", async (t) => {
-  // Something before the endpoint forgets connections that rested for a while,
-  // sooner than the endpoint says. Each request on such a one is reset, and a
-  // caller whose request may run once is told that it failed.
+  // Guards against requests lost on connections that were forgotten while idle.
   const endpoint = await listen((socket, requests) => {
     if (requests === 1) socket.write(answer("content-length: 2\r\n", "ok"));
     else socket.resetAndDestroy();
@@ -277,7 +309,7 @@
     seen.push(summary(await sender.send(row, outgoing()).result));
     clock.advance(1_000);
   }
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.deepEqual(seen, [
     "answer ok",
@@ -289,8 +321,7 @@
 });
 
 test("a connection rests as long as its endpoint says, less a margin", async (t) => {
-  // An endpoint that keeps connections for ten seconds need not take a new one
-  // for each request that comes after four.
+  // Guards against a new connection for each request of a slow trickle.
   const endpoint = await listen((socket) => {
     const head = "keep: 10000\r\ncontent-length: 2\r\n";
     socket.write(answer(head, "ok"));
@@ -304,7 +335,7 @@
     connections.push(endpoint.connections());
     clock.advance(restMs);
   }
-  await sender.close();
+  sender.close();
   endpoint.close();
   t.deepEqual(connections, [1, 1, 2]);
 });
