--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -188,9 +188,9 @@
   }
 
   /** An instance is heard no more. */
-  silent(instance: InstanceId): void {
-    this.#shares.silent(instance);
-    for (const { bucket } of this.#rows.values()) bucket.silent(instance);
+  unreachable(instance: InstanceId): void {
+    this.#shares.unreachable(instance);
+    for (const { bucket } of this.#rows.values()) bucket.unreachable(instance);
   }
 
   #add(account: Account, now: number): Row {
--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -6,9 +6,9 @@
 import {
   account,
   bound,
-  QUIET_AFTER_MS,
   QuotaFleet,
   type QuotaMember,
+  SUSPECT_AFTER_MS,
   ZONE_MAIL_MS,
 } from "./testing/quota_fleet.ts";
 
@@ -130,7 +130,7 @@
   const fleet = new QuotaFleet(12, subject, 4);
   fleet.run(10_000, () => 20);
   fleet.cut(fleet.members.slice(0, 4));
-  fleet.run(QUIET_AFTER_MS, () => 160);
+  fleet.run(SUSPECT_AFTER_MS, () => 160);
   fleet.noticeCut();
   fleet.run(10_000, () => 160);
   t.true(fleet.mostWithin(5_000) <= bound(subject));
@@ -285,7 +285,7 @@
         break;
       case "cut":
         fleet.cut(fleet.members.slice(0, happening.count));
-        fleet.run(QUIET_AFTER_MS, perS);
+        fleet.run(SUSPECT_AFTER_MS, perS);
         fleet.noticeCut();
         break;
       case "heal":
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -8,10 +8,10 @@
  * account they were asked for lately; every instance works out every share from
  * the same numbers, so the shares add up to about one without an agreement.
  *
- * An instance that falls silent may be alive behind a partition, and spend. So
- * its share stays set aside as it last was, and those that hear each other
- * divide only the rest. One that is cut off from all divides what the others do
- * not hold: its own last share.
+ * An instance that becomes unreachable may be alive behind a partition, and
+ * spend. So its share stays set aside as it last was, and those that hear each
+ * other divide only the rest. One that is cut off from all divides what the
+ * others do not hold: its own last share.
  *
  * @module
  */
@@ -24,10 +24,10 @@
  */
 const EQUAL_PART = 0.2;
 /**
- * Ticks for which divisions are kept. Shares of instances that fall silent are
- * set aside as they were so long ago, before what cut them off: since then
- * callers may press on those that are heard, and the others' shares would seem
- * to have been small. Both sides would take more than they had.
+ * Ticks for which divisions are kept. Shares of instances that become
+ * unreachable are set aside as they were so long ago, before what cut them off:
+ * since then callers may press on those that are heard, and the others' shares
+ * would seem to have been small. Both sides would take more than they had.
  */
 const TICKS_KEPT = 5;
 /** Demand below this is no ground to move shares, in requests a second. */
@@ -40,11 +40,11 @@
 interface Division {
   /** Requests a second of all instances that are heard, by account. */
   readonly demand: ReadonlyMap<AccountId, number>;
-  /** The part of the rate that silent instances hold, by account. */
+  /** The part of the rate that unreachable instances hold, by account. */
   readonly reserved: ReadonlyMap<AccountId, number>;
   /** Silent instances, each of which holds a part of the floor at least; */
-  readonly silent: number;
-  /** Instances that are not silent, and how many of them have told. */
+  readonly unreachable: number;
+  /** Instances that are not unreachable, and how many of them have told. */
   readonly heard: number;
   readonly told: number;
 }
@@ -85,7 +85,7 @@
   readonly #own: InstanceId;
   readonly #fleetSize: () => number;
   readonly #told = new Map<InstanceId, Told>();
-  /** Shares of silent instances, as they were when last heard. */
+  /** Shares of unreachable instances, as they were when last heard. */
   readonly #reserved = new Map<InstanceId, Reserved>();
   /** Shares of instances that a group does not hear and stands for. */
   readonly #reservedBy = new Map<InstanceId, Reserved>();
@@ -127,7 +127,7 @@
   }
 
   /** Sets aside the share of an instance that is not heard any more. */
-  silent(instance: InstanceId): void {
+  unreachable(instance: InstanceId): void {
     const told = this.#told.get(instance);
     if (told === undefined || instance === this.#own) return;
     const [before] = this.#snapshots;
@@ -163,9 +163,7 @@
    * This instance's part of an account's rate, in [0, 1].
    *
    * @example
-   * ```ts
    * const ratePerS = account.ratePerS * shares.own(account.id);
-   * ```
    */
   own(account: AccountId): number {
     const demand = this.#told.get(this.#own)?.demand ?? NO_DEMAND;
@@ -194,7 +192,7 @@
     return Math.max(0, all - own);
   }
 
-  /** The part of an account's rate that silent instances hold, in [0, 1]. */
+  /** The part of an account's rate that unreachable instances hold, in [0, 1]. */
   reserved(account: AccountId): number {
     return reservedOf(this.#division, account);
   }
@@ -207,13 +205,13 @@
     this.#divisions++;
     const demand = new Map<AccountId, number>();
     for (const told of this.#told.values()) addAll(demand, told.demand);
-    const { shares: reserved, instances: silent } = sumOfReserved([
+    const { shares: reserved, instances: unreachable } = sumOfReserved([
       ...this.#reserved.values(),
       ...this.#reservedBy.values(),
     ]);
-    const heard = Math.max(1, this.#fleetSize() - silent);
+    const heard = Math.max(1, this.#fleetSize() - unreachable);
     const told = instancesIn(this.#told.values());
-    return { demand, reserved, silent, heard, told };
+    return { demand, reserved, unreachable, heard, told };
   }
 }
 
@@ -248,7 +246,7 @@
 
 /** Silent instances that were not asked for the account hold their floor. */
 function reservedOf(division: Division, account: AccountId): number {
-  const { reserved, silent, heard } = division;
-  const floor = EQUAL_PART * silent / (silent + heard);
+  const { reserved, unreachable, heard } = division;
+  const floor = EQUAL_PART * unreachable / (unreachable + heard);
   return Math.min(1, Math.max(floor, reserved.get(account) ?? 0));
 }
--- a/src/decisions/quotas/demand_shares_test.ts
+++ b/src/decisions/quotas/demand_shares_test.ts
@@ -64,9 +64,9 @@
 
 test("the share of a zone that is not heard stays set aside", (t) => {
   // A zone is cut off and spends on. What the others divide leaves its share.
-  const silent = "zone 5" as InstanceId;
+  const unreachable = "zone 5" as InstanceId;
   const sum = sumOfShares((shares, zone) => {
-    if (zone !== 5) shares.silent(silent);
+    if (zone !== 5) shares.unreachable(unreachable);
   });
   t.true(sum <= 1 + 1e-9, `${sum}`);
   t.true(sum > 0.95, `${sum}`);
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -135,7 +135,7 @@
    * An instance is heard no more. What it spends from now on is in the reserved
    * part of the rate, so its next count is a new beginning.
    */
-  silent(instance: InstanceId): void {
+  unreachable(instance: InstanceId): void {
     this.#told.delete(instance);
   }
 
--- a/src/decisions/quotas/testing/quota_fleet.ts
+++ b/src/decisions/quotas/testing/quota_fleet.ts
@@ -31,7 +31,7 @@
 export const ZONE_MAIL_MS = 400;
 const STEP_MS = 5;
 /** When an instance's share is set aside that is not heard, in ms. */
-export const QUIET_AFTER_MS = 400;
+export const SUSPECT_AFTER_MS = 400;
 
 export function account(opts: Partial<Account> = {}): Account {
   return {
@@ -106,11 +106,11 @@
     for (const member of this.members) member.cut = false;
   }
 
-  /** The members that are cut off count as silent, on both sides. */
+  /** The members that are cut off count as unreachable, on both sides. */
   noticeCut(): void {
     for (const a of this.members) {
       for (const b of this.members) {
-        if (a !== b && (a.cut || b.cut)) a.quotas.silent(b.id);
+        if (a !== b && (a.cut || b.cut)) a.quotas.unreachable(b.id);
       }
     }
   }
--- a/src/decisions/quotas/window_count.ts
+++ b/src/decisions/quotas/window_count.ts
@@ -37,9 +37,9 @@
   assume(n: number, sinceMs: number, now: number): void {
     this.#moveOn(now);
     this.#parts.fill(0);
-    const quiet = Math.min(PARTS, Math.floor(sinceMs / this.#partMs));
+    const suspect = Math.min(PARTS, Math.floor(sinceMs / this.#partMs));
     this.#sum = 0;
-    for (let ago = quiet; ago <= PARTS; ago++) {
+    for (let ago = suspect; ago <= PARTS; ago++) {
       const i = this.#index(this.#part - ago);
       this.#parts[i] = n / (PARTS + 1);
       this.#sum += n / (PARTS + 1);
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -178,7 +178,7 @@
         peerLoad: this.#peerLoad,
         followers: this.#followers,
         expiry: this.#expiry,
-        neighbourInTouch: () => this.#member.neighbourInTouch,
+        watchPeerInTouch: () => this.#member.watchPeerInTouch,
         clock,
         log,
       }),
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -18,7 +18,7 @@
   readonly followers: SteeringWatchers;
   readonly expiry: ExpiryGuard;
   /** Whether a watcher of the store that serves this instance is answered. */
-  readonly neighbourInTouch: () => boolean;
+  readonly watchPeerInTouch: () => boolean;
   readonly clock: Clock;
   readonly log: Log;
 }
@@ -26,7 +26,7 @@
 /** Gossip handlers of one instance. */
 export class GossipHandlers implements FleetEvents {
   readonly #opts: FleetNewsOptions;
-  #roles: Roles = { speaks: false, asksStore: false };
+  #roles: Roles = { speaks: false, isStoreWatcher: false };
 
   constructor(opts: FleetNewsOptions) {
     this.#opts = opts;
@@ -41,17 +41,17 @@
     followers.heardOf(news.changes);
   }
 
-  quiet(group: InstanceId): void {
-    this.#opts.quotas.silent(group);
+  suspect(group: InstanceId): void {
+    this.#opts.quotas.unreachable(group);
   }
 
-  silent(group: InstanceId): void {
-    this.#opts.peerLoad.silent(group);
+  unreachable(group: InstanceId): void {
+    this.#opts.peerLoad.unreachable(group);
   }
 
-  forgotten(group: InstanceId): void {
+  removed(group: InstanceId): void {
     this.#opts.quotas.forget(group);
-    this.#opts.peerLoad.silent(group);
+    this.#opts.peerLoad.unreachable(group);
   }
 
   relayed(changes: RelayedChanges): void {
@@ -59,18 +59,18 @@
   }
 
   /**
-   * An instance that does not watch the store is in touch with it while one that
-   * watches for it is.
+   * An instance that does not watch the store is in touch with it while one
+   * that watches for it is.
    */
-  roles({ speaks, asksStore }: Roles): void {
-    const { clock, log, followers, expiry, neighbourInTouch } = this.#opts;
+  roles({ speaks, isStoreWatcher }: Roles): void {
+    const { clock, log, followers, expiry, watchPeerInTouch } = this.#opts;
     const changed = speaks !== this.#roles.speaks ||
-      asksStore !== this.#roles.asksStore;
-    this.#roles = { speaks, asksStore };
-    if (changed) log.event("roles_changed", { speaks, asksStore });
-    followers.setAsking(asksStore);
-    if (asksStore) return;
-    if (neighbourInTouch()) expiry.regained(clock.now());
+      isStoreWatcher !== this.#roles.isStoreWatcher;
+    this.#roles = { speaks, isStoreWatcher };
+    if (changed) log.event("roles_changed", { speaks, isStoreWatcher });
+    followers.setAsking(isStoreWatcher);
+    if (isStoreWatcher) return;
+    if (watchPeerInTouch()) expiry.regained(clock.now());
     else expiry.lost(clock.now());
   }
 }
--- a/src/edge/peer_load.ts
+++ b/src/edge/peer_load.ts
@@ -29,13 +29,13 @@
 
   /** Takes in the report of a group: an instance, a zone, or the fleet. */
   told(group: InstanceId, inFlight: InFlight): void {
-    this.silent(group);
+    this.unreachable(group);
     this.#told.set(group, inFlight);
     for (const [endpoint, n] of inFlight) this.#add(endpoint, n);
   }
 
   /** Leaves out a group that is unreachable. */
-  silent(group: InstanceId): void {
+  unreachable(group: InstanceId): void {
     for (const [endpoint, n] of this.#told.get(group) ?? []) {
       this.#add(endpoint, -n);
     }
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -299,7 +299,7 @@
 });
 
 test("at the deadline the caller is answered, and the endpoint let go", async (t) => {
-  // An endpoint keeps silent. The caller is told that the outcome is unknown,
+  // An endpoint stays silent. The caller is told that the outcome is unknown,
   // before it stops listening.
   const path = new Path({ sender: new ScriptedSender("silence") });
   const answer = path.ask({ patienceMs: 1_000 });
--- a/src/fleet/compact_digest_test.ts
+++ b/src/fleet/compact_digest_test.ts
@@ -32,7 +32,12 @@
 const KNOWN = profile("i1");
 
 function digest(opts: Partial<Digest> = {}): Digest {
-  const own = { profile: KNOWN, start: "8f14e45f", seq: 41, asksStore: false };
+  const own = {
+    profile: KNOWN,
+    start: "8f14e45f",
+    seq: 41,
+    isStoreWatcher: false,
+  };
   return digestOf("i1", { ...own, ...opts });
 }
 
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -43,7 +43,7 @@
   /** Whether it asks the store itself, and the store answers. */
   readonly storeInTouch: boolean;
   /** Whether it asks the store itself. */
-  readonly asksStore: boolean;
+  readonly isStoreWatcher: boolean;
   /** Whether it relays what its zone and the other zones report. */
   readonly relays: boolean;
   /** How much it can carry, compared with the others. */
@@ -91,7 +91,7 @@
     n: digest.seq,
     v: digest.planVersion,
     t: digest.storeInTouch,
-    a: digest.asksStore,
+    a: digest.isStoreWatcher,
     c: digest.capacity,
     k: Object.fromEntries(digest.changes),
     d: useRows(digest.uses),
@@ -126,7 +126,7 @@
     seq: json.n,
     planVersion: json.v,
     storeInTouch: json.t === true,
-    asksStore: json.a === true,
+    isStoreWatcher: json.a === true,
     // Builds that write JSON know of no relays.
     relays: false,
     capacity: typeof json.c === "number" && json.c > 0 ? json.c : 0,
--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -32,7 +32,7 @@
   seq: number,
 ): readonly InstanceProfile[] {
   const also = (seq + 1) % SILENT_EVERY === 0;
-  return peers.filter((p) => !p.silent || also).map((p) => p.profile);
+  return peers.filter((p) => !p.unreachable || also).map((p) => p.profile);
 }
 
 /** What the exchange works with. */
--- a/src/fleet/digest_exchange_test.ts
+++ b/src/fleet/digest_exchange_test.ts
@@ -30,9 +30,9 @@
   const heard: InstanceId[] = [];
   const peers = new PeerTable(profile("i0"), 1, {
     told: ({ profile }) => heard.push(profile.id),
-    quiet: () => {},
-    silent: () => {},
-    forgotten: () => {},
+    suspect: () => {},
+    unreachable: () => {},
+    removed: () => {},
   });
   const exchange = new DigestExchange({
     datagrams,
--- a/src/fleet/fleet_aggregate_test.ts
+++ b/src/fleet/fleet_aggregate_test.ts
@@ -41,7 +41,7 @@
       startHash: hash("s1"),
       seq: 7,
       state: "leaving",
-      asksStore: true,
+      isStoreWatcher: true,
       storeInTouch: false,
       relays: true,
       upToDate: true,
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -24,23 +24,23 @@
   readonly reserved?: Reserved;
 }
 
-/** Takes in what groups report, and which of them fall silent. */
+/** Takes in what groups report, and which of them become unreachable. */
 export interface GroupEvents {
   told(news: GroupNews, now: number): void;
   /** A group was not heard lately; it may be cut off. */
-  quiet(group: InstanceId): void;
+  suspect(group: InstanceId): void;
   /** A group is heard no more. */
-  silent(group: InstanceId): void;
+  unreachable(group: InstanceId): void;
   /** A group is taken to have ended, or counts as part of another. */
-  forgotten(group: InstanceId): void;
+  removed(group: InstanceId): void;
 }
 
 /** Stands for all other instances, as the zone's relay sums them. */
 export const FLEET_GROUP = "fleet" as InstanceId;
 
 /**
- * News of a group is dropped once the relay alone has heard it for this long, in
- * milliseconds.
+ * News of a group is dropped once the relay alone has heard it for this long,
+ * in milliseconds.
  */
 const STALE_AFTER_MS = 3_000;
 
@@ -74,22 +74,22 @@
   suspect(group: InstanceId): void {
     const known = this.#direct.get(group);
     if (known !== undefined) known.suspect = true;
-    if (!this.#relayed) this.#events.quiet(group);
+    if (!this.#relayed) this.#events.suspect(group);
   }
 
   unreachable(group: InstanceId): void {
-    if (!this.#relayed) this.#events.silent(group);
+    if (!this.#relayed) this.#events.unreachable(group);
   }
 
   forget(group: InstanceId): void {
     const known = this.#direct.delete(group);
-    if (known && !this.#relayed) this.#events.forgotten(group);
+    if (known && !this.#relayed) this.#events.removed(group);
   }
 
   /** The relay reported the rest of the fleet. */
   toldByRelay(news: GroupNews, now: number): void {
     if (!this.#relayed) {
-      for (const group of this.#direct.keys()) this.#events.forgotten(group);
+      for (const group of this.#direct.keys()) this.#events.removed(group);
       this.#relayed = true;
     }
     for (const [group, { at, suspect }] of this.#direct) {
@@ -100,11 +100,11 @@
 
   /** The relay is not heard, or another takes over: counts begin anew. */
   relaySuspect(): void {
-    if (this.#relayed) this.#events.quiet(FLEET_GROUP);
+    if (this.#relayed) this.#events.suspect(FLEET_GROUP);
   }
 
   relayUnreachable(): void {
-    if (this.#relayed) this.#events.silent(FLEET_GROUP);
+    if (this.#relayed) this.#events.unreachable(FLEET_GROUP);
   }
 
   /**
@@ -116,10 +116,10 @@
     const groups = [...this.#direct.values()];
     if (groups.every(({ suspect }) => suspect)) return false;
     this.#relayed = false;
-    this.#events.forgotten(FLEET_GROUP);
+    this.#events.removed(FLEET_GROUP);
     for (const { news, suspect } of groups) {
       this.#events.told(news, now);
-      if (suspect) this.#events.quiet(news.group);
+      if (suspect) this.#events.suspect(news.group);
     }
     return true;
   }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -99,7 +99,7 @@
   readonly #relayFollower: RelayFollower;
   readonly #roles: ZoneRoles;
   readonly #digests: DigestExchange;
-  #current: Roles = { speaks: false, asksStore: false };
+  #current: Roles = { speaks: false, isStoreWatcher: false };
   #reservations: readonly Reservation[] = [];
 
   constructor(opts: FleetMemberOptions) {
@@ -109,15 +109,15 @@
     this.#datagrams = new Datagrams(opts.transport, log);
     this.#peers = new PeerTable(profile, opts.assumed, {
       told: (digest, now) => this.#told(digest, now),
-      quiet: ({ profile }) => this.#suspect(profile.id),
-      silent: ({ profile }) => this.#unreachable(profile.id),
-      forgotten: ({ profile }) => this.#forgotten(profile.id),
+      suspect: ({ profile }) => this.#suspect(profile.id),
+      unreachable: ({ profile }) => this.#unreachable(profile.id),
+      removed: ({ profile }) => this.#removed(profile.id),
     });
     this.#zones = new ZoneTable({
       told: (digest, now) => this.#toldZone(digest, now),
-      quiet: (zone) => this.#suspect(groupOf(zone)),
-      silent: (zone) => this.#unreachable(groupOf(zone)),
-      forgotten: (zone) => this.#forgetGroup(groupOf(zone)),
+      suspect: (zone) => this.#suspect(groupOf(zone)),
+      unreachable: (zone) => this.#unreachable(groupOf(zone)),
+      removed: (zone) => this.#forgetGroup(groupOf(zone)),
     });
     this.#feed = new FleetFeed(events);
     const { firstStart } = opts;
@@ -170,8 +170,8 @@
   }
 
   /** Whether one that asks the store for this one too is answered. */
-  get neighbourInTouch(): boolean {
-    return this.#peers.neighbours().some((n) => !n.quiet && n.storeInTouch);
+  get watchPeerInTouch(): boolean {
+    return this.#peers.watchPeers().some((n) => !n.suspect && n.storeInTouch);
   }
 
   start(): void {
@@ -197,9 +197,11 @@
     return [...near, ...far];
   }
 
-  /** Passes on changes to the neighbours that do not ask. */
+  /** Passes on changes to the peers that do not watch the store themselves. */
   relay(batch: RelayedChanges): void {
-    const to = this.#peers.neighbours().filter((n) => !n.quiet && !n.asksStore);
+    const to = this.#peers.watchPeers().filter((n) =>
+      !n.suspect && !n.isStoreWatcher
+    );
     if (to.length === 0) return;
     const addresses = to.map((n) => n.profile.digestAddress);
     this.#datagrams.send("changes", addresses, encodeChanges(batch));
@@ -208,7 +210,7 @@
   /** Instances that know of a change of a kind, those of the zone first. */
   knowing(kind: string, revision: number): readonly InstanceProfile[] {
     const known = this.#peers.peers().filter((p) =>
-      !p.quiet && p.state !== "leaving" &&
+      !p.suspect && p.state !== "leaving" &&
       (p.changes.get(kind) ?? 0) >= revision
     ).map((p) => p.profile);
     const near = known.filter((p) => this.#peers.isOwnZone(p.zone));
@@ -229,7 +231,7 @@
   /** Whom this instance tells of itself. */
   #recipients(seq: number): readonly InstanceProfile[] {
     const everybody = this.#peers.isMesh ||
-      this.#peers.mates().every((m) => m.quiet);
+      this.#peers.zonePeers().every((m) => m.suspect);
     return everybody ? toTell(this.#peers.peers(), seq) : this.#hubs();
   }
 
@@ -239,9 +241,11 @@
 
   /** The others of the zone to which all of it report. */
   #hubs(): readonly InstanceProfile[] {
-    const mates = this.#peers.mates();
-    const hubs = this.#roles.hubs(mates);
-    return mates.map((m) => m.profile).filter(({ id }) => hubs.includes(id));
+    const zonePeers = this.#peers.zonePeers();
+    const hubs = this.#roles.hubs(zonePeers);
+    return zonePeers.map((m) => m.profile).filter(({ id }) =>
+      hubs.includes(id)
+    );
   }
 
   /** Another zone's digest goes to whoever relays, or may have to soon. */
@@ -272,8 +276,8 @@
     // How large the fleet is shows with the list.
     const relayed = !this.#peers.isMesh || !this.#peers.isListed;
     const roles = this.#roles.update(
-      this.#peers.mates(),
-      this.#peers.neighbours(),
+      this.#peers.zonePeers(),
+      this.#peers.watchPeers(),
       { now, warm, relayed },
     );
     // The next speaks from the moment at which it hears that this one leaves.
@@ -294,7 +298,7 @@
 
   #compose(seq: number, toNewcomer: boolean): Digest {
     const { profile, capacity, report } = this.#opts;
-    const { asksStore } = this.#current;
+    const { isStoreWatcher } = this.#current;
     const { reservations, ...self } = report();
     this.#reservations = reservations;
     return {
@@ -302,8 +306,8 @@
       profile,
       start: this.#start,
       seq,
-      storeInTouch: asksStore && self.storeInTouch,
-      asksStore,
+      storeInTouch: isStoreWatcher && self.storeInTouch,
+      isStoreWatcher,
       relays: this.#relays,
       capacity,
       others: this.#someOthers(
@@ -314,7 +318,7 @@
 
   #someOthers(most: number): InstanceProfile[] {
     const heard = [
-      ...this.#peers.peers().filter((p) => !p.silent),
+      ...this.#peers.peers().filter((p) => !p.unreachable),
       ...this.#peers.far(),
     ];
     return someOf(heard, most, this.#opts.random).map((p) => p.profile);
@@ -349,7 +353,7 @@
     this.#feed.unreachable(group);
   }
 
-  #forgotten(id: InstanceId): void {
+  #removed(id: InstanceId): void {
     this.#opts.log.event("peer_forgotten", { peer: id });
     this.#forgetGroup(id);
   }
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -46,7 +46,7 @@
   for (const region of ["a", "b", "c"]) {
     const members = fleet.members.filter((m) => m.profile.region === region);
     t.is(members.length, 4);
-    t.is(members.filter((m) => m.roles.asksStore).length, 2);
+    t.is(members.filter((m) => m.roles.isStoreWatcher).length, 2);
   }
 });
 
@@ -59,12 +59,12 @@
     changes: [],
     holdMs: 0,
   };
-  const asks = fleet.members.find((m) => m.roles.asksStore)!;
+  const asks = fleet.members.find((m) => m.roles.isStoreWatcher)!;
   asks.member.relay(batch);
   const got = fleet.members.filter((m) => m.relayed.length > 0);
   t.is(got.length, 2);
   t.true(got.every((m) => m.profile.region === asks.profile.region));
-  t.true(got.every((m) => !m.roles.asksStore));
+  t.true(got.every((m) => !m.roles.isStoreWatcher));
 });
 
 test("in a small fleet others ask when a zone with those that do is lost", async (t) => {
@@ -72,11 +72,13 @@
   // the store has them.
   const fleet = await fleetOf(2);
   const members = fleet.members.filter((m) => m.profile.region === "c");
-  for (const member of members) if (member.roles.asksStore) fleet.kill(member);
+  for (const member of members) {
+    if (member.roles.isStoreWatcher) fleet.kill(member);
+  }
   fleet.pass(1_200);
   const alive = members.filter((m) => m.alive);
   t.is(alive.length, 2);
-  t.true(alive.every((m) => m.roles.asksStore));
+  t.true(alive.every((m) => m.roles.isStoreWatcher));
 });
 
 /** Instances of which a member knows, itself included. */
@@ -100,7 +102,7 @@
   const fleet = await fleetOf(PER_ZONE);
   for (const zone of ZONES) {
     const members = fleet.of(zone);
-    const asking = members.filter((m) => m.roles.asksStore);
+    const asking = members.filter((m) => m.roles.isStoreWatcher);
     t.deepEqual(asking, members.slice(0, 2));
     t.is(members.filter((m) => m.roles.speaks).length, 1);
   }
@@ -168,7 +170,7 @@
   fleet.kill(first!);
   second!.storeInTouch = false;
   fleet.pass(1_500);
-  const asking = () => weaker.filter((m) => m.roles.asksStore).length;
+  const asking = () => weaker.filter((m) => m.roles.isStoreWatcher).length;
   t.true(asking() >= 2);
   // A third may have stepped in before it heard of the second.
   fleet.pass(4_000);
@@ -180,7 +182,7 @@
   for (const member of fleet.members) member.storeInTouch = false;
   fleet.pass(10_000);
   for (const zone of ZONES) {
-    const asking = fleet.of(zone).filter((m) => m.roles.asksStore);
+    const asking = fleet.of(zone).filter((m) => m.roles.isStoreWatcher);
     t.true(asking.length <= 5, `${asking.length} ask`);
   }
 });
@@ -246,7 +248,7 @@
 
 test("a zone is heard on when its speaker leaves", async (t) => {
   // The speaker is replaced. Were it heard until it ends, its zone would be
-  // quiet for a second then, with its share of every account's rate set aside.
+  // suspect for a second then, with its share of every account's rate set aside.
   const fleet = await fleetOf(PER_ZONE);
   const speaker = fleet.of("b1").find((m) => m.roles.speaks);
   const one = fleet.of("a1").find((m) => m.roles.speaks);
@@ -255,9 +257,9 @@
   fleet.pass(1_500);
   t.not(one!.groups.get("zone b1")?.start, group.start);
   fleet.kill(speaker!);
-  one!.quiet.length = 0;
+  one!.suspect.length = 0;
   fleet.pass(4_000);
-  t.deepEqual(one!.quiet, []);
+  t.deepEqual(one!.suspect, []);
   const serving = one!.member.serving().map((p) => p.id);
   t.is(serving.filter((id) => id.startsWith("b1")).length, PER_ZONE - 1);
 });
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -15,9 +15,9 @@
   const own = profile("i0");
   const peers = new PeerTable(own, assumed, {
     told: (d) => events.push(`told ${d.profile.id}`),
-    quiet: (p) => events.push(`quiet ${p.profile.id}`),
-    silent: (p) => events.push(`silent ${p.profile.id}`),
-    forgotten: (p) => events.push(`forgotten ${p.profile.id}`),
+    suspect: (p) => events.push(`suspect ${p.profile.id}`),
+    unreachable: (p) => events.push(`unreachable ${p.profile.id}`),
+    removed: (p) => events.push(`removed ${p.profile.id}`),
   });
   return { peers, events };
 }
@@ -72,11 +72,16 @@
   t.deepEqual(read.others, []);
 });
 
-test("an instance that is not heard turns quiet, then silent, then forgotten", (t) => {
+test("an instance that is not heard turns suspect, then unreachable, then removed", (t) => {
   const { peers, events } = table();
   peers.heard(digest("i1"), 0);
   for (const now of [300, 500, 1_600, 61_000]) peers.tick(now);
-  t.deepEqual(events, ["told i1", "quiet i1", "silent i1", "forgotten i1"]);
+  t.deepEqual(events, [
+    "told i1",
+    "suspect i1",
+    "unreachable i1",
+    "removed i1",
+  ]);
   t.is(peers.fleetSize, 1);
 });
 
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -19,29 +19,30 @@
  * press on both sides, and shares that follow their demand would add up to more
  * than the rate.
  */
-export const QUIET_AFTER_MS = 400;
+export const SUSPECT_AFTER_MS = 400;
 /**
  * The same where digests are handed out by one instance of the zone, in
  * milliseconds: a digest and a half, each up to a period later.
  */
-export const QUIET_HANDED_OUT_MS = 700;
+export const SUSPECT_AGGREGATED_MS = 700;
 /**
  * The same of an instance that is known through the zone's relay, in
- * milliseconds: until another relays where the last one died. Judged sooner, all
- * would seem gone at once, and each instance would watch the store for itself.
+ * milliseconds: until another relays where the last one died. Judged sooner,
+ * all would seem gone at once, and each instance would watch the store for
+ * itself.
  */
-const QUIET_RELAYED_MS = 1_300;
+const SUSPECT_RELAYED_MS = 1_300;
 /**
- * Without a digest for this long an instance counts as silent, in milliseconds:
- * six digests in a row. Callers are not sent to it any more.
+ * Without a digest for this long an instance counts as unreachable, in
+ * milliseconds: six digests in a row. Callers are not sent to it any more.
  */
-export const SILENT_AFTER_MS = 1_500;
+export const UNREACHABLE_AFTER_MS = 1_500;
 /**
- * A silent instance is left out of the fleet's size after this, in
+ * An unreachable instance is left out of the fleet's size after this, in
  * milliseconds. Until then it may be alive behind a partition and spend its
  * part of rates and budgets; a restart takes a few seconds.
  */
-export const FORGOTTEN_AFTER_MS = 60_000;
+export const REMOVED_AFTER_MS = 60_000;
 /**
  * Up to this many instances tell each other everything one by one. Each sends
  * and takes in four messages a second for each other one: at 24 that is 2% of a
@@ -62,12 +63,12 @@
   heardAt: number | undefined;
   /** When it was last heard of. */
   knownAt: number;
-  quiet: boolean;
-  silent: boolean;
+  suspect: boolean;
+  unreachable: boolean;
   /** How much it can carry, compared with the others. */
   capacity: number;
   /** Whether it asks the store itself, and whether the store answers. */
-  asksStore: boolean;
+  isStoreWatcher: boolean;
   storeInTouch: boolean;
   /** Whether it relays what its zone and the other zones report. */
   relays: boolean;
@@ -85,7 +86,7 @@
   Peer,
   | "state"
   | "capacity"
-  | "asksStore"
+  | "isStoreWatcher"
   | "storeInTouch"
   | "relays"
   | "changes"
@@ -96,11 +97,11 @@
   /** A digest came that is newer than the last. */
   told(digest: Digest, now: number): void;
   /** An instance was not heard lately; it may be cut off. */
-  quiet(peer: Peer): void;
+  suspect(peer: Peer): void;
   /** An instance is heard no more. */
-  silent(peer: Peer): void;
+  unreachable(peer: Peer): void;
   /** An instance is taken to have ended. */
-  forgotten(peer: Peer): void;
+  removed(peer: Peer): void;
 }
 
 /** Who and where this instance is. */
@@ -161,7 +162,7 @@
   }
 
   /** The other instances of this zone. */
-  mates(): readonly Peer[] {
+  zonePeers(): readonly Peer[] {
     return [...this.#peers.values()]
       .filter((p) => this.isOwnZone(p.profile.zone));
   }
@@ -171,8 +172,8 @@
    * those of the region while all are heard one by one, so that a zone with one
    * or two instances need not ask for itself, else those of the zone.
    */
-  neighbours(): readonly Peer[] {
-    if (!this.isMesh) return this.mates();
+  watchPeers(): readonly Peer[] {
+    if (!this.isMesh) return this.zonePeers();
     return [...this.#peers.values()]
       .filter((p) => p.profile.region === this.#own.region);
   }
@@ -208,10 +209,10 @@
       seq: -1,
       heardAt: undefined,
       knownAt: now,
-      quiet: true,
-      silent: true,
+      suspect: true,
+      unreachable: true,
       capacity: 0,
-      asksStore: false,
+      isStoreWatcher: false,
       storeInTouch: false,
       relays: false,
       directAt: undefined,
@@ -272,18 +273,18 @@
     const { members } = aggregate;
     const named = new Set(members.map((m) => this.#byHash.get(m.idHash)));
     for (const member of members) this.#relayed(member, aggregate, now);
-    for (const peer of this.mates()) {
+    for (const peer of this.zonePeers()) {
       const unheardMs = now - (peer.directAt ?? -Infinity);
       const heard = named.has(peer.profile.id) ||
-        unheardMs <= QUIET_HANDED_OUT_MS;
+        unheardMs <= SUSPECT_AGGREGATED_MS;
       if (!heard) this.#suspect(peer);
     }
   }
 
   #suspect(peer: Peer): void {
-    if (peer.quiet) return;
-    peer.quiet = true;
-    this.#events.quiet(peer);
+    if (peer.suspect) return;
+    peer.suspect = true;
+    this.#events.suspect(peer);
   }
 
   /** An instance of another zone is still there. */
@@ -298,37 +299,37 @@
   #update(peer: Peer, status: PeerStatus, now: number): void {
     peer.state = status.state;
     peer.heardAt = now;
-    peer.quiet = false;
-    peer.silent = false;
+    peer.suspect = false;
+    peer.unreachable = false;
     peer.capacity = status.capacity;
-    peer.asksStore = status.asksStore;
+    peer.isStoreWatcher = status.isStoreWatcher;
     peer.storeInTouch = status.storeInTouch;
     peer.relays = status.relays;
     peer.changes = status.changes;
   }
 
-  /** Looks for instances that fell silent or have ended. */
+  /** Looks for instances that became unreachable or have ended. */
   tick(now: number): void {
     this.#followMode();
     for (const peer of this.#peers.values()) {
       const unheardMs = now - Math.max(peer.heardAt ?? 0, peer.knownAt);
       const isFar = this.#isFar(peer);
-      if (!isFar && unheardMs > this.#quietAfterMs(peer)) this.#suspect(peer);
-      if (!isFar && unheardMs > SILENT_AFTER_MS && !peer.silent) {
-        peer.silent = true;
-        this.#events.silent(peer);
+      if (!isFar && unheardMs > this.#suspectAfterMs(peer)) this.#suspect(peer);
+      if (!isFar && unheardMs > UNREACHABLE_AFTER_MS && !peer.unreachable) {
+        peer.unreachable = true;
+        this.#events.unreachable(peer);
       }
-      if (unheardMs > FORGOTTEN_AFTER_MS) {
+      if (unheardMs > REMOVED_AFTER_MS) {
         this.#peers.delete(peer.profile.id);
         this.#byHash.delete(hash(peer.profile.id));
-        if (!isFar) this.#events.forgotten(peer);
+        if (!isFar) this.#events.removed(peer);
       }
     }
   }
 
-  #quietAfterMs({ heardAt, directAt }: Peer): number {
-    if (this.isMesh) return QUIET_AFTER_MS;
-    return heardAt === directAt ? QUIET_HANDED_OUT_MS : QUIET_RELAYED_MS;
+  #suspectAfterMs({ heardAt, directAt }: Peer): number {
+    if (this.isMesh) return SUSPECT_AFTER_MS;
+    return heardAt === directAt ? SUSPECT_AGGREGATED_MS : SUSPECT_RELAYED_MS;
   }
 
   /**
@@ -340,23 +341,23 @@
     this.#wasMesh = this.isMesh;
     if (this.isMesh) return;
     for (const peer of this.far()) {
-      peer.quiet = true;
-      peer.silent = true;
-      this.#events.forgotten(peer);
+      peer.suspect = true;
+      peer.unreachable = true;
+      this.#events.removed(peer);
     }
   }
 
   /** Whether most of the zone's instances report to this one. */
   isZoneHeard(now: number): boolean {
-    const alive = this.mates().filter((m) => !m.quiet);
+    const alive = this.zonePeers().filter((m) => !m.suspect);
     const direct = alive.filter((m) =>
-      now - (m.directAt ?? -Infinity) <= QUIET_HANDED_OUT_MS
+      now - (m.directAt ?? -Infinity) <= SUSPECT_AGGREGATED_MS
     );
     return direct.length >= alive.length * MOST_OF_ZONE;
   }
 
   /** Instances that are heard one by one and take callers. */
   serving(): readonly Peer[] {
-    return this.peers().filter((p) => !p.silent && p.state === "serving");
+    return this.peers().filter((p) => !p.unreachable && p.state === "serving");
   }
 }
--- a/src/fleet/peer_table_test.ts
+++ b/src/fleet/peer_table_test.ts
@@ -1,6 +1,10 @@
 import test from "ava";
 import { hash, type InstanceId } from "../core/mod.ts";
-import { type AggregateMember, PeerTable, QUIET_HANDED_OUT_MS } from "./mod.ts";
+import {
+  type AggregateMember,
+  PeerTable,
+  SUSPECT_AGGREGATED_MS,
+} from "./mod.ts";
 import { digest, profile } from "./testing/digest_fixtures.ts";
 
 /** Enough instances, in other zones, that the zone has a relay. */
@@ -10,12 +14,12 @@
   const suspected: InstanceId[] = [];
   const table = new PeerTable(profile("i0"), 1, {
     told: () => {},
-    quiet: (peer) => suspected.push(peer.profile.id),
-    silent: () => {},
-    forgotten: () => {},
+    suspect: (peer) => suspected.push(peer.profile.id),
+    unreachable: () => {},
+    removed: () => {},
   });
   const far = Array.from({ length: OTHERS }, (_, i) => profile(`f${i}`, "bay"));
-  table.listed([profile("relay"), profile("mate"), ...far], 0);
+  table.listed([profile("relay"), profile("zonePeer"), ...far], 0);
   return { table, suspected };
 }
 
@@ -25,7 +29,7 @@
     startHash: hash("s1"),
     seq: 1,
     state: "serving",
-    asksStore: false,
+    isStoreWatcher: false,
     storeInTouch: false,
     relays: id === "relay",
     upToDate: true,
@@ -35,16 +39,16 @@
 
 const AGGREGATE = {
   relay: profile("relay"),
-  members: [member("relay"), member("mate")],
+  members: [member("relay"), member("zonePeer")],
   changes: new Map(),
 };
 
 // Guards against a dead relay that is missed for as long as those it reported.
-test("a relay that falls silent is suspected before those it reported", (t) => {
+test("a relay that becomes unreachable is suspected before those it reported", (t) => {
   const { table, suspected } = tableOfZone();
   table.heard(digest("relay"), 0);
   table.heardZone(AGGREGATE, 1);
-  table.tick(QUIET_HANDED_OUT_MS + 2);
+  table.tick(SUSPECT_AGGREGATED_MS + 2);
   t.deepEqual(suspected, ["relay" as InstanceId]);
 });
 
@@ -53,5 +57,5 @@
   const { table, suspected } = tableOfZone();
   table.heardZone(AGGREGATE, 1);
   table.heardZone({ ...AGGREGATE, members: [member("relay")] }, 251);
-  t.deepEqual(suspected, ["mate" as InstanceId]);
+  t.deepEqual(suspected, ["zonePeer" as InstanceId]);
 });
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -17,8 +17,8 @@
 import type { InstanceProfile } from "./instance_profile.ts";
 import {
   type PeerTable,
-  QUIET_HANDED_OUT_MS,
-  SILENT_AFTER_MS,
+  SUSPECT_AGGREGATED_MS,
+  UNREACHABLE_AFTER_MS,
 } from "./peer_table.ts";
 
 /**
@@ -101,11 +101,11 @@
   tick(now: number): void {
     if (this.#relay === undefined || !this.#feed.isRelayed) return;
     const unheardMs = now - this.#relay.heardAt;
-    if (unheardMs > QUIET_HANDED_OUT_MS && !this.#suspect) {
+    if (unheardMs > SUSPECT_AGGREGATED_MS && !this.#suspect) {
       this.#suspect = true;
       this.#feed.relaySuspect();
     }
-    if (unheardMs > SILENT_AFTER_MS && !this.#unreachable) {
+    if (unheardMs > UNREACHABLE_AFTER_MS && !this.#unreachable) {
       this.#unreachable = true;
       this.#feed.relayUnreachable();
     }
--- a/src/fleet/status_bits.ts
+++ b/src/fleet/status_bits.ts
@@ -9,7 +9,7 @@
 /** What the number holds. */
 export type InstanceStatus = Pick<
   Digest,
-  "state" | "storeInTouch" | "asksStore" | "relays"
+  "state" | "storeInTouch" | "isStoreWatcher" | "relays"
 >;
 
 /** The number of the state is in the lowest bits. */
@@ -21,9 +21,9 @@
 export const FREE_BIT = 32;
 
 export function statusBits(status: InstanceStatus): number {
-  const { state, storeInTouch, asksStore, relays } = status;
+  const { state, storeInTouch, isStoreWatcher, relays } = status;
   return INSTANCE_STATES.indexOf(state) |
-    (storeInTouch ? STORE_IN_TOUCH : 0) | (asksStore ? ASKS_STORE : 0) |
+    (storeInTouch ? STORE_IN_TOUCH : 0) | (isStoreWatcher ? ASKS_STORE : 0) |
     (relays ? RELAYS : 0);
 }
 
@@ -34,7 +34,7 @@
   return {
     state,
     storeInTouch: (bits & STORE_IN_TOUCH) !== 0,
-    asksStore: (bits & ASKS_STORE) !== 0,
+    isStoreWatcher: (bits & ASKS_STORE) !== 0,
     relays: (bits & RELAYS) !== 0,
   };
 }
--- a/src/fleet/testing/digest_fixtures.ts
+++ b/src/fleet/testing/digest_fixtures.ts
@@ -26,7 +26,7 @@
     seq: 1,
     planVersion: 7,
     storeInTouch: true,
-    asksStore: true,
+    isStoreWatcher: true,
     relays: false,
     capacity: 0.5,
     changes: new Map(),
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -33,8 +33,8 @@
   member: FleetMember;
   readonly groups: Map<string, GroupNews>;
   readonly relayed: RelayedChanges[];
-  /** Groups that fell quiet, in order. */
-  readonly quiet: string[];
+  /** Groups that became suspect, in order. */
+  readonly suspect: string[];
   readonly uses: Map<AccountId, AccountUse>;
   readonly inFlight: Map<EndpointId, number>;
   roles: Roles;
@@ -47,8 +47,8 @@
   /** Parts that go by what is told; none by default. */
   takes?: {
     readonly told: (news: GroupNews, now: number) => void;
-    readonly quiet?: (group: InstanceId) => void;
-    readonly forgotten?: (group: InstanceId) => void;
+    readonly suspect?: (group: InstanceId) => void;
+    readonly removed?: (group: InstanceId) => void;
     readonly report: (now: number) => Map<AccountId, AccountUse>;
     readonly reservations: () => readonly Reservation[];
   };
@@ -119,10 +119,10 @@
       capacity: index < 2 ? STRONG : WEAK,
       groups: new Map(),
       relayed: [],
-      quiet: [],
+      suspect: [],
       uses: new Map(),
       inFlight: new Map(),
-      roles: { speaks: true, asksStore: true },
+      roles: { speaks: true, isStoreWatcher: true },
       storeInTouch: true,
       state: "serving",
       alive: true,
@@ -145,14 +145,14 @@
         entry.groups.set(news.group, news);
         entry.takes?.told(news, now);
       },
-      quiet: (group: InstanceId) => {
-        entry.quiet.push(group);
-        entry.takes?.quiet?.(group);
+      suspect: (group: InstanceId) => {
+        entry.suspect.push(group);
+        entry.takes?.suspect?.(group);
       },
-      silent: (group: InstanceId) => void entry.groups.delete(group),
-      forgotten: (group: InstanceId) => {
+      unreachable: (group: InstanceId) => void entry.groups.delete(group),
+      removed: (group: InstanceId) => {
         entry.groups.delete(group);
-        entry.takes?.forgotten?.(group);
+        entry.takes?.removed?.(group);
       },
       roles: (roles: Roles) => void (entry.roles = roles),
       relayed: (changes: RelayedChanges) => void entry.relayed.push(changes),
--- a/src/fleet/testing/rated_fleet.ts
+++ b/src/fleet/testing/rated_fleet.ts
@@ -128,8 +128,8 @@
     member.takes = {
       told: (news, now) =>
         quotas.told({ ...news, instance: news.group }, news.uses, now),
-      quiet: (group) => quotas.silent(group),
-      forgotten: (group) => quotas.forget(group),
+      suspect: (group) => quotas.unreachable(group),
+      removed: (group) => quotas.forget(group),
       report: (now) => quotas.tick(now),
       reservations: () => quotas.reservations,
     };
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -92,7 +92,7 @@
     zone: Sums & { readonly reserved: Reserved },
   ): ZoneDigest {
     const { peers } = this.#opts;
-    const heard = peers.mates().filter((m) => !m.silent);
+    const heard = peers.zonePeers().filter((m) => !m.unreachable);
     const members: ZoneMember[] = [own, ...heard].map(({ profile, state }) => ({
       profile,
       state,
@@ -106,7 +106,7 @@
       storeInTouch: own.storeInTouch || heard.some((m) => m.storeInTouch),
       changes: own.changes,
       members,
-      instances: 1 + heard.filter((m) => !m.quiet).length,
+      instances: 1 + heard.filter((m) => !m.suspect).length,
       ...zone,
     };
   }
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -129,7 +129,7 @@
       ...this.#otherZones.with(zone),
       reserved: sumOfReserved(reservations),
     });
-    const to = toTell(peers.mates(), own.seq).map((m) => m.digestAddress);
+    const to = toTell(peers.zonePeers(), own.seq).map((m) => m.digestAddress);
     datagrams.send("aggregate", to, encodeAggregate(aggregate, book));
     this.#forStandby.send(standby);
   }
@@ -141,7 +141,7 @@
     const { peers, zones } = this.#opts;
     const heard = [...this.#zonePeers.heard, ...this.#otherZones.heard];
     const changes = latest([own.changes, ...heard.map((g) => g.changes)]);
-    const mates = peers.mates().filter((m) => !m.quiet);
+    const zonePeers = peers.zonePeers().filter((m) => !m.suspect);
     const far = own.seq % FAR_EVERY === 0
       ? zones.serving().map(({ id }) => hash(id))
       : undefined;
@@ -155,7 +155,9 @@
       changes,
       members: [
         memberOf(own.profile, own, changes),
-        ...mates.map((mate) => memberOf(mate.profile, mate, changes)),
+        ...zonePeers.map((zonePeer) =>
+          memberOf(zonePeer.profile, zonePeer, changes)
+        ),
       ],
       farServing: far,
       profiles: this.#profiles(),
@@ -164,7 +166,7 @@
 
   #profiles(): readonly InstanceProfile[] {
     const { peers, clock, random } = this.#opts;
-    const known = [...peers.mates(), ...peers.far()].map((p) => p.profile);
+    const known = [...peers.zonePeers(), ...peers.far()].map((p) => p.profile);
     const now = clock.now();
     const all = this.#newcomer &&
       now - this.#allProfilesAt >= ALL_PROFILES_EVERY_MS;
@@ -180,7 +182,7 @@
   reported: Omit<Peer, "profile" | "heardAt"> | Digest,
   changes: ReadonlyMap<string, number>,
 ): AggregateMember {
-  const { start, seq, state, asksStore, storeInTouch, relays, capacity } =
+  const { start, seq, state, isStoreWatcher, storeInTouch, relays, capacity } =
     reported;
   const upToDate = [...changes].every(([kind, revision]) =>
     (reported.changes.get(kind) ?? 0) >= revision
@@ -190,7 +192,7 @@
     startHash: hash(start),
     seq: Math.max(0, seq),
     state,
-    asksStore,
+    isStoreWatcher,
     storeInTouch,
     relays,
     upToDate,
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -19,9 +19,9 @@
  */
 const ASKING = 2;
 /**
- * Instances beside each other that ask the store at most while it answers none of
- * them. Where it turns single instances away, the fifth is hardly luckier than
- * the first four; while it is away for all, each costs two calls a second.
+ * Instances beside each other that ask the store at most while it answers none
+ * of them. Where it turns single instances away, the fifth is hardly luckier
+ * than the first four; while it is away for all, each costs two calls a second.
  */
 const MOST_ASKING_IN_VAIN = 4;
 /**
@@ -69,7 +69,7 @@
 /** What an instance does for others. */
 export interface Roles {
   readonly speaks: boolean;
-  readonly asksStore: boolean;
+  readonly isStoreWatcher: boolean;
 }
 
 /** What instances are ranked by. */
@@ -100,26 +100,26 @@
   /**
    * Works out the roles from what the others told.
    *
-   * @param mates The zone's other instances, for which one speaks.
-   * @param neighbours Those among which two ask the store for all.
+   * @param zonePeers The zone's other instances, one of which relays.
+   * @param watchPeers Those of which two watch the store for all.
    */
   update(
-    mates: readonly Peer[],
-    neighbours: readonly Peer[],
+    zonePeers: readonly Peer[],
+    watchPeers: readonly Peer[],
     moment: RolesMoment,
   ): Roles {
     const { now } = moment;
     this.#startedAt ??= now;
     const listening = now - this.#startedAt < this.#listenMs;
     this.#asks = !listening &&
-      this.#decideAsking(this.#before(neighbours), moment);
-    this.#speaks = this.#decideSpeaking(this.#before(mates), moment);
-    return { speaks: this.#speaks, asksStore: this.#asks };
+      this.#decideAsking(this.#before(watchPeers), moment);
+    this.#speaks = this.#decideSpeaking(this.#before(zonePeers), moment);
+    return { speaks: this.#speaks, isStoreWatcher: this.#asks };
   }
 
   /** The zone's relay and the one standing by; this one may be among them. */
-  hubs(mates: readonly Peer[]): readonly InstanceId[] {
-    const ranked = [this.#own, ...present(mates).map(rankedOf)].sort(order);
+  hubs(zonePeers: readonly Peer[]): readonly InstanceId[] {
+    const ranked = [this.#own, ...present(zonePeers).map(rankedOf)].sort(order);
     return ranked.slice(0, HUBS).map(({ id }) => id);
   }
 
@@ -142,7 +142,7 @@
     before: readonly Peer[],
     { now, relayed }: RolesMoment,
   ): boolean {
-    const asking = before.filter((m) => m.asksStore);
+    const asking = before.filter((m) => m.isStoreWatcher);
     const inTouch = asking.filter((m) => m.storeInTouch);
     if (inTouch.length >= ASKING) {
       this.#shortSince = undefined;
@@ -177,6 +177,6 @@
 }
 
 /** Those that are heard and stay. */
-function present(mates: readonly Peer[]): readonly Peer[] {
-  return mates.filter((m) => !m.quiet && m.state !== "leaving");
+function present(zonePeers: readonly Peer[]): readonly Peer[] {
+  return zonePeers.filter((m) => !m.suspect && m.state !== "leaving");
 }
--- a/src/fleet/zone_table.ts
+++ b/src/fleet/zone_table.ts
@@ -11,25 +11,25 @@
  * A zone without a digest for this long is suspect and its share of rates set
  * aside, in milliseconds: two digests and the way through this zone's relay.
  */
-const QUIET_AFTER_MS = 900;
+const SUSPECT_AFTER_MS = 900;
 /** Callers are not sent to a zone that is not heard for this long, in ms. */
-const SILENT_AFTER_MS = 1_500;
+const UNREACHABLE_AFTER_MS = 1_500;
 /** Left out of all sums after this: a restart takes a few seconds, in ms. */
-const FORGOTTEN_AFTER_MS = 60_000;
+const REMOVED_AFTER_MS = 60_000;
 
 /** What changes among the zones. */
 export interface ZoneEvents {
   told(digest: ZoneDigest, now: number): void;
-  quiet(zone: ZoneId): void;
-  silent(zone: ZoneId): void;
-  forgotten(zone: ZoneId): void;
+  suspect(zone: ZoneId): void;
+  unreachable(zone: ZoneId): void;
+  removed(zone: ZoneId): void;
 }
 
 interface ZoneRow {
   digest: ZoneDigest;
   heardAt: number;
-  quiet: boolean;
-  silent: boolean;
+  suspect: boolean;
+  unreachable: boolean;
 }
 
 /** What is known of each other zone. */
@@ -55,33 +55,38 @@
       const same = last.speaker === speaker && last.start === start;
       if (same && seq <= last.seq) return false;
       const followed = last.speaker === speaker || hasLeft(last, digest);
-      if (!same && !row.quiet && !followed) return false;
-      if (!same && !row.quiet) this.#events.quiet(zone);
+      if (!same && !row.suspect && !followed) return false;
+      if (!same && !row.suspect) this.#events.suspect(zone);
     }
-    this.#rows.set(zone, { digest, heardAt: now, quiet: false, silent: false });
+    this.#rows.set(zone, {
+      digest,
+      heardAt: now,
+      suspect: false,
+      unreachable: false,
+    });
     this.#events.told(digest, now);
     return true;
   }
 
-  /** Looks for zones that fell silent. */
+  /** Looks for zones that became unreachable. */
   tick(now: number): void {
     for (const [zone, row] of this.#rows) {
       const unheardMs = now - row.heardAt;
-      if (unheardMs > QUIET_AFTER_MS && !row.quiet) {
-        row.quiet = true;
-        this.#events.quiet(zone);
+      if (unheardMs > SUSPECT_AFTER_MS && !row.suspect) {
+        row.suspect = true;
+        this.#events.suspect(zone);
       }
-      if (unheardMs > SILENT_AFTER_MS && !row.silent) {
-        row.silent = true;
-        this.#events.silent(zone);
+      if (unheardMs > UNREACHABLE_AFTER_MS && !row.unreachable) {
+        row.unreachable = true;
+        this.#events.unreachable(zone);
       }
-      if (unheardMs > FORGOTTEN_AFTER_MS) this.forget(zone);
+      if (unheardMs > REMOVED_AFTER_MS) this.forget(zone);
     }
   }
 
   /** Leaves a zone out. */
   forget(zone: ZoneId): void {
-    if (this.#rows.delete(zone)) this.#events.forgotten(zone);
+    if (this.#rows.delete(zone)) this.#events.removed(zone);
   }
 
   zones(): readonly ZoneId[] {
@@ -91,14 +96,14 @@
   /** The relay of a zone that is heard. */
   speaker(zone: ZoneId): InstanceProfile | undefined {
     const row = this.#rows.get(zone);
-    if (row === undefined || row.quiet) return undefined;
+    if (row === undefined || row.suspect) return undefined;
     const { members, speaker } = row.digest;
     return members.find((m) => m.profile.id === speaker)?.profile;
   }
 
   /** Instances of zones that are heard, which take callers. */
   serving(): readonly InstanceProfile[] {
-    return [...this.#rows.values()].filter((row) => !row.silent)
+    return [...this.#rows.values()].filter((row) => !row.unreachable)
       .flatMap((row) => row.digest.members)
       .filter((m) => m.state === "serving").map((m) => m.profile);
   }
