Name reports, relays and watchers alike in fleet, quotas and edge

Behaviour is unchanged. Mapped: told -> reported, or onAggregate, onZoneDigest, onRevision where a message is handled; speaks, speaker, hubs -> isRelay, relay, relay candidates; asks -> watches.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -142,7 +142,7 @@
     const demand = this.#counter.rates(now);
     this.#shares.tick(demand);
     this.#ticks++;
-    if (this.#allTold()) this.#rounds++;
+    if (this.#allReported()) this.#rounds++;
     const uses = new Map<AccountId, AccountUse>();
     for (const [id, perS] of demand) {
       const row = this.#rows.get(id);
@@ -155,7 +155,7 @@
   }
 
   /** Takes in what another instance tells, or a zone as one. */
-  told(
+  reported(
     from: {
       readonly instance: InstanceId;
       readonly start: string;
@@ -167,7 +167,7 @@
   ): void {
     const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
     const { instance, start } = from;
-    this.#shares.told(instance, demand, from);
+    this.#shares.reported(instance, demand, from);
     this.#heard.add(instance);
     for (const [id, { admitted, level }] of uses) {
       const row = this.#rows.get(id);
@@ -216,7 +216,7 @@
   }
 
   /** Whether all that may spend have told since this was last so. */
-  #allTold(): boolean {
+  #allReported(): boolean {
     const { allKnown, others } = this.#shares;
     if (!allKnown || !others.every((id) => this.#heard.has(id))) return false;
     this.#heard.clear();
@@ -227,8 +227,8 @@
   #rebalanced(row: Row, now: number): FleetRate {
     const rate = this.#rate(row);
     if (row.balancedIn === this.#ticks) return rate;
-    const allTold = row.reportedIn !== this.#rounds;
-    row.bucket.rebalance(rate, allTold, now);
+    const allReported = row.reportedIn !== this.#rounds;
+    row.bucket.rebalance(rate, allReported, now);
     row.balancedIn = this.#ticks;
     row.reportedIn = this.#rounds;
     return rate;
--- a/src/decisions/quotas/account_quotas_test.ts
+++ b/src/decisions/quotas/account_quotas_test.ts
@@ -210,7 +210,7 @@
   const use = { perS: 1, admitted: 1, level: 1 };
   const uses = new Map(accounts.map(({ id }) => [id, use]));
   const tell = (i: number) =>
-    quotas.told({ instance: `i${i}` as InstanceId, start: "s" }, uses, i);
+    quotas.reported({ instance: `i${i}` as InstanceId, start: "s" }, uses, i);
   tell(1);
   quotas.tick(1);
   asked = 0;
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -46,7 +46,7 @@
   readonly unreachable: number;
   /** Instances that are not unreachable, and how many of them have told. */
   readonly heard: number;
-  readonly told: number;
+  readonly reported: number;
 }
 
 interface Told {
@@ -70,7 +70,7 @@
 
 /** How the rate was divided at one moment, and by what. */
 interface Snapshot {
-  readonly told: ReadonlyMap<InstanceId, Told>;
+  readonly reported: ReadonlyMap<InstanceId, Told>;
   readonly division: Division;
 }
 
@@ -84,7 +84,7 @@
 export class DemandShares {
   readonly #own: InstanceId;
   readonly #fleetSize: () => number;
-  readonly #told = new Map<InstanceId, Told>();
+  readonly #reported = new Map<InstanceId, Told>();
   /** Shares of unreachable instances, as they were when last heard. */
   readonly #reserved = new Map<InstanceId, Reserved>();
   /** Shares of instances that a group does not hear and stands for. */
@@ -106,7 +106,7 @@
   }
 
   /** Takes in what an instance, or several as one, were asked for. */
-  told(
+  reported(
     instance: InstanceId,
     demand: Demand,
     opts: { readonly instances?: number; readonly reserved?: Reserved } = {},
@@ -114,31 +114,34 @@
     const { instances = 1, reserved } = opts;
     this.#reserved.delete(instance);
     if (reserved !== undefined) this.#reservedBy.set(instance, reserved);
-    this.#told.set(instance, { demand, instances });
+    this.#reported.set(instance, { demand, instances });
   }
 
   /** Takes in this instance's own demand and divides anew; run once a tick. */
   tick(demand: Demand): void {
-    this.told(this.#own, demand);
+    this.reported(this.#own, demand);
     this.#known = this.#divide();
-    const snapshot = { told: new Map(this.#told), division: this.#division };
+    const snapshot = {
+      reported: new Map(this.#reported),
+      division: this.#division,
+    };
     this.#snapshots.push(snapshot);
     if (this.#snapshots.length > TICKS_KEPT) this.#snapshots.shift();
   }
 
   /** Sets aside the share of an instance that is not heard any more. */
   unreachable(instance: InstanceId): void {
-    const told = this.#told.get(instance);
-    if (told === undefined || instance === this.#own) return;
+    const reported = this.#reported.get(instance);
+    if (reported === undefined || instance === this.#own) return;
     const [before] = this.#snapshots;
-    const asked = before?.told.get(instance) ?? told;
+    const asked = before?.reported.get(instance) ?? reported;
     const division = before?.division ?? this.#division;
     const shares = new Map<AccountId, number>();
     for (const account of asked.demand.keys()) {
       shares.set(account, shareOf(asked, division, account));
     }
-    this.#told.delete(instance);
-    const { instances } = told;
+    this.#reported.delete(instance);
+    const { instances } = reported;
     this.#reserved.set(instance, { shares, instances });
     this.#known = this.#divide();
   }
@@ -146,7 +149,7 @@
   /** Leaves out an instance that has ended. */
   forget(instance: InstanceId): void {
     if (instance === this.#own) return;
-    this.#told.delete(instance);
+    this.#reported.delete(instance);
     this.#reserved.delete(instance);
     this.#reservedBy.delete(instance);
     this.#known = this.#divide();
@@ -166,7 +169,7 @@
    * const ratePerS = account.ratePerS * shares.own(account.id);
    */
   own(account: AccountId): number {
-    const demand = this.#told.get(this.#own)?.demand ?? NO_DEMAND;
+    const demand = this.#reported.get(this.#own)?.demand ?? NO_DEMAND;
     return shareOf({ demand, instances: 1 }, this.#division, account);
   }
 
@@ -177,17 +180,17 @@
 
   /** Whether all that may spend were heard, or their shares are set aside. */
   get allKnown(): boolean {
-    return this.#division.told >= this.#division.heard;
+    return this.#division.reported >= this.#division.heard;
   }
 
   /** Others that are heard, each instance or zone as one. */
   get others(): readonly InstanceId[] {
-    return [...this.#told.keys()].filter((id) => id !== this.#own);
+    return [...this.#reported.keys()].filter((id) => id !== this.#own);
   }
 
   /** Requests a second that the others were asked for of an account. */
   othersPerS(account: AccountId): number {
-    const own = this.#told.get(this.#own)?.demand.get(account) ?? 0;
+    const own = this.#reported.get(this.#own)?.demand.get(account) ?? 0;
     const all = this.#division.demand.get(account) ?? 0;
     return Math.max(0, all - own);
   }
@@ -204,14 +207,16 @@
   #divide(): Division {
     this.#divisions++;
     const demand = new Map<AccountId, number>();
-    for (const told of this.#told.values()) addAll(demand, told.demand);
+    for (const reported of this.#reported.values()) {
+      addAll(demand, reported.demand);
+    }
     const { shares: reserved, instances: unreachable } = sumOfReserved([
       ...this.#reserved.values(),
       ...this.#reservedBy.values(),
     ]);
     const heard = Math.max(1, this.#fleetSize() - unreachable);
-    const told = instancesIn(this.#told.values());
-    return { demand, reserved, unreachable, heard, told };
+    const reported = instancesIn(this.#reported.values());
+    return { demand, reserved, unreachable, heard, reported };
   }
 }
 
@@ -234,11 +239,12 @@
   division: Division,
   account: AccountId,
 ): number {
-  const { heard, told } = division;
+  const { heard, reported } = division;
   const free = 1 - reservedOf(division, account);
   const even = free * Math.min(1, instances / heard);
   // Those that have not told yet are taken to be asked as much as the rest.
-  const all = (division.demand.get(account) ?? 0) * heard / Math.max(1, told);
+  const all = (division.demand.get(account) ?? 0) * heard /
+    Math.max(1, reported);
   if (all < LEAST_DEMAND) return even;
   const mine = Math.min(1, (demand.get(account) ?? 0) / all);
   return EQUAL_PART * even + (1 - EQUAL_PART) * free * mine;
--- a/src/decisions/quotas/demand_shares_test.ts
+++ b/src/decisions/quotas/demand_shares_test.ts
@@ -29,11 +29,11 @@
   for (let round = 0; round < 2; round++) {
     for (let i = 0; i < PER_ZONE; i++) {
       if (i === index) continue;
-      shares.told(`${zone}-${i}` as InstanceId, demandOf(asked(zone, i)));
+      shares.reported(`${zone}-${i}` as InstanceId, demandOf(asked(zone, i)));
     }
     for (let z = 0; z < ZONES; z++) {
       if (z === zone) continue;
-      shares.told(`zone ${z}` as InstanceId, demandOf(zoneSum(z)), {
+      shares.reported(`zone ${z}` as InstanceId, demandOf(zoneSum(z)), {
         instances: PER_ZONE,
       });
     }
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -79,7 +79,7 @@
   /** Spent beyond its own tokens since all others have told. */
   #ahead = 0;
   #window: WindowCount | undefined;
-  readonly #told = new Map<InstanceId, Admitted>();
+  readonly #reported = new Map<InstanceId, Admitted>();
 
   /** What the account spent before is not known: all it may have spent. */
   constructor(now: number) {
@@ -119,8 +119,8 @@
   /** Takes in what another instance has admitted. */
   hear(news: Admitted, rate: FleetRate, now: number): void {
     this.#fill(rate, now);
-    const before = this.#told.get(news.instance);
-    this.#told.set(news.instance, news);
+    const before = this.#reported.get(news.instance);
+    this.#reported.set(news.instance, news);
     if (!this.#levelKnown) {
       this.#levelKnown = true;
       this.#adoptLevel(news.level, rate, now);
@@ -136,7 +136,7 @@
    * part of the rate, so its next count is a new beginning.
    */
   unreachable(instance: InstanceId): void {
-    this.#told.delete(instance);
+    this.#reported.delete(instance);
   }
 
   /**
@@ -145,8 +145,8 @@
    * @param allTold Whether all others have told since the last time that they
    * had, so that what was spent ahead is in everybody's level.
    */
-  rebalance(rate: FleetRate, allTold: boolean, now: number): void {
-    if (allTold) this.#ahead = 0;
+  rebalance(rate: FleetRate, allReported: boolean, now: number): void {
+    if (allReported) this.#ahead = 0;
     const level = this.level(rate, now);
     const heard = heardPart(rate);
     // Of what those that hear each other may spend, this instance's part.
@@ -175,8 +175,8 @@
     this.#saved = Math.max(this.#saved, known);
     if (this.#window === undefined) return;
     const spent = this.#window.sum(now);
-    const told = Math.max(0, rate.perWindow - known);
-    if (told < spent) this.#window.assume(told, 0, now);
+    const reported = Math.max(0, rate.perWindow - known);
+    if (reported < spent) this.#window.assume(reported, 0, now);
   }
 
   /**
--- a/src/decisions/quotas/testing/quota_fleet.ts
+++ b/src/decisions/quotas/testing/quota_fleet.ts
@@ -152,7 +152,7 @@
       if (other === member || other.cut) continue;
       this.#mail.push({
         at: this.now + this.#lagMs,
-        run: () => other.quotas.told(from, uses, this.now),
+        run: () => other.quotas.reported(from, uses, this.now),
       });
     }
   }
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -26,19 +26,19 @@
 /** Gossip handlers of one instance. */
 export class GossipHandlers implements FleetEvents {
   readonly #opts: FleetNewsOptions;
-  #roles: Roles = { speaks: false, isStoreWatcher: false };
+  #roles: Roles = { isRelay: false, isStoreWatcher: false };
 
   constructor(opts: FleetNewsOptions) {
     this.#opts = opts;
   }
 
-  told(news: GroupNews, now: number): void {
+  reported(news: GroupNews, now: number): void {
     const { quotas, expiry, peerLoad, followers } = this.#opts;
     const { group: instance, uses, inFlight } = news;
-    quotas.told({ ...news, instance }, uses, now);
+    quotas.reported({ ...news, instance }, uses, now);
     if (news.storeInTouch) expiry.otherInTouch(now);
-    peerLoad.told(instance, inFlight);
-    followers.heardOf(news.changes);
+    peerLoad.reported(instance, inFlight);
+    followers.onRevision(news.changes);
   }
 
   suspect(group: InstanceId): void {
@@ -55,20 +55,25 @@
   }
 
   relayed(changes: RelayedChanges): void {
-    this.#opts.followers.told(changes);
+    this.#opts.followers.reported(changes);
   }
 
   /**
    * An instance that does not watch the store is in touch with it while one
    * that watches for it is.
    */
-  roles({ speaks, isStoreWatcher }: Roles): void {
+  roles({ isRelay, isStoreWatcher }: Roles): void {
     const { clock, log, followers, expiry, watchPeerInTouch } = this.#opts;
-    const changed = speaks !== this.#roles.speaks ||
+    const changed = isRelay !== this.#roles.isRelay ||
       isStoreWatcher !== this.#roles.isStoreWatcher;
-    this.#roles = { speaks, isStoreWatcher };
-    if (changed) log.event("roles_changed", { speaks, isStoreWatcher });
-    followers.setAsking(isStoreWatcher);
+    this.#roles = { isRelay, isStoreWatcher };
+    if (changed) {
+      log.event("roles_changed", {
+        speaks: isRelay,
+        asksStore: isStoreWatcher,
+      });
+    }
+    followers.setWatching(isStoreWatcher);
     if (isStoreWatcher) return;
     if (watchPeerInTouch()) expiry.regained(clock.now());
     else expiry.lost(clock.now());
--- a/src/edge/peer_load.ts
+++ b/src/edge/peer_load.ts
@@ -19,7 +19,7 @@
  * fleet.
  */
 export class PeerLoad {
-  readonly #told = new Map<InstanceId, InFlight>();
+  readonly #reported = new Map<InstanceId, InFlight>();
   readonly #sums = new Map<EndpointId, number>();
   readonly #rowOf: RowOf;
 
@@ -28,18 +28,18 @@
   }
 
   /** Takes in the report of a group: an instance, a zone, or the fleet. */
-  told(group: InstanceId, inFlight: InFlight): void {
+  reported(group: InstanceId, inFlight: InFlight): void {
     this.unreachable(group);
-    this.#told.set(group, inFlight);
+    this.#reported.set(group, inFlight);
     for (const [endpoint, n] of inFlight) this.#add(endpoint, n);
   }
 
   /** Leaves out a group that is unreachable. */
   unreachable(group: InstanceId): void {
-    for (const [endpoint, n] of this.#told.get(group) ?? []) {
+    for (const [endpoint, n] of this.#reported.get(group) ?? []) {
       this.#add(endpoint, -n);
     }
-    this.#told.delete(group);
+    this.#reported.delete(group);
   }
 
   #add(endpoint: EndpointId, more: number): void {
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -111,7 +111,7 @@
 }
 
 /** The answer as one text. */
-function told(answer: FlowAnswer): string {
+function outcomeOf(answer: FlowAnswer): string {
   if (answer.kind === "answer") return `answer ${answer.status}`;
   if (answer.kind === "gone") return "gone";
   const { code, outcome } = answer.failure;
@@ -245,7 +245,7 @@
     // served if that can be done without running its request twice, and else
     // told no more than is known.
     const path = new Path(setup());
-    t.is(told(await path.ask()), want);
+    t.is(outcomeOf(await path.ask()), want);
     t.is(path.sender.sent.length, sends);
     const names = path.sender.sent.map((s) => s.endpoint);
     t.is(new Set(names).size, names.length);
@@ -256,17 +256,17 @@
   // An operator takes a key away while its caller is connected. The caller's
   // next request must not run.
   const path = new Path();
-  t.is(told(await path.ask({ key: "other" })), "unauthenticated");
-  t.is(told(await path.ask()), "answer 200");
+  t.is(outcomeOf(await path.ask({ key: "other" })), "unauthenticated");
+  t.is(outcomeOf(await path.ask()), "answer 200");
   path.state.adopt(plan({ version: 2, accounts: [account({ keys: [] })] }));
-  t.is(told(await path.ask()), "unauthenticated");
+  t.is(outcomeOf(await path.ask()), "unauthenticated");
 });
 
 test("an older plan does not take the place of a newer one", async (t) => {
   // A store that is read late hands out a plan that callers have seen replaced.
   const path = new Path({ plan: { version: 5 } });
   t.false(path.state.adopt(plan({ version: 4, routes: [] })));
-  t.is(told(await path.ask()), "answer 200");
+  t.is(outcomeOf(await path.ask()), "answer 200");
 });
 
 test("an instance without a plan says that it is not ready", async (t) => {
@@ -275,7 +275,7 @@
   const path = new Path({ plan: "none" });
   const answer = path.ask();
   path.clock.advance(250);
-  t.is(told(await answer), "not_ready not-run");
+  t.is(outcomeOf(await answer), "not_ready not-run");
 });
 
 test("a request that comes before the plan is served when it is there", async (t) => {
@@ -286,7 +286,7 @@
   path.clock.advance(200);
   path.state.adopt(plan());
   path.gate.open();
-  t.is(told(await answer), "answer 200");
+  t.is(outcomeOf(await answer), "answer 200");
 });
 
 test("an endpoint is told the time that is left, by caller and route", async (t) => {
@@ -304,7 +304,7 @@
   const path = new Path({ sender: new ScriptedSender("silence") });
   const answer = path.ask({ patienceMs: 1_000 });
   path.clock.advance(1_000);
-  t.is(told(await answer), "deadline_exceeded unknown");
+  t.is(outcomeOf(await answer), "deadline_exceeded unknown");
   t.true(path.sender.sent[0]?.cancelled);
 });
 
@@ -312,7 +312,7 @@
   const path = new Path({ sender: new ScriptedSender("silence") });
   const answer = path.ask();
   path.gone.abort();
-  t.is(told(await answer), "gone");
+  t.is(outcomeOf(await answer), "gone");
   t.true(path.sender.sent[0]?.cancelled);
 });
 
@@ -321,7 +321,7 @@
   // registry says so.
   const sender = new ScriptedSender(shed({ moved: true }), answered());
   const path = new Path({ sender });
-  t.is(told(await path.ask()), "answer 200");
+  t.is(outcomeOf(await path.ask()), "answer 200");
   const first = path.sender.sent[0]?.endpoint as EndpointId;
   t.is(path.state.endpoints.get(first), undefined);
 });
@@ -333,9 +333,9 @@
     burst: 1,
   });
   const path = new Path({ plan: { accounts: [limited] } });
-  t.is(told(await path.ask()), "answer 200");
+  t.is(outcomeOf(await path.ask()), "answer 200");
   const answer = await path.ask();
-  t.is(told(answer), "rate_exceeded not-run");
+  t.is(outcomeOf(answer), "rate_exceeded not-run");
   if (answer.kind !== "refusal") return t.fail();
   t.true((answer.failure.retryAfterMs ?? 0) > 500);
 });
@@ -368,7 +368,7 @@
   });
   const answers: string[] = [];
   for (let i = 0; i < 8; i++) {
-    answers.push(told(await path.ask()));
+    answers.push(outcomeOf(await path.ask()));
     path.clock.advance(20);
   }
   t.deepEqual(answers.slice(-4), Array(4).fill("answer 200"));
@@ -386,8 +386,8 @@
       ),
     ),
   });
-  for (let i = 0; i < 5; i++) t.is(told(await path.ask()), "answer 200");
-  t.is(told(await path.ask()), "answer 200");
+  for (let i = 0; i < 5; i++) t.is(outcomeOf(await path.ask()), "answer 200");
+  t.is(outcomeOf(await path.ask()), "answer 200");
   const { sent } = path.sender;
   t.is(sent.at(-1)?.endpoint, sent[0]?.endpoint);
 });
--- a/src/edge/steering_watchers.ts
+++ b/src/edge/steering_watchers.ts
@@ -64,19 +64,21 @@
   }
 
   /** Whether this instance asks the store itself, or is told by others. */
-  setAsking(asks: boolean): void {
-    for (const follower of this.#followers.values()) follower.setAsking(asks);
+  setWatching(watches: boolean): void {
+    for (const follower of this.#followers.values()) {
+      follower.setWatching(watches);
+    }
   }
 
   /** Takes in changes that another instance passes on. */
-  told(batch: RelayedChanges): void {
-    this.#followers.get(batch.kind)?.told(batch);
+  reported(batch: RelayedChanges): void {
+    this.#followers.get(batch.kind)?.reported(batch);
   }
 
   /** Another instance knows of these changes. */
-  heardOf(changes: ReadonlyMap<string, number>): void {
+  onRevision(changes: ReadonlyMap<string, number>): void {
     for (const [kind, revision] of changes) {
-      this.#followers.get(kind)?.heardOf(revision);
+      this.#followers.get(kind)?.onRevision(revision);
     }
   }
 
--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -49,7 +49,7 @@
   /** This instance's digest of this moment; `toNewcomer` where one reads it. */
   readonly compose: (seq: number, toNewcomer: boolean) => Digest;
   /** Runs each period, after the digest was sent. */
-  readonly told: (digest: Digest) => void;
+  readonly reported: (digest: Digest) => void;
 }
 
 /** The exchange of one instance. */
@@ -86,7 +86,8 @@
 
   /** Sends a digest now, as after a change that others should know at once. */
   tell(): void {
-    const { compose, recipients, datagrams, book, seeds, told } = this.#opts;
+    const { compose, recipients, datagrams, book, seeds, reported } =
+      this.#opts;
     const seq = this.#seq++;
     const introduces = this.#newcomer || seq < INTRODUCED_FIRST ||
       seq % INTRODUCED_EVERY === 0;
@@ -96,7 +97,7 @@
     const bytes = encodeCompact(digest, { book, introduces });
     const to = recipients(digest.seq).map((p) => p.digestAddress);
     datagrams.send("compactDigest", to.length > 0 ? to : seeds, bytes);
-    told(digest);
+    reported(digest);
   }
 
   close(): void {
--- a/src/fleet/digest_exchange_test.ts
+++ b/src/fleet/digest_exchange_test.ts
@@ -29,7 +29,7 @@
   }, new SilentLog());
   const heard: InstanceId[] = [];
   const peers = new PeerTable(profile("i0"), 1, {
-    told: ({ profile }) => heard.push(profile.id),
+    reported: ({ profile }) => heard.push(profile.id),
     suspect: () => {},
     unreachable: () => {},
     removed: () => {},
@@ -43,7 +43,7 @@
     seeds: ["seed:70"],
     recipients: () => [],
     compose: (seq) => digest("i0", { seq }),
-    told: () => {},
+    reported: () => {},
   });
   return { exchange, sent, heard, take: (bytes: Buffer) => take(bytes) };
 }
@@ -70,7 +70,7 @@
   const first = exchange();
   const second = exchange();
   first.exchange.tell();
-  const told = first.sent[0]?.bytes ?? Buffer.alloc(0);
-  second.take(told);
+  const reported = first.sent[0]?.bytes ?? Buffer.alloc(0);
+  second.take(reported);
   t.deepEqual(second.sent, []);
 });
--- a/src/fleet/fleet_aggregate_test.ts
+++ b/src/fleet/fleet_aggregate_test.ts
@@ -59,7 +59,7 @@
     ...SUMS,
     zone,
     region,
-    speaker: id,
+    relay: id,
     members: [
       { profile: profile("i1"), state: "serving" },
       { profile: profile("i2"), state: "leaving" },
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -26,7 +26,7 @@
 
 /** Takes in what groups report, and which of them become unreachable. */
 export interface GroupEvents {
-  told(news: GroupNews, now: number): void;
+  reported(news: GroupNews, now: number): void;
   /** A group was not heard lately; it may be cut off. */
   suspect(group: InstanceId): void;
   /** A group is heard no more. */
@@ -66,9 +66,9 @@
   }
 
   /** A group was heard itself. */
-  told(news: GroupNews, now: number): void {
+  reported(news: GroupNews, now: number): void {
     this.#direct.set(news.group, { news, at: now, suspect: false });
-    if (!this.#relayed) this.#events.told(news, now);
+    if (!this.#relayed) this.#events.reported(news, now);
   }
 
   suspect(group: InstanceId): void {
@@ -87,7 +87,7 @@
   }
 
   /** The relay reported the rest of the fleet. */
-  toldByRelay(news: GroupNews, now: number): void {
+  onAggregate(news: GroupNews, now: number): void {
     if (!this.#relayed) {
       for (const group of this.#direct.keys()) this.#events.removed(group);
       this.#relayed = true;
@@ -95,7 +95,7 @@
     for (const [group, { at, suspect }] of this.#direct) {
       if (!suspect && now - at > STALE_AFTER_MS) this.#direct.delete(group);
     }
-    this.#events.told(news, now);
+    this.#events.reported(news, now);
   }
 
   /** The relay is not heard, or another takes over: counts begin anew. */
@@ -118,7 +118,7 @@
     this.#relayed = false;
     this.#events.removed(FLEET_GROUP);
     for (const { news, suspect } of groups) {
-      this.#events.told(news, now);
+      this.#events.reported(news, now);
       if (suspect) this.#events.suspect(news.group);
     }
     return true;
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -99,7 +99,7 @@
   readonly #relayFollower: RelayFollower;
   readonly #roles: ZoneRoles;
   readonly #digests: DigestExchange;
-  #current: Roles = { speaks: false, isStoreWatcher: false };
+  #current: Roles = { isRelay: false, isStoreWatcher: false };
   #reservations: readonly Reservation[] = [];
 
   constructor(opts: FleetMemberOptions) {
@@ -108,13 +108,13 @@
     this.#start = random.hex(START_BYTES);
     this.#datagrams = new Datagrams(opts.transport, log);
     this.#peers = new PeerTable(profile, opts.assumed, {
-      told: (digest, now) => this.#told(digest, now),
+      reported: (digest, now) => this.#reported(digest, now),
       suspect: ({ profile }) => this.#suspect(profile.id),
       unreachable: ({ profile }) => this.#unreachable(profile.id),
       removed: ({ profile }) => this.#removed(profile.id),
     });
     this.#zones = new ZoneTable({
-      told: (digest, now) => this.#toldZone(digest, now),
+      reported: (digest, now) => this.#onZoneDigest(digest, now),
       suspect: (zone) => this.#suspect(groupOf(zone)),
       unreachable: (zone) => this.#unreachable(groupOf(zone)),
       removed: (zone) => this.#forgetGroup(groupOf(zone)),
@@ -148,13 +148,13 @@
       seeds,
       recipients: (seq) => this.#recipients(seq),
       compose: (seq, toNewcomer) => this.#compose(seq, toNewcomer),
-      told: (digest) => this.#period(digest),
+      reported: (digest) => this.#period(digest),
     });
     this.#datagrams.onRead("changes", decodeChanges, events.relayed);
     this.#datagrams.onRead(
       "aggregate",
       (bytes) => decodeAggregate(bytes, opts.book),
-      (aggregate) => this.#toldByRelay(aggregate),
+      (aggregate) => this.#onAggregate(aggregate),
     );
     readBundles(this.#datagrams);
   }
@@ -225,36 +225,42 @@
 
   /** Whether this instance is the zone's relay. */
   get #relays(): boolean {
-    return !this.#peers.isMesh && this.#current.speaks;
+    return !this.#peers.isMesh && this.#current.isRelay;
   }
 
   /** Whom this instance tells of itself. */
   #recipients(seq: number): readonly InstanceProfile[] {
     const everybody = this.#peers.isMesh ||
       this.#peers.zonePeers().every((m) => m.suspect);
-    return everybody ? toTell(this.#peers.peers(), seq) : this.#hubs();
+    return everybody
+      ? toTell(this.#peers.peers(), seq)
+      : this.#relayCandidates();
   }
 
-  #hubAddresses(): readonly string[] {
-    return this.#hubs().map((hub) => hub.digestAddress);
+  #relayCandidateAddresses(): readonly string[] {
+    return this.#relayCandidates().map((candidate) => candidate.digestAddress);
   }
 
   /** The others of the zone to which all of it report. */
-  #hubs(): readonly InstanceProfile[] {
+  #relayCandidates(): readonly InstanceProfile[] {
     const zonePeers = this.#peers.zonePeers();
-    const hubs = this.#roles.hubs(zonePeers);
+    const relayCandidates = this.#roles.relayCandidates(zonePeers);
     return zonePeers.map((m) => m.profile).filter(({ id }) =>
-      hubs.includes(id)
+      relayCandidates.includes(id)
     );
   }
 
   /** Another zone's digest goes to whoever relays, or may have to soon. */
   #passOn(zone: ZoneId, bytes: Uint8Array): void {
     if (this.#relays) return this.#relay.keep(zone, bytes);
-    this.#datagrams.send("zonePassedOn", this.#hubAddresses(), bytes);
+    this.#datagrams.send(
+      "zonePassedOn",
+      this.#relayCandidateAddresses(),
+      bytes,
+    );
   }
 
-  #toldByRelay(aggregate: FleetAggregate): void {
+  #onAggregate(aggregate: FleetAggregate): void {
     const { zone } = aggregate.relay;
     if (this.#peers.isMesh || !this.#peers.isOwnZone(zone)) return;
     const now = this.#opts.clock.now();
@@ -281,14 +287,14 @@
       { now, warm, relayed },
     );
     // The next speaks from the moment at which it hears that this one leaves.
-    const speaks = roles.speaks && digest.state !== "leaving";
-    this.#current = { ...roles, speaks };
+    const isRelay = roles.isRelay && digest.state !== "leaving";
+    this.#current = { ...roles, isRelay };
     if (this.#relays || this.#peers.isMesh) this.#followGroups(now);
     this.#opts.events.roles(this.#current);
     if (!this.#relays) return;
     this.#relay.publish(digest, {
       reservations: this.#reservations,
-      standby: this.#hubAddresses(),
+      standby: this.#relayCandidateAddresses(),
     });
   }
 
@@ -324,22 +330,22 @@
     return someOf(heard, most, this.#opts.random).map((p) => p.profile);
   }
 
-  #told(digest: Digest, now: number): void {
+  #reported(digest: Digest, now: number): void {
     const { profile, seq } = digest;
     const news = { ...digest, group: profile.id, instances: 1 };
     if (this.#peers.isOwnZone(profile.zone)) this.#relay.reportPeer(news, seq);
-    this.#feed.told(news, now);
+    this.#feed.reported(news, now);
   }
 
-  #toldZone(digest: ZoneDigest, now: number): void {
-    const { zone, speaker, start } = digest;
+  #onZoneDigest(digest: ZoneDigest, now: number): void {
+    const { zone, relay, start } = digest;
     const news = {
       ...digest,
       group: groupOf(zone),
-      start: `${speaker} ${start}`,
+      start: `${relay} ${start}`,
     };
     this.#relay.reportZone(news);
-    this.#feed.told(news, now);
+    this.#feed.reported(news, now);
   }
 
   #suspect(group: InstanceId): void {
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -22,7 +22,7 @@
 }
 
 /** All that a member was told of an account, itself left out. */
-function told(member: TestMember): { perS: number; admitted: number } {
+function reported(member: TestMember): { perS: number; admitted: number } {
   let perS = 0;
   let admitted = 0;
   for (const { uses } of member.groups.values()) {
@@ -59,11 +59,11 @@
     changes: [],
     holdMs: 0,
   };
-  const asks = fleet.members.find((m) => m.roles.isStoreWatcher)!;
-  asks.member.relay(batch);
+  const watches = fleet.members.find((m) => m.roles.isStoreWatcher)!;
+  watches.member.relay(batch);
   const got = fleet.members.filter((m) => m.relayed.length > 0);
   t.is(got.length, 2);
-  t.true(got.every((m) => m.profile.region === asks.profile.region));
+  t.true(got.every((m) => m.profile.region === watches.profile.region));
   t.true(got.every((m) => !m.roles.isStoreWatcher));
 });
 
@@ -90,7 +90,7 @@
 test("in a large fleet relays hear groups, and the others one sum of them", async (t) => {
   const fleet = await fleetOf(PER_ZONE);
   for (const member of fleet.members) {
-    const groups = member.roles.speaks ? PER_ZONE - 1 + ZONES.length - 1 : 1;
+    const groups = member.roles.isRelay ? PER_ZONE - 1 + ZONES.length - 1 : 1;
     t.is(member.groups.size, groups);
     t.is(instancesKnown(member), fleet.members.length);
     t.is(member.member.serving().length, fleet.members.length - 1);
@@ -104,7 +104,7 @@
     const members = fleet.of(zone);
     const asking = members.filter((m) => m.roles.isStoreWatcher);
     t.deepEqual(asking, members.slice(0, 2));
-    t.is(members.filter((m) => m.roles.speaks).length, 1);
+    t.is(members.filter((m) => m.roles.isRelay).length, 1);
   }
 });
 
@@ -124,14 +124,14 @@
   const fleet = await fleetOf(PER_ZONE);
   for (const member of fleet.members) use(member, 1, 10);
   fleet.pass(2_000);
-  const before = fleet.members.map((member) => told(member).admitted);
+  const before = fleet.members.map((member) => reported(member).admitted);
   for (const member of fleet.members) use(member, 1, 15);
   fleet.pass(2_000);
   // Counts are read as differences: what was admitted before an instance first
   // heard of an account is in the level that it is told.
   for (const [i, member] of fleet.members.entries()) {
-    t.is(Math.round(told(member).perS), fleet.members.length - 1);
-    const more = told(member).admitted - (before[i] ?? 0);
+    t.is(Math.round(reported(member).perS), fleet.members.length - 1);
+    const more = reported(member).admitted - (before[i] ?? 0);
     t.is(more, (fleet.members.length - 1) * 5);
   }
 });
@@ -143,24 +143,24 @@
   for (const member of fleet.members) use(member, 1, 10);
   fleet.pass(1_000);
   const [one] = fleet.of("a1");
-  const before = told(one!).admitted;
+  const before = reported(one!).admitted;
   const gone = fleet.of("b1")[3]!;
   fleet.kill(gone);
   fleet.pass(3_000);
-  t.true(told(one!).admitted >= before);
+  t.true(reported(one!).admitted >= before);
 });
 
 test("a zone is heard on when its speaker dies", async (t) => {
   // The speaker loses power. The others of its zone go on serving, and callers
   // are sent to them on.
   const fleet = await fleetOf(PER_ZONE);
-  const speaker = fleet.of("b1").find((m) => m.roles.speaks)!;
-  fleet.kill(speaker);
+  const relay = fleet.of("b1").find((m) => m.roles.isRelay)!;
+  fleet.kill(relay);
   fleet.pass(3_000);
   const [one] = fleet.of("a1");
   const serving = one!.member.serving().map((p) => p.id);
   t.is(serving.filter((id) => id.startsWith("b1")).length, PER_ZONE - 1);
-  t.false(serving.includes(speaker.profile.id));
+  t.false(serving.includes(relay.profile.id));
 });
 
 test("another asks the store when one that does dies or is turned away", async (t) => {
@@ -236,9 +236,9 @@
   // Everybody hears of everybody through one instance. It loses power; until
   // the next hands out, shares of rates are set aside.
   const fleet = await fleetOf(PER_ZONE);
-  const hub = fleet.of("a2").find((m) => m.roles.speaks);
-  const others = fleet.of("a2").filter((m) => m !== hub);
-  fleet.kill(hub!);
+  const candidate = fleet.of("a2").find((m) => m.roles.isRelay);
+  const others = fleet.of("a2").filter((m) => m !== candidate);
+  fleet.kill(candidate!);
   fleet.pass(2_000);
   for (const other of others) {
     t.is(instancesKnown(other), fleet.members.length - 1);
@@ -250,13 +250,13 @@
   // The speaker is replaced. Were it heard until it ends, its zone would be
   // suspect for a second then, with its share of every account's rate set aside.
   const fleet = await fleetOf(PER_ZONE);
-  const speaker = fleet.of("b1").find((m) => m.roles.speaks);
-  const one = fleet.of("a1").find((m) => m.roles.speaks);
+  const relay = fleet.of("b1").find((m) => m.roles.isRelay);
+  const one = fleet.of("a1").find((m) => m.roles.isRelay);
   const group = one!.groups.get("zone b1")!;
-  speaker!.state = "leaving";
+  relay!.state = "leaving";
   fleet.pass(1_500);
   t.not(one!.groups.get("zone b1")?.start, group.start);
-  fleet.kill(speaker!);
+  fleet.kill(relay!);
   one!.suspect.length = 0;
   fleet.pass(4_000);
   t.deepEqual(one!.suspect, []);
@@ -279,9 +279,9 @@
 // may be left to instances that are cut off.
 test("the next relays within a second of a relay's end", async (t) => {
   const fleet = await fleetOf(PER_ZONE);
-  const relay = fleet.of("c2").find((m) => m.roles.speaks)!;
+  const relay = fleet.of("c2").find((m) => m.roles.isRelay)!;
   fleet.kill(relay);
   fleet.pass(1_000);
   const others = fleet.of("c2").filter((m) => m !== relay);
-  t.is(others.filter((m) => m.roles.speaks).length, 1);
+  t.is(others.filter((m) => m.roles.isRelay).length, 1);
 });
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -95,7 +95,7 @@
 /** What changes among the instances. */
 export interface PeerEvents {
   /** A digest came that is newer than the last. */
-  told(digest: Digest, now: number): void;
+  reported(digest: Digest, now: number): void;
   /** An instance was not heard lately; it may be cut off. */
   suspect(peer: Peer): void;
   /** An instance is heard no more. */
@@ -241,7 +241,7 @@
     peer.seq = digest.seq;
     peer.directAt = now;
     this.#update(peer, digest, now);
-    this.#events.told(digest, now);
+    this.#events.reported(digest, now);
   }
 
   /** Takes in what a relay of the zone says of itself. */
--- a/src/fleet/peer_table_test.ts
+++ b/src/fleet/peer_table_test.ts
@@ -13,7 +13,7 @@
 function tableOfZone() {
   const suspected: InstanceId[] = [];
   const table = new PeerTable(profile("i0"), 1, {
-    told: () => {},
+    reported: () => {},
     suspect: (peer) => suspected.push(peer.profile.id),
     unreachable: () => {},
     removed: () => {},
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -94,7 +94,7 @@
         this.#peers.refresh(idHash, now) ?? []
       );
     }
-    this.#feed.toldByRelay(this.#withoutOwn(aggregate), now);
+    this.#feed.onAggregate(this.#withoutOwn(aggregate), now);
   }
 
   /** Looks whether the relay is late. */
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -46,7 +46,7 @@
   take: (bytes: Uint8Array) => void;
   /** Parts that go by what is told; none by default. */
   takes?: {
-    readonly told: (news: GroupNews, now: number) => void;
+    readonly reported: (news: GroupNews, now: number) => void;
     readonly suspect?: (group: InstanceId) => void;
     readonly removed?: (group: InstanceId) => void;
     readonly report: (now: number) => Map<AccountId, AccountUse>;
@@ -122,7 +122,7 @@
       suspect: [],
       uses: new Map(),
       inFlight: new Map(),
-      roles: { speaks: true, isStoreWatcher: true },
+      roles: { isRelay: true, isStoreWatcher: true },
       storeInTouch: true,
       state: "serving",
       alive: true,
@@ -141,9 +141,9 @@
   ): FleetMember {
     const { profile, capacity } = entry;
     const events = {
-      told: (news: GroupNews, now: number) => {
+      reported: (news: GroupNews, now: number) => {
         entry.groups.set(news.group, news);
-        entry.takes?.told(news, now);
+        entry.takes?.reported(news, now);
       },
       suspect: (group: InstanceId) => {
         entry.suspect.push(group);
--- a/src/fleet/testing/rated_fleet.ts
+++ b/src/fleet/testing/rated_fleet.ts
@@ -48,7 +48,7 @@
   }
 
   relays(): TestMember[] {
-    return this.#fleet.members.filter((m) => m.roles.speaks);
+    return this.#fleet.members.filter((m) => m.roles.isRelay);
   }
 
   /** Members one after another, from one on. */
@@ -126,8 +126,8 @@
     quotas.adopt([this.account], this.#fleet.clock.now());
     this.#quotas.set(member, quotas);
     member.takes = {
-      told: (news, now) =>
-        quotas.told({ ...news, instance: news.group }, news.uses, now),
+      reported: (news, now) =>
+        quotas.reported({ ...news, instance: news.group }, news.uses, now),
       suspect: (group) => quotas.unreachable(group),
       removed: (group) => quotas.forget(group),
       report: (now) => quotas.tick(now),
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -53,7 +53,7 @@
   readonly zone: ZoneId;
   readonly region: RegionId;
   /** The zone's relay. */
-  readonly speaker: InstanceId;
+  readonly relay: InstanceId;
   /** Differs with each start of the relay. */
   readonly start: string;
   /** Counts up with each digest of a start. */
@@ -75,7 +75,7 @@
 const FIELD = {
   zone: 1,
   region: 2,
-  speaker: 3,
+  relay: 3,
   start: 4,
   seq: 5,
   storeInTouch: 6,
@@ -109,7 +109,7 @@
   const out = new BinaryWriter();
   out.tag(FIELD.zone, WireType.LengthDelimited).string(digest.zone);
   out.tag(FIELD.region, WireType.LengthDelimited).string(digest.region);
-  out.tag(FIELD.speaker, WireType.LengthDelimited).string(digest.speaker);
+  out.tag(FIELD.relay, WireType.LengthDelimited).string(digest.relay);
   out.tag(FIELD.start, WireType.LengthDelimited).string(digest.start);
   out.tag(FIELD.seq, WireType.Varint).uint64(digest.seq);
   out.tag(FIELD.storeInTouch, WireType.Varint).bool(digest.storeInTouch);
@@ -150,7 +150,7 @@
   readonly #names: DigestNames;
   #zone = "";
   #region = "";
-  #speaker = "";
+  #relay = "";
   #start = "";
   #seq = -1;
   #storeInTouch = false;
@@ -166,7 +166,7 @@
   }
 
   finish(): Result<ZoneDigest, Failure> {
-    const names = [this.#zone, this.#region, this.#speaker, this.#start];
+    const names = [this.#zone, this.#region, this.#relay, this.#start];
     if (!names.every(isName) || this.#seq < 0) {
       return fail("bad_request", "the datagram is no digest of a zone");
     }
@@ -174,7 +174,7 @@
     return ok({
       zone: this.#zone as ZoneId,
       region: this.#region as RegionId,
-      speaker: this.#speaker as InstanceId,
+      relay: this.#relay as InstanceId,
       start: this.#start,
       seq: this.#seq,
       storeInTouch: this.#storeInTouch,
@@ -196,8 +196,8 @@
       case FIELD.region:
         this.#region = reader.string();
         return true;
-      case FIELD.speaker:
-        this.#speaker = reader.string();
+      case FIELD.relay:
+        this.#relay = reader.string();
         return true;
       case FIELD.start:
         this.#start = reader.string();
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -43,7 +43,7 @@
 export class ZoneExchange {
   readonly #opts: ZoneExchangeOptions;
   /** Digests told. */
-  #told = 0;
+  #reported = 0;
 
   constructor(opts: ZoneExchangeOptions) {
     this.#opts = opts;
@@ -72,9 +72,9 @@
       byZone.set(profile.zone, [...there, profile]);
     }
     if (byZone.size === 0) return;
-    let introduces = this.#told++ % INTRODUCED_EVERY === 0;
+    let introduces = this.#reported++ % INTRODUCED_EVERY === 0;
     const to = [...byZone].flatMap(([other, there]) => {
-      const relay = zones.speaker(other);
+      const relay = zones.relay(other);
       if (relay !== undefined) return [relay];
       introduces = true;
       return someOf(there, TRIED, random);
@@ -100,7 +100,7 @@
     return {
       zone: own.profile.zone,
       region: own.profile.region,
-      speaker: own.profile.id,
+      relay: own.profile.id,
       start: own.start,
       seq: own.seq,
       storeInTouch: own.storeInTouch || heard.some((m) => m.storeInTouch),
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -68,7 +68,7 @@
 
 /** What an instance does for others. */
 export interface Roles {
-  readonly speaks: boolean;
+  readonly isRelay: boolean;
   readonly isStoreWatcher: boolean;
 }
 
@@ -82,8 +82,8 @@
 export class ZoneRoles {
   readonly #own: Ranked;
   readonly #listenMs: number;
-  #asks = false;
-  #speaks = false;
+  #watches = false;
+  #isRelay = false;
   /** Since when none of those before this one relays. */
   #unrelayedSince: number | undefined;
   #startedAt: number | undefined;
@@ -111,14 +111,14 @@
     const { now } = moment;
     this.#startedAt ??= now;
     const listening = now - this.#startedAt < this.#listenMs;
-    this.#asks = !listening &&
+    this.#watches = !listening &&
       this.#decideAsking(this.#before(watchPeers), moment);
-    this.#speaks = this.#decideSpeaking(this.#before(zonePeers), moment);
-    return { speaks: this.#speaks, isStoreWatcher: this.#asks };
+    this.#isRelay = this.#decideSpeaking(this.#before(zonePeers), moment);
+    return { isRelay: this.#isRelay, isStoreWatcher: this.#watches };
   }
 
   /** The zone's relay and the one standing by; this one may be among them. */
-  hubs(zonePeers: readonly Peer[]): readonly InstanceId[] {
+  relayCandidates(zonePeers: readonly Peer[]): readonly InstanceId[] {
     const ranked = [this.#own, ...present(zonePeers).map(rankedOf)].sort(order);
     return ranked.slice(0, HUBS).map(({ id }) => id);
   }
@@ -133,7 +133,7 @@
       return false;
     }
     this.#unrelayedSince ??= now;
-    if (this.#speaks) return true;
+    if (this.#isRelay) return true;
     const turnMs = before.length * RELAY_STEP_IN_MS;
     return warm && now - this.#unrelayedSince >= turnMs;
   }
@@ -147,11 +147,11 @@
     if (inTouch.length >= ASKING) {
       this.#shortSince = undefined;
       this.#enoughSince ??= now;
-      return this.#asks && now - this.#enoughSince < GIVE_UP_MS;
+      return this.#watches && now - this.#enoughSince < GIVE_UP_MS;
     }
     this.#enoughSince = undefined;
     this.#shortSince ??= now;
-    if (this.#asks || before.length < ASKING) return true;
+    if (this.#watches || before.length < ASKING) return true;
     if (asking.length >= MOST_ASKING_IN_VAIN) return false;
     const stepMs = relayed ? STEP_IN_RELAYED_MS : STEP_IN_MS;
     const turnMs = (before.length - ASKING + 1) * stepMs;
--- a/src/fleet/zone_table.ts
+++ b/src/fleet/zone_table.ts
@@ -19,7 +19,7 @@
 
 /** What changes among the zones. */
 export interface ZoneEvents {
-  told(digest: ZoneDigest, now: number): void;
+  reported(digest: ZoneDigest, now: number): void;
   suspect(zone: ZoneId): void;
   unreachable(zone: ZoneId): void;
   removed(zone: ZoneId): void;
@@ -48,13 +48,13 @@
    * once. Gives whether the digest was taken in.
    */
   heard(digest: ZoneDigest, now: number): boolean {
-    const { zone, speaker, start, seq } = digest;
+    const { zone, relay, start, seq } = digest;
     const row = this.#rows.get(zone);
     if (row !== undefined) {
       const { digest: last } = row;
-      const same = last.speaker === speaker && last.start === start;
+      const same = last.relay === relay && last.start === start;
       if (same && seq <= last.seq) return false;
-      const followed = last.speaker === speaker || hasLeft(last, digest);
+      const followed = last.relay === relay || hasLeft(last, digest);
       if (!same && !row.suspect && !followed) return false;
       if (!same && !row.suspect) this.#events.suspect(zone);
     }
@@ -64,7 +64,7 @@
       suspect: false,
       unreachable: false,
     });
-    this.#events.told(digest, now);
+    this.#events.reported(digest, now);
     return true;
   }
 
@@ -94,11 +94,11 @@
   }
 
   /** The relay of a zone that is heard. */
-  speaker(zone: ZoneId): InstanceProfile | undefined {
+  relay(zone: ZoneId): InstanceProfile | undefined {
     const row = this.#rows.get(zone);
     if (row === undefined || row.suspect) return undefined;
-    const { members, speaker } = row.digest;
-    return members.find((m) => m.profile.id === speaker)?.profile;
+    const { members, relay } = row.digest;
+    return members.find((m) => m.profile.id === relay)?.profile;
   }
 
   /** Instances of zones that are heard, which take callers. */
@@ -111,7 +111,7 @@
 
 /** Whether who spoke last is known to leave, or to be gone. */
 function hasLeft(last: ZoneDigest, next: ZoneDigest): boolean {
-  const before = next.members.find((m) => m.profile.id === last.speaker);
+  const before = next.members.find((m) => m.profile.id === last.relay);
   return before === undefined || before.state === "leaving";
 }
 
--- a/src/follower/resource_watcher.ts
+++ b/src/follower/resource_watcher.ts
@@ -88,7 +88,7 @@
   readonly #mirror = new ResourceCache();
   readonly #catchup: Catchup;
   readonly #startedAt: number;
-  #asks = false;
+  #watches = false;
   #wake: (() => void) | undefined;
   /** Undefined while everything has to be read. */
   #revision: number | undefined;
@@ -117,7 +117,7 @@
   /** Runs until `close`. */
   async run(): Promise<void> {
     while (!this.#abort.signal.aborted) {
-      if (this.#asks || this.#revision === undefined) await this.step();
+      if (this.#watches || this.#revision === undefined) await this.step();
       else await new Promise<void>((resolve) => this.#wake = resolve);
     }
   }
@@ -134,17 +134,17 @@
   }
 
   /** Whether this instance asks the store itself, or is told by others. */
-  setAsking(asks: boolean): void {
-    if (asks && !this.#asks) this.#unconfirmed = true;
-    this.#asks = asks;
-    if (asks) this.#wake?.();
+  setWatching(watches: boolean): void {
+    if (watches && !this.#watches) this.#unconfirmed = true;
+    this.#watches = watches;
+    if (watches) this.#wake?.();
   }
 
   /** Takes in what an instance that asks the store passes on. */
-  told(batch: RelayedChanges): void {
+  reported(batch: RelayedChanges): void {
     if (this.#revision === undefined || batch.upTo <= this.#revision) return;
     if (batch.changes === undefined || batch.after > this.#revision) {
-      return this.heardOf(batch.upTo);
+      return this.onRevision(batch.upTo);
     }
     const changes: StoredChange<T>[] = [];
     for (const { raw, deleted } of batch.changes) {
@@ -158,7 +158,7 @@
   }
 
   /** Another instance knows of a change at a revision. */
-  heardOf(revision: number): void {
+  onRevision(revision: number): void {
     this.#heard = Math.max(this.#heard, revision);
     if (this.#isBehind()) this.#catchup.behind();
   }
@@ -192,7 +192,7 @@
   get #waitsForPeers(): boolean {
     const { clock, peersFirstMs = 0 } = this.#opts;
     const waits = clock.now() < this.#startedAt + peersFirstMs;
-    return waits && !this.#everRead && !this.#asks;
+    return waits && !this.#everRead && !this.#watches;
   }
 
   /**
--- a/src/follower/resource_watcher_test.ts
+++ b/src/follower/resource_watcher_test.ts
@@ -178,8 +178,8 @@
   // Two instances of a zone ask the store, and both pass on what they hear.
   const { seen, step, followed } = follower(list(5, "a"));
   await step();
-  followed.told(batch());
-  followed.told(batch());
+  followed.reported(batch());
+  followed.reported(batch());
   t.deepEqual(seen, ["list", "all a", "changed b"]);
   t.is(followed.changedAt, 7);
 });
@@ -191,8 +191,8 @@
   await step();
   const raw = { name: "b", revision: 9 };
   const newer = [{ raw, deleted: false }];
-  followed.told(batch({ upTo: 9, changes: newer }));
-  followed.told(batch({ upTo: 10 }));
+  followed.reported(batch({ upTo: 9, changes: newer }));
+  followed.reported(batch({ upTo: 10 }));
   t.deepEqual(seen, ["list", "all a", "changed b"]);
 });
 
@@ -202,7 +202,7 @@
   await step();
   const objects = [{ name: "c", revision: 8 }];
   peer.snapshot = { revision: 9, changedAt: 9, objects, holdMs: 0 };
-  followed.told(batch({ after: 7, upTo: 9 }));
+  followed.reported(batch({ after: 7, upTo: 9 }));
   t.deepEqual(seen, ["list", "all a"]);
   await pass(200);
   t.deepEqual(seen, ["list", "all a", "deleted a", "changed c"]);
@@ -217,7 +217,7 @@
     changed(8, "b", true),
   );
   await step();
-  followed.heardOf(8);
+  followed.onRevision(8);
   await pass(200);
   t.deepEqual(seen.slice(2), ["watch 5", "in touch", "deleted b"]);
 });
@@ -225,8 +225,8 @@
 test("what comes in time is not fetched", async (t) => {
   const { seen, step, followed, pass } = follower(list(5, "a"));
   await step();
-  followed.heardOf(7);
-  followed.told(batch());
+  followed.onRevision(7);
+  followed.reported(batch());
   await pass(200);
   t.deepEqual(seen, ["list", "all a", "changed b"]);
 });
@@ -250,8 +250,8 @@
     changed(9, "c"),
   );
   await step();
-  followed.setAsking(true);
-  followed.setAsking(true);
+  followed.setWatching(true);
+  followed.setWatching(true);
   await step();
   await step();
   t.deepEqual(seen.slice(2), [
@@ -270,7 +270,7 @@
   await step();
   const objects = [{ name: "a", revision: 5 }, { name: "c", revision: 8 }];
   peer.snapshot = { revision: 9, changedAt: 9, objects, holdMs: 0 };
-  followed.heardOf(9);
+  followed.onRevision(9);
   await pass(200);
   t.deepEqual(seen, ["list", "all a", "changed c"]);
 });
@@ -283,7 +283,7 @@
   t.deepEqual(seen, []);
   const objects = [{ name: "b", revision: 7 }];
   peer.snapshot = { revision: 7, changedAt: 7, objects, holdMs: 0 };
-  followed.heardOf(7);
+  followed.onRevision(7);
   await pass(250);
   await done;
   t.deepEqual(seen, ["all b"]);
@@ -301,7 +301,7 @@
 // Guards against watchers that wait for each other.
 test("an instance that watches the store reads the lists at once", async (t) => {
   const { seen, followed, pass } = waitingFollower(60_000, list(5, "a"));
-  followed.setAsking(true);
+  followed.setWatching(true);
   const done = followed.step();
   await pass(0);
   await done;
--- a/tools/bench/fleet.ts
+++ b/tools/bench/fleet.ts
@@ -92,9 +92,9 @@
   const load = new PeerLoad(() => undefined);
   const busy = Math.min(BUSY_ACCOUNTS, all.length);
   member.takes = {
-    told: (news, now) => {
-      quotas.told({ ...news, instance: news.group }, news.uses, now);
-      load.told(news.group, news.inFlight);
+    reported: (news, now) => {
+      quotas.reported({ ...news, instance: news.group }, news.uses, now);
+      load.reported(news.group, news.inFlight);
     },
     report: (now) => {
       for (let i = 0; i < busy; i++) {
