--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -91,7 +91,7 @@
   readonly #sender: HttpEndpointSender;
   readonly #expiry = new ExpiryGuard();
   readonly #endpointHandler: EndpointHandler;
-  readonly #followers: SteeringWatchers;
+  readonly #watchers: SteeringWatchers;
   readonly #snapshots: PeerSnapshots;
   readonly #gate: StartGate;
   readonly #book = new NameBook();
@@ -144,7 +144,7 @@
       expiry: this.#expiry,
       listed: () => this.#listed(),
     });
-    this.#followers = new SteeringWatchers({
+    this.#watchers = new SteeringWatchers({
       sources,
       handlers: {
         plans: new PlanHandler(this.#state, log, (p) => this.#adopted(p)),
@@ -176,7 +176,7 @@
       events: new GossipHandlers({
         quotas: this.#quotas,
         peerLoad: this.#peerLoad,
-        followers: this.#followers,
+        watchers: this.#watchers,
         expiry: this.#expiry,
         watchPeerInTouch: () => this.#member.watchPeerInTouch,
         clock,
@@ -244,7 +244,7 @@
   /** Ends at once. */
   async close(): Promise<void> {
     this.#abort.abort();
-    this.#followers.close();
+    this.#watchers.close();
     this.#endpointHandler.close();
     await this.#member.close();
     await this.#snapshotServer?.close();
@@ -259,7 +259,7 @@
     this.#snapshotServer = await PlainServer.listen(
       snapshotAddress(cfg.listen.digest),
       (_method, url) =>
-        answerSnapshot(url, (kind) => this.#followers.snapshot(kind)),
+        answerSnapshot(url, (kind) => this.#watchers.snapshot(kind)),
     );
     const flow = this.#flow();
     this.#server = await CallerServer.listen({
@@ -269,7 +269,7 @@
       handle: (req) => flow.handle(req),
       log,
     });
-    this.#followers.run();
+    this.#watchers.run();
     void joinList(sources.instances, this.#profile, {
       member: this.#member,
       clock,
@@ -331,7 +331,7 @@
       state: this.state,
       planVersion: this.#state.planVersion,
       storeInTouch: this.#endpointsListed && this.#expiry.inTouch,
-      changes: this.#followers.changes(),
+      changes: this.#watchers.changes(),
       uses,
       inFlight,
       reservations: this.#quotas.reservations,
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -6,7 +6,7 @@
 import type { Clock, InstanceId, Log } from "../core/mod.ts";
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
 import type { FleetEvents, GroupNews, Roles } from "../fleet/mod.ts";
-import type { RelayedChanges } from "../follower/mod.ts";
+import type { RelayedChanges } from "../watcher/mod.ts";
 import type { ExpiryGuard } from "./expiry_guard.ts";
 import type { PeerLoad } from "./peer_load.ts";
 import type { SteeringWatchers } from "./steering_watchers.ts";
@@ -15,7 +15,7 @@
 export interface FleetNewsOptions {
   readonly quotas: AccountQuotas;
   readonly peerLoad: PeerLoad;
-  readonly followers: SteeringWatchers;
+  readonly watchers: SteeringWatchers;
   readonly expiry: ExpiryGuard;
   /** Whether a watcher of the store that serves this instance is answered. */
   readonly watchPeerInTouch: () => boolean;
@@ -33,12 +33,12 @@
   }
 
   reported(news: GroupNews, now: number): void {
-    const { quotas, expiry, peerLoad, followers } = this.#opts;
+    const { quotas, expiry, peerLoad, watchers } = this.#opts;
     const { group: instance, uses, inFlight } = news;
     quotas.reported({ ...news, instance }, uses, now);
     if (news.storeInTouch) expiry.otherInTouch(now);
     peerLoad.reported(instance, inFlight);
-    followers.onRevision(news.changes);
+    watchers.onRevision(news.changes);
   }
 
   suspect(group: InstanceId): void {
@@ -55,7 +55,7 @@
   }
 
   relayed(changes: RelayedChanges): void {
-    this.#opts.followers.reported(changes);
+    this.#opts.watchers.reported(changes);
   }
 
   /**
@@ -63,7 +63,7 @@
    * that watches for it is.
    */
   roles({ isRelay, isStoreWatcher }: Roles): void {
-    const { clock, log, followers, expiry, watchPeerInTouch } = this.#opts;
+    const { clock, log, watchers, expiry, watchPeerInTouch } = this.#opts;
     const changed = isRelay !== this.#roles.isRelay ||
       isStoreWatcher !== this.#roles.isStoreWatcher;
     this.#roles = { isRelay, isStoreWatcher };
@@ -73,7 +73,7 @@
         asksStore: isStoreWatcher,
       });
     }
-    followers.setWatching(isStoreWatcher);
+    watchers.setWatching(isStoreWatcher);
     if (isStoreWatcher) return;
     if (watchPeerInTouch()) expiry.regained(clock.now());
     else expiry.lost(clock.now());
--- a/src/edge/peer_snapshots.ts
+++ b/src/edge/peer_snapshots.ts
@@ -18,7 +18,7 @@
   unpackJson,
 } from "../core/mod.ts";
 import { type InstanceProfile, splitAddress } from "../fleet/mod.ts";
-import type { RelayedSnapshot } from "../follower/mod.ts";
+import type { RelayedSnapshot } from "../watcher/mod.ts";
 import type { PlainAnswer } from "./plain_server.ts";
 
 /** How long a fetch may take, in milliseconds: some 200 KB on a small link. */
--- a/src/edge/steering_handlers.ts
+++ b/src/edge/steering_handlers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock, EndpointId, Log, Timer, ZoneId } from "../core/mod.ts";
-import type { ResourceHandler, StoredEntry } from "../follower/mod.ts";
+import type { ResourceHandler, StoredEntry } from "../watcher/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import type { ExpiryGuard } from "./expiry_guard.ts";
 import type { TrafficState } from "./traffic_state.ts";
--- a/src/edge/steering_sources.ts
+++ b/src/edge/steering_sources.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ResourceClient } from "../follower/mod.ts";
+import type { ResourceClient } from "../watcher/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import type { InstanceList } from "./instance_list.ts";
 
--- a/src/edge/steering_watchers.ts
+++ b/src/edge/steering_watchers.ts
@@ -11,7 +11,7 @@
   type ResourceClient,
   type ResourceHandler,
   ResourceWatcher,
-} from "../follower/mod.ts";
+} from "../watcher/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import type { SteeringSources } from "./steering_sources.ts";
 
@@ -25,7 +25,7 @@
   readonly evacuations: ResourceHandler<true>;
 }
 
-/** What the followers work with. */
+/** What the watchers work with. */
 export interface SteeringFollowersOptions {
   readonly sources: Omit<SteeringSources, "instances">;
   readonly handlers: SteeringSinks;
@@ -40,7 +40,7 @@
 
 /** Followers by kind. */
 export class SteeringWatchers {
-  readonly #followers: ReadonlyMap<string, ResourceWatcher<unknown>>;
+  readonly #watchers: ReadonlyMap<string, ResourceWatcher<unknown>>;
 
   constructor(opts: SteeringFollowersOptions) {
     const { sources, handlers, ...common } = opts;
@@ -52,7 +52,7 @@
       kind,
       new ResourceWatcher({ ...common, kind, source, sink }),
     ];
-    this.#followers = new Map([
+    this.#watchers = new Map([
       follow("plans", sources.plans, handlers.plans),
       follow("endpoints", sources.endpoints, handlers.endpoints),
       follow("evacuations", sources.evacuations, handlers.evacuations),
@@ -60,41 +60,41 @@
   }
 
   run(): void {
-    for (const follower of this.#followers.values()) void follower.run();
+    for (const watcher of this.#watchers.values()) void watcher.run();
   }
 
   /** Whether this instance asks the store itself, or is told by others. */
   setWatching(watches: boolean): void {
-    for (const follower of this.#followers.values()) {
-      follower.setWatching(watches);
+    for (const watcher of this.#watchers.values()) {
+      watcher.setWatching(watches);
     }
   }
 
   /** Takes in changes that another instance passes on. */
   reported(batch: RelayedChanges): void {
-    this.#followers.get(batch.kind)?.reported(batch);
+    this.#watchers.get(batch.kind)?.reported(batch);
   }
 
   /** Another instance knows of these changes. */
   onRevision(changes: ReadonlyMap<string, number>): void {
     for (const [kind, revision] of changes) {
-      this.#followers.get(kind)?.onRevision(revision);
+      this.#watchers.get(kind)?.onRevision(revision);
     }
   }
 
   /** Revision of the last change that is known, by kind. */
   changes(): ReadonlyMap<string, number> {
     return new Map(
-      [...this.#followers].map(([kind, f]) => [kind, f.changedAt]),
+      [...this.#watchers].map(([kind, f]) => [kind, f.changedAt]),
     );
   }
 
   /** All that is known of a kind; undefined before it was read. */
   snapshot(kind: string): RelayedSnapshot | undefined {
-    return this.#followers.get(kind)?.snapshot();
+    return this.#watchers.get(kind)?.snapshot();
   }
 
   close(): void {
-    for (const follower of this.#followers.values()) follower.close();
+    for (const watcher of this.#watchers.values()) watcher.close();
   }
 }
--- a/src/fleet/change_relay.ts
+++ b/src/fleet/change_relay.ts
@@ -6,7 +6,7 @@
 import { Buffer } from "node:buffer";
 import { fail, type Failure } from "../core/mod.ts";
 import { ok, type Result } from "neverthrow";
-import type { RelayedChange, RelayedChanges } from "../follower/mod.ts";
+import type { RelayedChange, RelayedChanges } from "../watcher/mod.ts";
 import { isName, isRecord } from "./digest_rows.ts";
 
 /**
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -22,7 +22,7 @@
   DIRECT_LAG_MS,
   type Reservation,
 } from "../decisions/quotas/mod.ts";
-import type { RelayedChanges } from "../follower/mod.ts";
+import type { RelayedChanges } from "../watcher/mod.ts";
 import { readBundles } from "./bundles.ts";
 import { decodeChanges, encodeChanges } from "./change_relay.ts";
 import { Datagrams, type DatagramTransport } from "./datagrams.ts";
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
 import type { AccountId, EndpointId } from "../core/mod.ts";
-import type { RelayedChanges } from "../follower/mod.ts";
+import type { RelayedChanges } from "../watcher/mod.ts";
 import { MemberFleet, type TestMember } from "./testing/member_fleet.ts";
 
 const ZONES = ["a1", "a2", "b1", "b2", "c1", "c2"];
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -15,7 +15,7 @@
   type ZoneId,
 } from "../../core/mod.ts";
 import type { AccountUse, Reservation } from "../../decisions/quotas/mod.ts";
-import type { RelayedChanges } from "../../follower/mod.ts";
+import type { RelayedChanges } from "../../watcher/mod.ts";
 import {
   type DatagramTransport,
   FleetMember,
--- a/src/follower/mod.ts
+++ b/src/watcher/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Keeping up with what stands in the store.
+ * Watches resources in the store and caches them.
  *
  * @module
  */
--- a/src/follower/resource_client.ts
+++ b/src/watcher/resource_client.ts
@@ -53,7 +53,7 @@
   read(raw: unknown): StoredEntry<T> | undefined;
 }
 
-/** Takes what a follower learns. */
+/** Takes what a watcher learns. */
 export interface ResourceHandler<T> {
   /** These are all objects there are. */
   replaced(entries: readonly StoredEntry<T>[]): void;
--- a/src/follower/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -63,7 +63,7 @@
   signal: AbortSignal,
 ) => Promise<Result<RelayedSnapshot, Failure>>;
 
-/** What a follower works with. */
+/** What a watcher works with. */
 export interface ResourceWatcherOptions<T> {
   readonly kind: string;
   readonly source: ResourceClient<T>;
--- a/src/follower/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -37,8 +37,8 @@
   return { revision, changes: [{ entry: entry(name, revision), deleted }] };
 }
 
-/** A follower over scripted replies, with what it asked and told. */
-function follower(...replies: Reply[]) {
+/** A watcher over scripted replies, with what it asked and told. */
+function watcher(...replies: Reply[]) {
   return waitingFollower(0, ...replies);
 }
 
@@ -108,7 +108,7 @@
 }
 
 test("everything is read once, then changes are followed", async (t) => {
-  const { seen, step } = follower(list(5, "a"), changed(7, "b"));
+  const { seen, step } = watcher(list(5, "a"), changed(7, "b"));
   for (let i = 0; i < 2; i++) await step();
   t.deepEqual(seen, ["list", "all a", "watch 5", "changed b"]);
 });
@@ -116,7 +116,7 @@
 test("a lost history is read anew, and is no outage", async (t) => {
   // The store forgets what has changed. What went missing meanwhile is gone,
   // and must not be kept for a while as after an outage.
-  const { seen, step } = follower(list(5, "a"), "history_lost", list(9, "b"));
+  const { seen, step } = watcher(list(5, "a"), "history_lost", list(9, "b"));
   for (let i = 0; i < 3; i++) await step();
   t.deepEqual(seen, ["list", "all a", "watch 5", "list", "all b"]);
 });
@@ -124,7 +124,7 @@
 test("after an outage it goes on where it was, and says so first", async (t) => {
   // What is missing after an outage may have lapsed, so whoever takes changes
   // in has to know of the outage before it sees them.
-  const { seen, step } = follower(
+  const { seen, step } = watcher(
     list(5, "a"),
     "platform_unavailable",
     "platform_unavailable",
@@ -144,7 +144,7 @@
 });
 
 test("after an outage that outlived the history, contact is told first too", async (t) => {
-  const { seen, step } = follower(
+  const { seen, step } = watcher(
     list(5, "a"),
     "platform_unavailable",
     "history_lost",
@@ -154,8 +154,8 @@
   t.deepEqual(seen.slice(-3), ["list", "in touch", "all b"]);
 });
 
-test("a follower that is closed tells nothing more", async (t) => {
-  const { seen, step, followed } = follower("platform_unavailable");
+test("a watcher that is closed tells nothing more", async (t) => {
+  const { seen, step, followed } = watcher("platform_unavailable");
   followed.close();
   await step();
   t.deepEqual(seen, ["list"]);
@@ -168,7 +168,7 @@
 }
 
 test("what the store tells is passed on, as what follows the last change", async (t) => {
-  const { step, relayed } = follower(list(5, "a"), changed(7, "b"));
+  const { step, relayed } = watcher(list(5, "a"), changed(7, "b"));
   for (let i = 0; i < 2; i++) await step();
   t.like(relayed[0], { kind: "things", after: 5, upTo: 7 });
   t.deepEqual(relayed[0]?.changes, batch().changes);
@@ -176,7 +176,7 @@
 
 test("changes that another instance passes on are taken in once", async (t) => {
   // Two instances of a zone ask the store, and both pass on what they hear.
-  const { seen, step, followed } = follower(list(5, "a"));
+  const { seen, step, followed } = watcher(list(5, "a"));
   await step();
   followed.reported(batch());
   followed.reported(batch());
@@ -187,7 +187,7 @@
 test("an older state that comes late does not undo a newer one", async (t) => {
   // Datagrams overtake each other. An endpoint that drains would get requests
   // again.
-  const { seen, step, followed } = follower(list(5, "a"));
+  const { seen, step, followed } = watcher(list(5, "a"));
   await step();
   const raw = { name: "b", revision: 9 };
   const newer = [{ raw, deleted: false }];
@@ -198,7 +198,7 @@
 
 test("after a lost message what is missing is had from an instance that knows it", async (t) => {
   // A datagram with an endpoint's drain is lost; the next one shows the gap.
-  const { seen, step, followed, peer, pass } = follower(list(5, "a"));
+  const { seen, step, followed, peer, pass } = watcher(list(5, "a"));
   await step();
   const objects = [{ name: "c", revision: 8 }];
   peer.snapshot = { revision: 9, changedAt: 9, objects, holdMs: 0 };
@@ -212,7 +212,7 @@
 test("where no instance can tell, the store is asked what is missing", async (t) => {
   // All instances of the zone that ask the store are cut off from it and do not
   // know. Other zones tell of a change that nobody here has.
-  const { seen, step, followed, pass } = follower(
+  const { seen, step, followed, pass } = watcher(
     list(5, "a"),
     changed(8, "b", true),
   );
@@ -223,7 +223,7 @@
 });
 
 test("what comes in time is not fetched", async (t) => {
-  const { seen, step, followed, pass } = follower(list(5, "a"));
+  const { seen, step, followed, pass } = watcher(list(5, "a"));
   await step();
   followed.onRevision(7);
   followed.reported(batch());
@@ -232,7 +232,7 @@
 });
 
 test("an instance that starts while the store is away learns from another", async (t) => {
-  const { seen, step, followed, peer } = follower("platform_unavailable");
+  const { seen, step, followed, peer } = watcher("platform_unavailable");
   const objects = [{ name: "c", revision: 8 }];
   peer.snapshot = { revision: 9, changedAt: 8, objects, holdMs: 0 };
   await step();
@@ -244,7 +244,7 @@
   // Until then it went by what others said of the store, which may have been
   // that it is away. Taken on for good, entries that lapse would be held though
   // the store is there.
-  const { seen, step, followed } = follower(
+  const { seen, step, followed } = watcher(
     list(5, "a"),
     changed(7, "b"),
     changed(9, "c"),
@@ -266,7 +266,7 @@
 test("what another instance tells again is not taken for news", async (t) => {
   // An endpoint's entry says how long it is cold from then on. Taken in again
   // seconds later, it would be kept from its requests for as long once more.
-  const { seen, step, followed, peer, pass } = follower(list(5, "a"));
+  const { seen, step, followed, peer, pass } = watcher(list(5, "a"));
   await step();
   const objects = [{ name: "a", revision: 5 }, { name: "c", revision: 8 }];
   peer.snapshot = { revision: 9, changedAt: 9, objects, holdMs: 0 };
@@ -310,7 +310,7 @@
 
 // Guards against fetching a kind without objects from the store for ever.
 test("a kind without objects counts as read", async (t) => {
-  const { followed, step } = follower(list(5));
+  const { followed, step } = watcher(list(5));
   t.is(followed.changedAt, 0);
   await step();
   t.true(followed.changedAt > 0);
