Answer at once for a request that the runtime does not write

The request would end in the handler of unexpected failures, and its endpoint would count it as in flight for good.

Change: such a request is unsent. The test failed with a thrown TypeError before.

--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { request } from "node:http";
+import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
 import { IdleLimits } from "../decisions/placement/mod.ts";
 import { splitAddress } from "../fleet/mod.ts";
@@ -41,13 +41,19 @@
   send(endpoint: EndpointRow, out: OutgoingRequest): Sending {
     const { address } = endpoint.record;
     this.#connections.retire(address, this.#limits.of(endpoint));
-    const req = request({
-      ...splitAddress(address),
-      method: out.method,
-      path: out.path,
-      headers: headersOf(out),
-      agent: this.#connections,
-    });
+    let req: ClientRequest;
+    try {
+      req = request({
+        ...splitAddress(address),
+        method: out.method,
+        path: out.path,
+        headers: headersOf(out),
+        agent: this.#connections,
+      });
+    } catch (cause) {
+      // The runtime does not take its path or fields; nothing went out.
+      return unsent(String(cause));
+    }
     let settle: (result: SendResult) => void;
     const result = new Promise<SendResult>((resolve) => settle = resolve);
     const exchange = new Exchange(req, {
@@ -96,3 +102,10 @@
   if (body === undefined && BODYLESS.has(method)) return headers;
   return [...headers, "Content-Length", String(body?.length ?? 0)];
 }
+
+function unsent(reason: string): Sending {
+  return {
+    result: Promise.resolve({ kind: "unsent", reason }),
+    cancel: () => {},
+  };
+}
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -217,6 +217,15 @@
   t.is(endpoint.connections(), 2);
 });
 
+// Guards against a count of open requests that never goes down again.
+test("a request that cannot be written is not sent", async (t) => {
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: "127.0.0.1:1" });
+  const sending = sender.send(row, { ...outgoing(), path: "/a b" });
+  t.is((await sending.result).kind, "unsent");
+  sender.close();
+});
+
 test("a request without a body states that it has none", async (t) => {
   // Guards against a chunked body at endpoints that cannot read one.
   let head = "";
