Read and write the head of all digests where their rows are

Cause: the digests of instances, of zones and the aggregate each wrote and read start and sequence number, and the two sums also instances, contact with the store and what is set aside, in loops beside each other (26 runs of the same lines). ReportDraft already served the rows of all three.

Change: ReportDraft reads the head too, and says whether a message is identified; writeSumsReport writes what sums have beyond a report. ZoneDigest and FleetAggregate extend SumsReport in place of repeating its fields. Field numbers and what is rejected are unchanged; fields of a message stand in another order, which readers of both builds take alike.

The 55 tests of src/fleet pass unchanged.

--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -22,7 +22,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { fail, type Failure, hash } from "../core/mod.ts";
 import type { Digest } from "./digest.ts";
-import { isName } from "./digest_rows.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
 import { ReportDraft, writeReport } from "./report_rows.ts";
@@ -76,13 +75,11 @@
     readonly introduces: boolean;
   },
 ): Uint8Array {
-  const { profile, seq } = digest;
+  const { profile } = digest;
   const { book, introduces } = opts;
   const out = new BinaryWriter();
   out.tag(FIELD.senderHash, WireType.Bit32).fixed32(hash(profile.id));
   out.tag(FIELD.flags, WireType.Varint).uint32(statusBits(digest));
-  out.tag(FIELD.start, WireType.LengthDelimited).string(digest.start);
-  out.tag(FIELD.seq, WireType.Varint).uint64(seq);
   out.tag(FIELD.planVersion, WireType.Varint).uint64(digest.planVersion);
   out.tag(FIELD.capacity, WireType.Bit64).double(digest.capacity);
   writeReport(out, digest, { fields: FIELD, book });
@@ -117,8 +114,6 @@
   #senderHash: number | undefined;
   #profile: Result<InstanceProfile, Failure> | undefined;
   #flags: number | undefined;
-  #start = "";
-  #seq = -1;
   #planVersion = 0;
   #capacity = 0;
   readonly #report: ReportDraft;
@@ -133,7 +128,7 @@
     const status = this.#flags === undefined
       ? undefined
       : statusOf(this.#flags);
-    if (status === undefined || !isName(this.#start) || this.#seq < 0) {
+    if (status === undefined || !this.#report.isIdentified) {
       return fail("bad_request", "the datagram is no digest");
     }
     if (this.#profile?.isErr()) return err(this.#profile.error);
@@ -142,8 +137,8 @@
     return ok({
       ...status,
       profile,
-      start: this.#start,
-      seq: this.#seq,
+      start: this.#report.start,
+      seq: this.#report.seq,
       planVersion: this.#planVersion,
       capacity: this.#capacity > 0 ? this.#capacity : 0,
       changes: this.#report.changes,
@@ -170,12 +165,6 @@
       case FIELD.flags:
         this.#flags = reader.uint32();
         return true;
-      case FIELD.start:
-        this.#start = reader.string();
-        return true;
-      case FIELD.seq:
-        this.#seq = readWhole(reader);
-        return true;
       case FIELD.planVersion:
         this.#planVersion = readWhole(reader);
         return true;
--- a/src/fleet/fleet_aggregate.ts
+++ b/src/fleet/fleet_aggregate.ts
@@ -16,11 +16,13 @@
 } from "@bufbuild/protobuf/wire";
 import { err, ok, type Result } from "neverthrow";
 import { fail, type Failure } from "../core/mod.ts";
-import type { Reserved } from "../decisions/quotas/mod.ts";
-import { isName } from "./digest_rows.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
-import { type Report, ReportDraft, writeReport } from "./report_rows.ts";
+import {
+  ReportDraft,
+  type SumsReport,
+  writeSumsReport,
+} from "./report_rows.ts";
 import {
   FREE_BIT,
   type InstanceStatus,
@@ -48,18 +50,8 @@
 }
 
 /** One aggregate: its changes are the highest that any instance knows of. */
-export interface FleetAggregate extends Report {
+export interface FleetAggregate extends SumsReport {
   readonly relay: InstanceProfile;
-  /** Differs with each start of the relay. */
-  readonly start: string;
-  /** Counts up with each aggregate of a start. */
-  readonly seq: number;
-  /** Instances whose uses are in the sums, the relay included. */
-  readonly instances: number;
-  /** Whether an instance that watches the store is answered. */
-  readonly storeInTouch: boolean;
-  /** What is set aside for instances that the relay does not hear. */
-  readonly reserved: Reserved;
   /** Instances of the zone that the relay hears, itself included. */
   readonly members: readonly AggregateMember[];
   /**
@@ -105,16 +97,10 @@
   aggregate: FleetAggregate,
   book: NameBook,
 ): Uint8Array {
-  const { reserved, members, farServing } = aggregate;
+  const { members, farServing } = aggregate;
   const out = new BinaryWriter();
   writeProfile(out, FIELD.relay, aggregate.relay);
-  out.tag(FIELD.start, WireType.LengthDelimited).string(aggregate.start);
-  out.tag(FIELD.seq, WireType.Varint).uint64(aggregate.seq);
-  out.tag(FIELD.instances, WireType.Varint).uint32(aggregate.instances);
-  out.tag(FIELD.storeInTouch, WireType.Varint).bool(aggregate.storeInTouch);
-  const { shares } = reserved;
-  writeReport(out, aggregate, { fields: FIELD, book, shares });
-  out.tag(FIELD.reservedInstances, WireType.Varint).uint32(reserved.instances);
+  writeSumsReport(out, aggregate, { fields: FIELD, book });
   out.tag(FIELD.members, WireType.LengthDelimited).fork();
   for (const member of members) writeMember(out, member);
   out.join();
@@ -150,11 +136,6 @@
 class Draft {
   readonly #report: ReportDraft;
   #relay: Result<InstanceProfile, Failure> | undefined;
-  #start = "";
-  #seq = -1;
-  #instances = 0;
-  #storeInTouch = false;
-  #reservedInstances = 0;
   readonly #members: AggregateMember[] = [];
   #farServing: number[] | undefined;
   readonly #profiles: InstanceProfile[] = [];
@@ -164,21 +145,22 @@
   }
 
   finish(): Result<FleetAggregate, Failure> {
-    if (this.#relay === undefined || !isName(this.#start) || this.#seq < 0) {
+    if (this.#relay === undefined || !this.#report.isIdentified) {
       return fail("bad_request", "the datagram is no aggregate");
     }
     if (this.#relay.isErr()) return err(this.#relay.error);
-    const { changes, uses, inFlight, shares } = this.#report;
+    const { start, seq, instances, storeInTouch, reserved } = this.#report;
+    const { changes, uses, inFlight } = this.#report;
     return ok({
       relay: this.#relay.value,
-      start: this.#start,
-      seq: this.#seq,
-      instances: this.#instances,
-      storeInTouch: this.#storeInTouch,
+      start,
+      seq,
+      instances,
+      storeInTouch,
       changes,
       uses,
       inFlight,
-      reserved: { shares, instances: this.#reservedInstances },
+      reserved,
       members: this.#members,
       farServing: this.#farServing,
       profiles: this.#profiles,
@@ -191,21 +173,6 @@
       case FIELD.relay:
         this.#relay = readProfileField(reader);
         return true;
-      case FIELD.start:
-        this.#start = reader.string();
-        return true;
-      case FIELD.seq:
-        this.#seq = readWhole(reader);
-        return true;
-      case FIELD.instances:
-        this.#instances = reader.uint32();
-        return true;
-      case FIELD.storeInTouch:
-        this.#storeInTouch = reader.bool();
-        return true;
-      case FIELD.reservedInstances:
-        this.#reservedInstances = reader.uint32();
-        return true;
       case FIELD.members:
         readRows(reader, (rows) => this.#members.push(readMember(rows)));
         return true;
--- a/src/fleet/report_rows.ts
+++ b/src/fleet/report_rows.ts
@@ -1,12 +1,17 @@
 /**
- * What every digest reports in rows: changes known, uses of accounts, requests
- * in flight, and shares set aside.
+ * What every digest reports: whose it is, changes known, uses of accounts and
+ * requests in flight; sums of several instances also what is set aside.
  *
  * @module
  */
-import type { BinaryReader, BinaryWriter } from "@bufbuild/protobuf/wire";
+import {
+  type BinaryReader,
+  type BinaryWriter,
+  WireType,
+} from "@bufbuild/protobuf/wire";
 import type { AccountId, EndpointId } from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import type { AccountUse, Reserved } from "../decisions/quotas/mod.ts";
+import { isName } from "./digest_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import {
   readName,
@@ -21,17 +26,25 @@
 /** Shares are rounded to a ten-thousandth. */
 const SHARE_UNITS = 10_000;
 
-/** Field numbers of the rows in a message. */
+/** Field numbers of a report in a message; the last ones are those of sums. */
 export interface ReportFields {
+  readonly start: number;
+  readonly seq: number;
   readonly changes: number;
   readonly uses: number;
   readonly inFlight: number;
-  /** Messages of single instances set nothing aside. */
+  readonly instances?: number;
+  readonly storeInTouch?: number;
+  readonly reservedInstances?: number;
   readonly reserved?: number;
 }
 
-/** Rows to write. */
+/** What every digest reports. */
 export interface Report {
+  /** Differs with each start of the sender. */
+  readonly start: string;
+  /** Counts up with each message of a start. */
+  readonly seq: number;
   /** Revision of the last change that is known, by kind. */
   readonly changes: ReadonlyMap<string, number>;
   readonly uses: ReadonlyMap<AccountId, AccountUse>;
@@ -39,21 +52,30 @@
   readonly inFlight: ReadonlyMap<EndpointId, number>;
 }
 
-/**
- * Writes a report.
- *
- * @param opts `shares` are written where the message has a field for them.
- */
+/** A report that sums several instances. */
+export interface SumsReport extends Report {
+  /** Instances whose uses are in the sums. */
+  readonly instances: number;
+  /** Whether an instance that watches the store is answered. */
+  readonly storeInTouch: boolean;
+  /** What is set aside for instances that are not heard. */
+  readonly reserved: Reserved;
+}
+
+/** How a report is written. */
+export interface WriteReportOptions {
+  readonly fields: ReportFields;
+  readonly book: NameBook;
+}
+
+/** Writes the report of one instance. */
 export function writeReport(
   out: BinaryWriter,
-  { changes, uses, inFlight }: Report,
-  opts: {
-    readonly fields: ReportFields;
-    readonly book: NameBook;
-    readonly shares?: ReadonlyMap<AccountId, number>;
-  },
+  { start, seq, changes, uses, inFlight }: Report,
+  { fields, book }: WriteReportOptions,
 ): void {
-  const { fields, book, shares } = opts;
+  out.tag(fields.start, WireType.LengthDelimited).string(start);
+  out.tag(fields.seq, WireType.Varint).uint64(seq);
   writeRows(out, fields.changes, changes, (kind, revision) => {
     writeName(out, kind, book);
     out.uint64(revision);
@@ -67,8 +89,23 @@
     out.uint64(n).uint32(endpoints.length);
     for (const endpoint of endpoints) writeName(out, endpoint, book);
   });
-  if (fields.reserved === undefined || shares === undefined) return;
-  writeRows(out, fields.reserved, shares, (account, share) => {
+}
+
+/** Writes a report that sums several instances. */
+export function writeSumsReport(
+  out: BinaryWriter,
+  report: SumsReport,
+  { fields, book }: {
+    readonly fields: Required<ReportFields>;
+    readonly book: NameBook;
+  },
+): void {
+  const { instances, storeInTouch, reserved } = report;
+  writeReport(out, report, { fields, book });
+  out.tag(fields.instances, WireType.Varint).uint32(instances);
+  out.tag(fields.storeInTouch, WireType.Varint).bool(storeInTouch);
+  out.tag(fields.reservedInstances, WireType.Varint).uint32(reserved.instances);
+  writeRows(out, fields.reserved, reserved.shares, (account, share) => {
     writeName(out, account, book);
     // Rounded up: what is set aside must not shrink on the way.
     out.uint32(Math.ceil(share * SHARE_UNITS));
@@ -76,11 +113,16 @@
 }
 
 /** A report as far as it is read; rows with names that are not known are left out. */
-export class ReportDraft implements Report {
+export class ReportDraft implements SumsReport {
+  start = "";
+  seq = -1;
+  instances = 0;
+  storeInTouch = false;
   readonly changes = new Map<string, number>();
   readonly uses = new Map<AccountId, AccountUse>();
   readonly inFlight = new Map<EndpointId, number>();
-  readonly shares = new Map<AccountId, number>();
+  readonly #shares = new Map<AccountId, number>();
+  #reservedInstances = 0;
   readonly #fields: ReportFields;
   readonly #book: NameBook;
 
@@ -89,8 +131,39 @@
     this.#book = book;
   }
 
+  get reserved(): Reserved {
+    return { shares: this.#shares, instances: this.#reservedInstances };
+  }
+
+  /** Whether it says which message of which start it is. */
+  get isIdentified(): boolean {
+    return isName(this.start) && this.seq >= 0;
+  }
+
   /** Reads a field; gives false where it is none of a report. */
   read(field: number, reader: BinaryReader): boolean {
+    switch (field) {
+      case this.#fields.start:
+        this.start = reader.string();
+        return true;
+      case this.#fields.seq:
+        this.seq = readWhole(reader);
+        return true;
+      case this.#fields.instances:
+        this.instances = reader.uint32();
+        return true;
+      case this.#fields.storeInTouch:
+        this.storeInTouch = reader.bool();
+        return true;
+      case this.#fields.reservedInstances:
+        this.#reservedInstances = reader.uint32();
+        return true;
+      default:
+        return this.#readRows(field, reader);
+    }
+  }
+
+  #readRows(field: number, reader: BinaryReader): boolean {
     const row = this.#rowOf(field);
     if (row === undefined) return false;
     readRows(reader, row);
@@ -139,7 +212,7 @@
   #share(rows: BinaryReader): void {
     const account = readName(rows, this.#book);
     const share = rows.uint32() / SHARE_UNITS;
-    if (account !== undefined) this.shares.set(account as AccountId, share);
+    if (account !== undefined) this.#shares.set(account as AccountId, share);
   }
 }
 
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -24,7 +24,6 @@
   type RegionId,
   type ZoneId,
 } from "../core/mod.ts";
-import type { Reserved } from "../decisions/quotas/mod.ts";
 import type { DigestNames } from "./compact_digest.ts";
 import { isName } from "./digest_rows.ts";
 import {
@@ -33,12 +32,15 @@
   type InstanceState,
 } from "./instance_profile.ts";
 import type { NameBook } from "./name_book.ts";
-import { type Report, ReportDraft, writeReport } from "./report_rows.ts";
+import {
+  ReportDraft,
+  type SumsReport,
+  writeSumsReport,
+} from "./report_rows.ts";
 import {
   readMessage,
   readProfileField,
   readRows,
-  readWhole,
   writeProfile,
 } from "./wire_rows.ts";
 
@@ -49,23 +51,13 @@
 }
 
 /** One digest of a zone: its changes are those that the relay knows of. */
-export interface ZoneDigest extends Report {
+export interface ZoneDigest extends SumsReport {
   readonly zone: ZoneId;
   readonly region: RegionId;
   /** The zone's relay. */
   readonly relay: InstanceId;
-  /** Differs with each start of the relay. */
-  readonly start: string;
-  /** Counts up with each digest of a start. */
-  readonly seq: number;
-  /** Whether an instance of the zone watches the store, and is answered. */
-  readonly storeInTouch: boolean;
   /** Instances of the zone that are heard, the relay included. */
   readonly members: readonly ZoneMember[];
-  /** Instances whose uses are in the sums. */
-  readonly instances: number;
-  /** What is set aside for instances of the zone that are not heard. */
-  readonly reserved: Reserved;
 }
 
 /** Longer datagrams are dropped unread, in bytes. */
@@ -105,14 +97,11 @@
   },
 ): Uint8Array {
   const { book, introduces } = opts;
-  const { members, reserved } = digest;
+  const { members } = digest;
   const out = new BinaryWriter();
   out.tag(FIELD.zone, WireType.LengthDelimited).string(digest.zone);
   out.tag(FIELD.region, WireType.LengthDelimited).string(digest.region);
   out.tag(FIELD.relay, WireType.LengthDelimited).string(digest.relay);
-  out.tag(FIELD.start, WireType.LengthDelimited).string(digest.start);
-  out.tag(FIELD.seq, WireType.Varint).uint64(digest.seq);
-  out.tag(FIELD.storeInTouch, WireType.Varint).bool(digest.storeInTouch);
   out.tag(FIELD.members, WireType.LengthDelimited).fork();
   for (const { profile, state } of members) {
     out.fixed32(hash(profile.id)).uint32(INSTANCE_STATES.indexOf(state));
@@ -121,10 +110,7 @@
   for (const { profile } of introduces ? members : []) {
     writeProfile(out, FIELD.profile, profile);
   }
-  out.tag(FIELD.instances, WireType.Varint).uint32(digest.instances);
-  out.tag(FIELD.reservedInstances, WireType.Varint).uint32(reserved.instances);
-  const { shares } = reserved;
-  writeReport(out, digest, { fields: FIELD, book, shares });
+  writeSumsReport(out, digest, { fields: FIELD, book });
   return out.finish();
 }
 
@@ -151,11 +137,6 @@
   #zone = "";
   #region = "";
   #relay = "";
-  #start = "";
-  #seq = -1;
-  #storeInTouch = false;
-  #instances = 0;
-  #reservedInstances = 0;
   readonly #report: ReportDraft;
   readonly #members: { idHash: number; state: InstanceState }[] = [];
   readonly #profiles = new Map<number, InstanceProfile>();
@@ -166,22 +147,23 @@
   }
 
   finish(): Result<ZoneDigest, Failure> {
-    const names = [this.#zone, this.#region, this.#relay, this.#start];
-    if (!names.every(isName) || this.#seq < 0) {
+    const names = [this.#zone, this.#region, this.#relay];
+    if (!names.every(isName) || !this.#report.isIdentified) {
       return fail("bad_request", "the datagram is no digest of a zone");
     }
-    const { changes, uses, inFlight, shares } = this.#report;
+    const { start, seq, instances, storeInTouch, reserved } = this.#report;
+    const { changes, uses, inFlight } = this.#report;
     return ok({
       zone: this.#zone as ZoneId,
       region: this.#region as RegionId,
       relay: this.#relay as InstanceId,
-      start: this.#start,
-      seq: this.#seq,
-      storeInTouch: this.#storeInTouch,
+      start,
+      seq,
+      storeInTouch,
       changes,
       members: this.#members.flatMap((member) => this.#known(member)),
-      instances: this.#instances,
-      reserved: { shares, instances: this.#reservedInstances },
+      instances,
+      reserved,
       uses,
       inFlight,
     });
@@ -199,15 +181,6 @@
       case FIELD.relay:
         this.#relay = reader.string();
         return true;
-      case FIELD.start:
-        this.#start = reader.string();
-        return true;
-      case FIELD.seq:
-        this.#seq = readWhole(reader);
-        return true;
-      case FIELD.storeInTouch:
-        this.#storeInTouch = reader.bool();
-        return true;
       case FIELD.members:
         readRows(reader, (rows) => this.#member(rows));
         return true;
@@ -217,12 +190,6 @@
         this.#profiles.set(hash(profile.value.id), profile.value);
         return true;
       }
-      case FIELD.instances:
-        this.#instances = reader.uint32();
-        return true;
-      case FIELD.reservedInstances:
-        this.#reservedInstances = reader.uint32();
-        return true;
       default:
         return this.#report.read(field, reader);
     }
