Call one piece for what this change had written twice

Cause, found by reading the change as a whole: the limit on opening a connection stood in the store's calls and in the connections to endpoints; those worked out the agent's own name of an address and split each address twice a request; the loader and the maker of the code cache ran the daemon's file with the same lines and the loader repeated the names of files; the runtime's flags stood in deploy/system.toml and again in the bundler, where a difference would only have cost the cache; two benchmarks read /proc alike, and three tools had a sleep of their own.

Change: limitConnect, on an injected clock; Agent.getName with an address that is split once; loadDaemon; RUNTIME_FLAGS read from the deploy file; statMs; the runtime's sleep. The pause between watches states how many pauses make a series in place of one less than that. FleetNewsOptions, decideSpeaking, decideAsking and four comments follow the terms of the field.

Ruled out: one waiting loop for the code cache and the soak of processes (one polls a condition and gives up, the other fails the run), and one shape for the constants and drafts that duplicates lists by shape only.

--- a/src/core/cancel_signal.ts
+++ b/src/core/cancel_signal.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-/** Tells when whoever waits has left; every `AbortSignal` is one. */
+/** Signals cancellation to listeners; every `AbortSignal` is one. */
 export interface CancelSignal {
   readonly aborted: boolean;
   addEventListener(
--- a/src/core/http_calls.ts
+++ b/src/core/http_calls.ts
@@ -7,7 +7,9 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { Agent, type ClientRequest, request } from "node:http";
+import { Agent, request } from "node:http";
+import { SystemClock } from "./clock.ts";
+import { limitConnect } from "./connect_limit.ts";
 import { Deadline } from "./deadline.ts";
 
 /** A call. */
@@ -32,6 +34,7 @@
 /** Makes calls on kept connections. */
 export class HttpCalls {
   readonly #agent = new Agent({ keepAlive: true });
+  readonly #clock = new SystemClock();
   readonly #connectMs: number;
 
   /** @param connectMs How long a connection may take to open. */
@@ -87,19 +90,11 @@
         });
       });
       req.on("error", reject);
-      limitConnect(req, this.#connectMs);
+      req.once("socket", (socket) => {
+        if (!socket.connecting) return;
+        limitConnect(socket, this.#connectMs, this.#clock);
+      });
       req.end(body);
     });
   }
 }
-
-function limitConnect(req: ClientRequest, ms: number): void {
-  req.once("socket", (socket) => {
-    if (!socket.connecting) return;
-    const timer = setTimeout(() => {
-      req.destroy(new Error("the connection does not open"));
-    }, ms);
-    socket.once("connect", () => clearTimeout(timer));
-    socket.once("close", () => clearTimeout(timer));
-  });
-}
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -6,6 +6,7 @@
  */
 export * from "./cancel_signal.ts";
 export * from "./clock.ts";
+export * from "./connect_limit.ts";
 export * from "./deadline.ts";
 export * from "./failure.ts";
 export * from "./hash.ts";
--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -132,8 +132,8 @@
   }
 
   /**
-   * Brings buckets to their share, and gives what to tell the others: accounts
-   * without demand are left out.
+   * Rebalances buckets, and gives what to report: accounts without demand are
+   * left out.
    *
    * Load: most accounts of a plan are idle at most instances. A bucket without
    * demand is rebalanced at its next request, so a tick costs what is in use.
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -85,7 +85,7 @@
     this.#metrics.timing("endpoint.duration", tookMs, { service });
   }
 
-  /** What is said of a request's way. */
+  /** Fields of a request, its route and its attempts. */
   #about(ctx: RequestContext): LogFields {
     const { req, route, account, service, planVersion, tried } = ctx;
     return {
--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -5,8 +5,8 @@
  */
 import { Agent, type AgentOptions } from "node:http";
 import { connect, type Socket } from "node:net";
-import type { Clock } from "../core/mod.ts";
-import { splitAddress } from "../fleet/mod.ts";
+import { type Clock, limitConnect } from "../core/mod.ts";
+import type { HostPort } from "../fleet/mod.ts";
 import { observe, type ObservedConnection } from "./connection_end.ts";
 
 /**
@@ -45,8 +45,8 @@
   }
 
   /** Closes connections to an address that are idle for so long, in ms. */
-  retire(address: string, idleMs: number): void {
-    const idle = this.freeSockets[this.#nameOf(address)];
+  retire(address: HostPort, idleMs: number): void {
+    const idle = this.freeSockets[this.getName(address)];
     if (idle === undefined) return;
     const now = this.#clock.now();
     for (const socket of [...idle]) {
@@ -72,12 +72,7 @@
     };
     this.#connections.set(socket, connection);
     observe(socket, connection);
-    const timer = this.#clock.after(
-      CONNECT_MS,
-      () => void socket.destroy(new Error("the connection does not open")),
-    );
-    socket.once("connect", () => timer.close());
-    socket.once("close", () => timer.close());
+    limitConnect(socket, CONNECT_MS, this.#clock);
     // Whatever comes on an idle connection is no answer to a request.
     const closeIfIdle = () => {
       if (connection.idleSince !== undefined) socket.destroy();
@@ -105,9 +100,4 @@
     connection.restedMs = this.#clock.now() - connection.idleSince;
     connection.idleSince = undefined;
   }
-
-  #nameOf(address: string): string {
-    const { host, port } = splitAddress(address);
-    return `${host}:${port}:`;
-  }
 }
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -12,7 +12,7 @@
 import type { SteeringWatchers } from "./steering_watchers.ts";
 
 /** What handles gossip. */
-export interface FleetNewsOptions {
+export interface GossipHandlersOptions {
   readonly quotas: AccountQuotas;
   readonly peerLoad: PeerLoad;
   readonly watchers: SteeringWatchers;
@@ -25,10 +25,10 @@
 
 /** Gossip handlers of one instance. */
 export class GossipHandlers implements FleetEvents {
-  readonly #opts: FleetNewsOptions;
+  readonly #opts: GossipHandlersOptions;
   #roles: Roles = { isRelay: false, isStoreWatcher: false };
 
-  constructor(opts: FleetNewsOptions) {
+  constructor(opts: GossipHandlersOptions) {
     this.#opts = opts;
   }
 
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -39,12 +39,12 @@
   }
 
   send(endpoint: EndpointRow, out: OutgoingRequest): Sending {
-    const { address } = endpoint.record;
+    const address = splitAddress(endpoint.record.address);
     this.#connections.retire(address, this.#limits.of(endpoint));
     let req: ClientRequest;
     try {
       req = request({
-        ...splitAddress(address),
+        ...address,
         method: out.method,
         path: out.path,
         headers: headersOf(out),
@@ -73,7 +73,7 @@
   }
 
   forget(endpoint: EndpointRow): void {
-    this.#connections.retire(endpoint.record.address, 0);
+    this.#connections.retire(splitAddress(endpoint.record.address), 0);
   }
 
   close(): void {
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -112,8 +112,8 @@
     this.#startedAt ??= now;
     const listening = now - this.#startedAt < this.#listenMs;
     this.#watches = !listening &&
-      this.#decideAsking(this.#before(watchPeers), moment);
-    this.#isRelay = this.#decideSpeaking(this.#before(zonePeers), moment);
+      this.#decideWatching(this.#before(watchPeers), moment);
+    this.#isRelay = this.#decideRelay(this.#before(zonePeers), moment);
     return { isRelay: this.#isRelay, isStoreWatcher: this.#watches };
   }
 
@@ -124,7 +124,7 @@
   }
 
   /** A relay steps down once one ranked higher relays, and not before. */
-  #decideSpeaking(
+  #decideRelay(
     before: readonly Peer[],
     { now, warm }: RolesMoment,
   ): boolean {
@@ -138,7 +138,7 @@
     return warm && now - this.#unrelayedSince >= turnMs;
   }
 
-  #decideAsking(
+  #decideWatching(
     before: readonly Peer[],
     { now, relayed }: RolesMoment,
   ): boolean {
--- a/src/watcher/batch_pause.ts
+++ b/src/watcher/batch_pause.ts
@@ -17,8 +17,8 @@
 /** Changes come in groups, as when a service is scaled out. */
 const SHORTEST_MS = 100;
 const LONGEST_MS = 400;
-/** Changes that follow a pause within this much of it are one series. */
-const SERIES = 2;
+/** A change within so many pauses of the last one continues a series. */
+const SERIES_PAUSES = 3;
 
 /** The pause of one watcher. */
 export class BatchPause {
@@ -34,7 +34,7 @@
    * ```
    */
   next(now: number): number {
-    const inSeries = now - this.#changedAt <= this.#pauseMs * (1 + SERIES);
+    const inSeries = now - this.#changedAt <= this.#pauseMs * SERIES_PAUSES;
     this.#changedAt = now;
     this.#pauseMs = inSeries
       ? Math.min(LONGEST_MS, this.#pauseMs * 2)
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -133,7 +133,7 @@
     this.#pauseMs = 0;
   }
 
-  /** Whether this instance asks the store itself, or is told by others. */
+  /** Whether this instance watches the store, or is sent changes by others. */
   setWatching(watches: boolean): void {
     if (watches && !this.#watches) this.#unconfirmed = true;
     this.#watches = watches;
--- a/tools/bench/control.ts
+++ b/tools/bench/control.ts
@@ -5,14 +5,14 @@
  * @module
  */
 import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Deployment, OPERATOR_TOKEN } from "../demo/deployments.ts";
 import { Fleet, type FleetInstance } from "../demo/fleet.ts";
+import { statMs } from "./proc_stat.ts";
 
 const SETTLE_MS = 4_000;
 const SAMPLE_MS = 6_000;
 const MS_PER_S = 1_000;
-/** Kernel clock ticks a second in /proc/PID/stat on Linux. */
-const TICKS_PER_S = 100;
 const BYTES_PER_MB = 1e6;
 const KB = 1_024;
 
@@ -68,9 +68,9 @@
 async function measure(shape: Shape): Promise<Sample> {
   const fleet = await Fleet.start(deploymentOf(shape));
   try {
-    await wait(SETTLE_MS);
+    await sleep(SETTLE_MS);
     const before = await readAll(fleet);
-    await wait(SAMPLE_MS);
+    await sleep(SAMPLE_MS);
     const after = await readAll(fleet);
     const seconds = (after.at - before.at) / MS_PER_S;
     const perInstance = (of: (r: Reading) => number) =>
@@ -128,10 +128,8 @@
   return await res.json() as Status;
 }
 
-/** User and system time, fields 14 and 15 of /proc/PID/stat. */
 function cpuMsOf({ child }: FleetInstance): number {
-  const stat = readFileSync(`/proc/${child.pid}/stat`, "utf8").split(" ");
-  return (Number(stat[13]) + Number(stat[14])) * MS_PER_S / TICKS_PER_S;
+  return statMs(`/proc/${child.pid}/stat`);
 }
 
 function rssBytesOf({ child }: FleetInstance): number {
@@ -203,7 +201,3 @@
 function round(value: number): number {
   return Math.round(value * 1_000) / 1_000;
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/tools/bench/instance_cost.ts
+++ b/tools/bench/instance_cost.ts
@@ -4,10 +4,13 @@
  *
  * @module
  */
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import process from "node:process";
-import { PROGRAM, RUNTIME_FLAGS } from "../bundle/program.ts";
+import { PROGRAM } from "../bundle/program.ts";
+import { RUNTIME_FLAGS } from "../bundle/runtime_flags.ts";
 import type { InstanceProcess } from "../process_soak/instance_process.ts";
+import { statMs } from "./proc_stat.ts";
 import { StandInWorld } from "../standins/stand_in_world.ts";
 
 /** Other flags of the runtime can be tried, separated by spaces. */
@@ -19,8 +22,6 @@
 const RATES_PER_S = [0, 5, 50, 500];
 const SAMPLE_MS = 8_000;
 const MS_PER_S = 1_000;
-/** Kernel clock ticks a second in /proc on Linux. */
-const TICKS_PER_S = 100;
 
 /** Processor time of a process, in milliseconds. */
 interface ProcessorTime {
@@ -37,7 +38,7 @@
     for (let i = 0; i < STARTS; i++) {
       const instance = world.start(MEASURED);
       const load = world.load(instance, START_PER_S, START_MS);
-      await wait(START_MS);
+      await sleep(START_MS);
       rows.push(processorTime(instance));
       await load;
       await instance.close();
@@ -82,8 +83,8 @@
   perS: number,
 ): Promise<{ time: ProcessorTime; answered: number }> {
   const instance = world.start(MEASURED);
-  while (!await instance.ready()) await wait(100);
-  await wait(START_MS);
+  while (!await instance.ready()) await sleep(100);
+  await sleep(START_MS);
   const before = processorTime(instance);
   const answered = await world.load(instance, perS, SAMPLE_MS);
   const after = processorTime(instance);
@@ -95,16 +96,13 @@
   return { time, answered };
 }
 
-/** User and system time of each thread, fields 14 and 15 of its stat file. */
+/** User and system time by thread. */
 function processorTime({ pid }: InstanceProcess): ProcessorTime {
   if (pid === undefined) throw new Error("the instance has ended");
   let mainMs = 0;
   let otherMs = 0;
   for (const thread of readdirSync(`/proc/${pid}/task`)) {
-    const stat = readFileSync(`/proc/${pid}/task/${thread}/stat`, "utf8");
-    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-    const ticks = Number(fields[11]) + Number(fields[12]);
-    const ms = ticks * MS_PER_S / TICKS_PER_S;
+    const ms = statMs(`/proc/${pid}/task/${thread}/stat`);
     if (thread === String(pid)) mainMs += ms;
     else otherMs += ms;
   }
@@ -119,7 +117,3 @@
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/tools/bundle/bundle_test.ts
+++ b/tools/bundle/bundle_test.ts
@@ -5,7 +5,8 @@
 import { stop } from "esbuild";
 import { bundle } from "./bundle.ts";
 import { makeCodeCache } from "./code_cache.ts";
-import { CODE_CACHE, DAEMON, PROGRAM, RUNTIME_FLAGS } from "./program.ts";
+import { CODE_CACHE, DAEMON, PROGRAM } from "./program.ts";
+import { RUNTIME_FLAGS } from "./runtime_flags.ts";
 
 const run = promisify(execFile);
 
--- a/tools/bundle/code_cache.ts
+++ b/tools/bundle/code_cache.ts
@@ -6,7 +6,8 @@
  */
 import { existsSync } from "node:fs";
 import { StandInWorld } from "../standins/stand_in_world.ts";
-import { CODE_CACHE, RUNTIME_FLAGS } from "./program.ts";
+import { CODE_CACHE } from "./program.ts";
+import { RUNTIME_FLAGS } from "./runtime_flags.ts";
 
 const LOAD_PER_S = 100;
 const LOAD_MS = 2_000;
--- a/tools/bundle/code_cache_main.ts
+++ b/tools/bundle/code_cache_main.ts
@@ -4,16 +4,13 @@
  *
  * @module
  */
-import { readFileSync, renameSync, writeFileSync } from "node:fs";
-import { createRequire } from "node:module";
+import { renameSync, writeFileSync } from "node:fs";
 import { resolve } from "node:path";
 import process from "node:process";
-import { Script } from "node:vm";
+import { loadDaemon } from "./load_daemon.ts";
 import { CODE_CACHE, DAEMON } from "./program.ts";
 
-const daemon = resolve(DAEMON);
-const script = new Script(readFileSync(daemon, "utf8"), { filename: daemon });
-script.runInThisContext()(createRequire(daemon));
+const script = loadDaemon(resolve(DAEMON));
 process.on("SIGUSR2", () => {
   const part = `${CODE_CACHE}.part`;
   writeFileSync(part, script.createCachedData());
--- a/tools/bundle/loader.ts
+++ b/tools/bundle/loader.ts
@@ -8,15 +8,13 @@
  * @module
  */
 import { existsSync, readFileSync } from "node:fs";
-import { createRequire } from "node:module";
-import { dirname, join } from "node:path";
-import { Script } from "node:vm";
+import { basename, dirname, join } from "node:path";
+import { loadDaemon } from "./load_daemon.ts";
+import { CODE_CACHE, DAEMON } from "./program.ts";
 
 const dir = dirname(__filename);
-const daemon = join(dir, "daemon.cjs");
-const cache = join(dir, "daemon.cache");
-const script = new Script(readFileSync(daemon, "utf8"), {
-  filename: daemon,
-  cachedData: existsSync(cache) ? readFileSync(cache) : undefined,
-});
-script.runInThisContext()(createRequire(daemon));
+const cache = join(dir, basename(CODE_CACHE));
+loadDaemon(
+  join(dir, basename(DAEMON)),
+  existsSync(cache) ? readFileSync(cache) : undefined,
+);
--- a/tools/standins/stand_in_world.ts
+++ b/tools/standins/stand_in_world.ts
@@ -6,6 +6,7 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import process from "node:process";
 import { EndpointStandIn } from "../../platform/testing/endpoint_stand_in.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
@@ -122,7 +123,7 @@
         pending.push(this.#send(callers));
         next += gapMs;
       }
-      await wait(Math.min(gapMs, until - performance.now()));
+      await sleep(Math.min(gapMs, until - performance.now()));
     }
     const results = await Promise.all(pending);
     await Promise.all(callers.map((caller) => caller.close()));
@@ -168,7 +169,3 @@
     })),
   });
 }
-
-function wait(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
