Read the limits that endpoints name, log and count them

Each instance keeps the newest observation by the time at which the answer's head came, logs each change (endpoint_limit_changed, with value, source and age) and counts what it sends to endpoints with a limit (endpoint.limited). An answer of another endpoint at the address (421) says nothing, one that sheds a request cannot lift a limit, and what was known of an endpoint goes when it ends or starts anew.

No request is steered by it yet.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -75,6 +75,18 @@
     fields: ["endpoint", "service", "zone", "draining", "coldMs"],
     help: "An endpoint registered, started anew, began to drain or turned cold",
   },
+  endpoint_limit_changed: {
+    namespace: "steering",
+    fields: ["endpoint", "ratePerS", "source", "ageMs"],
+    help:
+      "The requests a second that an endpoint takes from all instances; without ratePerS it takes what comes. Source is answer, end, or the peer that reported it",
+  },
+  endpoint_limit_unreadable: {
+    namespace: "steering",
+    fields: ["endpoint"],
+    help:
+      "An endpoint's limit is no rate; what was known of it holds. Logged once until it can be read",
+  },
   endpoint_removed: {
     namespace: "steering",
     fields: ["endpoint", "reason"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -33,6 +33,18 @@
     tags: ["service"],
     help: "From sending a request to an endpoint to what became of it",
   },
+  "endpoint.limit": {
+    type: "gauge",
+    unit: "requests/s",
+    tags: ["endpoint"],
+    help: "Rate that an endpoint takes from all instances; 0 without a limit",
+  },
+  "endpoint.limited": {
+    type: "count",
+    unit: "requests",
+    tags: ["endpoint", "result"],
+    help: "Requests for endpoints with a limit",
+  },
   "endpoint.drain": {
     type: "timing",
     unit: "ms",
--- /dev/null
+++ b/src/decisions/endpoint_limits/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Rates that endpoints in need take from the whole fleet.
+ *
+ * @module
+ */
+export * from "./limit_register.ts";
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -33,6 +33,7 @@
 import { Admission } from "./admission.ts";
 import { CallerServer } from "./caller_server.ts";
 import type { EdgeSettings } from "./edge_settings.ts";
+import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
 import { GossipHandlers } from "./gossip_handlers.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
@@ -87,6 +88,7 @@
   readonly #state: TrafficState;
   readonly #member: FleetMember;
   readonly #quotas: AccountQuotas;
+  readonly #limits: EndpointLimits;
   readonly #chooser: EndpointChooser;
   readonly #sender: HttpEndpointSender;
   readonly #expiry = new ExpiryGuard();
@@ -124,8 +126,10 @@
     });
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
     const fleetSize = () => this.#member.fleetSize;
+    this.#limits = new EndpointLimits({ clock, log, metrics: opts.metrics });
     this.#chooser = new EndpointChooser({
       state: this.#state,
+      limits: this.#limits,
       placement: opts.placement ?? new AffinityPlacement(),
       fleetSize,
       own: cfg.instance.id,
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -22,6 +22,7 @@
   SlowStartLimiter,
 } from "../decisions/placement/mod.ts";
 import type { EndpointRow, ServicePolicy } from "../traffic/mod.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { SendResult } from "./endpoint_sender.ts";
 import type { TrafficState } from "./traffic_state.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -30,6 +31,7 @@
 export interface EndpointChooserOptions {
   readonly state: TrafficState;
   readonly placement: Placement;
+  readonly limits: EndpointLimits;
   /** Instances that may be sending, this one included. */
   readonly fleetSize: () => number;
   /** This instance. */
@@ -95,6 +97,7 @@
   sent(row: EndpointRow, now: number): void {
     row.inFlight++;
     this.#outliers.sent(row, now);
+    this.#opts.limits.sent(row);
   }
 
   /** Takes what a result says of its endpoint. */
@@ -108,6 +111,7 @@
     if (result.kind === "answer" || result.kind === "not-run") {
       const { load } = result.fields;
       if (load !== undefined) row.reported(load, now);
+      this.#learnLimit(row, result, now);
     }
     switch (result.kind) {
       case "answer":
@@ -132,6 +136,21 @@
     }
   }
 
+  /**
+   * Another endpoint may answer at the address. What sheds a request names its
+   * limit, but need not: only an answer lifts one.
+   */
+  #learnLimit(
+    row: EndpointRow,
+    result: Extract<SendResult, { kind: "answer" | "not-run" }>,
+    now: number,
+  ): void {
+    const { limit, moved } = result.fields;
+    if (moved || (result.kind === "not-run" && limit.kind === "none")) return;
+    const at = Math.min(now, result.headAt ?? now);
+    this.#opts.limits.answered(row, limit, at);
+  }
+
   /** When a caller should come back whose request an endpoint shed, in ms. */
   shedRetryMs(ctx: RequestContext, row: EndpointRow, now: number): number {
     const endpoints = this.#opts.state.eligible(ctx.service, ctx.regions);
@@ -143,6 +162,7 @@
   forget(row: EndpointRow): void {
     this.#outliers.forget(row.id);
     this.#cold.forget(row.id);
+    this.#opts.limits.forget(row);
   }
 
   #outlook(
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -58,6 +58,8 @@
     readonly status: number;
     readonly headers: string[];
     readonly fields: AnswerFields;
+    /** When its head came, on the instance's clock; just now if unknown. */
+    readonly headAt?: number;
     readonly body: AnswerBody;
   }
   /** No byte of it can have arrived. */
@@ -67,6 +69,7 @@
     readonly kind: "not-run";
     readonly moved: boolean;
     readonly fields: AnswerFields;
+    readonly headAt?: number;
   }
   | { readonly kind: "unknown"; readonly reason: UnknownReason }
   /** `cancel` was called before an answer came. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -35,6 +35,7 @@
   #connection: EndpointConnection | undefined;
   #res: IncomingMessage | undefined;
   #fields: AnswerFields | undefined;
+  #headAt = 0;
   #held: Buffer[] = [];
   #heldBytes = 0;
   #settled = false;
@@ -73,6 +74,7 @@
   #onResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     this.#res = res;
+    this.#headAt = this.#opts.clock.now();
     this.#fields = this.#opts.codec.readAnswer(status, res.rawHeaders);
     if (!this.#isAnswer(this.#fields)) {
       this.#finish({ kind: "unknown", reason: "foreign" });
@@ -145,7 +147,8 @@
     const fields = this.#fields;
     if (fields === undefined || this.#settled) return;
     if (fields.moved || fields.notRun) {
-      this.#finish({ kind: "not-run", moved: fields.moved, fields });
+      const { moved } = fields;
+      this.#finish({ kind: "not-run", moved, fields, headAt: this.#headAt });
       return;
     }
     const bytes = Buffer.concat(this.#held);
@@ -155,6 +158,7 @@
       status: res.statusCode ?? 0,
       headers: res.rawHeaders,
       fields,
+      headAt: this.#headAt,
       body: { bytes, rest },
     });
   }
--- a/src/edge/request_codec.ts
+++ b/src/edge/request_codec.ts
@@ -34,6 +34,14 @@
   readonly leftMs: number;
 }
 
+/** The rate that an endpoint says it takes from all instances together. */
+export type AnswerLimit =
+  | { readonly kind: "limited"; readonly ratePerS: number }
+  /** The answer names no limit. */
+  | { readonly kind: "none" }
+  /** There is a limit, and it is no rate. */
+  | { readonly kind: "unreadable" };
+
 /** What an endpoint's answer says beside status and body. */
 export interface AnswerFields {
   /** The id of the request that it answers; undefined if it names none. */
@@ -45,6 +53,7 @@
   /** Whether the answer is the endpoint's own, by its signature. */
   readonly signed: boolean;
   readonly load: LoadReport | undefined;
+  readonly limit: AnswerLimit;
   /** How long the endpoint keeps an idle connection, in milliseconds. */
   readonly keepAliveMs: number | undefined;
 }
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -16,6 +16,7 @@
 import { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import { Admission } from "./admission.ts";
+import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
 import { AccessLog } from "./access_log.ts";
 import type { CallerFields } from "./request_codec.ts";
@@ -67,6 +68,11 @@
       chooser: new EndpointChooser({
         state: this.state,
         placement: new AffinityPlacement(),
+        limits: new EndpointLimits({
+          clock,
+          log: new SilentLog(),
+          metrics: new MemoryMetrics(),
+        }),
         fleetSize,
         own: "i1" as InstanceId,
         region: R1,
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -52,6 +52,7 @@
       moved: status === MOVED,
       signed: headerOf(headers, "signed") !== undefined,
       load: undefined,
+      limit: { kind: "none" },
       keepAliveMs: keep === undefined ? undefined : Number(keep),
     };
   }
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -19,6 +19,7 @@
   moved: false,
   signed: true,
   load: undefined,
+  limit: { kind: "none" },
   keepAliveMs: undefined,
 };
 
