--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -31,7 +31,7 @@
 ] as const;
 
 /** A kind of fault. */
-export type FaultName = typeof FAULTS[number];
+export type FaultName = typeof FAULTS[number] | "endpoint in need";
 
 const SHORTEST_MS = 300;
 const LONGEST_MS = 3_000;
@@ -40,6 +40,10 @@
 /** How long an endpoint that leaves serves on after it said so. */
 const LEAVING_MS = 3_500;
 const FEWEST_ENDPOINTS = 3;
+/** How long an endpoint in need names a limit, and the lowest and highest. */
+const NEED_MS = 9_000;
+const LEAST_LIMIT_PER_S = 2;
+const LIMITS_PER_S = 5;
 
 /** Strikes; gives what was struck. */
 export function strike(
@@ -86,6 +90,8 @@
       return strikeAnswers(world, forMs);
     case "endpoint link":
       return strikeEndpointLink(world, forMs);
+    case "endpoint in need":
+      return limit(world);
     case "plan":
       return world.operators.newPlan();
     case "withdraw":
@@ -93,6 +99,22 @@
   }
 }
 
+/** It says in its answers how many requests it takes from all instances. */
+function limit(world: StruckWorld): string {
+  const endpoint = world.pick(serving(world));
+  if (endpoint === undefined) return "none";
+  const { stand } = endpoint;
+  const { id } = stand.opts;
+  if (stand.limitPerS !== undefined) return `${id} has one`;
+  stand.limitPerS = LEAST_LIMIT_PER_S + world.random.below(LIMITS_PER_S);
+  world.promises.limited(id, stand.limitPerS);
+  setTimeout(() => {
+    stand.limitPerS = undefined;
+    world.promises.limited(id, undefined);
+  }, NEED_MS);
+  return `${id} takes ${stand.limitPerS} a second for ${NEED_MS} ms`;
+}
+
 function linkMode(world: StruckWorld): LinkMode {
   return world.pick<LinkMode>([
     { kind: "delay", ms: 200 },
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -111,14 +111,16 @@
 
   async addEndpoint(service: string, port = 0): Promise<SoakEndpoint> {
     const zone = this.pick(Object.keys(ZONES)) ?? "a1";
+    const id = `e${++this.#endpointNumber}`;
     const stand = await EndpointStandIn.listen({
-      id: `e${++this.#endpointNumber}`,
+      id,
       service,
       zone,
       slots: SLOTS,
       workMs: WORK_MS,
       random: () => this.random.next(),
       onRun: (run) => this.promises.ran(run),
+      onArrival: (request) => this.promises.arrived(id, request),
     }, port);
     const proxy = await TcpProxy.listen(stand.port);
     const endpoint = { stand, proxy, disturbedAt: 0, draining: false };
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -52,6 +52,20 @@
   t.deepEqual(violations, []);
 });
 
+// Guards against instances that pass together the rate that an endpoint names.
+test.serial("endpoints in need get no more than the rate they name", async (t) => {
+  const soak = new ProcessSoak({
+    seed: 5,
+    seconds: SECONDS,
+    perZone: 2,
+    program: await program(),
+    only: ["endpoint in need"],
+  });
+  const { violations, faults } = await soak.run();
+  t.deepEqual(violations, []);
+  t.true(faults > 0);
+});
+
 const PLANTED: readonly {
   readonly name: string;
   readonly fault: PlantedFault;
--- a/tools/process_soak/promises.ts
+++ b/tools/process_soak/promises.ts
@@ -48,8 +48,19 @@
 const RATE_WINDOW_S = 5;
 const RATE_OVERSHOOT = 1.1;
 const RATE_SLACK = 20;
+/** The same for the rates that endpoints in need name. */
+const LIMIT_WINDOW_S = 4;
+const LIMIT_OVERSHOOT = 1.5;
+const LIMIT_SLACK = 5;
 const MS_PER_S = 1_000;
 
+/** A limit that an endpoint names, and what came since it has to be kept. */
+interface NamedLimit {
+  readonly ratePerS: number;
+  readonly since: number;
+  arrivedAt: number[];
+}
+
 /** Records of one soak. */
 export class Promises {
   readonly violations: Violation[] = [];
@@ -65,6 +76,7 @@
   readonly #obeyed = new Map<string, { version: number; at: number }>();
   readonly #rates = new Map<string, { ratePerS: number; burst: number }>();
   readonly #ranAt = new Map<string, number[]>();
+  readonly #limits = new Map<string, NamedLimit>();
 
   constructor(calm: Calm) {
     this.#calm = calm;
@@ -86,6 +98,28 @@
     this.#drainedAt.set(endpoint, Date.now());
   }
 
+  /** An endpoint begins to name a limit, or ceases to. */
+  limited(endpoint: string, ratePerS: number | undefined): void {
+    if (ratePerS === undefined) return void this.#limits.delete(endpoint);
+    this.#limits.set(endpoint, { ratePerS, since: Date.now(), arrivedAt: [] });
+  }
+
+  /** A request reaches an endpoint. */
+  arrived(endpoint: string, request: string): void {
+    const limit = this.#limits.get(endpoint);
+    const attempt = this.#sent.get(request);
+    const now = Date.now();
+    if (limit === undefined || now - limit.since < SETTLE_MS) return;
+    if (attempt === undefined || !this.#isCalm(attempt.instance, now)) return;
+    const from = now - LIMIT_WINDOW_S * MS_PER_S;
+    limit.arrivedAt = [...limit.arrivedAt, now].filter((at) => at > from);
+    const allowed = limit.ratePerS * LIMIT_WINDOW_S * LIMIT_OVERSHOOT +
+      LIMIT_SLACK;
+    if (limit.arrivedAt.length > allowed) {
+      this.#add("an endpoint in need gets what it takes", attempt);
+    }
+  }
+
   sent(attempt: SentAttempt): void {
     this.#sent.set(attempt.request, attempt);
   }
--- a/tools/process_soak/struck_world.ts
+++ b/tools/process_soak/struck_world.ts
@@ -7,6 +7,7 @@
 import type { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import type { Random } from "../../src/core/mod.ts";
 import type { InstanceProcess } from "./instance_process.ts";
+import type { Promises } from "./promises.ts";
 import type { SoakOperators } from "./soak_operators.ts";
 import type { TcpProxy } from "./tcp_proxy.ts";
 
@@ -27,6 +28,7 @@
   readonly endpoints: readonly SoakEndpoint[];
   readonly store: ObjectStoreServer;
   readonly operators: SoakOperators;
+  readonly promises: Promises;
   /** Until when the store is disturbed, in milliseconds since the epoch. */
   storeDisturbedAt: number;
   /** Any one of these; undefined of none. */
