Keep the fleet's demand apart from the quotas of accounts

How often something with a rate is asked for, here and over the fleet, with what is set aside for instances that are not heard, is now FleetDemand, by account or endpoint (RatedId), and digests carry a RateUse for either.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -5,13 +5,14 @@
  */
 import type { AccountId, InstanceId } from "../../core/mod.ts";
 import type { Account } from "../../traffic/mod.ts";
-import { DemandCounter } from "./demand_counter.ts";
-import {
-  DemandShares,
-  type Reservation,
-  type Reserved,
-} from "./demand_shares.ts";
+import type { Reservation } from "./demand_shares.ts";
 import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
+import {
+  FleetDemand,
+  type RatedId,
+  type RateUse,
+  type Reporter,
+} from "./fleet_demand.ts";
 import { DIRECT_LAG_MS } from "./news_lag.ts";
 import {
   NO_WINDOW,
@@ -31,16 +32,6 @@
 const AHEAD_PART = 0.6;
 const MS_PER_S = 1_000;
 
-/** What an instance tells the others of one account. */
-export interface AccountUse {
-  /** Requests a second that it was asked for lately. */
-  readonly perS: number;
-  /** Requests admitted since its start. */
-  readonly admitted: number;
-  /** The fleet's tokens as far as it knows. */
-  readonly level: number;
-}
-
 /** Whether a request is within its account's rate. */
 export type Admission =
   | { readonly admitted: true; readonly share: number }
@@ -77,8 +68,8 @@
 
 /** Buckets of one instance. */
 export class AccountQuotas {
-  readonly #shares: DemandShares;
-  readonly #counter = new DemandCounter();
+  /** What the fleet is asked for; kept up to date by the quotas. */
+  readonly demand: FleetDemand;
   readonly #rows = new Map<AccountId, Row>();
   readonly #fleetSize: () => number;
   readonly #lagMs: () => number;
@@ -90,7 +81,7 @@
   #rounds = 0;
 
   constructor(own: InstanceId, opts: AccountQuotasOptions) {
-    this.#shares = new DemandShares(own, opts.fleetSize);
+    this.demand = new FleetDemand(own, opts.fleetSize);
     this.#fleetSize = opts.fleetSize;
     this.#lagMs = opts.lagMs ?? (() => DIRECT_LAG_MS);
     this.#window = opts.window ?? NO_WINDOW;
@@ -120,7 +111,7 @@
    */
   take(account: Account, now: number): Admission {
     if (account.ratePerS <= 0) return { admitted: true, share: 1 };
-    this.#counter.asked(account.id, now);
+    this.demand.asked(account.id, now);
     const row = this.#rows.get(account.id) ?? this.#add(account, now);
     const rate = this.#rebalanced(row, now);
     const { share } = rate;
@@ -138,14 +129,13 @@
    * Load: most accounts of a plan are idle at most instances. A bucket without
    * demand is rebalanced at its next request, so a tick costs what is in use.
    */
-  tick(now: number): Map<AccountId, AccountUse> {
-    const demand = this.#counter.rates(now);
-    this.#shares.tick(demand);
+  tick(now: number): Map<RatedId, RateUse> {
+    const demand = this.demand.tick(now);
     this.#ticks++;
     if (this.#allReported()) this.#rounds++;
-    const uses = new Map<AccountId, AccountUse>();
+    const uses = new Map<RatedId, RateUse>();
     for (const [id, perS] of demand) {
-      const row = this.#rows.get(id);
+      const row = this.#rows.get(id as AccountId);
       if (row === undefined || row.account.ratePerS <= 0) continue;
       const rate = this.#rebalanced(row, now);
       const { admitted } = row.bucket;
@@ -156,21 +146,15 @@
 
   /** Takes in what another instance tells, or a zone as one. */
   reported(
-    from: {
-      readonly instance: InstanceId;
-      readonly start: string;
-      readonly instances?: number;
-      readonly reserved?: Reserved;
-    },
-    uses: ReadonlyMap<AccountId, AccountUse>,
+    from: Reporter,
+    uses: ReadonlyMap<RatedId, RateUse>,
     now: number,
   ): void {
-    const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
     const { instance, start } = from;
-    this.#shares.reported(instance, demand, from);
+    this.demand.reported(from, uses);
     this.#heard.add(instance);
     for (const [id, { admitted, level }] of uses) {
-      const row = this.#rows.get(id);
+      const row = this.#rows.get(id as AccountId);
       if (row === undefined) continue;
       const rate = this.#rate(row);
       row.bucket.hear({ instance, start, admitted, level }, rate, now);
@@ -179,17 +163,17 @@
 
   /** What is set aside for instances that are not heard, by group. */
   get reservations(): readonly Reservation[] {
-    return this.#shares.reservations;
+    return this.demand.shares.reservations;
   }
 
   /** An instance has ended. */
   forget(instance: InstanceId): void {
-    this.#shares.forget(instance);
+    this.demand.shares.forget(instance);
   }
 
   /** An instance is heard no more. */
   unreachable(instance: InstanceId): void {
-    this.#shares.unreachable(instance);
+    this.demand.shares.unreachable(instance);
     for (const { bucket } of this.#rows.values()) bucket.unreachable(instance);
   }
 
@@ -217,7 +201,7 @@
 
   /** Whether all that may spend have told since this was last so. */
   #allReported(): boolean {
-    const { allKnown, others } = this.#shares;
+    const { allKnown, others } = this.demand.shares;
     if (!allKnown || !others.every((id) => this.#heard.has(id))) return false;
     this.#heard.clear();
     return true;
@@ -239,11 +223,11 @@
    * worked out each time, rates took a third of what digests cost.
    */
   #rate(row: Row): FleetRate {
-    const { divisions } = this.#shares;
+    const { divisions } = this.demand.shares;
     if (row.rate === undefined || row.ratedIn !== divisions) {
       row.rate = this.#workOutRate(row);
       // Working it out may have been what divided the demand first.
-      row.ratedIn = this.#shares.divisions;
+      row.ratedIn = this.demand.shares.divisions;
     }
     return row.rate;
   }
@@ -252,10 +236,10 @@
     return {
       ...limit,
       ahead: tolerated * AHEAD_PART / Math.max(1, this.#fleetSize()),
-      share: this.#shares.own(id),
-      reserved: this.#shares.reserved(id),
-      allKnown: this.#shares.allKnown,
-      othersPerS: this.#shares.othersPerS(id),
+      share: this.demand.shares.own(id),
+      reserved: this.demand.shares.reserved(id),
+      allKnown: this.demand.shares.allKnown,
+      othersPerS: this.demand.shares.othersPerS(id),
       lagMs: this.#lagMs(),
     };
   }
--- a/src/decisions/quotas/demand_counter.ts
+++ b/src/decisions/quotas/demand_counter.ts
@@ -1,9 +1,10 @@
 /**
- * How many requests of each client account an instance is asked for.
+ * How many requests of each client account, and for each endpoint with a limit,
+ * an instance is asked for.
  *
  * @module
  */
-import type { AccountId } from "../../core/mod.ts";
+import type { RatedId } from "./fleet_demand.ts";
 
 /**
  * How fast the mean follows, in milliseconds: fast enough that shares follow a
@@ -22,10 +23,10 @@
 
 /** Exponentially weighted rates by account. */
 export class DemandCounter {
-  readonly #counts = new Map<AccountId, Count>();
+  readonly #counts = new Map<RatedId, Count>();
 
   /** Counts one request. */
-  asked(account: AccountId, now: number): void {
+  asked(account: RatedId, now: number): void {
     const count = this.#counts.get(account);
     const added = MS_PER_S / MEMORY_MS;
     if (count === undefined) {
@@ -36,9 +37,15 @@
     count.at = now;
   }
 
+  /** Requests a second of one account or endpoint. */
+  rate(id: RatedId, now: number): number {
+    const count = this.#counts.get(id);
+    return count === undefined ? 0 : faded(count, now);
+  }
+
   /** Requests a second by account, those without any left out. */
-  rates(now: number): Map<AccountId, number> {
-    const rates = new Map<AccountId, number>();
+  rates(now: number): Map<RatedId, number> {
+    const rates = new Map<RatedId, number>();
     for (const [account, count] of this.#counts) {
       const perS = faded(count, now);
       if (perS < NEGLIGIBLE) this.#counts.delete(account);
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -15,7 +15,8 @@
  *
  * @module
  */
-import type { AccountId, InstanceId } from "../../core/mod.ts";
+import type { InstanceId } from "../../core/mod.ts";
+import type { RatedId } from "./fleet_demand.ts";
 
 /**
  * Part of the rate that is shared equally whatever the demand, so that an
@@ -34,14 +35,14 @@
 const LEAST_DEMAND = 0.5;
 
 /** Requests a second by account that an instance was asked for lately. */
-export type Demand = ReadonlyMap<AccountId, number>;
+export type Demand = ReadonlyMap<RatedId, number>;
 
 /** What shares were worked out from at one moment. */
 interface Division {
   /** Requests a second of all instances that are heard, by account. */
-  readonly demand: ReadonlyMap<AccountId, number>;
+  readonly demand: ReadonlyMap<RatedId, number>;
   /** The part of the rate that unreachable instances hold, by account. */
-  readonly reserved: ReadonlyMap<AccountId, number>;
+  readonly reserved: ReadonlyMap<RatedId, number>;
   /** Silent instances, each of which holds a part of the floor at least; */
   readonly unreachable: number;
   /** Instances that are not unreachable, and how many of them have told. */
@@ -63,7 +64,7 @@
 /** Adds up what is set aside. */
 export function sumOfReserved(parts: Iterable<Reserved>): Reserved {
   const all = [...parts];
-  const shares = new Map<AccountId, number>();
+  const shares = new Map<RatedId, number>();
   for (const part of all) addAll(shares, part.shares);
   return { shares, instances: instancesIn(all) };
 }
@@ -76,7 +77,7 @@
 
 /** Parts of rates that instances may be spending which are not heard. */
 export interface Reserved {
-  readonly shares: ReadonlyMap<AccountId, number>;
+  readonly shares: ReadonlyMap<RatedId, number>;
   readonly instances: number;
 }
 
@@ -136,7 +137,7 @@
     const [before] = this.#snapshots;
     const asked = before?.reported.get(instance) ?? reported;
     const division = before?.division ?? this.#division;
-    const shares = new Map<AccountId, number>();
+    const shares = new Map<RatedId, number>();
     for (const account of asked.demand.keys()) {
       shares.set(account, shareOf(asked, division, account));
     }
@@ -168,7 +169,7 @@
    * @example
    * const ratePerS = account.ratePerS * shares.own(account.id);
    */
-  own(account: AccountId): number {
+  own(account: RatedId): number {
     const demand = this.#reported.get(this.#own)?.demand ?? NO_DEMAND;
     return shareOf({ demand, instances: 1 }, this.#division, account);
   }
@@ -188,15 +189,23 @@
     return [...this.#reported.keys()].filter((id) => id !== this.#own);
   }
 
+  /**
+   * Requests a second of all instances that are heard; those that have not
+   * reported yet are taken to be asked as much as the rest.
+   */
+  heardPerS(id: RatedId): number {
+    return heardPerS(this.#division, id);
+  }
+
   /** Requests a second that the others were asked for of an account. */
-  othersPerS(account: AccountId): number {
+  othersPerS(account: RatedId): number {
     const own = this.#reported.get(this.#own)?.demand.get(account) ?? 0;
     const all = this.#division.demand.get(account) ?? 0;
     return Math.max(0, all - own);
   }
 
   /** The part of an account's rate that unreachable instances hold, in [0, 1]. */
-  reserved(account: AccountId): number {
+  reserved(account: RatedId): number {
     return reservedOf(this.#division, account);
   }
 
@@ -206,7 +215,7 @@
 
   #divide(): Division {
     this.#divisions++;
-    const demand = new Map<AccountId, number>();
+    const demand = new Map<RatedId, number>();
     for (const reported of this.#reported.values()) {
       addAll(demand, reported.demand);
     }
@@ -228,7 +237,7 @@
   return sum;
 }
 
-function addAll(sums: Map<AccountId, number>, parts: Demand): void {
+function addAll(sums: Map<RatedId, number>, parts: Demand): void {
   for (const [account, part] of parts) {
     sums.set(account, (sums.get(account) ?? 0) + part);
   }
@@ -237,21 +246,22 @@
 function shareOf(
   { demand, instances }: Told,
   division: Division,
-  account: AccountId,
+  account: RatedId,
 ): number {
-  const { heard, reported } = division;
   const free = 1 - reservedOf(division, account);
-  const even = free * Math.min(1, instances / heard);
-  // Those that have not told yet are taken to be asked as much as the rest.
-  const all = (division.demand.get(account) ?? 0) * heard /
-    Math.max(1, reported);
+  const even = free * Math.min(1, instances / division.heard);
+  const all = heardPerS(division, account);
   if (all < LEAST_DEMAND) return even;
   const mine = Math.min(1, (demand.get(account) ?? 0) / all);
   return EQUAL_PART * even + (1 - EQUAL_PART) * free * mine;
 }
 
+function heardPerS({ demand, heard, reported }: Division, id: RatedId): number {
+  return (demand.get(id) ?? 0) * heard / Math.max(1, reported);
+}
+
 /** Silent instances that were not asked for the account hold their floor. */
-function reservedOf(division: Division, account: AccountId): number {
+function reservedOf(division: Division, account: RatedId): number {
   const { reserved, unreachable, heard } = division;
   const floor = EQUAL_PART * unreachable / (unreachable + heard);
   return Math.min(1, Math.max(floor, reserved.get(account) ?? 0));
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -1,5 +1,6 @@
 /**
- * Rates of client accounts over the whole fleet.
+ * Rates of client accounts over the whole fleet, and the demand of all that has
+ * a rate.
  *
  * @module
  */
@@ -7,6 +8,7 @@
 export * from "./demand_counter.ts";
 export * from "./demand_shares.ts";
 export * from "./fleet_bucket.ts";
+export * from "./fleet_demand.ts";
 export * from "./news_lag.ts";
 export * from "./rate_limit.ts";
 export * from "./window_count.ts";
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -9,13 +9,8 @@
  */
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
-import {
-  type AccountId,
-  type EndpointId,
-  fail,
-  type Failure,
-} from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import { type EndpointId, fail, type Failure } from "../core/mod.ts";
+import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
 import {
   isName,
   isRecord,
@@ -51,7 +46,7 @@
   /** Revision of the last change it knows of, by kind of object. */
   readonly changes: ReadonlyMap<string, number>;
   /** What was asked of and admitted for accounts. */
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
+  readonly uses: ReadonlyMap<RatedId, RateUse>;
   /** Requests out at endpoints; none where there is no entry. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
   /** Some other instances, for those who could not read the list. */
--- a/src/fleet/digest_rows.ts
+++ b/src/fleet/digest_rows.ts
@@ -5,14 +5,13 @@
  */
 import { ok, type Result } from "neverthrow";
 import {
-  type AccountId,
   fail,
   type Failure,
   type InstanceId,
   type RegionId,
   type ZoneId,
 } from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
 import {
   INSTANCE_STATES,
   type InstanceProfile,
@@ -61,7 +60,7 @@
 }
 
 export function useRows(
-  uses: ReadonlyMap<AccountId, AccountUse>,
+  uses: ReadonlyMap<RatedId, RateUse>,
 ): Record<string, UseRow> {
   const rows: Record<string, UseRow> = {};
   for (const [account, { perS, admitted, level }] of uses) {
@@ -72,13 +71,13 @@
 
 export function readUses(
   rows: Record<string, unknown>,
-): Map<AccountId, AccountUse> {
-  const uses = new Map<AccountId, AccountUse>();
+): Map<RatedId, RateUse> {
+  const uses = new Map<RatedId, RateUse>();
   for (const [account, row] of Object.entries(rows)) {
     if (!Array.isArray(row) || !row.every(Number.isFinite)) continue;
     const [perS, admitted, level] = row as UseRow;
     if (!(perS >= 0) || !(admitted >= 0) || level === undefined) continue;
-    uses.set(account as AccountId, { perS, admitted, level });
+    uses.set(account as RatedId, { perS, admitted, level });
   }
   return uses;
 }
--- a/src/fleet/group_sums.ts
+++ b/src/fleet/group_sums.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type { AccountId, EndpointId, InstanceId } from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import type { EndpointId, InstanceId } from "../core/mod.ts";
+import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
 import type { GroupNews } from "./fleet_feed.ts";
 import type { Report } from "./report_rows.ts";
 
@@ -16,7 +16,7 @@
   readonly news: GroupNews;
   readonly suspect: boolean;
   /** Requests admitted since the start, accounts out of use included. */
-  readonly admitted: Map<AccountId, number>;
+  readonly admitted: Map<RatedId, number>;
   /** Whether accounts that were not reported yet begin at zero. */
   readonly fromZero: boolean;
 }
@@ -29,8 +29,8 @@
  */
 export class GroupSums {
   readonly #groups = new Map<InstanceId, Group>();
-  readonly #admitted = new Map<AccountId, number>();
-  readonly #own = new Map<AccountId, number>();
+  readonly #admitted = new Map<RatedId, number>();
+  readonly #own = new Map<RatedId, number>();
 
   /** The last news of the groups that are not suspect. */
   get heard(): readonly GroupNews[] {
@@ -47,7 +47,7 @@
     const before = this.#groups.get(news.group);
     const counted = before?.suspect === false ? before : undefined;
     const same = counted?.news.start === news.start;
-    const admitted = same ? counted.admitted : new Map<AccountId, number>();
+    const admitted = same ? counted.admitted : new Map<RatedId, number>();
     const fromZero = same ? counted.fromZero : fresh || counted !== undefined;
     for (const [account, use] of news.uses) {
       // What one admitted before it was first heard was reported by another.
@@ -86,11 +86,11 @@
     return { uses: this.#uses(own.uses), inFlight: this.#inFlight(own) };
   }
 
-  #uses(own: ReadonlyMap<AccountId, AccountUse>): Map<AccountId, AccountUse> {
+  #uses(own: ReadonlyMap<RatedId, RateUse>): Map<RatedId, RateUse> {
     for (const [account, { admitted }] of own) {
       this.#count(account, admitted, this.#own);
     }
-    const sums = new Map<AccountId, AccountUse>();
+    const sums = new Map<RatedId, RateUse>();
     const all = [own, ...[...this.#groups.values()].map((g) => g.news.uses)];
     for (const uses of all) {
       for (const [account, use] of uses) {
@@ -117,9 +117,9 @@
 
   /** Counts what was admitted since `known` was last brought up to date. */
   #count(
-    account: AccountId,
+    account: RatedId,
     admitted: number,
-    known: Map<AccountId, number>,
+    known: Map<RatedId, number>,
   ): void {
     const more = Math.max(0, admitted - (known.get(account) ?? 0));
     known.set(account, admitted);
@@ -127,5 +127,5 @@
   }
 }
 
-const NO_USES: ReadonlyMap<AccountId, AccountUse> = new Map();
+const NO_USES: ReadonlyMap<RatedId, RateUse> = new Map();
 const NO_FLIGHT: ReadonlyMap<EndpointId, number> = new Map();
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -4,13 +4,8 @@
  *
  * @module
  */
-import {
-  type AccountId,
-  type EndpointId,
-  hash,
-  type InstanceId,
-} from "../core/mod.ts";
-import type { AccountUse } from "../decisions/quotas/mod.ts";
+import { type EndpointId, hash, type InstanceId } from "../core/mod.ts";
+import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
 import type { Digest } from "./digest.ts";
 import type { FleetAggregate } from "./fleet_aggregate.ts";
 import { FLEET_GROUP, type FleetFeed, type GroupNews } from "./fleet_feed.ts";
@@ -33,7 +28,7 @@
 /** What one digest of this instance added to the sums. */
 interface OwnPart extends Pick<Digest, "seq" | "uses" | "inFlight"> {
   /** Requests admitted since the start, accounts out of use included. */
-  readonly admitted: ReadonlyMap<AccountId, number>;
+  readonly admitted: ReadonlyMap<RatedId, number>;
 }
 
 interface Followed {
@@ -50,7 +45,7 @@
   readonly #feed: FleetFeed;
   readonly #sent: OwnPart[] = [];
   /** What of the followed relay's counts is this instance's own. */
-  #counted: ReadonlyMap<AccountId, number> = new Map();
+  #counted: ReadonlyMap<RatedId, number> = new Map();
   #relay: Followed | undefined;
   #suspect = false;
   #unreachable = false;
@@ -158,11 +153,11 @@
 }
 
 function lessUses(
-  sums: ReadonlyMap<AccountId, AccountUse>,
-  own: ReadonlyMap<AccountId, AccountUse>,
-  counted: ReadonlyMap<AccountId, number>,
-): ReadonlyMap<AccountId, AccountUse> {
-  const rest = new Map<AccountId, AccountUse>();
+  sums: ReadonlyMap<RatedId, RateUse>,
+  own: ReadonlyMap<RatedId, RateUse>,
+  counted: ReadonlyMap<RatedId, number>,
+): ReadonlyMap<RatedId, RateUse> {
+  const rest = new Map<RatedId, RateUse>();
   for (const [account, { perS, admitted, level }] of sums) {
     rest.set(account, {
       perS: Math.max(0, perS - (own.get(account)?.perS ?? 0)),
@@ -173,7 +168,7 @@
   return rest;
 }
 
-const NO_USES: ReadonlyMap<AccountId, AccountUse> = new Map();
+const NO_USES: ReadonlyMap<RatedId, RateUse> = new Map();
 
 function lessInFlight(
   sums: ReadonlyMap<EndpointId, number>,
--- a/src/fleet/report_rows.ts
+++ b/src/fleet/report_rows.ts
@@ -9,8 +9,8 @@
   type BinaryWriter,
   WireType,
 } from "@bufbuild/protobuf/wire";
-import type { AccountId, EndpointId } from "../core/mod.ts";
-import type { AccountUse, Reserved } from "../decisions/quotas/mod.ts";
+import type { EndpointId } from "../core/mod.ts";
+import type { RatedId, RateUse, Reserved } from "../decisions/quotas/mod.ts";
 import { isName } from "./digest_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import {
@@ -47,7 +47,7 @@
   readonly seq: number;
   /** Revision of the last change that is known, by kind. */
   readonly changes: ReadonlyMap<string, number>;
-  readonly uses: ReadonlyMap<AccountId, AccountUse>;
+  readonly uses: ReadonlyMap<RatedId, RateUse>;
   /** Requests in flight by endpoint. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
 }
@@ -119,9 +119,9 @@
   instances = 0;
   storeInTouch = false;
   readonly changes = new Map<string, number>();
-  readonly uses = new Map<AccountId, AccountUse>();
+  readonly uses = new Map<RatedId, RateUse>();
   readonly inFlight = new Map<EndpointId, number>();
-  readonly #shares = new Map<AccountId, number>();
+  readonly #shares = new Map<RatedId, number>();
   #reservedInstances = 0;
   readonly #fields: ReportFields;
   readonly #book: NameBook;
@@ -198,7 +198,7 @@
       admitted: readWhole(rows),
       level: Number(rows.sint64()) / TENTHS,
     };
-    if (account !== undefined) this.uses.set(account as AccountId, use);
+    if (account !== undefined) this.uses.set(account as RatedId, use);
   }
 
   #endpoints(rows: BinaryReader): void {
@@ -212,7 +212,7 @@
   #share(rows: BinaryReader): void {
     const account = readName(rows, this.#book);
     const share = rows.uint32() / SHARE_UNITS;
-    if (account !== undefined) this.#shares.set(account as AccountId, share);
+    if (account !== undefined) this.#shares.set(account as RatedId, share);
   }
 }
 
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -5,7 +5,6 @@
  */
 import type { Buffer } from "node:buffer";
 import {
-  type AccountId,
   type EndpointId,
   type InstanceId,
   ManualClock,
@@ -14,7 +13,11 @@
   SilentLog,
   type ZoneId,
 } from "../../core/mod.ts";
-import type { AccountUse, Reservation } from "../../decisions/quotas/mod.ts";
+import type {
+  RatedId,
+  RateUse,
+  Reservation,
+} from "../../decisions/quotas/mod.ts";
 import type { RelayedChanges } from "../../watcher/mod.ts";
 import {
   type DatagramTransport,
@@ -35,7 +38,7 @@
   readonly relayed: RelayedChanges[];
   /** Groups that became suspect, in order. */
   readonly suspect: string[];
-  readonly uses: Map<AccountId, AccountUse>;
+  readonly uses: Map<RatedId, RateUse>;
   readonly inFlight: Map<EndpointId, number>;
   roles: Roles;
   storeInTouch: boolean;
@@ -49,7 +52,7 @@
     readonly reported: (news: GroupNews, now: number) => void;
     readonly suspect?: (group: InstanceId) => void;
     readonly removed?: (group: InstanceId) => void;
-    readonly report: (now: number) => Map<AccountId, AccountUse>;
+    readonly report: (now: number) => Map<RatedId, RateUse>;
     readonly reservations: () => readonly Reservation[];
   };
 }
