Keep the limits of endpoints in need with the whole fleet

Cause: the field was read by nobody (first hypothesis). Ruled out: a limit that each keeps alone (no instance sends less at all), and one kept late (no dip at the time of naming, no peaks after it). The class: a bound that several instances have to keep together, and a field of the protocol that nobody reads. A limit read and kept by each instance alone would have been broken next, by as many times as there are instances.

Change: digests, zone digests and aggregates carry limits with their age; the newest answer decides at every instance, and only an answer clearly newer than the last that named a limit lifts it. Each instance sends the part of its demand that is the limit's part of the fleet's demand, evenly spaced, corrected by what all sent in the last four seconds; instances that are not heard keep their part. A request whose endpoint has no room goes to the next that has, and is refused at once with a Retry-After from the limits where none has. The most urgent go first.

The soak's faults now have endpoints in need among them.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -77,9 +77,9 @@
   },
   endpoint_limit_changed: {
     namespace: "steering",
-    fields: ["endpoint", "ratePerS", "source", "ageMs"],
+    fields: ["endpoint", "ratePerS", "source"],
     help:
-      "The requests a second that an endpoint takes from all instances; without ratePerS it takes what comes. Source is answer, end, or the peer that reported it",
+      "The requests a second that an endpoint takes from all instances; without ratePerS it takes what comes. Source is answer, end, or the group of instances that reported it",
   },
   endpoint_limit_unreadable: {
     namespace: "steering",
--- /dev/null
+++ b/src/decisions/endpoint_limits/limit_register_test.ts
@@ -0,0 +1,53 @@
+import test from "ava";
+import type { EndpointId } from "../../core/mod.ts";
+import { LimitRegister } from "./mod.ts";
+
+const E1 = "e1" as EndpointId;
+
+test("the newest answer decides, wherever it came", (t) => {
+  const register = new LimitRegister();
+  register.observed(E1, { ratePerS: 6.6, at: 1_000 });
+  register.reported(E1, { ratePerS: 5.2, at: 1_100 });
+  t.is(register.limitOf(E1), 5.2);
+  register.reported(E1, { ratePerS: 9, at: 900 });
+  t.is(register.limitOf(E1), 5.2);
+});
+
+// Guards against a limit that an answer lifts which overtook the one naming it.
+test("an answer of the same moment does not lift a limit; a later one does", (t) => {
+  const register = new LimitRegister();
+  register.observed(E1, { ratePerS: 6.6, at: 1_000 });
+  register.reported(E1, { ratePerS: undefined, at: 1_040 });
+  t.is(register.limitOf(E1), 6.6);
+  register.observed(E1, { ratePerS: undefined, at: 1_300 });
+  t.is(register.limitOf(E1), undefined);
+  // Late news of the limit does not bring it back.
+  register.reported(E1, { ratePerS: 6.6, at: 1_010 });
+  t.is(register.limitOf(E1), undefined);
+  register.observed(E1, { ratePerS: 3, at: 1_900 });
+  t.is(register.limitOf(E1), 3);
+});
+
+// Guards against peers' news of an endpoint's last start limiting its next.
+test("what is known of an endpoint goes with its end", (t) => {
+  const register = new LimitRegister();
+  register.observed(E1, { ratePerS: 6.6, at: 1_000 });
+  register.forget(E1, 1_500);
+  t.is(register.limitOf(E1), undefined);
+  register.reported(E1, { ratePerS: 6.6, at: 1_400 });
+  t.is(register.limitOf(E1), undefined);
+  register.reported(E1, { ratePerS: 2, at: 1_700 });
+  t.is(register.limitOf(E1), 2);
+});
+
+// Guards against reports that circulate among instances and seem new for ever.
+test("only an instance's own observations are reported, for a while", (t) => {
+  const register = new LimitRegister();
+  register.reported(E1, { ratePerS: 6.6, at: 1_000 });
+  t.is(register.report(1_100).size, 0);
+  register.observed(E1, { ratePerS: 6.6, at: 1_200 });
+  t.deepEqual(register.report(1_300).get(E1), { ratePerS: 6.6, at: 1_200 });
+  register.observed(E1, { ratePerS: undefined, at: 2_000 });
+  t.is(register.report(2_100).get(E1)?.ratePerS, undefined);
+  t.is(register.report(20_000).size, 0);
+});
--- a/src/decisions/endpoint_limits/mod.ts
+++ b/src/decisions/endpoint_limits/mod.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./limit_register.ts";
+export * from "./limited_sends.ts";
--- a/src/decisions/placement/retry_after_policy.ts
+++ b/src/decisions/placement/retry_after_policy.ts
@@ -18,6 +18,7 @@
 const SOON_MS = 20;
 /** The longest that a caller is told to stay away, in milliseconds. */
 const LONGEST_MS = 1_000;
+const MS_PER_S = 1_000;
 
 /** What room there is, and how it comes free. */
 export interface RoomOutlook {
@@ -28,6 +29,8 @@
   readonly instances: number;
   /** How long a request usually takes, in milliseconds. */
   readonly usualMs: number;
+  /** Requests a second that limits let through; infinite without them. */
+  readonly limitPerS: number;
 }
 
 /** Times handed out by one instance, by service. */
@@ -36,8 +39,9 @@
 
   /** For a caller whose endpoints were full, in milliseconds from now. */
   whenFull(outlook: RoomOutlook, waitMs: number, now: number): number {
-    const { service, slots, instances, usualMs } = outlook;
-    const everyMs = usualMs * instances / Math.max(1, slots);
+    const { service, slots, instances, usualMs, limitPerS } = outlook;
+    const everyMs = instances *
+      Math.max(usualMs / Math.max(1, slots), MS_PER_S / limitPerS);
     return this.#of(service).next(now, Math.max(SOON_MS, waitMs), everyMs);
   }
 
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -197,11 +197,15 @@
     return heardPerS(this.#division, id);
   }
 
+  /** Requests a second that this instance was asked for. */
+  ownPerS(id: RatedId): number {
+    return this.#reported.get(this.#own)?.demand.get(id) ?? 0;
+  }
+
   /** Requests a second that the others were asked for of an account. */
   othersPerS(account: RatedId): number {
-    const own = this.#reported.get(this.#own)?.demand.get(account) ?? 0;
     const all = this.#division.demand.get(account) ?? 0;
-    return Math.max(0, all - own);
+    return Math.max(0, all - this.ownPerS(account));
   }
 
   /** The part of an account's rate that unreachable instances hold, in [0, 1]. */
--- a/src/decisions/quotas/fleet_demand.ts
+++ b/src/decisions/quotas/fleet_demand.ts
@@ -54,6 +54,11 @@
     return demand;
   }
 
+  /** Requests a second that this instance was asked for, as of the last tick. */
+  ownPerS(id: RatedId): number {
+    return this.shares.ownPerS(id);
+  }
+
   /** Takes in what another instance, or several as one, were asked for. */
   reported(from: Reporter, uses: ReadonlyMap<RatedId, RateUse>): void {
     const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type EndpointId,
   type Failure,
   isSampled,
   type Log,
@@ -20,18 +21,24 @@
   readonly #log: Log;
   readonly #metrics: Metrics;
   readonly #planVersion: () => number;
+  readonly #limitOf: (endpoint: EndpointId) => number | undefined;
 
-  /** @param opts `planVersion` is that of the plan in force; 0 before any. */
+  /**
+   * @param opts `planVersion` is that of the plan in force; 0 before any.
+   * `limitOf` gives the requests a second that an endpoint takes, if limited.
+   */
   constructor(
     opts: {
       readonly clock: Clock;
       readonly log: Log;
       readonly metrics: Metrics;
       readonly planVersion: () => number;
+      readonly limitOf: (endpoint: EndpointId) => number | undefined;
     },
   ) {
-    const { clock, log, metrics, planVersion } = opts;
+    const { clock, log, metrics, planVersion, limitOf } = opts;
     this.#planVersion = planVersion;
+    this.#limitOf = limitOf;
     this.#clock = clock;
     this.#log = log;
     this.#metrics = metrics;
@@ -104,8 +111,12 @@
   /** An endpoint with what it holds and how old its load report is. */
   #asSeen(row: EndpointRow): string {
     const { id, inFlight, peersInFlight, reportedAt } = row;
-    const held = `${inFlight}+${peersInFlight}/${row.record.slots}`;
-    if (row.report === undefined) return `${id}(${held})`;
-    return `${id}(${held},${Math.round(this.#clock.now() - reportedAt)}ms)`;
+    const seen = [`${inFlight}+${peersInFlight}/${row.record.slots}`];
+    if (row.report !== undefined) {
+      seen.push(`${Math.round(this.#clock.now() - reportedAt)}ms`);
+    }
+    const limitPerS = this.#limitOf(id);
+    if (limitPerS !== undefined) seen.push(`${limitPerS}/s`);
+    return `${id}(${seen.join(",")})`;
   }
 }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -126,7 +126,19 @@
     });
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
     const fleetSize = () => this.#member.fleetSize;
-    this.#limits = new EndpointLimits({ clock, log, metrics: opts.metrics });
+    this.#quotas = new AccountQuotas(cfg.instance.id, {
+      fleetSize,
+      lagMs: () => this.#member.lagMs,
+      window: cfg.rates,
+    });
+    this.#limits = new EndpointLimits({
+      own: cfg.instance.id,
+      demand: this.#quotas.demand,
+      lagMs: () => this.#member.lagMs,
+      clock,
+      log,
+      metrics: opts.metrics,
+    });
     this.#chooser = new EndpointChooser({
       state: this.#state,
       limits: this.#limits,
@@ -136,11 +148,6 @@
       region: cfg.instance.region,
       regions: [...new Set(cfg.zones.values())],
     });
-    this.#quotas = new AccountQuotas(cfg.instance.id, {
-      fleetSize,
-      lagMs: () => this.#member.lagMs,
-      window: cfg.rates,
-    });
     this.#endpointHandler = new EndpointHandler({
       state: this.#state,
       clock,
@@ -179,6 +186,7 @@
       report: () => this.#report(),
       events: new GossipHandlers({
         quotas: this.#quotas,
+        limits: this.#limits,
         peerLoad: this.#peerLoad,
         watchers: this.#watchers,
         expiry: this.#expiry,
@@ -298,6 +306,7 @@
         log,
         metrics,
         planVersion: () => this.#state.planVersion,
+        limitOf: (id) => this.#limits.limitOf(id),
       }),
       clock,
     });
@@ -336,8 +345,9 @@
       planVersion: this.#state.planVersion,
       storeInTouch: this.#endpointsListed && this.#expiry.inTouch,
       changes: this.#watchers.changes(),
-      uses,
+      uses: new Map([...uses, ...this.#limits.uses()]),
       inFlight,
+      limits: this.#limits.observed(),
       reservations: this.#quotas.reservations,
     };
   }
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -16,7 +16,9 @@
   LatencyEstimator,
   NOTHING_BOUND,
   OutlierDetector,
+  type PlacedBy,
   type Placement,
+  type PlacementAsk,
   RetryAfterPolicy,
   type RoomOutlook,
   SlowStartLimiter,
@@ -42,6 +44,15 @@
   readonly regions: readonly RegionId[];
 }
 
+/** An endpoint and why it was selected, or why there is none. */
+type Selection =
+  | { readonly endpoint: EndpointRow; readonly why: PlacedBy }
+  | {
+    readonly endpoint: undefined;
+    readonly waitMs: number;
+    readonly why: string;
+  };
+
 /** The decisions about endpoints, put together for one instance. */
 export class EndpointChooser {
   readonly #opts: EndpointChooserOptions;
@@ -61,7 +72,7 @@
    * Failures: `no_endpoint`, `no_capacity`, with the time to come back.
    */
   choose(ctx: RequestContext, now: number): Result<EndpointRow, Failure> {
-    const { placement, region, regions, state } = this.#opts;
+    const { region, regions, state } = this.#opts;
     const { service, route, account, req, tried } = ctx;
     const endpoints = state.eligible(service, ctx.regions);
     if (endpoints.length === 0) {
@@ -70,7 +81,7 @@
       });
     }
     const ejectionLimited = this.#outliers.ejectionLimitReached(endpoints, now);
-    const placed = placement.choose(endpoints, {
+    const ask: PlacementAsk = {
       affinityKey: route.affinity ? req.fields.affinityKey : undefined,
       region,
       regions,
@@ -80,24 +91,51 @@
       usable: (row) =>
         !tried.has(row) && this.#bearsOne(row, now) &&
         (ejectionLimited || !this.#outliers.isEjected(row, now)),
-    });
+    };
+    const placed = this.#withinLimits(endpoints, ask, now);
     if (placed.endpoint === undefined) {
       const outlook = this.#outlook(service, endpoints);
       const waitMs = this.#retryAfter.whenFull(outlook, placed.waitMs, now);
-      return fail("no_capacity", "no endpoint can take the request in time", {
-        retryAfterMs: waitMs,
-      });
+      return fail("no_capacity", placed.why, { retryAfterMs: waitMs });
     }
     ctx.chosenBy = placed.why;
     this.#spendCold(placed.endpoint, now);
     return ok(placed.endpoint);
   }
 
+  /**
+   * Places a request without regard to limits first, so that each endpoint's
+   * whole demand is known; where that endpoint's limit has no room, among those
+   * that have.
+   */
+  #withinLimits(
+    endpoints: readonly EndpointRow[],
+    ask: PlacementAsk,
+    now: number,
+  ): Selection {
+    const { placement, limits } = this.#opts;
+    const { rank } = ask;
+    const first = placement.choose(endpoints, ask);
+    if (first.endpoint === undefined) return { ...first, why: NO_ROOM };
+    if (limits.take(first.endpoint, rank, now)) return first;
+    const { id } = first.endpoint;
+    const second = placement.choose(endpoints, {
+      ...ask,
+      usable: (row) => ask.usable(row) && limits.hasRoom(row, rank, now),
+    });
+    if (second.endpoint === undefined) {
+      const why = `endpoint ${id} takes ${limits.limitOf(id)} requests a ` +
+        "second, and no other can take the request in time";
+      return { ...second, why };
+    }
+    limits.take(second.endpoint, rank, now);
+    return second;
+  }
+
   /** Notes that a request goes out. */
   sent(row: EndpointRow, now: number): void {
     row.inFlight++;
     this.#outliers.sent(row, now);
-    this.#opts.limits.sent(row);
   }
 
   /** Takes what a result says of its endpoint. */
@@ -170,9 +208,14 @@
     endpoints: readonly EndpointRow[],
   ): RoomOutlook {
     let slots = 0;
-    for (const { record } of endpoints) slots += record.slots;
+    let limitPerS = 0;
+    for (const { id, record } of endpoints) {
+      slots += record.slots;
+      limitPerS += this.#opts.limits.limitOf(id) ?? Infinity;
+    }
     const usualMs = this.#latency.of(service);
-    return { service, slots, usualMs, instances: this.#opts.fleetSize() };
+    const instances = this.#opts.fleetSize();
+    return { service, slots, usualMs, instances, limitPerS };
   }
 
   /** Whether an endpoint that may be cold bears one request more. */
@@ -210,5 +253,7 @@
  * long as a registration takes to be known.
  */
 const NO_ENDPOINT_RETRY_MS = 250;
+/** Why a request is refused that finds all endpoints full. */
+const NO_ROOM = "no endpoint can take the request in time";
 /** Requests a second for a cold endpoint of a service the plan leaves out. */
 const UNKNOWN_COLD_PER_S = 1;
--- a/src/edge/endpoint_limits.ts
+++ b/src/edge/endpoint_limits.ts
@@ -1,31 +1,48 @@
 /**
- * Limits of endpoints at one instance: learned from answers, logged and counted.
+ * Limits of endpoints at one instance: learned from answers and peers, kept
+ * with the fleet, logged and counted.
  *
  * @module
  */
-import type { Clock, EndpointId, Log, Metrics } from "../core/mod.ts";
+import type {
+  Clock,
+  EndpointId,
+  InstanceId,
+  Log,
+  Metrics,
+} from "../core/mod.ts";
 import {
+  LimitedSends,
   LimitRegister,
-  type ObservedLimit,
 } from "../decisions/endpoint_limits/mod.ts";
+import type { FleetDemand, RatedId, RateUse } from "../decisions/quotas/mod.ts";
+import type { GroupNews, ObservedLimits } from "../fleet/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import type { AnswerLimit } from "./request_codec.ts";
 
 /** What limits are kept with. */
 export interface EndpointLimitsOptions {
+  /** This instance. */
+  readonly own: InstanceId;
+  /** The fleet's demand, which counts that for endpoints too. */
+  readonly demand: FleetDemand;
+  /** How old what peers report may be, in milliseconds. */
+  readonly lagMs: () => number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
 }
 
-/** Limits of endpoints as one instance knows them. */
+/** Limits of endpoints as one instance keeps them. */
 export class EndpointLimits {
   readonly #opts: EndpointLimitsOptions;
   readonly #register = new LimitRegister();
+  readonly #sends: LimitedSends;
   readonly #unreadable = new Set<EndpointId>();
 
   constructor(opts: EndpointLimitsOptions) {
     this.#opts = opts;
+    this.#sends = new LimitedSends(opts.own, opts);
   }
 
   /** Requests a second that an endpoint takes; undefined without a limit. */
@@ -33,51 +50,80 @@
     return this.#register.limitOf(id);
   }
 
+  /** Whether an endpoint's limit has room for a request of this rank. */
+  hasRoom({ id }: EndpointRow, rank: number, now: number): boolean {
+    const ratePerS = this.limitOf(id);
+    if (ratePerS === undefined) return true;
+    return this.#sends.hasRoom(id, { ratePerS, rank }, now);
+  }
+
+  /** Counts a request that would go to an endpoint; gives whether it may. */
+  take({ id }: EndpointRow, rank: number, now: number): boolean {
+    const ratePerS = this.limitOf(id);
+    if (ratePerS === undefined) return true;
+    const admitted = this.#sends.take(id, { ratePerS, rank }, now);
+    const result = admitted ? "sent" : "withheld";
+    this.#opts.metrics.count("endpoint.limited", { endpoint: id, result });
+    return admitted;
+  }
+
   /** Takes in what an answer says whose head came at `at`. */
   answered({ id }: EndpointRow, limit: AnswerLimit, at: number): void {
     if (limit.kind === "unreadable") return this.#noteUnreadable(id);
     this.#unreadable.delete(id);
     const ratePerS = limit.kind === "limited" ? limit.ratePerS : undefined;
-    this.#follow(id, { ratePerS, at }, "answer");
+    this.#follow(
+      id,
+      "answer",
+      () => this.#register.observed(id, { ratePerS, at }),
+    );
   }
 
-  /** Notes that a request goes out. */
-  sent({ id }: EndpointRow): void {
-    if (this.limitOf(id) === undefined) return;
-    this.#opts.metrics.count("endpoint.limited", {
-      endpoint: id,
-      result: "sent",
-    });
+  /** Takes in what another instance, or several as one, report. */
+  reported(news: GroupNews, now: number): void {
+    const { group, limits, uses } = news;
+    this.#sends.reported({ ...news, instance: group }, uses, now);
+    for (const [id, limit] of limits) {
+      this.#follow(id, group, () => this.#register.reported(id, limit));
+    }
+  }
+
+  /** A group is not heard. */
+  unreachable(group: InstanceId): void {
+    this.#sends.unreachable(group);
+  }
+
+  /** Limits that this instance observed lately, for its peers. */
+  observed(): ObservedLimits {
+    return this.#register.report(this.#opts.clock.now());
+  }
+
+  /** What this instance sent to endpoints with a limit, for its peers. */
+  uses(): ReadonlyMap<RatedId, RateUse> {
+    return this.#sends.uses();
   }
 
   /** Forgets an endpoint that ended or started anew. */
   forget({ id }: EndpointRow): void {
     this.#unreadable.delete(id);
-    const before = this.limitOf(id);
-    this.#register.forget(id, this.#opts.clock.now());
-    if (before !== undefined) this.#changed(id, undefined, "end");
+    const { clock } = this.#opts;
+    this.#follow(id, "end", () => this.#register.forget(id, clock.now()));
   }
 
-  #follow(id: EndpointId, limit: ObservedLimit, source: string): void {
+  /** Applies a change to the register, and follows what it does to a limit. */
+  #follow(id: EndpointId, source: string, apply: () => void): void {
     const before = this.limitOf(id);
-    this.#register.observed(id, limit);
+    apply();
     const after = this.limitOf(id);
-    if (after !== before) this.#changed(id, after, source, limit.at);
-  }
-
-  #changed(
-    id: EndpointId,
-    ratePerS: number | undefined,
-    source: string,
-    at = this.#opts.clock.now(),
-  ): void {
+    if (after === before) return;
     const { clock, log, metrics } = this.#opts;
-    metrics.gauge("endpoint.limit", ratePerS ?? 0, { endpoint: id });
+    if (after === undefined) this.#sends.forget(id);
+    else this.#sends.begin(id, clock.now());
+    metrics.gauge("endpoint.limit", after ?? 0, { endpoint: id });
     log.event("endpoint_limit_changed", {
       endpoint: id,
-      ratePerS,
+      ratePerS: after,
       source,
-      ageMs: Math.round(clock.now() - at),
     });
   }
 
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -7,6 +7,7 @@
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
 import type { FleetEvents, GroupNews, Roles } from "../fleet/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { ExpiryGuard } from "./expiry_guard.ts";
 import type { PeerLoad } from "./peer_load.ts";
 import type { SteeringWatchers } from "./steering_watchers.ts";
@@ -14,6 +15,7 @@
 /** What handles gossip. */
 export interface GossipHandlersOptions {
   readonly quotas: AccountQuotas;
+  readonly limits: EndpointLimits;
   readonly peerLoad: PeerLoad;
   readonly watchers: SteeringWatchers;
   readonly expiry: ExpiryGuard;
@@ -33,9 +35,10 @@
   }
 
   reported(news: GroupNews, now: number): void {
-    const { quotas, expiry, peerLoad, watchers } = this.#opts;
+    const { quotas, limits, expiry, peerLoad, watchers } = this.#opts;
     const { group: instance, uses, inFlight } = news;
     quotas.reported({ ...news, instance }, uses, now);
+    limits.reported(news, now);
     if (news.storeInTouch) expiry.otherInTouch(now);
     peerLoad.reported(instance, inFlight);
     watchers.onRevision(news.changes);
@@ -43,6 +46,7 @@
 
   suspect(group: InstanceId): void {
     this.#opts.quotas.unreachable(group);
+    this.#opts.limits.unreachable(group);
   }
 
   unreachable(group: InstanceId): void {
@@ -51,6 +55,7 @@
 
   removed(group: InstanceId): void {
     this.#opts.quotas.forget(group);
+    this.#opts.limits.unreachable(group);
     this.#opts.peerLoad.unreachable(group);
   }
 
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -19,7 +19,8 @@
 import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
 import { AccessLog } from "./access_log.ts";
-import type { CallerFields } from "./request_codec.ts";
+import type { SendResult } from "./endpoint_sender.ts";
+import type { AnswerLimit, CallerFields } from "./request_codec.ts";
 import { type FlowAnswer, RequestFlow } from "./request_flow.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { answered, ScriptedSender, shed } from "./testing/scripted_sender.ts";
@@ -44,6 +45,8 @@
   readonly gone = new AbortController();
   readonly gate: StartGate;
   readonly #flow: RequestFlow;
+  readonly #quotas: AccountQuotas;
+  readonly #limits: EndpointLimits;
 
   constructor(setup: Setup = {}) {
     const { clock } = this;
@@ -60,6 +63,16 @@
     const fleetSize = () => 1;
     const quotas = new AccountQuotas("i1" as InstanceId, { fleetSize });
     quotas.adopt(this.state.table?.plan.accounts ?? [], 0);
+    const limits = new EndpointLimits({
+      own: "i1" as InstanceId,
+      demand: quotas.demand,
+      lagMs: () => 0,
+      clock,
+      log: new SilentLog(),
+      metrics: new MemoryMetrics(),
+    });
+    this.#quotas = quotas;
+    this.#limits = limits;
     this.gate = new StartGate(clock);
     if (setup.plan !== "none") this.gate.open();
     this.#flow = new RequestFlow({
@@ -68,11 +81,7 @@
       chooser: new EndpointChooser({
         state: this.state,
         placement: new AffinityPlacement(),
-        limits: new EndpointLimits({
-          clock,
-          log: new SilentLog(),
-          metrics: new MemoryMetrics(),
-        }),
+        limits,
         fleetSize,
         own: "i1" as InstanceId,
         region: R1,
@@ -91,11 +100,23 @@
         log: new SilentLog(),
         metrics: new MemoryMetrics(),
         planVersion: () => this.state.planVersion,
+        limitOf: (id) => limits.limitOf(id),
       }),
       clock,
     });
   }
 
+  /** A period of gossip passes. */
+  tick(): void {
+    this.#quotas.tick(this.clock.now());
+  }
+
+  /** Endpoints that have a limit. */
+  limited(): string[] {
+    return [...this.state.endpoints.rows()].map(({ id }) => id)
+      .filter((id) => this.#limits.limitOf(id) !== undefined);
+  }
+
   ask(fields: Partial<CallerFields> = {}): Promise<FlowAnswer> {
     return this.#flow.handle({
       method: "GET",
@@ -414,3 +435,94 @@
   const second = path.sender.sent.filter((s) => s.endpoint === "e2").length;
   t.is(second, 5);
 });
+
+const LIMITED = { kind: "limited", ratePerS: 2 } as const;
+
+/** Endpoints whose answers name a limit, or none. */
+function needy(limits: Readonly<Record<string, AnswerLimit>>): ScriptedSender {
+  const none = { kind: "none" } as const;
+  return new ScriptedSender().answers((endpoint) =>
+    answered(200, { limit: limits[endpoint] ?? none })
+  );
+}
+
+async function askFor(path: Path, seconds: number): Promise<string[]> {
+  const outcomes: string[] = [];
+  for (let i = 0; i < seconds * 20; i++) {
+    outcomes.push(outcomeOf(await path.ask({ affinityKey: `o${i % 20}` })));
+    path.clock.advance(50);
+    if (i % 5 === 0) path.tick();
+  }
+  return outcomes;
+}
+
+// Guards against an endpoint in need that gets its whole part of the traffic.
+test("what an endpoint's limit leaves out is served elsewhere", async (t) => {
+  const path = new Path({ sender: needy({ e1: LIMITED }) });
+  const outcomes = await askFor(path, 10);
+  t.true(outcomes.every((outcome) => outcome === "answer 200"));
+  const limited = path.sender.sent.filter((s) => s.endpoint === "e1").length;
+  t.true(limited >= 12 && limited <= 28, `${limited}`);
+});
+
+// Guards against requests that wait, or are sent, though no limit has room.
+test("where all endpoints name a limit the rest is refused at once", async (t) => {
+  const path = new Path({ sender: needy({ e1: LIMITED, e2: LIMITED }) });
+  const outcomes = await askFor(path, 10);
+  const refused = outcomes.filter((o) => o === "no_capacity not-run").length;
+  t.true(refused > 120, `${refused}`);
+  t.is(path.sender.sent.length, outcomes.length - refused);
+  const answer = await path.ask();
+  if (answer.kind !== "refusal") return t.pass();
+  t.regex(answer.failure.message, /takes 2 requests a second/);
+  t.true((answer.failure.retryAfterMs ?? 0) >= 20);
+});
+
+// Guards against a limit that stays when the endpoint ceases to name it.
+test("a limit is lifted by an answer that names none", async (t) => {
+  const limits: Record<string, AnswerLimit> = { e1: LIMITED };
+  const path = new Path({ sender: needy(limits) });
+  await askFor(path, 5);
+  delete limits["e1"];
+  await askFor(path, 2);
+  const before = path.sender.sent.filter((s) => s.endpoint === "e1").length;
+  await askFor(path, 5);
+  const after = path.sender.sent.filter((s) => s.endpoint === "e1").length;
+  t.true(after - before > 30, `${after - before}`);
+});
+
+const NOT_HEEDED: readonly {
+  readonly name: string;
+  readonly result: SendResult;
+}[] = [
+  {
+    name: "that another endpoint at its address names",
+    result: shed({ moved: true, limit: LIMITED }),
+  },
+  {
+    name: "that is no rate",
+    result: answered(200, { limit: { kind: "unreadable" } }),
+  },
+];
+
+for (const { name, result } of NOT_HEEDED) {
+  test(`no endpoint is held to a limit ${name}`, async (t) => {
+    const path = new Path({ sender: new ScriptedSender(result) });
+    const outcomes = await askFor(path, 5);
+    t.true(outcomes.every((outcome) => outcome === "answer 200"));
+    t.deepEqual(path.limited(), []);
+  });
+}
+
+// Guards against a full endpoint that is taken to be out of need.
+test("an endpoint that sheds names its limit, and does not lift it", async (t) => {
+  const sender = new ScriptedSender(shed({ limit: LIMITED }), answered());
+  const path = new Path({ sender });
+  await path.ask();
+  const [limited] = path.limited();
+  t.not(limited, undefined);
+  path.clock.advance(1_000);
+  sender.answers(() => shed());
+  await askFor(path, 1);
+  t.deepEqual(path.limited(), [limited]);
+});
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -55,14 +55,22 @@
   readonly sent: Sent[] = [];
   readonly #results: (SendResult | "silence")[];
 
+  #answer: (endpoint: string) => SendResult = () => answered();
+
   constructor(...results: (SendResult | "silence")[]) {
     this.#results = results;
   }
 
+  /** Says how an endpoint answers once there are no results left. */
+  answers(answer: (endpoint: string) => SendResult): this {
+    this.#answer = answer;
+    return this;
+  }
+
   send(endpoint: EndpointRow, req: OutgoingRequest): Sending {
     const sent: Sent = { endpoint: endpoint.id, req, cancelled: false };
     this.sent.push(sent);
-    const next = this.#results.shift() ?? answered();
+    const next = this.#results.shift() ?? this.#answer(endpoint.id);
     let settle: (result: SendResult) => void = () => {};
     const result = new Promise<SendResult>((resolve) => {
       settle = resolve;
--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -49,6 +49,7 @@
   uses: 9,
   inFlight: 10,
   other: 11,
+  limits: 12,
 } as const;
 
 /** What a reader knows of names. */
@@ -144,6 +145,7 @@
       changes: this.#report.changes,
       uses: this.#report.uses,
       inFlight: this.#report.inFlight,
+      limits: this.#report.limits,
       others: this.#others,
     });
   }
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -24,6 +24,7 @@
   useRows,
 } from "./digest_rows.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
+import type { AgedLimits } from "./limit_rows.ts";
 
 /** One digest. */
 export interface Digest {
@@ -49,6 +50,8 @@
   readonly uses: ReadonlyMap<RatedId, RateUse>;
   /** Requests out at endpoints; none where there is no entry. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
+  /** Limits that endpoints named, or ceased to name, in answers to it. */
+  readonly limits: AgedLimits;
   /** Some other instances, for those who could not read the list. */
   readonly others: readonly InstanceProfile[];
 }
@@ -122,12 +125,13 @@
     planVersion: json.v,
     storeInTouch: json.t === true,
     isStoreWatcher: json.a === true,
-    // Builds that write JSON know of no relays.
+    // Builds that write JSON know of no relays and no limits.
     relays: false,
     capacity: typeof json.c === "number" && json.c > 0 ? json.c : 0,
     changes: isRecord(json.k) ? numbers<string>(json.k) : new Map(),
     uses: readUses(json.d),
     inFlight: numbers<EndpointId>(json.f),
+    limits: new Map(),
     others: json.o.flatMap((row) => {
       const other = readProfile(row);
       return other.isOk() ? [other.value] : [];
--- a/src/fleet/fleet_aggregate.ts
+++ b/src/fleet/fleet_aggregate.ts
@@ -81,6 +81,7 @@
   members: 11,
   farServing: 12,
   profile: 13,
+  limits: 14,
 } as const;
 
 const UP_TO_DATE = FREE_BIT;
@@ -150,7 +151,7 @@
     }
     if (this.#relay.isErr()) return err(this.#relay.error);
     const { start, seq, instances, storeInTouch, reserved } = this.#report;
-    const { changes, uses, inFlight } = this.#report;
+    const { changes, uses, inFlight, limits } = this.#report;
     return ok({
       relay: this.#relay.value,
       start,
@@ -160,6 +161,7 @@
       changes,
       uses,
       inFlight,
+      limits,
       reserved,
       members: this.#members,
       farServing: this.#farServing,
--- a/src/fleet/fleet_aggregate_test.ts
+++ b/src/fleet/fleet_aggregate_test.ts
@@ -26,6 +26,10 @@
   instances: 21,
   uses: new Map([["a1" as AccountId, { perS: 2.5, admitted: 9, level: -3 }]]),
   inFlight: new Map([["e1" as EndpointId, 4]]),
+  limits: new Map([
+    ["e1" as EndpointId, { ratePerS: 6.6, ageMs: 120 }],
+    ["e2" as EndpointId, { ratePerS: undefined, ageMs: 0 }],
+  ]),
   reserved: {
     shares: new Map([["a1" as AccountId, 0.25]]),
     instances: 2,
@@ -68,7 +72,7 @@
   };
 }
 
-const BOOK = bookOf("plans", "a1", "e1");
+const BOOK = bookOf("plans", "a1", "e1", "e2");
 /** A reader that knows no instance. */
 const NAMES = { book: BOOK, profileOf: () => undefined };
 
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -9,6 +9,7 @@
 import type { InstanceId } from "../core/mod.ts";
 import type { Reserved } from "../decisions/quotas/mod.ts";
 import type { Digest } from "./digest.ts";
+import type { ObservedLimits } from "./limit_rows.ts";
 
 /** What an instance, a zone or the rest of the fleet reported. */
 export interface GroupNews extends
@@ -18,6 +19,8 @@
   > {
   /** The instance, or a name for the zone or the fleet. */
   readonly group: InstanceId;
+  /** Limits of endpoints, on this instance's clock. */
+  readonly limits: ObservedLimits;
   /** How many instances it stands for. */
   readonly instances: number;
   /** What unreachable instances may be spending, as far as the group says. */
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -31,6 +31,11 @@
 import { decodeAggregate, type FleetAggregate } from "./fleet_aggregate.ts";
 import { FleetFeed, type GroupEvents } from "./fleet_feed.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import {
+  agedLimits,
+  type ObservedLimits,
+  observedLimits,
+} from "./limit_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import { PeerTable } from "./peer_table.ts";
 import { RelayFollower } from "./relay_follower.ts";
@@ -46,6 +51,8 @@
     Digest,
     "state" | "planVersion" | "storeInTouch" | "changes" | "uses" | "inFlight"
   > {
+  /** Limits that endpoints named, or ceased to name, in answers to this one. */
+  readonly limits: ObservedLimits;
   /** What is set aside for groups that are not heard; a relay passes it on. */
   readonly reservations: readonly Reservation[];
 }
@@ -305,10 +312,11 @@
   #compose(seq: number, toNewcomer: boolean): Digest {
     const { profile, capacity, report } = this.#opts;
     const { isStoreWatcher } = this.#current;
-    const { reservations, ...self } = report();
+    const { reservations, limits, ...self } = report();
     this.#reservations = reservations;
     return {
       ...self,
+      limits: agedLimits(limits, this.#opts.clock.now()),
       profile,
       start: this.#start,
       seq,
@@ -332,7 +340,8 @@
 
   #reported(digest: Digest, now: number): void {
     const { profile, seq } = digest;
-    const news = { ...digest, group: profile.id, instances: 1 };
+    const limits = observedLimits(digest.limits, now);
+    const news = { ...digest, limits, group: profile.id, instances: 1 };
     if (this.#peers.isOwnZone(profile.zone)) this.#relay.reportPeer(news, seq);
     this.#feed.reported(news, now);
   }
@@ -341,6 +350,7 @@
     const { zone, relay, start } = digest;
     const news = {
       ...digest,
+      limits: observedLimits(digest.limits, now),
       group: groupOf(zone),
       start: `${relay} ${start}`,
     };
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -8,6 +8,7 @@
 /** Enough in all to be told of by zone. */
 const PER_ZONE = 5;
 const ACCOUNT = "importers" as AccountId;
+const E1 = "e1" as EndpointId;
 const SETTLED_MS = 6_000;
 
 async function fleetOf(perZone: number): Promise<MemberFleet> {
@@ -285,3 +286,22 @@
   const others = fleet.of("c2").filter((m) => m !== relay);
   t.is(others.filter((m) => m.roles.isRelay).length, 1);
 });
+
+for (const perZone of [2, PER_ZONE]) {
+  // Guards against a limit that only the instances know that were told it.
+  test(`what one of ${ZONES.length * perZone} instances learns of a limit reaches all within a second`, async (t) => {
+    const fleet = await fleetOf(perZone);
+    const [first, ...others] = fleet.members;
+    const learnedAt = fleet.clock.now();
+    first?.limits.set(E1, { ratePerS: 6.6, at: learnedAt });
+    fleet.pass(1_000);
+    for (const { groups, profile } of others) {
+      const known = [...groups.values()].flatMap(({ limits }) =>
+        limits.get(E1) ?? []
+      );
+      t.is(known[0]?.ratePerS, 6.6, profile.id);
+      // Older than that by the ways of digests at most.
+      t.true(Math.abs((known[0]?.at ?? 0) - learnedAt) <= 50, profile.id);
+    }
+  });
+}
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -10,6 +10,7 @@
 import type { FleetAggregate } from "./fleet_aggregate.ts";
 import { FLEET_GROUP, type FleetFeed, type GroupNews } from "./fleet_feed.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import { observedLimits } from "./limit_rows.ts";
 import {
   type PeerTable,
   SUSPECT_AGGREGATED_MS,
@@ -89,7 +90,7 @@
         this.#peers.refresh(idHash, now) ?? []
       );
     }
-    this.#feed.onAggregate(this.#withoutOwn(aggregate), now);
+    this.#feed.onAggregate(this.#withoutOwn(aggregate, now), now);
   }
 
   /** Looks whether the relay is late. */
@@ -126,7 +127,7 @@
     return true;
   }
 
-  #withoutOwn(aggregate: FleetAggregate): GroupNews {
+  #withoutOwn(aggregate: FleetAggregate, now: number): GroupNews {
     const { relay, start, storeInTouch, changes, reserved } = aggregate;
     const own = this.#ownPart(aggregate);
     // A relay that does not hear this instance any more still has its counts.
@@ -139,6 +140,7 @@
       changes,
       uses: lessUses(aggregate.uses, own?.uses ?? NO_USES, this.#counted),
       inFlight: lessInFlight(aggregate.inFlight, own?.inFlight),
+      limits: observedLimits(aggregate.limits, now),
       reserved,
     };
   }
--- a/src/fleet/report_rows.ts
+++ b/src/fleet/report_rows.ts
@@ -12,6 +12,12 @@
 import type { EndpointId } from "../core/mod.ts";
 import type { RatedId, RateUse, Reserved } from "../decisions/quotas/mod.ts";
 import { isName } from "./digest_rows.ts";
+import {
+  type AgedLimit,
+  type AgedLimits,
+  readLimit,
+  writeLimits,
+} from "./limit_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import {
   readName,
@@ -33,6 +39,7 @@
   readonly changes: number;
   readonly uses: number;
   readonly inFlight: number;
+  readonly limits: number;
   readonly instances?: number;
   readonly storeInTouch?: number;
   readonly reservedInstances?: number;
@@ -50,6 +57,8 @@
   readonly uses: ReadonlyMap<RatedId, RateUse>;
   /** Requests in flight by endpoint. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
+  /** Limits that endpoints named, or ceased to name, lately. */
+  readonly limits: AgedLimits;
 }
 
 /** A report that sums several instances. */
@@ -71,7 +80,7 @@
 /** Writes the report of one instance. */
 export function writeReport(
   out: BinaryWriter,
-  { start, seq, changes, uses, inFlight }: Report,
+  { start, seq, changes, uses, inFlight, limits }: Report,
   { fields, book }: WriteReportOptions,
 ): void {
   out.tag(fields.start, WireType.LengthDelimited).string(start);
@@ -89,6 +98,7 @@
     out.uint64(n).uint32(endpoints.length);
     for (const endpoint of endpoints) writeName(out, endpoint, book);
   });
+  writeLimits(out, limits, { field: fields.limits, book });
 }
 
 /** Writes a report that sums several instances. */
@@ -121,6 +131,7 @@
   readonly changes = new Map<string, number>();
   readonly uses = new Map<RatedId, RateUse>();
   readonly inFlight = new Map<EndpointId, number>();
+  readonly limits = new Map<EndpointId, AgedLimit>();
   readonly #shares = new Map<RatedId, number>();
   #reservedInstances = 0;
   readonly #fields: ReportFields;
@@ -178,6 +189,8 @@
         return (rows) => this.#use(rows);
       case this.#fields.inFlight:
         return (rows) => this.#endpoints(rows);
+      case this.#fields.limits:
+        return (rows) => this.#limit(rows);
       case this.#fields.reserved:
         return (rows) => this.#share(rows);
       default:
@@ -209,6 +222,11 @@
     }
   }
 
+  #limit(rows: BinaryReader): void {
+    const limit = readLimit(rows, this.#book);
+    if (limit !== undefined) this.limits.set(...limit);
+  }
+
   #share(rows: BinaryReader): void {
     const account = readName(rows, this.#book);
     const share = rows.uint32() / SHARE_UNITS;
--- a/src/fleet/testing/digest_fixtures.ts
+++ b/src/fleet/testing/digest_fixtures.ts
@@ -32,6 +32,7 @@
     changes: new Map(),
     uses: new Map(),
     inFlight: new Map(),
+    limits: new Map(),
     others: [],
     ...opts,
   };
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -18,6 +18,7 @@
   RateUse,
   Reservation,
 } from "../../decisions/quotas/mod.ts";
+import type { ObservedLimit } from "../../decisions/endpoint_limits/mod.ts";
 import type { RelayedChanges } from "../../watcher/mod.ts";
 import {
   type DatagramTransport,
@@ -40,6 +41,7 @@
   readonly suspect: string[];
   readonly uses: Map<RatedId, RateUse>;
   readonly inFlight: Map<EndpointId, number>;
+  readonly limits: Map<EndpointId, ObservedLimit>;
   roles: Roles;
   storeInTouch: boolean;
   state: InstanceState;
@@ -125,6 +127,7 @@
       suspect: [],
       uses: new Map(),
       inFlight: new Map(),
+      limits: new Map(),
       roles: { isRelay: true, isStoreWatcher: true },
       storeInTouch: true,
       state: "serving",
@@ -177,6 +180,7 @@
         planVersion: 1,
         storeInTouch: entry.storeInTouch,
         changes: new Map([["plans", 1]]),
+        limits: entry.limits,
         reservations: entry.takes?.reservations() ?? [],
       }),
       events,
@@ -184,9 +188,16 @@
   }
 
   /** What a member uses and has in flight, whose names all others know. */
-  #known({ uses: set, inFlight, takes }: TestMember) {
+  #known({ uses: set, inFlight, limits, takes }: TestMember) {
     const uses = takes?.report(this.clock.now()) ?? set;
-    for (const name of [...uses.keys(), ...inFlight.keys(), "plans"]) {
+    for (
+      const name of [
+        ...uses.keys(),
+        ...inFlight.keys(),
+        "plans",
+        ...limits.keys(),
+      ]
+    ) {
       this.book.learn(name);
     }
     return { uses, inFlight };
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -79,6 +79,7 @@
   reserved: 13,
   uses: 14,
   inFlight: 15,
+  limits: 16,
 } as const;
 /**
  * Writes a zone's digest as a datagram.
@@ -152,7 +153,7 @@
       return fail("bad_request", "the datagram is no digest of a zone");
     }
     const { start, seq, instances, storeInTouch, reserved } = this.#report;
-    const { changes, uses, inFlight } = this.#report;
+    const { changes, uses, inFlight, limits } = this.#report;
     return ok({
       zone: this.#zone as ZoneId,
       region: this.#region as RegionId,
@@ -166,6 +167,7 @@
       reserved,
       uses,
       inFlight,
+      limits,
     });
   }
 
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -11,6 +11,7 @@
 import type { Datagrams } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import type { AgedLimits } from "./limit_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import type { PeerTable } from "./peer_table.ts";
 import {
@@ -27,6 +28,12 @@
 /** Each so many digests say who the members are. */
 const INTRODUCED_EVERY = 8;
 
+/** What is reported of a zone besides its members. */
+export interface ZoneSums extends Sums {
+  readonly limits: AgedLimits;
+  readonly reserved: Reserved;
+}
+
 /** What the exchange works with. */
 export interface ZoneExchangeOptions {
   readonly datagrams: Datagrams;
@@ -64,7 +71,7 @@
    * @param zone Sums of the zone, and what is set aside for its instances that
    * are not heard: they may be serving behind a partition.
    */
-  tell(own: Digest, zone: Sums & { readonly reserved: Reserved }): void {
+  tell(own: Digest, zone: ZoneSums): void {
     const { datagrams, book, peers, zones, random } = this.#opts;
     const byZone = new Map<ZoneId, InstanceProfile[]>();
     for (const { profile } of peers.far()) {
@@ -89,7 +96,7 @@
 
   #compose(
     own: Digest,
-    zone: Sums & { readonly reserved: Reserved },
+    zone: ZoneSums,
   ): ZoneDigest {
     const { peers } = this.#opts;
     const heard = peers.zonePeers().filter((m) => !m.unreachable);
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -16,11 +16,7 @@
   someOf,
   type ZoneId,
 } from "../core/mod.ts";
-import {
-  type Reservation,
-  type Reserved,
-  sumOfReserved,
-} from "../decisions/quotas/mod.ts";
+import { type Reservation, sumOfReserved } from "../decisions/quotas/mod.ts";
 import { Bundle } from "./bundles.ts";
 import type { Datagrams } from "./datagrams.ts";
 import type { Digest } from "./digest.ts";
@@ -31,11 +27,12 @@
   type FleetAggregate,
 } from "./fleet_aggregate.ts";
 import type { GroupNews } from "./fleet_feed.ts";
-import { GroupSums, type Sums } from "./group_sums.ts";
+import { GroupSums } from "./group_sums.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
+import { agedLimits, newestLimits, observedLimits } from "./limit_rows.ts";
 import type { NameBook } from "./name_book.ts";
 import type { Peer, PeerTable } from "./peer_table.ts";
-import type { ZoneExchange } from "./zone_exchange.ts";
+import type { ZoneExchange, ZoneSums } from "./zone_exchange.ts";
 import type { ZoneTable } from "./zone_table.ts";
 
 /** Aggregates between two that name the other zones' serving instances. */
@@ -120,13 +117,27 @@
       readonly standby: readonly string[];
     },
   ): void {
-    const { datagrams, book, peers, exchange } = this.#opts;
+    const { datagrams, book, peers, exchange, clock } = this.#opts;
     const { reservations, standby } = opts;
+    const now = clock.now();
     const zone = this.#zonePeers.with(own);
+    const zoneLimits = newestLimits([
+      observedLimits(own.limits, now),
+      ...this.#zonePeers.heard.map(({ limits }) => limits),
+    ]);
+    const limits = newestLimits([
+      zoneLimits,
+      ...this.#otherZones.heard.map(({ limits }) => limits),
+    ]);
     const ofZone = reservations.filter(({ group }) => peers.isZonePeer(group));
-    exchange.tell(own, { ...zone, reserved: sumOfReserved(ofZone) });
+    exchange.tell(own, {
+      ...zone,
+      limits: agedLimits(zoneLimits, now),
+      reserved: sumOfReserved(ofZone),
+    });
     const aggregate = this.#compose(own, {
       ...this.#otherZones.with(zone),
+      limits: agedLimits(limits, now),
       reserved: sumOfReserved(reservations),
     });
     const to = toTell(peers.zonePeers(), own.seq).map((m) => m.digestAddress);
@@ -136,7 +147,7 @@
 
   #compose(
     own: Digest,
-    fleet: Sums & { readonly reserved: Reserved },
+    fleet: ZoneSums,
   ): FleetAggregate {
     const { peers, zones } = this.#opts;
     const heard = [...this.#zonePeers.heard, ...this.#otherZones.heard];
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -26,12 +26,13 @@
   "endpoint drain",
   "endpoint answers",
   "endpoint link",
+  "endpoint in need",
   "plan",
   "withdraw",
 ] as const;
 
 /** A kind of fault. */
-export type FaultName = typeof FAULTS[number] | "endpoint in need";
+export type FaultName = typeof FAULTS[number];
 
 const SHORTEST_MS = 300;
 const LONGEST_MS = 3_000;
