Call the handler of relayed changes as a method of its object

Cause: the handler was handed over without its object when it was shortened. The test fleet had handlers that need no object, so its two tests of relayed changes passed; it now hands in an object of a class, as the program does, and both failed before this change: 2 failed, 19 passed; after it 21 passed. Looked for elsewhere: no other method of an object with state is passed without it.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -157,7 +157,9 @@
       compose: (seq, toNewcomer) => this.#compose(seq, toNewcomer),
       reported: (digest) => this.#period(digest),
     });
-    this.#datagrams.onRead("changes", decodeChanges, events.relayed);
+    this.#datagrams.onRead("changes", decodeChanges, (changes) => {
+      events.relayed(changes);
+    });
     this.#datagrams.onRead(
       "aggregate",
       (bytes) => decodeAggregate(bytes, opts.book),
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -22,6 +22,7 @@
 import type { RelayedChanges } from "../../watcher/mod.ts";
 import {
   type DatagramTransport,
+  type FleetEvents,
   FleetMember,
   type GroupNews,
   type InstanceProfile,
@@ -59,6 +60,42 @@
   };
 }
 
+/** Notes in a member what it is told. */
+class Recorder implements FleetEvents {
+  readonly #entry: TestMember;
+
+  constructor(entry: TestMember) {
+    this.#entry = entry;
+  }
+
+  reported(news: GroupNews, now: number): void {
+    this.#entry.groups.set(news.group, news);
+    this.#entry.takes?.reported(news, now);
+  }
+
+  suspect(group: InstanceId): void {
+    this.#entry.suspect.push(group);
+    this.#entry.takes?.suspect?.(group);
+  }
+
+  unreachable(group: InstanceId): void {
+    this.#entry.groups.delete(group);
+  }
+
+  removed(group: InstanceId): void {
+    this.#entry.groups.delete(group);
+    this.#entry.takes?.removed?.(group);
+  }
+
+  roles(roles: Roles): void {
+    this.#entry.roles = roles;
+  }
+
+  relayed(changes: RelayedChanges): void {
+    this.#entry.relayed.push(changes);
+  }
+}
+
 const STEP_MS = 10;
 const STRONG = 1.35;
 const WEAK = 0.27;
@@ -146,23 +183,6 @@
     { firstStart }: { readonly firstStart: boolean },
   ): FleetMember {
     const { profile, capacity } = entry;
-    const events = {
-      reported: (news: GroupNews, now: number) => {
-        entry.groups.set(news.group, news);
-        entry.takes?.reported(news, now);
-      },
-      suspect: (group: InstanceId) => {
-        entry.suspect.push(group);
-        entry.takes?.suspect?.(group);
-      },
-      unreachable: (group: InstanceId) => void entry.groups.delete(group),
-      removed: (group: InstanceId) => {
-        entry.groups.delete(group);
-        entry.takes?.removed?.(group);
-      },
-      roles: (roles: Roles) => void (entry.roles = roles),
-      relayed: (changes: RelayedChanges) => void entry.relayed.push(changes),
-    };
     return new FleetMember({
       profile,
       capacity,
@@ -183,7 +203,7 @@
         limits: entry.limits,
         reservations: entry.takes?.reservations() ?? [],
       }),
-      events,
+      events: new Recorder(entry),
     });
   }
 
