--- a/src/decisions/endpoint_limits/limited_sends.ts
+++ b/src/decisions/endpoint_limits/limited_sends.ts
@@ -74,7 +74,7 @@
 export class LimitedSends {
   readonly #own: InstanceId;
   readonly #demand: FleetDemand;
-  readonly #lagMs: () => number;
+  readonly #gossipDelayMs: () => number;
   readonly #rows = new Map<EndpointId, Row>();
 
   /**
@@ -83,11 +83,14 @@
    */
   constructor(
     own: InstanceId,
-    opts: { readonly demand: FleetDemand; readonly lagMs: () => number },
+    opts: {
+      readonly demand: FleetDemand;
+      readonly gossipDelayMs: () => number;
+    },
   ) {
     this.#own = own;
     this.#demand = opts.demand;
-    this.#lagMs = opts.lagMs;
+    this.#gossipDelayMs = opts.gossipDelayMs;
   }
 
   /** An endpoint has a limit from now on: what peers send there is counted. */
@@ -191,7 +194,7 @@
   }
 
   #usedPerS(ratePerS: number): number {
-    const leftAlone = LEFT_ALONE_PER_S * this.#lagMs() / MS_PER_S;
+    const leftAlone = LEFT_ALONE_PER_S * this.#gossipDelayMs() / MS_PER_S;
     return Math.max(LEAST_PER_S, ratePerS * (1 - leftAlone));
   }
 
--- a/src/decisions/endpoint_limits/limited_sends_test.ts
+++ b/src/decisions/endpoint_limits/limited_sends_test.ts
@@ -5,7 +5,7 @@
   type InstanceId,
   SeededRandom,
 } from "../../core/mod.ts";
-import { DIRECT_LAG_MS, FleetDemand } from "../quotas/mod.ts";
+import { DIRECT_GOSSIP_DELAY_MS, FleetDemand } from "../quotas/mod.ts";
 import { LimitedSends } from "./mod.ts";
 import {
   allowed,
@@ -26,16 +26,16 @@
 }
 
 const FLEETS = [
-  { size: 12, lagMs: DIRECT_MS, rates: [0.8, 5.2, 20] },
-  { size: 24, lagMs: 70, rates: [0.8, 5.2, 20] },
-  { size: 60, lagMs: BY_RELAY_MS, rates: [2, 5.2] },
+  { size: 12, gossipDelayMs: DIRECT_MS, rates: [0.8, 5.2, 20] },
+  { size: 24, gossipDelayMs: 70, rates: [0.8, 5.2, 20] },
+  { size: 60, gossipDelayMs: BY_RELAY_MS, rates: [2, 5.2] },
 ] as const;
 
-for (const { size, lagMs, rates } of FLEETS) {
+for (const { size, gossipDelayMs, rates } of FLEETS) {
   // Guards against instances that keep a limit alone and pass it together.
   test(`${size} instances keep to a limit at three times the demand, and use it`, (t) => {
     for (const ratePerS of rates) {
-      const fleet = new LimitFleet({ size, lagMs, ratePerS, seed: 1 });
+      const fleet = new LimitFleet({ size, gossipDelayMs, ratePerS, seed: 1 });
       fleet.run(LEARN_MS, regional(size, 3 * ratePerS));
       fleet.countAnew();
       fleet.run(12_000, regional(size, 3 * ratePerS));
@@ -49,7 +49,12 @@
 test("a limit holds while the demand rises to many times what it was", (t) => {
   for (const size of [12, 24]) {
     for (const ratePerS of [0.8, 5.2, 20]) {
-      const fleet = new LimitFleet({ size, lagMs: 70, ratePerS, seed: 2 });
+      const fleet = new LimitFleet({
+        size,
+        gossipDelayMs: 70,
+        ratePerS,
+        seed: 2,
+      });
       fleet.run(LEARN_MS, regional(size, 0.3 * ratePerS));
       for (const times of [8, 0.3, 8, 0, 4]) {
         fleet.run(4_000, regional(size, times * ratePerS));
@@ -65,7 +70,7 @@
   const demand = regional(12, 3 * ratePerS);
   const fleet = new LimitFleet({
     size: 12,
-    lagMs: DIRECT_MS,
+    gossipDelayMs: DIRECT_MS,
     ratePerS,
     seed: 3,
   });
@@ -102,7 +107,7 @@
       (happenings, ratePerS) => {
         const fleet = new LimitFleet({
           size: 12,
-          lagMs: DIRECT_MS,
+          gossipDelayMs: DIRECT_MS,
           ratePerS,
           seed: 4,
         });
@@ -135,7 +140,10 @@
   const demand = new FleetDemand(own, () => 1);
   return {
     demand,
-    sends: new LimitedSends(own, { demand, lagMs: () => DIRECT_LAG_MS }),
+    sends: new LimitedSends(own, {
+      demand,
+      gossipDelayMs: () => DIRECT_GOSSIP_DELAY_MS,
+    }),
   };
 }
 
--- a/src/decisions/endpoint_limits/testing/limit_fleet.ts
+++ b/src/decisions/endpoint_limits/testing/limit_fleet.ts
@@ -10,11 +10,11 @@
   SeededRandom,
 } from "../../../core/mod.ts";
 import {
-  BY_ZONE_LAG_MS,
-  DIRECT_LAG_MS,
+  DIRECT_GOSSIP_DELAY_MS,
   FleetDemand,
   type RatedId,
   type RateUse,
+  RELAYED_GOSSIP_DELAY_MS,
 } from "../../quotas/mod.ts";
 import { AdmissionTimes, arrivals } from "../../quotas/testing/arrivals.ts";
 import { LimitedSends } from "../mod.ts";
@@ -45,7 +45,7 @@
 }
 
 /** The fleet that a policy is made for. */
-export type PolicyOptions = Pick<LimitFleetOptions, "size" | "lagMs">;
+export type PolicyOptions = Pick<LimitFleetOptions, "size" | "gossipDelayMs">;
 
 /** The policy in use. */
 export class SharedPart implements SendPolicy {
@@ -57,7 +57,10 @@
     this.#demand = demand;
     this.#sends = new LimitedSends(own, {
       demand,
-      lagMs: () => opts.lagMs < DIRECT_LAG_MS ? DIRECT_LAG_MS : BY_ZONE_LAG_MS,
+      gossipDelayMs: () =>
+        opts.gossipDelayMs < DIRECT_GOSSIP_DELAY_MS
+          ? DIRECT_GOSSIP_DELAY_MS
+          : RELAYED_GOSSIP_DELAY_MS,
     });
     this.#sends.begin(ID, 0);
   }
@@ -100,7 +103,7 @@
   readonly size: number;
   readonly ratePerS: number;
   /** Delay of gossip, in milliseconds. */
-  readonly lagMs: number;
+  readonly gossipDelayMs: number;
   readonly seed: number;
   readonly policy?: (own: InstanceId, opts: PolicyOptions) => SendPolicy;
 }
@@ -200,7 +203,7 @@
     const uses = member.policy.tick(this.now);
     const from = { instance: member.id, start: member.start };
     if (member.cut) return;
-    const at = this.now + this.#opts.lagMs;
+    const at = this.now + this.#opts.gossipDelayMs;
     this.#mail.push({
       at,
       run: () => {
--- a/src/decisions/placement/affinity_placement.ts
+++ b/src/decisions/placement/affinity_placement.ts
@@ -1,17 +1,14 @@
 /**
- * Placement by object.
+ * Placement by affinity key: rendezvous hashing to a primary and a secondary
+ * endpoint.
  *
- * The load it answers: endpoints that work several times as long on an object
- * they have not handled lately, and remember a few dozen. Spread by load alone,
- * nearly every request is such a first one, and the services are over capacity
- * without a single fault. So each object has a home among the endpoints, and its
- * requests wait there for a while. Only what would wait too long goes to the
- * object's second place, if a slot is free there.
- *
- * What goes wrong where requests spill sooner, or to any idle endpoint: what
- * spills takes several times as long there and pushes out objects that are at
- * home there. So more homes fill, more spills, and endpoints forget more than
- * they keep; it goes on after the burst that began it has passed.
+ * Load: endpoints work several times as long on a key that is not in their
+ * cache, and cache a few dozen. Spread by load alone, nearly every request is a
+ * cache miss and the services are over capacity without a fault. So requests of
+ * a key queue at its primary, and overflow to its secondary only when the wait
+ * would be too long and a slot is free there. Overflow that starts sooner, or
+ * goes to any idle endpoint, evicts other keys there; their primaries fill up,
+ * and it goes on after the burst that began it.
  *
  * @module
  */
@@ -21,21 +18,19 @@
 import type { Placed, Placement, PlacementAsk } from "./placement.ts";
 
 /**
- * How full a home may be before requests go elsewhere or are refused, by their
- * rank, as a part of its slots. Beyond this what waits is late and makes late
- * what comes after it; the most urgent get in a little longer, so that they are
- * not refused before the others.
+ * Maximum utilization of a primary by a request's rank, as a part of its slots.
+ * Beyond it requests overflow or are refused, the most urgent last.
  */
 const MAX_UTILIZATION = [2.2, 2, 1.8] as const;
-/** Up to this a slot is free, and nothing waits. */
+/** Utilization below which a slot is free. */
 const ALL_SLOTS = 1;
 /**
- * What an endpoint in another region counts as fuller, as a part of its slots:
- * with as much room in both, work stays in its region.
+ * Added to the utilization of endpoints in other regions: at equal load work
+ * stays in its region.
  */
-const ABROAD_FILL = 0.1;
+const OTHER_REGION_PENALTY = 0.1;
 
-/** Rendezvous hashing by affinity key, with a second place for each object. */
+/** Rendezvous hashing by affinity key, with overflow to a secondary endpoint. */
 export class AffinityPlacement implements Placement {
   readonly #ranking = new ObjectRanking();
 
@@ -46,29 +41,32 @@
     const { affinityKey } = ask;
     if (affinityKey === undefined) return leastLoaded(endpoints, ask);
     const object = { ...ask, affinityKey };
-    const { home, second } = this.#ranking.places(endpoints, object);
-    if (home === undefined) return { endpoint: undefined, waitMs: 0 };
-    const fill = utilizationOf(home);
-    if (fill < maxUtilization(ask)) {
-      return { endpoint: home, why: fill < ALL_SLOTS ? "home" : "queue" };
+    const { primary, secondary } = this.#ranking.rank(endpoints, object);
+    if (primary === undefined) return { endpoint: undefined, waitMs: 0 };
+    const utilization = utilizationOf(primary);
+    if (utilization < maxUtilization(ask)) {
+      const why = utilization < ALL_SLOTS ? "primary" : "queue";
+      return { endpoint: primary, why };
     }
-    if (second !== undefined && utilizationOf(second) < ALL_SLOTS) {
-      return { endpoint: second, why: "spill" };
+    if (secondary !== undefined && utilizationOf(secondary) < ALL_SLOTS) {
+      return { endpoint: secondary, why: "overflow" };
     }
-    return { endpoint: undefined, waitMs: (fill - 1) * ask.usualMs };
+    return { endpoint: undefined, waitMs: (utilization - 1) * ask.usualMs };
   }
 }
 
-/** The endpoint with the lowest part of its slots taken, if it has room. */
+/** The least utilized endpoint, if it has room. */
 export function leastLoaded(
   endpoints: readonly EndpointRow[],
   ask: PlacementAsk,
 ): Placed {
   const best = leastUtilized(endpoints, ask);
   if (best === undefined) return { endpoint: undefined, waitMs: 0 };
-  const fill = utilizationOf(best);
-  if (fill < maxUtilization(ask)) return { endpoint: best, why: "load" };
-  return { endpoint: undefined, waitMs: (fill - 1) * ask.usualMs };
+  const utilization = utilizationOf(best);
+  if (utilization < maxUtilization(ask)) {
+    return { endpoint: best, why: "least-loaded" };
+  }
+  return { endpoint: undefined, waitMs: (utilization - 1) * ask.usualMs };
 }
 
 function leastUtilized(
@@ -76,11 +74,11 @@
   ask: PlacementAsk,
 ): EndpointRow | undefined {
   let best: EndpointRow | undefined;
-  let bestFill = Infinity;
+  let lowest = Infinity;
   for (const row of endpoints) {
-    const abroad = row.region === ask.region ? 0 : ABROAD_FILL;
-    const part = utilizationOf(row) + abroad;
-    if (part < bestFill && ask.usable(row)) [best, bestFill] = [row, part];
+    const penalty = row.region === ask.region ? 0 : OTHER_REGION_PENALTY;
+    const score = utilizationOf(row) + penalty;
+    if (score < lowest && ask.usable(row)) [best, lowest] = [row, score];
   }
   return best;
 }
--- a/src/decisions/placement/affinity_placement_test.ts
+++ b/src/decisions/placement/affinity_placement_test.ts
@@ -124,7 +124,7 @@
   t.deepEqual(shown, [["riga", 30], ["frankfurt", 20], ["osaka", 50]]);
 });
 
-test("an object's requests wait at its home before they go elsewhere", (t) => {
+test("requests of a key queue at its primary before they overflow", (t) => {
   // A burst fills a home. Elsewhere each request takes several times as long and
   // pushes out what is at home there.
   const all = rows({ riga: 4 });
@@ -138,15 +138,15 @@
     usable: () => true,
   };
   const placement = new AffinityPlacement();
-  const { home, second } = new ObjectRanking().places(all, ask);
+  const { primary, secondary } = new ObjectRanking().rank(all, ask);
   const whereAt = (homeHolds: number, secondHolds: number) => {
-    home!.inFlight = homeHolds;
-    second!.inFlight = secondHolds;
+    primary!.inFlight = homeHolds;
+    secondary!.inFlight = secondHolds;
     return placement.choose(all, ask);
   };
-  t.like(whereAt(8, 0), { endpoint: home, why: "home" });
-  t.like(whereAt(18, 0), { endpoint: home, why: "queue" });
-  t.like(whereAt(20, 8), { endpoint: second, why: "spill" });
+  t.like(whereAt(8, 0), { endpoint: primary, why: "primary" });
+  t.like(whereAt(18, 0), { endpoint: primary, why: "queue" });
+  t.like(whereAt(20, 8), { endpoint: secondary, why: "overflow" });
   // Both full: others that do not know the object are left alone.
   t.is(whereAt(20, 9).endpoint, undefined);
 });
@@ -219,10 +219,12 @@
     bound: NOTHING_BOUND,
     usable: () => true,
   };
-  const { home, second } = new ObjectRanking().places(only, ask);
-  t.true(home !== undefined && second !== undefined && home !== second);
-  const none = new ObjectRanking().places([], ask);
-  t.deepEqual(none, { home: undefined, second: undefined });
+  const { primary, secondary } = new ObjectRanking().rank(only, ask);
+  t.true(
+    primary !== undefined && secondary !== undefined && primary !== secondary,
+  );
+  const none = new ObjectRanking().rank([], ask);
+  t.deepEqual(none, { primary: undefined, secondary: undefined });
 });
 
 test("an object keeps its places when another endpoint comes", (t) => {
@@ -241,9 +243,9 @@
       bound: NOTHING_BOUND,
       usable: () => true,
     };
-    const a = ranking.places(before, ask);
-    const b = ranking.places(after, ask);
-    if (a.home?.id !== b.home?.id) moved++;
+    const a = ranking.rank(before, ask);
+    const b = ranking.rank(after, ask);
+    if (a.primary?.id !== b.primary?.id) moved++;
   }
   t.true(moved / 300 < 0.15, `${moved} of 300 moved`);
 });
--- a/src/decisions/placement/object_ranking.ts
+++ b/src/decisions/placement/object_ranking.ts
@@ -1,5 +1,5 @@
 /**
- * Which endpoints an object belongs to, first choice first.
+ * Ranks the endpoints of an affinity key.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 const LAST_RESORT = 1e-6;
 const HASHES = 0x1_0000_0000;
 
-/** What is ranked. */
+/** A request to rank endpoints for. */
 export interface ObjectAsk {
   readonly affinityKey: string;
   /** Where its callers are. */
@@ -27,10 +27,10 @@
   readonly usable: (row: EndpointRow) => boolean;
 }
 
-/** The two first endpoints of an object. */
-export interface Places {
-  readonly home: EndpointRow | undefined;
-  readonly second: EndpointRow | undefined;
+/** The endpoints of an affinity key that rank highest. */
+export interface RankedEndpoints {
+  readonly primary: EndpointRow | undefined;
+  readonly secondary: EndpointRow | undefined;
 }
 
 /** Weights by the callers' region, as long as the bound work is the same. */
@@ -50,18 +50,18 @@
   readonly #weights = new WeakMap<readonly EndpointRow[], KnownWeights>();
 
   /**
-   * The first two endpoints that can be used.
+   * The two usable endpoints that rank highest.
    *
    * @example
    * ```ts
-   * const { home, second } = ranking.places(endpoints, ask);
+   * const { primary, secondary } = ranking.rank(endpoints, ask);
    * ```
    */
-  places(endpoints: readonly EndpointRow[], ask: ObjectAsk): Places {
+  rank(endpoints: readonly EndpointRow[], ask: ObjectAsk): RankedEndpoints {
     const weights = this.#weightsOf(endpoints, ask);
     const object = hash(ask.affinityKey);
-    let home: EndpointRow | undefined;
-    let second: EndpointRow | undefined;
+    let primary: EndpointRow | undefined;
+    let secondary: EndpointRow | undefined;
     let highest = -1;
     let next = -1;
     for (const [i, row] of endpoints.entries()) {
@@ -69,13 +69,13 @@
       const score = -(weights[i] ?? LAST_RESORT) / Math.log(draw);
       if (score <= next || !ask.usable(row)) continue;
       if (score > highest) {
-        [second, next] = [home, highest];
-        [home, highest] = [row, score];
+        [secondary, next] = [primary, highest];
+        [primary, highest] = [row, score];
       } else {
-        [second, next] = [row, score];
+        [secondary, next] = [row, score];
       }
     }
-    return { home, second };
+    return { primary, secondary };
   }
 
   #weightsOf(endpoints: readonly EndpointRow[], ask: ObjectAsk): Float64Array {
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -22,20 +22,20 @@
   /** How long a request of the service usually takes, in milliseconds. */
   readonly usualMs: number;
   /**
-   * Whether an endpoint can be used now. Those that cannot keep their objects:
-   * where an object is at home must not change with every failure.
+   * Whether an endpoint can be used now. Others keep their affinity keys: a
+   * key's primary must not change with each failure.
    */
   readonly usable: (row: EndpointRow) => boolean;
 }
 
-/** What came of a placement. */
+/** Outcome of a placement. */
 export type Placed =
   | { readonly endpoint: EndpointRow; readonly why: PlacedBy }
   /** No endpoint can take the request in time. */
   | { readonly endpoint: undefined; readonly waitMs: number };
 
 /** Why an endpoint was chosen. */
-export type PlacedBy = "home" | "queue" | "spill" | "load";
+export type PlacedBy = "primary" | "queue" | "overflow" | "least-loaded";
 
 /**
  * Chooses among the endpoints of a service that are there. Sees no network and
--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -13,7 +13,7 @@
   type RateUse,
   type Reporter,
 } from "./fleet_demand.ts";
-import { DIRECT_LAG_MS } from "./news_lag.ts";
+import { DIRECT_GOSSIP_DELAY_MS } from "./gossip_delay.ts";
 import {
   NO_WINDOW,
   type RateLimit,
@@ -61,7 +61,7 @@
   /** Instances that may spend, this one included. */
   readonly fleetSize: () => number;
   /** How old what the others told may be, in milliseconds. */
-  readonly lagMs?: () => number;
+  readonly gossipDelayMs?: () => number;
   /** How rates are judged, if by a window. */
   readonly window?: RateWindow;
 }
@@ -72,7 +72,7 @@
   readonly demand: FleetDemand;
   readonly #rows = new Map<AccountId, Row>();
   readonly #fleetSize: () => number;
-  readonly #lagMs: () => number;
+  readonly #gossipDelayMs: () => number;
   readonly #window: RateWindow;
   /** Others that told since all of them last had. */
   readonly #heard = new Set<InstanceId>();
@@ -83,7 +83,7 @@
   constructor(own: InstanceId, opts: AccountQuotasOptions) {
     this.demand = new FleetDemand(own, opts.fleetSize);
     this.#fleetSize = opts.fleetSize;
-    this.#lagMs = opts.lagMs ?? (() => DIRECT_LAG_MS);
+    this.#gossipDelayMs = opts.gossipDelayMs ?? (() => DIRECT_GOSSIP_DELAY_MS);
     this.#window = opts.window ?? NO_WINDOW;
   }
 
@@ -240,7 +240,7 @@
       reserved: this.demand.shares.reserved(id),
       allKnown: this.demand.shares.allKnown,
       othersPerS: this.demand.shares.othersPerS(id),
-      lagMs: this.#lagMs(),
+      gossipDelayMs: this.#gossipDelayMs(),
     };
   }
 }
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -18,7 +18,7 @@
   /** Requests a second that the others were asked for, as they last told. */
   readonly othersPerS: number;
   /** How old what the others told may be, in milliseconds. */
-  readonly lagMs: number;
+  readonly gossipDelayMs: number;
   /**
    * Tokens that this instance may spend beyond its own while the fleet has
    * some, until the others have told what they spent.
@@ -227,6 +227,6 @@
 }
 
 /** What the others may have admitted since they last told. */
-function unheard({ othersPerS, ratePerS, lagMs }: FleetRate): number {
-  return Math.min(othersPerS, ratePerS) * lagMs / MS_PER_S;
+function unheard({ othersPerS, ratePerS, gossipDelayMs }: FleetRate): number {
+  return Math.min(othersPerS, ratePerS) * gossipDelayMs / MS_PER_S;
 }
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -9,6 +9,6 @@
 export * from "./demand_shares.ts";
 export * from "./fleet_bucket.ts";
 export * from "./fleet_demand.ts";
-export * from "./news_lag.ts";
+export * from "./gossip_delay.ts";
 export * from "./rate_limit.ts";
 export * from "./window_count.ts";
--- a/src/decisions/quotas/testing/quota_fleet.ts
+++ b/src/decisions/quotas/testing/quota_fleet.ts
@@ -12,9 +12,9 @@
 import type { Account } from "../../../traffic/mod.ts";
 import {
   AccountQuotas,
-  BY_ZONE_LAG_MS,
-  DIRECT_LAG_MS,
+  DIRECT_GOSSIP_DELAY_MS,
   type RateWindow,
+  RELAYED_GOSSIP_DELAY_MS,
 } from "../mod.ts";
 import { AdmissionTimes, arrivals } from "./arrivals.ts";
 
@@ -27,7 +27,7 @@
 /** Period of gossip, in milliseconds. */
 const TICK_MS = 250;
 /** Delay of gossip, in milliseconds: direct, and by zone. */
-const LAG_MS = 15;
+const GOSSIP_DELAY_MS = 15;
 export const ZONE_MAIL_MS = 400;
 const STEP_MS = 5;
 /** When an instance's share is set aside that is not heard, in ms. */
@@ -59,16 +59,21 @@
 export class QuotaFleet {
   readonly members: QuotaMember[];
   readonly #account: Account;
-  readonly #lagMs: number;
+  readonly #gossipDelayMs: number;
   readonly #random: SeededRandom;
   readonly #admitted = new AdmissionTimes();
   readonly #mail: { at: number; run: () => void }[] = [];
   asked = 0;
   now = 0;
 
-  constructor(size: number, subject: Account, seed = 1, lagMs = LAG_MS) {
+  constructor(
+    size: number,
+    subject: Account,
+    seed = 1,
+    gossipDelayMs = GOSSIP_DELAY_MS,
+  ) {
     this.#account = subject;
-    this.#lagMs = lagMs;
+    this.#gossipDelayMs = gossipDelayMs;
     this.#random = new SeededRandom(seed);
     this.members = Array.from({ length: size }, (_, i) => ({
       id: `i${i}` as InstanceId,
@@ -82,7 +87,10 @@
   #fresh(id: string, size: number): AccountQuotas {
     const quotas = new AccountQuotas(id as InstanceId, {
       fleetSize: () => size,
-      lagMs: () => this.#lagMs === LAG_MS ? DIRECT_LAG_MS : BY_ZONE_LAG_MS,
+      gossipDelayMs: () =>
+        this.#gossipDelayMs === GOSSIP_DELAY_MS
+          ? DIRECT_GOSSIP_DELAY_MS
+          : RELAYED_GOSSIP_DELAY_MS,
       window: WINDOW,
     });
     quotas.adopt([this.#account], this.now);
@@ -151,7 +159,7 @@
     for (const other of this.members) {
       if (other === member || other.cut) continue;
       this.#mail.push({
-        at: this.now + this.#lagMs,
+        at: this.now + this.#gossipDelayMs,
         run: () => other.quotas.reported(from, uses, this.now),
       });
     }
--- a/src/decisions/starting/start_gate.ts
+++ b/src/decisions/starting/start_gate.ts
@@ -17,14 +17,14 @@
 /** The longest wait, in milliseconds: a listing from the farthest region. */
 const LONGEST_WAIT_MS = 500;
 /** Part of the time a caller has that may pass with waiting. */
-const MOST_OF_PATIENCE = 0.25;
+const MAX_TIMEOUT_PART = 0.25;
 /** Requests that may wait at once; each holds its body in memory. */
 const MOST_WAITING = 256;
 
 /** A request that came early. */
 export interface EarlyRequest {
   /** How long its caller waits, in milliseconds. */
-  readonly patienceMs: number;
+  readonly clientTimeoutMs: number;
   /** Ends when the caller has gone. */
   readonly signal: CancelSignal;
 }
@@ -60,10 +60,10 @@
    *
    * @example
    * ```ts
-   * if (!gate.isOpen) await gate.pass({ patienceMs: 2_000, signal });
+   * if (!gate.isOpen) await gate.pass({ clientTimeoutMs: 2_000, signal });
    * ```
    */
-  pass({ patienceMs, signal }: EarlyRequest): Promise<void> {
+  pass({ clientTimeoutMs, signal }: EarlyRequest): Promise<void> {
     const full = this.#waiting.size >= MOST_WAITING;
     if (this.#isOpen || full || signal.aborted) return Promise.resolve();
     return new Promise((resolve) => {
@@ -73,7 +73,10 @@
         this.#waiting.delete(go);
         resolve();
       };
-      const waitMs = Math.min(LONGEST_WAIT_MS, patienceMs * MOST_OF_PATIENCE);
+      const waitMs = Math.min(
+        LONGEST_WAIT_MS,
+        clientTimeoutMs * MAX_TIMEOUT_PART,
+      );
       const timer = this.#clock.after(waitMs, go);
       signal.addEventListener("abort", go, { once: true });
       this.#waiting.add(go);
--- a/src/decisions/starting/start_gate_test.ts
+++ b/src/decisions/starting/start_gate_test.ts
@@ -3,10 +3,10 @@
 import { StartGate } from "./mod.ts";
 
 /** Lets a caller wait at a gate; tells when it went on. */
-function waits(gate: StartGate, patienceMs: number, left?: AbortSignal) {
+function waits(gate: StartGate, clientTimeoutMs: number, left?: AbortSignal) {
   const waiter = { passed: false };
   const signal = left ?? new AbortController().signal;
-  void gate.pass({ patienceMs, signal }).then(() => waiter.passed = true);
+  void gate.pass({ clientTimeoutMs, signal }).then(() => waiter.passed = true);
   return waiter;
 }
 
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -13,7 +13,7 @@
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
 /** Client timeout assumed when a request carries none, in milliseconds. */
-const DEFAULT_PATIENCE_MS = 30_000;
+const DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
 /**
  * How long before the caller's deadline this instance answers, in milliseconds:
  * about the way back to the caller. Later, the answer meets a caller that left.
@@ -101,12 +101,12 @@
 }
 
 /** How long a request's caller waits from its arrival on, in milliseconds. */
-export function patienceOf({ fields }: CallerRequest): number {
-  return fields.patienceMs ?? DEFAULT_PATIENCE_MS;
+export function clientTimeoutOf({ fields }: CallerRequest): number {
+  return fields.clientTimeoutMs ?? DEFAULT_CLIENT_TIMEOUT_MS;
 }
 
 function deadlineOf(req: CallerRequest, route: Route): number {
-  const patienceMs = Math.min(patienceOf(req), route.timeoutMs);
-  const leftMs = patienceMs - ANSWER_MARGIN_MS;
+  const clientTimeoutMs = Math.min(clientTimeoutOf(req), route.timeoutMs);
+  const leftMs = clientTimeoutMs - ANSWER_MARGIN_MS;
   return req.arrivedAt + leftMs;
 }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -128,13 +128,13 @@
     const fleetSize = () => this.#member.fleetSize;
     this.#quotas = new AccountQuotas(cfg.instance.id, {
       fleetSize,
-      lagMs: () => this.#member.lagMs,
+      gossipDelayMs: () => this.#member.gossipDelayMs,
       window: cfg.rates,
     });
     this.#limits = new EndpointLimits({
       own: cfg.instance.id,
       demand: this.#quotas.demand,
-      lagMs: () => this.#member.lagMs,
+      gossipDelayMs: () => this.#member.gossipDelayMs,
       clock,
       log,
       metrics: opts.metrics,
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -153,21 +153,25 @@
     }
     switch (result.kind) {
       case "answer":
-        this.#outliers.heard(row, result.status < 500 ? "good" : "failed", now);
+        this.#outliers.record(
+          row,
+          result.status < 500 ? "good" : "failed",
+          now,
+        );
         if (result.status < 500) this.#latency.add(row.record.service, tookMs);
         return;
       case "not-run":
         // Another endpoint has the address: this one is gone, whatever the
         // registry says yet.
         if (result.moved) this.#opts.state.endpoints.remove(row.id);
-        else this.#outliers.heard(row, "shed", now);
+        else this.#outliers.record(row, "shed", now);
         return;
       case "unsent":
-        this.#outliers.heard(row, "unreachable", now);
+        this.#outliers.record(row, "unreachable", now);
         this.#coldAfterOutage(row, now);
         return;
       case "unknown":
-        this.#outliers.heard(row, "failed", now);
+        this.#outliers.record(row, "failed", now);
         return;
       case "cancelled":
         return;
--- a/src/edge/endpoint_limits.ts
+++ b/src/edge/endpoint_limits.ts
@@ -16,7 +16,7 @@
   LimitRegister,
 } from "../decisions/endpoint_limits/mod.ts";
 import type { FleetDemand, RatedId, RateUse } from "../decisions/quotas/mod.ts";
-import type { GroupNews, ObservedLimits } from "../fleet/mod.ts";
+import type { GroupReport, ObservedLimits } from "../fleet/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import type { AnswerLimit } from "./request_codec.ts";
 
@@ -27,7 +27,7 @@
   /** The fleet's demand, which counts that for endpoints too. */
   readonly demand: FleetDemand;
   /** How old what peers report may be, in milliseconds. */
-  readonly lagMs: () => number;
+  readonly gossipDelayMs: () => number;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -80,7 +80,7 @@
   }
 
   /** Takes in what another instance, or several as one, report. */
-  reported(news: GroupNews, now: number): void {
+  reported(news: GroupReport, now: number): void {
     const { group, limits, uses } = news;
     this.#sends.reported({ ...news, instance: group }, uses, now);
     for (const [id, limit] of limits) {
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, InstanceId, Log } from "../core/mod.ts";
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
-import type { FleetEvents, GroupNews, Roles } from "../fleet/mod.ts";
+import type { FleetEvents, GroupReport, Roles } from "../fleet/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { ExpiryGuard } from "./expiry_guard.ts";
@@ -34,7 +34,7 @@
     this.#opts = opts;
   }
 
-  reported(news: GroupNews, now: number): void {
+  reported(news: GroupReport, now: number): void {
     const { quotas, limits, expiry, peerLoad, watchers } = this.#opts;
     const { group: instance, uses, inFlight } = news;
     quotas.reported({ ...news, instance }, uses, now);
--- a/src/edge/request_codec.ts
+++ b/src/edge/request_codec.ts
@@ -21,7 +21,7 @@
   readonly key: string | undefined;
   readonly affinityKey: string | undefined;
   /** How long the caller waits, in milliseconds. */
-  readonly patienceMs: number | undefined;
+  readonly clientTimeoutMs: number | undefined;
 }
 
 /** What this instance sets on a request that it sends to an endpoint. */
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -12,7 +12,7 @@
 import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import type { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
-import { type Admission, patienceOf } from "./admission.ts";
+import { type Admission, clientTimeoutOf } from "./admission.ts";
 import type { EndpointChooser } from "./endpoint_chooser.ts";
 import type { EndpointSender, Sending, SendResult } from "./endpoint_sender.ts";
 import type { AccessLog } from "./access_log.ts";
@@ -61,7 +61,10 @@
   async handle(req: CallerRequest): Promise<FlowAnswer> {
     const { gate, admission, retries, clock } = this.#opts;
     if (!gate.isOpen) {
-      await gate.pass({ patienceMs: patienceOf(req), signal: req.signal });
+      await gate.pass({
+        clientTimeoutMs: clientTimeoutOf(req),
+        signal: req.signal,
+      });
     }
     if (req.signal.aborted) return { kind: "gone" };
     const admitted = admission.admit(req);
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -66,7 +66,7 @@
     const limits = new EndpointLimits({
       own: "i1" as InstanceId,
       demand: quotas.demand,
-      lagMs: () => 0,
+      gossipDelayMs: () => 0,
       clock,
       log: new SilentLog(),
       metrics: new MemoryMetrics(),
@@ -127,7 +127,7 @@
         path: "/p/1",
         key: "k",
         affinityKey: "o1",
-        patienceMs: 1_000,
+        clientTimeoutMs: 1_000,
         ...fields,
       },
       body: undefined,
@@ -319,7 +319,7 @@
 test("an endpoint is told the time that is left, by caller and route", async (t) => {
   // An endpoint that is told more works on for a caller that has left.
   const path = new Path({ plan: { routes: [route({ timeoutMs: 400 })] } });
-  await path.ask({ patienceMs: 1_000 });
+  await path.ask({ clientTimeoutMs: 1_000 });
   const headers = path.sender.sent[0]?.req.headers ?? [];
   const left = Number(headers[headers.indexOf("left") + 1]);
   t.true(left <= 400 && left > 300, String(left));
@@ -329,7 +329,7 @@
   // An endpoint stays silent. The caller is told that the outcome is unknown,
   // before it stops listening.
   const path = new Path({ sender: new ScriptedSender("silence") });
-  const answer = path.ask({ patienceMs: 1_000 });
+  const answer = path.ask({ clientTimeoutMs: 1_000 });
   path.clock.advance(1_000);
   t.is(outcomeOf(await answer), "deadline_exceeded unknown");
   t.true(path.sender.sent[0]?.cancelled);
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -26,7 +26,7 @@
       path: url,
       key: headerOf(headers, "key"),
       affinityKey: headerOf(headers, "object"),
-      patienceMs: patience === undefined ? undefined : Number(patience),
+      clientTimeoutMs: patience === undefined ? undefined : Number(patience),
     };
   }
 
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -12,7 +12,7 @@
 import type { ObservedLimits } from "./limit_rows.ts";
 
 /** What an instance, a zone or the rest of the fleet reported. */
-export interface GroupNews extends
+export interface GroupReport extends
   Pick<
     Digest,
     "start" | "storeInTouch" | "changes" | "uses" | "inFlight"
@@ -29,7 +29,7 @@
 
 /** Takes in what groups report, and which of them become unreachable. */
 export interface GroupEvents {
-  reported(news: GroupNews, now: number): void;
+  reported(news: GroupReport, now: number): void;
   /** A group was not heard lately; it may be cut off. */
   suspect(group: InstanceId): void;
   /** A group is heard no more. */
@@ -48,7 +48,7 @@
 const STALE_AFTER_MS = 3_000;
 
 interface DirectGroup {
-  readonly news: GroupNews;
+  readonly news: GroupReport;
   readonly at: number;
   suspect: boolean;
 }
@@ -69,7 +69,7 @@
   }
 
   /** A group was heard itself. */
-  reported(news: GroupNews, now: number): void {
+  reported(news: GroupReport, now: number): void {
     this.#direct.set(news.group, { news, at: now, suspect: false });
     if (!this.#relayed) this.#events.reported(news, now);
   }
@@ -90,7 +90,7 @@
   }
 
   /** The relay reported the rest of the fleet. */
-  onAggregate(news: GroupNews, now: number): void {
+  onAggregate(news: GroupReport, now: number): void {
     if (!this.#relayed) {
       for (const group of this.#direct.keys()) this.#events.removed(group);
       this.#relayed = true;
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -18,8 +18,8 @@
   type ZoneId,
 } from "../core/mod.ts";
 import {
-  BY_ZONE_LAG_MS,
-  DIRECT_LAG_MS,
+  DIRECT_GOSSIP_DELAY_MS,
+  RELAYED_GOSSIP_DELAY_MS,
   type Reservation,
 } from "../decisions/quotas/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
@@ -174,8 +174,10 @@
   }
 
   /** How old what is known of the others may be, in milliseconds. */
-  get lagMs(): number {
-    return this.#peers.isMesh ? DIRECT_LAG_MS : BY_ZONE_LAG_MS;
+  get gossipDelayMs(): number {
+    return this.#peers.isMesh
+      ? DIRECT_GOSSIP_DELAY_MS
+      : RELAYED_GOSSIP_DELAY_MS;
   }
 
   /** Whether one that asks the store for this one too is answered. */
--- a/src/fleet/group_sums.ts
+++ b/src/fleet/group_sums.ts
@@ -6,14 +6,14 @@
  */
 import type { EndpointId, InstanceId } from "../core/mod.ts";
 import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
-import type { GroupNews } from "./fleet_feed.ts";
+import type { GroupReport } from "./fleet_feed.ts";
 import type { Report } from "./report_rows.ts";
 
 /** Uses of accounts and requests in flight, of an instance or of several. */
 export type Sums = Pick<Report, "uses" | "inFlight">;
 
 interface Group {
-  readonly news: GroupNews;
+  readonly news: GroupReport;
   readonly suspect: boolean;
   /** Requests admitted since the start, accounts out of use included. */
   readonly admitted: Map<RatedId, number>;
@@ -33,7 +33,7 @@
   readonly #own = new Map<RatedId, number>();
 
   /** The last news of the groups that are not suspect. */
-  get heard(): readonly GroupNews[] {
+  get heard(): readonly GroupReport[] {
     return [...this.#groups.values()]
       .filter(({ suspect }) => !suspect).map(({ news }) => news);
   }
@@ -43,7 +43,7 @@
    *
    * @param opts Whether all that the group admitted was admitted just now.
    */
-  report(news: GroupNews, { fresh }: { readonly fresh: boolean }): void {
+  report(news: GroupReport, { fresh }: { readonly fresh: boolean }): void {
     const before = this.#groups.get(news.group);
     const counted = before?.suspect === false ? before : undefined;
     const same = counted?.news.start === news.start;
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -8,7 +8,7 @@
 import type { RatedId, RateUse } from "../decisions/quotas/mod.ts";
 import type { Digest } from "./digest.ts";
 import type { FleetAggregate } from "./fleet_aggregate.ts";
-import { FLEET_GROUP, type FleetFeed, type GroupNews } from "./fleet_feed.ts";
+import { FLEET_GROUP, type FleetFeed, type GroupReport } from "./fleet_feed.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import { observedLimits } from "./limit_rows.ts";
 import {
@@ -127,7 +127,7 @@
     return true;
   }
 
-  #withoutOwn(aggregate: FleetAggregate, now: number): GroupNews {
+  #withoutOwn(aggregate: FleetAggregate, now: number): GroupReport {
     const { relay, start, storeInTouch, changes, reserved } = aggregate;
     const own = this.#ownPart(aggregate);
     // A relay that does not hear this instance any more still has its counts.
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -24,7 +24,7 @@
   type DatagramTransport,
   type FleetEvents,
   FleetMember,
-  type GroupNews,
+  type GroupReport,
   type InstanceProfile,
   type InstanceState,
   NameBook,
@@ -36,7 +36,7 @@
   readonly profile: InstanceProfile;
   readonly capacity: number;
   member: FleetMember;
-  readonly groups: Map<string, GroupNews>;
+  readonly groups: Map<string, GroupReport>;
   readonly relayed: RelayedChanges[];
   /** Groups that became suspect, in order. */
   readonly suspect: string[];
@@ -52,7 +52,7 @@
   take: (bytes: Uint8Array) => void;
   /** Parts that go by what is told; none by default. */
   takes?: {
-    readonly reported: (news: GroupNews, now: number) => void;
+    readonly reported: (news: GroupReport, now: number) => void;
     readonly suspect?: (group: InstanceId) => void;
     readonly removed?: (group: InstanceId) => void;
     readonly report: (now: number) => Map<RatedId, RateUse>;
@@ -68,7 +68,7 @@
     this.#entry = entry;
   }
 
-  reported(news: GroupNews, now: number): void {
+  reported(news: GroupReport, now: number): void {
     this.#entry.groups.set(news.group, news);
     this.#entry.takes?.reported(news, now);
   }
--- a/src/fleet/testing/rated_fleet.ts
+++ b/src/fleet/testing/rated_fleet.ts
@@ -120,7 +120,7 @@
   #equip(member: TestMember): void {
     const quotas = new AccountQuotas(member.profile.id, {
       fleetSize: () => member.member.fleetSize,
-      lagMs: () => member.member.lagMs,
+      gossipDelayMs: () => member.member.gossipDelayMs,
       window: WINDOW,
     });
     quotas.adopt([this.account], this.#fleet.clock.now());
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -26,7 +26,7 @@
   encodeAggregate,
   type FleetAggregate,
 } from "./fleet_aggregate.ts";
-import type { GroupNews } from "./fleet_feed.ts";
+import type { GroupReport } from "./fleet_feed.ts";
 import { GroupSums } from "./group_sums.ts";
 import type { InstanceProfile } from "./instance_profile.ts";
 import { agedLimits, newestLimits, observedLimits } from "./limit_rows.ts";
@@ -72,14 +72,14 @@
   }
 
   /** An instance of the zone reported. */
-  reportPeer(news: GroupNews, seq: number): void {
+  reportPeer(news: GroupReport, seq: number): void {
     const fresh = seq < INTRODUCED_FIRST;
     this.#newcomer ||= fresh;
     this.#zonePeers.report(news, { fresh });
   }
 
   /** Another zone reported. */
-  reportZone(news: GroupNews): void {
+  reportZone(news: GroupReport): void {
     this.#otherZones.report(news, { fresh: false });
   }
 
--- a/src/telemetry/text_metrics.ts
+++ b/src/telemetry/text_metrics.ts
@@ -8,7 +8,7 @@
 
 /**
  * Upper bounds of the latency histograms, in milliseconds: from a refusal on
- * the spot to a caller's patience.
+ * the spot to a client's timeout.
  */
 const LATENCY_BOUNDS_MS = [
   1,
--- a/tools/process_soak/soak_callers.ts
+++ b/tools/process_soak/soak_callers.ts
@@ -12,7 +12,7 @@
 
 const CALLERS = 12;
 const BETWEEN_REQUESTS_MS = 15;
-const PATIENCE_MS = 2_000;
+const CLIENT_TIMEOUT_MS = 2_000;
 const OBJECTS = 40;
 /** How often a caller goes to another instance without a reason. */
 const MOVE_CHANCE = 0.05;
@@ -116,7 +116,7 @@
       key: account.keys[random.below(account.keys.length)] ?? "",
       object: String(random.below(OBJECTS)),
       idempotent,
-      patienceMs: PATIENCE_MS,
+      clientTimeoutMs: CLIENT_TIMEOUT_MS,
       account: account.id,
       instance: instance.opts.id,
       life: instance.life,
--- a/tools/standins/stand_in_world.ts
+++ b/tools/standins/stand_in_world.ts
@@ -140,7 +140,7 @@
       key: `key-${n % ACCOUNTS}`,
       object: `o${n % OBJECTS}`,
       idempotent: n % 3 === 0,
-      patienceMs: 4_000,
+      clientTimeoutMs: 4_000,
     });
     return result.kind === "answer" && result.faithful;
   }
