Say what quotas do in the field's terms

Comments of shares, buckets and quotas: gossip, reports, reserved shares, rebalancing, overdraft and baselines in place of who told whom what.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -23,11 +23,11 @@
 } from "./rate_limit.ts";
 import { ReturnSchedule } from "../limits/return_schedule.ts";
 
-/** The longest that a refused caller is told to stay away, in milliseconds. */
+/** Maximum Retry-After, in milliseconds. */
 const LONGEST_RETRY_MS = 2_000;
 /**
- * Part of the tolerance that instances may spend ahead of their own tokens, all
- * together. The rest is for what is spent while a cut is not noticed.
+ * Part of the tolerance used as overdraft by all instances together. The rest
+ * covers what is spent before a partition is noticed.
  */
 const AHEAD_PART = 0.6;
 const MS_PER_S = 1_000;
@@ -48,10 +48,10 @@
   tolerated: number;
   readonly bucket: FleetBucket;
   readonly returns: ReturnSchedule;
-  /** The rate as worked out last, and in which division of the demand. */
+  /** The rate as computed last, and in which division of the demand. */
   rate: FleetRate | undefined;
   ratedIn: number;
-  /** The tick, and the round of reports, that the bucket was rebalanced in. */
+  /** Tick and round of reports of the last rebalance. */
   balancedIn: number;
   reportedIn: number;
 }
@@ -60,7 +60,7 @@
 export interface AccountQuotasOptions {
   /** Instances that may spend, this one included. */
   readonly fleetSize: () => number;
-  /** How old what the others told may be, in milliseconds. */
+  /** How old peers' reports may be, in milliseconds. */
   readonly gossipDelayMs?: () => number;
   /** How rates are judged, if by a window. */
   readonly window?: RateWindow;
@@ -74,7 +74,7 @@
   readonly #fleetSize: () => number;
   readonly #gossipDelayMs: () => number;
   readonly #window: RateWindow;
-  /** Others that told since all of them last had. */
+  /** Peers that reported in this round. */
   readonly #heard = new Set<InstanceId>();
   #ticks = 0;
   /** Rounds in which all that may spend have reported. */
@@ -87,7 +87,7 @@
     this.#window = opts.window ?? NO_WINDOW;
   }
 
-  /** Takes over the accounts of a plan; the levels of known ones go on. */
+  /** Adopts the accounts of a plan; buckets of known ones are kept. */
   adopt(accounts: readonly Account[], now: number): void {
     const kept = new Set(accounts.map((a) => a.id));
     for (const id of this.#rows.keys()) {
@@ -144,7 +144,7 @@
     return uses;
   }
 
-  /** Takes in what another instance tells, or a zone as one. */
+  /** Applies a report of another instance, or of a zone as one. */
   reported(
     from: Reporter,
     uses: ReadonlyMap<RatedId, RateUse>,
@@ -161,7 +161,7 @@
     }
   }
 
-  /** What is set aside for instances that are not heard, by group. */
+  /** What is reserved for unreachable instances, by group. */
   get reservations(): readonly Reservation[] {
     return this.demand.shares.reservations;
   }
@@ -171,7 +171,7 @@
     this.demand.shares.forget(instance);
   }
 
-  /** An instance is heard no more. */
+  /** An instance is unreachable. */
   unreachable(instance: InstanceId): void {
     this.demand.shares.unreachable(instance);
     for (const { bucket } of this.#rows.values()) bucket.unreachable(instance);
@@ -199,7 +199,7 @@
     };
   }
 
-  /** Whether all that may spend have told since this was last so. */
+  /** Whether all that may spend reported in this round; begins the next. */
   #allReported(): boolean {
     const { allKnown, others } = this.demand.shares;
     if (!allKnown || !others.every((id) => this.#heard.has(id))) return false;
@@ -219,20 +219,20 @@
   }
 
   /**
-   * The rate of a row. Load: each digest that arrives touches every account;
-   * worked out each time, rates took a third of what digests cost.
+   * The rate of a row. Load: each digest touches every account; without the
+   * cache rates are a third of the cost of digests.
    */
   #rate(row: Row): FleetRate {
     const { divisions } = this.demand.shares;
     if (row.rate === undefined || row.ratedIn !== divisions) {
-      row.rate = this.#workOutRate(row);
-      // Working it out may have been what divided the demand first.
+      row.rate = this.#computeRate(row);
+      // Computing it may have divided the demand first.
       row.ratedIn = this.demand.shares.divisions;
     }
     return row.rate;
   }
 
-  #workOutRate({ account: { id }, limit, tolerated }: Row): FleetRate {
+  #computeRate({ account: { id }, limit, tolerated }: Row): FleetRate {
     return {
       ...limit,
       ahead: tolerated * AHEAD_PART / Math.max(1, this.#fleetSize()),
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -1,17 +1,15 @@
 /**
- * Each instance's share of a client account's rate, following demand.
+ * Each instance's share of a rate, in proportion to its demand.
  *
- * The load it answers: callers choose instances, so an account's requests lie
- * unevenly over the fleet and move when instances die or callers move. Equal
- * shares would refuse requests at one instance while the account's rate lies
- * unused at another. Instances tell each other how many requests of each
- * account they were asked for lately; every instance works out every share from
- * the same numbers, so the shares add up to about one without an agreement.
+ * Load: callers choose instances, so an account's requests are spread unevenly
+ * over the fleet and move when instances fail or callers move. With equal shares
+ * one instance refuses requests while the rate is unused at another. Instances
+ * gossip their demand, and each computes all shares from the same numbers, so
+ * they sum to about one without agreement.
  *
- * An instance that becomes unreachable may be alive behind a partition, and
- * spend. So its share stays set aside as it last was, and those that hear each
- * other divide only the rest. One that is cut off from all divides what the
- * others do not hold: its own last share.
+ * An unreachable instance may be alive behind a partition and spending. Its last
+ * share stays reserved, and the reachable instances divide the rest. An instance
+ * that is cut off from all keeps its own last share.
  *
  * @module
  */
@@ -19,49 +17,48 @@
 import type { RatedId } from "./fleet_demand.ts";
 
 /**
- * Part of the rate that is shared equally whatever the demand, so that an
- * instance at which an account turns up for the first time can serve it before
- * the others know.
+ * Part of the rate that is shared equally, so that an instance with new demand
+ * can admit requests before its peers know.
  */
 const EQUAL_PART = 0.2;
 /**
- * Ticks for which divisions are kept. Shares of instances that become
- * unreachable are set aside as they were so long ago, before what cut them off:
- * since then callers may press on those that are heard, and the others' shares
- * would seem to have been small. Both sides would take more than they had.
+ * Ticks for which divisions are kept. The share of an unreachable instance is
+ * reserved as it was so long ago, before the partition: callers may have moved
+ * to the reachable side since, where its share would seem small and be spent a
+ * second time.
  */
 const TICKS_KEPT = 5;
-/** Demand below this is no ground to move shares, in requests a second. */
+/** Demand below which shares stay equal, in requests a second. */
 const LEAST_DEMAND = 0.5;
 
-/** Requests a second by account that an instance was asked for lately. */
+/** Recent requests a second, by account. */
 export type Demand = ReadonlyMap<RatedId, number>;
 
-/** What shares were worked out from at one moment. */
+/** Inputs from which shares are computed. */
 interface Division {
-  /** Requests a second of all instances that are heard, by account. */
+  /** Requests a second of all reachable instances, by account. */
   readonly demand: ReadonlyMap<RatedId, number>;
-  /** The part of the rate that unreachable instances hold, by account. */
+  /** The part of the rate reserved for unreachable instances, by account. */
   readonly reserved: ReadonlyMap<RatedId, number>;
-  /** Silent instances, each of which holds a part of the floor at least; */
+  /** Unreachable instances, each of which holds its equal part at least. */
   readonly unreachable: number;
-  /** Instances that are not unreachable, and how many of them have told. */
+  /** Reachable instances, and how many of them have reported. */
   readonly heard: number;
   readonly reported: number;
 }
 
-interface Told {
+interface ReportedDemand {
   readonly demand: Demand;
-  /** How many instances this is of: one, or those of a zone. */
+  /** Instances that the report covers: one, or those of a zone. */
   readonly instances: number;
 }
 
-/** What is set aside of one group. */
+/** What is reserved for one group. */
 export interface Reservation extends Reserved {
   readonly group: InstanceId;
 }
 
-/** Adds up what is set aside. */
+/** Sums reservations. */
 export function sumOfReserved(parts: Iterable<Reserved>): Reserved {
   const all = [...parts];
   const shares = new Map<RatedId, number>();
@@ -69,13 +66,13 @@
   return { shares, instances: instancesIn(all) };
 }
 
-/** How the rate was divided at one moment, and by what. */
+/** A division and the reports it was computed from. */
 interface Snapshot {
-  readonly reported: ReadonlyMap<InstanceId, Told>;
+  readonly reported: ReadonlyMap<InstanceId, ReportedDemand>;
   readonly division: Division;
 }
 
-/** Parts of rates that instances may be spending which are not heard. */
+/** Parts of rates that unreachable instances may be spending. */
 export interface Reserved {
   readonly shares: ReadonlyMap<RatedId, number>;
   readonly instances: number;
@@ -85,12 +82,12 @@
 export class DemandShares {
   readonly #own: InstanceId;
   readonly #fleetSize: () => number;
-  readonly #reported = new Map<InstanceId, Told>();
-  /** Shares of unreachable instances, as they were when last heard. */
+  readonly #reported = new Map<InstanceId, ReportedDemand>();
+  /** Shares of unreachable instances as of their last report. */
   readonly #reserved = new Map<InstanceId, Reserved>();
-  /** Shares of instances that a group does not hear and stands for. */
+  /** Shares reserved by groups for their own unreachable instances. */
   readonly #reservedBy = new Map<InstanceId, Reserved>();
-  /** Undefined until it is first asked for: the fleet is not there before. */
+  /** Computed on first use: the fleet is not constructed before. */
   #known: Division | undefined;
   /** The oldest first. */
   readonly #snapshots: Snapshot[] = [];
@@ -98,15 +95,15 @@
 
   /**
    * @param own This instance.
-   * @param fleetSize Instances that may spend, this one included, also those
-   * that have not told their demand yet.
+   * @param fleetSize Instances that may spend, this one and those without a
+   * report yet included.
    */
   constructor(own: InstanceId, fleetSize: () => number) {
     this.#own = own;
     this.#fleetSize = fleetSize;
   }
 
-  /** Takes in what an instance, or several as one, were asked for. */
+  /** Applies a report of an instance's or a group's demand. */
   reported(
     instance: InstanceId,
     demand: Demand,
@@ -118,7 +115,7 @@
     this.#reported.set(instance, { demand, instances });
   }
 
-  /** Takes in this instance's own demand and divides anew; run once a tick. */
+  /** Applies this instance's own demand and divides again; run once a tick. */
   tick(demand: Demand): void {
     this.reported(this.#own, demand);
     this.#known = this.#divide();
@@ -130,7 +127,7 @@
     if (this.#snapshots.length > TICKS_KEPT) this.#snapshots.shift();
   }
 
-  /** Sets aside the share of an instance that is not heard any more. */
+  /** Reserves the share of an instance that became unreachable. */
   unreachable(instance: InstanceId): void {
     const reported = this.#reported.get(instance);
     if (reported === undefined || instance === this.#own) return;
@@ -147,7 +144,7 @@
     this.#known = this.#divide();
   }
 
-  /** Leaves out an instance that has ended. */
+  /** Removes an instance that has ended. */
   forget(instance: InstanceId): void {
     if (instance === this.#own) return;
     this.#reported.delete(instance);
@@ -156,7 +153,7 @@
     this.#known = this.#divide();
   }
 
-  /** What is set aside for instances that are not heard, by group. */
+  /** What is reserved for unreachable instances, by group. */
   get reservations(): readonly Reservation[] {
     return [...this.#reserved, ...this.#reservedBy]
       .map(([group, { shares, instances }]) => ({ group, shares, instances }))
@@ -179,36 +176,36 @@
     return this.#divisions;
   }
 
-  /** Whether all that may spend were heard, or their shares are set aside. */
+  /** Whether each instance that may spend reported or has its share reserved. */
   get allKnown(): boolean {
     return this.#division.reported >= this.#division.heard;
   }
 
-  /** Others that are heard, each instance or zone as one. */
+  /** Reachable peers; a zone counts as one. */
   get others(): readonly InstanceId[] {
     return [...this.#reported.keys()].filter((id) => id !== this.#own);
   }
 
   /**
-   * Requests a second of all instances that are heard; those that have not
-   * reported yet are taken to be asked as much as the rest.
+   * Requests a second of all reachable instances; those without a report yet
+   * are assumed to have the mean demand.
    */
   heardPerS(id: RatedId): number {
     return heardPerS(this.#division, id);
   }
 
-  /** Requests a second that this instance was asked for. */
+  /** Requests a second at this instance. */
   ownPerS(id: RatedId): number {
     return this.#reported.get(this.#own)?.demand.get(id) ?? 0;
   }
 
-  /** Requests a second that the others were asked for of an account. */
+  /** Requests a second of an account at the peers. */
   othersPerS(account: RatedId): number {
     const all = this.#division.demand.get(account) ?? 0;
     return Math.max(0, all - this.ownPerS(account));
   }
 
-  /** The part of an account's rate that unreachable instances hold, in [0, 1]. */
+  /** The part of a rate that is reserved for unreachable instances, in [0, 1]. */
   reserved(account: RatedId): number {
     return reservedOf(this.#division, account);
   }
@@ -248,7 +245,7 @@
 }
 
 function shareOf(
-  { demand, instances }: Told,
+  { demand, instances }: ReportedDemand,
   division: Division,
   account: RatedId,
 ): number {
@@ -264,7 +261,7 @@
   return (demand.get(id) ?? 0) * heard / Math.max(1, reported);
 }
 
-/** Silent instances that were not asked for the account hold their floor. */
+/** Unreachable instances without demand keep their equal part. */
 function reservedOf(division: Division, account: RatedId): number {
   const { reserved, unreachable, heard } = division;
   const floor = EQUAL_PART * unreachable / (unreachable + heard);
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -7,21 +7,21 @@
 import type { RateLimit } from "./rate_limit.ts";
 import { WindowCount } from "./window_count.ts";
 
-/** An account's limit, and what of it is this instance's to give. */
+/** An account's limit, and this instance's part in it. */
 export interface FleetRate extends RateLimit {
   /** This instance's share of the rate, in [0, 1]. */
   readonly share: number;
-  /** Part of the rate that instances which are not heard may be spending. */
+  /** Part of the rate that unreachable instances may be spending. */
   readonly reserved: number;
-  /** Whether all that may spend are heard, or their shares are set aside. */
+  /** Whether each instance that may spend reported or has its share reserved. */
   readonly allKnown: boolean;
-  /** Requests a second that the others were asked for, as they last told. */
+  /** Requests a second at the peers, as last reported. */
   readonly othersPerS: number;
-  /** How old what the others told may be, in milliseconds. */
+  /** How old peers' reports may be, in milliseconds. */
   readonly gossipDelayMs: number;
   /**
-   * Tokens that this instance may spend beyond its own while the fleet has
-   * some, until the others have told what they spent.
+   * Overdraft: tokens that this instance may spend beyond its own while the
+   * fleet has some, until all peers have reported.
    */
   readonly ahead: number;
 }
@@ -29,11 +29,11 @@
 /** What an instance has admitted of an account. */
 export interface Admitted {
   readonly instance: InstanceId;
-  /** Names the instance's start: counts begin anew with it. */
+  /** Identifies the instance's start: counts restart with it. */
   readonly start: string;
   /** Requests admitted since that start. */
   readonly admitted: number;
-  /** The fleet's level as that instance knows it, in tokens. */
+  /** The fleet's remaining tokens as that instance knows them. */
   readonly level: number;
 }
 
@@ -43,31 +43,28 @@
  */
 const LEAST_TOKENS = 1;
 /**
- * What an instance can save up of a small burst, as a part of what it may spend
- * ahead: with a single token at each of a dozen instances, one at an instance
- * without requests is lost.
+ * What an instance can save of a small burst, as a part of its overdraft: a
+ * single token at an instance without requests would be lost.
  */
 const SAVED_AHEAD = 0.5;
 /**
- * How long an instance that begins was surely not there, in milliseconds: from
- * its end to its listening again. What came in meanwhile is at hand, whatever
- * was spent before.
+ * The shortest downtime of a restart, in milliseconds. Tokens of that time are
+ * available at the start, whatever was spent before.
  */
 const DOWN_MS = 500;
 const MS_PER_S = 1_000;
 
 /**
- * Knows two things: the fleet's level, from what every instance says it has
- * admitted, and this instance's own tokens, which are all that it spends but
- * for a few ahead.
+ * Keeps the fleet's remaining tokens, from what all instances report as
+ * admitted, and this instance's own tokens, which it spends besides a small
+ * overdraft.
  *
- * Its own tokens arrive by its share of the rate, so their sum over the fleet
- * is the rate, whoever is in touch with whom. Each tick they are brought to its
- * share of the fleet's level: without that, an account with a small burst would
- * be refused at one instance while its tokens lie unused at eleven others.
+ * Own tokens are refilled at this instance's share of the rate, so they sum to
+ * the rate over the fleet, also under partitions. Each tick they are rebalanced
+ * to its share of the fleet's remaining tokens: otherwise an account with a
+ * small burst is refused at one instance while its tokens are unused elsewhere.
  *
- * The level is what the bucket holds, and never more than what the window has
- * left.
+ * Remaining tokens never exceed what the window has left.
  */
 export class FleetBucket {
   #saved: number;
@@ -76,12 +73,12 @@
   readonly #startedAt: number;
   #filledAt: number;
   #admitted = 0;
-  /** Spent beyond its own tokens since all others have told. */
+  /** Overdraft since all peers last reported. */
   #ahead = 0;
   #window: WindowCount | undefined;
   readonly #reported = new Map<InstanceId, Admitted>();
 
-  /** What the account spent before is not known: all it may have spent. */
+  /** What was spent before is unknown, so the full rate is assumed. */
   constructor(now: number) {
     this.#saved = 0;
     this.#startedAt = now;
@@ -93,7 +90,7 @@
     return this.#admitted;
   }
 
-  /** Tokens of the fleet as far as known; below zero after overspending. */
+  /** Remaining tokens of the fleet; below zero after overspending. */
   level(rate: FleetRate, now: number): number {
     this.#fill(rate, now);
     return this.#level(rate, now);
@@ -103,7 +100,7 @@
   take(rate: FleetRate, now: number): boolean {
     this.#fill(rate, now);
     if (this.#tokens >= 1) this.#tokens--;
-    else if (this.#mayRunAhead(rate, now)) this.#ahead++;
+    else if (this.#mayOverdraw(rate, now)) this.#ahead++;
     else return false;
     this.#spend(1, now);
     this.#admitted++;
@@ -116,7 +113,7 @@
     return perMs <= 0 ? Infinity : Math.max(0, 1 - this.#tokens) / perMs;
   }
 
-  /** Takes in what another instance has admitted. */
+  /** Applies a peer's report of what it has admitted. */
   hear(news: Admitted, rate: FleetRate, now: number): void {
     this.#fill(rate, now);
     const before = this.#reported.get(news.instance);
@@ -132,34 +129,34 @@
   }
 
   /**
-   * An instance is heard no more. What it spends from now on is in the reserved
-   * part of the rate, so its next count is a new beginning.
+   * A peer is unreachable. What it spends from now on is in the reserved part of
+   * the rate, so its next report is a new baseline.
    */
   unreachable(instance: InstanceId): void {
     this.#reported.delete(instance);
   }
 
   /**
-   * Brings this instance's tokens to its share of the fleet's level.
+   * Rebalances own tokens to this instance's share of the remaining tokens.
    *
-   * @param allTold Whether all others have told since the last time that they
-   * had, so that what was spent ahead is in everybody's level.
+   * @param allReported Whether all peers have reported again, so that everybody
+   * knows of the overdraft.
    */
   rebalance(rate: FleetRate, allReported: boolean, now: number): void {
     if (allReported) this.#ahead = 0;
     const level = this.level(rate, now);
     const heard = heardPart(rate);
-    // Of what those that hear each other may spend, this instance's part.
+    // This instance's part of what the reachable instances may spend.
     const part = heard > 0 ? Math.min(1, rate.share / heard) : 0;
-    // Where some were never heard, the level lacks what they spend.
+    // Without a report of some instance, its spending is missing.
     const surplus = rate.allKnown ? level - unheard(rate) : 0;
     const least = surplus >= 1 ? Math.max(LEAST_TOKENS, surplus * part) : 0;
     const most = Math.max(LEAST_TOKENS, level * part);
     this.#tokens = Math.max(least, Math.min(this.#tokens, most));
   }
 
-  /** The fleet has tokens, though none are here: an account that just came. */
-  #mayRunAhead(rate: FleetRate, now: number): boolean {
+  /** The fleet has tokens though this instance has none, as for new demand. */
+  #mayOverdraw(rate: FleetRate, now: number): boolean {
     if (this.#ahead + 1 > rate.ahead || !this.#isSure(rate, now)) return false;
     return this.level(rate, now) - unheard(rate) >= 1;
   }
@@ -169,7 +166,7 @@
     this.#window?.add(n, now);
   }
 
-  /** One that was there before knows what was spent. */
+  /** A peer that ran before this start knows what was spent. */
   #adoptLevel(level: number, rate: FleetRate, now: number): void {
     const known = Math.min(level, rate.burst);
     this.#saved = Math.max(this.#saved, known);
@@ -180,8 +177,8 @@
   }
 
   /**
-   * Tokens that instances which are not heard may be spending are neither
-   * counted nor kept: of the burst, too, only the rest is at hand here.
+   * Tokens that unreachable instances may be spending are not counted; the same
+   * part of the burst is unavailable.
    */
   #fill(rate: FleetRate, now: number): void {
     this.#followWindow(rate, now);
@@ -191,8 +188,7 @@
     const gained = elapsedS * perS;
     const heard = heardPart(rate);
     this.#saved = Math.min(rate.burst * heard, this.#saved + gained * heard);
-    // After more was spent than there was, nothing is given out until that has
-    // come in again.
+    // After overspending nothing is handed out until the level is positive.
     const given = this.#level(rate, now) > 0 ? gained * rate.share : 0;
     const least = LEAST_TOKENS + rate.ahead * SAVED_AHEAD;
     const cap = Math.max(least, rate.burst * rate.share);
@@ -206,15 +202,14 @@
   }
 
   /**
-   * Whether what the window holds is known. It is not while this instance is
-   * younger than the window, since all others may be as young, nor while some
-   * that may spend were never heard.
+   * Whether the window's contents are known: this instance is older than the
+   * window, and each that may spend has reported.
    */
   #isSure({ windowMs, allKnown }: FleetRate, now: number): boolean {
     return allKnown && now - this.#startedAt >= windowMs;
   }
 
-  /** At the start, all of the window may have been spent before. */
+  /** At the start the whole window may have been spent before. */
   #followWindow({ windowMs, perWindow }: FleetRate, now: number): void {
     if (windowMs <= 0 || this.#window !== undefined) return;
     this.#window = new WindowCount(windowMs, now);
@@ -226,7 +221,7 @@
   return 1 - reserved;
 }
 
-/** What the others may have admitted since they last told. */
+/** What peers may have admitted since their last report. */
 function unheard({ othersPerS, ratePerS, gossipDelayMs }: FleetRate): number {
   return Math.min(othersPerS, ratePerS) * gossipDelayMs / MS_PER_S;
 }
