Say what watchers and roles do in the field's terms

Comments and private names only: watch, relay, resync, election, take-over and hand-over in place of asking, telling, stepping in and giving up.

--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -1,11 +1,10 @@
 /**
- * Roles that one or two instances have for others: the zone's relay, and the
- * watchers of the store.
+ * Election of a zone's relay and of the watchers of the store.
  *
- * Each instance ranks those it hears. Two that hear different ones may hold a
- * role at the same time, which costs messages and does no harm; a role that
- * nobody holds would leave changes unseen, so it is taken as soon as those
- * ranked higher are suspect, and given up only once they hold it.
+ * Each instance ranks the peers that it hears. With different views two may hold
+ * a role, which costs messages only; a role that nobody holds leaves changes
+ * unseen, so an instance takes it once those ranked higher are suspect, and
+ * gives it up only when they hold it.
  *
  * @module
  */
@@ -13,44 +12,38 @@
 import type { Peer } from "./peer_table.ts";
 
 /**
- * Instances beside each other that ask the store. With one, a change that it
- * learns just before it dies is known to none of them until another asks; each
- * further one costs a call for each change.
+ * Watchers of the store a group of peers. A single one may fail with a change
+ * that it has not relayed; each further one costs a call a change.
  */
-const ASKING = 2;
+const WATCHERS = 2;
 /**
- * Instances beside each other that ask the store at most while it answers none
- * of them. Where it turns single instances away, the fifth is hardly luckier
- * than the first four; while it is away for all, each costs two calls a second.
+ * Maximum watchers while the store answers none of them. Where it rejects single
+ * instances a fifth hardly helps; in an outage each costs two calls a second.
  */
-const MOST_ASKING_IN_VAIN = 4;
+const MAX_UNANSWERED_WATCHERS = 4;
 /**
- * How long each further instance waits before it steps in, in milliseconds: one
- * digest and a bit, so that it has heard whether the one before did.
+ * Delay by rank before an instance becomes a watcher, in milliseconds: somewhat
+ * more than a period of gossip, to learn whether the one before did.
  */
-const STEP_IN_MS = 300;
-/** The same where digests come through a relay, in milliseconds. */
-const STEP_IN_RELAYED_MS = 550;
-/** Instances to which a zone reports: its relay and one standing by. */
-const HUBS = 2;
-/**
- * How long each further instance waits for those before it to relay, in
- * milliseconds: until the zone reports to them.
- */
-const RELAY_STEP_IN_MS = 1_000;
-/** How long those before one must be there before it gives a role up, in ms. */
-const GIVE_UP_MS = 2_000;
+const TAKE_OVER_MS = 300;
+/** The same where digests come through a relay. */
+const TAKE_OVER_RELAYED_MS = 550;
+/** Instances to which a zone reports: its relay and a standby. */
+const RELAY_CANDIDATES = 2;
+/** Delay by rank before an instance becomes the relay, in milliseconds. */
+const RELAY_TAKE_OVER_MS = 1_000;
+/** How long higher ranked peers must be alive before a role is given up, in ms. */
+const HAND_OVER_MS = 2_000;
 
 /**
- * How long an instance that starts waits for the others' word before it asks
- * the store, in milliseconds: a few digests. All instances start at the same
- * moment, and so do the endpoints; asking at once, each of 80 was woken by each
- * registration, which was two thirds of a day's calls.
+ * How long a starting instance waits for digests before it watches the store,
+ * in milliseconds. Load: endpoints register while all instances start, and each
+ * registration would end the watch of every instance.
  */
 const LISTEN_FIRST_MS = 700;
 /**
- * The same at the fleet's first start, in milliseconds: until zones have found
- * their relays. Later starts must see drains soon.
+ * The same at the fleet's first start: until zones have elected their relays.
+ * Later starts must see drains soon.
  */
 const LISTEN_FIRST_START_MS = 1_500;
 
@@ -120,7 +113,7 @@
   /** The zone's relay and the one standing by; this one may be among them. */
   relayCandidates(zonePeers: readonly Peer[]): readonly InstanceId[] {
     const ranked = [this.#own, ...present(zonePeers).map(rankedOf)].sort(order);
-    return ranked.slice(0, HUBS).map(({ id }) => id);
+    return ranked.slice(0, RELAY_CANDIDATES).map(({ id }) => id);
   }
 
   /** A relay steps down once one ranked higher relays, and not before. */
@@ -134,7 +127,7 @@
     }
     this.#unrelayedSince ??= now;
     if (this.#isRelay) return true;
-    const turnMs = before.length * RELAY_STEP_IN_MS;
+    const turnMs = before.length * RELAY_TAKE_OVER_MS;
     return warm && now - this.#unrelayedSince >= turnMs;
   }
 
@@ -144,17 +137,17 @@
   ): boolean {
     const asking = before.filter((m) => m.isStoreWatcher);
     const inTouch = asking.filter((m) => m.storeInTouch);
-    if (inTouch.length >= ASKING) {
+    if (inTouch.length >= WATCHERS) {
       this.#shortSince = undefined;
       this.#enoughSince ??= now;
-      return this.#watches && now - this.#enoughSince < GIVE_UP_MS;
+      return this.#watches && now - this.#enoughSince < HAND_OVER_MS;
     }
     this.#enoughSince = undefined;
     this.#shortSince ??= now;
-    if (this.#watches || before.length < ASKING) return true;
-    if (asking.length >= MOST_ASKING_IN_VAIN) return false;
-    const stepMs = relayed ? STEP_IN_RELAYED_MS : STEP_IN_MS;
-    const turnMs = (before.length - ASKING + 1) * stepMs;
+    if (this.#watches || before.length < WATCHERS) return true;
+    if (asking.length >= MAX_UNANSWERED_WATCHERS) return false;
+    const stepMs = relayed ? TAKE_OVER_RELAYED_MS : TAKE_OVER_MS;
+    const turnMs = (before.length - WATCHERS + 1) * stepMs;
     return now - this.#shortSince >= turnMs;
   }
 
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -1,18 +1,16 @@
 /**
- * Keeps up with one kind of object in the store: reads all of it once, then
- * either asks the store for changes, one waiting call after another, or is told
- * them by instances that do.
+ * Watches one kind of object: lists it once, then follows changes either by
+ * watching the store or from peers that do.
  *
- * The load it answers: every call to the store has a price and counts against a
- * rate that all instances share, and a change wakes every waiting call. With 80
- * instances that all wait, one endpoint's report costs 80 calls. So a few
- * instances of each zone ask, and pass on what they are told.
+ * Load: each call to the store counts against a rate shared by all instances,
+ * and a change ends every waiting call: with 80 watchers one endpoint's report
+ * costs 80 calls. So a few instances of each zone watch the store and relay
+ * changes.
  *
- * What goes wrong otherwise: an instance that is told by others misses a change
- * when a message is lost, or when those that ask are cut off from the store
- * without noticing. Then an endpoint that left gets requests. So instances tell
- * each other the revision of the last change that they know of, and whoever
- * knows less fetches what it lacks.
+ * A relayed change is lost with its datagram, or while the watchers are cut off
+ * from the store without noticing, and an endpoint that left would get requests.
+ * So instances gossip the revision of their last change, and resync when they
+ * are behind.
  *
  * @module
  */
@@ -33,27 +31,23 @@
 import type { RelayedChanges, RelayedSnapshot } from "./relayed.ts";
 
 /**
- * How long a call waits for a change, in milliseconds. Connections may go
- * silent for good, which shows only when a call that should have ended has not:
- * so this bounds how long a drain or a new plan can go unseen after that.
+ * Timeout of a waiting watch, in milliseconds. A half-open connection shows only
+ * when a call is overdue, so this bounds how long a drain or plan is missed.
  */
 const WAIT_MS = 3_000;
-/**
- * How long a call waits while the store is away, in milliseconds: whether it is
- * back shows with the answer, and until then drains go unseen.
- */
+/** Timeout of a watch while the store is unavailable, in milliseconds. */
 const LOST_WAIT_MS = 100;
-/** How long after a failure the next call comes, in milliseconds. */
+/** Backoff after the first failure, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 /**
- * The longest pause: when the store is back, a drain is to be in force within
- * two seconds, and each call costs.
+ * Maximum backoff, in milliseconds: a drain has to be in force within two
+ * seconds of the store's return.
  */
 const LONGEST_PAUSE_MS = 600;
-/** A call that asks only for what has changed by now waits so long, in ms. */
+/** Timeout of a call that reads only what has changed already, in ms. */
 const NO_WAIT_MS = 1;
 
-/** How often an instance that waits for others looks for them, in ms. */
+/** How often an instance that waits for its peers looks for them, in ms. */
 const PEER_LOOK_MS = 250;
 
 /** Fetches all objects of a kind from an instance that knows a revision. */
@@ -63,7 +57,7 @@
   signal: AbortSignal,
 ) => Promise<Result<RelayedSnapshot, Failure>>;
 
-/** What a watcher works with. */
+/** Dependencies of a watcher. */
 export interface ResourceWatcherOptions<T> {
   readonly kind: string;
   readonly source: ResourceClient<T>;
@@ -71,7 +65,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
-  /** Told of changes that came from the store, to pass them on. */
+  /** Receives changes from the store, to relay them. */
   readonly relay?: (changes: RelayedChanges) => void;
   readonly fetch?: FetchFromPeer;
   /**
@@ -81,7 +75,7 @@
   readonly peersFirstMs?: number;
 }
 
-/** Follows until closed. */
+/** Watches until closed. */
 export class ResourceWatcher<T> {
   readonly #opts: ResourceWatcherOptions<T>;
   readonly #abort = new AbortController();
@@ -94,10 +88,10 @@
   #revision: number | undefined;
   #everRead = false;
   readonly #pause = new BatchPause();
-  /** How long to wait for more changes before the next call, in ms. */
+  /** Pause before the next watch, to batch changes, in milliseconds. */
   #pauseMs = 0;
-  /** The highest revision at which another instance knows of a change. */
-  #heard = 0;
+  /** The highest revision that a peer has reported. */
+  #reportedRevision = 0;
   #failures = 0;
   #lostAt: number | undefined;
   /** Whether this instance has yet to learn if the store answers it. */
@@ -140,7 +134,7 @@
     if (watches) this.#wake?.();
   }
 
-  /** Takes in what an instance that asks the store passes on. */
+  /** Applies changes that a peer relays. */
   reported(batch: RelayedChanges): void {
     if (this.#revision === undefined || batch.upTo <= this.#revision) return;
     if (batch.changes === undefined || batch.after > this.#revision) {
@@ -159,7 +153,7 @@
 
   /** Another instance knows of a change at a revision. */
   onRevision(revision: number): void {
-    this.#heard = Math.max(this.#heard, revision);
+    this.#reportedRevision = Math.max(this.#reportedRevision, revision);
     if (this.#isBehind()) this.#catchup.behind();
   }
 
@@ -201,7 +195,9 @@
    */
   async #readFromPeer(): Promise<boolean> {
     while (this.#waitsForPeers) {
-      if (this.#heard > 0 && await this.#fetch(this.#heard)) return true;
+      if (
+        this.#reportedRevision > 0 && await this.#fetch(this.#reportedRevision)
+      ) return true;
       await sleep(this.#opts.clock, PEER_LOOK_MS);
       if (this.#abort.signal.aborted) return false;
     }
@@ -269,14 +265,15 @@
   }
 
   #isBehind(): boolean {
-    return this.#revision !== undefined && this.#revision < this.#heard;
+    return this.#revision !== undefined &&
+      this.#revision < this.#reportedRevision;
   }
 
   /** Fetches what others know: from one of them, else from the store. */
   async #catchUp(): Promise<void> {
     const revision = this.#revision;
     if (revision === undefined || !this.#isBehind()) return;
-    if (await this.#fetch(this.#heard)) return;
+    if (await this.#fetch(this.#reportedRevision)) return;
     const { source, sink } = this.#opts;
     const { signal } = this.#abort;
     const seen = await source.watch(revision, NO_WAIT_MS, signal);
