Log peers as unreachable and removed, and roles by their names

Events peer_silent and peer_forgotten become peer_unreachable and peer_removed, the fields of roles_changed relay and storeWatcher.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -129,25 +129,26 @@
     fields: ["heir"],
     help: "At a stop, the ledger went to another instance",
   },
-  peer_forgotten: {
+  peer_removed: {
     namespace: "fleet",
     fields: ["peer"],
-    help: "A silent instance is taken to have ended",
-  },
-  peer_silent: {
-    namespace: "fleet",
-    fields: ["peer"],
-    help: "An instance is not heard; callers are not sent there",
+    help: "An unreachable instance is taken to have ended",
   },
   peer_unavailable: {
     namespace: "peers",
     fields: ["peer"],
     help: "An exchange with another instance failed",
   },
+  peer_unreachable: {
+    namespace: "fleet",
+    fields: ["peer"],
+    help: "An instance is not heard; callers are not sent there",
+  },
   roles_changed: {
     namespace: "fleet",
-    fields: ["speaks", "asksStore"],
-    help: "Whether this instance speaks for its zone and asks the store for it",
+    fields: ["relay", "storeWatcher"],
+    help:
+      "Whether this instance relays for its zone and watches the store for it",
   },
   plan_in_force: {
     namespace: "steering",
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -74,8 +74,8 @@
     this.#roles = { isRelay, isStoreWatcher };
     if (changed) {
       log.event("roles_changed", {
-        speaks: isRelay,
-        asksStore: isStoreWatcher,
+        relay: isRelay,
+        storeWatcher: isStoreWatcher,
       });
     }
     watchers.setWatching(isStoreWatcher);
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -368,13 +368,13 @@
   }
 
   #unreachable(group: InstanceId): void {
-    this.#opts.log.event("peer_silent", { peer: group });
+    this.#opts.log.event("peer_unreachable", { peer: group });
     this.#relay.unreachable(group);
     this.#feed.unreachable(group);
   }
 
   #removed(id: InstanceId): void {
-    this.#opts.log.event("peer_forgotten", { peer: id });
+    this.#opts.log.event("peer_removed", { peer: id });
     this.#forgetGroup(id);
   }
 
