--- a/src/decisions/endpoint_limits/limited_sends.ts
+++ b/src/decisions/endpoint_limits/limited_sends.ts
@@ -1,15 +1,15 @@
 /**
- * Admits requests to endpoints that name a limit.
+ * Rate limiting of requests to endpoints that name a limit for the whole fleet.
  *
- * Load: an endpoint in need is the home of objects that many instances ask for,
- * at several times the rate that it takes. Each instance sends the same part of
- * what it is asked for, limit by demand of the fleet, evenly spaced; so the
- * rate goes where the demand is, at two instances or two hundred, and no
- * instance saves up a share that all could spend at once. Without it each
- * instance keeps the limit alone and the endpoint gets it from all of them.
+ * Load: an endpoint in need is the primary of keys that many instances request,
+ * at several times the rate that it takes. Each instance admits the same part of
+ * its demand, the limit over the fleet's demand, evenly spaced. So the rate
+ * follows the demand at any fleet size, and no instance saves tokens that all
+ * could spend at once. Limited by each instance alone, the endpoint would get
+ * the rate from every one of them.
  *
- * What all sent lately is counted as well: it stops a rise of the demand before
- * peers have reported it.
+ * The sum of recent sends corrects the part, and stops a rise of the demand that
+ * peers have not reported yet.
  *
  * @module
  */
@@ -27,25 +27,24 @@
 /** Sends that the window may hold beyond the limit. */
 const WINDOW_SLACK = 1;
 /**
- * The part of the demand that is sent is the limit's, times this, less
- * `FEEDBACK` of the window's utilization: what was sent too little or too much
- * is made up for.
+ * The limit is multiplied by `BASE`, less `FEEDBACK` of the window's utilization:
+ * at full utilization by one, below it by more.
  */
 const BASE = 1.5;
 const FEEDBACK = 0.5;
 /**
- * Part of a limit that is left alone for each second by which peers' reports
- * are late: a rise of the demand goes out until they show it.
+ * Part of a limit held in reserve for each second of gossip delay: a rise of the
+ * demand is admitted until peers report it.
  */
-const LEFT_ALONE_PER_S = 0.2;
+const RESERVE_PER_S = 0.2;
 /**
- * Requests a second that an endpoint gets whatever it names: only an answer
- * says that its limit has changed.
+ * Lowest rate in use, in requests a second: only an answer shows that a limit
+ * has changed.
  */
-const LEAST_PER_S = 0.25;
-/** How far one instance may pass its share of the window. */
+const MIN_PER_S = 0.25;
+/** How far an instance may exceed its share of the window. */
 const OWN_OVERSHOOT = 1.25;
-/** How much sooner than others the most urgent requests are admitted. */
+/** Credit by which the most urgent requests are admitted sooner. */
 const URGENT_ADVANCE = 0.5;
 const HASHES = 0x1_0000_0000;
 const MS_PER_S = 1_000;
@@ -59,14 +58,14 @@
 }
 
 interface Row {
-  /** Requests that may be sent; a whole one is needed. */
+  /** Accumulated parts of requests; a whole one admits a request. */
   credit: number;
   /** Requests sent from here since the limit was learned. */
   sent: number;
-  /** Requests that all sent lately, as far as reported, and this instance. */
+  /** Recent sends of all instances as reported, and of this one. */
   readonly window: WindowCount;
   readonly ownWindow: WindowCount;
-  /** What groups had sent when they last reported. */
+  /** Sends of groups as of their last report. */
   readonly counted: Map<InstanceId, { start: string; sent: number }>;
 }
 
@@ -93,7 +92,7 @@
     this.#gossipDelayMs = opts.gossipDelayMs;
   }
 
-  /** An endpoint has a limit from now on: what peers send there is counted. */
+  /** Begins to count what peers send to an endpoint with a new limit. */
   begin(id: EndpointId, now: number): void {
     this.#rowOf(id, now);
   }
@@ -139,8 +138,8 @@
   }
 
   /**
-   * What this instance reports. An endpoint that it sent to stays in, or its
-   * count would seem new when it is asked for again.
+   * This instance's report. An endpoint stays in it once it was sent to: left
+   * out, its count would be a new baseline.
    */
   uses(): Map<RatedId, RateUse> {
     const uses = new Map<RatedId, RateUse>();
@@ -153,7 +152,7 @@
     return uses;
   }
 
-  /** Takes in what another instance, or several as one, sent. */
+  /** Applies a report of another instance, or of several as one. */
   reported(
     { instance, start }: Reporter,
     uses: ReadonlyMap<RatedId, RateUse>,
@@ -164,14 +163,14 @@
       const before = counted.get(instance);
       const sent = use?.admitted ?? 0;
       counted.set(instance, { start, sent });
-      // What it sent before it was first heard is not of this window.
+      // A first report is the baseline: its sends may be older than the window.
       if (before === undefined) continue;
       const goesOn = before.start === start && sent >= before.sent;
       window.add(sent - (goesOn ? before.sent : 0), now);
     }
   }
 
-  /** A group is not heard; its next count is a new beginning. */
+  /** A group is unreachable; its next report is a new baseline. */
   unreachable(group: InstanceId): void {
     for (const { counted } of this.#rows.values()) counted.delete(group);
   }
@@ -194,11 +193,11 @@
   }
 
   #usedPerS(ratePerS: number): number {
-    const leftAlone = LEFT_ALONE_PER_S * this.#gossipDelayMs() / MS_PER_S;
-    return Math.max(LEAST_PER_S, ratePerS * (1 - leftAlone));
+    const reserve = RESERVE_PER_S * this.#gossipDelayMs() / MS_PER_S;
+    return Math.max(MIN_PER_S, ratePerS * (1 - reserve));
   }
 
-  /** Instances begin at different credits, so that they do not send at once. */
+  /** Initial credits differ, so that instances do not send at the same time. */
   #rowOf(id: EndpointId, now: number): Row {
     const known = this.#rows.get(id);
     if (known !== undefined) return known;
