Count sends under a limit against the part of the instances that are heard

What an endpoint in need would have seen: up to 39 requests in four seconds where 36 are allowed, while instances are cut off from each other.

Cause: the window counts what reachable instances sent, and was held against the whole limit. On each side of a cut it seemed half empty, so each side sent up to one and a half times its part. Ruled out: shares (they sum to one on both sides), and restarts alone (no window passes without the cut).

--- a/src/decisions/endpoint_limits/limited_sends.ts
+++ b/src/decisions/endpoint_limits/limited_sends.ts
@@ -46,6 +46,8 @@
 const OWN_OVERSHOOT = 1.25;
 /** Credit by which the most urgent requests are admitted sooner. */
 const URGENT_ADVANCE = 0.5;
+/** Reachable instances are taken to have this part of a limit at least. */
+const MIN_PART = 0.01;
 const HASHES = 0x1_0000_0000;
 const MS_PER_S = 1_000;
 
@@ -104,10 +106,12 @@
     now: number,
   ): boolean {
     const row = this.#rowOf(id, now);
+    const { shares } = this.#demand;
     const perWindow = this.#usedPerS(ratePerS) * WINDOW_MS / MS_PER_S;
-    if (row.window.sum(now) >= perWindow + WINDOW_SLACK) return false;
+    const reachable = perWindow * (1 - shares.reserved(id));
+    if (row.window.sum(now) >= reachable + WINDOW_SLACK) return false;
     // Bounds what goes out before peers report a rise of the demand.
-    const own = perWindow * this.#demand.shares.own(id) * OWN_OVERSHOOT;
+    const own = perWindow * shares.own(id) * OWN_OVERSHOOT;
     if (row.ownWindow.sum(now) >= own + WINDOW_SLACK) return false;
     const advance = rank === 0 ? URGENT_ADVANCE : 0;
     return row.credit + this.#part(id, ratePerS, now) >= 1 - advance;
@@ -186,7 +190,9 @@
     const askedPerS = this.#demand.fleetPerS(id, now);
     if (askedPerS <= 0) return 1;
     const usedPerS = this.#usedPerS(ratePerS);
-    const perWindow = usedPerS * WINDOW_MS / MS_PER_S;
+    // Only sends of reachable instances are counted, so only against their part.
+    const part = Math.max(MIN_PART, 1 - this.#demand.shares.reserved(id));
+    const perWindow = usedPerS * part * WINDOW_MS / MS_PER_S;
     const utilization = row.window.sum(now) / perWindow;
     const aim = Math.max(0, BASE - FEEDBACK * utilization);
     return Math.min(1, usedPerS * aim / askedPerS);
--- a/src/decisions/endpoint_limits/testing/limit_fleet.ts
+++ b/src/decisions/endpoint_limits/testing/limit_fleet.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type AccountId,
   type EndpointId,
   type InstanceId,
   SeededRandom,
@@ -30,10 +31,13 @@
 const TICK_MS = 250;
 const STEP_MS = 5;
 const ID = "e1" as EndpointId;
+const OTHER = "account" as AccountId;
 
 /** How an instance decides what it sends. */
 export interface SendPolicy {
   take(ratePerS: number, now: number): boolean;
+  /** A request for something else. */
+  other?(now: number): void;
   /** Runs once a period of gossip; gives what is reported. */
   tick(now: number): ReadonlyMap<RatedId, RateUse>;
   reported(
@@ -69,6 +73,10 @@
     return this.#sends.take(ID, { ratePerS, rank: 1 }, now);
   }
 
+  other(now: number): void {
+    this.#demand.asked(OTHER, now);
+  }
+
   tick(now: number): ReadonlyMap<RatedId, RateUse> {
     this.#demand.tick(now);
     return this.#sends.uses();
@@ -167,8 +175,15 @@
     for (const member of this.members) member.cut = false;
   }
 
-  /** Lets requests come at `perS(member)` for a time. */
-  run(forMs: number, perS: (member: LimitMember) => number): void {
+  /**
+   * Lets requests come at `perS(member)` for a time, and `otherPerS` at each
+   * member for other endpoints.
+   */
+  run(
+    forMs: number,
+    perS: (member: LimitMember) => number,
+    otherPerS = 0,
+  ): void {
     const end = this.now + forMs;
     while (this.now < end) {
       this.now += STEP_MS;
@@ -181,6 +196,8 @@
         ) * STEP_MS;
         if (this.now % TICK_MS === phase) this.#tell(member);
         this.#arrive(member, perS(member));
+        const others = arrivals(otherPerS * STEP_MS / 1_000, this.#random);
+        for (let i = 0; i < others; i++) member.policy.other?.(this.now);
       }
     }
   }
