See a burst of the demand before peers report it

Cause: peers' demand is 0.8 s old, and until it shows each instance admits the part of the demand before. Each instance sees the burst itself, in all its requests together: the last half second against the last three. The usual demand of the endpoint is multiplied by that growth, unless it may be chance. The test fails without the growth.

--- a/src/decisions/endpoint_limits/limited_sends.ts
+++ b/src/decisions/endpoint_limits/limited_sends.ts
@@ -46,6 +46,8 @@
 const OWN_OVERSHOOT = 1.25;
 /** Credit by which the most urgent requests are admitted sooner. */
 const URGENT_ADVANCE = 0.5;
+/** Memory of the fleet's usual demand, in milliseconds. */
+const USUAL_MS = 3_000;
 /** Reachable instances are taken to have this part of a limit at least. */
 const MIN_PART = 0.01;
 const HASHES = 0x1_0000_0000;
@@ -67,6 +69,9 @@
   /** Recent sends of all instances as reported, and of this one. */
   readonly window: WindowCount;
   readonly ownWindow: WindowCount;
+  /** Usual demand of the fleet in requests a second, and when it was updated. */
+  usualPerS: number;
+  usualAt: number;
   /** Sends of groups as of their last report. */
   readonly counted: Map<InstanceId, { start: string; sent: number }>;
 }
@@ -187,7 +192,7 @@
   /** The part of the requests for an endpoint that is sent. */
   #part(id: EndpointId, ratePerS: number, now: number): number {
     const row = this.#rowOf(id, now);
-    const askedPerS = this.#demand.fleetPerS(id, now);
+    const askedPerS = this.#askedPerS(row, id, now);
     if (askedPerS <= 0) return 1;
     const usedPerS = this.#usedPerS(ratePerS);
     // Only sends of reachable instances are counted, so only against their part.
@@ -198,6 +203,18 @@
     return Math.min(1, usedPerS * aim / askedPerS);
   }
 
+  /**
+   * The fleet's demand: as reported, or the usual one times the growth here, if
+   * that is more. Growth shows before peers report it.
+   */
+  #askedPerS(row: Row, id: EndpointId, now: number): number {
+    const reportedPerS = this.#demand.fleetPerS(id, now);
+    const kept = Math.exp(Math.min(0, row.usualAt - now) / USUAL_MS);
+    row.usualPerS = row.usualPerS * kept + reportedPerS * (1 - kept);
+    row.usualAt = now;
+    return Math.max(reportedPerS, row.usualPerS * this.#demand.growth(now));
+  }
+
   #usedPerS(ratePerS: number): number {
     const reserve = RESERVE_PER_S * this.#gossipDelayMs() / MS_PER_S;
     return Math.max(MIN_PER_S, ratePerS * (1 - reserve));
@@ -212,6 +229,8 @@
       sent: 0,
       window: new WindowCount(WINDOW_MS, now),
       ownWindow: new WindowCount(WINDOW_MS, now),
+      usualPerS: 0,
+      usualAt: -Infinity,
       counted: new Map(),
     };
     this.#rows.set(id, row);
--- a/src/decisions/endpoint_limits/limited_sends_test.ts
+++ b/src/decisions/endpoint_limits/limited_sends_test.ts
@@ -64,6 +64,27 @@
   }
 });
 
+// Guards against a burst that goes out before relays have reported it.
+test("by relays a limit holds while all demand rises to six times", (t) => {
+  const size = 80;
+  const ratePerS = 5.2;
+  for (const seed of [1, 4]) {
+    const fleet = new LimitFleet({
+      size,
+      gossipDelayMs: BY_RELAY_MS,
+      ratePerS,
+      seed,
+    });
+    fleet.run(6_000, regional(size, ratePerS), 9);
+    fleet.countAnew();
+    for (let burst = 0; burst < 2; burst++) {
+      fleet.run(5_000, regional(size, 6 * ratePerS), 54);
+      fleet.run(5_000, regional(size, ratePerS), 9);
+    }
+    t.true(fleet.worst <= allowed(ratePerS), `${seed}: ${fleet.worst}`);
+  }
+});
+
 // Guards against shares of instances that are cut off being spent twice.
 test("both sides of a cut keep to the limit together", (t) => {
   const ratePerS = 5.2;
--- a/src/decisions/quotas/fleet_demand.ts
+++ b/src/decisions/quotas/fleet_demand.ts
@@ -7,6 +7,7 @@
 import type { AccountId, EndpointId, InstanceId } from "../../core/mod.ts";
 import { DemandCounter } from "./demand_counter.ts";
 import { DemandShares, type Reserved } from "./demand_shares.ts";
+import { DemandTrend } from "./demand_trend.ts";
 
 /** Whose rate the fleet keeps together. */
 export type RatedId = AccountId | EndpointId;
@@ -34,6 +35,7 @@
 export class FleetDemand {
   readonly shares: DemandShares;
   readonly #counter = new DemandCounter();
+  readonly #trend = new DemandTrend();
   readonly #fleetSize: () => number;
 
   /** @param fleetSize Instances that may spend, this one included. */
@@ -45,6 +47,12 @@
   /** Counts one request. */
   asked(id: RatedId, now: number): void {
     this.#counter.asked(id, now);
+    this.#trend.asked(now);
+  }
+
+  /** How many times its usual rate this instance is asked just now, at least 1. */
+  growth(now: number): number {
+    return this.#trend.growth(now);
   }
 
   /** Takes in this instance's own demand, and gives it; run once a tick. */
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -7,6 +7,7 @@
 export * from "./account_quotas.ts";
 export * from "./demand_counter.ts";
 export * from "./demand_shares.ts";
+export * from "./demand_trend.ts";
 export * from "./fleet_bucket.ts";
 export * from "./fleet_demand.ts";
 export * from "./gossip_delay.ts";
