Keep fading rates in one piece

Cause: the trend of the demand wrote again what the counter of demand already did, an exponentially weighted rate, twice over. FadingRate is it, and both use it. Same arithmetic: 43 tests of quotas, limits and their play over digests pass, formatter, linter and types are clean.

--- a/src/decisions/quotas/demand_trend.ts
+++ b/src/decisions/quotas/demand_trend.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import { FadingRate } from "./fading_rate.ts";
 
 /** Memory of the recent and of the usual rate, in milliseconds. */
 const RECENT_MS = 500;
@@ -20,30 +21,20 @@
 
 /** Compares recent requests with the usual ones. */
 export class DemandTrend {
-  #recentPerS = 0;
-  #usualPerS = 0;
-  #at = 0;
+  readonly #recent = new FadingRate(RECENT_MS);
+  readonly #usual = new FadingRate(USUAL_MS);
 
   /** Counts one request. */
   asked(now: number): void {
-    this.#follow(now);
-    this.#recentPerS += MS_PER_S / RECENT_MS;
-    this.#usualPerS += MS_PER_S / USUAL_MS;
+    this.#recent.add(now);
+    this.#usual.add(now);
   }
 
   /** How many times the usual rate the recent one is; 1 where it may be chance. */
   growth(now: number): number {
-    this.#follow(now);
-    const recent = this.#recentPerS * RECENT_MS / MS_PER_S;
-    const usual = this.#usualPerS * RECENT_MS / MS_PER_S;
+    const recent = this.#recent.perS(now) * RECENT_MS / MS_PER_S;
+    const usual = this.#usual.perS(now) * RECENT_MS / MS_PER_S;
     if (recent <= usual + DEVIATIONS * Math.sqrt(usual) + 1) return 1;
     return recent / Math.max(1, usual);
   }
-
-  #follow(now: number): void {
-    const passedMs = Math.max(0, now - this.#at);
-    this.#at = Math.max(now, this.#at);
-    this.#recentPerS *= Math.exp(-passedMs / RECENT_MS);
-    this.#usualPerS *= Math.exp(-passedMs / USUAL_MS);
-  }
 }
