Work out a request's part of a limit once, and merge reports in place

Cause: an admitted request to an endpoint with a limit worked out its part and looked its row up twice; the part of a rate that is heard stood in two modules with a bound each; a wrapper repeated what the shares offer; and each digest copied all uses of accounts to add those of limits, of which there are mostly none. One place each now: hasRoom and take share the check of the windows and the threshold, FleetDemand gives the part that is heard, uses are added to the map that the quotas have just made. Three comments in the field's terms.

--- a/src/decisions/endpoint_limits/limited_sends.ts
+++ b/src/decisions/endpoint_limits/limited_sends.ts
@@ -48,8 +48,6 @@
 const URGENT_ADVANCE = 0.5;
 /** Memory of the fleet's usual demand, in milliseconds. */
 const USUAL_MS = 3_000;
-/** Reachable instances are taken to have this part of a limit at least. */
-const MIN_PART = 0.01;
 const HASHES = 0x1_0000_0000;
 const MS_PER_S = 1_000;
 
@@ -105,21 +103,10 @@
   }
 
   /** Whether the next request to an endpoint is admitted. */
-  hasRoom(
-    id: EndpointId,
-    { ratePerS, rank }: LimitedRequest,
-    now: number,
-  ): boolean {
+  hasRoom(id: EndpointId, req: LimitedRequest, now: number): boolean {
     const row = this.#rowOf(id, now);
-    const { shares } = this.#demand;
-    const perWindow = this.#usedPerS(ratePerS) * WINDOW_MS / MS_PER_S;
-    const reachable = perWindow * (1 - shares.reserved(id));
-    if (row.window.sum(now) >= reachable + WINDOW_SLACK) return false;
-    // Bounds what goes out before peers report a rise of the demand.
-    const own = perWindow * shares.own(id) * OWN_OVERSHOOT;
-    if (row.ownWindow.sum(now) >= own + WINDOW_SLACK) return false;
-    const advance = rank === 0 ? URGENT_ADVANCE : 0;
-    return row.credit + this.#part(id, ratePerS, now) >= 1 - advance;
+    return this.#hasWindow(row, id, req, now) &&
+      isAdmitted(row.credit + this.#part(row, id, req, now), req);
   }
 
   /**
@@ -133,8 +120,9 @@
   take(id: EndpointId, req: LimitedRequest, now: number): boolean {
     this.#demand.asked(id, now);
     const row = this.#rowOf(id, now);
-    const admitted = this.hasRoom(id, req, now);
-    row.credit += this.#part(id, req.ratePerS, now);
+    row.credit += this.#part(row, id, req, now);
+    const admitted = this.#hasWindow(row, id, req, now) &&
+      isAdmitted(row.credit, req);
     if (!admitted) {
       row.credit = Math.min(1, row.credit);
       return false;
@@ -153,7 +141,7 @@
   uses(): Map<RatedId, RateUse> {
     const uses = new Map<RatedId, RateUse>();
     for (const [id, { sent }] of this.#rows) {
-      const perS = this.#demand.ownPerS(id);
+      const perS = this.#demand.shares.ownPerS(id);
       if (perS > 0 || sent > 0) {
         uses.set(id, { perS, admitted: sent, level: 0 });
       }
@@ -189,15 +177,35 @@
     this.#rows.delete(id);
   }
 
+  /** Whether recent sends leave room for one more. */
+  #hasWindow(
+    row: Row,
+    id: EndpointId,
+    { ratePerS }: LimitedRequest,
+    now: number,
+  ): boolean {
+    const { shares } = this.#demand;
+    const perWindow = this.#usedPerS(ratePerS) * WINDOW_MS / MS_PER_S;
+    const reachable = perWindow * (1 - shares.reserved(id));
+    if (row.window.sum(now) >= reachable + WINDOW_SLACK) return false;
+    // Bounds what goes out before peers report a rise of the demand.
+    const own = perWindow * shares.own(id) * OWN_OVERSHOOT;
+    return row.ownWindow.sum(now) < own + WINDOW_SLACK;
+  }
+
   /** The part of the requests for an endpoint that is sent. */
-  #part(id: EndpointId, ratePerS: number, now: number): number {
-    const row = this.#rowOf(id, now);
+  #part(
+    row: Row,
+    id: EndpointId,
+    { ratePerS }: LimitedRequest,
+    now: number,
+  ): number {
     const askedPerS = this.#askedPerS(row, id, now);
     if (askedPerS <= 0) return 1;
     const usedPerS = this.#usedPerS(ratePerS);
     // Only sends of reachable instances are counted, so only against their part.
-    const part = Math.max(MIN_PART, 1 - this.#demand.shares.reserved(id));
-    const perWindow = usedPerS * part * WINDOW_MS / MS_PER_S;
+    const reachablePerS = usedPerS * this.#demand.heardPart(id);
+    const perWindow = reachablePerS * WINDOW_MS / MS_PER_S;
     const utilization = row.window.sum(now) / perWindow;
     const aim = Math.max(0, BASE - FEEDBACK * utilization);
     return Math.min(1, usedPerS * aim / askedPerS);
@@ -237,3 +245,7 @@
     return row;
   }
 }
+
+function isAdmitted(credit: number, { rank }: LimitedRequest): boolean {
+  return credit >= 1 - (rank === 0 ? URGENT_ADVANCE : 0);
+}
--- a/src/decisions/quotas/fleet_demand.ts
+++ b/src/decisions/quotas/fleet_demand.ts
@@ -62,11 +62,6 @@
     return demand;
   }
 
-  /** Requests a second that this instance was asked for, as of the last tick. */
-  ownPerS(id: RatedId): number {
-    return this.shares.ownPerS(id);
-  }
-
   /** Takes in what another instance, or several as one, were asked for. */
   reported(from: Reporter, uses: ReadonlyMap<RatedId, RateUse>): void {
     const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
@@ -80,7 +75,12 @@
   fleetPerS(id: RatedId, now: number): number {
     const heard = this.shares.heardPerS(id);
     if (heard <= 0) return this.#counter.rate(id, now) * this.#fleetSize();
-    return heard / Math.max(MIN_HEARD_PART, 1 - this.shares.reserved(id));
+    return heard / this.heardPart(id);
+  }
+
+  /** The part of a rate that is not reserved for unreachable instances. */
+  heardPart(id: RatedId): number {
+    return Math.max(MIN_HEARD_PART, 1 - this.shares.reserved(id));
   }
 }
 
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -340,12 +340,13 @@
       if (row.inFlight > 0) inFlight.set(row.id, row.inFlight);
     }
     const uses = this.#quotas.tick(this.#opts.clock.now());
+    for (const [id, use] of this.#limits.uses()) uses.set(id, use);
     return {
       state: this.state,
       planVersion: this.#state.planVersion,
       storeInTouch: this.#endpointsListed && this.#expiry.inTouch,
       changes: this.#watchers.changes(),
-      uses: new Map([...uses, ...this.#limits.uses()]),
+      uses,
       inFlight,
       limits: this.#limits.observed(),
       reservations: this.#quotas.reservations,
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -60,7 +60,7 @@
   };
 }
 
-/** Notes in a member what it is told. */
+/** Records the events of a member. */
 class Recorder implements FleetEvents {
   readonly #entry: TestMember;
 
--- a/src/fleet/zone_roles.ts
+++ b/src/fleet/zone_roles.ts
@@ -2,8 +2,7 @@
  * Election of a zone's relay and of the watchers of the store.
  *
  * Each instance ranks the peers that it hears. With different views two may hold
- * a role, which costs messages only; a role that nobody holds leaves changes
- * unseen, so an instance takes it once those ranked higher are suspect, and
+ * a role, which costs messages only; without a holder changes are missed, so an instance takes it once those ranked higher are suspect, and
  * gives it up only when they hold it.
  *
  * @module
