Log list and change revisions, and place soak faults at fixed times

`kind_listed` names the revision that the watch continues from and the newest change in the list, `endpoint_changed` the revision of the change, the trace of the soak the store's revision. `--schedule "FAULT@MS,…"` places faults relative to each other, `--logs DIR` keeps the logs.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -75,7 +75,7 @@
   },
   endpoint_changed: {
     namespace: "steering",
-    fields: ["endpoint", "service", "zone", "draining", "coldMs"],
+    fields: ["endpoint", "service", "zone", "draining", "coldMs", "revision"],
     help: "An endpoint registered, restarted, began to drain or became cold",
   },
   endpoint_limit_changed: {
@@ -123,6 +123,12 @@
     fields: ["kind", "revision"],
     help: "The objects of a kind were fetched from another instance",
   },
+  kind_listed: {
+    namespace: "steering",
+    fields: ["kind", "revision", "changedAt", "objects"],
+    help:
+      "The objects of a kind were listed from the store; the watch continues from this revision",
+  },
   lines_left_out: {
     namespace: "",
     fields: ["lines"],
--- a/src/edge/steering_handlers.ts
+++ b/src/edge/steering_handlers.ts
@@ -84,7 +84,7 @@
     this.#onListed();
   }
 
-  changed({ name, value }: StoredEntry<EndpointRecord>): void {
+  changed({ name, value, revision }: StoredEntry<EndpointRecord>): void {
     const id = name as EndpointId;
     this.#pendingRemovals.get(id)?.close();
     this.#pendingRemovals.delete(id);
@@ -93,7 +93,7 @@
       this.#state.endpoints.remove(id);
       return;
     }
-    this.#logChange(value);
+    this.#logChange(value, revision);
     this.#state.endpoints.put(value, this.#clock.now());
   }
 
@@ -132,7 +132,7 @@
     this.#state.endpoints.remove(id);
   }
 
-  #logChange(record: EndpointRecord): void {
+  #logChange(record: EndpointRecord, revision: number): void {
     const known = this.#state.endpoints.get(record.id)?.record;
     const isUnchanged = known !== undefined && known.bornAt === record.bornAt &&
       known.draining === record.draining && known.coldMs === record.coldMs;
@@ -143,6 +143,7 @@
       zone: record.zone,
       draining: record.draining,
       coldMs: record.coldMs,
+      revision,
     });
   }
 }
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -211,6 +211,12 @@
     this.#cache.replace(all, { again: this.#initialized });
     this.#initialized = true;
     this.#revision = all.revision;
+    this.#opts.log.event("kind_listed", {
+      kind: this.#opts.kind,
+      revision: all.revision,
+      changedAt: this.#cache.changedAt,
+      objects: all.entries.length,
+    });
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
--- a/tools/process_soak/main.ts
+++ b/tools/process_soak/main.ts
@@ -1,12 +1,14 @@
 /**
- * `npm run soak:processes -- --seed N --seconds S --per-zone N`: runs the real
- * program as processes, and exits 1 if a property was violated. The last line
- * of output is JSON.
+ * `npm run soak:processes -- --seed N --seconds S --per-zone N [--schedule
+ * "FAULT@MS,…"] [--logs DIR]`: runs the real program as processes, and exits 1 if
+ * a property was violated, 2 if it could not run. The last line of output is
+ * JSON. With `--logs` the instances' logs stay in that directory.
  *
  * @module
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { parseSchedule, type ScheduledFault } from "./fault_schedule.ts";
 import { ProcessSoak } from "./process_soak.ts";
 
 const { values } = parseArgs({
@@ -15,6 +17,8 @@
     seconds: { type: "string", default: "40" },
     "per-zone": { type: "string", default: "2" },
     program: { type: "string", default: "target/magnoliahook.cjs" },
+    schedule: { type: "string" },
+    logs: { type: "string" },
   },
 });
 const result = await new ProcessSoak({
@@ -22,6 +26,10 @@
   seconds: Number(values.seconds),
   perZone: Number(values["per-zone"]),
   program: values.program,
+  ...(values.logs === undefined ? {} : { logDir: values.logs }),
+  ...(values.schedule === undefined
+    ? {}
+    : { schedule: readSchedule(values.schedule) }),
 }).run();
 const { violations, trace, lines, ...figures } = result;
 const [first] = violations;
@@ -38,3 +46,10 @@
   findings: [...new Set(violations.map((v) => v.property))],
 }));
 process.exit(violations.length > 0 ? 1 : 0);
+
+function readSchedule(text: string): readonly ScheduledFault[] {
+  const schedule = parseSchedule(text);
+  if (schedule.isOk()) return schedule.value;
+  console.error(`--schedule: ${schedule.error}`);
+  process.exit(2);
+}
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { mkdir, mkdtemp, readFile, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -14,6 +14,7 @@
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import { endpointEntry } from "../../platform/testing/plan_objects.ts";
 import { SeededRandom } from "../../src/core/mod.ts";
+import type { ScheduledFault } from "./fault_schedule.ts";
 import { type FaultName, FAULTS, injectFault } from "./faults.ts";
 import { InstanceProcess } from "./instance_process.ts";
 import { PropertyChecker, type Violation } from "./property_checker.ts";
@@ -32,6 +33,10 @@
   readonly program: string;
   /** Kinds of fault to inject; all if undefined. */
   readonly only?: readonly FaultName[];
+  /** Faults at fixed times, replacing the random ones. */
+  readonly schedule?: readonly ScheduledFault[];
+  /** Keeps the instances' logs in this directory. */
+  readonly logDir?: string;
 }
 
 /** Result of a run. */
@@ -98,8 +103,8 @@
   async run(): Promise<ProcessSoakResult> {
     try {
       await this.#open();
-      const faults = await this.#injectFaults();
-      return await this.#result(faults);
+      await this.#injectFaults();
+      return await this.#result();
     } finally {
       await this.#close();
     }
@@ -144,7 +149,9 @@
   }
 
   async #open(): Promise<void> {
-    this.#dir = await mkdtemp(join(tmpdir(), "magnoliahook-soak-"));
+    const { logDir } = this.#opts;
+    if (logDir !== undefined) await mkdir(logDir, { recursive: true });
+    this.#dir = logDir ?? await mkdtemp(join(tmpdir(), "magnoliahook-soak-"));
     this.store = await ObjectStoreServer.listen();
     this.operators = new SoakOperators(this);
     for (const service of SERVICES) {
@@ -193,22 +200,41 @@
     throw new Error(`not all instances are ready after ${START_TIMEOUT_MS} ms`);
   }
 
-  async #injectFaults(): Promise<number> {
+  async #injectFaults(): Promise<void> {
+    const { schedule } = this.#opts;
+    if (schedule === undefined) await this.#injectRandomFaults();
+    else await this.#injectScheduledFaults(schedule);
+    await sleep(RECOVERY_MS);
+    await this.#checkRecovery();
+  }
+
+  async #injectRandomFaults(): Promise<void> {
     const { seconds, only = FAULTS } = this.#opts;
     const until = Date.now() + seconds * 1_000 - RECOVERY_MS - CHECK_WINDOW_MS;
-    let faults = 0;
     while (Date.now() < until) {
       await sleep(FAULT_INTERVAL_MS * (0.3 + this.random.next()));
       const name = this.pick(only);
-      if (name === undefined) continue;
-      const target = await injectFault(this, name);
-      faults++;
-      const atMs = Date.now() - this.#began;
-      this.trace.push(`${atMs} ms: ${name}, ${target}`);
+      if (name !== undefined) await this.#inject(name);
     }
-    await sleep(RECOVERY_MS);
-    await this.#checkRecovery();
-    return faults;
+  }
+
+  async #injectScheduledFaults(
+    schedule: readonly ScheduledFault[],
+  ): Promise<void> {
+    const began = Date.now();
+    for (const { name, atMs } of schedule) {
+      await sleep(Math.max(0, began + atMs - Date.now()));
+      await this.#inject(name);
+    }
+  }
+
+  async #inject(name: FaultName): Promise<void> {
+    const target = await injectFault(this, name);
+    const atMs = Date.now() - this.#began;
+    const { revision } = this.store;
+    this.trace.push(
+      `${atMs} ms: ${name}, ${target}; the store is at revision ${revision}`,
+    );
   }
 
   /** Checks that most requests succeed after recovery. */
@@ -224,7 +250,7 @@
     });
   }
 
-  async #result(faults: number): Promise<ProcessSoakResult> {
+  async #result(): Promise<ProcessSoakResult> {
     await this.#callers?.end();
     const { seed, seconds } = this.#opts;
     const { violations } = this.checker;
@@ -233,7 +259,7 @@
       seconds,
       processes: this.instances.length,
       requests: this.#callers?.requests ?? 0,
-      faults,
+      faults: this.trace.length,
       violations,
       trace: this.trace,
       lines: await this.#logLinesOf(violations[0]?.request ?? ""),
@@ -260,6 +286,7 @@
       await fake.close();
     }
     await this.store?.close();
+    if (this.#opts.logDir !== undefined) return;
     await rm(this.#dir, { recursive: true, force: true });
   }
 }
