Watch from the revision of a list's first page

Cause: a list is read in pages, and the watch continued from the revision of the last page. An object of an earlier page that changed in between was neither in the list nor in the watch. No peer repaired it, since the instance reported a revision past the change.

The list now carries the revision of its first page; changes up to the last one come by the watch, and those already listed are not applied again. The cache does not report objects newer than that revision as its last change.

Of the other lists, that of instances is read anew and never watched, and the product's own store has no paged lists.

--- a/src/watcher/resource_cache.ts
+++ b/src/watcher/resource_cache.ts
@@ -43,11 +43,13 @@
    * Replaces all objects by a list. On the first list the last change is that of
    * its newest object; on a later one objects may have been deleted in the gap
    * without a change being received, so the list itself counts as a change.
+   * Objects newer than the list's revision do not count: other changes up to
+   * theirs may be missing.
    */
   replace(all: Snapshot<unknown>, opts: { readonly again: boolean }): void {
     const newest = Math.max(
       EMPTY_LIST_REVISION,
-      ...all.entries.map((e) => e.revision),
+      ...all.entries.map((e) => e.revision).filter((r) => r <= all.revision),
     );
     this.load(all, opts.again ? all.revision : newest);
   }
--- a/src/watcher/resource_client.ts
+++ b/src/watcher/resource_client.ts
@@ -17,9 +17,13 @@
   readonly raw: unknown;
 }
 
-/** All objects of a kind at one revision of the store. */
+/** All objects of a kind. */
 export interface Snapshot<T> {
   readonly entries: readonly StoredEntry<T>[];
+  /**
+   * Store revision that a watch continues from. Entries may be newer, where the
+   * list was read in pages.
+   */
   readonly revision: number;
 }
 
--- a/src/watcher/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -324,3 +324,25 @@
   await step();
   t.true(resourceWatcher.changedAt > 0);
 });
+
+// Guards against peers that take an instance's list for complete up to its
+// newest object while it lacks an earlier change.
+test("a list in pages reports no change that is newer than its revision", async (t) => {
+  const entries = [entry("a", 4), entry("b", 8)];
+  const { resourceWatcher, step, seen, relayed } = watcher(
+    { revision: 5, entries },
+    {
+      revision: 8,
+      changes: [
+        { entry: entry("a", 7), deleted: false },
+        { entry: entry("b", 8), deleted: false },
+      ],
+    },
+  );
+  await step();
+  t.is(resourceWatcher.changedAt, 4);
+  await step();
+  t.deepEqual(seen, ["list", "all a,b", "watch 5", "changed a"]);
+  t.like(relayed[0], { after: 5, upTo: 8 });
+  t.is(resourceWatcher.changedAt, 8);
+});
