Read what arrived on a connection before reusing it

What callers saw: a request that may run once fails with 502, since the bytes that its connection already held, late ones of the endpoint, were taken for its response.

Cause: a timer that is due together with bytes on an idle connection runs first, since the event loop polls sockets after timers. A send from it reuses the connection whose bytes nobody has read. A stall of the event loop makes both due at once.

A send that could reuse a connection now starts in the loop's check phase, after sockets were polled. What arrives later than that is in flight, which no sender can know.

--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -44,6 +44,11 @@
     return this.#connections.get(socket);
   }
 
+  /** Whether a request to an address could reuse a connection. */
+  hasIdle(address: HostPort): boolean {
+    return this.freeSockets[this.getName(address)] !== undefined;
+  }
+
   /** Closes connections to an address that were idle for `idleMs` or longer. */
   closeIdle(address: HostPort, idleMs: number): void {
     const idle = this.freeSockets[this.getName(address)];
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -3,7 +3,9 @@
  *
  * A connection carries one request at a time. It is not reused after being idle
  * for nearly the endpoint's keep-alive timeout: the endpoint may close it while
- * the request is on the way, which is then lost.
+ * the request is on the way, which is then lost. Nor is it reused before what
+ * has arrived on it was read: after a stall of the event loop that may be the
+ * endpoint's close, or bytes that belong to no request.
  *
  * @module
  */
@@ -45,6 +47,12 @@
   send(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
     const address = splitAddress(endpoint.record.address);
     this.#connections.closeIdle(address, this.#idle.of(endpoint));
+    const start = () => this.#start(endpoint, outgoing);
+    return this.#connections.hasIdle(address) ? afterReads(start) : start();
+  }
+
+  #start(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
+    const address = splitAddress(endpoint.record.address);
     let req: ClientRequest;
     try {
       req = request({
@@ -107,6 +115,24 @@
   return [...headers, "Content-Length", String(body?.length ?? 0)];
 }
 
+/** Starts a send once the event loop has read what sockets have received. */
+function afterReads(start: () => PendingSend): PendingSend {
+  let started: PendingSend | undefined;
+  let isCancelled = false;
+  const result = new Promise<SendResult>((resolve) => {
+    setImmediate(() => {
+      if (isCancelled) return resolve({ kind: "cancelled", sent: false });
+      started = start();
+      resolve(started.result);
+    });
+  });
+  const cancel = () => {
+    isCancelled = true;
+    started?.cancel();
+  };
+  return { result, cancel };
+}
+
 function unsent(reason: string): PendingSend {
   return {
     result: Promise.resolve({ kind: "unsent", reason }),
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -217,6 +217,48 @@
   t.is(endpoint.connections(), 2);
 });
 
+// Guards against requests lost on connections with unread bytes, when a timer
+// and the bytes are due together after a stall of the event loop.
+test("bytes that wait unread on an idle connection close it", async (t) => {
+  let connection: Socket | undefined;
+  const endpoint = await listen((socket) => {
+    connection = socket;
+    socket.write(response("Content-Length: 2\r\n", "ab"));
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, outgoing()).result;
+  const second = await new Promise<SendResult>((resolve) => {
+    setTimeout(() => {
+      connection?.write(response("Content-Length: 2\r\n", "xx", "q0"));
+      resolve(sender.send(row, outgoing()).result);
+    }, 1);
+  });
+  sender.close();
+  endpoint.close();
+  t.is(summary(second), "answer ab");
+  t.is(endpoint.connections(), 2);
+});
+
+test("a send that is cancelled before it starts sends nothing", async (t) => {
+  // Guards against a request that runs although its caller has gone.
+  let requests = 0;
+  const endpoint = await listen((socket) => {
+    requests++;
+    socket.write(response("Content-Length: 2\r\n", "ab"));
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, outgoing()).result;
+  const sending = sender.send(row, outgoing());
+  sending.cancel();
+  t.deepEqual(await sending.result, { kind: "cancelled", sent: false });
+  await sender.send(row, outgoing()).result;
+  sender.close();
+  endpoint.close();
+  t.is(requests, 2);
+});
+
 // Guards against a counter of open requests that is never decremented.
 test("a request that Node.js rejects is not sent", async (t) => {
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
