Do not reuse a connection on which another response has begun

What callers saw: a request fails on a connection that an endpoint had written too much on. When the surplus is the beginning of a response and arrives together with the end of the one before, Node.js's parser discards it without an error, the connection is reused, and the remainder of the surplus is read as the response to the next request: malformed, so a request that may run once is lost.

A stall before the first read puts the response and the late bytes into one read.

The connection counts what it receives: a response with a length has to be the last byte received, a chunked one has to end the last read.

Before: http_endpoint_sender_test "a connection with part of a surplus response is not reused", with a length and in chunks: 1 connection where 2 are due. After: both pass, a response that arrives byte by byte still leaves its connection in use, and the file passes 8 of 8 beside 12 busy processes.

--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import type { Buffer } from "node:buffer";
 import { Agent, type AgentOptions } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type Clock, setConnectTimeout } from "../core/mod.ts";
 import type { HostPort } from "../fleet/mod.ts";
 import { type ConnectionState, trackConnection } from "./connection_end.ts";
+import { ReceivedBytes } from "./received_bytes.ts";
 
 /**
  * Connect timeout in milliseconds: a few round trips between regions, but less
@@ -24,8 +26,10 @@
   idleSince: number | undefined;
   /** Idle time before the current request; undefined for the first one. */
   idleBeforeMs: number | undefined;
-  /** Its last response was incomplete, so later bytes may belong to that. */
-  incomplete: boolean;
+  /** Bytes of its last response are missing, or others followed it. */
+  tainted: boolean;
+  /** What it received for the current request. */
+  received: ReceivedBytes;
 }
 
 /** HTTP agent that assigns connections to requests. */
@@ -73,7 +77,8 @@
       broken: false,
       idleSince: undefined,
       idleBeforeMs: undefined,
-      incomplete: false,
+      tainted: false,
+      received: new ReceivedBytes(),
     };
     this.#connections.set(socket, connection);
     trackConnection(socket, connection);
@@ -82,7 +87,10 @@
     const closeIfIdle = () => {
       if (connection.idleSince !== undefined) socket.destroy();
     };
-    socket.on("data", closeIfIdle);
+    socket.on("data", (chunk: Buffer) => {
+      connection.received.add(chunk);
+      closeIfIdle();
+    });
     socket.on("end", closeIfIdle);
     return socket;
   }
@@ -92,7 +100,7 @@
     if (connection === undefined) return false;
     if (
       connection.remoteEnded || connection.broken ||
-      connection.incomplete
+      connection.tainted
     ) {
       return false;
     }
@@ -107,5 +115,6 @@
     if (connection?.idleSince === undefined) return;
     connection.idleBeforeMs = this.#clock.now() - connection.idleSince;
     connection.idleSince = undefined;
+    connection.received = new ReceivedBytes();
   }
 }
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -10,6 +10,7 @@
 import type { EndpointConnection } from "./endpoint_connections.ts";
 import type { BodyRemainder, BodySink, SendResult } from "./endpoint_sender.ts";
 import { headerOf } from "./header_fields.ts";
+import type { BodyFraming } from "./received_bytes.ts";
 import type { RequestCodec, ResponseFields } from "./request_codec.ts";
 
 /**
@@ -38,6 +39,7 @@
   #headAt = 0;
   #buffered: Buffer[] = [];
   #bufferedBytes = 0;
+  #bodyBytes = 0;
   #settled = false;
   #sink: BodySink | undefined;
   #failure: string | undefined;
@@ -88,6 +90,7 @@
   }
 
   #onData(res: IncomingMessage, chunk: Buffer): void {
+    this.#bodyBytes += chunk.length;
     if (this.#sink !== undefined) {
       if (!this.#sink.data(chunk)) res.pause();
       return;
@@ -102,6 +105,7 @@
   #onEnd(res: IncomingMessage): void {
     if (!this.#isComplete(res)) return this.#fail("cut");
     this.#ended = true;
+    this.#detectSurplus(res);
     if (this.#sink !== undefined) this.#sink.end();
     else this.#deliver(res, undefined);
   }
@@ -112,9 +116,21 @@
     return res.complete && !reset;
   }
 
+  /** Keeps the connection from reuse if bytes arrived after the response. */
+  #detectSurplus(res: IncomingMessage): void {
+    const connection = this.#connection;
+    if (connection === undefined) return;
+    const isChunked =
+      headerOf(res.rawHeaders, "transfer-encoding") !== undefined;
+    const framing: BodyFraming = isChunked
+      ? { kind: "chunked" }
+      : { kind: "length", bytes: this.#bodyBytes };
+    if (!connection.received.endsWith(framing)) connection.tainted = true;
+  }
+
   #fail(reason: "cut" | "malformed" | "broken"): void {
     if (this.#ended) return;
-    if (this.#connection !== undefined) this.#connection.incomplete = true;
+    if (this.#connection !== undefined) this.#connection.tainted = true;
     this.#failure = reason;
     this.#sink?.fail(reason);
     this.#finish({ kind: "unknown", reason });
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -200,6 +200,55 @@
   t.is(endpoint.connections(), 2);
 });
 
+for (
+  const { name, head, body } of [
+    { name: "with a length", head: "Content-Length: 2\r\n", body: "ab" },
+    {
+      name: "in chunks",
+      head: "Transfer-Encoding: chunked\r\n",
+      body: "2\r\nab\r\n0\r\n\r\n",
+    },
+  ]
+) {
+  // Guards against requests lost on a connection where a surplus response has
+  // begun: the parser discards the beginning and then fails on the remainder.
+  test(`a connection with part of a surplus response is not reused: ${name}`, async (t) => {
+    const endpoint = await listen((socket) => {
+      socket.write(response(head, body) + "HTTP/1.1 200 O");
+    });
+    const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+    const row = endpointRow({ address: endpoint.address });
+    const first = await sender.send(row, outgoing()).result;
+    const second = await sender.send(row, outgoing()).result;
+    sender.close();
+    endpoint.close();
+    t.deepEqual([summary(first), summary(second)], ["answer ab", "answer ab"]);
+    t.is(endpoint.connections(), 2);
+  });
+
+  test(`a connection is reused after a response in pieces: ${name}`, async (t) => {
+    // Guards against a new connection for each request.
+    const endpoint = await listen((socket) => {
+      const pieces = [...response(head, body)];
+      const write = () => {
+        socket.write(pieces.shift() ?? "");
+        if (pieces.length > 0) setImmediate(write);
+      };
+      write();
+    });
+    const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+    const row = endpointRow({ address: endpoint.address });
+    const seen: string[] = [];
+    for (let i = 0; i < 3; i++) {
+      seen.push(summary(await sender.send(row, outgoing()).result));
+    }
+    sender.close();
+    endpoint.close();
+    t.deepEqual(seen, ["answer ab", "answer ab", "answer ab"]);
+    t.is(endpoint.connections(), 1);
+  });
+}
+
 test("bytes on an idle connection close it", async (t) => {
   // Guards against late bytes that are read as the next request's response.
   const endpoint = await listen((socket) => {
--- /dev/null
+++ b/src/edge/received_bytes.ts
@@ -0,0 +1,55 @@
+/**
+ * Counts the bytes that a connection receives for one response.
+ *
+ * Node.js's parser reports surplus bytes after a response only if they are
+ * complete headers or not HTTP at all. It discards the beginning of another
+ * response, whose remainder would be read as the next request's response.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+
+const HEAD_END = "\r\n\r\n";
+const CHUNKED_END = Buffer.from("\r\n\r\n");
+
+/** How the end of a response's body is marked. */
+export type BodyFraming =
+  | { readonly kind: "chunked" }
+  /** By its length, in bytes; 0 where a response has no body. */
+  | { readonly kind: "length"; readonly bytes: number };
+
+/** Bytes of one response as they arrive on its connection. */
+export class ReceivedBytes {
+  /** What arrived of the head, until it is complete. */
+  #head: Buffer | undefined = Buffer.alloc(0);
+  #bodyBytes = 0;
+  /** A copy, since a slice would keep the whole chunk in memory. */
+  #tail: Buffer = Buffer.alloc(0);
+
+  add(chunk: Buffer): void {
+    const { length } = CHUNKED_END;
+    this.#tail = chunk.length >= length
+      ? Buffer.from(chunk.subarray(-length))
+      : Buffer.concat([this.#tail, chunk]).subarray(-length);
+    if (this.#head === undefined) this.#bodyBytes += chunk.length;
+    else this.#addToHead(Buffer.concat([this.#head, chunk]));
+  }
+
+  /** Whether nothing arrived after the end of a complete response. */
+  endsWith(framing: BodyFraming): boolean {
+    if (this.#head !== undefined) return false;
+    return framing.kind === "chunked"
+      ? this.#tail.equals(CHUNKED_END)
+      : this.#bodyBytes === framing.bytes;
+  }
+
+  #addToHead(head: Buffer): void {
+    const end = head.indexOf(HEAD_END);
+    if (end < 0) {
+      this.#head = head;
+      return;
+    }
+    this.#head = undefined;
+    this.#bodyBytes = head.length - end - HEAD_END.length;
+  }
+}
