Wait for the request's arrival in the test of a cancelled request

"cancelling a request closes its connection" waited 50 ms for the request to reach the endpoint, then cancelled.

The test now cancels when the endpoint has received the request, and checks the same: the result is "cancelled, sent", and the endpoint sees the close.

--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -347,18 +347,17 @@
 
 test("cancelling a request closes its connection", async (t) => {
   // Guards against endpoints that work for callers that disconnected.
-  let closed: () => void;
-  const seen = new Promise<void>((resolve) => closed = resolve);
-  const endpoint = await listen((socket) => {
-    socket.on("close", () => closed());
-  });
+  let arrived: (socket: Socket) => void;
+  const arrival = new Promise<Socket>((resolve) => arrived = resolve);
+  const endpoint = await listen((socket) => arrived(socket));
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: endpoint.address });
   const sending = sender.send(row, outgoing());
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  const socket = await arrival;
+  const closed = new Promise((resolve) => socket.on("close", resolve));
   sending.cancel();
   const result = await sending.result;
-  await seen;
+  await closed;
   sender.close();
   endpoint.close();
   t.deepEqual(result, { kind: "cancelled", sent: true });
