Refuse a request that the second endpoint's limit does not admit

What callers saw: nothing; an endpoint in need can get more than the rate that it named.

Cause: when an endpoint's limit is reached, the chooser asks whether another one has room, then counts the request there and ignores the answer. Counting adds the request to the demand, which lowers the fraction that is admitted, so the second answer may differ from the first: the request was sent, but neither counted in the window nor reported to peers.

Such a request is now refused at once, as one that no endpoint takes.

Before: request_flow_test "each request to an endpoint with a limit is counted" counts one request less than was sent in 400. After: equal.

--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -122,13 +122,15 @@
       usable: (row) =>
         request.usable(row) && limits.canSend(row, priority, now),
     });
-    if (second.endpoint === undefined) {
-      const why = `endpoint ${id} takes ${limits.limitOf(id)} requests a ` +
-        "second, and no other can take the request in time";
-      return { ...second, why };
-    }
-    limits.admit(second.endpoint, priority, now);
-    return second;
+    // `canSend` does not count the request as demand, so `admit` may refuse it.
+    if (
+      second.endpoint !== undefined &&
+      limits.admit(second.endpoint, priority, now)
+    ) return second;
+    const why = `endpoint ${id} takes ${limits.limitOf(id)} requests a ` +
+      "second, and no other can take the request in time";
+    const waitMs = second.endpoint === undefined ? second.waitMs : 0;
+    return { endpoint: undefined, waitMs, why };
   }
 
   /** Records that a request is being sent. */
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -117,6 +117,12 @@
       .filter((id) => this.#limits.limitOf(id) !== undefined);
   }
 
+  /** Requests that peers learn were sent to endpoints with a limit. */
+  reported(): number {
+    return [...this.#limits.uses().values()]
+      .reduce((sum, { admitted }) => sum + admitted, 0);
+  }
+
   send(fields: Partial<RequestFields> = {}): Promise<FlowResult> {
     return this.#flow.handle({
       method: "GET",
@@ -492,6 +498,23 @@
   t.true((result.failure.retryAfterMs ?? 0) >= 20);
 });
 
+// Guards against a limit that is exceeded by requests sent to an endpoint as the
+// second choice, uncounted.
+test("each request to an endpoint with a limit is counted", async (t) => {
+  const path = new RequestPath({
+    sender: limitedSender({ e1: LIMITED, e2: LIMITED }),
+  });
+  for (let i = 0; i < 20; i++) await path.send({ affinityKey: `o${i}` });
+  t.deepEqual(path.limited().sort(), ["e1", "e2"]);
+  const before = path.sender.sent.length - path.reported();
+  for (let i = 0; i < 400; i++) {
+    await path.send({ affinityKey: `o${i % 2}` });
+    path.clock.advance(i % 100 < 50 ? 20 : 200);
+    if (i % 5 === 0) path.tick();
+  }
+  t.is(path.sender.sent.length - path.reported(), before);
+});
+
 // Guards against a limit that stays when the endpoint no longer announces it.
 test("a response without a limit removes the limit", async (t) => {
   const limits: Record<string, AnnouncedLimit> = { e1: LIMITED };
