Read all objects again after a change that could not be applied

Cause: an exception while changes are applied left a watcher in a state it never came out of. From the watch it ended the loop, so nothing of that kind was watched any more; from a fetch the fetch stayed marked as running, so the instance never caught up again; from a relayed batch the changes were cached as applied, so that no later one repaired them.

The watcher logs `kind_not_applied` and reads all objects again, from the store or a peer, and hands the handler the whole set.

Before: three tests of resource_watcher_test "after a change ... that cannot be applied all objects are listed again" failed, by the exception or with the old revision. After: they pass.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -129,6 +129,12 @@
     help:
       "The objects of a kind were listed from the store; the watch continues from this revision",
   },
+  kind_not_applied: {
+    namespace: "steering",
+    fields: ["kind", "cause"],
+    help:
+      "An internal error: changes of a kind of object could not be applied; all its objects are read again",
+  },
   lines_left_out: {
     namespace: "",
     fields: ["lines"],
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -86,6 +86,8 @@
   /** Undefined while a full list is required. */
   #revision: number | undefined;
   #initialized = false;
+  /** Whether the handler failed and may lack cached objects. */
+  #mustReplace = false;
   readonly #batchPause = new BatchPause();
   /** Pause before the next watch, to batch changes, in milliseconds. */
   #pauseMs = 0;
@@ -99,7 +101,10 @@
   constructor(opts: ResourceWatcherOptions<T>) {
     this.#opts = opts;
     this.#startedAt = opts.clock.now();
-    this.#catchup = new Catchup(opts.clock, () => this.#catchUp());
+    this.#catchup = new Catchup(
+      opts.clock,
+      () => this.#catchUp().catch((cause) => this.#requireList(cause)),
+    );
   }
 
   /** Revision of the last known change; 0 before the first list. */
@@ -117,6 +122,15 @@
 
   /** Makes one call to the store and applies its result. */
   async step(): Promise<void> {
+    try {
+      await this.#callStore();
+    } catch (cause) {
+      this.#requireList(cause);
+      await sleep(this.#opts.clock, MAX_BACKOFF_MS);
+    }
+  }
+
+  async #callStore(): Promise<void> {
     const failed = this.#revision === undefined
       ? await this.#list()
       : await this.#watch(this.#revision);
@@ -135,6 +149,14 @@
 
   /** Applies changes that a peer relays. */
   applyRelayed(batch: RelayedChanges): void {
+    try {
+      this.#applyRelayed(batch);
+    } catch (cause) {
+      this.#requireList(cause);
+    }
+  }
+
+  #applyRelayed(batch: RelayedChanges): void {
     if (this.#revision === undefined || batch.upTo <= this.#revision) return;
     if (batch.changes === undefined || batch.after > this.#revision) {
       return this.onRevision(batch.upTo);
@@ -210,6 +232,7 @@
     this.#opts.handler.replaced(all.entries);
     this.#cache.replace(all, { again: this.#initialized });
     this.#initialized = true;
+    this.#mustReplace = false;
     this.#revision = all.revision;
     this.#opts.log.event("kind_listed", {
       kind: this.#opts.kind,
@@ -312,15 +335,26 @@
     if (holdMs > 0) handler.holdDeleted?.(holdMs);
     // Only differences are applied: an endpoint's entry states how long it stays
     // cold from receipt, so applying it again would extend that time.
-    if (this.#initialized) this.#notifyHandler(this.#cache.difference(entries));
-    else handler.replaced(entries);
+    if (this.#initialized && !this.#mustReplace) {
+      this.#notifyHandler(this.#cache.difference(entries));
+    } else handler.replaced(entries);
     this.#cache.load({ entries, revision }, changedAt);
     this.#initialized = true;
+    this.#mustReplace = false;
     this.#revision = revision;
     log.event("kind_fetched", { kind, revision });
     return true;
   }
 
+  /** After the handler failed: reads all objects again. */
+  #requireList(cause: unknown): void {
+    const { kind, log } = this.#opts;
+    log.event("kind_not_applied", { kind, cause: String(cause) });
+    this.#mustReplace = true;
+    this.#revision = undefined;
+    this.#wake?.();
+  }
+
   #onReachable(): void {
     const { kind, log, handler, clock } = this.#opts;
     const lostAt = this.#outageSince;
--- a/src/watcher/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -67,9 +67,13 @@
   const peer: { snapshot: RelayedSnapshot | undefined } = {
     snapshot: undefined,
   };
+  const failing = new Set<string>();
   const handler: ResourceHandler<string> = {
     replaced: (entries) => seen.push(`all ${entries.map((e) => e.name)}`),
-    changed: (entry) => seen.push(`changed ${entry.name}`),
+    changed: (entry) => {
+      if (failing.delete(entry.name)) throw new Error("scripted");
+      seen.push(`changed ${entry.name}`);
+    },
     deleted: (name) => seen.push(`deleted ${name}`),
     setReachable: (reachable) => seen.push(reachable ? "in touch" : "lost"),
   };
@@ -104,7 +108,7 @@
     clock.advance(1_000);
     await done;
   };
-  return { seen, step, resourceWatcher, relayed, peer, pass };
+  return { seen, step, resourceWatcher, relayed, peer, pass, failing };
 }
 
 test("a watcher lists once, then watches changes", async (t) => {
@@ -346,3 +350,54 @@
   t.like(relayed[0], { after: 5, upTo: 8 });
   t.is(resourceWatcher.changedAt, 8);
 });
+
+// Guards against a change that is never applied, and a watch that ends for good,
+// after a handler failed once.
+test("after a change that cannot be applied all objects are listed again", async (t) => {
+  const { seen, resourceWatcher, pass, failing } = watcher(
+    list(5, "a"),
+    changed(7, "b"),
+    list(7, "a", "b"),
+  );
+  failing.add("b");
+  resourceWatcher.setWatching(true);
+  const running = resourceWatcher.run();
+  for (let i = 0; i < 3; i++) await pass(1_000);
+  resourceWatcher.close();
+  await pass(1_000);
+  await running;
+  t.deepEqual(
+    seen.filter((s) => s !== "in touch" && s !== "lost").slice(0, 5),
+    ["list", "all a", "watch 5", "list", "all a,b"],
+  );
+});
+
+for (
+  const { name, learn } of [
+    {
+      name: "relayed by a peer",
+      learn: (w: ResourceWatcher<string>) => w.applyRelayed(batch()),
+    },
+    {
+      name: "fetched from a peer",
+      learn: (w: ResourceWatcher<string>) => w.onRevision(7),
+    },
+  ]
+) {
+  // Guards against an instance that relies on peers and misses a change for good.
+  test(`after a change ${name} that cannot be applied all objects are listed again`, async (t) => {
+    const { seen, step, resourceWatcher, peer, pass, failing } = watcher(
+      list(5, "a"),
+      list(9, "a", "b"),
+    );
+    await step();
+    failing.add("b");
+    const objects = [{ name: "a", revision: 5 }, { name: "b", revision: 7 }];
+    peer.snapshot = { revision: 7, changedAt: 7, objects, holdMs: 0 };
+    learn(resourceWatcher);
+    await pass(200);
+    t.is(resourceWatcher.snapshot(), undefined);
+    await step();
+    t.deepEqual(seen, ["list", "all a", "list", "all a,b"]);
+  });
+}
