Confirm an instance's list once against the store

Cause: after a restart of all instances every one lists by itself, and the watchers watch from their own lists. An object that is deleted after the list of this instance and before those of the watchers is in no list of theirs and in no change that they relay. An object that changes is newer in their lists, which gossip shows; one that is gone shows nowhere.

An instance that does not watch reads the changes since its list once, 2 s later, when watchers have been elected; where the store does not respond, again 2 s later. This is one call a kind and start at most.

Before: resource_watcher_test "a list is confirmed once by the store ..." and "... later if the store does not respond" keep the deleted object. After: they pass.

--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -14,7 +14,7 @@
  *
  * @module
  */
-import type { Clock, Failure, Log, Random } from "../core/mod.ts";
+import type { Clock, Failure, Log, Random, Timer } from "../core/mod.ts";
 import { fail, sleep } from "../core/mod.ts";
 import type { Result } from "neverthrow";
 import { BatchPause } from "./batch_pause.ts";
@@ -47,6 +47,12 @@
 /** Timeout of a watch that reads only past changes, in milliseconds. */
 const IMMEDIATE_TIMEOUT_MS = 1;
 
+/**
+ * Delay before a list is confirmed, in milliseconds: after a restart of all
+ * instances the watchers are elected within this time.
+ */
+const CONFIRM_DELAY_MS = 2_000;
+
 /** Poll interval while waiting for a peer's snapshot, in milliseconds. */
 const PEER_POLL_MS = 250;
 
@@ -80,6 +86,7 @@
   readonly #abort = new AbortController();
   readonly #cache = new ResourceCache();
   readonly #catchup: Catchup;
+  #confirmation: Timer | undefined;
   readonly #startedAt: number;
   #watches = false;
   #wake: (() => void) | undefined;
@@ -189,6 +196,7 @@
   close(): void {
     this.#abort.abort();
     this.#catchup.close();
+    this.#confirmation?.close();
     this.#wake?.();
   }
 
@@ -240,10 +248,28 @@
       changedAt: this.#cache.changedAt,
       objects: all.entries.length,
     });
+    this.#scheduleConfirmation(all.revision);
+  }
+
+  /**
+   * Checks later whether a list missed a deletion. An object that is deleted
+   * between this list and those of all watchers is in no change that they relay;
+   * one that changes is newer in their lists.
+   */
+  #scheduleConfirmation(revision: number): void {
+    this.#confirmation?.close();
+    this.#confirmation = this.#opts.clock.after(CONFIRM_DELAY_MS, () => {
+      if (this.#watches || this.#revision !== revision) return;
+      this.#readFromStore(revision).then(
+        (isRead) => isRead || this.#scheduleConfirmation(revision),
+        (cause) => this.#requireList(cause),
+      );
+    });
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
     const { source } = this.#opts;
+    this.#confirmation?.close();
     const waitMs = this.#outageSince === undefined
       ? WATCH_TIMEOUT_MS
       : OUTAGE_WATCH_TIMEOUT_MS;
@@ -307,17 +333,24 @@
     const revision = this.#revision;
     if (revision === undefined || !this.#isBehind()) return;
     if (await this.#fetch(this.#reportedRevision)) return;
+    await this.#readFromStore(revision);
+  }
+
+  /** Reads changes from the store at once; returns whether it responded. */
+  async #readFromStore(revision: number): Promise<boolean> {
     const { source, handler } = this.#opts;
     const { signal } = this.#abort;
     const seen = await source.watch(revision, IMMEDIATE_TIMEOUT_MS, signal);
-    if (signal.aborted) return;
+    if (signal.aborted) return true;
     if (seen.isOk()) {
       handler.setReachable(true);
       this.#apply(seen.value);
-    } else if (seen.error.code === "history_lost") {
-      this.#revision = undefined;
-      this.#wake?.();
+      return true;
     }
+    if (seen.error.code !== "history_lost") return false;
+    this.#revision = undefined;
+    this.#wake?.();
+    return true;
   }
 
   /** Loads a newer snapshot from a peer; returns whether it did. */
--- a/src/watcher/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -401,3 +401,49 @@
     t.deepEqual(seen, ["list", "all a", "list", "all a,b"]);
   });
 }
+
+// Guards against an endpoint or evacuation that one instance keeps for good:
+// all instances restart, and it is deleted after this instance's list and before
+// those of the watchers, which therefore relay no change.
+test("a list is confirmed once by the store if no peer relays a later change", async (t) => {
+  const { seen, step, pass } = watcher(
+    list(5, "a"),
+    changed(7, "a", true),
+  );
+  await step();
+  for (let i = 0; i < 8; i++) await pass(1_000);
+  t.deepEqual(seen, ["list", "all a", "watch 5", "in touch", "deleted a"]);
+});
+
+test("a list is confirmed later if the store does not respond", async (t) => {
+  const { seen, step, pass } = watcher(
+    list(5, "a"),
+    "platform_unavailable",
+    changed(7, "a", true),
+  );
+  await step();
+  for (let i = 0; i < 8; i++) await pass(1_000);
+  t.deepEqual(seen.slice(2), ["watch 5", "watch 5", "in touch", "deleted a"]);
+});
+
+for (
+  const { name, learn } of [
+    {
+      name: "a peer relays a change",
+      learn: (w: ResourceWatcher<string>) => w.applyRelayed(batch()),
+    },
+    {
+      name: "the instance watches the store",
+      learn: (w: ResourceWatcher<string>) => w.setWatching(true),
+    },
+  ]
+) {
+  // Guards against calls to the store by every instance that starts.
+  test(`a list is not confirmed once ${name}`, async (t) => {
+    const { seen, step, resourceWatcher, pass } = watcher(list(5, "a"));
+    await step();
+    learn(resourceWatcher);
+    for (let i = 0; i < 8; i++) await pass(1_000);
+    t.false(seen.includes("watch 5"));
+  });
+}
