Refuse a soak of processes on addresses that another run uses

A run takes its loopback addresses from its seed modulo 128. Two runs at once with the same seed, or seeds 128 apart, exchanged messages and reported 45 to 2,700 violations that were none ("an endpoint runs only what a caller sent").

A run now holds a port of its block; a second run says which seed's addresses are in use and exits with 2.

--- a/tools/process_soak/main.ts
+++ b/tools/process_soak/main.ts
@@ -21,7 +21,7 @@
     logs: { type: "string" },
   },
 });
-const result = await new ProcessSoak({
+const soak = new ProcessSoak({
   seed: Number(values.seed),
   seconds: Number(values.seconds),
   perZone: Number(values["per-zone"]),
@@ -30,7 +30,11 @@
   ...(values.schedule === undefined
     ? {}
     : { schedule: readSchedule(values.schedule) }),
-}).run();
+});
+const result = await soak.run().catch((cause) => {
+  console.error(`the run could not be made: ${cause}`);
+  process.exit(2);
+});
 const { violations, trace, lines, ...figures } = result;
 const [first] = violations;
 if (first !== undefined) {
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -20,6 +20,7 @@
 import { PropertyChecker, type Violation } from "./property_checker.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import { SERVICES, SoakOperators } from "./soak_operators.ts";
+import { LoopbackBlock } from "./loopback_block.ts";
 import type { FaultTargets, SoakEndpoint } from "./fault_targets.ts";
 import { TcpProxy } from "./tcp_proxy.ts";
 
@@ -79,6 +80,7 @@
   readonly #opts: ProcessSoakOptions;
   readonly #began = Date.now();
   #callers: SoakCallers | undefined;
+  #block: LoopbackBlock | undefined;
   #dir = "";
   #endpointNumber = 0;
 
@@ -149,7 +151,10 @@
   }
 
   async #open(): Promise<void> {
-    const { logDir } = this.#opts;
+    const { logDir, seed } = this.#opts;
+    const taken = await LoopbackBlock.take(seed);
+    if (taken.isErr()) throw new Error(taken.error);
+    const block = this.#block = taken.value;
     if (logDir !== undefined) await mkdir(logDir, { recursive: true });
     this.#dir = logDir ?? await mkdtemp(join(tmpdir(), "magnoliahook-soak-"));
     this.store = await ObjectStoreServer.listen();
@@ -160,14 +165,14 @@
       }
     }
     this.operators.publish();
-    await this.#startInstances();
+    await this.#startInstances(block);
     await this.#waitUntilReady();
     this.#callers = new SoakCallers(this);
     this.#callers.start();
   }
 
-  async #startInstances(): Promise<void> {
-    const { perZone, program, seed } = this.#opts;
+  async #startInstances(block: LoopbackBlock): Promise<void> {
+    const { perZone, program } = this.#opts;
     for (const [zone, region] of Object.entries(ZONES)) {
       for (let i = 0; i < perZone; i++) {
         const link = await TcpProxy.listen(this.store.port);
@@ -178,7 +183,7 @@
           zone,
           region,
           zones: ZONES,
-          host: `127.${64 + seed % 128}.${Math.floor(n / 200)}.${n % 200 + 1}`,
+          host: block.host(n),
           storePort: link.port,
           program,
           dir: this.#dir,
@@ -286,6 +291,7 @@
       await fake.close();
     }
     await this.store?.close();
+    await this.#block?.close();
     if (this.#opts.logDir !== undefined) return;
     await rm(this.#dir, { recursive: true, force: true });
   }
