Take no copies of records after an instance has handed over its own

What callers saw: an operation that had run is reported as "not run", so its caller sends it again and it runs twice.

Cause: an instance that stops closes its ledger to new intents and copies its records to a successor. The closed ledger still took copies from another instance that stops at the same time and has not yet heard of it. Copying a large ledger takes seconds, so rollouts that overlap can meet it without a lost message.

Before: seat_home_router_test "an instance that has handed over takes no records" got "not-run" at both other instances for an operation that had run.

--- a/src/operations/ledger.ts
+++ b/src/operations/ledger.ts
@@ -84,7 +84,7 @@
     return this.#find(name) !== undefined;
   }
 
-  /** Rejects new intents, so that the records can be handed over. */
+  /** Rejects new intents and copies, so that the records can be handed over. */
   close(): void {
     this.#closed = true;
   }
@@ -178,8 +178,13 @@
     return { state: "refused", fingerprint: "", accepted: true };
   }
 
-  /** Takes over a leaving instance's record unless more is recorded here. */
+  /**
+   * Takes over a leaving instance's record unless more is recorded here. Returns
+   * whether it is kept; a closed ledger keeps none, since its own successor may
+   * already have all that it copies.
+   */
   copy(record: Omit<LedgerRecord, "expiresAt">, now: number): boolean {
+    if (this.#closed) return false;
     const known = this.#get(record.name);
     if (known !== undefined && known.run !== record.run) return true;
     if (known !== undefined && known.state !== "intent") return true;
--- a/src/operations/seat_home_router_test.ts
+++ b/src/operations/seat_home_router_test.ts
@@ -327,6 +327,32 @@
   t.deepEqual(fleet.violations(), []);
 });
 
+// Guards against a second run: two instances stop at once, and one copies its
+// records to the other after that one has handed over its own.
+test("an instance that has handed over takes no records", async (t) => {
+  const fleet = new FakeFleet();
+  await fleet.advance(1_500);
+  const [first = "", second = "", ...others] = fleet.nodes.keys();
+  const home = fleet.node(first).operations.homeTokenOf(first);
+  const attempt = fleet.send(first, { id: ID, home });
+  await fleet.advance(300);
+  const handedOver = fleet.node(second).operations.handOver();
+  await fleet.advance(200);
+  t.true(await handedOver);
+  // Only the second instance can be reached.
+  for (const other of others) fleet.cut(first, other);
+  await fleet.advance(2_500);
+  void fleet.node(first).operations.handOver();
+  await fleet.advance(500);
+  for (const name of [first, second]) fleet.kill(name);
+  await fleet.advance(500);
+  const again = others.map((name) => fleet.send(name, { id: ID, home }));
+  await fleet.advance(1_000);
+  t.is(resultText(attempt), "done by 0");
+  t.deepEqual(again.map(resultText), others.map(() => "done by 0"));
+  t.deepEqual(fleet.violations(), []);
+});
+
 /**
  * An operator adds an instance to a zone. The home of some ids changes, and a
  * retry must not run there as if it were new.
