Show events of the tried endpoints only in explain

What operators saw: explain e10's request printed the events of e1, or of any endpoint whose name is part of another's.

Cause: the name was searched in the text of the field `tried`. The names are now read from it.

Before: explain_test "explain shows events of the endpoints that were tried only" also listed endpoint 2. After: e10 and e2.

--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -83,7 +83,7 @@
 
 /** Earlier events of the line's instance, about itself or endpoints it tried. */
 function earlierEvents(lines: readonly LogLine[], line: LogLine): LogLine[] {
-  const tried = String(line["tried"] ?? "");
+  const tried = triedEndpoints(line);
   const before = lines.filter((other) =>
     other.instance === line.instance && other.time <= line.time &&
     other.time > line.time - EARLIER_EVENTS_MS &&
@@ -91,7 +91,7 @@
   );
   const endpointEvents = before.filter((other) => {
     const endpoint = other["endpoint"];
-    return typeof endpoint === "string" && tried.includes(endpoint);
+    return typeof endpoint === "string" && tried.has(endpoint);
   });
   const instanceEvents = before.filter((other) =>
     other["endpoint"] === undefined
@@ -102,6 +102,12 @@
   ].sort((a, b) => a.time - b.time);
 }
 
+/** Names in the `tried` field, where each is followed by its load in brackets. */
+function triedEndpoints(line: LogLine): ReadonlySet<string> {
+  const entries = String(line["tried"] ?? "").split(" ");
+  return new Set(entries.map((entry) => entry.split("(", 1)[0] ?? ""));
+}
+
 function formatLine(line: LogLine, opts: CommonOptions): string {
   if (opts.json) return JSON.stringify(line);
   const { time, instance, event, level: _, ...rest } = line;
--- a/src/cli/explain_test.ts
+++ b/src/cli/explain_test.ts
@@ -61,3 +61,20 @@
   t.regex((await commands.run("explain q1 /nowhere.log")).err, /nowhere/);
   t.regex((await commands.run("explain q1")).err, /name the files/);
 });
+
+// Guards against events of another endpoint whose name begins alike.
+test("explain shows events of the endpoints that were tried only", async (t) => {
+  const dir = await mkdtemp(join(tmpdir(), "explain-"));
+  const file = join(dir, "a.log");
+  const refused = { request: "q1", tried: "e10(1+0/4) e2(0+1/4,90ms)" };
+  const lines = ["e1", "e10", "e2", "2"].map((endpoint, i) =>
+    logLine(1_000 + i, "i1", "endpoint_changed", { endpoint })
+  );
+  await writeFile(
+    file,
+    [...lines, logLine(2_000, "i1", "request_refused", refused)].join("\n"),
+  );
+  const { out } = await new CommandRunner().run(`explain q1 ${file}`);
+  const shown = [...out.matchAll(/endpoint="(\w+)"/g)].map((m) => m[1]);
+  t.deepEqual(shown, ["e10", "e2"]);
+});
