Report an instance that is not ready as such in status

What operators saw: status called a 503 of a starting instance "forbidden", with the exit code of a failure, and they looked for a wrong token.

Cause: every status but 200 was taken for a refusal.

Before: status_test "status names an instance that is not ready as such" got forbidden. After: not_ready.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -19,6 +19,8 @@
 export const TOKEN_FILE_ENV = "MAGNOLIAHOOK_TOKEN_FILE";
 
 const TIMEOUT_MS = 5_000;
+/** Statuses of a request without a valid token, or without the right. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([401, 403]);
 
 /** Prints the generation, the listed instances, and an instance's own status. */
 export function status(
@@ -70,7 +72,9 @@
     });
     const body = await res.body.json();
     if (res.statusCode === 200) return ok(body);
-    return fail("forbidden", `${admin} answered with ${res.statusCode}`);
+    const isRefused = REFUSED_STATUSES.has(res.statusCode);
+    const code = isRefused ? "forbidden" : "not_ready";
+    return fail(code, `${admin} answered with ${res.statusCode}`);
   } catch (cause) {
     return fail("not_ready", `${admin} cannot be reached: ${String(cause)}`);
   } finally {
--- a/src/cli/status_test.ts
+++ b/src/cli/status_test.ts
@@ -1,5 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import {
@@ -16,7 +18,7 @@
 const TOKEN = "role-token";
 const MAX_TRIES = 200;
 
-async function setup(t: ExecutionContext) {
+async function setup(t: ExecutionContext, admin?: string) {
   const one = await startTestInstance({
     log: new SilentLog(),
     metrics: new MemoryMetrics(),
@@ -34,7 +36,9 @@
   await store.apply({ author: "t", sections: new Map([[name, access]]) });
   const status = (env: Record<string, string>) => {
     const platforms = new Map([["http://store", one.platform]]);
-    const at = `--admin ${one.instance.adminUrl} --platform http://store`;
+    const at = `--admin ${
+      admin ?? one.instance.adminUrl
+    } --platform http://store`;
     return new CommandRunner(platforms, env).run(`status --json ${at}`);
   };
   return { status };
@@ -70,3 +74,17 @@
   t.is(refused.code, EXIT.failed);
   t.regex(refused.err, /forbidden/);
 });
+
+// Guards against operators who look for a wrong token while an instance starts.
+test("status names an instance that is not ready as such", async (t) => {
+  const server = createServer((_req, res) => {
+    res.writeHead(503, { "content-type": "application/json" }).end("{}");
+  });
+  t.teardown(() => server.close());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const { status } = await setup(t, `http://127.0.0.1:${port}`);
+  const refused = await status({ MAGNOLIAHOOK_TOKEN: TOKEN });
+  t.is(refused.code, EXIT.unavailable);
+  t.regex(refused.err, /not_ready/);
+});
