Log why a step of a stop failed

What operators saw: stop_step with done false, whether the step had timed out or failed, and no cause anywhere.

Cause: the error of a failed step was dropped. The event now has a cause.

Before: three tests of stop_sequence_test find no cause. After: they pass.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -233,8 +233,9 @@
   },
   stop_step: {
     namespace: "",
-    fields: ["step", "done"],
-    help: "A shutdown step ended; done is false if it timed out",
+    fields: ["step", "done", "cause"],
+    help:
+      "A shutdown step ended; done is false if it timed out or failed, with the cause",
   },
   stopped: {
     namespace: "",
--- a/src/instance/stop_sequence.ts
+++ b/src/instance/stop_sequence.ts
@@ -70,13 +70,13 @@
   run: () => Promise<unknown>,
   timeoutMs = STEP_TIMEOUT_MS,
 ): Promise<void> {
-  const done = await new Promise<boolean>((resolve) => {
-    const timer = clock.after(timeoutMs, () => resolve(false));
-    const end = (ok: boolean) => {
+  const cause = await new Promise<string | undefined>((resolve) => {
+    const timer = clock.after(timeoutMs, () => resolve("timed out"));
+    const end = (cause?: string) => {
       timer.close();
-      resolve(ok);
+      resolve(cause);
     };
-    run().then(() => end(true), () => end(false));
+    run().then(() => end(), (cause) => end(String(cause)));
   });
-  log.event("stop_step", { step: name, done });
+  log.event("stop_step", { step: name, done: cause === undefined, cause });
 }
