Confirm a list ever less often while the store does not respond

An instance that had listed shortly before an outage of the store would have repeated the check of its list every 2 s for each kind: 120 calls a second at 80 instances.

Shown by resource_watcher_test "a list is confirmed ever less often ...": 4 calls in 60 s, at 2, 6, 14 and 30 s.

--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -14,11 +14,12 @@
  *
  * @module
  */
-import type { Clock, Failure, Log, Random, Timer } from "../core/mod.ts";
+import type { Clock, Failure, Log, Random } from "../core/mod.ts";
 import { fail, sleep } from "../core/mod.ts";
 import type { Result } from "neverthrow";
 import { BatchPause } from "./batch_pause.ts";
 import { Catchup } from "./catchup.ts";
+import { ListConfirmation } from "./list_confirmation.ts";
 import type {
   Changes,
   ResourceClient,
@@ -47,12 +48,6 @@
 /** Timeout of a watch that reads only past changes, in milliseconds. */
 const IMMEDIATE_TIMEOUT_MS = 1;
 
-/**
- * Delay before a list is confirmed, in milliseconds: after a restart of all
- * instances the watchers are elected within this time.
- */
-const CONFIRM_DELAY_MS = 2_000;
-
 /** Poll interval while waiting for a peer's snapshot, in milliseconds. */
 const PEER_POLL_MS = 250;
 
@@ -86,7 +81,9 @@
   readonly #abort = new AbortController();
   readonly #cache = new ResourceCache();
   readonly #catchup: Catchup;
-  #confirmation: Timer | undefined;
+  readonly #confirmation: ListConfirmation;
+  /** Revision of the last list. */
+  #listedRevision: number | undefined;
   readonly #startedAt: number;
   #watches = false;
   #wake: (() => void) | undefined;
@@ -112,6 +109,14 @@
       opts.clock,
       () => this.#catchUp().catch((cause) => this.#requireList(cause)),
     );
+    this.#confirmation = new ListConfirmation(
+      opts.clock,
+      () =>
+        this.#confirmList().catch((cause) => {
+          this.#requireList(cause);
+          return true;
+        }),
+    );
   }
 
   /** Revision of the last known change; 0 before the first list. */
@@ -196,7 +201,7 @@
   close(): void {
     this.#abort.abort();
     this.#catchup.close();
-    this.#confirmation?.close();
+    this.#confirmation.close();
     this.#wake?.();
   }
 
@@ -248,28 +253,23 @@
       changedAt: this.#cache.changedAt,
       objects: all.entries.length,
     });
-    this.#scheduleConfirmation(all.revision);
+    this.#listedRevision = all.revision;
+    this.#confirmation.schedule();
   }
 
   /**
-   * Checks later whether a list missed a deletion. An object that is deleted
-   * between this list and those of all watchers is in no change that they relay;
-   * one that changes is newer in their lists.
+   * Reads the changes since the last list once, unless this instance watches the
+   * store or has moved on. Returns whether that is done.
    */
-  #scheduleConfirmation(revision: number): void {
-    this.#confirmation?.close();
-    this.#confirmation = this.#opts.clock.after(CONFIRM_DELAY_MS, () => {
-      if (this.#watches || this.#revision !== revision) return;
-      this.#readFromStore(revision).then(
-        (isRead) => isRead || this.#scheduleConfirmation(revision),
-        (cause) => this.#requireList(cause),
-      );
-    });
+  async #confirmList(): Promise<boolean> {
+    const revision = this.#listedRevision;
+    if (revision === undefined || this.#revision !== revision) return true;
+    return this.#watches || await this.#readFromStore(revision);
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
     const { source } = this.#opts;
-    this.#confirmation?.close();
+    this.#confirmation.close();
     const waitMs = this.#outageSince === undefined
       ? WATCH_TIMEOUT_MS
       : OUTAGE_WATCH_TIMEOUT_MS;
--- a/src/watcher/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -426,6 +426,14 @@
   t.deepEqual(seen.slice(2), ["watch 5", "watch 5", "in touch", "deleted a"]);
 });
 
+// Guards against calls by every instance throughout an outage of the store.
+test("a list is confirmed ever less often while the store does not respond", async (t) => {
+  const { seen, step, pass } = watcher(list(5, "a"));
+  await step();
+  for (let i = 0; i < 60; i++) await pass(1_000);
+  t.is(seen.filter((s) => s === "watch 5").length, 4);
+});
+
 for (
   const { name, learn } of [
     {
