--- a/src/edge/received_bytes.ts
+++ b/src/edge/received_bytes.ts
@@ -18,7 +18,15 @@
   /** By its length, in bytes; 0 where a response has no body. */
   | { readonly kind: "length"; readonly bytes: number };
 
-/** Bytes of one response as they arrive on its connection. */
+/**
+ * Bytes of one response as they arrive on its connection.
+ *
+ * @example
+ * ```ts
+ * socket.on("data", (chunk) => received.add(chunk));
+ * res.on("end", () => reusable = received.endsWith({ kind: "chunked" }));
+ * ```
+ */
 export class ReceivedBytes {
   /** What arrived of the head, until it is complete. */
   #head: Buffer | undefined = Buffer.alloc(0);
@@ -26,6 +34,7 @@
   /** A copy, since a slice would keep the whole chunk in memory. */
   #tail: Buffer = Buffer.alloc(0);
 
+  /** Adds a chunk as read from the socket. */
   add(chunk: Buffer): void {
     const { length } = CHUNKED_END;
     this.#tail = chunk.length >= length
--- a/tools/process_soak/loopback_block.ts
+++ b/tools/process_soak/loopback_block.ts
@@ -25,6 +25,11 @@
   /**
    * Takes the block of a seed. Runs with the same block would exchange messages
    * and report violations that are none, so the second one gets an error.
+   *
+   * @example
+   * ```ts
+   * const block = (await LoopbackBlock.take(seed))._unsafeUnwrap();
+   * ```
    */
   static take(seed: number): Promise<Result<LoopbackBlock, string>> {
     const net = `127.${FIRST_BLOCK + seed % BLOCKS}`;
