--- a/src/cli/status_test.ts
+++ b/src/cli/status_test.ts
@@ -1,7 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import {
@@ -11,6 +10,7 @@
   SystemClock,
 } from "../core/mod.ts";
 import { DocumentStore, type SectionName, sha256 } from "../document/mod.ts";
+import { boundPort, listenAt } from "../edge/mod.ts";
 import { startTestInstance } from "../instance/testing/test_instance.ts";
 import { EXIT } from "./exit.ts";
 import { CommandRunner } from "./testing/command_runner.ts";
@@ -81,9 +81,8 @@
     res.writeHead(503, { "content-type": "application/json" }).end("{}");
   });
   t.teardown(() => server.close());
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const { status } = await setup(t, `http://127.0.0.1:${port}`);
+  await listenAt(server, "127.0.0.1:0");
+  const { status } = await setup(t, `http://127.0.0.1:${boundPort(server)}`);
   const refused = await status({ MAGNOLIAHOOK_TOKEN: TOKEN });
   t.is(refused.code, EXIT.unavailable);
   t.regex(refused.err, /not_ready/);
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -1,54 +1,13 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
-import { createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { ManualClock, SystemClock } from "../core/mod.ts";
 import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
+import { listenScripted, type Script } from "./testing/scripted_endpoint.ts";
 import { endpointRow } from "./testing/traffic_fixtures.ts";
 
-/** What an endpoint does with a connection on each request. */
-type Script = (socket: Socket, requests: number) => void;
-
-interface Endpoint {
-  readonly address: string;
-  /** Number of accepted connections. */
-  readonly connections: () => number;
-  close(): void;
-}
-
-function listen(
-  script: Script,
-  onBytes: (chunk: Buffer) => void = () => {},
-): Promise<Endpoint> {
-  let accepted = 0;
-  const open = new Set<Socket>();
-  const server = createServer((socket) => {
-    accepted++;
-    open.add(socket);
-    let requests = 0;
-    socket.on("error", () => {});
-    socket.on("data", (chunk) => {
-      onBytes(chunk);
-      script(socket, ++requests);
-    });
-  });
-  return new Promise((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" ? address?.port : 0;
-      resolve({
-        address: `127.0.0.1:${port}`,
-        connections: () => accepted,
-        close: () => {
-          for (const socket of open) socket.destroy();
-          server.close();
-        },
-      });
-    });
-  });
-}
-
 function outgoing(requestId = "q1"): OutgoingRequest {
   return {
     method: "GET",
@@ -65,7 +24,7 @@
 
 /** Sends one request to an endpoint that follows the script. */
 async function sendTo(script: Script): Promise<SendResult> {
-  const endpoint = await listen(script);
+  const endpoint = await listenScripted(script);
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: endpoint.address });
   const result = await sender.send(row, outgoing()).result;
@@ -174,7 +133,7 @@
 
 test("a refused connection counts as not sent", async (t) => {
   // Guards against no retry of a request that cannot have run.
-  const gone = await listen(() => {});
+  const gone = await listenScripted(() => {});
   gone.close();
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: gone.address });
@@ -185,7 +144,7 @@
 
 test("a connection with extra bytes after a response is not reused", async (t) => {
   // Guards against a surplus response that reaches the next caller.
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     const whole = response("Content-Length: 2\r\n", "ab");
     socket.write(whole + whole);
   });
@@ -213,7 +172,7 @@
   // Guards against requests lost on a connection where a surplus response has
   // begun: the parser discards the beginning and then fails on the remainder.
   test(`a connection with part of a surplus response is not reused: ${name}`, async (t) => {
-    const endpoint = await listen((socket) => {
+    const endpoint = await listenScripted((socket) => {
       socket.write(response(head, body) + "HTTP/1.1 200 O");
     });
     const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
@@ -228,7 +187,7 @@
 
   test(`a connection is reused after a response in pieces: ${name}`, async (t) => {
     // Guards against a new connection for each request.
-    const endpoint = await listen((socket) => {
+    const endpoint = await listenScripted((socket) => {
       const pieces = [...response(head, body)];
       const write = () => {
         socket.write(pieces.shift() ?? "");
@@ -251,7 +210,7 @@
 
 test("bytes on an idle connection close it", async (t) => {
   // Guards against late bytes that are read as the next request's response.
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     socket.write(response("Content-Length: 2\r\n", "ab"));
     setTimeout(() => socket.write("HTTP/1.1 200 O"), 10);
   });
@@ -270,7 +229,7 @@
 // and the bytes are due together after a stall of the event loop.
 test("bytes that wait unread on an idle connection close it", async (t) => {
   let connection: Socket | undefined;
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     connection = socket;
     socket.write(response("Content-Length: 2\r\n", "ab"));
   });
@@ -292,7 +251,7 @@
 test("a send that is cancelled before it starts sends nothing", async (t) => {
   // Guards against a request that runs although its caller has gone.
   let requests = 0;
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     requests++;
     socket.write(response("Content-Length: 2\r\n", "ab"));
   });
@@ -320,7 +279,7 @@
 test("a request without a body has a content length of 0", async (t) => {
   // Guards against a chunked body at endpoints that cannot read one.
   let head = "";
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     socket.write(response("Content-Length: 2\r\n", "ab"));
   }, (chunk) => head += chunk);
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
@@ -333,7 +292,7 @@
 });
 
 test("a connection is reused after a complete response", async (t) => {
-  const endpoint = await listen((socket) =>
+  const endpoint = await listenScripted((socket) =>
     socket.write(response("Content-Length: 2\r\n", "ab"))
   );
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
@@ -349,7 +308,7 @@
   // Guards against endpoints that work for callers that disconnected.
   let arrived: (socket: Socket) => void;
   const arrival = new Promise<Socket>((resolve) => arrived = resolve);
-  const endpoint = await listen((socket) => arrived(socket));
+  const endpoint = await listenScripted((socket) => arrived(socket));
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   const row = endpointRow({ address: endpoint.address });
   const sending = sender.send(row, outgoing());
@@ -366,7 +325,7 @@
 test("a long response is streamed with backpressure", async (t) => {
   const piece = Buffer.alloc(65_536, "x");
   const pieces = 8;
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     const length = piece.length * pieces;
     socket.write(response(`Content-Length: ${length}\r\n`));
     for (let i = 0; i < pieces; i++) socket.write(piece);
@@ -396,7 +355,7 @@
 
 test("an endpoint that drops idle connections fails only one request", async (t) => {
   // Guards against repeated failures on connections dropped while idle.
-  const endpoint = await listen((socket, requests) => {
+  const endpoint = await listenScripted((socket, requests) => {
     if (requests === 1) socket.write(response("content-length: 2\r\n", "ok"));
     else socket.resetAndDestroy();
   });
@@ -421,7 +380,7 @@
 
 test("a connection is reused within the keep-alive timeout less a margin", async (t) => {
   // Guards against a new connection for each request at a low request rate.
-  const endpoint = await listen((socket) => {
+  const endpoint = await listenScripted((socket) => {
     const head = "keep: 10000\r\ncontent-length: 2\r\n";
     socket.write(response(head, "ok"));
   });
--- a/src/endpoints/http_endpoint_client_test.ts
+++ b/src/endpoints/http_endpoint_client_test.ts
@@ -1,28 +1,23 @@
 import test from "ava";
-import { createServer, type Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import type { AccountId } from "../core/mod.ts";
-import { boundPort, listenAt } from "../edge/mod.ts";
+import {
+  listenScripted,
+  type Script,
+} from "../edge/testing/scripted_endpoint.ts";
 import { HttpEndpointClient } from "./http_endpoint_client.ts";
 
 function response(body: string): string {
   return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 }
 
-/** An endpoint that runs the script on each request. */
-async function listen(script: (socket: Socket, requests: number) => void) {
-  let requests = 0;
-  const sockets: Socket[] = [];
-  const server = createServer((socket) => {
-    sockets.push(socket);
-    socket.on("error", () => {});
-    socket.on("data", () => script(socket, ++requests));
-  });
-  await listenAt(server, "127.0.0.1:0");
+/** A client and an endpoint that follows the script. */
+async function setUp(script: Script) {
+  const endpoint = await listenScripted(script);
   const client = new HttpEndpointClient();
   const send = async () => {
     const answer = await client.send({
-      url: `http://127.0.0.1:${boundPort(server)}`,
+      url: `http://${endpoint.address}`,
       method: "GET",
       path: "/",
       headers: {},
@@ -34,17 +29,17 @@
     return answer.isErr() ? answer.error.code : await text(answer.value.body);
   };
   const close = async () => {
-    for (const socket of sockets) socket.destroy();
-    server.close();
+    endpoint.close();
     await client.close();
   };
-  return { send, close, sockets };
+  return { send, close, sockets: endpoint.sockets };
 }
 
 // Guards against a late response that goes to the caller of the next request.
 test("bytes that wait unread on an idle connection are no response", async (t) => {
-  const { send, close, sockets } = await listen((socket, requests) => {
-    socket.write(response(`own ${requests}`));
+  let requests = 0;
+  const { send, close, sockets } = await setUp((socket) => {
+    socket.write(response(`own ${++requests}`));
   });
   t.is(await send(), "own 1");
   await new Promise((resolve) => setTimeout(resolve, 20));
@@ -59,8 +54,9 @@
 });
 
 test("a connection with part of a surplus response is not reused", async (t) => {
-  const { send, close, sockets } = await listen((socket, requests) => {
-    const surplus = requests === 1 ? "HTTP/1.1 200 O" : "";
+  let requests = 0;
+  const { send, close, sockets } = await setUp((socket) => {
+    const surplus = ++requests === 1 ? "HTTP/1.1 200 O" : "";
     socket.write(response(`own ${requests}`) + surplus);
   });
   t.is(await send(), "own 1");
--- a/tools/process_soak/loopback_block.ts
+++ b/tools/process_soak/loopback_block.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server } from "node:net";
 import { err, ok, type Result } from "neverthrow";
+import { listenAt } from "../../src/edge/mod.ts";
 
 const FIRST_BLOCK = 64;
 const BLOCKS = 128;
@@ -31,20 +32,17 @@
    * const block = (await LoopbackBlock.take(seed))._unsafeUnwrap();
    * ```
    */
-  static take(seed: number): Promise<Result<LoopbackBlock, string>> {
+  static async take(seed: number): Promise<Result<LoopbackBlock, string>> {
     const net = `127.${FIRST_BLOCK + seed % BLOCKS}`;
     const lock = createServer();
-    return new Promise((resolve) => {
-      lock.once("error", (cause: NodeJS.ErrnoException) => {
-        const why = cause.code === "EADDRINUSE"
-          ? "another run uses them"
-          : cause.message;
-        resolve(err(`the addresses ${net}.* of seed ${seed}: ${why}`));
-      });
-      lock.listen(LOCK_PORT, `${net}.255.254`, () => {
-        resolve(ok(new LoopbackBlock(net, lock)));
-      });
-    });
+    try {
+      await listenAt(lock, `${net}.255.254:${LOCK_PORT}`);
+      return ok(new LoopbackBlock(net, lock));
+    } catch (cause) {
+      const { code, message } = cause as NodeJS.ErrnoException;
+      const why = code === "EADDRINUSE" ? "another run uses them" : message;
+      return err(`the addresses ${net}.* of seed ${seed}: ${why}`);
+    }
   }
 
   /** Address of the n-th instance, counted from 1. */
