Drop a second body counter and work done twice per request

- An exchange counted its body twice; the counters agree for as long as the body is buffered, which is where the limit of the buffer applies.
- A send split the endpoint's address twice, and the count of received bytes copied the first chunk of each response, which nearly always has the whole head.
- The revision of the last list was a field of the watcher, though only the check of that list needs it; it goes with the schedule of the check.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -38,7 +38,6 @@
   #fields: ResponseFields | undefined;
   #headAt = 0;
   #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
   #bodyBytes = 0;
   #settled = false;
   #sink: BodySink | undefined;
@@ -96,8 +95,7 @@
       return;
     }
     this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return;
+    if (this.#bodyBytes <= MAX_BUFFERED_BYTES) return;
     res.pause();
     this.#deliver(res, this.#remainder(res));
   }
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -12,7 +12,7 @@
 import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
-import { splitAddress } from "../fleet/mod.ts";
+import { type HostPort, splitAddress } from "../fleet/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import { EndpointConnections } from "./endpoint_connections.ts";
 import type {
@@ -47,12 +47,15 @@
   send(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
     const address = splitAddress(endpoint.record.address);
     this.#connections.closeIdle(address, this.#idle.of(endpoint));
-    const start = () => this.#start(endpoint, outgoing);
+    const start = () => this.#start(endpoint, address, outgoing);
     return this.#connections.hasIdle(address) ? afterReads(start) : start();
   }
 
-  #start(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
-    const address = splitAddress(endpoint.record.address);
+  #start(
+    endpoint: EndpointRow,
+    address: HostPort,
+    outgoing: OutgoingRequest,
+  ): PendingSend {
     let req: ClientRequest;
     try {
       req = request({
--- a/src/edge/received_bytes.ts
+++ b/src/edge/received_bytes.ts
@@ -11,6 +11,7 @@
 
 const HEAD_END = "\r\n\r\n";
 const CHUNKED_END = Buffer.from("\r\n\r\n");
+const EMPTY = Buffer.alloc(0);
 
 /** How the end of a response's body is marked. */
 export type BodyFraming =
@@ -29,10 +30,10 @@
  */
 export class ReceivedBytes {
   /** What arrived of the head, until it is complete. */
-  #head: Buffer | undefined = Buffer.alloc(0);
+  #head: Buffer | undefined = EMPTY;
   #bodyBytes = 0;
   /** A copy, since a slice would keep the whole chunk in memory. */
-  #tail: Buffer = Buffer.alloc(0);
+  #tail: Buffer = EMPTY;
 
   /** Adds a chunk as read from the socket. */
   add(chunk: Buffer): void {
@@ -41,6 +42,7 @@
       ? Buffer.from(chunk.subarray(-length))
       : Buffer.concat([this.#tail, chunk]).subarray(-length);
     if (this.#head === undefined) this.#bodyBytes += chunk.length;
+    else if (this.#head === EMPTY) this.#addToHead(chunk);
     else this.#addToHead(Buffer.concat([this.#head, chunk]));
   }
 
--- a/src/watcher/list_confirmation.ts
+++ b/src/watcher/list_confirmation.ts
@@ -23,20 +23,23 @@
 /** Repeats a check until it was made. */
 export class ListConfirmation {
   readonly #clock: Clock;
-  readonly #confirm: () => Promise<boolean>;
+  readonly #confirm: (revision: number) => Promise<boolean>;
   #timer: Timer | undefined;
   #delayMs = CONFIRM_DELAY_MS;
 
   /** @param confirm Returns whether the check was made or is not needed. */
-  constructor(clock: Clock, confirm: () => Promise<boolean>) {
+  constructor(
+    clock: Clock,
+    confirm: (revision: number) => Promise<boolean>,
+  ) {
     this.#clock = clock;
     this.#confirm = confirm;
   }
 
-  /** Schedules the check, in place of one that is scheduled already. */
-  schedule(): void {
+  /** Schedules the check of a list, in place of an earlier one's. */
+  schedule(revision: number): void {
     this.#delayMs = CONFIRM_DELAY_MS;
-    this.#start();
+    this.#start(revision);
   }
 
   /** Cancels the check. */
@@ -45,16 +48,19 @@
     this.#timer = undefined;
   }
 
-  #start(): void {
+  #start(revision: number): void {
     this.close();
-    this.#timer = this.#clock.after(this.#delayMs, () => void this.#run());
+    this.#timer = this.#clock.after(
+      this.#delayMs,
+      () => void this.#run(revision),
+    );
   }
 
-  async #run(): Promise<void> {
+  async #run(revision: number): Promise<void> {
     const timer = this.#timer;
-    const isDone = await this.#confirm();
+    const isDone = await this.#confirm(revision);
     if (isDone || this.#timer !== timer) return;
     this.#delayMs = Math.min(MAX_CONFIRM_DELAY_MS, this.#delayMs * 2);
-    this.#start();
+    this.#start(revision);
   }
 }
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -82,8 +82,6 @@
   readonly #cache = new ResourceCache();
   readonly #catchup: Catchup;
   readonly #confirmation: ListConfirmation;
-  /** Revision of the last list. */
-  #listedRevision: number | undefined;
   readonly #startedAt: number;
   #watches = false;
   #wake: (() => void) | undefined;
@@ -111,8 +109,8 @@
     );
     this.#confirmation = new ListConfirmation(
       opts.clock,
-      () =>
-        this.#confirmList().catch((cause) => {
+      (revision) =>
+        this.#confirmList(revision).catch((cause) => {
           this.#requireList(cause);
           return true;
         }),
@@ -253,18 +251,16 @@
       changedAt: this.#cache.changedAt,
       objects: all.entries.length,
     });
-    this.#listedRevision = all.revision;
-    this.#confirmation.schedule();
+    this.#confirmation.schedule(all.revision);
   }
 
   /**
-   * Reads the changes since the last list once, unless this instance watches the
-   * store or has moved on. Returns whether that is done.
+   * Reads the changes since a list once, unless this instance watches the store
+   * or has moved on. Returns whether that is done.
    */
-  async #confirmList(): Promise<boolean> {
-    const revision = this.#listedRevision;
-    if (revision === undefined || this.#revision !== revision) return true;
-    return this.#watches || await this.#readFromStore(revision);
+  async #confirmList(revision: number): Promise<boolean> {
+    if (this.#watches || this.#revision !== revision) return true;
+    return await this.#readFromStore(revision);
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
