Report fields of endpoints' responses that are not read, and count sheds

- The codec names the fields of a response that it neither reads nor knows as generic HTTP.
Each is logged once (endpoint_field_unread) and counted; at most 32 names of 64 characters, since an endpoint can invent more.
- endpoint.shed counts refusals by endpoint, first attempts and retries apart: a late or bypassed rest would show as retries, one that is ignored as first attempts at the usual rate.
- EndpointSignals applies what a response's header states when it arrives, in place of EndpointChooser when the body is complete.
A limit is thus recorded also where the body is cut off later; that is the only change of behaviour.
The scripted refusals of tests now say notRun, as real ones do.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -78,6 +78,12 @@
     fields: ["endpoint", "service", "zone", "draining", "coldMs", "revision"],
     help: "An endpoint registered, restarted, began to drain or became cold",
   },
+  endpoint_field_unread: {
+    namespace: "steering",
+    fields: ["field"],
+    help:
+      "Endpoints' responses have a header field that this version does not read; it is passed on to callers. Logged once for each name, for at most 32 names",
+  },
   endpoint_limit_changed: {
     namespace: "steering",
     fields: ["endpoint", "ratePerS", "source"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -56,6 +56,20 @@
     help:
       "Time from the start of an endpoint's drain until its last request on this instance ends",
   },
+  "endpoint.field_unread": {
+    type: "count",
+    unit: "responses",
+    tags: ["field"],
+    help:
+      "Responses of endpoints with a header field that this version does not read; other for names beyond the first 32",
+  },
+  "endpoint.shed": {
+    type: "count",
+    unit: "requests",
+    tags: ["endpoint", "attempt"],
+    help:
+      "Requests that an endpoint refused without running them; attempt is first or retry",
+  },
   "forwarded": {
     type: "count",
     unit: "requests",
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -13,6 +13,7 @@
   type Metrics,
 } from "../core/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
+import type { SendResult } from "./endpoint_sender.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
 /** Logs and counts completed requests of one instance. */
@@ -87,9 +88,16 @@
   }
 
   /** Records a completed attempt at an endpoint. */
-  tried(endpoint: EndpointRow, tookMs: number): void {
+  tried(
+    ctx: RequestContext,
+    endpoint: EndpointRow,
+    opts: { readonly result: SendResult; readonly tookMs: number },
+  ): void {
     const { service } = endpoint.record;
-    this.#metrics.timing("endpoint.duration", tookMs, { service });
+    this.#metrics.timing("endpoint.duration", opts.tookMs, { service });
+    if (opts.result.kind !== "not-run" || opts.result.moved) return;
+    const attempt = ctx.tried.size > 1 ? "retry" : "first";
+    this.#metrics.count("endpoint.shed", { endpoint: endpoint.id, attempt });
   }
 
   /** Log fields of a request, its route and its attempts. */
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -34,6 +34,7 @@
 import type { EdgeSettings } from "./edge_settings.ts";
 import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
+import { EndpointSignals } from "./endpoint_signals.ts";
 import { GossipHandlers } from "./gossip_handlers.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { joinList } from "./instance_list.ts";
@@ -87,6 +88,7 @@
   readonly #member: FleetMember;
   readonly #quotas: AccountQuotas;
   readonly #limits: EndpointLimits;
+  readonly #signals: EndpointSignals;
   readonly #chooser: EndpointChooser;
   readonly #sender: HttpEndpointSender;
   readonly #expiry = new ExpiryGuard();
@@ -137,6 +139,12 @@
       log,
       metrics: opts.metrics,
     });
+    this.#signals = new EndpointSignals({
+      limits: this.#limits,
+      clock,
+      log,
+      metrics: opts.metrics,
+    });
     this.#chooser = new EndpointChooser({
       state: this.#state,
       limits: this.#limits,
@@ -298,6 +306,7 @@
       gate: this.#gate,
       admission: new Admission(this.#state, this.#quotas, clock),
       chooser: this.#chooser,
+      signals: this.#signals,
       sender: this.#sender,
       codec,
       retries: this.#retryBudget,
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -147,11 +147,6 @@
   ): void {
     const { tookMs, now } = opts;
     row.inFlight--;
-    if (result.kind === "answer" || result.kind === "not-run") {
-      const { load } = result.fields;
-      if (load !== undefined) row.applyReport(load, now);
-      this.#recordLimit(row, result, now);
-    }
     switch (result.kind) {
       case "answer":
         this.#outliers.record(
@@ -179,21 +174,6 @@
     }
   }
 
-  /**
-   * Ignores the limit of another endpoint at the same address. A refusal may
-   * omit the limit, so only a regular response without one removes it.
-   */
-  #recordLimit(
-    row: EndpointRow,
-    result: Extract<SendResult, { kind: "answer" | "not-run" }>,
-    now: number,
-  ): void {
-    const { limit, moved } = result.fields;
-    if (moved || (result.kind === "not-run" && limit.kind === "none")) return;
-    const at = Math.min(now, result.headAt ?? now);
-    this.#opts.limits.answered(row, limit, at);
-  }
-
   /** Retry delay for a request that an endpoint shed, in milliseconds. */
   retryAfterShedMs(ctx: RequestContext, row: EndpointRow, now: number): number {
     const endpoints = this.#opts.state.eligible(ctx.service, ctx.regions);
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -15,6 +15,8 @@
   readonly body: Buffer | undefined;
   /** The request id that the response must have. */
   readonly requestId: string;
+  /** Called when the header of the response to this request arrives. */
+  readonly onHead: (fields: ResponseFields) => void;
 }
 
 /** Receives the remainder of a response that is too large to buffer. */
@@ -58,8 +60,6 @@
     readonly status: number;
     readonly headers: string[];
     readonly fields: ResponseFields;
-    /** When its header arrived, on the instance's clock; now if undefined. */
-    readonly headAt?: number;
     readonly body: ResponseBody;
   }
   /** No byte of the request was sent. */
@@ -69,7 +69,6 @@
     readonly kind: "not-run";
     readonly moved: boolean;
     readonly fields: ResponseFields;
-    readonly headAt?: number;
   }
   | { readonly kind: "unknown"; readonly reason: UnknownReason }
   /** `cancel` was called before a response was received. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -26,6 +26,8 @@
   readonly requestId: string;
   readonly codec: RequestCodec;
   readonly clock: Clock;
+  /** Called with the header of the response, if it belongs to the request. */
+  readonly onHead: (fields: ResponseFields) => void;
   readonly settle: (result: SendResult) => void;
 }
 
@@ -36,7 +38,6 @@
   #connection: EndpointConnection | undefined;
   #res: IncomingMessage | undefined;
   #fields: ResponseFields | undefined;
-  #headAt = 0;
   #buffered: Buffer[] = [];
   #bodyBytes = 0;
   #settled = false;
@@ -75,13 +76,13 @@
   #onResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     this.#res = res;
-    this.#headAt = this.#opts.clock.now();
     this.#fields = this.#opts.codec.readResponse(status, res.rawHeaders);
     if (!this.#matchesRequest(this.#fields)) {
       this.#finish({ kind: "unknown", reason: "foreign" });
       this.#req.destroy();
       return;
     }
+    this.#opts.onHead(this.#fields);
     if (isCloseDelimited(res)) delayEnd(res.socket, this.#opts.clock);
     res.on("data", (chunk: Buffer) => this.#onData(res, chunk));
     res.on("end", () => this.#onEnd(res));
@@ -161,7 +162,7 @@
     if (fields === undefined || this.#settled) return;
     if (fields.moved || fields.notRun) {
       const { moved } = fields;
-      this.#finish({ kind: "not-run", moved, fields, headAt: this.#headAt });
+      this.#finish({ kind: "not-run", moved, fields });
       return;
     }
     const bytes = Buffer.concat(this.#buffered);
@@ -171,7 +172,6 @@
       status: res.statusCode ?? 0,
       headers: res.rawHeaders,
       fields,
-      headAt: this.#headAt,
       body: { bytes, remainder: rest },
     });
   }
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -75,6 +75,7 @@
       requestId: outgoing.requestId,
       codec: this.#codec,
       clock: this.#clock,
+      onHead: outgoing.onHead,
       settle: (result) => {
         this.#recordIdleTimeout(endpoint, result, exchange.idleBeforeMs);
         settle(result);
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -15,6 +15,7 @@
     headers: ["id", requestId],
     body: undefined,
     requestId,
+    onHead: () => {},
   };
 }
 
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -14,6 +14,7 @@
 import type { EndpointRow } from "../traffic/mod.ts";
 import { type Admission, clientTimeoutOf } from "./admission.ts";
 import type { EndpointChooser } from "./endpoint_chooser.ts";
+import type { EndpointSignals } from "./endpoint_signals.ts";
 import type {
   EndpointSender,
   PendingSend,
@@ -38,6 +39,7 @@
   readonly gate: StartGate;
   readonly admission: Admission;
   readonly chooser: EndpointChooser;
+  readonly signals: EndpointSignals;
   readonly sender: EndpointSender;
   readonly codec: RequestCodec;
   readonly retries: SharedRetryBudget;
@@ -96,7 +98,7 @@
   }
 
   async #send(ctx: RequestContext, endpoint: EndpointRow): Promise<SendResult> {
-    const { clock, codec, sender, chooser, accessLog } = this.#opts;
+    const { clock, codec, sender, chooser, signals, accessLog } = this.#opts;
     const { req, account, tried, deadline } = ctx;
     const sentAt = clock.now();
     tried.add(endpoint);
@@ -111,11 +113,12 @@
       }),
       body: req.body,
       requestId: req.fields.requestId,
+      onHead: (fields) => signals.received(endpoint, fields),
     });
     const result = await this.#awaitResult(sending, ctx);
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
-    accessLog.tried(endpoint, now - sentAt);
+    accessLog.tried(ctx, endpoint, { result, tookMs: now - sentAt });
     return result;
   }
 
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -18,6 +18,7 @@
 import { Admission } from "./admission.ts";
 import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
+import { EndpointSignals } from "./endpoint_signals.ts";
 import { AccessLog } from "./access_log.ts";
 import type { SendResult } from "./endpoint_sender.ts";
 import type { AnnouncedLimit, RequestFields } from "./request_codec.ts";
@@ -73,6 +74,12 @@
     });
     this.#quotas = quotas;
     this.#limits = limits;
+    const signals = new EndpointSignals({
+      limits,
+      clock,
+      log: new SilentLog(),
+      metrics: new MemoryMetrics(),
+    });
     this.gate = new StartGate(clock);
     if (setup.plan !== "none") this.gate.open();
     this.#flow = new RequestFlow({
@@ -87,6 +94,7 @@
         region: R1,
         regions: [R1, R2],
       }),
+      signals,
       sender: this.sender,
       codec: new PlainCodec(),
       retries: new SharedRetryBudget({
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -54,6 +54,7 @@
       load: undefined,
       limit: { kind: "none" },
       keepAliveMs: keepAlive === undefined ? undefined : Number(keepAlive),
+      unread: [],
     };
   }
 
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -21,6 +21,7 @@
   load: undefined,
   limit: { kind: "none" },
   keepAliveMs: undefined,
+  unread: [],
 };
 
 /** A response with this status. */
@@ -40,7 +41,8 @@
 /** A refusal that states that the request did not run. */
 export function shed(fields: Partial<ResponseFields> = {}): SendResult {
   const moved = fields.moved ?? false;
-  return { kind: "not-run", moved, fields: { ...FIELDS, ...fields } };
+  const refusal = { ...FIELDS, notRun: !moved, signed: false, ...fields };
+  return { kind: "not-run", moved, fields: refusal };
 }
 
 /** One request to the sender. */
@@ -74,7 +76,11 @@
     let settle: (result: SendResult) => void = () => {};
     const result = new Promise<SendResult>((resolve) => {
       settle = resolve;
-      if (next !== "silence") resolve(next);
+      if (next === "silence") return;
+      if (next.kind === "answer" || next.kind === "not-run") {
+        req.onHead(next.fields);
+      }
+      resolve(next);
     });
     const cancel = () => {
       sent.cancelled = true;
