Add failing tests for rest and leaving of endpoints

The endpoints of the soak of processes can refuse all requests with a Retry-After for 4 s, and can announce their leaving in responses only. Two properties, seen from the endpoint, with the bounds of the users' rules:

- no more than two requests reach an endpoint from an instance between 0.5 s after a 503 with Retry-After and the end of that time; a freeze or restart of the instance since, or a fault of the endpoint's link, excuses it;
- no request that was sent 2 s after an instance had passed on a response with Server-Leaving reaches that endpoint from there; only a freeze or restart excuses it.

--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -28,6 +28,8 @@
   "endpoint answers",
   "endpoint link",
   "endpoint in need",
+  "endpoint rest",
+  "endpoint leaving",
   "plan",
   "withdraw",
 ] as const;
@@ -46,6 +48,11 @@
 const LIMIT_DURATION_MS = 9_000;
 const MIN_LIMIT_PER_S = 2;
 const LIMIT_SPREAD_PER_S = 5;
+/** How long an endpoint refuses requests, and the spread of its Retry-After. */
+const REST_DURATION_MS = 4_000;
+const MAX_REST_S = 3;
+/** Time from the announcement of an endpoint's leaving to its end. */
+const LEAVING_MS = 6_000;
 
 /** Injects a fault; returns its target for the trace. */
 export function injectFault(
@@ -94,6 +101,10 @@
       return injectEndpointLinkFault(world, forMs);
     case "endpoint in need":
       return announceLimit(world);
+    case "endpoint rest":
+      return askForRest(world);
+    case "endpoint leaving":
+      return announceLeaving(world);
     case "plan":
       return world.operators.newPlan();
     case "withdraw":
@@ -117,6 +128,38 @@
   return `${id} takes ${fake.limitPerS} a second for ${LIMIT_DURATION_MS} ms`;
 }
 
+/** Makes an endpoint refuse its requests and ask each instance for rest. */
+function askForRest(world: FaultTargets): string {
+  const endpoint = world.pick(servingEndpoints(world));
+  if (endpoint === undefined) return "none";
+  const { fake } = endpoint;
+  const { id } = fake.opts;
+  if (fake.restS !== undefined) return `${id} rests already`;
+  fake.restS = 1 + world.random.below(MAX_REST_S);
+  const trace = `${id} asks for ${fake.restS} s for ${REST_DURATION_MS} ms`;
+  setTimeout(() => fake.restS = undefined, REST_DURATION_MS);
+  return trace;
+}
+
+/**
+ * Makes an endpoint announce its leaving in its responses only; its entry stays
+ * `ready` until it ends.
+ */
+async function announceLeaving(world: FaultTargets): Promise<string> {
+  const endpoint = pickSpareEndpoint(world);
+  if (endpoint === undefined) return "none to spare";
+  endpoint.draining = true;
+  endpoint.fake.leaving = true;
+  const { id, service } = endpoint.fake.opts;
+  setTimeout(() => {
+    world.store.remove(KINDS.endpoints, id);
+    endpoint.disturbedAt = Infinity;
+    void endpoint.fake.close();
+  }, LEAVING_MS);
+  await world.addEndpoint(service);
+  return id;
+}
+
 function randomLinkMode(world: FaultTargets): LinkMode {
   return world.pick<LinkMode>([
     { kind: "delay", ms: 200 },
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -38,6 +38,8 @@
   /** Incarnation number: the count of starts so far. */
   life = 0;
   disturbedAt = 0;
+  /** When it was last frozen; the end of the freeze if that is over. */
+  frozenAt = -Infinity;
   /** When a graceful stop began; undefined if none, or after kill or freeze. */
   stoppingSince: number | undefined;
   #child: ChildProcess | undefined;
@@ -131,12 +133,14 @@
     const child = this.#child;
     if (child === undefined || this.#frozen) return;
     this.#frozen = true;
+    this.frozenAt = Date.now();
     this.stoppingSince = undefined;
     this.#markDisturbed();
     child.kill("SIGSTOP");
     setTimeout(() => {
       child.kill("SIGCONT");
       if (this.#child === child) this.#frozen = false;
+      this.frozenAt = Date.now();
       this.#markDisturbed();
     }, forMs);
   }
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -90,6 +90,8 @@
     this.checker = new PropertyChecker({
       instance: (id) =>
         this.instances.find((i) => i.opts.id === id)?.disturbedAt ?? 0,
+      freeze: (id) =>
+        this.instances.find((i) => i.opts.id === id)?.frozenAt ?? -Infinity,
       store: () => this.storeDisturbedAt,
       endpoint: (id) =>
         this.endpoints.find((e) => e.fake.opts.id === id)?.disturbedAt ??
@@ -128,6 +130,7 @@
       random: () => this.random.next(),
       onRun: (run) => this.checker.requestStarted(run),
       onArrival: (request) => this.checker.requestArrived(id, request),
+      onRest: (request, restS) => this.checker.restAsked(id, request, restS),
     }, port);
     const proxy = await TcpProxy.listen(fake.port);
     const endpoint = { fake, proxy, disturbedAt: 0, draining: false };
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -69,6 +69,34 @@
   t.true(faults > 0);
 });
 
+// Guards against requests to an endpoint that refused one with a Retry-After.
+test.serial("endpoints that ask for rest get it", async (t) => {
+  const soak = new ProcessSoak({
+    seed: 11,
+    seconds: SECONDS,
+    perZone: 2,
+    program: await program(),
+    only: ["endpoint rest"],
+  });
+  const { violations, faults } = await soak.run();
+  t.deepEqual(violations, []);
+  t.true(faults > 0);
+});
+
+// Guards against new requests to an endpoint that only its responses show to leave.
+test.serial("endpoints that announce their leaving get no new work", async (t) => {
+  const soak = new ProcessSoak({
+    seed: 12,
+    seconds: SECONDS,
+    perZone: 2,
+    program: await program(),
+    only: ["endpoint leaving"],
+  });
+  const { violations, faults } = await soak.run();
+  t.deepEqual(violations, []);
+  t.true(faults > 0);
+});
+
 const PLANTED: readonly {
   readonly name: string;
   readonly fault: SourceMutation;
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -8,6 +8,7 @@
   CallerAttempt,
   CallerResult,
 } from "../../platform/testing/fake_caller.ts";
+import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
 
 /** A violated property. */
 export interface Violation {
@@ -31,6 +32,8 @@
 export interface Disturbances {
   /** When an instance or its store link was last disturbed. */
   instance(id: string): number;
+  /** When an instance was last frozen. */
+  freeze(id: string): number;
   store(): number;
   /** When an endpoint or its link was last disturbed. */
   endpoint(id: string): number;
@@ -77,9 +80,14 @@
   readonly #rates = new Map<string, { ratePerS: number; burst: number }>();
   readonly #startsByAccount = new Map<string, number[]>();
   readonly #limits = new Map<string, EndpointLimit>();
+  readonly #signals: EndpointSignalChecker;
 
   constructor(calm: Disturbances) {
     this.#disturbances = calm;
+    this.#signals = new EndpointSignalChecker({
+      disturbances: calm,
+      onViolation: (property, request) => this.#add(property, { request }),
+    });
   }
 
   limit(account: string, ratePerS: number, burst: number): void {
@@ -104,13 +112,27 @@
     this.#limits.set(endpoint, { ratePerS, since: Date.now(), arrivedAt: [] });
   }
 
-  /** Checks the endpoint's announced limit when a request arrives. */
+  /** Records that an endpoint refused a request and asked for rest. */
+  restAsked(endpoint: string, request: string, restS: number): void {
+    const attempt = this.#sent.get(request);
+    if (attempt !== undefined) {
+      this.#signals.restAsked(endpoint, attempt, restS);
+    }
+  }
+
+  /** Checks a request that arrives at an endpoint, whether it runs or not. */
   requestArrived(endpoint: string, request: string): void {
-    const limit = this.#limits.get(endpoint);
     const attempt = this.#sent.get(request);
+    if (attempt === undefined) return;
+    this.#signals.arrived(endpoint, attempt);
+    this.#checkLimit(endpoint, attempt);
+  }
+
+  #checkLimit(endpoint: string, attempt: SentAttempt): void {
+    const limit = this.#limits.get(endpoint);
     const now = Date.now();
     if (limit === undefined || now - limit.since < SETTLE_MS) return;
-    if (attempt === undefined || !this.#isCalm(attempt.instance, now)) return;
+    if (!this.#isCalm(attempt.instance, now)) return;
     const from = now - LIMIT_WINDOW_S * MS_PER_S;
     limit.arrivedAt = [...limit.arrivedAt, now].filter((at) => at > from);
     const allowed = limit.ratePerS * LIMIT_WINDOW_S * LIMIT_OVERSHOOT +
@@ -154,6 +176,9 @@
     if (result.kind === "answer" && !result.faithful) {
       this.#add("a caller gets its own whole answer", attempt);
     }
+    if (result.kind === "answer" && result.leaving) {
+      this.#signals.leavingPassedOn(result.endpoint, attempt);
+    }
     if (result.kind === "not-run") {
       if (!attempt.idempotent && runs.length > 0) {
         this.#add("what is said not to have run has not", attempt);
