Send nothing to an endpoint that refused with a Retry-After until then

Cause: no instance read Retry-After of a response, and a shed has no effect on the choice of the next endpoint (OutlierDetector ignores it, so that affinity keys do not move away from an endpoint that is merely full). So each request of a key whose primary refuses went there first.

The fix: EndpointBackoff keeps the latest end of what an endpoint asked for, by its start (id, address, start time), so that it survives an entry that lapses and comes back, and is not inherited by a restart or by another endpoint at the address. It is no ejection: it holds also where most endpoints of a service are ejected. Where all are in backoff a request is refused at once; its Retry-After is the time until the first of them accepts requests, spread by the rate at which slots become free.

Seconds, fractions and the three date formats are read, dates relative to the response's own Date; anything else is ignored and logged once.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -73,6 +73,18 @@
     fields: ["code"],
     help: "The manifest could not be watched; polling continues",
   },
+  endpoint_backoff: {
+    namespace: "steering",
+    fields: ["endpoint", "ms"],
+    help:
+      "An endpoint refused a request with a Retry-After; this instance sends it nothing for so long",
+  },
+  endpoint_backoff_unreadable: {
+    namespace: "steering",
+    fields: ["endpoint"],
+    help:
+      "An endpoint refused a request with a Retry-After that is neither seconds nor a date with the response's own Date; it is ignored. Logged once until a valid one is read",
+  },
   endpoint_changed: {
     namespace: "steering",
     fields: ["endpoint", "service", "zone", "draining", "coldMs", "revision"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -28,6 +28,12 @@
     help:
       "Time from when a drain takes effect until its last request on this instance ends",
   },
+  "endpoint.backoff": {
+    type: "count",
+    unit: "responses",
+    tags: ["endpoint"],
+    help: "Refusals of an endpoint that ask for no requests by Retry-After",
+  },
   "endpoint.duration": {
     type: "timing",
     unit: "ms",
--- a/src/decisions/placement/mod.ts
+++ b/src/decisions/placement/mod.ts
@@ -10,6 +10,7 @@
 export * from "./outlier_detector.ts";
 export * from "./idle_timeouts.ts";
 export * from "./least_load_placement.ts";
+export * from "./endpoint_backoff.ts";
 export * from "./endpoint_ranking.ts";
 export * from "./occupancy.ts";
 export * from "./placement.ts";
--- a/src/decisions/placement/retry_after_policy.ts
+++ b/src/decisions/placement/retry_after_policy.ts
@@ -1,11 +1,12 @@
 /**
  * Retry-After for requests that a service has no capacity for.
  *
- * A request is refused for one of two reasons. Full endpoints have capacity
+ * A request is refused for one of three reasons. Full endpoints have capacity
  * again once their queue has drained, so callers retry then, spread by the rate
  * at which slots become free. An endpoint that sheds with free slots is faulty,
  * and a retry elsewhere is as good now as later: a delay of 250 ms would only
- * make the request late.
+ * make the request late. If all endpoints asked for no requests, the first to
+ * accept them again determines the delay.
  *
  * @module
  */
@@ -35,23 +36,33 @@
 /** Computes the Retry-After of one instance, spread out per service. */
 export class RetryAfterPolicy {
   readonly #schedules = new Map<ServiceId, RetryAfterSchedule>();
+  readonly #backoffSchedules = new Map<ServiceId, RetryAfterSchedule>();
 
   /** Delay for a request that found all endpoints full, in milliseconds. */
   whenFull(outlook: CapacityOutlook, waitMs: number, now: number): number {
-    const {
+    const firstMs = Math.max(MIN_RETRY_AFTER_MS, waitMs);
+    return scheduleOf(this.#schedules, outlook.service, MAX_RETRY_AFTER_MS)
+      .next(now, firstMs, intervalMs(outlook));
+  }
+
+  /**
+   * Delay for a request to a service whose endpoints all asked for no requests,
+   * in milliseconds.
+   *
+   * @param leftMs Time until the first of them accepts requests again.
+   */
+  whenBackedOff(
+    outlook: CapacityOutlook,
+    leftMs: number,
+    now: number,
+  ): number {
+    const { service } = outlook;
+    const spreadMs = scheduleOf(
+      this.#backoffSchedules,
       service,
-      slots,
-      instances,
-      meanLatencyMs,
-      limitPerS,
-    } = outlook;
-    const intervalMs = instances *
-      Math.max(meanLatencyMs / Math.max(1, slots), MS_PER_S / limitPerS);
-    return this.#scheduleOf(service).next(
-      now,
-      Math.max(MIN_RETRY_AFTER_MS, waitMs),
-      intervalMs,
-    );
+      MAX_RETRY_AFTER_MS,
+    ).next(now + leftMs, 0, intervalMs(outlook));
+    return leftMs + spreadMs;
   }
 
   /** Delay for a request that an endpoint shed, in milliseconds. */
@@ -64,12 +75,23 @@
       now,
     );
   }
+}
 
-  #scheduleOf(service: ServiceId): RetryAfterSchedule {
-    const known = this.#schedules.get(service);
-    if (known !== undefined) return known;
-    const fresh = new RetryAfterSchedule(MAX_RETRY_AFTER_MS);
-    this.#schedules.set(service, fresh);
-    return fresh;
-  }
+/** Time between two retries that capacity becomes free for, in milliseconds. */
+function intervalMs(outlook: CapacityOutlook): number {
+  const { slots, instances, meanLatencyMs, limitPerS } = outlook;
+  const slotMs = meanLatencyMs / Math.max(1, slots);
+  return instances * Math.max(slotMs, MS_PER_S / limitPerS);
+}
+
+function scheduleOf(
+  schedules: Map<ServiceId, RetryAfterSchedule>,
+  service: ServiceId,
+  maxMs: number,
+): RetryAfterSchedule {
+  const known = schedules.get(service);
+  if (known !== undefined) return known;
+  const created = new RetryAfterSchedule(maxMs);
+  schedules.set(service, created);
+  return created;
 }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -147,6 +147,7 @@
     });
     this.#chooser = new EndpointChooser({
       state: this.#state,
+      signals: this.#signals,
       limits: this.#limits,
       placement: opts.placement ?? new AffinityPlacement(),
       fleetSize,
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -25,6 +25,7 @@
 } from "../decisions/placement/mod.ts";
 import type { EndpointRow, ServicePolicy } from "../traffic/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { EndpointSignals } from "./endpoint_signals.ts";
 import type { SendResult } from "./endpoint_sender.ts";
 import type { TrafficState } from "./traffic_state.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -34,6 +35,7 @@
   readonly state: TrafficState;
   readonly placement: Placement;
   readonly limits: EndpointLimits;
+  readonly signals: EndpointSignals;
   /** Number of instances in the fleet, including this one. */
   readonly fleetSize: () => number;
   readonly own: InstanceId;
@@ -70,7 +72,7 @@
    * Failures: `no_endpoint`, `no_capacity`, each with a retry delay.
    */
   choose(ctx: RequestContext, now: number): Result<EndpointRow, Failure> {
-    const { region, regions, state } = this.#opts;
+    const { region, regions, state, signals } = this.#opts;
     const { service, route, account, req, tried } = ctx;
     const endpoints = state.eligible(service, ctx.regions);
     if (endpoints.length === 0) {
@@ -87,12 +89,19 @@
       priority: account?.priority ?? route.priority,
       meanLatencyMs: this.#latency.of(service),
       usable: (row) =>
-        !tried.has(row) && this.#hasColdCapacity(row, now) &&
+        !tried.has(row) && signals.accepts(row, now) &&
+        this.#hasColdCapacity(row, now) &&
         (ejectionLimited || !this.#outliers.isEjected(row, now)),
     };
     const selection = this.#placeWithinLimits(endpoints, request, now);
     if (selection.endpoint === undefined) {
       const outlook = this.#outlook(service, endpoints);
+      const backoffMs = signals.acceptsInMs(endpoints, now);
+      if (backoffMs > 0) {
+        return fail("no_capacity", ALL_IN_BACKOFF, {
+          retryAfterMs: this.#retryAfter.whenBackedOff(outlook, backoffMs, now),
+        });
+      }
       const waitMs = this.#retryAfter.whenFull(outlook, selection.waitMs, now);
       return fail("no_capacity", selection.why, { retryAfterMs: waitMs });
     }
@@ -185,7 +194,7 @@
   remove(row: EndpointRow): void {
     this.#outliers.forget(row.id);
     this.#slowStart.forget(row.id);
-    this.#opts.limits.remove(row);
+    this.#opts.signals.remove(row);
   }
 
   #outlook(
@@ -239,5 +248,6 @@
  */
 const NO_ENDPOINT_RETRY_MS = 250;
 const NO_CAPACITY = "no endpoint can take the request in time";
+const ALL_IN_BACKOFF = "every endpoint of the service asked for no requests";
 /** Requests a second for a cold endpoint whose service is not in the plan. */
 const DEFAULT_COLD_RATE_PER_S = 1;
--- a/src/edge/endpoint_signals.ts
+++ b/src/edge/endpoint_signals.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { Clock, Log, Metrics } from "../core/mod.ts";
+import type { Clock, EndpointId, Log, Metrics } from "../core/mod.ts";
+import { EndpointBackoff } from "../decisions/placement/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { ResponseFields } from "./request_codec.ts";
@@ -21,6 +22,9 @@
 export class EndpointSignals {
   readonly #opts: EndpointSignalsOptions;
   readonly #unread: UnreadFields;
+  readonly #backoff = new EndpointBackoff();
+  /** Endpoints whose last Retry-After could not be parsed. */
+  readonly #unreadable = new Set<EndpointId>();
 
   constructor(opts: EndpointSignalsOptions) {
     this.#opts = opts;
@@ -37,6 +41,27 @@
     this.#unread.record(fields.unread);
     if (fields.load !== undefined) row.applyReport(fields.load, now);
     this.#applyLimit(row, fields, now);
+    this.#applyRetryAfter(row, fields, now);
+  }
+
+  /** Whether an endpoint accepts requests from this instance now. */
+  accepts(row: EndpointRow, now: number): boolean {
+    return this.#backoff.leftMs(row, now) === 0;
+  }
+
+  /**
+   * How long until one of the endpoints accepts requests, in milliseconds; 0 if
+   * one does now.
+   */
+  acceptsInMs(rows: readonly EndpointRow[], now: number): number {
+    return Math.min(...rows.map((row) => this.#backoff.leftMs(row, now)));
+  }
+
+  /** Removes the state of an endpoint that has ended or restarted. */
+  remove(row: EndpointRow): void {
+    this.#unreadable.delete(row.id);
+    this.#backoff.removed(row, this.#opts.clock.now());
+    this.#opts.limits.remove(row);
   }
 
   /** A refusal may omit the limit; only another response without one lifts it. */
@@ -45,4 +70,26 @@
     if (notRun && limit.kind === "none") return;
     this.#opts.limits.answered(row, limit, now);
   }
+
+  #applyRetryAfter(
+    row: EndpointRow,
+    { retryAfter }: ResponseFields,
+    now: number,
+  ): void {
+    const { id: endpoint } = row;
+    const { log, metrics } = this.#opts;
+    if (retryAfter.kind === "unreadable") return this.#logUnreadable(endpoint);
+    if (retryAfter.kind === "none") return;
+    const { ms } = retryAfter;
+    this.#unreadable.delete(endpoint);
+    metrics.count("endpoint.backoff", { endpoint });
+    if (!this.#backoff.start(row, ms, now)) return;
+    log.event("endpoint_backoff", { endpoint, ms: Math.round(ms) });
+  }
+
+  #logUnreadable(endpoint: EndpointId): void {
+    if (this.#unreadable.has(endpoint)) return;
+    this.#unreadable.add(endpoint);
+    this.#opts.log.event("endpoint_backoff_unreadable", { endpoint });
+  }
 }
--- /dev/null
+++ b/src/edge/endpoint_signals_test.ts
@@ -0,0 +1,171 @@
+import test from "ava";
+import type { EndpointId, RetryAfter } from "../core/mod.ts";
+import { outcomeOf, RequestPath } from "./testing/request_path.ts";
+import { responded, ScriptedSender, shed } from "./testing/scripted_sender.ts";
+import { endpoint, route } from "./testing/traffic_fixtures.ts";
+
+const NO_RETRIES = { routes: [route({ maxAttempts: 1 })] };
+
+function after(seconds: number): RetryAfter {
+  return { kind: "delay", ms: seconds * 1_000 };
+}
+
+/** A sender whose endpoints refuse with a Retry-After in seconds, or respond. */
+function refusingSender(
+  retryAfterS: Readonly<Record<string, number>>,
+): ScriptedSender {
+  return new ScriptedSender().answers((id) => {
+    const seconds = retryAfterS[id];
+    return seconds === undefined
+      ? responded()
+      : shed({ retryAfter: after(seconds) });
+  });
+}
+
+/** Sends requests for many objects, so that each endpoint is some's primary. */
+async function sendMany(path: RequestPath): Promise<string[]> {
+  const outcomes: string[] = [];
+  for (let i = 0; i < 40; i++) {
+    outcomes.push(outcomeOf(await path.send({ affinityKey: `o${i}` })));
+  }
+  return outcomes;
+}
+
+function sendsTo(path: RequestPath, id: string): number {
+  return path.sender.sent.filter((s) => s.endpoint === id).length;
+}
+
+// Guards against affinity keys that are sent on to an endpoint that refuses them.
+test("an endpoint that refused with a Retry-After gets nothing until then", async (t) => {
+  const retryAfterS: Record<string, number> = { e1: 3 };
+  const path = new RequestPath({ sender: refusingSender(retryAfterS) });
+  await sendMany(path);
+  t.is(sendsTo(path, "e1"), 1);
+  path.clock.advance(2_999);
+  await sendMany(path);
+  t.is(sendsTo(path, "e1"), 1);
+  delete retryAfterS["e1"];
+  path.clock.advance(1);
+  await sendMany(path);
+  t.true(sendsTo(path, "e1") > 10);
+});
+
+// Guards against retries and callers' deadlines spent on endpoints that refuse.
+test("requests are served elsewhere during an endpoint's backoff", async (t) => {
+  const path = new RequestPath({ sender: refusingSender({ e1: 3 }) });
+  const outcomes = await sendMany(path);
+  t.true(outcomes.every((outcome) => outcome === "answer 200"));
+  t.is(path.sender.sent.length, 41);
+});
+
+// Guards against the way around ejections when most endpoints are ejected.
+test("no endpoint in backoff gets requests, however many there are", async (t) => {
+  const path = new RequestPath({
+    plan: NO_RETRIES,
+    sender: refusingSender({ e1: 3, e2: 2 }),
+  });
+  await sendMany(path);
+  t.deepEqual([sendsTo(path, "e1"), sendsTo(path, "e2")], [1, 1]);
+});
+
+// Guards against callers that return before any endpoint accepts requests, or
+// all at the same time.
+test("when all endpoints are in backoff, callers learn when the first accepts", async (t) => {
+  const path = new RequestPath();
+  path.receive("e1", { retryAfter: after(3) });
+  path.receive("e2", { retryAfter: after(2) });
+  const delays: number[] = [];
+  for (let i = 0; i < 5; i++) {
+    const result = await path.send();
+    if (result.kind !== "refusal") return t.fail();
+    t.is(outcomeOf(result), "no_capacity not-run");
+    delays.push(result.failure.retryAfterMs ?? 0);
+  }
+  t.true(delays.every((ms) => ms >= 2_000 && ms <= 3_000), `${delays}`);
+  t.is(new Set(delays).size, delays.length);
+  t.is(path.sender.sent.length, 0);
+});
+
+const SEQUENCES: readonly {
+  readonly name: string;
+  readonly seconds: readonly number[];
+  readonly endsAfterS: number;
+}[] = [
+  { name: "a longer one", seconds: [1, 3], endsAfterS: 3 },
+  { name: "a shorter one", seconds: [3, 1], endsAfterS: 3 },
+  { name: "one of zero", seconds: [3, 0], endsAfterS: 3 },
+];
+
+for (const { name, seconds, endsAfterS } of SEQUENCES) {
+  // Guards against a late refusal that ends the backoff of an earlier one.
+  test(`a backoff followed by ${name} ends when both have ended`, (t) => {
+    const path = new RequestPath();
+    const row = path.row("e1");
+    for (const s of seconds) path.receive("e1", { retryAfter: after(s) });
+    path.clock.advance(endsAfterS * 1_000 - 1);
+    t.false(path.signals.accepts(row, path.clock.now()));
+    path.clock.advance(1);
+    t.true(path.signals.accepts(row, path.clock.now()));
+  });
+}
+
+const STARTS: readonly {
+  readonly name: string;
+  readonly again: Parameters<typeof endpoint>[0];
+  readonly accepts: boolean;
+}[] = [
+  {
+    name: "the same start, listed again after a store outage, is still",
+    again: {},
+    accepts: false,
+  },
+  {
+    name: "a restart under the same id is not",
+    again: { bornAt: 2 },
+    accepts: true,
+  },
+  {
+    name: "another endpoint at the same address is not",
+    again: { id: "e9" as EndpointId },
+    accepts: true,
+  },
+];
+
+for (const { name, again, accepts } of STARTS) {
+  // Guards against a backoff that is lost with the entry, or inherited.
+  test(`after an endpoint in backoff ended, ${name} in backoff`, (t) => {
+    const path = new RequestPath({ endpoints: [{ bornAt: 1 }] });
+    path.receive("e1", { retryAfter: after(30) });
+    path.state.endpoints.remove("e1" as EndpointId);
+    const record = endpoint({ bornAt: 1, ...again });
+    path.state.endpoints.put(record, path.clock.now());
+    const row = path.row(record.id);
+    t.is(path.signals.accepts(row, path.clock.now()), accepts);
+  });
+}
+
+// Guards against a Retry-After of years that is kept after its endpoint is gone.
+test("the backoff of an endpoint without an entry ends within a minute", (t) => {
+  const path = new RequestPath();
+  path.receive("e1", { retryAfter: after(1e9) });
+  path.state.endpoints.remove("e1" as EndpointId);
+  path.clock.advance(60_000);
+  path.state.endpoints.put(endpoint(), path.clock.now());
+  t.true(path.signals.accepts(path.row("e1"), path.clock.now()));
+});
+
+// Guards against a backoff that the previous endpoint's successor starts.
+test("a Retry-After of another endpoint at the address is ignored", (t) => {
+  const path = new RequestPath();
+  path.receive("e1", { moved: true, retryAfter: after(3) });
+  t.true(path.signals.accepts(path.row("e1"), path.clock.now()));
+});
+
+test("a Retry-After that cannot be parsed is logged once", (t) => {
+  const path = new RequestPath();
+  for (let i = 0; i < 3; i++) {
+    path.receive("e1", { retryAfter: { kind: "unreadable" } });
+  }
+  t.deepEqual(path.log.of("endpoint_backoff_unreadable"), [{ endpoint: "e1" }]);
+  t.true(path.signals.accepts(path.row("e1"), path.clock.now()));
+});
--- a/src/edge/request_codec.ts
+++ b/src/edge/request_codec.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import type { AccountId, EndpointId, Failure } from "../core/mod.ts";
+import type {
+  AccountId,
+  EndpointId,
+  Failure,
+  RetryAfter,
+} from "../core/mod.ts";
 import type { LoadReport } from "../traffic/mod.ts";
 
 /** Header fields as received: name, value, name, value. */
@@ -52,6 +57,8 @@
   readonly signed: boolean;
   readonly load: LoadReport | undefined;
   readonly limit: AnnouncedLimit;
+  /** How long the endpoint wants no requests from this instance. */
+  readonly retryAfter: RetryAfter;
   /** The endpoint's keep-alive timeout, in milliseconds. */
   readonly keepAliveMs: number | undefined;
   /** Lower-case names of fields that are neither read here nor generic HTTP. */
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Failure } from "../../core/mod.ts";
+import { type Failure, parseRetryAfter } from "../../core/mod.ts";
 import { headerOf } from "../header_fields.ts";
 import type {
   EndpointFields,
@@ -53,6 +53,11 @@
       signed: headerOf(headers, "signed") !== undefined,
       load: undefined,
       limit: { kind: "none" },
+      retryAfter: parseRetryAfter(
+        [headerOf(headers, "retry-after")].filter((value) =>
+          value !== undefined
+        ),
+      ),
       keepAliveMs: keepAlive === undefined ? undefined : Number(keepAlive),
       unread: [],
     };
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -20,6 +20,7 @@
   signed: true,
   load: undefined,
   limit: { kind: "none" },
+  retryAfter: { kind: "none" },
   keepAliveMs: undefined,
   unread: [],
 };
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -21,6 +21,9 @@
   readonly bornAt: number | undefined;
 }
 
+/** Identifies one start of an endpoint, also beyond the life of its row. */
+export type EndpointStart = string & { readonly EndpointStart: unique symbol };
+
 /** An endpoint's load as reported in a response. */
 export interface LoadReport {
   readonly running: number;
@@ -32,6 +35,7 @@
 export class EndpointRow {
   record: EndpointRecord;
   readonly region: RegionId;
+  readonly start: EndpointStart;
   /** Requests from this instance in flight at the endpoint. */
   inFlight = 0;
   /** When it stops being treated as cold, on this instance's clock. */
@@ -51,6 +55,7 @@
   ) {
     this.record = record;
     this.region = region;
+    this.start = startOf(record);
     this.seed = opts.seed;
     this.coldUntil = opts.now + record.coldMs;
   }
@@ -147,6 +152,10 @@
   }
 }
 
+function startOf({ id, address, bornAt }: EndpointRecord): EndpointStart {
+  return `${id} ${address} ${bornAt ?? ""}` as EndpointStart;
+}
+
 function sameStart(a: EndpointRecord, b: EndpointRecord): boolean {
   return a.address === b.address && a.service === b.service &&
     a.bornAt === b.bornAt && a.zone === b.zone;
