Send no new work to an endpoint whose responses announce its leaving

The fix: the table of endpoints keeps the mark, by the endpoint's start, and TrafficState.eligible leaves such an endpoint out like one whose entry drains: for keys whose primary it is, for retries, and while the store is away. A response without the field, an entry that is read as ready, or one that lapses and comes back does not revert it; another start does.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -96,6 +96,12 @@
     help:
       "Endpoints' responses have a header field that this version does not read; it is passed on to callers. Logged once for each name, for at most 32 names",
   },
+  endpoint_leaving: {
+    namespace: "steering",
+    fields: ["endpoint"],
+    help:
+      "An endpoint announced its leaving in a response; it gets no new requests from this instance until it starts anew",
+  },
   endpoint_limit_changed: {
     namespace: "steering",
     fields: ["endpoint", "ratePerS", "source"],
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -140,6 +140,7 @@
       metrics: opts.metrics,
     });
     this.#signals = new EndpointSignals({
+      endpoints: this.#state.endpoints,
       limits: this.#limits,
       clock,
       log,
--- a/src/edge/endpoint_signals.ts
+++ b/src/edge/endpoint_signals.ts
@@ -5,13 +5,14 @@
  */
 import type { Clock, EndpointId, Log, Metrics } from "../core/mod.ts";
 import { EndpointBackoff } from "../decisions/placement/mod.ts";
-import type { EndpointRow } from "../traffic/mod.ts";
+import type { EndpointRow, EndpointTable } from "../traffic/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { ResponseFields } from "./request_codec.ts";
 import { UnreadFields } from "./unread_fields.ts";
 
 /** Dependencies of the signals. */
 export interface EndpointSignalsOptions {
+  readonly endpoints: EndpointTable;
   readonly limits: EndpointLimits;
   readonly clock: Clock;
   readonly log: Log;
@@ -42,11 +43,12 @@
     if (fields.load !== undefined) row.applyReport(fields.load, now);
     this.#applyLimit(row, fields, now);
     this.#applyRetryAfter(row, fields, now);
+    if (fields.leaving) this.#applyLeaving(row, now);
   }
 
   /** Whether an endpoint accepts requests from this instance now. */
   accepts(row: EndpointRow, now: number): boolean {
-    return this.#backoff.leftMs(row, now) === 0;
+    return !row.leaving && this.#backoff.leftMs(row, now) === 0;
   }
 
   /**
@@ -71,6 +73,12 @@
     this.#opts.limits.answered(row, limit, now);
   }
 
+  #applyLeaving(row: EndpointRow, now: number): void {
+    const { endpoints, log } = this.#opts;
+    if (!endpoints.markLeaving(row, now)) return;
+    log.event("endpoint_leaving", { endpoint: row.id });
+  }
+
   #applyRetryAfter(
     row: EndpointRow,
     { retryAfter }: ResponseFields,
--- a/src/edge/endpoint_signals_test.ts
+++ b/src/edge/endpoint_signals_test.ts
@@ -169,3 +169,82 @@
   t.deepEqual(path.log.of("endpoint_backoff_unreadable"), [{ endpoint: "e1" }]);
   t.true(path.signals.accepts(path.row("e1"), path.clock.now()));
 });
+
+// Guards against new work for an endpoint that only its responses show to leave.
+test("an endpoint that announces its leaving gets no new requests", async (t) => {
+  const leaves = (id: string) => responded(200, { leaving: id === "e1" });
+  const path = new RequestPath({
+    sender: new ScriptedSender().answers(leaves),
+  });
+  const outcomes = await sendMany(path);
+  t.true(outcomes.every((outcome) => outcome === "answer 200"));
+  t.is(sendsTo(path, "e1"), 1);
+  t.deepEqual(path.log.of("endpoint_leaving"), [{ endpoint: "e1" }]);
+});
+
+// Guards against a retry at an endpoint that announced its leaving meanwhile.
+test("a retry does not go to an endpoint that leaves", async (t) => {
+  const path = new RequestPath({ sender: new ScriptedSender(shed()) });
+  const first = path.send({ affinityKey: "o1" });
+  const other = path.sender.sent[0]?.endpoint === "e1" ? "e2" : "e1";
+  path.receive(other, { leaving: true });
+  t.is(outcomeOf(await first), "no_capacity not-run");
+  t.is(sendsTo(path, other), 0);
+});
+
+const LEAVING_AFTER: readonly {
+  readonly name: string;
+  readonly then: (path: RequestPath) => void;
+  readonly accepts: boolean;
+}[] = [
+  {
+    name: "a response without the announcement, leaves",
+    then: (path) => path.receive("e1", {}),
+    accepts: false,
+  },
+  {
+    name: "its entry is read as ready, leaves",
+    then: (path) => put(path, { coldMs: 1 }),
+    accepts: false,
+  },
+  {
+    name: "its entry lapsed and came back, leaves",
+    then: (path) => {
+      path.state.endpoints.remove("e1" as EndpointId);
+      path.clock.advance(30_000);
+      put(path, {});
+    },
+    accepts: false,
+  },
+  {
+    name: "it restarted under its id, does not",
+    then: (path) => put(path, { bornAt: 2 }),
+    accepts: true,
+  },
+  {
+    name: "it came back without a start time, does not",
+    then: (path) => {
+      put(path, { bornAt: undefined });
+      path.receive("e1", { leaving: true });
+      path.state.endpoints.remove("e1" as EndpointId);
+      put(path, { bornAt: undefined });
+    },
+    accepts: true,
+  },
+];
+
+function put(path: RequestPath, opts: Parameters<typeof endpoint>[0]): void {
+  path.state.endpoints.put(endpoint(opts), path.clock.now());
+}
+
+for (const { name, then, accepts } of LEAVING_AFTER) {
+  // Guards against a leaving endpoint that is used again, or one lost for good.
+  test(`an endpoint that announced its leaving, after ${name}`, async (t) => {
+    const path = new RequestPath({ endpoints: [{}] });
+    path.receive("e1", { leaving: true });
+    then(path);
+    t.is(path.signals.accepts(path.row("e1"), path.clock.now()), accepts);
+    const want = accepts ? "answer 200" : "no_endpoint not-run";
+    t.is(outcomeOf(await path.send()), want);
+  });
+}
--- a/src/edge/request_codec.ts
+++ b/src/edge/request_codec.ts
@@ -59,6 +59,8 @@
   readonly limit: AnnouncedLimit;
   /** How long the endpoint wants no requests from this instance. */
   readonly retryAfter: RetryAfter;
+  /** Whether the endpoint leaves and wants no new requests. */
+  readonly leaving: boolean;
   /** The endpoint's keep-alive timeout, in milliseconds. */
   readonly keepAliveMs: number | undefined;
   /** Lower-case names of fields that are neither read here nor generic HTTP. */
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -58,6 +58,7 @@
           value !== undefined
         ),
       ),
+      leaving: headerOf(headers, "leaving") !== undefined,
       keepAliveMs: keepAlive === undefined ? undefined : Number(keepAlive),
       unread: [],
     };
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -85,6 +85,7 @@
     this.#quotas = quotas;
     this.#limits = limits;
     this.signals = new EndpointSignals({
+      endpoints: this.state.endpoints,
       limits,
       clock,
       log: this.log,
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -21,6 +21,7 @@
   load: undefined,
   limit: { kind: "none" },
   retryAfter: { kind: "none" },
+  leaving: false,
   keepAliveMs: undefined,
   unread: [],
 };
--- a/src/edge/traffic_state.ts
+++ b/src/edge/traffic_state.ts
@@ -112,7 +112,8 @@
     const cached = this.#eligible.get(key);
     if (cached !== undefined) return cached;
     const rows = this.endpoints.ofService(service).filter((row) =>
-      !row.record.draining && !this.#evacuated.has(row.record.zone) &&
+      !row.record.draining && !row.leaving &&
+      !this.#evacuated.has(row.record.zone) &&
       (regions === undefined || regions.has(row.region))
     );
     this.#eligible.set(key, rows);
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -47,6 +47,8 @@
   reportedAt = -Infinity;
   /** Requests from other instances in flight at the endpoint, as last reported. */
   peersInFlight = 0;
+  /** Whether the endpoint announced its leaving; set by the table. */
+  leaving = false;
 
   constructor(
     record: EndpointRecord,
@@ -79,12 +81,20 @@
   removed(row: EndpointRow): void;
 }
 
+/**
+ * How long a start that announced its leaving is remembered, in milliseconds: an
+ * entry may lapse and come back as long as its endpoint still runs.
+ */
+const LEAVING_KEPT_MS = 600_000;
+
 export class EndpointTable {
   readonly #rows = new Map<EndpointId, EndpointRow>();
   readonly #byService = new Map<ServiceId, EndpointRow[]>();
   readonly #regionOf: (zone: ZoneId) => RegionId | undefined;
   readonly #seedOf: (id: EndpointId) => number;
   readonly #events: EndpointTableEvents;
+  /** When starts announced their leaving. */
+  readonly #leavingSince = new Map<EndpointStart, number>();
   #changes = 0;
 
   constructor(
@@ -132,6 +142,8 @@
     if (known !== undefined) this.remove(record.id);
     const seed = this.#seedOf(record.id);
     const row = new EndpointRow(record, region, { seed, now });
+    row.leaving = record.bornAt !== undefined &&
+      this.#leavingSince.has(row.start);
     this.#rows.set(record.id, row);
     const rows = this.#byService.get(record.service);
     if (rows === undefined) this.#byService.set(record.service, [row]);
@@ -139,6 +151,22 @@
     this.#events.added(row);
   }
 
+  /**
+   * Marks an endpoint that announced its leaving; returns whether it had not
+   * before. Neither its entry nor a later response reverts that: only another
+   * start does.
+   */
+  markLeaving(row: EndpointRow, now: number): boolean {
+    if (row.leaving) return false;
+    row.leaving = true;
+    this.#changes++;
+    for (const [start, at] of this.#leavingSince) {
+      if (now - at > LEAVING_KEPT_MS) this.#leavingSince.delete(start);
+    }
+    this.#leavingSince.set(row.start, now);
+    return true;
+  }
+
   remove(id: EndpointId): void {
     const row = this.#rows.get(id);
     if (row === undefined) return;
