Withhold a request whose endpoint asks for none while it waits to be sent

A request waits for the event loop before a connection is reused, and up to 0.5 s for a new one. If the endpoint's 503 with Retry-After, or the announcement of its leaving, arrives in that time, the request was still written: more than the two that may be on their way, where a new connection is slow.

The sender asks again right before the first byte: before a connection is reused or opened, and once a new one is connected, ahead of the listener by which Node.js flushes the request. A withheld request was not sent: it is no attempt, spends no retry, and goes to the next endpoint at once.

Without the check at the connect the test "... while a connection is opened is withheld" fails; without the one at the start that one and "... before a connection is reused is withheld" do. Not shown by a run of processes: on loopback connections open within a millisecond.

--- a/src/decisions/placement/outlier_detector.ts
+++ b/src/decisions/placement/outlier_detector.ts
@@ -52,6 +52,11 @@
     this.#statsOf(row.id).waitingSince ??= now;
   }
 
+  /** Records that a request was not sent after all. */
+  withheld(row: EndpointRow): void {
+    if (row.inFlight === 0) this.#statsOf(row.id).waitingSince = undefined;
+  }
+
   /** Records the outcome of a request. */
   record(row: EndpointRow, outcome: RequestOutcome, now: number): void {
     const stats = this.#statsOf(row.id);
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -178,6 +178,8 @@
       case "unknown":
         this.#outliers.record(row, "failed", now);
         return;
+      case "withheld":
+        return this.#outliers.withheld(row);
       case "cancelled":
         return;
     }
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -15,6 +15,8 @@
   readonly body: Buffer | undefined;
   /** The request id that the response must have. */
   readonly requestId: string;
+  /** Checked right before the first byte would be sent; false withholds it. */
+  readonly maySend: () => boolean;
   /** Called when the header of the response to this request arrives. */
   readonly onHead: (fields: ResponseFields) => void;
 }
@@ -62,6 +64,8 @@
     readonly fields: ResponseFields;
     readonly body: ResponseBody;
   }
+  /** No byte of the request was sent, since `maySend` returned false. */
+  | { readonly kind: "withheld" }
   /** No byte of the request was sent. */
   | { readonly kind: "unsent"; readonly reason: string }
   /** The endpoint stated that it did not run the request. */
--- a/src/edge/endpoint_signals_test.ts
+++ b/src/edge/endpoint_signals_test.ts
@@ -192,6 +192,21 @@
   t.is(sendsTo(path, other), 0);
 });
 
+// Guards against a retry that is spent, or an attempt that is counted, for a
+// request that was never sent.
+test("a request withheld from one endpoint goes to another", async (t) => {
+  const path = new RequestPath({
+    plan: NO_RETRIES,
+    sender: new ScriptedSender({ kind: "withheld" }),
+  });
+  const first = path.send();
+  const [withheld] = path.sender.sent;
+  path.receive(withheld?.endpoint ?? "", { retryAfter: after(3) });
+  t.is(outcomeOf(await first), "answer 200");
+  t.is(path.sender.sent.length, 2);
+  t.is(path.row(withheld?.endpoint ?? "").inFlight, 0);
+});
+
 const LEAVING_AFTER: readonly {
   readonly name: string;
   readonly then: (path: RequestPath) => void;
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import { delayEnd } from "./connection_end.ts";
 import type { EndpointConnection } from "./endpoint_connections.ts";
@@ -26,6 +27,8 @@
   readonly requestId: string;
   readonly codec: RequestCodec;
   readonly clock: Clock;
+  /** Checked once a new connection is open, before the request is written. */
+  readonly maySend: () => boolean;
   /** Called with the header of the response, if it belongs to the request. */
   readonly onHead: (fields: ResponseFields) => void;
   readonly settle: (result: SendResult) => void;
@@ -62,9 +65,16 @@
     return this.#connection?.connected === true;
   }
 
-  /** Sets the connection that the request is sent on. */
-  attach(connection: EndpointConnection | undefined): void {
+  /**
+   * Sets the connection that the request is sent on. Must be called before the
+   * request is flushed to the socket, which then waits until that is connected.
+   */
+  attach(socket: Socket, connection: EndpointConnection | undefined): void {
     this.#connection = connection;
+    if (!socket.connecting) return;
+    socket.once("connect", () => {
+      if (!this.#opts.maySend()) this.#withhold();
+    });
   }
 
   /** Aborts the exchange and closes its connection. */
@@ -73,6 +83,11 @@
     this.#req.destroy();
   }
 
+  #withhold(): void {
+    this.#finish({ kind: "withheld" });
+    this.#req.destroy();
+  }
+
   #onResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     this.#res = res;
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -56,6 +56,7 @@
     address: HostPort,
     outgoing: OutgoingRequest,
   ): PendingSend {
+    if (!outgoing.maySend()) return settled({ kind: "withheld" });
     let req: ClientRequest;
     try {
       req = request({
@@ -67,7 +68,7 @@
       });
     } catch (cause) {
       // Node.js rejected the path or a header field; nothing was sent.
-      return unsent(String(cause));
+      return settled({ kind: "unsent", reason: String(cause) });
     }
     let settle: (result: SendResult) => void;
     const result = new Promise<SendResult>((resolve) => settle = resolve);
@@ -75,6 +76,7 @@
       requestId: outgoing.requestId,
       codec: this.#codec,
       clock: this.#clock,
+      maySend: outgoing.maySend,
       onHead: outgoing.onHead,
       settle: (result) => {
         this.#recordIdleTimeout(endpoint, result, exchange.idleBeforeMs);
@@ -82,7 +84,7 @@
       },
     });
     req.once("socket", (socket) => {
-      exchange.attach(this.#connections.of(socket));
+      exchange.attach(socket, this.#connections.of(socket));
     });
     req.end(outgoing.body);
     return { result, cancel: () => exchange.cancel() };
@@ -137,9 +139,6 @@
   return { result, cancel };
 }
 
-function unsent(reason: string): PendingSend {
-  return {
-    result: Promise.resolve({ kind: "unsent", reason }),
-    cancel: () => {},
-  };
+function settled(result: SendResult): PendingSend {
+  return { result: Promise.resolve(result), cancel: () => {} };
 }
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -15,6 +15,7 @@
     headers: ["id", requestId],
     body: undefined,
     requestId,
+    maySend: () => true,
     onHead: () => {},
   };
 }
@@ -398,3 +399,38 @@
   endpoint.close();
   t.deepEqual(connections, [1, 1, 2]);
 });
+
+const CONNECTIONS: readonly {
+  readonly name: string;
+  readonly reused: boolean;
+  /** Number of the check that no longer allows the request. */
+  readonly refusedCheck: number;
+}[] = [
+  { name: "before a connection is opened", reused: false, refusedCheck: 1 },
+  { name: "while a connection is opened", reused: false, refusedCheck: 2 },
+  { name: "before a connection is reused", reused: true, refusedCheck: 1 },
+];
+
+for (const { name, reused, refusedCheck } of CONNECTIONS) {
+  // Guards against a request that is written after its endpoint asked for none.
+  test(`a request that must not be sent any more ${name} is withheld`, async (t) => {
+    let requests = 0;
+    const endpoint = await listenScripted((s) => {
+      requests++;
+      s.write(response("Content-Length: 2\r\n", "ab"));
+    });
+    const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+    const row = endpointRow({ address: endpoint.address });
+    if (reused) await sender.send(row, outgoing()).result;
+    const before = requests;
+    let checks = 0;
+    const maySend = () => ++checks < refusedCheck;
+    const withheld = await sender.send(row, { ...outgoing(), maySend }).result;
+    t.is(withheld.kind, "withheld");
+    const next = await sender.send(row, outgoing()).result;
+    t.is(summary(next), "answer ab");
+    t.is(requests, before + 1);
+    sender.close();
+    endpoint.close();
+  });
+}
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -113,12 +113,14 @@
       }),
       body: req.body,
       requestId: req.fields.requestId,
+      maySend: () => signals.accepts(endpoint, clock.now()),
       onHead: (fields) => signals.received(endpoint, fields),
     });
     const result = await this.#awaitResult(sending, ctx);
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
-    accessLog.tried(ctx, endpoint, { result, tookMs: now - sentAt });
+    if (result.kind === "withheld") tried.delete(endpoint);
+    else accessLog.tried(ctx, endpoint, { result, tookMs: now - sentAt });
     return result;
   }
 
@@ -145,6 +147,8 @@
     result: SendResult,
   ): FlowResult | undefined {
     switch (result.kind) {
+      case "withheld":
+        return undefined;
       case "answer":
         return this.#handleResponse(ctx, endpoint, result);
       case "unsent":
