Compare ways to honour a Retry-After in the placement simulation

The simulation gets endpoints that lose slots for a while and refuse what does not fit with a Retry-After.

--- a/src/decisions/placement/affinity_placement_test.ts
+++ b/src/decisions/placement/affinity_placement_test.ts
@@ -278,3 +278,39 @@
   }
   t.true(moved / 300 < 0.15, `${moved} of 300 moved`);
 });
+
+const OVERLOADS: readonly {
+  readonly name: string;
+  readonly slots: number;
+  readonly maxRefused: number;
+}[] = [
+  { name: "refuse everything", slots: 0, maxRefused: 0.01 },
+  { name: "keep a third of their slots", slots: 3, maxRefused: 0.01 },
+];
+
+for (const { name, slots, maxRefused } of OVERLOADS) {
+  // Guards against callers that are refused while other endpoints have room.
+  test(`requests are served while six of 20 endpoints ${name} and ask for 3 s`, (t) => {
+    const load = {
+      ...SHORT_WORK,
+      requestsPerS: () => 150,
+      measureFromMs: 8_000,
+      durationMs: 20_000,
+      overload: {
+        endpoints: [0, 1, 2].flatMap((
+          i,
+        ) => [`e-frankfurt-${i}`, `e-osaka-${i}`]),
+        from: 9_000,
+        to: 18_000,
+        slots,
+        retryAfterMs: 3_000,
+      },
+    };
+    const ignored = simulate({ ...load, ignoreRetryAfter: true });
+    const honoured = simulate(load);
+    const figures = JSON.stringify({ ignored, honoured });
+    t.true(honoured.refused < maxRefused, figures);
+    t.true(honoured.withinTarget > ignored.withinTarget, figures);
+    t.true(honoured.sheds < ignored.sheds / 4, figures);
+  });
+}
--- a/src/decisions/placement/testing/placement_simulation.ts
+++ b/src/decisions/placement/testing/placement_simulation.ts
@@ -15,6 +15,7 @@
 } from "../../../core/mod.ts";
 import { EndpointRow } from "../../../traffic/mod.ts";
 import { NOTHING_PINNED, type PinnedDemand } from "../pinned_demand.ts";
+import { EndpointBackoff } from "../endpoint_backoff.ts";
 import type { Placement } from "../placement.ts";
 
 /** Parameters of a simulation. */
@@ -47,6 +48,16 @@
   readonly measureFromMs?: number;
   /** An endpoint that is removed, and when. */
   readonly removal?: { readonly at: number; readonly endpoint: string };
+  /** Endpoints with less capacity for a while, which shed with Retry-After. */
+  readonly overload?: {
+    readonly endpoints: readonly string[];
+    readonly from: number;
+    readonly to: number;
+    readonly slots: number;
+    readonly retryAfterMs: number;
+  };
+  /** Whether instances ignore Retry-After. */
+  readonly ignoreRetryAfter?: boolean;
   readonly seed?: number;
 }
 
@@ -60,6 +71,8 @@
   readonly crossRegion: number;
   /** Share of runs on an object that was not in the cache. */
   readonly cacheMisses: number;
+  /** Sheds by endpoints, per request. */
+  readonly sheds: number;
 }
 
 const INSTANCES_PER_REGION = 4;
@@ -106,6 +119,7 @@
   readonly region: string;
   readonly placement: Placement;
   readonly rows = new Map<EndpointId, EndpointRow>();
+  readonly backoff = new EndpointBackoff();
   /** The rows as one array, replaced only when they change. */
   known: readonly EndpointRow[] = [];
   /** The endpoints that pinned objects may be sent to. */
@@ -141,6 +155,7 @@
   #crossRegion = 0;
   #runs = 0;
   #cacheMisses = 0;
+  #sheds = 0;
   /** The pinned demand passed to placement. */
   readonly #pinned: PinnedDemand;
 
@@ -180,6 +195,7 @@
       refused: this.#refused / this.#requests,
       crossRegion: this.#crossRegion / runs,
       cacheMisses: this.#cacheMisses / runs,
+      sheds: this.#sheds / this.#requests,
     };
   }
 
@@ -260,7 +276,9 @@
       region: region as RegionId,
       regions: Object.keys(this.#opts.endpoints) as RegionId[],
       pinned: isPinned ? NOTHING_PINNED : this.#pinned,
-      usable: () => true,
+      usable: (row) =>
+        this.#opts.ignoreRetryAfter === true ||
+        instance.backoff.leftMs(row, this.#now) === 0,
       meanLatencyMs: instance.meanLatencyMs,
       priority: 2,
     });
@@ -295,17 +313,30 @@
     const endpoint = this.#endpoints.find((e) => e.id === job.row.id);
     if (endpoint === undefined) return;
     const capacity = this.#opts.slots * QUEUE_FACTOR;
-    if (endpoint.gone || endpoint.queue.length >= capacity) {
+    const overload = this.#overloadOf(endpoint);
+    const isFull = endpoint.queue.length >= (overload?.slots ?? capacity);
+    if (endpoint.gone || isFull) {
+      if (this.#isMeasured) this.#sheds++;
       this.#schedule(job.linkMs, () => {
         job.row.inFlight--;
-        const { region, object, sentAt, retried } = job;
-        this.#retryOrRefuse(region, object, sentAt, retried, 200);
+        const { region, object, sentAt, retried, instance, row } = job;
+        if (overload !== undefined) {
+          instance.backoff.start(row, overload.retryAfterMs, this.#now);
+        }
+        this.#retryOrRefuse(region, object, sentAt, retried, 20);
       });
       return;
     }
     endpoint.queue.push(job);
   }
 
+  #overloadOf({ id }: Endpoint): SimulationOptions["overload"] {
+    const { overload } = this.#opts;
+    if (overload === undefined || !overload.endpoints.includes(id)) return;
+    const { from, to } = overload;
+    return this.#now >= from && this.#now < to ? overload : undefined;
+  }
+
   #process(endpoint: Endpoint): void {
     for (
       const [i, { job, endsAt }] of [...endpoint.running.entries()].reverse()
@@ -319,7 +350,9 @@
       });
     }
     while (
-      endpoint.queue.length > 0 && endpoint.running.length < this.#opts.slots
+      endpoint.queue.length > 0 &&
+      endpoint.running.length <
+        (this.#overloadOf(endpoint)?.slots ?? this.#opts.slots)
     ) {
       const job = endpoint.queue.shift();
       if (job !== undefined) this.#start(endpoint, job);
