Honour Retry-After and leaving of endpoints on the product's own interface

HttpEndpointClient reads retry-after of a 503 and x-leaving of any response when the header arrives; the slot that the request holds applies both to the row of its endpoint, where blockedUntil is the latest of all ends (an ejection could shorten it before). A request that finds all endpoints blocked is refused at once with the time until the first is free, as before. A Retry-After is honoured for at most a minute, since nothing shows a restart under an id there.

--- a/src/decisions/regions/region_dispatcher.ts
+++ b/src/decisions/regions/region_dispatcher.ts
@@ -188,6 +188,7 @@
         crossesLink: peer.region !== region,
       },
       answered: () => {},
+      stated: () => {},
       release: (result, at) => {
         if (!held) return;
         held = false;
--- a/src/decisions/steering/dispatcher.ts
+++ b/src/decisions/steering/dispatcher.ts
@@ -35,6 +35,14 @@
  */
 export type WorkResult = "ok" | "failed" | "shed" | "cancelled" | "timeout";
 
+/** What an endpoint states about itself in a response. */
+export interface EndpointStatement {
+  /** How long it wants no requests from this instance, in milliseconds. */
+  readonly retryAfterMs: number | undefined;
+  /** Whether it leaves and wants no new requests. */
+  readonly leaving: boolean;
+}
+
 /** Route to a slot that is reached through another entry instance. */
 export interface ForwardRoute {
   readonly instance: InstanceId;
@@ -52,6 +60,8 @@
   readonly forward?: ForwardRoute;
   /** Marks the start of the response; the rest is the caller's reading pace. */
   answered(now: number): void;
+  /** Applies what the endpoint states in its response. */
+  stated(statement: EndpointStatement, now: number): void;
   /** Releases the slot; repeated calls have no effect. */
   release(result: WorkResult, now: number): void;
 }
--- a/src/decisions/steering/endpoint_row.ts
+++ b/src/decisions/steering/endpoint_row.ts
@@ -11,6 +11,7 @@
  */
 import type { EndpointId, ServiceId } from "../../core/mod.ts";
 import type { EndpointEntry } from "../../document/mod.ts";
+import type { EndpointStatement } from "./dispatcher.ts";
 
 /** The last load report of an endpoint; it may be outdated or wrong. */
 export interface LoadHint {
@@ -70,6 +71,12 @@
 /** Without samples, excess latency decays with this half-life. */
 const LATENCY_RATIO_HALF_LIFE_MS = 5_000;
 
+/**
+ * Longest Retry-After that is honoured, in milliseconds: an endpoint that
+ * restarts under its id wants requests again, and nothing else shows that.
+ */
+const MAX_RETRY_AFTER_MS = 60_000;
+
 /** Creates a row whose slow start begins at `slowStartSince`. */
 export function newEndpointRow(
   id: EndpointId,
@@ -115,6 +122,23 @@
   return hint !== undefined && !hint.ready && now - hint.at < NOT_READY_TTL_MS;
 }
 
+/**
+ * Applies what an endpoint states in a response. That it leaves holds like a
+ * probe's result, until a probe or enough time says otherwise.
+ */
+export function applyStatement(
+  row: EndpointRow,
+  { retryAfterMs, leaving }: EndpointStatement,
+  now: number,
+): void {
+  if (retryAfterMs !== undefined) {
+    const until = now + Math.min(MAX_RETRY_AFTER_MS, retryAfterMs);
+    row.blockedUntil = Math.max(row.blockedUntil, until);
+  }
+  if (!leaving) return;
+  row.hint = { ready: false, reachable: true, inFlight: undefined, at: now };
+}
+
 /** Requests that may be in flight at once; never above the slot limit. */
 export function concurrencyLimit(row: EndpointRow, now: number): number {
   if (row.drainingSince !== undefined || row.blockedUntil > now) return 0;
--- a/src/decisions/steering/fair_dispatcher_test.ts
+++ b/src/decisions/steering/fair_dispatcher_test.ts
@@ -309,3 +309,47 @@
 async function flush(): Promise<void> {
   for (let i = 0; i < 200; i++) await Promise.resolve();
 }
+
+const STATED = { retryAfterMs: undefined, leaving: false };
+
+// Guards against requests to an endpoint that refused one with a Retry-After.
+test("an endpoint that states a Retry-After gets no slot until then", async (t) => {
+  const { take, clock } = setup({ slots: [4, 4] });
+  const first = await take();
+  first.stated({ ...STATED, retryAfterMs: 3_000 }, clock.now());
+  first.release("shed", clock.now());
+  clock.advance(2_999);
+  for (let i = 0; i < 4; i++) t.not((await take()).endpoint, first.endpoint);
+  clock.advance(1);
+  t.is((await take()).endpoint, first.endpoint);
+});
+
+// Guards against requests that wait for an endpoint that takes none in time.
+test("while all endpoints want no requests, the refusal says for how long", async (t) => {
+  const { take, acquire, clock } = setup({ slots: [4] });
+  const slot = await take();
+  slot.stated({ ...STATED, retryAfterMs: 3_000 }, clock.now());
+  slot.release("shed", clock.now());
+  const refused = (await acquire())._unsafeUnwrapErr();
+  t.is(refused.outcome, "not-run");
+  t.true((refused.retryAfterMs ?? 0) >= 2_000, `${refused.retryAfterMs}`);
+});
+
+// Guards against an endpoint that is lost for good by one response.
+test("a Retry-After of years ends after a minute", async (t) => {
+  const { take, clock } = setup({ slots: [4] });
+  const slot = await take();
+  slot.stated({ ...STATED, retryAfterMs: 1e12 }, clock.now());
+  slot.release("shed", clock.now());
+  clock.advance(60_000);
+  t.is((await take()).endpoint, slot.endpoint);
+});
+
+// Guards against new work for an endpoint that says it leaves.
+test("an endpoint that states its leaving gets no new slot", async (t) => {
+  const { take, clock } = setup({ slots: [4, 4] });
+  const first = await take();
+  first.stated({ ...STATED, leaving: true }, clock.now());
+  first.release("ok", clock.now());
+  for (let i = 0; i < 4; i++) t.not((await take()).endpoint, first.endpoint);
+});
--- a/src/decisions/steering/outlier_detection.ts
+++ b/src/decisions/steering/outlier_detection.ts
@@ -73,7 +73,8 @@
 
 function eject(row: EndpointRow, now: number): void {
   row.backoffLevel = Math.min(MAX_BACKOFF_LEVEL, row.backoffLevel + 1);
-  row.blockedUntil = now + BASE_EJECTION_MS * row.backoffLevel;
+  const until = now + BASE_EJECTION_MS * row.backoffLevel;
+  row.blockedUntil = Math.max(row.blockedUntil, until);
   row.ejected = true;
   row.slowStartSince = row.blockedUntil;
   row.consecutiveFailures = 0;
--- a/src/decisions/steering/round_robin_dispatcher.ts
+++ b/src/decisions/steering/round_robin_dispatcher.ts
@@ -98,7 +98,8 @@
       held = false;
     };
     const { url, zone } = row.entry;
-    return { endpoint: row.id, url, zone, answered: () => {}, release };
+    const unused = { answered: () => {}, stated: () => {} };
+    return { endpoint: row.id, url, zone, ...unused, release };
   }
 }
 
--- a/src/decisions/steering/slot_table.ts
+++ b/src/decisions/steering/slot_table.ts
@@ -13,6 +13,7 @@
 import { chooseEndpoint } from "./endpoint_choice.ts";
 import { recordResult } from "./outlier_detection.ts";
 import {
+  applyStatement,
   concurrencyLimit,
   type EndpointRow,
   freeSlots,
@@ -114,6 +115,7 @@
       url: row.entry.url,
       zone: row.entry.zone,
       answered: (now) => answeredAt ??= now,
+      stated: (statement, now) => applyStatement(row, statement, now),
       release: (result, now) => {
         if (!held) return;
         held = false;
--- a/src/endpoints/endpoint_client.ts
+++ b/src/endpoints/endpoint_client.ts
@@ -7,6 +7,7 @@
 import type { Readable } from "node:stream";
 import type { Result } from "neverthrow";
 import type { AccountId, Failure } from "../core/mod.ts";
+import type { EndpointStatement } from "../decisions/steering/mod.ts";
 
 /** Headers with lower-case names. */
 export type Headers = Readonly<Record<string, string>>;
@@ -22,6 +23,8 @@
   /** How long the endpoint may take, in milliseconds. */
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** Called when the header of the response arrives. */
+  readonly onStatement?: (statement: EndpointStatement) => void;
 }
 
 /** An endpoint's response; the body is streamed. */
--- a/src/endpoints/http_endpoint_client.ts
+++ b/src/endpoints/http_endpoint_client.ts
@@ -3,14 +3,18 @@
  *
  * Requests carry the account in `x-client-account` and the time-out in
  * `x-timeout-ms`. An endpoint that sheds a request before starting it answers
- * 503 with `x-not-run: true`. Probes go to `/healthz`.
+ * 503 with `x-not-run: true`. A 503 may have a `retry-after`, during which the
+ * endpoint wants no requests from this instance; `x-leaving: true` in any
+ * response says that it leaves. Probes go to `/healthz`.
  *
  * @module
  */
+import type { IncomingHttpHeaders } from "node:http";
 import { ok, type Result } from "neverthrow";
 import { Agent, errors, request } from "undici";
 import { z } from "zod";
-import { Deadline, fail, type Failure } from "../core/mod.ts";
+import { Deadline, fail, type Failure, parseRetryAfter } from "../core/mod.ts";
+import type { EndpointStatement } from "../decisions/steering/mod.ts";
 import type {
   EndpointAnswer,
   EndpointClient,
@@ -61,6 +65,7 @@
         signal: timeout.signal,
       });
       const headers = joinRepeatedHeaders(res.headers);
+      req.onStatement?.(readStatement(res.statusCode, res.headers));
       if (headers["x-not-run"] === "true") {
         await res.body.dump();
         return fail("endpoint_failed", "the endpoint shed the request", {
@@ -105,6 +110,21 @@
   }
 }
 
+function readStatement(
+  status: number,
+  headers: IncomingHttpHeaders,
+): EndpointStatement {
+  const values = [headers["retry-after"] ?? []].flat();
+  const retryAfter = parseRetryAfter(values, headers.date);
+  const isRefusal = status === SERVICE_UNAVAILABLE;
+  return {
+    retryAfterMs: isRefusal && retryAfter.kind === "delay"
+      ? retryAfter.ms
+      : undefined,
+    leaving: headers["x-leaving"] === "true",
+  };
+}
+
 type FailArgs = Parameters<typeof fail>;
 
 function failArgsFor(
--- a/src/endpoints/http_endpoint_client_test.ts
+++ b/src/endpoints/http_endpoint_client_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { text } from "node:stream/consumers";
 import type { AccountId } from "../core/mod.ts";
+import type { EndpointStatement } from "../decisions/steering/mod.ts";
 import {
   listenScripted,
   type Script,
@@ -15,6 +16,7 @@
 async function setUp(script: Script) {
   const endpoint = await listenScripted(script);
   const client = new HttpEndpointClient();
+  const statements: EndpointStatement[] = [];
   const send = async () => {
     const answer = await client.send({
       url: `http://${endpoint.address}`,
@@ -25,6 +27,7 @@
       account: "a" as AccountId,
       timeoutMs: 2_000,
       signal: new AbortController().signal,
+      onStatement: (statement) => statements.push(statement),
     });
     return answer.isErr() ? answer.error.code : await text(answer.value.body);
   };
@@ -32,7 +35,7 @@
     endpoint.close();
     await client.close();
   };
-  return { send, close, sockets: endpoint.sockets };
+  return { send, close, sockets: endpoint.sockets, statements };
 }
 
 // Guards against a late response that goes to the caller of the next request.
@@ -64,3 +67,41 @@
   t.is(sockets.length, 2);
   await close();
 });
+
+const STATEMENTS: readonly {
+  readonly head: string;
+  readonly want: EndpointStatement;
+}[] = [
+  {
+    head: "200 OK\r\nretry-after: 3",
+    want: { retryAfterMs: undefined, leaving: false },
+  },
+  {
+    head: "200 OK\r\nx-leaving: true",
+    want: { retryAfterMs: undefined, leaving: true },
+  },
+  {
+    head: "503 No\r\nx-not-run: true\r\nretry-after: 3",
+    want: { retryAfterMs: 3_000, leaving: false },
+  },
+  {
+    head: "503 No\r\nretry-after: 1\r\nretry-after: 2\r\nx-leaving: true",
+    want: { retryAfterMs: 2_000, leaving: true },
+  },
+  {
+    head: "503 No\r\nretry-after: soon",
+    want: { retryAfterMs: undefined, leaving: false },
+  },
+];
+
+for (const { head, want } of STATEMENTS) {
+  // Guards against a statement that is read by nobody.
+  test(`what an endpoint states: ${head.replaceAll("\r\n", ", ")}`, async (t) => {
+    const { send, close, statements } = await setUp((socket) => {
+      socket.write(`HTTP/1.1 ${head}\r\nContent-Length: 0\r\n\r\n`);
+    });
+    await send();
+    t.deepEqual(statements, [want]);
+    await close();
+  });
+}
--- a/src/gateway/forward_app.ts
+++ b/src/gateway/forward_app.ts
@@ -167,6 +167,7 @@
     account: steering.account,
     timeoutMs: steering.deadline - deps.clock.now(),
     signal,
+    onStatement: (statement) => slot.stated(statement, deps.clock.now()),
   });
   const now = deps.clock.now();
   if (answer.isErr()) slot.release(workResult(answer.error), now);
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -29,6 +29,7 @@
   "host",
   "expect",
   "x-client-account",
+  "x-leaving",
   TIMEOUT_HEADER,
 ]);
 
--- a/src/gateway/operation_dispatch_test.ts
+++ b/src/gateway/operation_dispatch_test.ts
@@ -70,6 +70,7 @@
     url,
     zone: "z1" as ZoneId,
     answered: () => {},
+    stated: () => {},
     release: () => {},
   };
   const clock = new SystemClock();
--- a/src/gateway/retry_rate_test.ts
+++ b/src/gateway/retry_rate_test.ts
@@ -88,6 +88,7 @@
     url: "http://unused",
     zone: "z1",
     answered: () => {},
+    stated: () => {},
     release: () => {},
   } as unknown as Slot;
 }
--- a/src/gateway/slot_sender.ts
+++ b/src/gateway/slot_sender.ts
@@ -8,7 +8,7 @@
 import type { Result } from "neverthrow";
 import type { Clock, Failure, ServiceId } from "../core/mod.ts";
 import type { LinkBudgets } from "../decisions/regions/mod.ts";
-import type { Slot } from "../decisions/steering/mod.ts";
+import type { EndpointStatement, Slot } from "../decisions/steering/mod.ts";
 import type {
   EndpointAnswer,
   EndpointClient,
@@ -53,7 +53,11 @@
   ): Promise<Result<EndpointAnswer, Failure>> {
     const { endpoints, clock, identity } = this.#deps;
     const { forward, url } = slot;
-    if (forward === undefined) return await endpoints.send({ ...req, url });
+    if (forward === undefined) {
+      const onStatement = (statement: EndpointStatement) =>
+        slot.stated(statement, clock.now());
+      return await endpoints.send({ ...req, url, onStatement });
+    }
     const startedAt = clock.now();
     const body = forward.crossesLink
       ? await this.#paceBody(forward.region, req.body)
