Use the field's words for backoff in the soak

Names, titles and texts only: the fault "endpoint backoff" and the property "an endpoint in backoff gets no requests"; the checks are unchanged.

--- a/tools/process_soak/endpoint_signal_checker.ts
+++ b/tools/process_soak/endpoint_signal_checker.ts
@@ -8,14 +8,14 @@
 
 /** Time after a refusal in which requests may still be on their way. */
 const IN_FLIGHT_MS = 500;
-/** Requests that may reach an endpoint during the rest that it asked for. */
-const MAX_REQUESTS_IN_REST = 2;
+/** Requests that may reach an endpoint during its backoff. */
+const MAX_REQUESTS_IN_BACKOFF = 2;
 /** Time after which a leaving endpoint gets no request sent later. */
 const DRAIN_MS = 2_000;
 const MS_PER_S = 1_000;
 
-/** A rest that an endpoint asked an instance for. */
-interface Rest {
+/** A backoff that an endpoint asked an instance for. */
+interface Backoff {
   readonly askedAt: number;
   readonly until: number;
   requests: number;
@@ -27,25 +27,33 @@
   readonly onViolation: (property: string, request: string) => void;
 }
 
-/** Tracks rests and leaving by endpoint and incarnation of an instance. */
+/** Tracks backoffs and leaving by endpoint and incarnation of an instance. */
 export class EndpointSignalChecker {
   readonly #opts: EndpointSignalCheckerOptions;
-  readonly #rests = new Map<string, Rest[]>();
+  readonly #backoffs = new Map<string, Backoff[]>();
   readonly #leavingSince = new Map<string, number>();
 
   constructor(opts: EndpointSignalCheckerOptions) {
     this.#opts = opts;
   }
 
-  /** Records that an endpoint refused a request and asked for rest. */
-  restAsked(endpoint: string, attempt: SentAttempt, restS: number): void {
+  /** Records that an endpoint refused a request with a Retry-After. */
+  backoffRequested(
+    endpoint: string,
+    attempt: SentAttempt,
+    retryAfterS: number,
+  ): void {
     const now = Date.now();
     const key = pairOf(endpoint, attempt);
-    const open = (this.#rests.get(key) ?? []).filter(({ until }) =>
+    const open = (this.#backoffs.get(key) ?? []).filter(({ until }) =>
       until > now
     );
-    open.push({ askedAt: now, until: now + restS * MS_PER_S, requests: 0 });
-    this.#rests.set(key, open);
+    open.push({
+      askedAt: now,
+      until: now + retryAfterS * MS_PER_S,
+      requests: 0,
+    });
+    this.#backoffs.set(key, open);
   }
 
   /** Records that an instance passed on a response that announces leaving. */
@@ -56,7 +64,7 @@
 
   /** Checks a request that arrives at an endpoint. */
   arrived(endpoint: string, attempt: SentAttempt): void {
-    this.#checkRest(endpoint, attempt);
+    this.#checkBackoff(endpoint, attempt);
     const key = pairOf(endpoint, attempt);
     const since = this.#leavingSince.get(key) ?? Infinity;
     if (attempt.sentAt <= since + DRAIN_MS) return;
@@ -67,24 +75,30 @@
     );
   }
 
-  #checkRest(endpoint: string, attempt: SentAttempt): void {
+  #checkBackoff(endpoint: string, attempt: SentAttempt): void {
     const now = Date.now();
     let isViolated = false;
-    for (const rest of this.#rests.get(pairOf(endpoint, attempt)) ?? []) {
-      if (now < rest.askedAt + IN_FLIGHT_MS || now >= rest.until) continue;
-      if (this.#isExcused(rest, endpoint, attempt)) continue;
-      rest.requests++;
-      if (rest.requests > MAX_REQUESTS_IN_REST) isViolated = true;
+    for (const backoff of this.#backoffs.get(pairOf(endpoint, attempt)) ?? []) {
+      if (now < backoff.askedAt + IN_FLIGHT_MS || now >= backoff.until) {
+        continue;
+      }
+      if (this.#isExcused(backoff, endpoint, attempt)) continue;
+      backoff.requests++;
+      if (backoff.requests > MAX_REQUESTS_IN_BACKOFF) isViolated = true;
     }
     if (!isViolated) return;
     this.#opts.onViolation(
-      "an endpoint that asks for rest gets it",
+      "an endpoint in backoff gets no requests",
       attempt.request,
     );
   }
 
   /** The refusal may not have arrived, or requests may have been held up. */
-  #isExcused({ askedAt }: Rest, endpoint: string, sent: SentAttempt): boolean {
+  #isExcused(
+    { askedAt }: Backoff,
+    endpoint: string,
+    sent: SentAttempt,
+  ): boolean {
     const { disturbances } = this.#opts;
     return disturbances.freeze(sent.instance) >= askedAt ||
       disturbances.endpoint(endpoint) >= askedAt - IN_FLIGHT_MS;
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -28,7 +28,7 @@
   "endpoint answers",
   "endpoint link",
   "endpoint in need",
-  "endpoint rest",
+  "endpoint backoff",
   "endpoint leaving",
   "plan",
   "withdraw",
@@ -49,8 +49,8 @@
 const MIN_LIMIT_PER_S = 2;
 const LIMIT_SPREAD_PER_S = 5;
 /** How long an endpoint refuses requests, and the spread of its Retry-After. */
-const REST_DURATION_MS = 4_000;
-const MAX_REST_S = 3;
+const BACKOFF_DURATION_MS = 4_000;
+const MAX_RETRY_AFTER_S = 3;
 /** Time from the announcement of an endpoint's leaving to its end. */
 const LEAVING_MS = 6_000;
 
@@ -101,8 +101,8 @@
       return injectEndpointLinkFault(world, forMs);
     case "endpoint in need":
       return announceLimit(world);
-    case "endpoint rest":
-      return askForRest(world);
+    case "endpoint backoff":
+      return requestBackoff(world);
     case "endpoint leaving":
       return announceLeaving(world);
     case "plan":
@@ -128,16 +128,17 @@
   return `${id} takes ${fake.limitPerS} a second for ${LIMIT_DURATION_MS} ms`;
 }
 
-/** Makes an endpoint refuse its requests and ask each instance for rest. */
-function askForRest(world: FaultTargets): string {
+/** Makes an endpoint refuse its requests with a Retry-After. */
+function requestBackoff(world: FaultTargets): string {
   const endpoint = world.pick(servingEndpoints(world));
   if (endpoint === undefined) return "none";
   const { fake } = endpoint;
   const { id } = fake.opts;
-  if (fake.restS !== undefined) return `${id} rests already`;
-  fake.restS = 1 + world.random.below(MAX_REST_S);
-  const trace = `${id} asks for ${fake.restS} s for ${REST_DURATION_MS} ms`;
-  setTimeout(() => fake.restS = undefined, REST_DURATION_MS);
+  if (fake.retryAfterS !== undefined) return `${id} refuses already`;
+  fake.retryAfterS = 1 + world.random.below(MAX_RETRY_AFTER_S);
+  const trace =
+    `${id} asks for ${fake.retryAfterS} s for ${BACKOFF_DURATION_MS} ms`;
+  setTimeout(() => fake.retryAfterS = undefined, BACKOFF_DURATION_MS);
   return trace;
 }
 
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -130,7 +130,8 @@
       random: () => this.random.next(),
       onRun: (run) => this.checker.requestStarted(run),
       onArrival: (request) => this.checker.requestArrived(id, request),
-      onRest: (request, restS) => this.checker.restAsked(id, request, restS),
+      onBackoff: (request, retryAfterS) =>
+        this.checker.backoffRequested(id, request, retryAfterS),
     }, port);
     const proxy = await TcpProxy.listen(fake.port);
     const endpoint = { fake, proxy, disturbedAt: 0, draining: false };
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -70,13 +70,13 @@
 });
 
 // Guards against requests to an endpoint that refused one with a Retry-After.
-test.serial("endpoints that ask for rest get it", async (t) => {
+test.serial("endpoints that refuse with a Retry-After get no requests until then", async (t) => {
   const soak = new ProcessSoak({
     seed: 11,
     seconds: SECONDS,
     perZone: 2,
     program: await program(),
-    only: ["endpoint rest"],
+    only: ["endpoint backoff"],
   });
   const { violations, faults } = await soak.run();
   t.deepEqual(violations, []);
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -112,11 +112,15 @@
     this.#limits.set(endpoint, { ratePerS, since: Date.now(), arrivedAt: [] });
   }
 
-  /** Records that an endpoint refused a request and asked for rest. */
-  restAsked(endpoint: string, request: string, restS: number): void {
+  /** Records that an endpoint refused a request with a Retry-After. */
+  backoffRequested(
+    endpoint: string,
+    request: string,
+    retryAfterS: number,
+  ): void {
     const attempt = this.#sent.get(request);
     if (attempt !== undefined) {
-      this.#signals.restAsked(endpoint, attempt, restS);
+      this.#signals.backoffRequested(endpoint, attempt, retryAfterS);
     }
   }
 
