Follow the zone's relay also where the fleet seems small enough for a mesh

Cause: an instance that read the instance list before most had registered knew 19 to 21 others, and so gossiped in a full mesh, as up to 24 instances do. All others knew 26 and reported to their zone's relay; nobody sends digests to an instance that is neither. The relay's aggregates, which do reach it and list the others' profiles, were discarded in a mesh. So it heard nobody, reserved what peers of its first second may spend, and stayed like that for its life.

So the instance follows the relay with the first aggregate that covers more than a mesh.

The tests "an instance, with a list read before most had registered, hears the whole fleet", and the same for one that knows none of its zone, heard 0 of 29 before and 29 now. The same for a relay and for a whole zone passed before: zone digests add their members in a mesh too.

--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -273,9 +273,10 @@
   }
 
   #onAggregate(aggregate: FleetAggregate): void {
-    const { zone } = aggregate.relay;
-    if (this.#peers.isMesh || !this.#peers.isOwnZone(zone)) return;
+    if (!this.#peers.isOwnZone(aggregate.relay.zone)) return;
     const now = this.#opts.clock.now();
+    this.#peers.onAggregate(aggregate, now);
+    if (this.#peers.isMesh) return;
     if (!this.#isRelay) return this.#relayFollower.onAggregate(aggregate, now);
     // If there are two relays, one has to detect the other to step down.
     this.#peers.applyRelayStatus(aggregate, now);
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -307,3 +307,49 @@
     }
   });
 }
+
+/** Instances that are on the list when a member reads it too early. */
+const LISTED_EARLY = 20;
+
+const EARLY_READERS: readonly {
+  readonly name: string;
+  readonly isEarly: (id: string) => boolean;
+  /** Whether the list has the others of its zone. */
+  readonly knowsZone: boolean;
+}[] = [
+  {
+    name: "an instance",
+    isEarly: (id) => id === "a1-4",
+    knowsZone: true,
+  },
+  {
+    name: "an instance that knows none of its zone",
+    isEarly: (id) => id === "a1-4",
+    knowsZone: false,
+  },
+  {
+    name: "a relay that knows none of its zone",
+    isEarly: (id) => id === "a1-0",
+    knowsZone: false,
+  },
+  { name: "a zone", isEarly: (id) => id.startsWith("a1-"), knowsZone: true },
+];
+
+for (const { name, isEarly, knowsZone } of EARLY_READERS) {
+  // Guards against an instance that takes a large fleet for one that gossips in
+  // a full mesh: it hears nobody, and refuses accounts that are within their rate.
+  test(`${name}, with a list read before most had registered, hears the whole fleet`, async (t) => {
+    const fleet = new MemberFleet(ZONES, PER_ZONE, ({ id, zone }, all) => {
+      if (!isEarly(id)) return all;
+      const known = all.filter((p) => knowsZone || p.zone !== zone);
+      return known.slice(0, LISTED_EARLY);
+    });
+    await Promise.resolve();
+    fleet.advance(SETTLE_TIME_MS);
+    for (const { profile, groups } of fleet.members) {
+      const heard = [...groups.values()]
+        .reduce((sum, { instances }) => sum + instances, 0);
+      t.is(heard, fleet.members.length - 1, profile.id);
+    }
+  });
+}
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -48,6 +48,9 @@
  */
 export const MAX_MESH_INSTANCES = 24;
 
+/** How long the fleet size in an aggregate counts, in milliseconds. */
+const RELAYED_SIZE_TTL_MS = UNREACHABLE_AFTER_MS;
+
 /** Fraction of a zone's instances whose reports make its sums nearly complete. */
 const MIN_ZONE_COVERAGE = 0.8;
 
@@ -117,6 +120,9 @@
   readonly #byHash = new Map<number, InstanceId>();
   /** Minimum fleet size assumed until the instance list is read, then 1. */
   #assumedSize: number;
+  /** Fleet size by the zone's relay, while that is recent; else 1. */
+  #relayedSize = 1;
+  #relayedSizeAt = -Infinity;
   #wasMesh = true;
 
   constructor(
@@ -131,7 +137,8 @@
 
   /** Instances that may be serving, this one included. */
   get fleetSize(): number {
-    return Math.max(this.#assumedSize, this.#peers.size + 1);
+    const knownSize = this.#peers.size + 1;
+    return Math.max(this.#assumedSize, this.#relayedSize, knownSize);
   }
 
   /** Whether the instance list was read. */
@@ -141,7 +148,8 @@
 
   /** Whether all instances gossip with each other directly. */
   get isMesh(): boolean {
-    return this.#peers.size < MAX_MESH_INSTANCES;
+    const size = Math.max(this.#peers.size + 1, this.#relayedSize);
+    return size <= MAX_MESH_INSTANCES;
   }
 
   isZonePeer(id: InstanceId): boolean {
@@ -223,6 +231,20 @@
     this.#assumedSize = 1;
   }
 
+  /**
+   * Applies the size of the fleet, and the profiles, in an aggregate of the
+   * zone's relay. An instance that knows too few others takes the fleet for a
+   * full mesh, in which nobody would report to it.
+   */
+  onAggregate(
+    { relay, profiles, instances }: FleetAggregate,
+    now: number,
+  ): void {
+    for (const profile of [relay, ...profiles]) this.add(profile, now);
+    this.#relayedSize = instances;
+    this.#relayedSizeAt = now;
+  }
+
   /** Applies a digest; one that is not newer than the last is dropped. */
   heard(digest: Digest, now: number): void {
     const { profile } = digest;
@@ -307,6 +329,7 @@
 
   /** Marks or removes instances whose last report is too old. */
   tick(now: number): void {
+    if (now - this.#relayedSizeAt > RELAYED_SIZE_TTL_MS) this.#relayedSize = 1;
     this.#updateMode();
     for (const peer of this.#peers.values()) {
       const silentMs = now -
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -75,9 +75,6 @@
   /** Applies an aggregate, unless it comes from a relay that is not followed. */
   onAggregate(aggregate: FleetAggregate, now: number): void {
     const { relay, start, seq } = aggregate;
-    for (const profile of [relay, ...aggregate.profiles]) {
-      this.#peers.add(profile, now);
-    }
     if (!this.#accepts(aggregate, now)) return;
     this.#relay = { id: relay.id, start, seq, lastAggregateAt: now };
     this.#suspect = false;
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -96,6 +96,12 @@
   }
 }
 
+/** Selects the part of the instance list that a member reads. */
+export type ListedInstances = (
+  member: InstanceProfile,
+  all: readonly InstanceProfile[],
+) => readonly InstanceProfile[];
+
 const STEP_MS = 10;
 const LARGE_CAPACITY = 1.35;
 const SMALL_CAPACITY = 0.27;
@@ -111,14 +117,19 @@
   readonly #random = new SeededRandom(1);
   readonly #byAddress = new Map<string, TestMember>();
 
-  constructor(zones: readonly string[], perZone: number) {
+  /** @param listed The part of the instance list that a member reads. */
+  constructor(
+    zones: readonly string[],
+    perZone: number,
+    listed: ListedInstances = (_member, all) => all,
+  ) {
     for (const zone of zones) {
       for (let i = 0; i < perZone; i++) this.#add(zone, i);
     }
     const profiles = this.members.map((m) => m.profile);
-    for (const { member } of this.members) {
+    for (const { member, profile } of this.members) {
       member.start();
-      member.onInstanceList(profiles);
+      member.onInstanceList(listed(profile, profiles));
     }
   }
 
