Start no backoff, and log none, for a Retry-After of zero

An endpoint that refuses all with Retry-After: 0 caused a log line for each request: the backoff that it started had ended before the next. The test logged three lines before.

--- a/src/edge/endpoint_signals.ts
+++ b/src/edge/endpoint_signals.ts
@@ -59,11 +59,12 @@
     return Math.min(...rows.map((row) => this.#backoff.leftMs(row, now)));
   }
 
-  /** Removes the state of an endpoint that has ended or restarted. */
+  /** Applies that an endpoint's entry is gone, or shows another start. */
   remove(row: EndpointRow): void {
     this.#unreadable.delete(row.id);
-    this.#backoff.removed(row, this.#opts.clock.now());
-    this.#opts.limits.remove(row);
+    const { limits, clock } = this.#opts;
+    this.#backoff.removed(row, clock.now());
+    limits.remove(row);
   }
 
   /** A refusal may omit the limit; only another response without one lifts it. */
@@ -88,8 +89,9 @@
     const { log, metrics } = this.#opts;
     if (retryAfter.kind === "unreadable") return this.#logUnreadable(endpoint);
     if (retryAfter.kind === "none") return;
-    const { ms } = retryAfter;
     this.#unreadable.delete(endpoint);
+    const { ms } = retryAfter;
+    if (ms === 0) return;
     metrics.count("endpoint.backoff", { endpoint });
     if (!this.#backoff.start(row, ms, now)) return;
     log.event("endpoint_backoff", { endpoint, ms: Math.round(ms) });
--- a/src/edge/endpoint_signals_test.ts
+++ b/src/edge/endpoint_signals_test.ts
@@ -161,6 +161,13 @@
   t.true(path.signals.accepts(path.row("e1"), path.clock.now()));
 });
 
+// Guards against a log line for each request that an endpoint refuses.
+test("a Retry-After of zero is no backoff", (t) => {
+  const path = new RequestPath();
+  for (let i = 0; i < 3; i++) path.receive("e1", { retryAfter: after(0) });
+  t.deepEqual(path.log.of("endpoint_backoff"), []);
+});
+
 test("a Retry-After that cannot be parsed is logged once", (t) => {
   const path = new RequestPath();
   for (let i = 0; i < 3; i++) {
