--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -76,6 +76,19 @@
     help:
       "Requests that an endpoint refused without running them; attempt is first or retry",
   },
+  "fleet.instances": {
+    type: "gauge",
+    unit: "instances",
+    tags: [],
+    help: "Instances that may be serving, as far as this instance knows",
+  },
+  "fleet.reporting": {
+    type: "gauge",
+    unit: "instances",
+    tags: [],
+    help:
+      "Instances whose gossip this instance receives, directly or summed, itself included; if it stays below fleet.instances, accounts are refused too early",
+  },
   "forwarded": {
     type: "count",
     unit: "requests",
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -175,6 +175,11 @@
     return this.#version;
   }
 
+  /** Reachable instances whose reports are known, this one included. */
+  get reporting(): number {
+    return this.#inputs.reporting;
+  }
+
   /** Whether each instance has reported or has its share reserved. */
   get complete(): boolean {
     return this.#inputs.reporting >= this.#inputs.heard;
--- a/src/decisions/quotas/demand_shares_test.ts
+++ b/src/decisions/quotas/demand_shares_test.ts
@@ -73,3 +73,11 @@
   t.true(sum <= 1 + 1e-9, `${sum}`);
   t.true(sum > 0.95, `${sum}`);
 });
+
+// Guards against an instance that hears a part of the fleet and does not show it.
+test("the number of reporting instances leaves out unreachable ones", (t) => {
+  const shares = sharesAt(0, 0);
+  t.is(shares.reporting, ZONES * PER_ZONE);
+  shares.markUnreachable("zone 3" as InstanceId);
+  t.is(shares.reporting, (ZONES - 1) * PER_ZONE);
+});
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -352,6 +352,9 @@
       if (row.inFlight > 0) inFlight.set(row.id, row.inFlight);
     }
     const uses = this.#quotas.tick(this.#opts.clock.now());
+    const { reporting } = this.#quotas.demand.shares;
+    this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
+    this.#opts.metrics.gauge("fleet.reporting", reporting);
     for (const [id, use] of this.#limits.uses()) uses.set(id, use);
     return {
       state: this.state,
