--- a/src/decisions/placement/testing/placement_simulation.ts
+++ b/src/decisions/placement/testing/placement_simulation.ts
@@ -85,6 +85,9 @@
 const QUEUE_FACTOR = 3;
 const WORK_JITTER = 0.15;
 const MIN_RETRY_MS = 50;
+/** When callers retry after a shed, and after one of an overloaded endpoint. */
+const SHED_RETRY_MS = 200;
+const OVERLOAD_RETRY_MS = 20;
 
 interface Job {
   readonly object: string;
@@ -323,7 +326,10 @@
         if (overload !== undefined) {
           instance.backoff.start(row, overload.retryAfterMs, this.#now);
         }
-        this.#retryOrRefuse(region, object, sentAt, retried, 20);
+        const waitMs = overload === undefined
+          ? SHED_RETRY_MS
+          : OVERLOAD_RETRY_MS;
+        this.#retryOrRefuse(region, object, sentAt, retried, waitMs);
       });
       return;
     }
