Count attempts at endpoints by their result

During the incident RECOVER logs name the endpoints that a request was tried at, and metrics count sheds; nothing says how an attempt ended.

--- a/src/core/connect_timeout.ts
+++ b/src/core/connect_timeout.ts
@@ -6,6 +6,9 @@
 import type { Socket } from "node:net";
 import type { Clock } from "./clock.ts";
 
+/** Message of the error with which a socket is destroyed on a timeout. */
+export const CONNECT_TIMED_OUT = "connect timed out";
+
 /**
  * Destroys a socket that has not connected within `ms`.
  *
@@ -23,7 +26,7 @@
 ): void {
   const timer = clock.after(
     ms,
-    () => void socket.destroy(new Error("connect timed out")),
+    () => void socket.destroy(new Error(CONNECT_TIMED_OUT)),
   );
   socket.once("connect", () => timer.close());
   socket.once("close", () => timer.close());
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -28,6 +28,13 @@
     help:
       "Time from when a drain takes effect until its last request on this instance ends",
   },
+  "endpoint.attempts": {
+    type: "count",
+    unit: "attempts",
+    tags: ["service", "result"],
+    help:
+      "Attempts at endpoints by result: answer, not-run, connect_timeout, connect_failed, broken, cut, foreign, malformed, unanswered at the deadline or when the caller left, or unsent by then",
+  },
   "endpoint.backoff": {
     type: "count",
     unit: "responses",
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  CONNECT_TIMED_OUT,
   type EndpointId,
   type Failure,
   isSampled,
@@ -95,6 +96,8 @@
   ): void {
     const { service } = endpoint.record;
     this.#metrics.timing("endpoint.duration", opts.tookMs, { service });
+    const result = attemptResult(opts.result);
+    this.#metrics.count("endpoint.attempts", { service, result });
     if (opts.result.kind !== "not-run" || opts.result.moved) return;
     const attempt = ctx.tried.size > 1 ? "retry" : "first";
     this.#metrics.count("endpoint.shed", { endpoint: endpoint.id, attempt });
@@ -130,3 +133,19 @@
     return `${id}(${parts.join(",")})`;
   }
 }
+
+/** The result of an attempt, as a tag of metrics. */
+function attemptResult(result: SendResult): string {
+  switch (result.kind) {
+    case "unsent":
+      return result.reason === CONNECT_TIMED_OUT
+        ? "connect_timeout"
+        : "connect_failed";
+    case "unknown":
+      return result.reason;
+    case "cancelled":
+      return result.sent ? "unanswered" : "unsent";
+    default:
+      return result.kind;
+  }
+}
