--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -118,7 +118,9 @@
       callerAddress: cfg.listen.caller,
       digestAddress: cfg.listen.digest,
     };
-    this.#sender = new HttpEndpointSender(codec, clock);
+    this.#sender = new HttpEndpointSender(codec, clock, {
+      sourceAddress: cfg.endpointSourceAddress,
+    });
     this.#snapshots = new PeerSnapshots(random);
     this.#state = new TrafficState((zone) => cfg.zones.get(zone), {
       added: (row) => this.#dictionary.add(row.id),
--- a/src/edge/edge_settings.ts
+++ b/src/edge/edge_settings.ts
@@ -23,6 +23,8 @@
     /** Host and port for gossip digests. */
     readonly digest: string;
   };
+  /** Local address of connections to endpoints; any if undefined. */
+  readonly endpointSourceAddress?: string | undefined;
   /** Whether this is the fleet's first start. */
   readonly firstStart: boolean;
   /** Gossip addresses contacted before any other instance is known. */
--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -32,15 +32,23 @@
   received: ReceivedBytes;
 }
 
+/** Options of the connections to endpoints. */
+export interface EndpointConnectionOptions {
+  /** Local address of the connections; any if undefined. */
+  readonly sourceAddress?: string | undefined;
+}
+
 /** HTTP agent that assigns connections to requests. */
 export class EndpointConnections extends Agent {
   readonly #clock: Clock;
+  readonly #sourceAddress: string | undefined;
   readonly #connections = new WeakMap<Socket, EndpointConnection>();
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, opts: EndpointConnectionOptions = {}) {
     // A late fault has most likely shown already on the longest idle connection.
     super({ keepAlive: true, scheduling: "fifo" });
     this.#clock = clock;
+    this.#sourceAddress = opts.sourceAddress;
   }
 
   /** State of a connection that this agent opened. */
@@ -70,7 +78,15 @@
     opts: AgentOptions & { host: string; port: number },
   ) {
     const { host, port } = opts;
-    const socket = connect({ host, port, allowHalfOpen: true, noDelay: true });
+    const socket = connect({
+      host,
+      port,
+      allowHalfOpen: true,
+      noDelay: true,
+      ...(this.#sourceAddress === undefined
+        ? {}
+        : { localAddress: this.#sourceAddress }),
+    });
     const connection: EndpointConnection = {
       connected: false,
       remoteEnded: false,
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -14,7 +14,10 @@
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
 import { type HostPort, splitAddress } from "../fleet/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
-import { EndpointConnections } from "./endpoint_connections.ts";
+import {
+  type EndpointConnectionOptions,
+  EndpointConnections,
+} from "./endpoint_connections.ts";
 import type {
   EndpointSender,
   OutgoingRequest,
@@ -38,10 +41,14 @@
   readonly #connections: EndpointConnections;
   readonly #idle = new IdleTimeouts();
 
-  constructor(codec: RequestCodec, clock: Clock) {
+  constructor(
+    codec: RequestCodec,
+    clock: Clock,
+    opts: EndpointConnectionOptions = {},
+  ) {
     this.#codec = codec;
     this.#clock = clock;
-    this.#connections = new EndpointConnections(clock);
+    this.#connections = new EndpointConnections(clock, opts);
   }
 
   send(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
--- /dev/null
+++ b/tools/process_soak/cut_checker.ts
@@ -0,0 +1,90 @@
+/**
+ * Checks that callers of instances that are cut off from all endpoints are
+ * served nearly as often as those of the others.
+ *
+ * @module
+ */
+import type { CallerResult } from "../../platform/testing/fake_caller.ts";
+import type { SentAttempt } from "./property_checker.ts";
+
+/** Time from the beginning of a cut until its callers are to be served. */
+const DETECTION_MS = 3_000;
+/** Minimum success rate at cut instances, relative to the others. */
+const MIN_RELATIVE_RATE = 2 / 3;
+/** Failures at cut instances that are allowed: a number, and a share of all. */
+const MAX_FAILURES = 10;
+const MAX_FAILURE_SHARE = 1 / 50;
+const RATE_EXCEEDED = 429;
+
+interface Counts {
+  total: number;
+  served: number;
+}
+
+interface Cut {
+  readonly instances: ReadonlySet<string>;
+  readonly since: number;
+  readonly until: number;
+  readonly there: Counts;
+  readonly elsewhere: Counts;
+}
+
+/** Dependencies of the checker. */
+export interface CutCheckerOptions {
+  /** Whether an instance and the store were undisturbed before a moment. */
+  readonly isCalm: (instance: string, at: number) => boolean;
+  readonly onViolation: (property: string, detail: string) => void;
+}
+
+/** Counts attempts during cuts. */
+export class CutChecker {
+  readonly #opts: CutCheckerOptions;
+  readonly #cuts: Cut[] = [];
+
+  constructor(opts: CutCheckerOptions) {
+    this.#opts = opts;
+  }
+
+  cutOff(instances: readonly string[], until: number): void {
+    this.#cuts.push({
+      instances: new Set(instances),
+      since: Date.now(),
+      until,
+      there: { total: 0, served: 0 },
+      elsewhere: { total: 0, served: 0 },
+    });
+  }
+
+  /** Counts the result of an attempt in the cuts during which it was sent. */
+  answered(attempt: SentAttempt, result: CallerResult): void {
+    if (result.kind === "not-run" && result.status === RATE_EXCEEDED) return;
+    const { instance, sentAt } = attempt;
+    if (!this.#opts.isCalm(instance, sentAt)) return;
+    for (const cut of this.#cuts) {
+      if (sentAt < cut.since + DETECTION_MS || sentAt > cut.until) continue;
+      const counts = cut.instances.has(instance) ? cut.there : cut.elsewhere;
+      counts.total++;
+      if (result.kind === "answer") counts.served++;
+    }
+  }
+
+  /** Checks all cuts once every attempt has ended. */
+  finish(): void {
+    for (const cut of this.#cuts) this.#check(cut);
+  }
+
+  #check(cut: Cut): void {
+    const { there, elsewhere } = cut;
+    if (elsewhere.total === 0) return;
+    const allowed = MAX_FAILURES +
+      (there.total + elsewhere.total) * MAX_FAILURE_SHARE;
+    if (there.total - there.served <= allowed) return;
+    const least = elsewhere.served / elsewhere.total * MIN_RELATIVE_RATE;
+    if (there.served >= there.total * least) return;
+    this.#opts.onViolation(
+      "callers of instances without endpoints are served",
+      `${[...cut.instances]} served ${there.served} of ${there.total}, ` +
+        `the others ${elsewhere.served} of ${elsewhere.total}`,
+    );
+  }
+}
--- a/tools/process_soak/endpoint_signal_checker.ts
+++ b/tools/process_soak/endpoint_signal_checker.ts
@@ -101,6 +101,7 @@
   ): boolean {
     const { disturbances } = this.#opts;
     return disturbances.freeze(sent.instance) >= askedAt ||
+      disturbances.cutUntil(sent.instance) >= askedAt ||
       disturbances.endpoint(endpoint) >= askedAt - IN_FLIGHT_MS;
   }
 }
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -9,7 +9,7 @@
 import type { StoreFaults } from "../../platform/testing/object_store_server.ts";
 import type { EndpointFaults } from "../../platform/testing/fake_endpoint.ts";
 import type { FaultTargets, SoakEndpoint } from "./fault_targets.ts";
-import type { LinkMode } from "./tcp_proxy.ts";
+import type { CutMode, LinkMode } from "./tcp_proxy.ts";
 
 /** Kinds of fault. */
 export const FAULTS = [
@@ -32,6 +32,9 @@
   "endpoint leaving",
   "plan",
   "withdraw",
+  "cut reset",
+  "cut silent",
+  "cut live",
 ] as const;
 
 /** A kind of fault. */
@@ -54,6 +57,10 @@
 /** Time from the announcement of an endpoint's leaving to its end. */
 const LEAVING_MS = 6_000;
 
+/** Duration of a cut from the endpoints, its minimum and its random spread. */
+const MIN_CUT_MS = 5_000;
+const CUT_SPREAD_MS = 3_000;
+
 /** Injects a fault; returns its target for the trace. */
 export function injectFault(
   world: FaultTargets,
@@ -109,6 +116,12 @@
       return world.operators.newPlan();
     case "withdraw":
       return world.operators.withdrawKey();
+    case "cut reset":
+      return cutFromEndpoints(world, "reset");
+    case "cut silent":
+      return cutFromEndpoints(world, "silent");
+    case "cut live":
+      return cutFromEndpoints(world, "live");
   }
 }
 
@@ -161,6 +174,36 @@
   return id;
 }
 
+/** Cuts one instance, those of a zone, or half of all from all endpoints. */
+function cutFromEndpoints(world: FaultTargets, mode: CutMode): string {
+  const { instances } = world;
+  const first = world.pick(instances)!;
+  const chosen = world.pick([
+    [first],
+    instances.filter(({ opts }) => opts.zone === first.opts.zone),
+    instances.filter((_, i) => i % 2 === instances.indexOf(first) % 2),
+  ])!;
+  const now = Date.now();
+  const cut = chosen.filter(({ cutUntil }) => cutUntil < now);
+  if (cut.length === 0 || cut.length === instances.length) return "none";
+  const forMs = MIN_CUT_MS + world.random.below(CUT_SPREAD_MS);
+  for (const instance of cut) {
+    instance.cutUntil = now + forMs;
+    instance.cutMode = mode;
+    for (const { proxy } of world.endpoints) {
+      proxy.cutOff(instance.opts.host, mode);
+    }
+  }
+  const ids = cut.map(({ opts }) => opts.id);
+  world.checker.cutOff(ids, now + forMs);
+  setTimeout(() => {
+    for (const { proxy } of world.endpoints) {
+      for (const { opts } of cut) proxy.restore(opts.host);
+    }
+  }, forMs);
+  return `${ids} ${mode} for ${forMs} ms`;
+}
+
 function randomLinkMode(world: FaultTargets): LinkMode {
   return world.pick<LinkMode>([
     { kind: "delay", ms: 200 },
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -7,6 +7,7 @@
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
+import type { CutMode } from "./tcp_proxy.ts";
 
 /** Options of an instance process. */
 export interface InstanceProcessOptions {
@@ -40,6 +41,9 @@
   disturbedAt = 0;
   /** When it was last frozen; the end of the freeze if that is over. */
   frozenAt = -Infinity;
+  /** When its last cut from the endpoints ended or will end, and its kind. */
+  cutUntil = -Infinity;
+  cutMode: CutMode = "reset";
   /** When a graceful stop began; undefined if none, or after kill or freeze. */
   stoppingSince: number | undefined;
   #child: ChildProcess | undefined;
@@ -190,6 +194,9 @@
 internal_host = "${host}"
 internal_port = ${INTERNAL_PORT}
 
+[endpoints]
+source_address = "${host}"
+
 [store]
 address = "127.0.0.1:${storePort}"
 
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -10,14 +10,21 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { KINDS } from "../../platform/names.ts";
-import { FakeEndpoint } from "../../platform/testing/fake_endpoint.ts";
+import {
+  type Arrival,
+  FakeEndpoint,
+} from "../../platform/testing/fake_endpoint.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import { endpointEntry } from "../../platform/testing/plan_objects.ts";
 import { SeededRandom } from "../../src/core/mod.ts";
 import type { ScheduledFault } from "./fault_schedule.ts";
 import { type FaultName, FAULTS, injectFault } from "./faults.ts";
 import { InstanceProcess } from "./instance_process.ts";
-import { PropertyChecker, type Violation } from "./property_checker.ts";
+import {
+  PropertyChecker,
+  type Sender,
+  type Violation,
+} from "./property_checker.ts";
 import { SoakCallers } from "./soak_callers.ts";
 import { SERVICES, SoakOperators } from "./soak_operators.ts";
 import { LoopbackBlock } from "./loopback_block.ts";
@@ -96,6 +103,8 @@
       endpoint: (id) =>
         this.endpoints.find((e) => e.fake.opts.id === id)?.disturbedAt ??
           Infinity,
+      cutUntil: (id) =>
+        this.instances.find((i) => i.opts.id === id)?.cutUntil ?? -Infinity,
       stopping: (id, life) => {
         const instance = this.instances.find((i) => i.opts.id === id);
         return instance?.life === life && instance.stoppingSince !== undefined;
@@ -129,11 +138,23 @@
       workMs: WORK_MS,
       random: () => this.random.next(),
       onRun: (run) => this.checker.requestStarted(run),
-      onArrival: (request) => this.checker.requestArrived(id, request),
-      onBackoff: (request, retryAfterS) =>
-        this.checker.backoffRequested(id, request, retryAfterS),
+      onArrival: (arrival) =>
+        this.checker.requestArrived(id, arrival.request, senderOf(arrival)),
+      onBackoff: (arrival, retryAfterS) =>
+        this.checker.backoffRequested(id, arrival.request, {
+          sender: senderOf(arrival),
+          retryAfterS,
+        }),
     }, port);
     const proxy = await TcpProxy.listen(fake.port);
+    for (const { opts, cutUntil, cutMode } of this.instances) {
+      if (cutUntil > Date.now()) proxy.cutOff(opts.host, cutMode);
+    }
+    const senderOf = ({ remotePort }: Arrival): Sender | undefined => {
+      const address = proxy.clientAddress(remotePort);
+      const from = this.instances.find((i) => i.opts.host === address);
+      return from && { instance: from.opts.id, life: from.life };
+    };
     const endpoint = { fake, proxy, disturbedAt: 0, draining: false };
     this.endpoints.push(endpoint);
     this.register(endpoint);
@@ -261,6 +282,7 @@
 
   async #result(): Promise<ProcessSoakResult> {
     await this.#callers?.end();
+    this.checker.finish();
     const { seed, seconds } = this.#opts;
     const { violations } = this.checker;
     return {
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -97,6 +97,23 @@
   t.true(faults > 0);
 });
 
+// Guards against instances that keep refusing callers while they reach no endpoint.
+test.serial("callers of instances that are cut off from all endpoints are served", async (t) => {
+  const soak = new ProcessSoak({
+    seed: 21,
+    seconds: SECONDS,
+    perZone: 2,
+    program: await program(),
+    schedule: [
+      { name: "cut silent", atMs: 500 },
+      { name: "cut reset", atMs: 9_500 },
+      { name: "cut live", atMs: 18_500 },
+    ],
+  });
+  const { violations } = await soak.run();
+  t.deepEqual(violations, []);
+});
+
 const PLANTED: readonly {
   readonly name: string;
   readonly fault: SourceMutation;
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -8,6 +8,7 @@
   CallerAttempt,
   CallerResult,
 } from "../../platform/testing/fake_caller.ts";
+import { CutChecker } from "./cut_checker.ts";
 import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
 
 /** A violated property. */
@@ -28,6 +29,9 @@
   readonly since: number;
 }
 
+/** The instance that sent a request to an endpoint, and its incarnation. */
+export type Sender = Pick<SentAttempt, "instance" | "life">;
+
 /** Times of the last disturbances, in milliseconds since the epoch. */
 export interface Disturbances {
   /** When an instance or its store link was last disturbed. */
@@ -35,6 +39,8 @@
   /** When an instance was last frozen. */
   freeze(id: string): number;
   store(): number;
+  /** When the last cut of an instance from the endpoints ended or will end. */
+  cutUntil(id: string): number;
   /** When an endpoint or its link was last disturbed. */
   endpoint(id: string): number;
   /** Whether this incarnation of an instance is stopping gracefully. */
@@ -81,6 +87,7 @@
   readonly #startsByAccount = new Map<string, number[]>();
   readonly #limits = new Map<string, EndpointLimit>();
   readonly #signals: EndpointSignalChecker;
+  readonly #cuts: CutChecker;
 
   constructor(calm: Disturbances) {
     this.#disturbances = calm;
@@ -88,6 +95,26 @@
       disturbances: calm,
       onViolation: (property, request) => this.#add(property, { request }),
     });
+    this.#cuts = new CutChecker({
+      isCalm: (instance, at) => this.#isCalm(instance, at),
+      onViolation: (property, detail) =>
+        this.violations.push({
+          atMs: Date.now() - this.#began,
+          property,
+          detail,
+          request: "",
+        }),
+    });
+  }
+
+  /** Records that instances are cut off from all endpoints until a moment. */
+  cutOff(instances: readonly string[], untilMs: number): void {
+    this.#cuts.cutOff(instances, untilMs);
+  }
+
+  /** Checks what needs the whole run, once every attempt has ended. */
+  finish(): void {
+    this.#cuts.finish();
   }
 
   limit(account: string, ratePerS: number, burst: number): void {
@@ -116,20 +143,25 @@
   backoffRequested(
     endpoint: string,
     request: string,
-    retryAfterS: number,
+    opts: { readonly sender: Sender | undefined; readonly retryAfterS: number },
   ): void {
     const attempt = this.#sent.get(request);
-    if (attempt !== undefined) {
-      this.#signals.backoffRequested(endpoint, attempt, retryAfterS);
-    }
+    if (attempt === undefined) return;
+    const sent = { ...attempt, ...opts.sender };
+    this.#signals.backoffRequested(endpoint, sent, opts.retryAfterS);
   }
 
   /** Checks a request that arrives at an endpoint, whether it runs or not. */
-  requestArrived(endpoint: string, request: string): void {
+  requestArrived(
+    endpoint: string,
+    request: string,
+    sender: Sender | undefined,
+  ): void {
     const attempt = this.#sent.get(request);
     if (attempt === undefined) return;
-    this.#signals.arrived(endpoint, attempt);
-    this.#checkLimit(endpoint, attempt);
+    const sent = { ...attempt, ...sender };
+    this.#signals.arrived(endpoint, sent);
+    this.#checkLimit(endpoint, sent);
   }
 
   #checkLimit(endpoint: string, attempt: SentAttempt): void {
@@ -189,6 +221,7 @@
       }
       if (!attempt.idempotent) this.#notRun.add(request);
     }
+    this.#cuts.answered(attempt, result);
     this.#checkPlan(attempt, result);
     this.#checkStop(attempt, result, runs);
   }
@@ -267,7 +300,8 @@
     if (result.kind !== "broken" || last === undefined) return;
     if (!this.#disturbances.stopping(instance, life)) return;
     const disturbed =
-      this.#disturbances.endpoint(last.endpoint) > last.at - SETTLE_MS;
+      this.#disturbances.endpoint(last.endpoint) > last.at - SETTLE_MS ||
+      this.#disturbances.cutUntil(instance) > last.at - SETTLE_MS;
     if (!disturbed) this.#add("a planned stop cuts no request", attempt);
   }
 
