--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -23,6 +23,8 @@
   "tries",
   "tried",
   "chosenBy",
+  "peers",
+  "passedOnBy",
   "leftMs",
 ] as const;
 
@@ -114,6 +116,12 @@
     help:
       "An endpoint announced a limit that is not a valid rate; the last known limit stays in effect. Logged once until a valid one is read",
   },
+  endpoint_links_changed: {
+    namespace: "steering",
+    fields: ["state", "probed", "failingMs", "servingPeers"],
+    help:
+      "This instance lost its links to all endpoints (down), can use open connections only (reused-only), or can open new ones again (up); probed are the endpoints by which it knows",
+  },
   endpoint_removed: {
     namespace: "steering",
     fields: ["endpoint", "reason"],
@@ -212,6 +220,7 @@
     fields: [
       ...COMMON_REQUEST_FIELDS,
       "endpoint",
+      "peer",
       "status",
       "tookMs",
     ],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -48,6 +48,13 @@
     help:
       "Duration of an attempt at an endpoint, from sending the request to its outcome",
   },
+  "endpoint.links": {
+    type: "gauge",
+    unit: "ratio",
+    tags: [],
+    help:
+      "1 while this instance can open connections to endpoints, 0.5 while only open ones respond, 0 while none does",
+  },
   "endpoint.limit": {
     type: "gauge",
     unit: "requests/s",
--- a/src/decisions/placement/idle_timeouts.ts
+++ b/src/decisions/placement/idle_timeouts.ts
@@ -12,8 +12,6 @@
  *
  * @module
  */
-import type { EndpointRow } from "../../traffic/mod.ts";
-
 /** Used where the endpoint advertises no keep-alive timeout. */
 const DEFAULT_IDLE_MS = 4_000;
 /**
@@ -34,43 +32,46 @@
   learnedMs: number;
 }
 
-/** Idle timeouts of one instance, by endpoint. */
+/** The other side of a connection; its identity is that of the object. */
+type Remote = object;
+
+/** Idle timeouts of one instance, by remote. */
 export class IdleTimeouts {
-  readonly #timeouts = new WeakMap<EndpointRow, IdleTimeout>();
+  readonly #timeouts = new WeakMap<Remote, IdleTimeout>();
 
   /** The longest idle time of a connection that is reused, in milliseconds. */
-  of(row: EndpointRow): number {
-    const { advertisedMs, learnedMs } = this.#timeoutOf(row);
+  of(remote: Remote): number {
+    const { advertisedMs, learnedMs } = this.#timeoutOf(remote);
     return Math.min(advertisedMs, learnedMs);
   }
 
   /** Records the keep-alive timeout that the endpoint advertised. */
-  stated(row: EndpointRow, keepAliveMs: number): void {
+  stated(remote: Remote, keepAliveMs: number): void {
     const advertisedLimitMs = Math.min(
       MAX_IDLE_MS,
       keepAliveMs - CLOSE_MARGIN_MS,
     );
-    this.#timeoutOf(row).advertisedMs = Math.max(0, advertisedLimitMs);
+    this.#timeoutOf(remote).advertisedMs = Math.max(0, advertisedLimitMs);
   }
 
   /** Records that a connection broke on its first request after an idle time. */
-  lost(row: EndpointRow, idleMs: number): void {
-    const timeout = this.#timeoutOf(row);
+  lost(remote: Remote, idleMs: number): void {
+    const timeout = this.#timeoutOf(remote);
     const reducedMs = Math.min(timeout.learnedMs, idleMs * RESET_FACTOR);
     timeout.learnedMs = Math.max(MIN_IDLE_MS, reducedMs);
   }
 
   /** Records that an idle connection served a request. */
-  reused(row: EndpointRow): void {
-    const timeout = this.#timeoutOf(row);
+  reused(remote: Remote): void {
+    const timeout = this.#timeoutOf(remote);
     timeout.learnedMs = Math.min(MAX_IDLE_MS, timeout.learnedMs * REUSE_FACTOR);
   }
 
-  #timeoutOf(row: EndpointRow): IdleTimeout {
-    const known = this.#timeouts.get(row);
+  #timeoutOf(remote: Remote): IdleTimeout {
+    const known = this.#timeouts.get(remote);
     if (known !== undefined) return known;
     const fresh = { advertisedMs: DEFAULT_IDLE_MS, learnedMs: MAX_IDLE_MS };
-    this.#timeouts.set(row, fresh);
+    this.#timeouts.set(remote, fresh);
     return fresh;
   }
 }
--- a/src/decisions/placement/outlier_detector.ts
+++ b/src/decisions/placement/outlier_detector.ts
@@ -92,6 +92,11 @@
       now - stats.waitingSince > UNRESPONSIVE_AFTER_MS && row.inFlight > 0;
   }
 
+  /** Forgets all outcomes, which were not the endpoints' fault. */
+  reset(): void {
+    this.#stats.clear();
+  }
+
   forget(id: EndpointId): void {
     this.#stats.delete(id);
   }
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -8,6 +8,7 @@
   CONNECT_TIMED_OUT,
   type EndpointId,
   type Failure,
+  type InstanceId,
   isSampled,
   type Log,
   type LogFields,
@@ -62,6 +63,31 @@
     });
   }
 
+  /** Records a response that another instance passed on or made. */
+  passedOn(
+    ctx: RequestContext,
+    by: {
+      readonly peer: InstanceId;
+      readonly endpoint: EndpointId | undefined;
+      readonly status: number;
+    },
+  ): void {
+    const { status, peer, endpoint } = by;
+    const tookMs = this.#clock.now() - ctx.req.arrivedAt;
+    const { service } = ctx;
+    const result = status < 500 ? "answered_by_peer" : "failed_at_peer";
+    this.#metrics.count("requests", { service, result });
+    this.#metrics.timing("request.duration", tookMs, { service });
+    if (status < 500 && !isSampled(ctx.req.fields.requestId)) return;
+    this.#log.event("request_answered", {
+      ...this.#requestFields(ctx),
+      endpoint,
+      peer,
+      status,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
   /** Records a refusal or failure; without a context, one before admission. */
   refused(req: CallerRequest, why: Failure, ctx?: RequestContext): void {
     const tookMs = this.#clock.now() - req.arrivedAt;
@@ -117,6 +143,8 @@
         " ",
       ),
       chosenBy: ctx.chosenBy,
+      peers: [...ctx.peersTried].join(" ") || undefined,
+      passedOnBy: req.hop?.from,
       leftMs: Math.round(ctx.deadline - this.#clock.now()),
     };
   }
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -36,7 +36,8 @@
   }
 
   /**
-   * Admits a request and counts it against its account's rate.
+   * Admits a request and counts it against its account's rate, unless the
+   * instance that passed it on has.
    *
    * Failures: `not_ready`, `not_found`, `unauthenticated`, `rate_exceeded`,
    * `no_endpoint`.
@@ -56,7 +57,9 @@
     if (account === "unknown") {
       return fail("unauthenticated", "the key is not known");
     }
-    const limited = this.#takeQuota(account);
+    const limited = req.hop === undefined
+      ? this.#takeQuota(account)
+      : undefined;
     if (limited !== undefined) return err(limited);
     const service = this.#roundRobin.next(route);
     if (service === undefined) {
@@ -73,6 +76,9 @@
       deadline: deadlineOf(req, route),
       planVersion: routeTable.plan.version,
       tried: new Set(),
+      counted: req.hop?.counted ?? false,
+      arrivals: req.hop?.attempts ?? 0,
+      peersTried: new Set(),
       chosenBy: "",
       mayHaveRun: false,
     });
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -17,6 +17,12 @@
 import { CancelSource, failure } from "../core/mod.ts";
 import type { BodySink } from "./endpoint_sender.ts";
 import { headerOf } from "./header_fields.ts";
+import {
+  declinedField,
+  endpointField,
+  readHop,
+  withoutHopFields,
+} from "./hop_headers.ts";
 import { closeAtOnce, listenAt } from "./listening.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { FlowResult } from "./request_flow.ts";
@@ -33,6 +39,8 @@
   readonly clock: Clock;
   readonly handle: RequestHandler;
   readonly log: Log;
+  /** Whether its callers are instances that pass requests on. */
+  readonly fromPeers?: boolean;
 }
 
 /** Maximum size of header fields in bytes; larger ones are refused with 431. */
@@ -120,7 +128,13 @@
   async #respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { codec, clock, handle } = this.#opts;
     const arrivedAt = clock.now();
-    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+    const { rawHeaders } = req;
+    const fields = codec.readRequest(req.url ?? "/", rawHeaders);
+    const hop = this.#fromPeers ? readHop(rawHeaders) : undefined;
+    if (this.#fromPeers && hop === undefined) {
+      const bad = failure("bad_request", "the fields of the hop are missing");
+      return this.#refuse(res, bad, fields.requestId, 400);
+    }
     const body = await readBody(req, this.#maxBodyBytes);
     if (body === "gone") return;
     if (body === "too_large") {
@@ -133,7 +147,8 @@
     });
     const result = await handle({
       method: req.method ?? "GET",
-      headers: req.rawHeaders,
+      headers: withoutHopFields(rawHeaders),
+      hop,
       fields,
       body,
       arrivedAt,
@@ -157,7 +172,15 @@
   ): void {
     const reply = this.#opts.codec.refusal(why, requestId);
     const length = ["Content-Length", String(Buffer.byteLength(reply.body))];
-    const headers = [...reply.headers, ...length, ...this.#connectionHeaders()];
+    const declined = this.#fromPeers && why.code === "not_ready"
+      ? declinedField()
+      : [];
+    const headers = [
+      ...reply.headers,
+      ...declined,
+      ...length,
+      ...this.#connectionHeaders(),
+    ];
     res.writeHead(status ?? reply.status, headers);
     res.end(reply.body);
   }
@@ -167,7 +190,11 @@
     response: Extract<FlowResult, { kind: "answer" }>,
   ): Promise<void> {
     const { bytes, remainder } = response.body;
+    const { endpoint } = response;
     const headers = this.#opts.codec.callerHeaders(response.headers);
+    if (this.#fromPeers && endpoint !== undefined) {
+      headers.push(...endpointField(endpoint));
+    }
     res.writeHead(response.status, [...headers, ...this.#connectionHeaders()]);
     if (remainder === undefined) {
       res.end(bytes);
@@ -184,6 +211,10 @@
     });
   }
 
+  get #fromPeers(): boolean {
+    return this.#opts.fromPeers === true;
+  }
+
   #connectionHeaders(): string[] {
     return this.#draining ? ["Connection", "close"] : [];
   }
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -12,6 +12,7 @@
   RegionId,
 } from "../core/mod.ts";
 import { sleep } from "../core/mod.ts";
+import { peersFor } from "../decisions/links/mod.ts";
 import {
   AffinityPlacement,
   type Placement,
@@ -40,6 +41,8 @@
 import { joinList } from "./instance_list.ts";
 import { ExpiryGuard } from "./expiry_guard.ts";
 import { AccessLog } from "./access_log.ts";
+import { LinkChecker } from "./link_checker.ts";
+import { PeerForwarder, peerRequestAddress } from "./peer_forwarder.ts";
 import { PeerLoad } from "./peer_load.ts";
 import {
   PeerSnapshots,
@@ -48,6 +51,7 @@
 } from "./peer_snapshots.ts";
 import { PlainServer } from "./plain_server.ts";
 import type { RequestCodec } from "./request_codec.ts";
+import type { CallerRequest } from "./request_context.ts";
 import { RequestFlow } from "./request_flow.ts";
 import { RESOURCE_KINDS, SteeringWatchers } from "./steering_watchers.ts";
 import {
@@ -91,6 +95,8 @@
   readonly #signals: EndpointSignals;
   readonly #chooser: EndpointChooser;
   readonly #sender: HttpEndpointSender;
+  readonly #peerSender: HttpEndpointSender;
+  readonly #links: LinkChecker;
   readonly #expiry = new ExpiryGuard();
   readonly #endpointHandler: EndpointHandler;
   readonly #watchers: SteeringWatchers;
@@ -101,7 +107,8 @@
   readonly #retryBudget: SharedRetryBudget;
   readonly #peerLoad: PeerLoad;
   #graceMs: number;
-  #server: CallerServer | undefined;
+  /** The listeners for callers and for requests that peers pass on. */
+  #servers: readonly CallerServer[] = [];
   #snapshotServer: PlainServer | undefined;
   #endpointsListed = false;
   #leaving = false;
@@ -118,9 +125,20 @@
       callerAddress: cfg.listen.caller,
       digestAddress: cfg.listen.digest,
     };
+    this.#links = new LinkChecker({
+      endpoints: () => this.#state.endpoints.rows(),
+      probe: (row) => this.#sender.probe(row, this.#healthPathOf(row)),
+      onChange: (_state, failingSince) => this.#onLinksChanged(failingSince),
+      servingPeers: () => this.#member.serving().length,
+      clock,
+      log,
+      metrics: opts.metrics,
+    });
     this.#sender = new HttpEndpointSender(codec, clock, {
       sourceAddress: cfg.endpointSourceAddress,
+      links: this.#links.observer,
     });
+    this.#peerSender = new HttpEndpointSender(codec, clock);
     this.#snapshots = new PeerSnapshots(random);
     this.#state = new TrafficState((zone) => cfg.zones.get(zone), {
       added: (row) => this.#dictionary.add(row.id),
@@ -216,19 +234,24 @@
 
   /** Whether callers should connect to this instance. */
   get ready(): boolean {
-    return this.state === "serving";
+    return this.state === "serving" || this.state === "isolated";
   }
 
   get state(): InstanceState {
     if (this.#leaving) return "leaving";
     const isLoaded = this.#endpointsListed && this.#state.planVersion > 0;
-    return isLoaded ? "serving" : "starting";
+    if (!isLoaded) return "starting";
+    return this.#links.state === "up" ? "serving" : "isolated";
   }
 
   /** Host and port of the instances that callers of a region should use. */
   addresses(region: RegionId | undefined): string[] {
     const own = { profile: this.#profile, state: this.state };
-    return callerAddresses(this.#member.serving(), own, region);
+    const others = {
+      serving: this.#member.serving(),
+      isolated: this.#member.isolated(),
+    };
+    return callerAddresses(others, own, region);
   }
 
   /**
@@ -251,17 +274,18 @@
     const { clock, log } = this.#opts;
     const stages = stopPlan(this.#graceMs);
     this.#leaving = true;
-    this.#server?.startDraining();
+    for (const server of this.#servers) server.startDraining();
     this.#member.sendDigestNow();
     log.event("stop_begun", { graceMs: this.#graceMs });
     const stopStartedAt = clock.now();
     await sleep(clock, stages.stopListeningMs);
-    this.#server?.stopListening();
+    for (const server of this.#servers) server.stopListening();
     const leftMs = Math.max(
       0,
       stages.forceCloseMs - (clock.now() - stopStartedAt),
     );
-    await Promise.race([this.#server?.whenIdle(), sleep(clock, leftMs)]);
+    const idle = Promise.all(this.#servers.map((server) => server.whenIdle()));
+    await Promise.race([idle, sleep(clock, leftMs)]);
     log.event("stopped", { tookMs: Math.round(clock.now() - stopStartedAt) });
     await this.close();
   }
@@ -274,8 +298,10 @@
     await this.#member.close();
     await this.#snapshotServer?.close();
     this.#snapshots.close();
-    await this.#server?.close();
+    this.#links.close();
+    await Promise.all(this.#servers.map((server) => server.close()));
     this.#sender.close();
+    this.#peerSender.close();
   }
 
   async #run(): Promise<void> {
@@ -287,13 +313,22 @@
         serveSnapshot(url, (kind) => this.#watchers.snapshot(kind)),
     );
     const flow = this.#createFlow();
-    this.#server = await CallerServer.listen({
-      address: cfg.listen.caller,
+    const common = {
       codec,
       clock,
-      handle: (req) => flow.handle(req),
+      handle: (req: CallerRequest) => flow.handle(req),
       log,
-    });
+    };
+    const forPeers = peerRequestAddress(cfg.listen.digest);
+    this.#servers = [
+      await CallerServer.listen({ ...common, address: cfg.listen.caller }),
+      await CallerServer.listen({
+        ...common,
+        address: forPeers,
+        fromPeers: true,
+      }),
+    ];
+    this.#links.start();
     this.#watchers.run();
     void joinList(sources.instances, this.#profile, {
       member: this.#member,
@@ -311,8 +346,11 @@
       admission: new Admission(this.#state, this.#quotas, clock),
       chooser: this.#chooser,
       signals: this.#signals,
+      links: this.#links,
+      forwarder: this.#createForwarder(),
       sender: this.#sender,
       codec,
+      planVersion: () => this.#state.planVersion,
       retries: this.#retryBudget,
       fleetSize: () => this.#member.fleetSize,
       accessLog: new AccessLog({
@@ -326,11 +364,45 @@
     });
   }
 
+  #createForwarder(): PeerForwarder {
+    const { cfg, clock, random, codec } = this.#opts;
+    const { region } = cfg.instance;
+    return new PeerForwarder({
+      own: cfg.instance.id,
+      peersFor: ({ regions: allowed }) => {
+        const inRegion = this.#member.isolated().filter((p) =>
+          p.region === region
+        );
+        const isolated = inRegion.length + 1;
+        return peersFor(this.#member.reporting(), {
+          region,
+          isolated,
+          allowed,
+        });
+      },
+      sender: this.#peerSender,
+      codec,
+      clock,
+      random,
+    });
+  }
+
+  #healthPathOf({ record }: EndpointRow): string {
+    const services = this.#state.routeTable?.plan.services;
+    return services?.get(record.service)?.healthPath ?? "/";
+  }
+
+  /** What failed since then was the link, not the endpoints. */
+  #onLinksChanged(failingSince: number): void {
+    this.#chooser.linksLost(failingSince);
+    this.#member.sendDigestNow();
+  }
+
   #onPlanAdopted(plan: TrafficPlan): void {
     this.#opts.metrics.gauge("plan.in_force", plan.version);
     for (const { id } of plan.accounts) this.#dictionary.add(id);
     this.#quotas.adopt(plan.accounts, this.#opts.clock.now());
-    this.#server?.applyLimits(plan.limits);
+    for (const server of this.#servers) server.applyLimits(plan.limits);
     this.#openGateIfReady();
   }
 
@@ -345,6 +417,7 @@
 
   #onEndpointRemoved(row: EndpointRow): void {
     this.#chooser.remove(row);
+    this.#links.forget(row);
     this.#sender.closeIdleConnections(row);
   }
 
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -58,6 +58,11 @@
   readonly #opts: EndpointChooserOptions;
   readonly #outliers = new OutlierDetector();
   readonly #slowStart: SlowStartLimiter;
+  /** Endpoints that are treated as cold since they were unreachable. */
+  readonly #markedCold = new Map<
+    EndpointRow,
+    { readonly at: number; readonly previous: number }
+  >();
   readonly #latency = new LatencyEstimator();
   readonly #retryAfter = new RetryAfterPolicy();
 
@@ -70,8 +75,14 @@
    * Selects the endpoint for the next attempt.
    *
    * Failures: `no_endpoint`, `no_capacity`, each with a retry delay.
+   *
+   * @param isReachable Whether an endpoint can be reached; all can if omitted.
    */
-  choose(ctx: RequestContext, now: number): Result<EndpointRow, Failure> {
+  choose(
+    ctx: RequestContext,
+    now: number,
+    isReachable: (row: EndpointRow) => boolean = () => true,
+  ): Result<EndpointRow, Failure> {
     const { region, regions, state, signals } = this.#opts;
     const { service, route, account, req, tried } = ctx;
     const endpoints = state.eligible(service, ctx.regions);
@@ -89,7 +100,7 @@
       priority: account?.priority ?? route.priority,
       meanLatencyMs: this.#latency.of(service),
       usable: (row) =>
-        !tried.has(row) && signals.accepts(row, now) &&
+        !tried.has(row) && isReachable(row) && signals.accepts(row, now) &&
         this.#hasColdCapacity(row, now) &&
         (ejectionLimited || !this.#outliers.isEjected(row, now)),
     };
@@ -163,6 +174,7 @@
           result.status < 500 ? "good" : "failed",
           now,
         );
+        this.#markedCold.delete(row);
         if (result.status < 500) this.#latency.add(row.record.service, tookMs);
         return;
       case "not-run":
@@ -185,6 +197,18 @@
     }
   }
 
+  /**
+   * Undoes what failed connections since a moment have led to, as their cause
+   * was the link and not the endpoints.
+   */
+  linksLost(since: number): void {
+    this.#outliers.reset();
+    for (const [row, mark] of this.#markedCold) {
+      if (mark.at >= since) row.coldUntil = mark.previous;
+    }
+    this.#markedCold.clear();
+  }
+
   /** Retry delay for a request that an endpoint shed, in milliseconds. */
   retryAfterShedMs(ctx: RequestContext, row: EndpointRow, now: number): number {
     const endpoints = this.#opts.state.eligible(ctx.service, ctx.regions);
@@ -196,6 +220,7 @@
   remove(row: EndpointRow): void {
     this.#outliers.forget(row.id);
     this.#slowStart.forget(row.id);
+    this.#markedCold.delete(row);
     this.#opts.signals.remove(row);
   }
 
@@ -236,6 +261,8 @@
    */
   #markCold(row: EndpointRow, now: number): void {
     const coldMs = this.#policy(row)?.coldStartMs ?? 0;
+    const previous = this.#markedCold.get(row)?.previous ?? row.coldUntil;
+    this.#markedCold.set(row, { at: now, previous });
     row.coldUntil = Math.max(row.coldUntil, now + coldMs);
   }
 
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -7,7 +7,13 @@
 import type { EndpointRow } from "../traffic/mod.ts";
 import type { ResponseFields } from "./request_codec.ts";
 
-/** A request to an endpoint. */
+/** Where a request is sent; the same object for the same destination. */
+export interface Destination {
+  /** Host and port. */
+  readonly address: string;
+}
+
+/** A request to an endpoint, or to another instance. */
 export interface OutgoingRequest {
   readonly method: string;
   readonly path: string;
@@ -88,6 +94,8 @@
 /** Sends requests to endpoints. */
 export interface EndpointSender {
   send(endpoint: EndpointRow, req: OutgoingRequest): PendingSend;
+  /** Whether a connection to the endpoint is open and idle. */
+  hasIdle(endpoint: EndpointRow): boolean;
   closeIdleConnections(endpoint: EndpointRow): void;
   close(): void;
 }
--- a/src/edge/endpoint_signals.ts
+++ b/src/edge/endpoint_signals.ts
@@ -46,6 +46,14 @@
     if (fields.leaving) this.#applyLeaving(row, now);
   }
 
+  /** Applies what concerns this instance in a response from another one. */
+  passedOn(id: EndpointId, fields: ResponseFields): void {
+    const { endpoints, clock } = this.#opts;
+    const row = endpoints.get(id);
+    if (row === undefined) return;
+    if (fields.leaving) this.#applyLeaving(row, clock.now());
+  }
+
   /** Whether an endpoint accepts requests from this instance now. */
   accepts(row: EndpointRow, now: number): boolean {
     return !row.leaving && this.#backoff.leftMs(row, now) === 0;
--- /dev/null
+++ b/src/edge/hop_headers.ts
@@ -0,0 +1,84 @@
+/**
+ * Header fields of requests that one instance passes on to another.
+ *
+ * @module
+ */
+import type { EndpointId } from "../core/mod.ts";
+import { headerOf } from "./header_fields.ts";
+import type { RawHeaders } from "./request_codec.ts";
+
+/** What the instance that passes a request on says about it. */
+export interface Hop {
+  /** The instance that received the request from the caller. */
+  readonly from: string;
+  /** Version of its plan; an instance with an older one declines. */
+  readonly planVersion: number;
+  /** Endpoints that the request may have reached before. */
+  readonly attempts: number;
+  /** Whether the request is in the sending instance's retry budget. */
+  readonly counted: boolean;
+}
+
+const PREFIX = "magnoliahook-";
+const FROM = `${PREFIX}from`;
+const PLAN = `${PREFIX}plan`;
+const ATTEMPTS = `${PREFIX}attempts`;
+const COUNTED = `${PREFIX}counted`;
+const ENDPOINT = `${PREFIX}endpoint`;
+const DECLINED = `${PREFIX}declined`;
+
+/** Header fields of a request to another instance. */
+export function hopFields(hop: Hop): string[] {
+  const fields = [
+    FROM,
+    hop.from,
+    PLAN,
+    String(hop.planVersion),
+    ATTEMPTS,
+    String(hop.attempts),
+  ];
+  return hop.counted ? [...fields, COUNTED, "1"] : fields;
+}
+
+/** Undefined if fields are missing or invalid. */
+export function readHop(headers: RawHeaders): Hop | undefined {
+  const from = headerOf(headers, FROM);
+  const planVersion = Number(headerOf(headers, PLAN));
+  const attempts = Number(headerOf(headers, ATTEMPTS));
+  const isValid = Number.isSafeInteger(planVersion) &&
+    Number.isSafeInteger(attempts) && attempts >= 0;
+  if (from === undefined || !isValid) return undefined;
+  const counted = headerOf(headers, COUNTED) !== undefined;
+  return { from, planVersion, attempts, counted };
+}
+
+/** Field by which an instance names the endpoint that responded. */
+export function endpointField(endpoint: EndpointId): string[] {
+  return [ENDPOINT, endpoint];
+}
+
+/** Field of a refusal by which an instance asks to try another instance. */
+export function declinedField(): string[] {
+  return [DECLINED, "1"];
+}
+
+/** The endpoint that responded, and whether the instance declined. */
+export function readHopResponse(
+  headers: RawHeaders,
+): { readonly endpoint: EndpointId | undefined; readonly declined: boolean } {
+  return {
+    endpoint: headerOf(headers, ENDPOINT) as EndpointId | undefined,
+    declined: headerOf(headers, DECLINED) !== undefined,
+  };
+}
+
+/** Header fields without those of this module. */
+export function withoutHopFields(headers: RawHeaders): string[] {
+  const out: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] ?? "";
+    if (name.toLowerCase().startsWith(PREFIX)) continue;
+    out.push(name, headers[i + 1] ?? "");
+  }
+  return out;
+}
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -11,20 +11,22 @@
  */
 import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
+import type { LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
 import { type HostPort, splitAddress } from "../fleet/mod.ts";
-import type { EndpointRow } from "../traffic/mod.ts";
 import {
   type EndpointConnectionOptions,
   EndpointConnections,
 } from "./endpoint_connections.ts";
 import type {
+  Destination,
   EndpointSender,
   OutgoingRequest,
   PendingSend,
   SendResult,
 } from "./endpoint_sender.ts";
 import { Exchange } from "./exchange.ts";
+import { probeConnection } from "./probe_connection.ts";
 import type { RequestCodec } from "./request_codec.ts";
 
 /** Methods whose requests usually have no body. */
@@ -34,32 +36,46 @@
   "DELETE",
 ]);
 
+/** Receives what attempts show about the links to endpoints. */
+export interface LinkObserver {
+  /** An attempt begins; `ended` follows. */
+  sent(): void;
+  ended(sample: LinkSample): void;
+}
+
+/** Options of the sender. */
+export interface HttpEndpointSenderOptions extends EndpointConnectionOptions {
+  readonly links?: LinkObserver;
+}
+
 /** Sends requests with the Node.js HTTP client. */
 export class HttpEndpointSender implements EndpointSender {
   readonly #codec: RequestCodec;
   readonly #clock: Clock;
   readonly #connections: EndpointConnections;
   readonly #idle = new IdleTimeouts();
+  readonly #links: LinkObserver | undefined;
 
   constructor(
     codec: RequestCodec,
     clock: Clock,
-    opts: EndpointConnectionOptions = {},
+    opts: HttpEndpointSenderOptions = {},
   ) {
     this.#codec = codec;
     this.#clock = clock;
     this.#connections = new EndpointConnections(clock, opts);
+    this.#links = opts.links;
   }
 
-  send(endpoint: EndpointRow, outgoing: OutgoingRequest): PendingSend {
-    const address = splitAddress(endpoint.record.address);
+  send(endpoint: Destination, outgoing: OutgoingRequest): PendingSend {
+    const address = splitAddress(endpoint.address);
     this.#connections.closeIdle(address, this.#idle.of(endpoint));
     const start = () => this.#start(endpoint, address, outgoing);
     return this.#connections.hasIdle(address) ? afterReads(start) : start();
   }
 
   #start(
-    endpoint: EndpointRow,
+    endpoint: Destination,
     address: HostPort,
     outgoing: OutgoingRequest,
   ): PendingSend {
@@ -77,6 +93,7 @@
       // Node.js rejected the path or a header field; nothing was sent.
       return settled({ kind: "unsent", reason: String(cause) });
     }
+    this.#links?.sent();
     let settle: (result: SendResult) => void;
     const result = new Promise<SendResult>((resolve) => settle = resolve);
     const exchange = new Exchange(req, {
@@ -87,6 +104,9 @@
       onHead: outgoing.onHead,
       settle: (result) => {
         this.#recordIdleTimeout(endpoint, result, exchange.idleBeforeMs);
+        this.#links?.ended(
+          linkSample(endpoint, result, exchange.idleBeforeMs),
+        );
         settle(result);
       },
     });
@@ -97,8 +117,23 @@
     return { result, cancel: () => exchange.cancel() };
   }
 
-  closeIdleConnections(endpoint: EndpointRow): void {
-    this.#connections.closeIdle(splitAddress(endpoint.record.address), 0);
+  hasIdle(endpoint: Destination): boolean {
+    return this.#connections.hasIdle(splitAddress(endpoint.address));
+  }
+
+  /**
+   * Whether a new connection to an endpoint works: it responds, or stays open
+   * without a response. The request is a `GET` of a path.
+   */
+  probe(endpoint: Destination, path: string): Promise<boolean> {
+    return probeConnection(this.#connections, splitAddress(endpoint.address), {
+      path,
+      clock: this.#clock,
+    });
+  }
+
+  closeIdleConnections(endpoint: Destination): void {
+    this.#connections.closeIdle(splitAddress(endpoint.address), 0);
   }
 
   close(): void {
@@ -107,7 +142,7 @@
 
   /** Updates how long connections to the endpoint may be idle. */
   #recordIdleTimeout(
-    endpoint: EndpointRow,
+    endpoint: Destination,
     result: SendResult,
     idleMs: number | undefined,
   ): void {
@@ -122,6 +157,31 @@
   }
 }
 
+/** What the end of an attempt says about the link. */
+function linkSample(
+  { address }: Destination,
+  result: SendResult,
+  idleBeforeMs: number | undefined,
+): LinkSample {
+  const isNewConnection = idleBeforeMs === undefined;
+  return { address, outcome: linkOutcome(result), isNewConnection };
+}
+
+function linkOutcome(result: SendResult): LinkSample["outcome"] {
+  switch (result.kind) {
+    case "answer":
+    case "not-run":
+      return "response";
+    case "unsent":
+      return "failure";
+    case "unknown":
+      return result.reason === "broken" ? "failure" : "response";
+    case "cancelled":
+    case "withheld":
+      return "none";
+  }
+}
+
 /** Adds the length; without it Node.js would send the body in chunks. */
 function headersOf({ method, headers, body }: OutgoingRequest): string[] {
   if (body === undefined && BODYLESS_METHODS.has(method)) return headers;
--- a/src/edge/request_codec.ts
+++ b/src/edge/request_codec.ts
@@ -79,6 +79,8 @@
   readRequest(url: string, headers: RawHeaders): RequestFields;
   /** Header fields for the endpoint, without hop-by-hop ones. */
   endpointHeaders(headers: RawHeaders, fields: EndpointFields): string[];
+  /** Header fields for another instance, with the time left for the response. */
+  peerHeaders(headers: RawHeaders, leftMs: number): string[];
   readResponse(status: number, headers: RawHeaders): ResponseFields;
   /** The endpoint's header fields as passed on to the caller. */
   callerHeaders(headers: RawHeaders): string[];
--- a/src/edge/request_context.ts
+++ b/src/edge/request_context.ts
@@ -4,8 +4,14 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import type { CancelSignal, RegionId, ServiceId } from "../core/mod.ts";
+import type {
+  CancelSignal,
+  InstanceId,
+  RegionId,
+  ServiceId,
+} from "../core/mod.ts";
 import type { Account, EndpointRow, Route } from "../traffic/mod.ts";
+import type { Hop } from "./hop_headers.ts";
 import type { RawHeaders, RequestFields } from "./request_codec.ts";
 
 /** A caller's request with its complete body. */
@@ -18,6 +24,8 @@
   readonly arrivedAt: number;
   /** Aborted when the caller disconnects. */
   readonly signal: CancelSignal;
+  /** The instance that passed the request on; undefined if a caller sent it. */
+  readonly hop?: Hop | undefined;
 }
 
 /** An admitted request. */
@@ -33,8 +41,14 @@
   readonly planVersion: number;
   /** Endpoints that were tried. */
   readonly tried: Set<EndpointRow>;
+  /** Attempts that may have reached an endpoint, those of an earlier hop too. */
+  arrivals: number;
+  /** Instances to which it was passed on. */
+  readonly peersTried: Set<InstanceId>;
   /** Why the last endpoint was chosen. */
   chosenBy: string;
+  /** Whether a retry budget has counted it. */
+  counted: boolean;
   /** Whether an endpoint may have run it. */
   mayHaveRun: boolean;
 }
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -3,8 +3,11 @@
  *
  * @module
  */
+import type { Result } from "neverthrow";
 import {
   type Clock,
+  type EndpointId,
+  fail,
   type Failure,
   failure,
   type FailureDetails,
@@ -21,6 +24,9 @@
   SendResult,
 } from "./endpoint_sender.ts";
 import type { AccessLog } from "./access_log.ts";
+import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
+import type { LinkChecker } from "./link_checker.ts";
+import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
@@ -28,7 +34,7 @@
 
 /** Result for the caller. */
 export type FlowResult =
-  | EndpointResponse
+  | (EndpointResponse & { readonly endpoint?: EndpointId | undefined })
   | { readonly kind: "refusal"; readonly failure: Failure }
   /** The caller has disconnected; no response is sent. */
   | { readonly kind: "gone" };
@@ -40,17 +46,28 @@
   readonly admission: Admission;
   readonly chooser: EndpointChooser;
   readonly signals: EndpointSignals;
+  readonly links: LinkChecker;
+  readonly forwarder: PeerForwarder;
   readonly sender: EndpointSender;
   readonly codec: RequestCodec;
   readonly retries: SharedRetryBudget;
   /** Number of instances in the fleet, including this one. */
   readonly fleetSize: () => number;
+  /** Version of the plan in force. */
+  readonly planVersion: () => number;
   readonly accessLog: AccessLog;
   readonly clock: Clock;
 }
 
 /** Minimum time left for an endpoint to respond, in milliseconds. */
 const MIN_LEFT_MS = 5;
+/** Retry delay while no endpoint can be reached, in milliseconds: one check. */
+const LINKS_RETRY_MS = 500;
+const CANNOT_TAKE_OVER = failure(
+  "not_ready",
+  "this instance cannot serve requests of others now",
+  { outcome: "not-run" },
+);
 /** Statuses from which a caller concludes that its request did not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -65,6 +82,9 @@
   /** Serves a request; never throws. */
   async handle(req: CallerRequest): Promise<FlowResult> {
     const { gate, admission, retries, clock } = this.#opts;
+    if (req.hop !== undefined && !this.#takesOver(req.hop)) {
+      return this.#refuse(req, CANNOT_TAKE_OVER);
+    }
     if (!gate.isOpen) {
       await gate.wait({
         clientTimeoutMs: clientTimeoutOf(req),
@@ -75,30 +95,136 @@
     const admitted = admission.admit(req);
     if (admitted.isErr()) return this.#refuse(req, admitted.error);
     const ctx = admitted.value;
-    retries.request(ctx.service, clock.now());
+    // The instance that sends it to an endpoint counts it.
+    if (!ctx.counted && !this.#mustForward(ctx)) {
+      retries.request(ctx.service, clock.now());
+      ctx.counted = true;
+    }
     return await this.#serve(ctx);
   }
 
+  /** Whether this instance can serve a request that another passes on. */
+  #takesOver(hop: Hop): boolean {
+    const { gate, links, planVersion } = this.#opts;
+    return gate.isOpen && links.state === "up" &&
+      planVersion() >= hop.planVersion;
+  }
+
+  /** Whether no endpoint can be reached but another instance reaches them. */
+  #mustForward(ctx: RequestContext): boolean {
+    const { links, forwarder } = this.#opts;
+    return links.state === "down" && forwarder.canForward(ctx);
+  }
+
   /** Tries endpoints one after another until there is a result. */
   async #serve(ctx: RequestContext): Promise<FlowResult> {
-    const { clock, chooser } = this.#opts;
+    const { clock } = this.#opts;
     for (;;) {
       const now = clock.now();
       if (ctx.req.signal.aborted) return this.#callerGone(ctx);
       if (ctx.deadline - now < MIN_LEFT_MS) return this.#refuseExpired(ctx);
-      const chosen = chooser.choose(ctx, now);
+      const chosen = this.#choose(ctx, now);
+      if (chosen === "peer") {
+        const outcome = await this.#forward(ctx);
+        if (outcome !== undefined) return outcome;
+        continue;
+      }
       if (chosen.isErr()) {
         const { code, message, retryAfterMs } = chosen.error;
         return this.#refuseUnserved(ctx, code, message, retryAfterMs);
       }
       const result = await this.#send(ctx, chosen.value);
+      if (result === "resend") continue;
       const outcome = this.#handleResult(ctx, chosen.value, result);
       if (outcome !== undefined) return outcome;
     }
   }
 
-  async #send(ctx: RequestContext, endpoint: EndpointRow): Promise<SendResult> {
-    const { clock, codec, sender, chooser, signals, accessLog } = this.#opts;
+  /** Selects an endpoint that can be reached, or another instance. */
+  #choose(
+    ctx: RequestContext,
+    now: number,
+  ): Result<EndpointRow, Failure> | "peer" {
+    const { links, chooser, forwarder, sender } = this.#opts;
+    const isUnsent = ctx.arrivals === 0 && ctx.tried.size > 0;
+    const mustForward = links.state === "down" || links.isDoubtful && isUnsent;
+    if (mustForward && forwarder.canForward(ctx)) return "peer";
+    switch (links.state) {
+      case "up":
+        return chooser.choose(ctx, now);
+      case "down":
+        return fail("no_endpoint", "this instance reaches no endpoint", {
+          retryAfterMs: LINKS_RETRY_MS,
+        });
+      case "reused-only": {
+        const isIdle = (row: EndpointRow) => sender.hasIdle(row);
+        const reused = chooser.choose(ctx, now, isIdle);
+        if (reused.isOk()) return reused;
+        if (forwarder.canForward(ctx)) return "peer";
+        return chooser.choose(ctx, now);
+      }
+    }
+  }
+
+  /** Passes a request on; undefined if another attempt is to be made. */
+  async #forward(ctx: RequestContext): Promise<FlowResult | undefined> {
+    const { forwarder } = this.#opts;
+    const result = await forwarder.forward(
+      ctx,
+      (sending) => this.#awaitResult(sending, ctx),
+    );
+    switch (result.kind) {
+      case "answer":
+        return this.#handlePeerAnswer(ctx, result);
+      case "no-peer":
+        return undefined;
+      case "unknown":
+        this.#mayHaveArrived(ctx);
+        if (this.#takeRetryIfIdempotent(ctx)) return undefined;
+        return this.#refuseFailed(
+          ctx,
+          `the connection to instance ${result.peer} broke`,
+        );
+      case "cancelled":
+        if (result.sent) this.#mayHaveArrived(ctx);
+        return ctx.req.signal.aborted
+          ? this.#callerGone(ctx)
+          : this.#refuseExpired(ctx);
+    }
+  }
+
+  #handlePeerAnswer(
+    ctx: RequestContext,
+    { peer, answer }: Extract<ForwardResult, { kind: "answer" }>,
+  ): FlowResult {
+    const { signals, accessLog } = this.#opts;
+    const { endpoint } = readHopResponse(answer.headers);
+    const notRun = NOT_RUN_STATUSES.has(answer.status);
+    if (notRun && ctx.mayHaveRun) {
+      answer.body.remainder?.cancel();
+      return this.#refuseFailed(ctx, "another instance could not retry it");
+    }
+    if (endpoint !== undefined) signals.passedOn(endpoint, answer.fields);
+    accessLog.passedOn(ctx, { peer, endpoint, status: answer.status });
+    return { ...answer, headers: withoutHopFields(answer.headers) };
+  }
+
+  /** Records that an attempt may have reached an endpoint and run there. */
+  #mayHaveArrived(ctx: RequestContext): void {
+    ctx.arrivals++;
+    ctx.mayHaveRun = true;
+  }
+
+  /**
+   * Sends a request to an endpoint; `resend` if the link was lost meanwhile, and
+   * another attempt is allowed.
+   */
+  async #send(
+    ctx: RequestContext,
+    endpoint: EndpointRow,
+  ): Promise<SendResult | "resend"> {
+    const { clock, codec, sender, chooser, signals, accessLog, links } =
+      this.#opts;
     const { req, account, tried, deadline } = ctx;
     const sentAt = clock.now();
     tried.add(endpoint);
@@ -116,12 +242,22 @@
       maySend: () => signals.accepts(endpoint, clock.now()),
       onHead: (fields) => signals.received(endpoint, fields),
     });
+    let isLinkLost = false;
+    const linkTimer = links.onDown(() => {
+      if (!this.#takeRetryIfIdempotent(ctx)) return;
+      isLinkLost = true;
+      sending.cancel();
+    });
     const result = await this.#awaitResult(sending, ctx);
+    linkTimer.close();
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
+    if (hasArrived(result)) ctx.arrivals++;
     if (result.kind === "withheld") tried.delete(endpoint);
     else accessLog.tried(ctx, endpoint, { result, tookMs: now - sentAt });
-    return result;
+    if (!isLinkLost || result.kind !== "cancelled") return result;
+    if (result.sent) ctx.mayHaveRun = true;
+    return "resend";
   }
 
   /** Waits for the result; cancels at the deadline or on disconnect. */
@@ -152,6 +288,9 @@
       case "answer":
         return this.#handleResponse(ctx, endpoint, result);
       case "unsent":
+        if (this.#canForwardUnsent(ctx)) return undefined;
+        if (this.#takeRetry(ctx)) return undefined;
+        return this.#refuseShed(ctx, endpoint);
       case "not-run":
         if (this.#takeRetry(ctx)) return undefined;
         return this.#refuseShed(ctx, endpoint);
@@ -170,6 +309,12 @@
     }
   }
 
+  /** Whether a request that reached no endpoint goes to another instance. */
+  #canForwardUnsent(ctx: RequestContext): boolean {
+    const { links, forwarder } = this.#opts;
+    return ctx.arrivals === 0 && links.isDoubtful && forwarder.canForward(ctx);
+  }
+
   /** Passes a response on, unless it is invalid or failed and can be retried. */
   #handleResponse(
     ctx: RequestContext,
@@ -199,8 +344,8 @@
   /** Takes a retry if attempts, the deadline and the retry budget allow one. */
   #takeRetry(ctx: RequestContext): boolean {
     const { retries, clock, fleetSize } = this.#opts;
-    const { tried, route, service, deadline } = ctx;
-    if (tried.size >= route.maxAttempts) return false;
+    const { tried, arrivals, route, service, deadline } = ctx;
+    if (Math.max(tried.size, arrivals) >= route.maxAttempts) return false;
     const now = clock.now();
     if (deadline - now < MIN_LEFT_MS) return false;
     return retries.take(service, { instances: fleetSize() }, now);
@@ -212,7 +357,7 @@
     response: EndpointResponse,
   ): FlowResult {
     this.#opts.accessLog.answered(ctx, endpoint, response.status);
-    return response;
+    return { ...response, endpoint: endpoint.id };
   }
 
   #callerGone(ctx: RequestContext): FlowResult {
@@ -261,6 +406,19 @@
   }
 }
 
+/** Whether a result shows that a request may have reached its endpoint. */
+function hasArrived(result: SendResult): boolean {
+  switch (result.kind) {
+    case "unsent":
+    case "withheld":
+      return false;
+    case "cancelled":
+      return result.sent;
+    default:
+      return true;
+  }
+}
+
 /** Why a response cannot be passed on; undefined if it can. */
 function invalidReason(
   { status, fields }: EndpointResponse,
--- a/src/edge/testing/plain_codec.ts
+++ b/src/edge/testing/plain_codec.ts
@@ -44,6 +44,14 @@
     ];
   }
 
+  peerHeaders(headers: RawHeaders, leftMs: number): string[] {
+    const kept = ["id", "host", "key", "object"].flatMap((name) => {
+      const value = headerOf(headers, name);
+      return value === undefined ? [] : [name, value];
+    });
+    return [...kept, "patience", String(leftMs)];
+  }
+
   readResponse(status: number, headers: RawHeaders): ResponseFields {
     const keepAlive = headerOf(headers, "keep");
     return {
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -9,6 +9,7 @@
   ManualClock,
   MemoryMetrics,
   type RegionId,
+  SeededRandom,
   SilentLog,
   type ZoneId,
 } from "../../core/mod.ts";
@@ -22,10 +23,15 @@
   TrafficPlan,
 } from "../../traffic/mod.ts";
 import { Admission } from "../admission.ts";
+import type { LinkState } from "../../decisions/links/mod.ts";
+import type { InstanceProfile } from "../../fleet/mod.ts";
+import type { Hop } from "../hop_headers.ts";
 import { EndpointLimits } from "../endpoint_limits.ts";
 import { EndpointChooser } from "../endpoint_chooser.ts";
 import { EndpointSignals } from "../endpoint_signals.ts";
 import { AccessLog } from "../access_log.ts";
+import { LinkChecker } from "../link_checker.ts";
+import { PeerForwarder } from "../peer_forwarder.ts";
 import type { RequestFields, ResponseFields } from "../request_codec.ts";
 import { type FlowResult, RequestFlow } from "../request_flow.ts";
 import { PlainCodec } from "./plain_codec.ts";
@@ -43,6 +49,10 @@
   readonly plan?: Partial<TrafficPlan> | "none";
   readonly endpoints?: readonly Partial<EndpointRecord>[];
   readonly sender?: ScriptedSender;
+  /** Other instances that are serving, by id. */
+  readonly peers?: readonly string[];
+  /** Results of requests that are passed on. */
+  readonly peerSender?: ScriptedSender;
 }
 
 /** The request path of one instance, without listeners. */
@@ -54,6 +64,10 @@
   readonly gone = new AbortController();
   readonly gate: StartGate;
   readonly signals: EndpointSignals;
+  readonly links: LinkChecker;
+  readonly peerSender: ScriptedSender;
+  /** Whether probes reach their endpoints. */
+  reachesEndpoints = true;
   readonly #flow: RequestFlow;
   readonly #quotas: AccountQuotas;
   readonly #limits: EndpointLimits;
@@ -103,7 +117,27 @@
       region: R1,
       regions: [R1, R2],
     });
+    this.peerSender = setup.peerSender ?? new ScriptedSender();
+    this.links = new LinkChecker({
+      endpoints: () => this.state.endpoints.rows(),
+      probe: () => Promise.resolve(this.reachesEndpoints),
+      onChange: (_state, since) => this.#chooser.linksLost(since),
+      servingPeers: () => setup.peers?.length ?? 0,
+      clock,
+      log: this.log,
+      metrics: new MemoryMetrics(),
+    });
     this.#flow = new RequestFlow({
+      links: this.links,
+      forwarder: new PeerForwarder({
+        own: "i1" as InstanceId,
+        peersFor: () => (setup.peers ?? []).map(peerProfile),
+        sender: this.peerSender,
+        codec: new PlainCodec(),
+        clock,
+        random: new SeededRandom(1),
+      }),
+      planVersion: () => this.state.planVersion,
       gate: this.gate,
       admission: new Admission(this.state, quotas, clock),
       chooser: this.#chooser,
@@ -156,8 +190,30 @@
       .reduce((sum, { admitted }) => sum + admitted, 0);
   }
 
-  send(fields: Partial<RequestFields> = {}): Promise<FlowResult> {
+  /** Lets the links be checked until they are in a state. */
+  async linksAre(state: LinkState): Promise<void> {
+    this.reachesEndpoints = state === "up";
+    for (const address of ["a", "b", "c"]) {
+      if (state === "up") break;
+      this.links.observer.sent();
+      const outcome = "failure" as const;
+      this.links.observer.ended({ address, outcome, isNewConnection: true });
+    }
+    this.links.start();
+    for (let i = 0; this.links.state !== state && i < 20; i++) {
+      this.clock.advance(250);
+      await Promise.resolve();
+      await Promise.resolve();
+      await Promise.resolve();
+    }
+  }
+
+  send(
+    fields: Partial<RequestFields> = {},
+    opts: { readonly hop?: Hop } = {},
+  ): Promise<FlowResult> {
     return this.#flow.handle({
+      ...opts,
       method: "GET",
       headers: [],
       fields: {
@@ -176,6 +232,17 @@
   }
 }
 
+/** An instance of region `r1`. */
+function peerProfile(id: string): InstanceProfile {
+  return {
+    id: id as InstanceId,
+    zone: "z1" as ZoneId,
+    region: R1,
+    callerAddress: `${id}:1`,
+    digestAddress: `${id}:2`,
+  };
+}
+
 /** The result as text. */
 export function outcomeOf(result: FlowResult): string {
   if (result.kind === "answer") return `answer ${result.status}`;
--- a/src/edge/testing/scripted_sender.ts
+++ b/src/edge/testing/scripted_sender.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import type { EndpointRow } from "../../traffic/mod.ts";
 import type {
+  Destination,
   EndpointSender,
   OutgoingRequest,
   PendingSend,
@@ -57,6 +58,8 @@
 /** Returns the next result for each request; "silence" never responds. */
 export class ScriptedSender implements EndpointSender {
   readonly sent: RecordedSend[] = [];
+  /** Endpoints with an idle connection. */
+  readonly idle = new Set<string>();
   readonly #results: (SendResult | "silence")[];
 
   #fallback: (endpoint: string) => SendResult = () => responded();
@@ -71,10 +74,11 @@
     return this;
   }
 
-  send(endpoint: EndpointRow, req: OutgoingRequest): PendingSend {
-    const sent: RecordedSend = { endpoint: endpoint.id, req, cancelled: false };
+  send(to: EndpointRow | Destination, req: OutgoingRequest): PendingSend {
+    const endpoint = "id" in to ? to.id : to.address;
+    const sent: RecordedSend = { endpoint, req, cancelled: false };
     this.sent.push(sent);
-    const next = this.#results.shift() ?? this.#fallback(endpoint.id);
+    const next = this.#results.shift() ?? this.#fallback(endpoint);
     let settle: (result: SendResult) => void = () => {};
     const result = new Promise<SendResult>((resolve) => {
       settle = resolve;
@@ -91,6 +95,10 @@
     return { result, cancel };
   }
 
+  hasIdle(endpoint: EndpointRow): boolean {
+    return this.idle.has(endpoint.id);
+  }
+
   closeIdleConnections(): void {}
 
   close(): Promise<void> {
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -4,11 +4,13 @@
  * Callers choose one of the listed instances at random for each connection, so
  * the response lists those of the caller's region: they are close, and the
  * failure of one moves only its own callers. A region without serving instances
- * gets those of all regions.
+ * gets those of all regions. Isolated instances are listed where too few others
+ * are left: they pass requests on to serving ones.
  *
  * @module
  */
 import type { RegionId } from "../core/mod.ts";
+import { canTakeOver } from "../decisions/links/mod.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 
 /** This instance and its state. */
@@ -20,24 +22,46 @@
 /** A caller reads at most this many addresses from a response. */
 const MAX_ADDRESSES = 64;
 
+/** The other instances that callers may use. */
+export interface OtherInstances {
+  readonly serving: readonly InstanceProfile[];
+  readonly isolated: readonly InstanceProfile[];
+}
+
 /**
  * Addresses for callers of a region.
  *
- * @param others The other serving instances.
- *
  * @example
  * ```ts
- * callerAddresses(serving, own, region); // ["10.1.0.23:8389"]
+ * callerAddresses({ serving, isolated }, own, region); // ["10.1.0.23:8389"]
  * ```
  */
 export function callerAddresses(
-  others: readonly InstanceProfile[],
+  others: OtherInstances,
   own: OwnInstance,
   region: RegionId | undefined,
 ): string[] {
-  const serving = [...others];
-  if (own.state === "serving") serving.push(own.profile);
-  const inRegion = serving.filter((p) => p.region === region);
-  const selected = inRegion.length > 0 ? inRegion : serving;
+  const serving = withOwn(others.serving, own, "serving");
+  const isolated = withOwn(others.isolated, own, "isolated");
+  const selected = selectInRegion({ serving, isolated }, region);
   return selected.map((p) => p.callerAddress).sort().slice(0, MAX_ADDRESSES);
 }
+
+function withOwn(
+  others: readonly InstanceProfile[],
+  { profile, state }: OwnInstance,
+  listed: InstanceState,
+): readonly InstanceProfile[] {
+  return state === listed ? [...others, profile] : others;
+}
+
+function selectInRegion(
+  { serving, isolated }: OtherInstances,
+  region: RegionId | undefined,
+): readonly InstanceProfile[] {
+  const near = serving.filter((p) => p.region === region);
+  const nearIsolated = isolated.filter((p) => p.region === region);
+  if (canTakeOver(near.length, nearIsolated.length)) return near;
+  if (near.length + nearIsolated.length > 0) return [...near, ...nearIsolated];
+  return serving.length > 0 ? serving : isolated;
+}
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -201,10 +201,26 @@
   /** The other instances that are serving. */
   serving(): readonly InstanceProfile[] {
     const near = this.#peers.serving().map((p) => p.profile);
-    const far = this.#feed.followsRelay
+    return [...near, ...this.#farServing()];
+  }
+
+  /** The serving instances that have reported recently. */
+  reporting(): readonly InstanceProfile[] {
+    const near = this.#peers.serving().filter((p) => !p.suspect);
+    return [...near.map((p) => p.profile), ...this.#farServing()];
+  }
+
+  /**
+   * The other instances that are isolated; in a large fleet, those of this zone.
+   */
+  isolated(): readonly InstanceProfile[] {
+    return this.#peers.inState("isolated").map((p) => p.profile);
+  }
+
+  #farServing(): readonly InstanceProfile[] {
+    return this.#feed.followsRelay
       ? this.#relayFollower.farServing
       : this.#zones.serving();
-    return [...near, ...far];
   }
 
   /** Sends changes to the peers that do not watch the store. */
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -124,7 +124,8 @@
   peers.heard(digest("i3", { profile: profile("i3", "delta") }), 0);
   const addressesFor = (name: string) => {
     const serving = peers.serving().map((p) => p.profile);
-    return callerAddresses(serving, own, name as RegionId);
+    const others = { serving, isolated: [] };
+    return callerAddresses(others, own, name as RegionId);
   };
   t.deepEqual(addressesFor("gulf"), ["i0:80", "i1:80"]);
   t.deepEqual(addressesFor("delta"), ["i3:80"]);
--- a/src/fleet/instance_profile.ts
+++ b/src/fleet/instance_profile.ts
@@ -6,9 +6,18 @@
 import type { InstanceId, RegionId, ZoneId } from "../core/mod.ts";
 
 /** Digests encode a state as its index: the order must not change. */
-export const INSTANCE_STATES = ["starting", "serving", "leaving"] as const;
+export const INSTANCE_STATES = [
+  "starting",
+  "serving",
+  "leaving",
+  // Reaches no endpoint, and passes requests on to instances that are serving.
+  "isolated",
+] as const;
 
-/** Callers are sent only to instances that are `serving`. */
+/**
+ * Callers are sent to instances that are `serving`, and to `isolated` ones where
+ * too few others are.
+ */
 export type InstanceState = (typeof INSTANCE_STATES)[number];
 
 /** Identity, location and addresses. */
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -383,6 +383,11 @@
 
   /** Individually tracked instances that are reachable and serving. */
   serving(): readonly Peer[] {
-    return this.peers().filter((p) => !p.unreachable && p.state === "serving");
+    return this.inState("serving");
+  }
+
+  /** Individually tracked instances that are reachable and in a state. */
+  inState(state: InstanceState): readonly Peer[] {
+    return this.peers().filter((p) => !p.unreachable && p.state === state);
   }
 }
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -66,6 +66,11 @@
     return this.record.id;
   }
 
+  /** Host and port. */
+  get address(): string {
+    return this.record.address;
+  }
+
   /** Records a load report. */
   applyReport(report: LoadReport, now: number): void {
     this.report = report;
