Time out no connection that opened during a stall of the event loop

After a stall or a freeze timers run before the events of sockets, so that connections which had opened in time were destroyed: an instance that is slow took its endpoints for unreachable, and would now take itself for cut off. The timeout decides after the pending events were read.

The test failed before ("connect timed out" instead of "connected").

--- a/src/core/connect_timeout.ts
+++ b/src/core/connect_timeout.ts
@@ -24,10 +24,12 @@
   ms: number,
   clock: Clock,
 ): void {
-  const timer = clock.after(
-    ms,
-    () => void socket.destroy(new Error(CONNECT_TIMED_OUT)),
-  );
+  const timer = clock.after(ms, () => {
+    // After a stall of the event loop the connection may be open already.
+    setImmediate(() => {
+      if (socket.connecting) socket.destroy(new Error(CONNECT_TIMED_OUT));
+    });
+  });
   socket.once("connect", () => timer.close());
   socket.once("close", () => timer.close());
 }
