--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -66,8 +66,8 @@
   readonly signals: EndpointSignals;
   readonly links: LinkChecker;
   readonly peerSender: ScriptedSender;
-  /** Whether probes reach their endpoints. */
-  reachesEndpoints = true;
+  /** Whether probes reach their endpoints; they do not end if undefined. */
+  reachesEndpoints: boolean | undefined = true;
   readonly #flow: RequestFlow;
   readonly #quotas: AccountQuotas;
   readonly #limits: EndpointLimits;
@@ -120,7 +120,10 @@
     this.peerSender = setup.peerSender ?? new ScriptedSender();
     this.links = new LinkChecker({
       endpoints: () => this.state.endpoints.rows(),
-      probe: () => Promise.resolve(this.reachesEndpoints),
+      probe: () =>
+        this.reachesEndpoints === undefined
+          ? new Promise(() => {})
+          : Promise.resolve(this.reachesEndpoints),
       onChange: (_state, since) => this.#chooser.linksLost(since),
       servingPeers: () => setup.peers?.length ?? 0,
       clock,
@@ -190,21 +193,34 @@
       .reduce((sum, { admitted }) => sum + admitted, 0);
   }
 
-  /** Lets the links be checked until they are in a state. */
-  async linksAre(state: LinkState): Promise<void> {
-    this.reachesEndpoints = state === "up";
-    for (const address of ["a", "b", "c"]) {
-      if (state === "up") break;
+  /** Lets new connections to two endpoints fail, which starts a check. */
+  failConnections(): void {
+    for (const address of ["a", "b"]) {
       this.links.observer.sent();
       const outcome = "failure" as const;
       this.links.observer.ended({ address, outcome, isNewConnection: true });
     }
+  }
+
+  /** Lets an open connection respond. */
+  respondOnOpenConnection(): void {
+    this.links.observer.sent();
+    const outcome = "response" as const;
+    this.links.observer.ended({
+      address: "a",
+      outcome,
+      isNewConnection: false,
+    });
+  }
+
+  /** Lets the links be checked until they are in a state. */
+  async linksAre(state: LinkState): Promise<void> {
+    this.reachesEndpoints = state === "up";
+    if (state !== "up") this.failConnections();
     this.links.start();
     for (let i = 0; this.links.state !== state && i < 20; i++) {
       this.clock.advance(250);
-      await Promise.resolve();
-      await Promise.resolve();
-      await Promise.resolve();
+      for (let step = 0; step < 5; step++) await Promise.resolve();
     }
   }
 
--- a/src/fleet/compact_digest_test.ts
+++ b/src/fleet/compact_digest_test.ts
@@ -14,6 +14,7 @@
   type Digest,
   encodeCompactDigest,
   encodeJsonDigest,
+  INSTANCE_STATES,
   type InstanceProfile,
   NameDictionary,
 } from "./mod.ts";
@@ -78,6 +79,18 @@
   t.deepEqual(read._unsafeUnwrap(), sent);
 });
 
+test("every state of an instance survives encoding and decoding", (t) => {
+  for (const state of INSTANCE_STATES) {
+    for (const flag of [true, false]) {
+      const sent = digest({ state, storeInTouch: flag, relays: !flag });
+      const at = receiver();
+      const read = decodeCompactDigest(encodeWithoutProfiles(sent, at), at);
+      const { state: seen, storeInTouch, relays } = read._unsafeUnwrap()!;
+      t.deepEqual([seen, storeInTouch, relays], [state, flag, !flag]);
+    }
+  }
+});
+
 test("any counts, rates and names survive encoding and decoding", (t) => {
   const id = fc.string({ minLength: 1, maxLength: 40 });
   const amount = fc.integer({ min: 0, max: 1e9 });
