Split the results and refusals of requests from the request flow

The soak can let callers follow the directory (--directory), and reports what callers got over the whole of each cut, to compare policies.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -25,7 +25,7 @@
 } from "./hop_headers.ts";
 import { closeAtOnce, listenAt } from "./listening.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { FlowResult } from "./request_flow.ts";
+import type { FlowResult } from "./flow_result.ts";
 import type { CallerRequest } from "./request_context.ts";
 
 /** Serves one request. */
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -75,14 +75,8 @@
    * Selects the endpoint for the next attempt.
    *
    * Failures: `no_endpoint`, `no_capacity`, each with a retry delay.
-   *
-   * @param isReachable Whether an endpoint can be reached; all can if omitted.
    */
-  choose(
-    ctx: RequestContext,
-    now: number,
-    isReachable: (row: EndpointRow) => boolean = () => true,
-  ): Result<EndpointRow, Failure> {
+  choose(ctx: RequestContext, now: number): Result<EndpointRow, Failure> {
     const { region, regions, state, signals } = this.#opts;
     const { service, route, account, req, tried } = ctx;
     const endpoints = state.eligible(service, ctx.regions);
@@ -100,7 +94,7 @@
       priority: account?.priority ?? route.priority,
       meanLatencyMs: this.#latency.of(service),
       usable: (row) =>
-        !tried.has(row) && isReachable(row) && signals.accepts(row, now) &&
+        !tried.has(row) && signals.accepts(row, now) &&
         this.#hasColdCapacity(row, now) &&
         (ejectionLimited || !this.#outliers.isEjected(row, now)),
     };
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -4,14 +4,7 @@
  * @module
  */
 import type { Result } from "neverthrow";
-import {
-  type Clock,
-  type EndpointId,
-  fail,
-  type Failure,
-  failure,
-  type FailureDetails,
-} from "../core/mod.ts";
+import { type Clock, fail, type Failure, failure } from "../core/mod.ts";
 import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import type { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
@@ -24,21 +17,20 @@
   SendResult,
 } from "./endpoint_sender.ts";
 import type { AccessLog } from "./access_log.ts";
+import {
+  type EndpointResponse,
+  type FlowResult,
+  hasArrived,
+  invalidReason,
+  NOT_RUN_STATUSES,
+} from "./flow_result.ts";
 import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
 import type { LinkChecker } from "./link_checker.ts";
 import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
+import { Refusals } from "./refusals.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
-type EndpointResponse = Extract<SendResult, { kind: "answer" }>;
-
-/** Result for the caller. */
-export type FlowResult =
-  | (EndpointResponse & { readonly endpoint?: EndpointId | undefined })
-  | { readonly kind: "refusal"; readonly failure: Failure }
-  /** The caller has disconnected; no response is sent. */
-  | { readonly kind: "gone" };
-
 /** Dependencies of the flow. */
 export interface RequestFlowOptions {
   /** Opens once the plan and the endpoints are loaded. */
@@ -68,22 +60,22 @@
   "this instance cannot serve requests of others now",
   { outcome: "not-run" },
 );
-/** Statuses from which a caller concludes that its request did not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Serves the requests of one instance. */
 export class RequestFlow {
   readonly #opts: RequestFlowOptions;
+  readonly #refusals: Refusals;
 
   constructor(opts: RequestFlowOptions) {
     this.#opts = opts;
+    this.#refusals = new Refusals(opts);
   }
 
   /** Serves a request; never throws. */
   async handle(req: CallerRequest): Promise<FlowResult> {
     const { gate, admission, retries, clock } = this.#opts;
     if (req.hop !== undefined && !this.#takesOver(req.hop)) {
-      return this.#refuse(req, CANNOT_TAKE_OVER);
+      return this.#refusals.refuse(req, CANNOT_TAKE_OVER);
     }
     if (!gate.isOpen) {
       await gate.wait({
@@ -93,7 +85,7 @@
     }
     if (req.signal.aborted) return { kind: "gone" };
     const admitted = admission.admit(req);
-    if (admitted.isErr()) return this.#refuse(req, admitted.error);
+    if (admitted.isErr()) return this.#refusals.refuse(req, admitted.error);
     const ctx = admitted.value;
     // The instance that sends it to an endpoint counts it.
     if (!ctx.counted && !this.#mustForward(ctx)) {
@@ -121,8 +113,8 @@
     const { clock } = this.#opts;
     for (;;) {
       const now = clock.now();
-      if (ctx.req.signal.aborted) return this.#callerGone(ctx);
-      if (ctx.deadline - now < MIN_LEFT_MS) return this.#refuseExpired(ctx);
+      if (ctx.req.signal.aborted) return this.#refusals.callerGone(ctx);
+      if (ctx.deadline - now < MIN_LEFT_MS) return this.#refusals.expired(ctx);
       const chosen = this.#choose(ctx, now);
       if (chosen === "peer") {
         const outcome = await this.#forward(ctx);
@@ -131,7 +123,7 @@
       }
       if (chosen.isErr()) {
         const { code, message, retryAfterMs } = chosen.error;
-        return this.#refuseUnserved(ctx, code, message, retryAfterMs);
+        return this.#refusals.unserved(ctx, code, message, retryAfterMs);
       }
       const result = await this.#send(ctx, chosen.value);
       if (result === "resend") continue;
@@ -157,11 +149,10 @@
           retryAfterMs: LINKS_RETRY_MS,
         });
       case "reused-only": {
-        const isIdle = (row: EndpointRow) => sender.hasIdle(row);
-        const reused = chooser.choose(ctx, now, isIdle);
-        if (reused.isOk()) return reused;
-        if (forwarder.canForward(ctx)) return "peer";
-        return chooser.choose(ctx, now);
+        // Another endpoint with an open connection may lack the affinity key.
+        const chosen = chooser.choose(ctx, now);
+        const isOpen = chosen.isOk() && sender.hasIdle(chosen.value);
+        return isOpen || !forwarder.canForward(ctx) ? chosen : "peer";
       }
     }
   }
@@ -181,15 +172,15 @@
       case "unknown":
         this.#mayHaveArrived(ctx);
         if (this.#takeRetryIfIdempotent(ctx)) return undefined;
-        return this.#refuseFailed(
+        return this.#refusals.failed(
           ctx,
           `the connection to instance ${result.peer} broke`,
         );
       case "cancelled":
         if (result.sent) this.#mayHaveArrived(ctx);
         return ctx.req.signal.aborted
-          ? this.#callerGone(ctx)
-          : this.#refuseExpired(ctx);
+          ? this.#refusals.callerGone(ctx)
+          : this.#refusals.expired(ctx);
     }
   }
 
@@ -202,7 +193,7 @@
     const notRun = NOT_RUN_STATUSES.has(answer.status);
     if (notRun && ctx.mayHaveRun) {
       answer.body.remainder?.cancel();
-      return this.#refuseFailed(ctx, "another instance could not retry it");
+      return this.#refusals.failed(ctx, "another instance could not retry it");
     }
     if (endpoint !== undefined) signals.passedOn(endpoint, answer.fields);
     accessLog.passedOn(ctx, { peer, endpoint, status: answer.status });
@@ -290,22 +281,22 @@
       case "unsent":
         if (this.#canForwardUnsent(ctx)) return undefined;
         if (this.#takeRetry(ctx)) return undefined;
-        return this.#refuseShed(ctx, endpoint);
+        return this.#refusals.shed(ctx, endpoint);
       case "not-run":
         if (this.#takeRetry(ctx)) return undefined;
-        return this.#refuseShed(ctx, endpoint);
+        return this.#refusals.shed(ctx, endpoint);
       case "unknown":
         ctx.mayHaveRun = true;
         if (this.#takeRetryIfIdempotent(ctx)) return undefined;
-        return this.#refuseFailed(
+        return this.#refusals.failed(
           ctx,
           `the endpoint's answer is ${result.reason}`,
         );
       case "cancelled":
         if (result.sent) ctx.mayHaveRun = true;
         return ctx.req.signal.aborted
-          ? this.#callerGone(ctx)
-          : this.#refuseExpired(ctx);
+          ? this.#refusals.callerGone(ctx)
+          : this.#refusals.expired(ctx);
     }
   }
 
@@ -333,7 +324,7 @@
     response.body.remainder?.cancel();
     return retry
       ? undefined
-      : this.#refuseFailed(ctx, invalid ?? "the endpoint failed");
+      : this.#refusals.failed(ctx, invalid ?? "the endpoint failed");
   }
 
   /** Takes a retry for a request that may have run. */
@@ -359,73 +350,4 @@
     this.#opts.accessLog.answered(ctx, endpoint, response.status);
     return { ...response, endpoint: endpoint.id };
   }
-
-  #callerGone(ctx: RequestContext): FlowResult {
-    this.#opts.accessLog.gone(ctx);
-    return { kind: "gone" };
-  }
-
-  /** Refuses a request that the last endpoint shed or did not receive. */
-  #refuseShed(ctx: RequestContext, endpoint: EndpointRow): FlowResult {
-    const { chooser, clock } = this.#opts;
-    const retryAfterMs = chooser.retryAfterShedMs(ctx, endpoint, clock.now());
-    const why = "the endpoints tried did not take the request";
-    return this.#refuseUnserved(ctx, "no_capacity", why, retryAfterMs);
-  }
-
-  /** Refuses a request; its outcome is unknown if an endpoint may have run it. */
-  #refuseUnserved(
-    ctx: RequestContext,
-    code: Failure["code"],
-    why: string,
-    retryAfterMs: number | undefined,
-  ): FlowResult {
-    if (ctx.mayHaveRun) return this.#refuseFailed(ctx, why);
-    const details: FailureDetails = retryAfterMs === undefined
-      ? { outcome: "not-run" }
-      : { outcome: "not-run", retryAfterMs };
-    return this.#refuse(ctx.req, failure(code, why, details), ctx);
-  }
-
-  #refuseFailed(ctx: RequestContext, why: string): FlowResult {
-    const failed = failure("endpoint_failed", why, { outcome: "unknown" });
-    return this.#refuse(ctx.req, failed, ctx);
-  }
-
-  #refuseExpired(ctx: RequestContext): FlowResult {
-    const outcome = ctx.mayHaveRun ? "unknown" : "not-run";
-    const expired = failure("deadline_exceeded", "the deadline has passed", {
-      outcome,
-    });
-    return this.#refuse(ctx.req, expired, ctx);
-  }
-
-  #refuse(req: CallerRequest, why: Failure, ctx?: RequestContext): FlowResult {
-    this.#opts.accessLog.refused(req, why, ctx);
-    return { kind: "refusal", failure: why };
-  }
-}
-
-/** Whether a result shows that a request may have reached its endpoint. */
-function hasArrived(result: SendResult): boolean {
-  switch (result.kind) {
-    case "unsent":
-    case "withheld":
-      return false;
-    case "cancelled":
-      return result.sent;
-    default:
-      return true;
-  }
-}
-
-/** Why a response cannot be passed on; undefined if it can. */
-function invalidReason(
-  { status, fields }: EndpointResponse,
-): string | undefined {
-  if (status < 300 && !fields.signed) return "the answer is not signed";
-  // The endpoint did not state that the request did not run, so the caller must
-  // not conclude that from the status.
-  if (NOT_RUN_STATUSES.has(status)) return `the endpoint answered ${status}`;
-  return undefined;
 }
--- a/tools/process_soak/cut_checker.ts
+++ b/tools/process_soak/cut_checker.ts
@@ -14,6 +14,8 @@
 /** Failures at cut instances that are allowed: a number, and a share of all. */
 const MAX_FAILURES = 10;
 const MAX_FAILURE_SHARE = 1 / 50;
+/** Twice the longest work of an endpoint, in milliseconds. */
+const FAST_MS = 120;
 const RATE_EXCEEDED = 429;
 
 interface Counts {
@@ -25,10 +27,18 @@
   readonly instances: ReadonlySet<string>;
   readonly since: number;
   readonly until: number;
+  readonly whole: Counts & { fast: number };
   readonly there: Counts;
   readonly elsewhere: Counts;
 }
 
+/** Attempts during one cut, from its beginning, at all instances. */
+export interface CutSummary extends Counts {
+  readonly instances: readonly string[];
+  /** Attempts answered within the time in which work is usually done. */
+  readonly fast: number;
+}
+
 /** Dependencies of the checker. */
 export interface CutCheckerOptions {
   /** Whether an instance and the store were undisturbed before a moment. */
@@ -50,6 +60,7 @@
       instances: new Set(instances),
       since: Date.now(),
       until,
+      whole: { total: 0, served: 0, fast: 0 },
       there: { total: 0, served: 0 },
       elsewhere: { total: 0, served: 0 },
     });
@@ -59,12 +70,18 @@
   answered(attempt: SentAttempt, result: CallerResult): void {
     if (result.kind === "not-run" && result.status === RATE_EXCEEDED) return;
     const { instance, sentAt } = attempt;
+    const isServed = result.kind === "answer";
+    const isFast = Date.now() - sentAt <= FAST_MS;
     if (!this.#opts.isCalm(instance, sentAt)) return;
     for (const cut of this.#cuts) {
-      if (sentAt < cut.since + DETECTION_MS || sentAt > cut.until) continue;
+      if (sentAt < cut.since || sentAt > cut.until) continue;
+      cut.whole.total++;
+      if (isServed) cut.whole.served++;
+      if (isServed && isFast) cut.whole.fast++;
+      if (sentAt < cut.since + DETECTION_MS) continue;
       const counts = cut.instances.has(instance) ? cut.there : cut.elsewhere;
       counts.total++;
-      if (result.kind === "answer") counts.served++;
+      if (isServed) counts.served++;
     }
   }
 
@@ -73,6 +90,14 @@
     for (const cut of this.#cuts) this.#check(cut);
   }
 
+  /** Shares of attempts that were served, over the whole of each cut. */
+  summaries(): readonly CutSummary[] {
+    return this.#cuts.map(({ instances, whole }) => ({
+      instances: [...instances],
+      ...whole,
+    }));
+  }
+
   #check(cut: Cut): void {
     const { there, elsewhere } = cut;
     if (elsewhere.total === 0) return;
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -104,6 +104,20 @@
     }
   }
 
+  /** The addresses that its directory lists for callers of a region. */
+  async directory(region: string): Promise<readonly string[]> {
+    const query = new URLSearchParams({ Name: "soak.example", Region: region });
+    const url = `http://${this.opts.host}:${DIRECTORY_PORT}/resolve?${query}`;
+    try {
+      const res = await fetch(url, { signal: AbortSignal.timeout(1_000) });
+      const body = await res.json() as { readonly Addresses?: string[] };
+      return body.Addresses ?? [];
+    } catch {
+      // It is down or frozen; callers go on with the addresses they have.
+      return [];
+    }
+  }
+
   /** Sends a signal that neither terminates nor stops the process. */
   signal(name: NodeJS.Signals): void {
     this.#child?.kill(name);
--- a/tools/process_soak/main.ts
+++ b/tools/process_soak/main.ts
@@ -1,8 +1,9 @@
 /**
  * `npm run soak:processes -- --seed N --seconds S --per-zone N [--schedule
- * "FAULT@MS,…"] [--logs DIR]`: runs the real program as processes, and exits 1 if
+ * "FAULT@MS,…"] [--logs DIR] [--directory]`: runs the real program as processes, and exits 1 if
  * a property was violated, 2 if it could not run. The last line of output is
- * JSON. With `--logs` the instances' logs stay in that directory.
+ * JSON. With `--logs` the instances' logs stay in that directory; with
+ * `--directory` callers use the addresses that instances list.
  *
  * @module
  */
@@ -19,6 +20,7 @@
     program: { type: "string", default: "target/magnoliahook.cjs" },
     schedule: { type: "string" },
     logs: { type: "string" },
+    directory: { type: "boolean", default: false },
   },
 });
 const soak = new ProcessSoak({
@@ -26,6 +28,7 @@
   seconds: Number(values.seconds),
   perZone: Number(values["per-zone"]),
   program: values.program,
+  useDirectory: values.directory,
   ...(values.logs === undefined ? {} : { logDir: values.logs }),
   ...(values.schedule === undefined
     ? {}
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -17,6 +17,7 @@
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import { endpointEntry } from "../../platform/testing/plan_objects.ts";
 import { SeededRandom } from "../../src/core/mod.ts";
+import type { CutSummary } from "./cut_checker.ts";
 import type { ScheduledFault } from "./fault_schedule.ts";
 import { type FaultName, FAULTS, injectFault } from "./faults.ts";
 import { InstanceProcess } from "./instance_process.ts";
@@ -43,6 +44,8 @@
   readonly only?: readonly FaultName[];
   /** Faults at fixed times, replacing the random ones. */
   readonly schedule?: readonly ScheduledFault[];
+  /** Callers use the addresses that instances list; else all of them. */
+  readonly useDirectory?: boolean;
   /** Keeps the instances' logs in this directory. */
   readonly logDir?: string;
 }
@@ -53,6 +56,8 @@
   readonly seconds: number;
   readonly processes: number;
   readonly requests: number;
+  /** What callers got during cuts from the endpoints. */
+  readonly cuts: readonly CutSummary[];
   readonly faults: number;
   readonly violations: readonly Violation[];
   /** Injected faults, in order. */
@@ -192,7 +197,13 @@
     this.operators.publish();
     await this.#startInstances(block);
     await this.#waitUntilReady();
-    this.#callers = new SoakCallers(this);
+    this.#callers = new SoakCallers({
+      instances: this.instances,
+      operators: this.operators,
+      checker: this.checker,
+      random: this.random,
+      useDirectory: this.#opts.useDirectory ?? false,
+    });
     this.#callers.start();
   }
 
@@ -290,6 +301,7 @@
       seconds,
       processes: this.instances.length,
       requests: this.#callers?.requests ?? 0,
+      cuts: this.checker.cutSummaries(),
       faults: this.trace.length,
       violations,
       trace: this.trace,
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -8,7 +8,7 @@
   CallerAttempt,
   CallerResult,
 } from "../../platform/testing/fake_caller.ts";
-import { CutChecker } from "./cut_checker.ts";
+import { CutChecker, type CutSummary } from "./cut_checker.ts";
 import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
 
 /** A violated property. */
@@ -112,6 +112,10 @@
     this.#cuts.cutOff(instances, untilMs);
   }
 
+  cutSummaries(): readonly CutSummary[] {
+    return this.#cuts.summaries();
+  }
+
   /** Checks what needs the whole run, once every attempt has ended. */
   finish(): void {
     this.#cuts.finish();
--- a/tools/process_soak/soak_callers.ts
+++ b/tools/process_soak/soak_callers.ts
@@ -19,6 +19,11 @@
 /** Probability that a request uses the newest route. */
 const NEWEST_ROUTE_CHANCE = 0.15;
 const RATE_EXCEEDED = 429;
+const REGIONS = ["east", "west"];
+/** How long callers use an address list; some use it longer. */
+const DIRECTORY_TTL_MS = 1_000;
+const LONG_CACHING_EVERY = 4;
+const LONG_CACHING_FACTOR = 3;
 
 /** Dependencies of the callers. */
 export interface SoakCallersOptions {
@@ -26,6 +31,8 @@
   readonly operators: SoakOperators;
   readonly checker: PropertyChecker;
   readonly random: Random;
+  /** Whether callers use the addresses that the directory lists. */
+  readonly useDirectory: boolean;
 }
 
 /** Requests in a window, and those of them answered or rate limited. */
@@ -34,6 +41,12 @@
   succeeded: number;
 }
 
+/** The addresses that a caller may use, and when it asks for new ones. */
+interface AddressList {
+  addresses: readonly string[];
+  validUntil: number;
+}
+
 /** The callers of one run. */
 export class SoakCallers {
   readonly #opts: SoakCallersOptions;
@@ -71,7 +84,8 @@
   /** Sends requests one after another over a persistent connection. */
   async #runCaller(number: number): Promise<void> {
     const { checker, random } = this.#opts;
-    let instance = this.#randomInstance();
+    const list: AddressList = { addresses: [], validUntil: 0 };
+    let instance = await this.#selectInstance(number, list);
     let { life } = instance;
     let caller = new FakeCaller(instance.callerAddress);
     while (!this.#ended) {
@@ -85,10 +99,10 @@
         result.status === RATE_EXCEEDED;
       if (result.kind === "answer" || rateLimited) this.#counts.succeeded++;
       const broken = result.kind === "broken" || result.kind === "late" ||
-        instance.life !== life;
+        instance.life !== life || !await this.#isListed(instance, number, list);
       if (broken || random.next() < RECONNECT_CHANCE) {
         await caller.close();
-        instance = this.#randomInstance();
+        instance = await this.#selectInstance(number, list);
         ({ life } = instance);
         caller = new FakeCaller(instance.callerAddress);
       }
@@ -97,9 +111,39 @@
     await caller.close();
   }
 
-  #randomInstance(): InstanceProcess {
+  async #selectInstance(
+    caller: number,
+    list: AddressList,
+  ): Promise<InstanceProcess> {
     const { instances, random } = this.#opts;
-    return instances[random.below(instances.length)]!;
+    await this.#refresh(caller, list);
+    const listed = instances.filter((i) =>
+      list.addresses.includes(i.callerAddress)
+    );
+    const from = listed.length > 0 ? listed : instances;
+    return from[random.below(from.length)]!;
+  }
+
+  async #isListed(
+    instance: InstanceProcess,
+    caller: number,
+    list: AddressList,
+  ): Promise<boolean> {
+    await this.#refresh(caller, list);
+    return list.addresses.length === 0 ||
+      list.addresses.includes(instance.callerAddress);
+  }
+
+  /** Asks for new addresses when the caller's own are out of date. */
+  async #refresh(caller: number, list: AddressList): Promise<void> {
+    const { instances, random, useDirectory } = this.#opts;
+    if (!useDirectory || Date.now() < list.validUntil) return;
+    const asked = instances[random.below(instances.length)]!;
+    const region = REGIONS[caller % REGIONS.length] ?? "";
+    const addresses = await asked.directory(region);
+    if (addresses.length > 0) list.addresses = addresses;
+    const factor = caller % LONG_CACHING_EVERY === 0 ? LONG_CACHING_FACTOR : 1;
+    list.validUntil = Date.now() + DIRECTORY_TTL_MS * factor;
   }
 
   #buildAttempt(number: number, instance: InstanceProcess): SentAttempt {
