--- a/src/decisions/links/endpoint_links.ts
+++ b/src/decisions/links/endpoint_links.ts
@@ -44,9 +44,8 @@
 const SILENCE_MS = 1_000;
 /** Responses within this time show that open connections work. */
 const RECENT_MS = 500;
-/** Interval of checks while the links are up, and while they are not. */
-const CHECK_INTERVAL_MS = 1_000;
-const RECHECK_INTERVAL_MS = 500;
+/** Minimum interval of checks, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
 /** Endpoints that a check probes, and the minimum for a conclusion. */
 const MAX_PROBES = 4;
 const MIN_PROBES = 3;
@@ -114,9 +113,8 @@
   /** Whether a check should start now. */
   isCheckDue(now: number): boolean {
     if (this.#isChecking) return false;
-    const sinceLastMs = now - this.#lastCheckAt;
-    if (this.#state !== "up") return sinceLastMs >= RECHECK_INTERVAL_MS;
-    if (sinceLastMs < CHECK_INTERVAL_MS) return false;
+    if (now - this.#lastCheckAt < CHECK_INTERVAL_MS) return false;
+    if (this.#state !== "up") return true;
     const isSilent = this.#open > 0 && now - this.#silentSince >= SILENCE_MS;
     return isSilent || this.#failed.size >= MIN_FAILED_ENDPOINTS;
   }
