Forward requests of an instance that reaches no endpoint of its zone

The link checker moves to decisions/links, without sockets, and serves both interfaces. While links are not up, the region dispatcher leaves the local pool out, asks for remote capacity, and this instance grants none.

--- a/src/decisions/links/endpoint_links.ts
+++ b/src/decisions/links/endpoint_links.ts
@@ -13,8 +13,6 @@
  *
  * @module
  */
-import type { EndpointRow } from "../../traffic/mod.ts";
-
 /** Which connections to endpoints work. */
 export type LinkState =
   | "up"
@@ -22,6 +20,13 @@
   | "reused-only"
   | "down";
 
+/** An endpoint that a check may probe. */
+export interface LinkTarget {
+  /** Distinguishes it from all others. */
+  readonly address: string;
+  readonly zone: string;
+}
+
 /** How an attempt at an endpoint ended, as far as it concerns the link. */
 export interface LinkSample {
   /** Address of the endpoint. */
@@ -123,20 +128,20 @@
    * Starts a check: returns the endpoints to probe, which are those that
    * responded last, in as many zones as possible.
    */
-  startCheck(rows: Iterable<EndpointRow>, now: number): EndpointRow[] {
+  startCheck<T extends LinkTarget>(targets: Iterable<T>, now: number): T[] {
     this.#isChecking = true;
     this.#lastCheckAt = now;
-    const respondedAt = ({ address }: EndpointRow) =>
-      this.#respondedAt.get(address) ?? -Infinity;
-    const byResponse = [...rows].filter((row) => !row.record.draining)
-      .sort((a, b) => respondedAt(b) - respondedAt(a) || a.seed - b.seed);
+    const respondedAt = ({ address }: T) => this.#respondedAt.get(address) ?? 0;
+    const byResponse = [...targets].sort((a, b) =>
+      respondedAt(b) - respondedAt(a)
+    );
     const zones = new Set<string>();
-    const firstOfZone = byResponse.filter(({ record: { zone } }) => {
+    const firstOfZone = byResponse.filter(({ zone }) => {
       if (zones.has(zone)) return false;
       zones.add(zone);
       return true;
     });
-    const rest = byResponse.filter((row) => !firstOfZone.includes(row));
+    const rest = byResponse.filter((target) => !firstOfZone.includes(target));
     return [...firstOfZone, ...rest].slice(0, MAX_PROBES);
   }
 
--- a/src/edge/link_checker.ts
+++ b/src/decisions/links/link_checker.ts
@@ -4,16 +4,27 @@
  *
  * @module
  */
-import type { Clock, Log, Metrics, Timer } from "../core/mod.ts";
-import { EndpointLinks, type LinkState } from "../decisions/links/mod.ts";
-import type { EndpointRow } from "../traffic/mod.ts";
-import type { LinkObserver } from "./http_endpoint_sender.ts";
+import type { Clock, Log, Metrics, Timer } from "../../core/mod.ts";
+import {
+  EndpointLinks,
+  type LinkSample,
+  type LinkState,
+  type LinkTarget,
+} from "./endpoint_links.ts";
+
+/** Receives what attempts show about the links to endpoints. */
+export interface LinkObserver {
+  /** An attempt begins; `ended` follows. */
+  sent(): void;
+  ended(sample: LinkSample): void;
+}
 
 /** Dependencies of the checker. */
-export interface LinkCheckerOptions {
-  readonly endpoints: () => Iterable<EndpointRow>;
+export interface LinkCheckerOptions<T extends LinkTarget> {
+  /** Endpoints that accept requests. */
+  readonly endpoints: () => Iterable<T>;
   /** Whether a new connection to an endpoint works. */
-  readonly probe: (endpoint: EndpointRow) => Promise<boolean>;
+  readonly probe: (endpoint: T) => Promise<boolean>;
   /** Called with the new state, and since when new connections had failed. */
   readonly onChange: (state: LinkState, failingSince: number) => void;
   /** Number of instances that reach the endpoints, as far as is known. */
@@ -27,15 +38,16 @@
 const TICK_MS = 250;
 
 /** The links of one instance to its endpoints. */
-export class LinkChecker {
-  readonly #opts: LinkCheckerOptions;
+export class LinkChecker<T extends LinkTarget = LinkTarget> {
+  readonly #opts: LinkCheckerOptions<T>;
   readonly #links = new EndpointLinks();
   readonly #listeners = new Set<() => void>();
   #timer: Timer | undefined;
   #isClosed = false;
 
-  constructor(opts: LinkCheckerOptions) {
+  constructor(opts: LinkCheckerOptions<T>) {
     this.#opts = opts;
+    opts.metrics.gauge("endpoint.links", linkGauge(this.state));
   }
 
   get state(): LinkState {
@@ -54,14 +66,23 @@
       sent: () => this.#links.sent(clock.now()),
       ended: (sample) => {
         this.#links.ended(sample, clock.now());
-        this.#checkIfDue();
+        this.tick();
       },
     };
   }
 
+  /** Ticks by itself from now on. */
   start(): void {
-    this.#opts.metrics.gauge("endpoint.links", linkGauge(this.state));
-    this.#tick();
+    if (this.#isClosed) return;
+    this.#timer = this.#opts.clock.after(TICK_MS, () => this.start());
+    this.tick();
+  }
+
+  /** Starts a check if one is due. */
+  tick(): void {
+    const { clock } = this.#opts;
+    if (this.#isClosed || !this.#links.isCheckDue(clock.now())) return;
+    void this.#check();
   }
 
   /** Calls a listener once when no connection responds any more. */
@@ -71,7 +92,7 @@
   }
 
   /** Removes the state of an endpoint that has ended. */
-  forget({ address }: EndpointRow): void {
+  forget({ address }: LinkTarget): void {
     this.#links.forget(address);
   }
 
@@ -80,39 +101,26 @@
     this.#timer?.close();
   }
 
-  #tick(): void {
-    if (this.#isClosed) return;
-    this.#timer = this.#opts.clock.after(TICK_MS, () => this.#tick());
-    this.#checkIfDue();
-  }
-
-  #checkIfDue(): void {
-    if (this.#isClosed || !this.#links.isCheckDue(this.#opts.clock.now())) {
-      return;
-    }
-    void this.#check();
-  }
-
   async #check(): Promise<void> {
     const { endpoints, probe, clock } = this.#opts;
     const startedAt = clock.now();
-    const rows = this.#links.startCheck(endpoints(), startedAt);
-    const results = await Promise.all(rows.map((row) => probe(row)));
+    const probed = this.#links.startCheck(endpoints(), startedAt);
+    const results = await Promise.all(probed.map((target) => probe(target)));
     if (this.#isClosed) return;
     const reached = results.filter((isReached) => isReached).length;
     const { failingSince = startedAt } = this.#links;
-    const check = { startedAt, probed: rows.length, reached };
+    const check = { startedAt, probed: probed.length, reached };
     if (!this.#links.endCheck(check, clock.now())) return;
-    this.#changed(rows, failingSince);
+    this.#changed(probed, failingSince);
   }
 
-  #changed(probed: readonly EndpointRow[], failingSince: number): void {
+  #changed(probed: readonly T[], failingSince: number): void {
     const { state } = this;
     const { log, metrics, clock, servingPeers, onChange } = this.#opts;
     metrics.gauge("endpoint.links", linkGauge(state));
     log.event("endpoint_links_changed", {
       state,
-      probed: probed.map(({ id }) => id).join(" "),
+      probed: probed.map(({ address }) => address).join(" "),
       failingMs: Math.round(clock.now() - failingSince),
       servingPeers: servingPeers(),
     });
--- a/src/decisions/links/mod.ts
+++ b/src/decisions/links/mod.ts
@@ -5,4 +5,5 @@
  * @module
  */
 export * from "./endpoint_links.ts";
+export * from "./link_checker.ts";
 export * from "./peer_choice.ts";
--- a/src/decisions/regions/region_dispatcher.ts
+++ b/src/decisions/regions/region_dispatcher.ts
@@ -46,6 +46,8 @@
   readonly local: FairDispatcher;
   readonly remoteCapacity: RemoteCapacityTable;
   readonly links: LinkBudgets;
+  /** Whether this instance reaches the endpoints of its zone. */
+  readonly reachesEndpoints: () => boolean;
 }
 
 interface PendingRequest {
@@ -85,12 +87,14 @@
   }
 
   tick(now: number): void {
-    const { local, remoteCapacity } = this.#deps;
+    const { local, remoteCapacity, reachesEndpoints } = this.#deps;
     local.tick(now);
+    const isIsolated = !reachesEndpoints();
     for (const service of this.#services) {
       const load = local.loadOf(service, now);
       // Without local capacity, remote capacity is requested in advance.
-      const baseDemand = (load?.capacity ?? 0) === 0 ? 1 : 0;
+      const hasCapacity = !isIsolated && (load?.capacity ?? 0) > 0;
+      const baseDemand = hasCapacity ? 0 : 1;
       const waiting = load?.waiting ?? 0;
       const running = remoteCapacity.inFlight(service);
       this.#demand.endTick(service, Math.max(baseDemand, waiting + running));
@@ -106,7 +110,7 @@
   /** Retries requests that wait for a grant, when capacity may have grown. */
   retry(now: number): void {
     for (const pending of [...this.#pending]) {
-      const slot = this.#deps.local.tryAcquire(pending.req, now) ??
+      const slot = this.#tryLocal(pending.req, now) ??
         this.#takeRemote(pending.req, Infinity, now);
       if (slot) pending.settle(ok(slot));
     }
@@ -116,12 +120,14 @@
     req: SteeringRequest,
     signal?: AbortSignal,
   ): Promise<Result<Slot, Failure>> {
-    const { clock, local } = this.#deps;
+    const { clock, local, reachesEndpoints } = this.#deps;
     const now = clock.now();
     if (signal?.aborted) return cancelled();
-    const slot = local.tryAcquire(req, now);
+    const slot = this.#tryLocal(req, now);
     if (slot) return ok(slot);
-    const waitMs = local.expectedWaitMs(req, now);
+    const waitMs = reachesEndpoints()
+      ? local.expectedWaitMs(req, now)
+      : Infinity;
     if (waitMs <= ZONE_DETOUR_MS) return await this.#waitLocal(req, signal);
     this.#demand.add(req.service);
     const remote = this.#takeRemote(req, waitMs, now);
@@ -130,6 +136,11 @@
     return await this.#waitForGrant(req, signal);
   }
 
+  #tryLocal(req: SteeringRequest, now: number): Slot | undefined {
+    const { local, reachesEndpoints } = this.#deps;
+    return reachesEndpoints() ? local.tryAcquire(req, now) : undefined;
+  }
+
   /** Waits for a local slot; forwards if a drain leaves no local endpoint. */
   async #waitLocal(
     req: SteeringRequest,
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -12,7 +12,7 @@
   RegionId,
 } from "../core/mod.ts";
 import { sleep } from "../core/mod.ts";
-import { peersFor } from "../decisions/links/mod.ts";
+import { LinkChecker, peersFor } from "../decisions/links/mod.ts";
 import {
   AffinityPlacement,
   type Placement,
@@ -41,7 +41,6 @@
 import { joinList } from "./instance_list.ts";
 import { ExpiryGuard } from "./expiry_guard.ts";
 import { AccessLog } from "./access_log.ts";
-import { LinkChecker } from "./link_checker.ts";
 import { PeerForwarder, peerRequestAddress } from "./peer_forwarder.ts";
 import { PeerLoad } from "./peer_load.ts";
 import {
@@ -96,7 +95,7 @@
   readonly #chooser: EndpointChooser;
   readonly #sender: HttpEndpointSender;
   readonly #peerSender: HttpEndpointSender;
-  readonly #links: LinkChecker;
+  readonly #links: LinkChecker<EndpointRow>;
   readonly #expiry = new ExpiryGuard();
   readonly #endpointHandler: EndpointHandler;
   readonly #watchers: SteeringWatchers;
@@ -126,7 +125,8 @@
       digestAddress: cfg.listen.digest,
     };
     this.#links = new LinkChecker({
-      endpoints: () => this.#state.endpoints.rows(),
+      endpoints: () =>
+        [...this.#state.endpoints.rows()].filter((row) => !row.record.draining),
       probe: (row) => this.#sender.probe(row, this.#healthPathOf(row)),
       onChange: (_state, failingSince) => this.#onLinksChanged(failingSince),
       servingPeers: () => this.#member.serving().length,
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -11,7 +11,7 @@
  */
 import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
-import type { LinkSample } from "../decisions/links/mod.ts";
+import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
 import { type HostPort, splitAddress } from "../fleet/mod.ts";
 import {
@@ -36,13 +36,6 @@
   "DELETE",
 ]);
 
-/** Receives what attempts show about the links to endpoints. */
-export interface LinkObserver {
-  /** An attempt begins; `ended` follows. */
-  sent(): void;
-  ended(sample: LinkSample): void;
-}
-
 /** Options of the sender. */
 export interface HttpEndpointSenderOptions extends EndpointConnectionOptions {
   readonly links?: LinkObserver;
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -5,6 +5,7 @@
  */
 import type { Result } from "neverthrow";
 import { type Clock, fail, type Failure, failure } from "../core/mod.ts";
+import type { LinkChecker } from "../decisions/links/mod.ts";
 import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import type { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
@@ -25,7 +26,6 @@
   NOT_RUN_STATUSES,
 } from "./flow_result.ts";
 import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
-import type { LinkChecker } from "./link_checker.ts";
 import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
 import { Refusals } from "./refusals.ts";
 import type { RequestCodec } from "./request_codec.ts";
@@ -38,7 +38,7 @@
   readonly admission: Admission;
   readonly chooser: EndpointChooser;
   readonly signals: EndpointSignals;
-  readonly links: LinkChecker;
+  readonly links: LinkChecker<EndpointRow>;
   readonly forwarder: PeerForwarder;
   readonly sender: EndpointSender;
   readonly codec: RequestCodec;
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -23,14 +23,13 @@
   TrafficPlan,
 } from "../../traffic/mod.ts";
 import { Admission } from "../admission.ts";
-import type { LinkState } from "../../decisions/links/mod.ts";
+import { LinkChecker, type LinkState } from "../../decisions/links/mod.ts";
 import type { InstanceProfile } from "../../fleet/mod.ts";
 import type { Hop } from "../hop_headers.ts";
 import { EndpointLimits } from "../endpoint_limits.ts";
 import { EndpointChooser } from "../endpoint_chooser.ts";
 import { EndpointSignals } from "../endpoint_signals.ts";
 import { AccessLog } from "../access_log.ts";
-import { LinkChecker } from "../link_checker.ts";
 import { PeerForwarder } from "../peer_forwarder.ts";
 import type { RequestFields, ResponseFields } from "../request_codec.ts";
 import type { FlowResult } from "../flow_result.ts";
@@ -65,7 +64,7 @@
   readonly gone = new AbortController();
   readonly gate: StartGate;
   readonly signals: EndpointSignals;
-  readonly links: LinkChecker;
+  readonly links: LinkChecker<EndpointRow>;
   readonly peerSender: ScriptedSender;
   /** Whether probes reach their endpoints; they do not end if undefined. */
   reachesEndpoints: boolean | undefined = true;
--- a/src/gateway/slot_sender.ts
+++ b/src/gateway/slot_sender.ts
@@ -7,6 +7,7 @@
 import type { Readable } from "node:stream";
 import type { Result } from "neverthrow";
 import type { Clock, Failure, ServiceId } from "../core/mod.ts";
+import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import type { LinkBudgets } from "../decisions/regions/mod.ts";
 import type { EndpointStatement, Slot } from "../decisions/steering/mod.ts";
 import type {
@@ -37,6 +38,8 @@
   readonly links: LinkBudgets;
   /** Identity that this instance presents to other entry instances. */
   readonly identity: ForwardIdentity;
+  /** Receives what attempts show about the links to endpoints. */
+  readonly observer?: LinkObserver;
 }
 
 /** Sends requests to slots; failures are those of {@link EndpointClient}. */
@@ -54,9 +57,7 @@
     const { endpoints, clock, identity } = this.#deps;
     const { forward, url } = slot;
     if (forward === undefined) {
-      const onStatement = (statement: EndpointStatement) =>
-        slot.stated(statement, clock.now());
-      return await endpoints.send({ ...req, url, onStatement });
+      return await this.#sendDirectly(slot, req);
     }
     const startedAt = clock.now();
     const body = forward.crossesLink
@@ -73,6 +74,27 @@
     return answer.andThen((a) => checkPeerFailure(a));
   }
 
+  async #sendDirectly(
+    slot: Slot,
+    req: SlotRequest,
+  ): Promise<Result<EndpointAnswer, Failure>> {
+    const { endpoints, clock, observer } = this.#deps;
+    const { url } = slot;
+    let hasResponse = false;
+    const onStatement = (statement: EndpointStatement) => {
+      hasResponse = true;
+      slot.stated(statement, clock.now());
+    };
+    observer?.sent();
+    const answer = await endpoints.send({ ...req, url, onStatement });
+    const outcome = answer.isOk() || hasResponse
+      ? "response"
+      : linkOutcome(answer.error);
+    const isNewConnection = outcome === "failure";
+    observer?.ended({ address: url, outcome, isNewConnection });
+    return answer;
+  }
+
   /** Limits a request to another region to this instance's share of the link. */
   async #paceBody(
     to: Parameters<LinkBudgets["spend"]>[0],
@@ -84,3 +106,8 @@
     return body && pacedBody(body, link);
   }
 }
+
+/** What an attempt without any response says about the link. */
+function linkOutcome({ code }: Failure): LinkSample["outcome"] {
+  return code === "endpoint_failed" ? "failure" : "none";
+}
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -165,10 +165,11 @@
     this.#peerExchange.register(this.#budgets);
     this.#peerExchange.register(this.#steering.loadExchange);
     const document = () => this.#document;
-    const { dispatcher, links, retries } = this.#steering;
+    const { dispatcher, links, linkChecker, retries } = this.#steering;
     const sender = new SlotSender({
       ...deps,
       links,
+      observer: linkChecker.observer,
       identity: { instance: cfg.instance.id, incarnation: this.#incarnation },
     });
     const runner = new OperationDispatch({
--- a/src/instance/lost_links_test.ts
+++ b/src/instance/lost_links_test.ts
@@ -26,6 +26,10 @@
 
 const KEY = "test-key";
 const ENDPOINTS = 4;
+const REQUESTS = 200;
+const INTERVAL_MS = 20;
+/** What is promised of the rate at which instances that are not cut serve. */
+const MIN_SERVED_SHARE = 2 / 3;
 const clock = new SystemClock();
 
 /** Reaches everything but, while it is cut off, the endpoints. */
@@ -130,6 +134,7 @@
   return new Promise((resolve) => clock.after(ms, () => resolve()));
 }
 
+// Guards against instances that keep refusing callers while they reach no endpoint.
 test("callers of an instance that is cut off from all endpoints are served", async (t) => {
   const servers = await Promise.all(
     Array.from({ length: ENDPOINTS }, openEndpoint),
@@ -142,45 +147,24 @@
   const peer = await startInstance(platform, "peer", new HttpEndpointClient());
   const send = async () => {
     const res = await request(`${cut.callerUrl}/services/s/x`, {
-      headers: {
-        authorization: `Bearer ${KEY}`,
-        "x-magnoliahook-timeout-ms": "1000",
-      },
+      headers: { authorization: `Bearer ${KEY}`, "x-timeout-ms": "1000" },
     });
-    const text = await res.body.text();
-    return { status: res.statusCode, text };
+    await res.body.dump();
+    return res.statusCode === 200;
   };
-  for (let i = 0; i < 100; i++) {
-    const r = await send();
-    if (i % 20 === 0) console.log(r);
-    if (r.status === 200) break;
-    await pause(50);
-  }
-  await pause(1_000);
+  while (!await send()) await pause(INTERVAL_MS);
   client.isCut = true;
-  const seen: Record<string, number> = {};
-  const all: Promise<void>[] = [];
-  for (let i = 0; i < 200; i++) {
-    const at = performance.now();
-    all.push(
-      send().then(({ status, text }) => {
-        const took = Math.round((performance.now() - at) / 100) * 100;
-        const key = `${i < 100 ? "first" : "then"} ${status} ${took} ${
-          status === 200 ? "" : text.slice(0, 160)
-        }`;
-        seen[key] = (seen[key] ?? 0) + 1;
-      }),
-    );
-    await pause(20);
+  const sent: Promise<boolean>[] = [];
+  for (let i = 0; i < REQUESTS; i++) {
+    sent.push(send());
+    await pause(INTERVAL_MS);
   }
-  await Promise.all(all);
-  console.log(seen);
-  t.log(seen);
+  const served = (await Promise.all(sent)).filter((isServed) => isServed);
+  t.true(served.length >= REQUESTS * MIN_SERVED_SHARE, `${served.length}`);
   await cut.close();
   await peer.close();
   for (const server of servers) {
     server.close();
     server.closeAllConnections();
   }
-  t.pass();
 });
--- a/src/instance/steering.ts
+++ b/src/instance/steering.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type Log,
   type Metrics,
   type Random,
   type ServiceId,
@@ -19,6 +20,7 @@
 } from "../decisions/regions/mod.ts";
 import { DrainSet, DrainTracker } from "../decisions/drains/mod.ts";
 import { type EntryChoice, EntryChooser } from "../decisions/lookup/mod.ts";
+import { LinkChecker, type LinkTarget } from "../decisions/links/mod.ts";
 import { RetryPolicy } from "../decisions/retries/mod.ts";
 import {
   connectionShare,
@@ -42,6 +44,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
+  readonly log: Log;
   readonly endpoints: EndpointClient;
   readonly roster: Roster;
   readonly seats: SeatDirectory;
@@ -53,6 +56,8 @@
 }
 
 const IDLE_POLL_MS = 20;
+/** Time in which an endpoint answers a probe of the link, in milliseconds. */
+const LINK_PROBE_TIMEOUT_MS = 500;
 
 /** The load-balancing components of one instance. */
 export class Steering {
@@ -63,6 +68,7 @@
   readonly links: LinkBudgets;
   readonly loadExchange: LoadExchange;
   readonly prober: Prober;
+  readonly linkChecker: LinkChecker<LinkTarget>;
   readonly retries: RetryPolicy;
   readonly entries: EntryChooser;
   readonly drains: DrainTracker;
@@ -86,6 +92,7 @@
       local: this.local,
       remoteCapacity,
       links: this.links,
+      reachesEndpoints: () => this.#reachesEndpoints,
     });
     this.forwardedAdmission = new ForwardedAdmission({
       region,
@@ -93,9 +100,10 @@
       grants,
       links: this.links,
       document: deps.document,
-      closed: () => this.closed,
+      closed: () => this.closed || !this.#reachesEndpoints,
     });
     this.prober = this.#makeProber();
+    this.linkChecker = this.#makeLinkChecker();
     this.entries = new EntryChooser(deps.random);
     this.drains = new DrainTracker({
       metrics: deps.metrics,
@@ -146,6 +154,7 @@
     this.dispatcher.tick(now);
     this.loadExchange.tick(now);
     this.prober.tick(now);
+    this.linkChecker.tick();
     this.drains.tick(now);
     this.#observeLoads(now);
   }
@@ -203,6 +212,28 @@
     return all === 0 ? 0 : held / all;
   }
 
+  get #reachesEndpoints(): boolean {
+    return this.linkChecker.state === "up";
+  }
+
+  #makeLinkChecker(): LinkChecker<LinkTarget> {
+    const { clock, metrics, log, endpoints, roster } = this.#deps;
+    return new LinkChecker({
+      endpoints: (): LinkTarget[] =>
+        this.local.rows().map(({ entry }) => ({
+          address: entry.url,
+          zone: entry.zone,
+        })),
+      probe: async ({ address }) =>
+        (await endpoints.probe(address, LINK_PROBE_TIMEOUT_MS)).isOk(),
+      onChange: () => {},
+      servingPeers: () => roster.live().length,
+      clock,
+      log,
+      metrics,
+    });
+  }
+
   #makeProber(): Prober {
     const { cfg, clock, metrics, random, endpoints, roster } = this.#deps;
     const { id, zone } = cfg.instance;
--- a/src/instance/steering_test.ts
+++ b/src/instance/steering_test.ts
@@ -10,6 +10,7 @@
   type RegionId,
   SeededRandom,
   type ServiceId,
+  SilentLog,
   type ZoneId,
 } from "../core/mod.ts";
 import { EvenSlotLimits, type Slot } from "../decisions/steering/mod.ts";
@@ -79,6 +80,7 @@
       cfg,
       clock,
       metrics,
+      log: new SilentLog(),
       seats,
       random: new SeededRandom(seed),
       endpoints: READY,
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -71,6 +71,10 @@
     return this.record.address;
   }
 
+  get zone(): ZoneId {
+    return this.record.zone;
+  }
+
   /** Records a load report. */
   applyReport(report: LoadReport, now: number): void {
     this.report = report;
