Open no connection for a request that is to reuse one

While only open connections work, an endpoint counted as usable although its open connection was idle for too long to be reused. The request then went out on a new one, and a request that may run once was lost to the reset. The sender now withholds such a request; it is no attempt, and goes to another instance. The new test does not compile against the sender before, which had no such check.

--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -58,7 +58,8 @@
 
   /** Whether a request to an address could reuse a connection. */
   hasIdle(address: HostPort): boolean {
-    return this.freeSockets[this.getName(address)] !== undefined;
+    const idle = this.freeSockets[this.getName(address)] ?? [];
+    return idle.some((socket) => !socket.destroyed);
   }
 
   /** Closes connections to an address that were idle for `idleMs` or longer. */
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -23,6 +23,8 @@
   readonly requestId: string;
   /** Checked right before the first byte would be sent; false withholds it. */
   readonly maySend: () => boolean;
+  /** Checked before a connection would be opened; false withholds it. */
+  readonly mayConnect: () => boolean;
   /** Called when the header of the response to this request arrives. */
   readonly onHead: (fields: ResponseFields) => void;
 }
@@ -70,7 +72,7 @@
     readonly fields: ResponseFields;
     readonly body: ResponseBody;
   }
-  /** No byte of the request was sent, since `maySend` returned false. */
+  /** No byte was sent, since `maySend` or `mayConnect` returned false. */
   | { readonly kind: "withheld" }
   /** No byte of the request was sent. */
   | { readonly kind: "unsent"; readonly reason: string }
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -72,7 +72,8 @@
     address: HostPort,
     outgoing: OutgoingRequest,
   ): PendingSend {
-    if (!outgoing.maySend()) return settled({ kind: "withheld" });
+    const canSend = this.#connections.hasIdle(address) || outgoing.mayConnect();
+    if (!canSend || !outgoing.maySend()) return settled({ kind: "withheld" });
     let req: ClientRequest;
     try {
       req = request({
@@ -111,7 +112,9 @@
   }
 
   hasIdle(endpoint: Destination): boolean {
-    return this.#connections.hasIdle(splitAddress(endpoint.address));
+    const address = splitAddress(endpoint.address);
+    this.#connections.closeIdle(address, this.#idle.of(endpoint));
+    return this.#connections.hasIdle(address);
   }
 
   /**
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -16,6 +16,7 @@
     body: undefined,
     requestId,
     maySend: () => true,
+    mayConnect: () => true,
     onHead: () => {},
   };
 }
@@ -434,3 +435,27 @@
     endpoint.close();
   });
 }
+
+// Guards against new connections through a link on which only open ones work.
+test("a request that is to reuse a connection opens none", async (t) => {
+  const endpoint = await listenScripted((socket) => {
+    socket.write(response("Content-Length: 2\r\n", "ab"));
+  });
+  const clock = new ManualClock();
+  const sender = new HttpEndpointSender(new PlainCodec(), clock);
+  const row = endpointRow({ address: endpoint.address });
+  const reuse = { ...outgoing(), mayConnect: () => false };
+  const seen = [await sender.send(row, reuse).result];
+  seen.push(await sender.send(row, outgoing()).result);
+  t.true(sender.hasIdle(row));
+  seen.push(await sender.send(row, reuse).result);
+  // Longer than a connection may be idle.
+  clock.advance(60_000);
+  t.false(sender.hasIdle(row));
+  seen.push(await sender.send(row, reuse).result);
+  sender.close();
+  endpoint.close();
+  const want = ["withheld", "answer ab", "answer ab", "withheld"];
+  t.deepEqual(seen.map(summary), want);
+  t.is(endpoint.connections(), 1);
+});
--- a/src/edge/peer_forwarder.ts
+++ b/src/edge/peer_forwarder.ts
@@ -130,6 +130,7 @@
       body: req.body,
       requestId: req.fields.requestId,
       maySend: () => true,
+      mayConnect: () => true,
       onHead: () => {},
     });
   }
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -231,6 +231,7 @@
       body: req.body,
       requestId: req.fields.requestId,
       maySend: () => signals.accepts(endpoint, clock.now()),
+      mayConnect: () => this.#mayConnect(ctx),
       onHead: (fields) => signals.received(endpoint, fields),
     });
     let isLinkLost = false;
@@ -251,6 +252,12 @@
     return "resend";
   }
 
+  /** Whether a new connection may work, or nobody else serves the request. */
+  #mayConnect(ctx: RequestContext): boolean {
+    const { links, forwarder } = this.#opts;
+    return links.state === "up" || !forwarder.canForward(ctx);
+  }
+
   /** Waits for the result; cancels at the deadline or on disconnect. */
   async #awaitResult(
     sending: PendingSend,
