--- a/src/decisions/links/endpoint_links.ts
+++ b/src/decisions/links/endpoint_links.ts
@@ -13,6 +13,7 @@
  *
  * @module
  */
+
 /** Which connections to endpoints work. */
 export type LinkState =
   | "up"
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -235,13 +235,13 @@
       onHead: (fields) => signals.received(endpoint, fields),
     });
     let isLinkLost = false;
-    const linkTimer = links.onDown(() => {
+    const linkListener = links.onDown(() => {
       if (!this.#takeRetryIfIdempotent(ctx)) return;
       isLinkLost = true;
       sending.cancel();
     });
     const result = await this.#awaitResult(sending, ctx);
-    linkTimer.close();
+    linkListener.close();
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
     if (hasArrived(result)) ctx.arrivals++;
