--- a/tools/process_soak/cut_checker.ts
+++ b/tools/process_soak/cut_checker.ts
@@ -79,12 +79,21 @@
       if (isServed) cut.whole.served++;
       if (isServed && isFast) cut.whole.fast++;
       if (sentAt < cut.since + DETECTION_MS) continue;
-      const counts = cut.instances.has(instance) ? cut.there : cut.elsewhere;
+      const isCut = cut.instances.has(instance);
+      if (!isCut && this.#isCutOff(instance, sentAt)) continue;
+      const counts = isCut ? cut.there : cut.elsewhere;
       counts.total++;
       if (isServed) counts.served++;
     }
   }
 
+  /** Whether any cut affects an instance at a moment. */
+  #isCutOff(instance: string, at: number): boolean {
+    return this.#cuts.some(({ instances, since, until }) =>
+      instances.has(instance) && at >= since && at <= until
+    );
+  }
+
   /** Checks all cuts once every attempt has ended. */
   finish(): void {
     for (const cut of this.#cuts) this.#check(cut);
