Count attempts at cut instances in the soak only while another could serve

An attempt at a cut instance counts now while some instance is neither cut nor disturbed; bounds are as they were.

--- a/tools/process_soak/cut_checker.ts
+++ b/tools/process_soak/cut_checker.ts
@@ -43,6 +43,8 @@
 export interface CutCheckerOptions {
   /** Whether an instance and the store were undisturbed before a moment. */
   readonly isCalm: (instance: string, at: number) => boolean;
+  /** Every instance. */
+  readonly instances: () => readonly string[];
   readonly onViolation: (property: string, detail: string) => void;
 }
 
@@ -79,6 +81,7 @@
       if (isServed) cut.whole.served++;
       if (isServed && isFast) cut.whole.fast++;
       if (sentAt < cut.since + DETECTION_MS) continue;
+      if (!this.#canBeServed(sentAt)) continue;
       const isCut = cut.instances.has(instance);
       if (!isCut && this.#isCutOff(instance, sentAt)) continue;
       const counts = isCut ? cut.there : cut.elsewhere;
@@ -87,6 +90,12 @@
     }
   }
 
+  /** Whether an undisturbed instance reached the endpoints at a moment. */
+  #canBeServed(at: number): boolean {
+    const { instances, isCalm } = this.#opts;
+    return instances().some((id) => isCalm(id, at) && !this.#isCutOff(id, at));
+  }
+
   /** Whether any cut affects an instance at a moment. */
   #isCutOff(instance: string, at: number): boolean {
     return this.#cuts.some(({ instances, since, until }) =>
--- a/tools/process_soak/cut_checker_test.ts
+++ b/tools/process_soak/cut_checker_test.ts
@@ -31,29 +31,31 @@
   };
 }
 
-/** The findings when `x` is cut and refuses, and `other` is cut as well or not. */
-function findings(other: { readonly isCut: boolean }): string[] {
+/** The findings when `x` is cut and refuses, in the presence of `other`. */
+function findings(
+  other: { readonly isCut?: boolean; readonly isCalm?: boolean },
+): string[] {
   const found: string[] = [];
   const checker = new CutChecker({
-    isCalm: () => true,
+    isCalm: (id) => id === "x" || other.isCalm !== false,
+    instances: () => ["x", "other"],
     onViolation: (property) => found.push(property),
   });
   const until = Date.now() + CUT_MS;
   checker.cutOff(["x"], until);
+  for (let i = 0; i < 100; i++) checker.answered(attempt("other"), ANSWER);
   if (other.isCut) checker.cutOff(["other"], until);
-  for (let i = 0; i < 100; i++) {
-    checker.answered(attempt("x"), REFUSAL);
-    checker.answered(attempt("other"), ANSWER);
-  }
+  for (let i = 0; i < 100; i++) checker.answered(attempt("x"), REFUSAL);
   checker.finish();
   return found;
 }
 
 test("a cut instance that refuses is found by those that are not cut", (t) => {
-  t.is(findings({ isCut: false }).length, 1);
+  t.is(findings({}).length, 1);
 });
 
-// Guards against findings by instances that live on connections of another cut.
-test("instances of other cuts are no measure", (t) => {
+// Guards against findings where no instance could have served.
+test("attempts while every instance is cut or disturbed do not count", (t) => {
   t.deepEqual(findings({ isCut: true }), []);
+  t.deepEqual(findings({ isCalm: false }), []);
 });
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -100,6 +100,7 @@
     this.#opts = opts;
     this.random = new SeededRandom(opts.seed);
     this.checker = new PropertyChecker({
+      instances: () => this.instances.map((i) => i.opts.id),
       instance: (id) =>
         this.instances.find((i) => i.opts.id === id)?.disturbedAt ?? 0,
       freeze: (id) =>
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -34,6 +34,8 @@
 
 /** Times of the last disturbances, in milliseconds since the epoch. */
 export interface Disturbances {
+  /** Every instance. */
+  instances(): readonly string[];
   /** When an instance or its store link was last disturbed. */
   instance(id: string): number;
   /** When an instance was last frozen. */
@@ -97,6 +99,7 @@
     });
     this.#cuts = new CutChecker({
       isCalm: (instance, at) => this.#isCalm(instance, at),
+      instances: () => calm.instances(),
       onViolation: (property, detail) =>
         this.violations.push({
           atMs: Date.now() - this.#began,
