Do not count a killed process as stopping in the soak

The log and the trace: a1-1 began to stop at 7.248 s, all instances were killed at 7.490 s, and the second of two rolling stops reached a1-1 at 7.634 s, before its exit had shown. From then on the dead process counted as stopping, and at 7.726 s its callers learned of the broken connections.

--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -48,6 +48,8 @@
   stoppingSince: number | undefined;
   #child: ChildProcess | undefined;
   #frozen = false;
+  /** Whether the process got SIGKILL; its exit may show much later. */
+  #killed = false;
   #closed = false;
 
   constructor(opts: InstanceProcessOptions) {
@@ -75,6 +77,7 @@
     const { id, dir, program } = this.opts;
     this.life++;
     this.stoppingSince = undefined;
+    this.#killed = false;
     this.#markDisturbed();
     const flags = this.opts.nodeFlags ?? [];
     const child = spawn(process.execPath, [...flags, program], {
@@ -127,16 +130,17 @@
     this.#markDisturbed();
     // A graceful stop that ends in SIGKILL gives no guarantee.
     this.stoppingSince = undefined;
+    this.#killed = true;
     this.#child?.kill("SIGKILL");
   }
 
   /**
    * Stops the process gracefully, with SIGKILL after the grace period. A
-   * repeated call sends SIGTERM again.
+   * repeated call sends SIGTERM again; a killed process is not stopped.
    */
   stop(): void {
     const child = this.#child;
-    if (child === undefined) return;
+    if (child === undefined || this.#killed) return;
     this.#markDisturbed();
     if (this.stoppingSince !== undefined) return void child.kill("SIGTERM");
     this.stoppingSince = Date.now();
