--- a/src/instance/testing/local_fleet.ts
+++ b/src/instance/testing/local_fleet.ts
@@ -12,7 +12,10 @@
   SystemRandom,
 } from "../../core/mod.ts";
 import { DocumentStore, type SectionName, sha256 } from "../../document/mod.ts";
-import { HttpEndpointClient } from "../../endpoints/mod.ts";
+import {
+  type EndpointClient,
+  HttpEndpointClient,
+} from "../../endpoints/mod.ts";
 import { ConnectPeerTransport } from "../../peers/mod.ts";
 import { MemoryPlatform } from "../../store/mod.ts";
 import { parseSettings } from "../../settings/mod.ts";
@@ -74,7 +77,11 @@
     (await this.store.apply(edit))._unsafeUnwrap();
   }
 
-  async start(id: string): Promise<Instance> {
+  /** @param endpoints The instance's client; one for HTTP by default. */
+  async start(
+    id: string,
+    endpoints: EndpointClient = new HttpEndpointClient(),
+  ): Promise<Instance> {
     const cfg = parseSettings({
       instance: { id, zone: "z1", region: "r1" },
       platform: { url: "http://127.0.0.1:1" },
@@ -84,7 +91,7 @@
       cfg,
       platform: this.platform,
       transport: new ConnectPeerTransport(),
-      endpoints: new HttpEndpointClient(),
+      endpoints,
       clock: this.clock,
       random: new SystemRandom(),
       metrics: new MemoryMetrics(),
