Decide in one place whether a request goes to another instance

Three conditions said when a request is passed on: before the retry budget counts it, at each choice, and after an attempt that reached no endpoint. They agree; one method says it now. Asking whether a peer is left no longer draws a random number to pick one, and the pick uses sampleConsecutive.

The 119 tests of src/edge pass unchanged.

--- a/src/edge/peer_forwarder.ts
+++ b/src/edge/peer_forwarder.ts
@@ -7,7 +7,12 @@
  *
  * @module
  */
-import type { Clock, InstanceId, Random } from "../core/mod.ts";
+import {
+  type Clock,
+  type InstanceId,
+  type Random,
+  sampleConsecutive,
+} from "../core/mod.ts";
 import type { InstanceProfile } from "../fleet/mod.ts";
 import { splitAddress } from "../fleet/mod.ts";
 import type {
@@ -72,7 +77,7 @@
 
   /** Whether an instance is left that may take a request. */
   canForward(ctx: RequestContext): boolean {
-    return this.#nextPeer(ctx) !== undefined;
+    return this.#peersLeft(ctx).length > 0;
   }
 
   /**
@@ -84,8 +89,9 @@
     ctx: RequestContext,
     wait: (sending: PendingSend) => Promise<SendResult>,
   ): Promise<ForwardResult> {
+    const { random } = this.#opts;
     for (;;) {
-      const peer = this.#nextPeer(ctx);
+      const [peer] = sampleConsecutive(this.#peersLeft(ctx), 1, random);
       if (peer === undefined) return { kind: "no-peer" };
       ctx.peersTried.add(peer.id);
       const result = await wait(this.#send(ctx, peer));
@@ -107,13 +113,10 @@
     }
   }
 
-  #nextPeer(ctx: RequestContext): InstanceProfile | undefined {
-    if (ctx.req.hop !== undefined) return undefined;
-    if (ctx.peersTried.size >= MAX_PEERS) return undefined;
-    const left = this.#opts.peersFor(ctx).filter(({ id }) =>
-      !ctx.peersTried.has(id)
-    );
-    return left[this.#opts.random.below(Math.max(1, left.length))];
+  #peersLeft(ctx: RequestContext): readonly InstanceProfile[] {
+    if (ctx.req.hop !== undefined) return [];
+    if (ctx.peersTried.size >= MAX_PEERS) return [];
+    return this.#opts.peersFor(ctx).filter(({ id }) => !ctx.peersTried.has(id));
   }
 
   #send(ctx: RequestContext, peer: InstanceProfile): PendingSend {
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -88,7 +88,7 @@
     if (admitted.isErr()) return this.#refusals.refuse(req, admitted.error);
     const ctx = admitted.value;
     // The instance that sends it to an endpoint counts it.
-    if (!ctx.counted && !this.#mustForward(ctx)) {
+    if (!ctx.counted && !this.#goesToPeer(ctx)) {
       retries.request(ctx.service, clock.now());
       ctx.counted = true;
     }
@@ -102,10 +102,15 @@
       planVersion() >= hop.planVersion;
   }
 
-  /** Whether no endpoint can be reached but another instance reaches them. */
-  #mustForward(ctx: RequestContext): boolean {
+  /**
+   * Whether a request is passed on: no endpoint can be reached or, while that is
+   * being checked, it reached none of those tried.
+   */
+  #goesToPeer(ctx: RequestContext): boolean {
     const { links, forwarder } = this.#opts;
-    return links.state === "down" && forwarder.canForward(ctx);
+    const isUnsent = ctx.arrivals === 0 && ctx.tried.size > 0;
+    const isLost = links.state === "down" || links.isDoubtful && isUnsent;
+    return isLost && forwarder.canForward(ctx);
   }
 
   /** Tries endpoints one after another until there is a result. */
@@ -138,9 +143,7 @@
     now: number,
   ): Result<EndpointRow, Failure> | "peer" {
     const { links, chooser, forwarder, sender } = this.#opts;
-    const isUnsent = ctx.arrivals === 0 && ctx.tried.size > 0;
-    const mustForward = links.state === "down" || links.isDoubtful && isUnsent;
-    if (mustForward && forwarder.canForward(ctx)) return "peer";
+    if (this.#goesToPeer(ctx)) return "peer";
     switch (links.state) {
       case "up":
         return chooser.choose(ctx, now);
@@ -286,7 +289,8 @@
       case "answer":
         return this.#handleResponse(ctx, endpoint, result);
       case "unsent":
-        if (this.#canForwardUnsent(ctx)) return undefined;
+        // Nothing was sent, so that another instance spends no retry.
+        if (ctx.arrivals === 0 && this.#goesToPeer(ctx)) return undefined;
         if (this.#takeRetry(ctx)) return undefined;
         return this.#refusals.shed(ctx, endpoint);
       case "not-run":
@@ -307,12 +311,6 @@
     }
   }
 
-  /** Whether a request that reached no endpoint goes to another instance. */
-  #canForwardUnsent(ctx: RequestContext): boolean {
-    const { links, forwarder } = this.#opts;
-    return ctx.arrivals === 0 && links.isDoubtful && forwarder.canForward(ctx);
-  }
-
   /** Passes a response on, unless it is invalid or failed and can be retried. */
   #handleResponse(
     ctx: RequestContext,
