--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -49,18 +49,8 @@
 
   /** Records an endpoint's response that is passed on to the caller. */
   answered(ctx: RequestContext, endpoint: EndpointRow, status: number): void {
-    const tookMs = this.#clock.now() - ctx.req.arrivedAt;
-    const { service } = ctx;
     const result = status < 500 ? "answered" : "endpoint_error";
-    this.#metrics.count("requests", { service, result });
-    this.#metrics.timing("request.duration", tookMs, { service });
-    if (status < 500 && !isSampled(ctx.req.fields.requestId)) return;
-    this.#log.event("request_answered", {
-      ...this.#requestFields(ctx),
-      endpoint: endpoint.id,
-      status,
-      tookMs: Math.round(tookMs),
-    });
+    this.#responded(ctx, result, { endpoint: endpoint.id, status });
   }
 
   /** Records a response that another instance passed on or made. */
@@ -72,20 +62,8 @@
       readonly status: number;
     },
   ): void {
-    const { status, peer, endpoint } = by;
-    const tookMs = this.#clock.now() - ctx.req.arrivedAt;
-    const { service } = ctx;
-    const result = status < 500 ? "answered_by_peer" : "failed_at_peer";
-    this.#metrics.count("requests", { service, result });
-    this.#metrics.timing("request.duration", tookMs, { service });
-    if (status < 500 && !isSampled(ctx.req.fields.requestId)) return;
-    this.#log.event("request_answered", {
-      ...this.#requestFields(ctx),
-      endpoint,
-      peer,
-      status,
-      tookMs: Math.round(tookMs),
-    });
+    const result = by.status < 500 ? "answered_by_peer" : "failed_at_peer";
+    this.#responded(ctx, result, by);
   }
 
   /** Records a refusal or failure; without a context, one before admission. */
@@ -129,6 +107,30 @@
     this.#metrics.count("endpoint.shed", { endpoint: endpoint.id, attempt });
   }
 
+  /** Counts a response, and logs a failure or a sample. */
+  #responded(
+    ctx: RequestContext,
+    result: string,
+    by: {
+      readonly endpoint: EndpointId | undefined;
+      readonly peer?: InstanceId;
+      readonly status: number;
+    },
+  ): void {
+    const tookMs = this.#clock.now() - ctx.req.arrivedAt;
+    const { service } = ctx;
+    this.#metrics.count("requests", { service, result });
+    this.#metrics.timing("request.duration", tookMs, { service });
+    if (by.status < 500 && !isSampled(ctx.req.fields.requestId)) return;
+    this.#log.event("request_answered", {
+      ...this.#requestFields(ctx),
+      endpoint: by.endpoint,
+      peer: by.peer,
+      status: by.status,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
   /** Log fields of a request, its route and its attempts. */
   #requestFields(ctx: RequestContext): LogFields {
     const { req, route, account, service, planVersion, tried } = ctx;
