Copy no header fields of requests that come from callers

The fields of the hop were removed from each request, which copied all of its header fields and lowered the case of their names before an endpoint was chosen. Only requests of other instances have them; PeerForwarder removes a caller's own before it adds its. A caller's field with that prefix reaches the endpoint again, as before requests were passed on. No figure: the copy was not measured.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -147,7 +147,7 @@
     });
     const result = await handle({
       method: req.method ?? "GET",
-      headers: withoutHopFields(rawHeaders),
+      headers: hop === undefined ? rawHeaders : withoutHopFields(rawHeaders),
       hop,
       fields,
       body,
