Ask an endpoint itself whether it ends, and drop an argument nobody reads

Drains or leaves was asked in TrafficState.eligible and EndpointHandler, and the links' probes asked for draining only although they are to be endpoints that accept requests: EndpointRow.isEnding serves the three, so that an endpoint that announced its leaving is no longer probed. LinkChecker's onChange passed a state that both users ignored.

--- a/src/decisions/links/link_checker.ts
+++ b/src/decisions/links/link_checker.ts
@@ -25,8 +25,8 @@
   readonly endpoints: () => Iterable<T>;
   /** Whether a new connection to an endpoint works. */
   readonly probe: (endpoint: T) => Promise<boolean>;
-  /** Called with the new state, and since when new connections had failed. */
-  readonly onChange: (state: LinkState, failingSince: number) => void;
+  /** Called with the time since which new connections had failed. */
+  readonly onChange: (failingSince: number) => void;
   /** Number of instances that reach the endpoints, as far as is known. */
   readonly servingPeers: () => number;
   readonly clock: Clock;
@@ -124,7 +124,7 @@
       failingMs: Math.round(clock.now() - failingSince),
       servingPeers: servingPeers(),
     });
-    onChange(state, failingSince);
+    onChange(failingSince);
     if (state !== "down") return;
     for (const listener of [...this.#listeners]) listener();
     this.#listeners.clear();
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -126,9 +126,9 @@
     };
     this.#links = new LinkChecker({
       endpoints: () =>
-        [...this.#state.endpoints.rows()].filter((row) => !row.record.draining),
+        [...this.#state.endpoints.rows()].filter((row) => !row.isEnding),
       probe: (row) => this.#sender.probe(row, this.#healthPathOf(row)),
-      onChange: (_state, failingSince) => this.#onLinksChanged(failingSince),
+      onChange: (failingSince) => this.#onLinksChanged(failingSince),
       servingPeers: () => this.#member.serving().length,
       clock,
       log,
--- a/src/edge/steering_handlers.ts
+++ b/src/edge/steering_handlers.ts
@@ -102,8 +102,7 @@
     const row = this.#state.endpoints.get(id);
     if (row === undefined || this.#pendingRemovals.has(id)) return;
     const holdMs = this.#expiry.holdMs(this.#clock.now());
-    const isLeaving = row.record.draining || row.leaving;
-    if (holdMs <= 0 || isLeaving) return this.#removeNow(id, "gone");
+    if (holdMs <= 0 || row.isEnding) return this.#removeNow(id, "gone");
     const timer = this.#clock.after(holdMs, () => {
       this.#pendingRemovals.delete(id);
       this.#removeNow(id, "lapsed");
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -124,7 +124,7 @@
         this.reachesEndpoints === undefined
           ? new Promise(() => {})
           : Promise.resolve(this.reachesEndpoints),
-      onChange: (_state, since) => this.#chooser.linksLost(since),
+      onChange: (since) => this.#chooser.linksLost(since),
       servingPeers: () => setup.peers?.length ?? 0,
       clock,
       log: this.log,
--- a/src/edge/traffic_state.ts
+++ b/src/edge/traffic_state.ts
@@ -112,7 +112,7 @@
     const cached = this.#eligible.get(key);
     if (cached !== undefined) return cached;
     const rows = this.endpoints.ofService(service).filter((row) =>
-      !row.record.draining && !row.leaving &&
+      !row.isEnding &&
       !this.#evacuated.has(row.record.zone) &&
       (regions === undefined || regions.has(row.region))
     );
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -66,6 +66,11 @@
     return this.record.id;
   }
 
+  /** Whether it drains or announced its leaving, and gets no new requests. */
+  get isEnding(): boolean {
+    return this.record.draining || this.leaving;
+  }
+
   /** Host and port. */
   get address(): string {
     return this.record.address;
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -134,8 +134,8 @@
     name: "a drain is ignored",
     fault: {
       file: "traffic_state.ts",
-      text: "!row.record.draining && ",
-      replacement: "",
+      text: "!row.isEnding",
+      replacement: "!row.leaving",
     },
     only: ["endpoint drain"],
     property: "an endpoint that leaves gets no new work",
