Let no endpoint set the fields between instances

A response of an endpoint that carried magnoliahook-declined would pass, at the instance that passed its request on, for a refusal of the other instance: a request that ran would be sent again, one that may run once included. magnoliahook-endpoint could name another endpoint. Found by reading; no run shows it. The instance that serves a peer's request now removes such fields from the endpoint's response before it adds its own. The new test failed before (declined was passed on).

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -23,7 +23,7 @@
   readHop,
   withoutHopFields,
 } from "./hop_headers.ts";
-import { closeAtOnce, listenAt } from "./listening.ts";
+import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { FlowResult } from "./flow_result.ts";
 import type { CallerRequest } from "./request_context.ts";
@@ -81,6 +81,11 @@
     return server;
   }
 
+  /** The port on which it listens. */
+  get port(): number {
+    return boundPort(this.#server);
+  }
+
   /** Sets the idle timeout in milliseconds and the maximum body size. */
   applyLimits(
     limits: { readonly idleMs: number; readonly bodyBytes: number },
@@ -191,10 +196,10 @@
   ): Promise<void> {
     const { bytes, remainder } = response.body;
     const { endpoint } = response;
-    const headers = this.#opts.codec.callerHeaders(response.headers);
-    if (this.#fromPeers && endpoint !== undefined) {
-      headers.push(...endpointField(endpoint));
-    }
+    const passedOn = this.#opts.codec.callerHeaders(response.headers);
+    const headers = this.#fromPeers && endpoint !== undefined
+      ? [...withoutHopFields(passedOn), ...endpointField(endpoint)]
+      : passedOn;
     res.writeHead(response.status, [...headers, ...this.#connectionHeaders()]);
     if (remainder === undefined) {
       res.end(bytes);
