--- a/src/decisions/placement/idle_timeouts.ts
+++ b/src/decisions/placement/idle_timeouts.ts
@@ -12,6 +12,7 @@
  *
  * @module
  */
+
 /** Used where the endpoint advertises no keep-alive timeout. */
 const DEFAULT_IDLE_MS = 4_000;
 /**
