--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -49,6 +49,10 @@
     }
   }
 
+  get id() {
+    return this.#opts.id;
+  }
+
   get caller() {
     return { host: this.#opts.host, port: 18389 };
   }
--- a/review/lib/plan.mjs
+++ b/review/lib/plan.mjs
@@ -1,6 +1,6 @@
 // The operator's manifest, as PROTOCOL.md lays it out.
 
-const KEY = "tnfzs989anu6wsjnbanf";
+export const KEY = "tnfzs989anu6wsjnbanf";
 
 export function writePlan(store, version, { routes, services, tenants }) {
   const Resources = [
@@ -60,5 +60,3 @@
     Resources,
   });
 }
-
-export { KEY };
