--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -57,12 +57,14 @@
   const dir = mkdtempSync(join(tmpdir(), "review-"));
   const open = [];
   let result = NOT_RUN;
-  const guard = setTimeout(() => {
-    record.note("not run: the case took too long");
+  const giveUp = (why) => {
+    record.note(`not run: ${why}`);
     record.write(file);
     for (const { pid } of open) if (pid !== undefined) end(pid);
     process.exit(NOT_RUN);
-  }, 110_000);
+  };
+  const guard = setTimeout(() => giveUp("the case took too long"), 110_000);
+  process.on("uncaughtException", (cause) => giveUp(cause.stack ?? cause));
   try {
     record.note(`disruption: ${TROUBLE ? "yes" : "no"}`);
     result = await play(record, dir, open) ? HELD : BROKEN;
