--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -19,9 +19,10 @@
 const UPLOADS_AT_ONCE = TROUBLE ? 3 : 1;
 const UPLOAD_WORK_MS = 1_000;
 const TIMEOUT_S = 6;
-/** The usual traffic: clients on kept connections with short requests. */
-const CLIENTS = 12;
-const WORK_MS = 400;
+/** The usual traffic: clients on kept connections with small requests. */
+const CLIENTS = 24;
+/** The mean work of the site file's `alert-signups`. */
+const WORK_MS = 1_160;
 /** Requests that may be cut before the rule is broken. */
 const MAY_BE_CUT = 3;
 
@@ -55,7 +56,7 @@
         id: `i-${service}-${zone}`,
         service,
         zone,
-        slots: 20,
+        slots: 40,
         workMs: service === "signup" ? WORK_MS : UPLOAD_WORK_MS,
       });
       target.register(store);
@@ -86,8 +87,9 @@
   const usual = [];
   let stop = false;
   const loops = Array.from({ length: CLIENTS }, async (_, k) => {
-    let client = new Client(instance.caller);
+    const client = new Client(instance.caller);
     open.push(client);
+    await sleep(k * WORK_MS / CLIENTS);
     for (let n = 0; !stop; n++) {
       const result = await send(client, `/signups/${k}-${n}`, "details");
       usual.push({ ...result, kept: n > 0 });
@@ -95,7 +97,7 @@
       if (result.kind === "cut") return;
     }
   });
-  await sleep(1_500);
+  await sleep(3 * WORK_MS);
   const body = Buffer.alloc(UPLOAD_BYTES, "scan ");
   const uploads = [];
   for (let n = 0; n < UPLOADS && !platform.killed; n += UPLOADS_AT_ONCE) {
@@ -145,7 +147,7 @@
       `${MEMORY_MB} MB${platform.killed ? ", killed" : ""}`,
   );
   record.note(
-    `${usual.length} short requests, ${answered.length} answered 200`,
+    `${usual.length} small requests, ${answered.length} answered 200`,
   );
   const broken = cut.length > MAY_BE_CUT;
   record.note(
