Read the machine's memory and link, and the host slowdown of endpoints

The next parts decide by the memory limit and the bandwidth of a machine, by whether affinity keys have replica sets, and by the fourth figure of a load report, none of which was read. They are now in the settings and in LoadReport; nothing uses them yet, and replica sets are off.

--- a/src/edge/edge_settings.ts
+++ b/src/edge/edge_settings.ts
@@ -17,6 +17,12 @@
   readonly zones: ReadonlyMap<ZoneId, RegionId>;
   /** Capacity relative to other instances: its usable CPU cores. */
   readonly capacity: number;
+  /** Memory limit of the process in bytes; undefined if there is none. */
+  readonly memoryBytes?: number | undefined;
+  /** Bandwidth of the machine's link each way, in bytes a second. */
+  readonly linkBytesPerS?: number | undefined;
+  /** Whether affinity keys have a set of endpoints instead of two. */
+  readonly replicaSets?: boolean;
   readonly listen: {
     /** Host and port of the listener for callers. */
     readonly caller: string;
--- a/src/traffic/endpoint_table.ts
+++ b/src/traffic/endpoint_table.ts
@@ -29,6 +29,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the endpoint's host now, as a multiple of the usual;
+   * undefined if the endpoint does not report it.
+   */
+  readonly hostSlowdown?: number | undefined;
 }
 
 /** One instance's view of an endpoint. */
