Detect silent connections to the store within two seconds

The calls of the three kinds of an instance now end at evenly spaced times, 2.5 s apart for each kind, and return to them after a change. A call that is 0.5 s overdue is repeated on a new connection; if that is answered first, the calls of the other kinds are repeated on new connections too.

The test's `step` waits for more microtasks, since a watch passes through one more promise.

--- a/src/core/http_client.ts
+++ b/src/core/http_client.ts
@@ -23,6 +23,8 @@
   /** Timeout for the whole call, in milliseconds. */
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** Whether to use a connection of its own, since open ones may be silent. */
+  readonly newConnection?: boolean | undefined;
 }
 
 /** A complete response. */
@@ -33,7 +35,7 @@
 
 /** Sends requests over keep-alive connections. */
 export class HttpClient {
-  readonly #agent = new Agent({ keepAlive: true });
+  #agent = new Agent({ keepAlive: true });
   readonly #clock = new SystemClock();
   readonly #connectTimeoutMs: number;
 
@@ -66,6 +68,17 @@
     }
   }
 
+  /** Uses no connection opened before now for further calls. */
+  renewConnections(): void {
+    const previous = this.#agent;
+    this.#agent = new Agent({ keepAlive: true });
+    // Calls in progress keep their connections, which close after them.
+    previous.maxFreeSockets = 0;
+    for (const sockets of Object.values(previous.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   close(): void {
     this.#agent.destroy();
   }
@@ -78,7 +91,7 @@
       "content-length": Buffer.byteLength(body),
     };
     return new Promise((resolve, reject) => {
-      const agent = this.#agent;
+      const agent = call.newConnection === true ? false : this.#agent;
       const opts = { host, port, method, path, headers, agent, signal };
       const req = request(opts, (res) => {
         const chunks: Buffer[] = [];
--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -281,6 +281,12 @@
     help:
       "The store compacted the history of a kind; all its objects are read again",
   },
+  store_connection_silent: {
+    namespace: "steering",
+    fields: ["kind", "repeated"],
+    help:
+      "A waiting call to the store got no response while a new connection did; calls of the other kinds are repeated",
+  },
   store_lost: {
     namespace: "steering",
     fields: ["kind", "code"],
--- a/src/edge/steering_watchers.ts
+++ b/src/edge/steering_watchers.ts
@@ -11,6 +11,7 @@
   type ResourceClient,
   type ResourceHandler,
   ResourceWatcher,
+  WatchCalls,
 } from "../watcher/mod.ts";
 import type { EndpointRecord, TrafficPlan } from "../traffic/mod.ts";
 import type { SteeringSources } from "./steering_sources.ts";
@@ -43,7 +44,14 @@
   readonly #watchers: ReadonlyMap<string, ResourceWatcher<unknown>>;
 
   constructor(opts: SteeringWatchersOptions) {
-    const { sources, handlers, ...common } = opts;
+    const { sources, handlers, ...deps } = opts;
+    const calls = new WatchCalls({
+      ...deps,
+      kinds: RESOURCE_KINDS,
+      // The sources share the connections of one client.
+      renewConnections: () => sources.plans.renewConnections?.(),
+    });
+    const common = { ...deps, calls };
     const createWatcher = <T>(
       kind: string,
       source: ResourceClient<T>,
--- a/src/watcher/mod.ts
+++ b/src/watcher/mod.ts
@@ -6,3 +6,4 @@
 export * from "./resource_watcher.ts";
 export * from "./resource_client.ts";
 export * from "./relayed.ts";
+export * from "./watch_calls.ts";
--- a/src/watcher/resource_client.ts
+++ b/src/watcher/resource_client.ts
@@ -39,6 +39,12 @@
   readonly revision: number;
 }
 
+/** How a watch is sent. */
+export interface WatchOptions {
+  /** Whether to use a new connection, since open ones may be silent. */
+  readonly newConnection?: boolean;
+}
+
 /**
  * One kind of object in the store.
  *
@@ -53,7 +59,10 @@
     revision: number,
     waitMs: number,
     signal: AbortSignal,
+    opts?: WatchOptions,
   ): Promise<Result<Changes<T>, Failure>>;
+  /** Uses no connection opened before now for further calls of any kind. */
+  renewConnections?(): void;
   /** Decodes an object relayed by another instance; undefined if it is invalid. */
   read(raw: unknown): StoredEntry<T> | undefined;
 }
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -30,12 +30,8 @@
 } from "./resource_client.ts";
 import { ResourceCache } from "./resource_cache.ts";
 import type { RelayedChanges, RelayedSnapshot } from "./relayed.ts";
+import { type WatchCall, WatchCalls } from "./watch_calls.ts";
 
-/**
- * Timeout of a watch, in milliseconds. A half-open connection is detected only
- * when a call is overdue, so this bounds how long a drain or plan is missed.
- */
-const WATCH_TIMEOUT_MS = 3_000;
 /** Timeout of a watch while the store is unavailable, in milliseconds. */
 const OUTAGE_WATCH_TIMEOUT_MS = 100;
 /** Backoff after the first failure, in milliseconds. */
@@ -66,6 +62,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  /** The instance's waiting calls; only this watcher's if undefined. */
+  readonly calls?: WatchCalls;
   /** Relays changes from the store to peers. */
   readonly relay?: (changes: RelayedChanges) => void;
   readonly fetch?: FetchFromPeer;
@@ -82,6 +80,7 @@
   readonly #cache = new ResourceCache();
   readonly #catchup: Catchup;
   readonly #confirmation: ListConfirmation;
+  readonly #calls: WatchCalls;
   readonly #startedAt: number;
   #watches = false;
   #wake: (() => void) | undefined;
@@ -103,6 +102,11 @@
   constructor(opts: ResourceWatcherOptions<T>) {
     this.#opts = opts;
     this.#startedAt = opts.clock.now();
+    this.#calls = opts.calls ?? new WatchCalls({
+      ...opts,
+      kinds: [opts.kind],
+      renewConnections: () => opts.source.renewConnections?.(),
+    });
     this.#catchup = new Catchup(
       opts.clock,
       () => this.#catchUp().catch((cause) => this.#requireList(cause)),
@@ -264,12 +268,14 @@
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
-    const { source } = this.#opts;
+    const { source, kind } = this.#opts;
+    const { signal } = this.#abort;
     this.#confirmation.close();
-    const waitMs = this.#outageSince === undefined
-      ? WATCH_TIMEOUT_MS
-      : OUTAGE_WATCH_TIMEOUT_MS;
-    const seen = await source.watch(revision, waitMs, this.#abort.signal);
+    const call: WatchCall<T> = (waitMs, signal, opts) =>
+      source.watch(revision, waitMs, signal, opts);
+    const seen = this.#outageSince === undefined
+      ? await this.#calls.watch(kind, call, signal)
+      : await call(OUTAGE_WATCH_TIMEOUT_MS, signal);
     return seen.match((changes) => this.#apply(changes), (failed) => failed);
   }
 
@@ -336,7 +342,9 @@
   async #readFromStore(revision: number): Promise<boolean> {
     const { source, handler } = this.#opts;
     const { signal } = this.#abort;
-    const seen = await source.watch(revision, IMMEDIATE_TIMEOUT_MS, signal);
+    const seen = await source.watch(revision, IMMEDIATE_TIMEOUT_MS, signal, {
+      newConnection: true,
+    });
     if (signal.aborted) return true;
     if (seen.isOk()) {
       handler.setReachable(true);
@@ -397,7 +405,7 @@
   }
 
   async #recover(failed: Failure): Promise<void> {
-    const { kind, log, handler, clock, random } = this.#opts;
+    const { kind, log, handler, source, clock, random } = this.#opts;
     if (failed.code === "history_lost") {
       this.#revision = undefined;
       log.event("store_history_lost", { kind });
@@ -407,6 +415,7 @@
     if (this.#outageSince === undefined) {
       this.#outageSince = clock.now();
       handler.setReachable(false);
+      source.renewConnections?.();
       log.event("store_lost", { kind, code: failed.code });
     }
     const backoffMs = Math.min(
--- a/src/watcher/resource_watcher_test.ts
+++ b/src/watcher/resource_watcher_test.ts
@@ -102,9 +102,7 @@
   };
   const step = async () => {
     const done = resourceWatcher.step();
-    await Promise.resolve();
-    await Promise.resolve();
-    await Promise.resolve();
+    for (let i = 0; i < 8; i++) await Promise.resolve();
     clock.advance(1_000);
     await done;
   };
