Accept SIGHUP from the beginning of a start

The handler was installed once all listeners were open, so that SIGHUP 30 to 150 ms after the start ended the process. It is now installed before the settings are read, the loader ignores the signal until then, and a request that arrives during the start is carried out at its end. A request during a reload leads to one more read, so that an older text cannot be applied last.

--- a/src/edge/settings_watcher.ts
+++ b/src/edge/settings_watcher.ts
@@ -27,6 +27,8 @@
   readonly #opts: SettingsWatcherOptions<T>;
   #currentText: string;
   #timer: Timer | undefined;
+  #isReading = false;
+  #mustReadAgain = false;
 
   /** @param text The settings that are in force. */
   constructor(text: string, opts: SettingsWatcherOptions<T>) {
@@ -37,6 +39,18 @@
 
   /** Checks now; unreadable settings leave the previous ones in force. */
   async reload(): Promise<void> {
+    // Of two reads at once the older text could be applied last.
+    this.#mustReadAgain = this.#isReading;
+    if (this.#isReading) return;
+    this.#isReading = true;
+    do {
+      this.#mustReadAgain = false;
+      await this.#readOnce();
+    } while (this.#mustReadAgain);
+    this.#isReading = false;
+  }
+
+  async #readOnce(): Promise<void> {
     const { read, parse, onChange, log } = this.#opts;
     const text = await read();
     if (text.isOk() && text.value === this.#currentText) return;
@@ -60,3 +74,31 @@
     });
   }
 }
+
+/**
+ * Passes requests to reload the settings on, and keeps one that arrives before
+ * there is a watcher: while the instance starts.
+ *
+ * @example
+ * ```ts
+ * const requests = new ReloadRequests();
+ * process.on("SIGHUP", () => requests.request());
+ * requests.attach(watcher);
+ * ```
+ */
+export class ReloadRequests {
+  #watcher: Pick<SettingsWatcher<unknown>, "reload"> | undefined;
+  #isPending = false;
+
+  request(): void {
+    if (this.#watcher === undefined) this.#isPending = true;
+    else void this.#watcher.reload();
+  }
+
+  /** Sets the watcher, which checks now if a request is pending. */
+  attach(watcher: Pick<SettingsWatcher<unknown>, "reload">): void {
+    this.#watcher = watcher;
+    if (this.#isPending) void watcher.reload();
+    this.#isPending = false;
+  }
+}
--- a/src/edge/settings_watcher_test.ts
+++ b/src/edge/settings_watcher_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { err, ok, type Result } from "neverthrow";
 import { type Failure, failure, ManualClock, SilentLog } from "../core/mod.ts";
-import { SettingsWatcher } from "./settings_watcher.ts";
+import { ReloadRequests, SettingsWatcher } from "./settings_watcher.ts";
 
 function watch(texts: readonly (string | Failure)[]) {
   const seen: string[] = [];
@@ -43,3 +43,31 @@
   await Promise.resolve();
   t.deepEqual(seen, ["second"]);
 });
+
+// Guards against an older text in force: its read ends after that of a newer one.
+test("a request during a read leads to one more read after it", async (t) => {
+  const { settings, seen } = watch(["second", "third", "fourth"]);
+  const first = settings.reload();
+  void settings.reload();
+  void settings.reload();
+  await first;
+  t.deepEqual(seen, ["second", "third"]);
+});
+
+// Guards against a change that is lost because its signal arrives during a start.
+test("a request before there is a watcher is kept for it", (t) => {
+  const requests = new ReloadRequests();
+  let reloads = 0;
+  const watcher = {
+    reload: () => {
+      reloads++;
+      return Promise.resolve();
+    },
+  };
+  requests.request();
+  requests.request();
+  requests.attach(watcher);
+  t.is(reloads, 1);
+  requests.request();
+  t.is(reloads, 2);
+});
--- a/tools/bundle/loader.ts
+++ b/tools/bundle/loader.ts
@@ -9,9 +9,14 @@
  */
 import { existsSync, readFileSync } from "node:fs";
 import { basename, dirname, join } from "node:path";
+import process from "node:process";
 import { loadDaemon } from "./load_daemon.ts";
 import { CODE_CACHE, DAEMON } from "./program.ts";
 
+// Without a handler SIGHUP ends the process. The daemon's own is in place before
+// the event loop runs, so it also receives a signal that arrives until then.
+process.on("SIGHUP", () => {});
+
 const dir = dirname(__filename);
 const cache = join(dir, basename(CODE_CACHE));
 loadDaemon(
