Answer all pipelined requests that were forwarded, and none too late

Cause: while draining, each response had "Connection: close". Node.js sends the responses of a connection in request order, but destroys the socket after one with that field, so forwarded requests behind it were lost. After the listener was closed, connections without a first request were still read, and what they sent was forwarded and cut off at the end of the grace period. A response counted as sent once it was handed to the socket. The loss of a connection cancelled only the request whose response was next.

Change: CallerConnection keeps the requests of a connection in order. Only the response to the last forwarded request closes it, and requests behind are dropped. With the listener's close no request is started: connections without one are closed, a request that was not read in full is refused with 503. A parser error lets the forwarded requests before it end; their last response closes the connection.

Three pipelined requests and a drain 200 ms later: one answered before, three after.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -6,27 +6,30 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Clock, Failure, Log } from "../core/mod.ts";
-import { CancelSource, failure } from "../core/mod.ts";
-import type { BodySink } from "./endpoint_sender.ts";
-import { headerOf } from "./header_fields.ts";
+import type { Socket } from "node:net";
+import type { Clock, Log } from "../core/mod.ts";
+import { failure } from "../core/mod.ts";
 import {
-  declinedField,
-  endpointField,
-  readHop,
-  withoutHopFields,
-} from "./hop_headers.ts";
+  CallerConnection,
+  type PipelinedRequest,
+  type ServerStage,
+} from "./caller_connection.ts";
+import type { FlowResult } from "./flow_result.ts";
+import { headerOf } from "./header_fields.ts";
+import { readHop, withoutHopFields } from "./hop_headers.ts";
+import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
+import { parserErrorResponse } from "./parser_error.ts";
+import { readBody } from "./request_body.ts";
 import type { RequestCodec } from "./request_codec.ts";
-import type { FlowResult } from "./flow_result.ts";
 import type { CallerRequest } from "./request_context.ts";
+import { type CallerResponse, ResponseWriter } from "./response_writer.ts";
 
 /** Serves one request. */
 export type RequestHandler = (req: CallerRequest) => Promise<FlowResult>;
@@ -54,24 +57,43 @@
 /** Connections that may wait to be accepted in a burst of new callers. */
 const BACKLOG = 1_024;
 
+const HOST_MISSING = failure("bad_request", "the Host field is missing");
+const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
+const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
+const STOPPED = failure("not_ready", "this instance is stopping", {
+  outcome: "not-run",
+});
+
 /** Accepts callers' connections and serves their requests. */
 export class CallerServer {
   readonly #opts: CallerServerOptions;
   readonly #server: Server;
+  readonly #writer: ResponseWriter;
+  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #responses = new WeakMap<PipelinedRequest, CallerResponse>();
   #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
-  #draining = false;
-  #openRequests = 0;
+  #stage: ServerStage = "serving";
   #onIdle: (() => void) | undefined;
 
   private constructor(opts: CallerServerOptions) {
     this.#opts = opts;
+    const toPeers = opts.fromPeers === true;
+    this.#writer = new ResponseWriter(opts.codec, { toPeers });
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADER_TIMEOUT_MS,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       requestTimeout: 0,
       noDelay: true,
-    }, (req, res) => void this.#serve(req, res));
+      // Node.js would answer such a request and forward those behind it.
+      requireHostHeader: false,
+    });
+    this.#server.on("connection", (socket: Socket) => this.#connected(socket));
+    this.#server.on("request", (req, res) => this.#onRequest(req, res));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#onParserError(error, socket as Socket),
+    );
   }
 
   /** Starts a server; resolves once it accepts connections. */
@@ -94,62 +116,125 @@
     this.#maxBodyBytes = limits.bodyBytes;
   }
 
-  /** Sends `Connection: close` with every response from now on. */
+  /**
+   * Closes each connection from now on after the response to its last request
+   * that was forwarded.
+   */
   startDraining(): void {
-    this.#draining = true;
+    this.#stage = "draining";
   }
 
-  /** Accepts no new connections and closes idle ones. */
+  /**
+   * Accepts no new connections and starts no further requests. Connections are
+   * closed once the requests that were forwarded have their responses.
+   */
   stopListening(): void {
+    this.#stage = "stopped";
     this.#server.close();
-    this.#server.closeIdleConnections();
+    for (const connection of [...this.#connections.values()]) {
+      connection.stop();
+    }
   }
 
-  /** Resolves once no request is open. */
+  /**
+   * Resolves once all connections are closed after `stopListening`: the system
+   * has taken all bytes of all responses.
+   */
   whenIdle(): Promise<void> {
-    if (this.#openRequests === 0) return Promise.resolve();
+    if (this.#connections.size === 0) return Promise.resolve();
     return new Promise((resolve) => this.#onIdle = resolve);
   }
 
   /** Closes the listener and all connections immediately. */
   close(): Promise<void> {
+    for (const socket of this.#connections.keys()) socket.destroy();
     return closeAtOnce(this.#server);
   }
 
-  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    this.#openRequests++;
+  #connected(socket: Socket): void {
+    lingerOnClose(socket, this.#opts.clock);
+    const connection = new CallerConnection(socket, {
+      run: (request) => void this.#run(request),
+      refuseLate: (request) => this.#refuseLate(request),
+    }, () => this.#stage);
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      if (this.#connections.size === 0) this.#onIdle?.();
+    });
+    // It was accepted by the system before the listener was closed.
+    if (this.#stage === "stopped") connection.stop();
+  }
+
+  #onRequest(req: IncomingMessage, res: ServerResponse): void {
+    const connection = this.#connections.get(req.socket);
+    const request = connection?.add(req);
+    if (connection === undefined || request === undefined) return;
     res.sendDate = false;
+    res.once("finish", () => request.finish());
+    this.#responses.set(request, {
+      res,
+      signal: request.signal,
+      decideClose: () => request.decideClose(),
+    });
+    connection.startNext();
+  }
+
+  /**
+   * Answers what is no request. Requests before it that were forwarded get their
+   * responses, of which the last closes the connection.
+   */
+  #onParserError(error: Error & { code?: string }, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || error.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    if (connection.isEnding) return;
+    if (!connection.isAnswering && socket.writable) {
+      socket.write(parserErrorResponse(error.code));
+    }
+    connection.end();
+  }
+
+  async #run(request: PipelinedRequest): Promise<void> {
+    const to = this.#responses.get(request);
+    if (to === undefined) return;
     try {
-      await this.#respond(req, res);
+      await this.#respond(request, to);
     } catch (cause) {
       this.#opts.log.event("request_handler_failed", { cause: String(cause) });
-      res.destroy();
-    } finally {
-      this.#openRequests--;
-      if (this.#openRequests === 0) this.#onIdle?.();
+      to.res.destroy();
     }
   }
 
-  async #respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { codec, clock, handle } = this.#opts;
+  async #respond(
+    request: PipelinedRequest,
+    to: CallerResponse,
+  ): Promise<void> {
+    const { codec, clock, handle, fromPeers = false } = this.#opts;
+    const { req, signal } = request;
     const arrivedAt = clock.now();
     const { rawHeaders } = req;
     const fields = codec.readRequest(req.url ?? "/", rawHeaders);
-    const hop = this.#fromPeers ? readHop(rawHeaders) : undefined;
-    if (this.#fromPeers && hop === undefined) {
-      const bad = failure("bad_request", "the fields of the hop are missing");
-      return this.#refuse(res, bad, fields.requestId, 400);
+    const { requestId } = fields;
+    if (isHostMissing(req)) {
+      return this.#writer.refuse(to, HOST_MISSING, { requestId, status: 400 });
     }
-    const body = await readBody(req, this.#maxBodyBytes);
+    const hop = fromPeers ? readHop(rawHeaders) : undefined;
+    if (fromPeers && hop === undefined) {
+      return this.#writer.refuse(to, HOP_MISSING, { requestId, status: 400 });
+    }
+    const reading = readBody(req, { maxBytes: this.#maxBodyBytes, signal });
+    const body = reading instanceof Promise ? await reading : reading;
     if (body === "gone") return;
     if (body === "too_large") {
-      const large = failure("bad_request", "the body is too large");
-      return this.#refuse(res, large, fields.requestId, 413);
+      return this.#writer.refuse(to, BODY_TOO_LARGE, {
+        requestId,
+        status: 413,
+      });
     }
-    const disconnected = new CancelSource();
-    res.once("close", () => {
-      if (!res.writableFinished) disconnected.abort();
-    });
+    if (!request.forward()) return;
     const result = await handle({
       method: req.method ?? "GET",
       headers: hop === undefined ? rawHeaders : withoutHopFields(rawHeaders),
@@ -157,101 +242,33 @@
       fields,
       body,
       arrivedAt,
-      signal: disconnected,
+      signal,
     });
     switch (result.kind) {
       case "gone":
-        return void res.destroy();
+        return void to.res.destroy();
       case "refusal":
-        return this.#refuse(res, result.failure, fields.requestId);
+        return this.#writer.refuse(to, result.failure, { requestId });
       case "answer":
-        return await this.#relay(res, result);
-    }
-  }
-
-  #refuse(
-    res: ServerResponse,
-    why: Failure,
-    requestId: string,
-    status?: number,
-  ): void {
-    const reply = this.#opts.codec.refusal(why, requestId);
-    const length = ["Content-Length", String(Buffer.byteLength(reply.body))];
-    const declined = this.#fromPeers && why.code === "not_ready"
-      ? declinedField()
-      : [];
-    const headers = [
-      ...reply.headers,
-      ...declined,
-      ...length,
-      ...this.#connectionHeaders(),
-    ];
-    res.writeHead(status ?? reply.status, headers);
-    res.end(reply.body);
-  }
-
-  async #relay(
-    res: ServerResponse,
-    response: Extract<FlowResult, { kind: "answer" }>,
-  ): Promise<void> {
-    const { bytes, remainder } = response.body;
-    const { endpoint } = response;
-    const passedOn = this.#opts.codec.callerHeaders(response.headers);
-    const headers = this.#fromPeers && endpoint !== undefined
-      ? [...withoutHopFields(passedOn), ...endpointField(endpoint)]
-      : passedOn;
-    res.writeHead(response.status, [...headers, ...this.#connectionHeaders()]);
-    if (remainder === undefined) {
-      res.end(bytes);
-      return;
+        return this.#writer.relay(to, result);
     }
-    res.write(bytes);
-    await new Promise<void>((resolve) => {
-      res.on("drain", () => remainder.resume());
-      res.once("close", () => {
-        if (!res.writableFinished) remainder.cancel();
-        resolve();
-      });
-      remainder.pipe(bodySinkOf(res));
-    });
   }
 
-  get #fromPeers(): boolean {
-    return this.#opts.fromPeers === true;
+  /** Refuses a request that was not read in full before the listener closed. */
+  #refuseLate(request: PipelinedRequest): void {
+    const to = this.#responses.get(request);
+    if (to === undefined) return;
+    const { codec } = this.#opts;
+    const { req, signal } = request;
+    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+    this.#writer.refuse(to, STOPPED, { requestId: fields.requestId });
+    signal.abort();
+    req.resume();
   }
-
-  #connectionHeaders(): string[] {
-    return this.#draining ? ["Connection", "close"] : [];
-  }
-}
-
-function bodySinkOf(res: ServerResponse): BodySink {
-  return {
-    data: (chunk) => res.write(chunk),
-    end: () => void res.end(),
-    // The caller must not mistake a partial response for a complete one.
-    fail: () => void res.destroy(),
-  };
 }
 
-/** Reads a body to its end. */
-function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined | "gone" | "too_large"> {
-  const declared = headerOf(req.rawHeaders, "content-length");
-  const chunked = headerOf(req.rawHeaders, "transfer-encoding") !== undefined;
-  if (declared === undefined && !chunked) return Promise.resolve(undefined);
-  if (Number(declared) > maxBytes) return Promise.resolve("too_large");
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
-    });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
-    req.on("close", () => resolve("gone"));
-  });
+/** HTTP/1.1 requires the field. */
+function isHostMissing(req: IncomingMessage): boolean {
+  return req.httpVersion === "1.1" &&
+    headerOf(req.rawHeaders, "host") === undefined;
 }
--- /dev/null
+++ b/src/edge/testing/held_requests.ts
@@ -0,0 +1,82 @@
+/**
+ * A caller server whose requests end when a test says so.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { SilentLog, SystemClock } from "../../core/mod.ts";
+import { CallerServer, type CallerServerOptions } from "../caller_server.ts";
+import type { FlowResult } from "../flow_result.ts";
+import type { CallerRequest } from "../request_context.ts";
+import { PlainCodec } from "./plain_codec.ts";
+import { responded } from "./scripted_sender.ts";
+
+const OK_BODY = Buffer.from("ok");
+/** How long an instance gets to act, in milliseconds. */
+const SETTLE_MS = 50;
+
+/** A response with this body. */
+export function responseOf(bytes: Buffer): FlowResult {
+  const result = responded();
+  if (result.kind !== "answer") throw new Error("not an answer");
+  return { ...result, body: { bytes, remainder: undefined } };
+}
+
+/** The requests that a server forwarded. */
+export class HeldRequests {
+  /** Paths in the order in which they were forwarded. */
+  readonly forwarded: string[] = [];
+  /** Paths of those that were cancelled. */
+  readonly cancelled: string[] = [];
+  readonly #open = new Map<string, (result: FlowResult) => void>();
+
+  handle(req: CallerRequest): Promise<FlowResult> {
+    const { path } = req.fields;
+    this.forwarded.push(path);
+    req.signal.addEventListener("abort", () => {
+      this.cancelled.push(path);
+      this.#open.get(path)?.({ kind: "gone" });
+    });
+    return new Promise((resolve) => this.#open.set(path, resolve));
+  }
+
+  /** Ends a request with a response. */
+  answer(path: string, result: FlowResult = responseOf(OK_BODY)): void {
+    this.#open.get(path)?.(result);
+    this.#open.delete(path);
+  }
+
+  /** Ends all requests that were forwarded. */
+  answerAll(): void {
+    for (const path of [...this.#open.keys()]) this.answer(path);
+  }
+}
+
+/** Starts a server whose requests are held. */
+export function listenHolding(
+  held: HeldRequests,
+  opts: Partial<CallerServerOptions> = {},
+): Promise<CallerServer> {
+  return CallerServer.listen({
+    address: "127.0.0.1:0",
+    codec: new PlainCodec(),
+    clock: new SystemClock(),
+    log: new SilentLog(),
+    handle: (req) => held.handle(req),
+    ...opts,
+  });
+}
+
+/** Waits until sockets have been read and written. */
+export function settle(ms = SETTLE_MS): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Waits until a condition holds; rejects after five seconds. */
+export async function until(condition: () => boolean): Promise<void> {
+  for (let i = 0; i < 500; i++) {
+    if (condition()) return;
+    await settle(10);
+  }
+  throw new Error("the condition did not come true");
+}
