Bound the bytes that an instance buffers, and refuse bodies by rank

Cause: each body was read whole, its parts were joined (twice the memory for a moment) and held until the request ended, without a bound on all of them. Three uploads of 66 MB at once ended an instance of 350 MB. Responses that slow readers had not taken were not counted. A body that stalled was waited for without limit.

Change: ByteBudget (src/decisions/memory) has the size 0.4 of the memory limit beyond 130 MB; without the setting, half of V8's heap limit. A body is admitted by its declared length before it is read, and read into one buffer; one in chunks is counted twice until its parts are joined. Rank 0 may fill the budget, rank 1 0.9 of it, rank 2 0.8, others 0.7; a body that finds the budget nearly unused may exceed its share. A refusal is a 503 whose Retry-After follows the rate at which bytes are released; what arrives of the body is discarded for 5 s at most. With "Expect: 100-continue" the body is asked for once it is admitted. Responses count until the system has taken them, also behind an earlier pipelined one; while they exceed the budget, requests without a body are refused, too. A body must arrive within the caller's timeout, or 30 s.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -30,6 +30,19 @@
 
 /** Every log event. */
 export const LOG_TABLE: Readonly<Record<string, LogEntry>> = {
+  body_refused: {
+    namespace: "requests",
+    fields: [
+      "request",
+      "bytes",
+      "rank",
+      "usedBytes",
+      "limitBytes",
+      "retryAfterMs",
+    ],
+    help:
+      "A request was refused before its body was read, as the body does not fit in the memory for buffers; it has not run",
+  },
   budget_suspended: {
     namespace: "budgets",
     fields: ["account", "reason"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -15,6 +15,27 @@
 
 /** Every metric; names are sent with the prefix `magnoliahook.`. */
 export const METRIC_TABLE: Readonly<Record<string, MetricEntry>> = {
+  "buffers.limit": {
+    type: "gauge",
+    unit: "bytes",
+    tags: [],
+    help:
+      "Budget of this instance for request bodies and for responses that callers have not taken",
+  },
+  "buffers.refused": {
+    type: "count",
+    unit: "requests",
+    tags: [],
+    help:
+      "Requests that were refused since their bodies, or the responses buffered already, exceed the budget",
+  },
+  "buffers.used": {
+    type: "gauge",
+    unit: "bytes",
+    tags: [],
+    help:
+      "Bytes of request bodies and of responses that callers have not taken; responses may exceed the budget",
+  },
   "burn.writes": {
     type: "count",
     unit: "writes",
--- /dev/null
+++ b/src/decisions/memory/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Memory for what an instance buffers.
+ *
+ * @module
+ */
+export * from "./budget_size.ts";
+export * from "./byte_budget.ts";
--- a/src/edge/caller_connection.ts
+++ b/src/edge/caller_connection.ts
@@ -96,6 +96,11 @@
     return this.#connection.closesAfter(this);
   }
 
+  /** Makes its response the last one of the connection. */
+  endConnection(): void {
+    this.#connection.endAfterNext();
+  }
+
   /** The response was sent completely. */
   finish(): void {
     this.#connection.finish(this);
@@ -205,6 +210,11 @@
     this.#closeIfDone();
   }
 
+  /** Closes the connection after the last response that has no header yet. */
+  endAfterNext(): void {
+    this.#isEnding = true;
+  }
+
   /** Reads the connection only while few requests are held. */
   #limitHeld(): void {
     const held = this.#requests.filter((r) => r.progress === "held").length;
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -13,37 +13,26 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock, Log } from "../core/mod.ts";
-import { failure } from "../core/mod.ts";
+import type { CallerLimits } from "../traffic/mod.ts";
 import {
   CallerConnection,
   type PipelinedRequest,
   type ServerStage,
 } from "./caller_connection.ts";
-import type { FlowResult } from "./flow_result.ts";
-import { headerOf } from "./header_fields.ts";
-import { readHop, withoutHopFields } from "./hop_headers.ts";
 import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
-import { readBody } from "./request_body.ts";
-import type { RequestCodec } from "./request_codec.ts";
-import type { CallerRequest } from "./request_context.ts";
-import { type CallerResponse, ResponseWriter } from "./response_writer.ts";
-
-/** Serves one request. */
-export type RequestHandler = (req: CallerRequest) => Promise<FlowResult>;
+import {
+  type Intake,
+  RequestIntake,
+  type RequestIntakeOptions,
+  type RequestLimits,
+} from "./request_intake.ts";
 
 /** Dependencies of the server. */
-export interface CallerServerOptions {
+export interface CallerServerOptions extends RequestIntakeOptions {
   /** Host and port. */
   readonly address: string;
-  readonly codec: RequestCodec;
-  readonly clock: Clock;
-  readonly handle: RequestHandler;
-  readonly log: Log;
-  /** Whether its callers are instances that pass requests on. */
-  readonly fromPeers?: boolean;
 }
 
 /** Maximum size of header fields in bytes; larger ones are refused with 431. */
@@ -57,28 +46,20 @@
 /** Connections that may wait to be accepted in a burst of new callers. */
 const BACKLOG = 1_024;
 
-const HOST_MISSING = failure("bad_request", "the Host field is missing");
-const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
-const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
-const STOPPED = failure("not_ready", "this instance is stopping", {
-  outcome: "not-run",
-});
-
 /** Accepts callers' connections and serves their requests. */
 export class CallerServer {
   readonly #opts: CallerServerOptions;
   readonly #server: Server;
-  readonly #writer: ResponseWriter;
+  readonly #intake: RequestIntake;
   readonly #connections = new Map<Socket, CallerConnection>();
-  readonly #responses = new WeakMap<PipelinedRequest, CallerResponse>();
-  #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
+  readonly #intakes = new WeakMap<PipelinedRequest, Intake>();
+  #limits: RequestLimits = { bodyBytes: DEFAULT_MAX_BODY_BYTES };
   #stage: ServerStage = "serving";
   #onIdle: (() => void) | undefined;
 
   private constructor(opts: CallerServerOptions) {
     this.#opts = opts;
-    const toPeers = opts.fromPeers === true;
-    this.#writer = new ResponseWriter(opts.codec, { toPeers });
+    this.#intake = new RequestIntake(opts);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADER_TIMEOUT_MS,
@@ -89,7 +70,13 @@
       requireHostHeader: false,
     });
     this.#server.on("connection", (socket: Socket) => this.#connected(socket));
-    this.#server.on("request", (req, res) => this.#onRequest(req, res));
+    const on =
+      (expectsContinue: boolean) =>
+      (req: IncomingMessage, res: ServerResponse) =>
+        this.#onRequest(req, res, expectsContinue);
+    this.#server.on("request", on(false));
+    // Otherwise Node.js asks for the body before it is admitted.
+    this.#server.on("checkContinue", on(true));
     this.#server.on(
       "clientError",
       (error, socket) => this.#onParserError(error, socket as Socket),
@@ -109,11 +96,9 @@
   }
 
   /** Sets the idle timeout in milliseconds and the maximum body size. */
-  applyLimits(
-    limits: { readonly idleMs: number; readonly bodyBytes: number },
-  ): void {
+  applyLimits(limits: CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleMs;
-    this.#maxBodyBytes = limits.bodyBytes;
+    this.#limits = limits;
   }
 
   /**
@@ -154,7 +139,7 @@
   #connected(socket: Socket): void {
     lingerOnClose(socket, this.#opts.clock);
     const connection = new CallerConnection(socket, {
-      run: (request) => void this.#run(request),
+      run: (request) => this.#run(request),
       refuseLate: (request) => this.#refuseLate(request),
     }, () => this.#stage);
     this.#connections.set(socket, connection);
@@ -166,17 +151,19 @@
     if (this.#stage === "stopped") connection.stop();
   }
 
-  #onRequest(req: IncomingMessage, res: ServerResponse): void {
+  #onRequest(
+    req: IncomingMessage,
+    res: ServerResponse,
+    expectsContinue: boolean,
+  ): void {
     const connection = this.#connections.get(req.socket);
     const request = connection?.add(req);
     if (connection === undefined || request === undefined) return;
     res.sendDate = false;
     res.once("finish", () => request.finish());
-    this.#responses.set(request, {
-      res,
-      signal: request.signal,
-      decideClose: () => request.decideClose(),
-    });
+    const { signal } = request;
+    const to = { res, signal, decideClose: () => request.decideClose() };
+    this.#intakes.set(request, { request, to, expectsContinue });
     connection.startNext();
   }
 
@@ -197,78 +184,13 @@
     connection.end();
   }
 
-  async #run(request: PipelinedRequest): Promise<void> {
-    const to = this.#responses.get(request);
-    if (to === undefined) return;
-    try {
-      await this.#respond(request, to);
-    } catch (cause) {
-      this.#opts.log.event("request_handler_failed", { cause: String(cause) });
-      to.res.destroy();
-    }
-  }
-
-  async #respond(
-    request: PipelinedRequest,
-    to: CallerResponse,
-  ): Promise<void> {
-    const { codec, clock, handle, fromPeers = false } = this.#opts;
-    const { req, signal } = request;
-    const arrivedAt = clock.now();
-    const { rawHeaders } = req;
-    const fields = codec.readRequest(req.url ?? "/", rawHeaders);
-    const { requestId } = fields;
-    if (isHostMissing(req)) {
-      return this.#writer.refuse(to, HOST_MISSING, { requestId, status: 400 });
-    }
-    const hop = fromPeers ? readHop(rawHeaders) : undefined;
-    if (fromPeers && hop === undefined) {
-      return this.#writer.refuse(to, HOP_MISSING, { requestId, status: 400 });
-    }
-    const reading = readBody(req, { maxBytes: this.#maxBodyBytes, signal });
-    const body = reading instanceof Promise ? await reading : reading;
-    if (body === "gone") return;
-    if (body === "too_large") {
-      return this.#writer.refuse(to, BODY_TOO_LARGE, {
-        requestId,
-        status: 413,
-      });
-    }
-    if (!request.forward()) return;
-    const result = await handle({
-      method: req.method ?? "GET",
-      headers: hop === undefined ? rawHeaders : withoutHopFields(rawHeaders),
-      hop,
-      fields,
-      body,
-      arrivedAt,
-      signal,
-    });
-    switch (result.kind) {
-      case "gone":
-        return void to.res.destroy();
-      case "refusal":
-        return this.#writer.refuse(to, result.failure, { requestId });
-      case "answer":
-        return this.#writer.relay(to, result);
-    }
+  #run(request: PipelinedRequest): void {
+    const intake = this.#intakes.get(request);
+    if (intake !== undefined) void this.#intake.serve(intake, this.#limits);
   }
 
-  /** Refuses a request that was not read in full before the listener closed. */
   #refuseLate(request: PipelinedRequest): void {
-    const to = this.#responses.get(request);
-    if (to === undefined) return;
-    const { codec } = this.#opts;
-    const { req, signal } = request;
-    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
-    this.#writer.refuse(to, STOPPED, { requestId: fields.requestId });
-    signal.abort();
-    req.resume();
+    const intake = this.#intakes.get(request);
+    if (intake !== undefined) this.#intake.refuseLate(intake);
   }
 }
-
-/** HTTP/1.1 requires the field. */
-function isHostMissing(req: IncomingMessage): boolean {
-  return req.httpVersion === "1.1" &&
-    headerOf(req.rawHeaders, "host") === undefined;
-}
--- a/src/edge/caller_server_test.ts
+++ b/src/edge/caller_server_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { request } from "undici";
 import type { EndpointId } from "../core/mod.ts";
-import { SilentLog, SystemClock } from "../core/mod.ts";
+import { MemoryMetrics, SilentLog, SystemClock } from "../core/mod.ts";
+import { ByteBudget } from "../decisions/memory/mod.ts";
 import { CallerServer } from "./caller_server.ts";
 import { hopFields } from "./hop_headers.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
@@ -28,6 +29,9 @@
     codec: new TransparentCodec(),
     clock: new SystemClock(),
     log: new SilentLog(),
+    metrics: new MemoryMetrics(),
+    memory: new ByteBudget(1_000_000),
+    rankOf: () => 0,
     fromPeers: true,
     handle: () => Promise.resolve({ ...result, headers: sent, endpoint }),
   });
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { getHeapStatistics } from "node:v8";
 import type {
   Clock,
   EndpointId,
@@ -17,6 +18,7 @@
   AffinityPlacement,
   type Placement,
 } from "../decisions/placement/mod.ts";
+import { bufferBytes, ByteBudget } from "../decisions/memory/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import { StartGate } from "../decisions/starting/mod.ts";
@@ -49,9 +51,10 @@
   snapshotAddress,
 } from "./peer_snapshots.ts";
 import { PlainServer } from "./plain_server.ts";
-import type { RequestCodec } from "./request_codec.ts";
+import type { RequestCodec, RequestFields } from "./request_codec.ts";
 import type { CallerRequest } from "./request_context.ts";
 import { RequestFlow } from "./request_flow.ts";
+import { rankOf } from "./request_rank.ts";
 import { RESOURCE_KINDS, SteeringWatchers } from "./steering_watchers.ts";
 import {
   EndpointHandler,
@@ -105,6 +108,8 @@
   readonly #abortController = new AbortController();
   readonly #retryBudget: SharedRetryBudget;
   readonly #peerLoad: PeerLoad;
+  /** Memory for what is buffered for callers and peers. */
+  readonly #memory: ByteBudget;
   #graceMs: number;
   /** The listeners for callers and for requests that peers pass on. */
   #servers: readonly CallerServer[] = [];
@@ -117,6 +122,10 @@
     const { cfg, clock, random, log, codec, sources } = opts;
     this.#retryBudget = new SharedRetryBudget(cfg.retries);
     this.#gate = new StartGate(clock);
+    this.#memory = new ByteBudget(
+      bufferBytes(cfg.memoryBytes, getHeapStatistics().heap_size_limit),
+    );
+    opts.metrics.gauge("buffers.limit", this.#memory.limitBytes);
     for (const kind of RESOURCE_KINDS) this.#dictionary.add(kind);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
@@ -318,10 +327,17 @@
       clock,
       handle: (req: CallerRequest) => flow.handle(req),
       log,
+      metrics: this.#opts.metrics,
+      memory: this.#memory,
+      rankOf: (fields: RequestFields) => rankOf(this.#state.routeTable, fields),
     };
     const forPeers = peerRequestAddress(cfg.listen.digest);
     this.#servers = [
-      await CallerServer.listen({ ...common, address: cfg.listen.caller }),
+      await CallerServer.listen({
+        ...common,
+        address: cfg.listen.caller,
+        fromPeers: false,
+      }),
       await CallerServer.listen({
         ...common,
         address: forPeers,
@@ -428,6 +444,7 @@
     }
     const uses = this.#quotas.tick(this.#opts.clock.now());
     const { reporting } = this.#quotas.demand.shares;
+    this.#opts.metrics.gauge("buffers.used", this.#memory.usedBytes);
     this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
     this.#opts.metrics.gauge("fleet.reporting", reporting);
     for (const [id, use] of this.#limits.uses()) uses.set(id, use);
--- /dev/null
+++ b/src/edge/request_intake.ts
@@ -0,0 +1,286 @@
+/**
+ * Takes one request from its header to the end of its response: admits its
+ * body, reads it, forwards the request and writes the response.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import type { Clock, Failure, Log, Metrics } from "../core/mod.ts";
+import { failure } from "../core/mod.ts";
+import type { ByteBudget, Reservation } from "../decisions/memory/mod.ts";
+import type { PipelinedRequest } from "./caller_connection.ts";
+import type { FlowResult } from "./flow_result.ts";
+import { headerOf } from "./header_fields.ts";
+import { type Hop, readHop, withoutHopFields } from "./hop_headers.ts";
+import {
+  type BodyFailure,
+  bodyLengthOf,
+  discardBody,
+  readBody,
+} from "./request_body.ts";
+import type { RequestCodec, RequestFields } from "./request_codec.ts";
+import type { CallerRequest } from "./request_context.ts";
+import { type CallerResponse, ResponseWriter } from "./response_writer.ts";
+
+/** Serves one request. */
+export type RequestHandler = (req: CallerRequest) => Promise<FlowResult>;
+
+/** Dependencies of the intake. */
+export interface RequestIntakeOptions {
+  readonly codec: RequestCodec;
+  readonly clock: Clock;
+  readonly handle: RequestHandler;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Whether its callers are instances that pass requests on. */
+  readonly fromPeers: boolean;
+  readonly memory: ByteBudget;
+  /** The rank of a request; 0 is the most urgent. */
+  readonly rankOf: (fields: RequestFields) => number;
+}
+
+/** Limits of the plan on one request. */
+export interface RequestLimits {
+  readonly bodyBytes: number;
+}
+
+/** A request on its connection, and the response to it. */
+export interface Intake {
+  readonly request: PipelinedRequest;
+  readonly to: CallerResponse;
+  /** Whether the caller waits for a sign before it sends the body. */
+  readonly expectsContinue: boolean;
+}
+
+/** Time in which a body must arrive if its caller states none, in ms. */
+const BODY_TIMEOUT_MS = 30_000;
+
+const HOST_MISSING = failure("bad_request", "the Host field is missing");
+const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
+const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
+const BODY_LATE = failure("deadline_exceeded", "the body did not arrive", {
+  outcome: "not-run",
+});
+const BODY_NOT_HELD = failure("not_ready", "the body does not fit", {
+  outcome: "not-run",
+});
+const STOPPED = failure("not_ready", "this instance is stopping", {
+  outcome: "not-run",
+});
+
+/** Takes the requests of one server. */
+export class RequestIntake {
+  readonly #opts: RequestIntakeOptions;
+  readonly #writer: ResponseWriter;
+
+  constructor(opts: RequestIntakeOptions) {
+    this.#opts = opts;
+    const { codec, clock, memory, fromPeers: toPeers } = opts;
+    this.#writer = new ResponseWriter({ codec, clock, memory, toPeers });
+  }
+
+  /** Serves a request; never throws. */
+  async serve(intake: Intake, limits: RequestLimits): Promise<void> {
+    try {
+      const { codec } = this.#opts;
+      const { req } = intake.request;
+      const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+      const invalid = this.#refuseInvalid(intake, fields, limits);
+      if (!invalid) await this.#serveValid(intake, fields, limits);
+    } catch (cause) {
+      this.#opts.log.event("request_handler_failed", { cause: String(cause) });
+      intake.to.res.destroy();
+    }
+  }
+
+  /** Refuses a request that was not read in full before the listener closed. */
+  refuseLate(intake: Intake): void {
+    const { req } = intake.request;
+    const { codec } = this.#opts;
+    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+    this.#refuse(intake, STOPPED, fields);
+    // Ends the reading of its body.
+    intake.request.signal.abort();
+  }
+
+  /** Refuses a request that its header makes invalid; returns whether it did. */
+  #refuseInvalid(
+    intake: Intake,
+    fields: RequestFields,
+    { bodyBytes }: RequestLimits,
+  ): boolean {
+    const { req } = intake.request;
+    const refuse = (why: Failure, status: number) => {
+      this.#refuse(intake, why, fields, status);
+      return true;
+    };
+    if (isHostMissing(req)) return refuse(HOST_MISSING, 400);
+    if (this.#opts.fromPeers && readHop(req.rawHeaders) === undefined) {
+      return refuse(HOP_MISSING, 400);
+    }
+    const length = bodyLengthOf(req);
+    if (length.kind === "declared" && length.bytes > bodyBytes) {
+      return refuse(BODY_TOO_LARGE, 413);
+    }
+    return false;
+  }
+
+  async #serveValid(
+    intake: Intake,
+    fields: RequestFields,
+    limits: RequestLimits,
+  ): Promise<void> {
+    const { clock, memory, rankOf, fromPeers } = this.#opts;
+    const { request } = intake;
+    const arrivedAt = clock.now();
+    const length = bodyLengthOf(request.req);
+    const bytes = length.kind === "declared" ? length.bytes : 0;
+    const rank = rankOf(fields);
+    const reserved = memory.reserve(bytes, rank, arrivedAt);
+    if (reserved.isErr()) {
+      this.#recordRefusal(reserved.error, fields, { bytes, rank });
+      return this.#refuse(intake, reserved.error, fields);
+    }
+    const held = reserved.value;
+    try {
+      // A request without a body is forwarded before the parser reads on.
+      const body = length.kind === "none"
+        ? undefined
+        : await this.#readBody(intake, fields, { limits, held, rank });
+      if (typeof body === "string") {
+        return this.#refuseBody(intake, body, fields, { held, rank });
+      }
+      if (!request.forward()) return;
+      const hop = fromPeers ? readHop(request.req.rawHeaders) : undefined;
+      const result = await this.#forward(intake, {
+        fields,
+        body,
+        hop,
+        arrivedAt,
+      });
+      this.#respond(intake, result, fields);
+    } finally {
+      held.release(clock.now());
+    }
+  }
+
+  #readBody(
+    { request, to, expectsContinue }: Intake,
+    fields: RequestFields,
+    opts: {
+      readonly limits: RequestLimits;
+      readonly held: Reservation;
+      readonly rank: number;
+    },
+  ): Promise<Buffer | BodyFailure> {
+    const length = bodyLengthOf(request.req);
+    if (length.kind === "none") return Promise.resolve("gone");
+    if (expectsContinue) to.res.writeContinue();
+    return readBody(request.req, length, {
+      maxBytes: opts.limits.bodyBytes,
+      memory: opts.held,
+      rank: opts.rank,
+      // Later the request could not be answered in time.
+      timeoutMs: fields.clientTimeoutMs ?? BODY_TIMEOUT_MS,
+      clock: this.#opts.clock,
+      signal: request.signal,
+    });
+  }
+
+  #refuseBody(
+    intake: Intake,
+    why: BodyFailure,
+    fields: RequestFields,
+    { held, rank }: { readonly held: Reservation; readonly rank: number },
+  ): void {
+    switch (why) {
+      case "gone":
+        return;
+      case "too_large":
+        return this.#refuse(intake, BODY_TOO_LARGE, fields, 413);
+      case "late":
+        return this.#refuse(intake, BODY_LATE, fields);
+      case "no_memory": {
+        const { memory, clock } = this.#opts;
+        const { bytes } = held;
+        held.release(clock.now());
+        // The body could have fitted only if others had been released.
+        const again = memory.reserve(bytes, rank, clock.now());
+        if (again.isOk()) again.value.release(clock.now());
+        const refusal = again.isErr() ? again.error : BODY_NOT_HELD;
+        this.#recordRefusal(refusal, fields, { bytes, rank });
+        return this.#refuse(intake, refusal, fields);
+      }
+    }
+  }
+
+  #forward(
+    { request }: Intake,
+    { fields, body, hop, arrivedAt }: {
+      readonly fields: RequestFields;
+      readonly body: Buffer | undefined;
+      readonly hop: Hop | undefined;
+      readonly arrivedAt: number;
+    },
+  ): Promise<FlowResult> {
+    const { req, signal } = request;
+    const { rawHeaders } = req;
+    return this.#opts.handle({
+      method: req.method ?? "GET",
+      headers: hop === undefined ? rawHeaders : withoutHopFields(rawHeaders),
+      hop,
+      fields,
+      body,
+      arrivedAt,
+      signal,
+    });
+  }
+
+  #respond(intake: Intake, result: FlowResult, fields: RequestFields): void {
+    switch (result.kind) {
+      case "gone":
+        return void intake.to.res.destroy();
+      case "refusal":
+        return this.#refuse(intake, result.failure, fields);
+      case "answer":
+        return this.#writer.relay(intake.to, result);
+    }
+  }
+
+  #refuse(
+    { request, to, expectsContinue }: Intake,
+    why: Failure,
+    { requestId }: RequestFields,
+    status?: number,
+  ): void {
+    const { req } = request;
+    // Whether such a caller sends the body after a refusal is not known.
+    if (expectsContinue && !req.complete) request.endConnection();
+    this.#writer.refuse(to, why, { requestId, status });
+    discardBody(req, this.#opts.clock);
+  }
+
+  #recordRefusal(
+    why: Failure,
+    fields: RequestFields,
+    { bytes, rank }: { readonly bytes: number; readonly rank: number },
+  ): void {
+    const { log, metrics, memory } = this.#opts;
+    metrics.count("buffers.refused");
+    log.event("body_refused", {
+      request: fields.requestId,
+      bytes,
+      rank,
+      usedBytes: memory.usedBytes,
+      limitBytes: memory.limitBytes,
+      retryAfterMs: Math.round(why.retryAfterMs ?? 0),
+    });
+  }
+}
+
+/** HTTP/1.1 requires the field. */
+function isHostMissing(req: IncomingMessage): boolean {
+  return req.httpVersion === "1.1" &&
+    headerOf(req.rawHeaders, "host") === undefined;
+}
--- /dev/null
+++ b/src/edge/request_intake_test.ts
@@ -0,0 +1,170 @@
+import { Buffer } from "node:buffer";
+import test from "ava";
+import { MemoryMetrics } from "../core/mod.ts";
+import { ByteBudget } from "../decisions/memory/mod.ts";
+import {
+  HeldRequests,
+  listenHolding,
+  responseOf,
+  settle,
+  until,
+} from "./testing/held_requests.ts";
+import { postRequest, RawCaller } from "./testing/raw_caller.ts";
+import { RecordedLog } from "./testing/recorded_log.ts";
+
+/** A server with a budget of 1 MB. */
+async function limited(rankOf: () => number = () => 0) {
+  const held = new HeldRequests();
+  const memory = new ByteBudget(1_000_000);
+  const log = new RecordedLog();
+  const metrics = new MemoryMetrics();
+  const server = await listenHolding(held, { memory, log, metrics, rankOf });
+  const limits = { idleMs: 5_000, bodyBytes: 10_000_000 };
+  server.applyLimits(limits);
+  return { held, memory, log, metrics, server };
+}
+
+// Guards against uploads, each within the limit of the plan, that together end
+// the process (review/1), and against a refusal that its caller does not see
+// since the connection is reset while the body is on the way.
+test("a body that does not fit is refused before it is read", async (t) => {
+  const { held, memory, log, metrics, server } = await limited();
+  const first = await RawCaller.open(server.port);
+  first.send(postRequest("/1", { length: 600_000, body: "x" }));
+  await until(() => memory.usedBytes === 600_000);
+  const second = await RawCaller.open(server.port);
+  second.send(postRequest("/2", { length: 9_000_000 }));
+  await until(() => second.statuses.length === 1);
+  t.deepEqual(second.statuses, [503]);
+  t.is(memory.usedBytes, 600_000);
+  // What arrives of it is discarded, and the connection stays in use.
+  second.send("x".repeat(9_000_000));
+  second.get("/3");
+  await until(() => held.forwarded.length === 1);
+  held.answerAll();
+  await until(() => second.statuses.length === 2);
+  t.deepEqual(second.statuses, [503, 200]);
+  t.deepEqual(held.forwarded, ["/3"]);
+  t.is(metrics.counts.get("buffers.refused"), 1);
+  const [refused] = log.of("body_refused");
+  t.is(refused?.["bytes"], 9_000_000);
+  t.is(refused?.["usedBytes"], 600_000);
+  first.close();
+  await until(() => memory.usedBytes === 0);
+  second.close();
+  await server.close();
+});
+
+// Guards against a body of unknown length that passes the budget.
+test("a chunked body is refused once it does not fit", async (t) => {
+  const { held, memory, server } = await limited();
+  const caller = await RawCaller.open(server.port);
+  caller.send(
+    "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+  );
+  const chunk = `4000\r\n${"x".repeat(0x4000)}\r\n`;
+  for (let i = 0; i < 20; i++) caller.send(chunk);
+  await until(() => memory.usedBytes === 2 * 20 * 0x4000);
+  for (let i = 0; i < 40; i++) caller.send(chunk);
+  await until(() => caller.statuses.length === 1);
+  t.deepEqual(caller.statuses, [503]);
+  t.is(memory.usedBytes, 0);
+  caller.send("0\r\n\r\n");
+  caller.get("/2");
+  await until(() => held.forwarded.length === 1);
+  t.deepEqual(held.forwarded, ["/2"]);
+  caller.close();
+  await server.close();
+});
+
+// Guards against urgent requests that are refused beside others of less rank.
+test("a less urgent body is refused first", async (t) => {
+  let rank = 0;
+  const { memory, server } = await limited(() => rank);
+  const [first, second, third] = [
+    await RawCaller.open(server.port),
+    await RawCaller.open(server.port),
+    await RawCaller.open(server.port),
+  ];
+  first.send(postRequest("/1", { length: 750_000, body: "x" }));
+  await until(() => memory.usedBytes === 750_000);
+  rank = 2;
+  second.send(postRequest("/2", { length: 100_000, body: "x" }));
+  await until(() => second.statuses.length === 1);
+  t.deepEqual(second.statuses, [503]);
+  rank = 1;
+  third.send(postRequest("/3", { length: 100_000, body: "x" }));
+  await until(() => memory.usedBytes === 850_000);
+  for (const caller of [first, second, third]) caller.close();
+  await server.close();
+});
+
+// Guards against memory that slow readers take without being counted, also in
+// responses that wait for that to an earlier pipelined request.
+test("responses count until the caller has taken them", async (t) => {
+  const { held, memory, server } = await limited();
+  const caller = await RawCaller.open(server.port);
+  caller.get("/1", "/2");
+  await until(() => held.forwarded.length === 2);
+  held.answer("/2", responseOf(Buffer.alloc(2_000_000, "x")));
+  await until(() => memory.usedBytes === 2_000_000);
+  const other = await RawCaller.open(server.port);
+  other.get("/3");
+  await until(() => other.statuses.length === 1);
+  t.deepEqual(other.statuses, [503]);
+  held.answer("/1");
+  await until(() => memory.usedBytes === 0);
+  other.get("/4");
+  await until(() => held.forwarded.length === 3);
+  caller.get("/5");
+  await until(() => held.forwarded.length === 4);
+  caller.socket.pause();
+  held.answer("/5", responseOf(Buffer.alloc(32_000_000, "x")));
+  await until(() => memory.usedBytes === 32_000_000);
+  caller.close();
+  await until(() => memory.usedBytes === 0);
+  t.is(memory.usedBytes, 0);
+  other.close();
+  await server.close();
+});
+
+// Guards against uploads that stall and keep their memory for good.
+test("a body that does not arrive within the caller's timeout is refused", async (t) => {
+  const { held, memory, server } = await limited();
+  const caller = await RawCaller.open(server.port);
+  caller.send(
+    "POST /1 HTTP/1.1\r\nHost: h\r\npatience: 100\r\nContent-Length: 9\r\n\r\nx",
+  );
+  await until(() => memory.usedBytes === 9);
+  await until(() => caller.statuses.length === 1);
+  t.is(memory.usedBytes, 0);
+  t.deepEqual(held.forwarded, []);
+  caller.close();
+  await server.close();
+});
+
+// Guards against a body that is asked for and then refused, and against one
+// that is taken for the next request.
+test("a body that a caller announces is asked for once it fits", async (t) => {
+  const { held, server } = await limited();
+  const announce = (path: string, bytes: number) =>
+    `POST ${path} HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n` +
+    `Content-Length: ${bytes}\r\n\r\n`;
+  const taken = await RawCaller.open(server.port);
+  taken.send(announce("/1", 2));
+  await until(() => taken.statuses.length === 1);
+  t.deepEqual(taken.statuses, [100]);
+  taken.send("ab");
+  await until(() => held.forwarded.length === 1);
+  held.answerAll();
+  await until(() => taken.statuses.length === 2);
+  t.deepEqual(taken.statuses, [100, 200]);
+  const refused = await RawCaller.open(server.port);
+  refused.send(announce("/2", 2_000_000));
+  await refused.closed;
+  t.deepEqual(refused.statuses, [503]);
+  t.deepEqual(refused.closing, [0]);
+  taken.close();
+  await settle();
+  await server.close();
+});
--- a/src/edge/response_writer.ts
+++ b/src/edge/response_writer.ts
@@ -5,8 +5,8 @@
  */
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
-import type { CancelSignal, Failure } from "../core/mod.ts";
-import type { BodySink } from "./endpoint_sender.ts";
+import type { CancelSignal, Clock, Failure } from "../core/mod.ts";
+import type { ByteBudget, Reservation } from "../decisions/memory/mod.ts";
 import type { FlowResult } from "./flow_result.ts";
 import {
   declinedField,
@@ -24,26 +24,32 @@
   readonly decideClose: () => boolean;
 }
 
+/** Dependencies of the writer. */
+export interface ResponseWriterOptions {
+  readonly codec: RequestCodec;
+  readonly clock: Clock;
+  readonly memory: ByteBudget;
+  /** Whether the callers are instances that pass requests on. */
+  readonly toPeers: boolean;
+}
+
 /** Writes responses in the codec's header fields. */
 export class ResponseWriter {
-  readonly #codec: RequestCodec;
-  readonly #toPeers: boolean;
+  readonly #opts: ResponseWriterOptions;
 
-  /** @param opts `toPeers`: the callers are instances that pass requests on. */
-  constructor(codec: RequestCodec, opts: { readonly toPeers: boolean }) {
-    this.#codec = codec;
-    this.#toPeers = opts.toPeers;
+  constructor(opts: ResponseWriterOptions) {
+    this.#opts = opts;
   }
 
   /** Writes the response to a request that fails at this instance. */
   refuse(
     to: CallerResponse,
     why: Failure,
-    opts: { readonly requestId: string; readonly status?: number },
+    opts: { readonly requestId: string; readonly status?: number | undefined },
   ): void {
-    const reply = this.#codec.refusal(why, opts.requestId);
+    const reply = this.#opts.codec.refusal(why, opts.requestId);
     const length = ["Content-Length", String(Buffer.byteLength(reply.body))];
-    const declined = this.#toPeers && why.code === "not_ready"
+    const declined = this.#opts.toPeers && why.code === "not_ready"
       ? declinedField()
       : [];
     const headers = [...reply.headers, ...declined, ...length];
@@ -59,19 +65,44 @@
     const { bytes, remainder } = response.body;
     const { endpoint, status } = response;
     const { res, signal } = to;
-    const passedOn = this.#codec.callerHeaders(response.headers);
-    const headers = this.#toPeers && endpoint !== undefined
+    const passedOn = this.#opts.codec.callerHeaders(response.headers);
+    const headers = this.#opts.toPeers && endpoint !== undefined
       ? [...withoutHopFields(passedOn), ...endpointField(endpoint)]
       : passedOn;
+    const unread = this.#countUnread(to);
     writeHead(to, status, headers);
+    unread.add(bytes.length);
     if (remainder === undefined) {
       res.end(bytes);
       return;
     }
-    res.write(bytes);
+    const { clock } = this.#opts;
+    const write = (chunk: Buffer) => {
+      unread.add(chunk.length);
+      return res.write(
+        chunk,
+        () => unread.subtract(chunk.length, clock.now()),
+      );
+    };
+    res.write(bytes, () => unread.subtract(bytes.length, clock.now()));
     res.on("drain", () => remainder.resume());
     signal.addEventListener("abort", () => remainder.cancel(), { once: true });
-    remainder.pipe(bodySinkOf(res));
+    remainder.pipe({
+      data: write,
+      end: () => void res.end(),
+      // The caller must not mistake a partial response for a complete one.
+      fail: () => void res.destroy(),
+    });
+  }
+
+  /** Counts the bytes of a response that the system has not taken yet. */
+  #countUnread({ res, signal }: CallerResponse): Reservation {
+    const { memory, clock } = this.#opts;
+    const unread = memory.open();
+    const release = () => unread.release(clock.now());
+    res.once("finish", release);
+    signal.addEventListener("abort", release, { once: true });
+    return unread;
   }
 }
 
@@ -83,12 +114,3 @@
   const close = decideClose() ? ["Connection", "close"] : [];
   res.writeHead(status, [...headers, ...close]);
 }
-
-function bodySinkOf(res: ServerResponse): BodySink {
-  return {
-    data: (chunk) => res.write(chunk),
-    end: () => void res.end(),
-    // The caller must not mistake a partial response for a complete one.
-    fail: () => void res.destroy(),
-  };
-}
--- a/src/edge/testing/held_requests.ts
+++ b/src/edge/testing/held_requests.ts
@@ -4,13 +4,16 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { SilentLog, SystemClock } from "../../core/mod.ts";
+import { MemoryMetrics, SilentLog, SystemClock } from "../../core/mod.ts";
+import { ByteBudget } from "../../decisions/memory/mod.ts";
 import { CallerServer, type CallerServerOptions } from "../caller_server.ts";
 import type { FlowResult } from "../flow_result.ts";
 import type { CallerRequest } from "../request_context.ts";
 import { PlainCodec } from "./plain_codec.ts";
 import { responded } from "./scripted_sender.ts";
 
+/** Memory of a server unless a test sets less. */
+const MEMORY_BYTES = 100_000_000;
 const OK_BODY = Buffer.from("ok");
 /** How long an instance gets to act, in milliseconds. */
 const SETTLE_MS = 50;
@@ -62,6 +65,10 @@
     codec: new PlainCodec(),
     clock: new SystemClock(),
     log: new SilentLog(),
+    metrics: new MemoryMetrics(),
+    fromPeers: false,
+    memory: new ByteBudget(MEMORY_BYTES),
+    rankOf: () => 0,
     handle: (req) => held.handle(req),
     ...opts,
   });
