--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -6,41 +6,33 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Clock, Failure, Log } from "../core/mod.ts";
-import { CancelSource, failure } from "../core/mod.ts";
-import type { BodySink } from "./endpoint_sender.ts";
-import { headerOf } from "./header_fields.ts";
+import type { Socket } from "node:net";
+import type { CallerLimits } from "../traffic/mod.ts";
 import {
-  declinedField,
-  endpointField,
-  readHop,
-  withoutHopFields,
-} from "./hop_headers.ts";
+  CallerConnection,
+  type PipelinedRequest,
+  type ServerStage,
+} from "./caller_connection.ts";
+import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
-import type { RequestCodec } from "./request_codec.ts";
-import type { FlowResult } from "./flow_result.ts";
-import type { CallerRequest } from "./request_context.ts";
-
-/** Serves one request. */
-export type RequestHandler = (req: CallerRequest) => Promise<FlowResult>;
+import { parserErrorResponse } from "./parser_error.ts";
+import {
+  type Intake,
+  RequestIntake,
+  type RequestIntakeOptions,
+  type RequestLimits,
+} from "./request_intake.ts";
 
 /** Dependencies of the server. */
-export interface CallerServerOptions {
+export interface CallerServerOptions extends RequestIntakeOptions {
   /** Host and port. */
   readonly address: string;
-  readonly codec: RequestCodec;
-  readonly clock: Clock;
-  readonly handle: RequestHandler;
-  readonly log: Log;
-  /** Whether its callers are instances that pass requests on. */
-  readonly fromPeers?: boolean;
 }
 
 /** Maximum size of header fields in bytes; larger ones are refused with 431. */
@@ -58,20 +50,37 @@
 export class CallerServer {
   readonly #opts: CallerServerOptions;
   readonly #server: Server;
-  #maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
-  #draining = false;
-  #openRequests = 0;
+  readonly #intake: RequestIntake;
+  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #intakes = new WeakMap<PipelinedRequest, Intake>();
+  #limits: RequestLimits = { bodyBytes: DEFAULT_MAX_BODY_BYTES };
+  #stage: ServerStage = "serving";
   #onIdle: (() => void) | undefined;
 
   private constructor(opts: CallerServerOptions) {
     this.#opts = opts;
+    this.#intake = new RequestIntake(opts);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADER_TIMEOUT_MS,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       requestTimeout: 0,
       noDelay: true,
-    }, (req, res) => void this.#serve(req, res));
+      // Node.js would answer such a request and forward those behind it.
+      requireHostHeader: false,
+    });
+    this.#server.on("connection", (socket: Socket) => this.#connected(socket));
+    const on =
+      (expectsContinue: boolean) =>
+      (req: IncomingMessage, res: ServerResponse) =>
+        this.#onRequest(req, res, expectsContinue);
+    this.#server.on("request", on(false));
+    // Otherwise Node.js asks for the body before it is admitted.
+    this.#server.on("checkContinue", on(true));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#onParserError(error, socket as Socket),
+    );
   }
 
   /** Starts a server; resolves once it accepts connections. */
@@ -87,171 +96,101 @@
   }
 
   /** Sets the idle timeout in milliseconds and the maximum body size. */
-  applyLimits(
-    limits: { readonly idleMs: number; readonly bodyBytes: number },
-  ): void {
+  applyLimits(limits: CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleMs;
-    this.#maxBodyBytes = limits.bodyBytes;
+    this.#limits = limits;
   }
 
-  /** Sends `Connection: close` with every response from now on. */
+  /**
+   * Closes each connection from now on after the response to its last request
+   * that was forwarded.
+   */
   startDraining(): void {
-    this.#draining = true;
+    this.#stage = "draining";
   }
 
-  /** Accepts no new connections and closes idle ones. */
+  /**
+   * Accepts no new connections and starts no further requests. Connections are
+   * closed once the requests that were forwarded have their responses.
+   */
   stopListening(): void {
+    this.#stage = "stopped";
     this.#server.close();
-    this.#server.closeIdleConnections();
+    for (const connection of [...this.#connections.values()]) {
+      connection.stop();
+    }
   }
 
-  /** Resolves once no request is open. */
+  /**
+   * Resolves once all connections are closed after `stopListening`: the system
+   * has taken all bytes of all responses.
+   */
   whenIdle(): Promise<void> {
-    if (this.#openRequests === 0) return Promise.resolve();
+    if (this.#connections.size === 0) return Promise.resolve();
     return new Promise((resolve) => this.#onIdle = resolve);
   }
 
   /** Closes the listener and all connections immediately. */
   close(): Promise<void> {
+    for (const socket of this.#connections.keys()) socket.destroy();
     return closeAtOnce(this.#server);
   }
 
-  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    this.#openRequests++;
-    res.sendDate = false;
-    try {
-      await this.#respond(req, res);
-    } catch (cause) {
-      this.#opts.log.event("request_handler_failed", { cause: String(cause) });
-      res.destroy();
-    } finally {
-      this.#openRequests--;
-      if (this.#openRequests === 0) this.#onIdle?.();
-    }
-  }
-
-  async #respond(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { codec, clock, handle } = this.#opts;
-    const arrivedAt = clock.now();
-    const { rawHeaders } = req;
-    const fields = codec.readRequest(req.url ?? "/", rawHeaders);
-    const hop = this.#fromPeers ? readHop(rawHeaders) : undefined;
-    if (this.#fromPeers && hop === undefined) {
-      const bad = failure("bad_request", "the fields of the hop are missing");
-      return this.#refuse(res, bad, fields.requestId, 400);
-    }
-    const body = await readBody(req, this.#maxBodyBytes);
-    if (body === "gone") return;
-    if (body === "too_large") {
-      const large = failure("bad_request", "the body is too large");
-      return this.#refuse(res, large, fields.requestId, 413);
-    }
-    const disconnected = new CancelSource();
-    res.once("close", () => {
-      if (!res.writableFinished) disconnected.abort();
+  #connected(socket: Socket): void {
+    lingerOnClose(socket, this.#opts.clock);
+    const connection = new CallerConnection(socket, {
+      run: (request) => this.#run(request),
+      refuseLate: (request) => this.#refuseLate(request),
+    }, () => this.#stage);
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      if (this.#connections.size === 0) this.#onIdle?.();
     });
-    const result = await handle({
-      method: req.method ?? "GET",
-      headers: hop === undefined ? rawHeaders : withoutHopFields(rawHeaders),
-      hop,
-      fields,
-      body,
-      arrivedAt,
-      signal: disconnected,
-    });
-    switch (result.kind) {
-      case "gone":
-        return void res.destroy();
-      case "refusal":
-        return this.#refuse(res, result.failure, fields.requestId);
-      case "answer":
-        return await this.#relay(res, result);
-    }
+    // It was accepted by the system before the listener was closed.
+    if (this.#stage === "stopped") connection.stop();
   }
 
-  #refuse(
+  #onRequest(
+    req: IncomingMessage,
     res: ServerResponse,
-    why: Failure,
-    requestId: string,
-    status?: number,
+    expectsContinue: boolean,
   ): void {
-    const reply = this.#opts.codec.refusal(why, requestId);
-    const length = ["Content-Length", String(Buffer.byteLength(reply.body))];
-    const declined = this.#fromPeers && why.code === "not_ready"
-      ? declinedField()
-      : [];
-    const headers = [
-      ...reply.headers,
-      ...declined,
-      ...length,
-      ...this.#connectionHeaders(),
-    ];
-    res.writeHead(status ?? reply.status, headers);
-    res.end(reply.body);
+    const connection = this.#connections.get(req.socket);
+    const request = connection?.add(req);
+    if (connection === undefined || request === undefined) return;
+    res.sendDate = false;
+    res.once("finish", () => request.finish());
+    const { signal } = request;
+    const to = { res, signal, decideClose: () => request.decideClose() };
+    this.#intakes.set(request, { request, to, expectsContinue });
+    connection.startNext();
   }
 
-  async #relay(
-    res: ServerResponse,
-    response: Extract<FlowResult, { kind: "answer" }>,
-  ): Promise<void> {
-    const { bytes, remainder } = response.body;
-    const { endpoint } = response;
-    const passedOn = this.#opts.codec.callerHeaders(response.headers);
-    const headers = this.#fromPeers && endpoint !== undefined
-      ? [...withoutHopFields(passedOn), ...endpointField(endpoint)]
-      : passedOn;
-    res.writeHead(response.status, [...headers, ...this.#connectionHeaders()]);
-    if (remainder === undefined) {
-      res.end(bytes);
+  /**
+   * Answers what is no request. Requests before it that were forwarded get their
+   * responses, of which the last closes the connection.
+   */
+  #onParserError(error: Error & { code?: string }, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || error.code === "ECONNRESET") {
+      socket.destroy();
       return;
     }
-    res.write(bytes);
-    await new Promise<void>((resolve) => {
-      res.on("drain", () => remainder.resume());
-      res.once("close", () => {
-        if (!res.writableFinished) remainder.cancel();
-        resolve();
-      });
-      remainder.pipe(bodySinkOf(res));
-    });
+    if (connection.isEnding) return;
+    if (!connection.isAnswering && socket.writable) {
+      socket.write(parserErrorResponse(error.code));
+    }
+    connection.end();
   }
 
-  get #fromPeers(): boolean {
-    return this.#opts.fromPeers === true;
+  #run(request: PipelinedRequest): void {
+    const intake = this.#intakes.get(request);
+    if (intake !== undefined) void this.#intake.serve(intake, this.#limits);
   }
 
-  #connectionHeaders(): string[] {
-    return this.#draining ? ["Connection", "close"] : [];
+  #refuseLate(request: PipelinedRequest): void {
+    const intake = this.#intakes.get(request);
+    if (intake !== undefined) this.#intake.refuseLate(intake);
   }
 }
-
-function bodySinkOf(res: ServerResponse): BodySink {
-  return {
-    data: (chunk) => res.write(chunk),
-    end: () => void res.end(),
-    // The caller must not mistake a partial response for a complete one.
-    fail: () => void res.destroy(),
-  };
-}
-
-/** Reads a body to its end. */
-function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined | "gone" | "too_large"> {
-  const declared = headerOf(req.rawHeaders, "content-length");
-  const chunked = headerOf(req.rawHeaders, "transfer-encoding") !== undefined;
-  if (declared === undefined && !chunked) return Promise.resolve(undefined);
-  if (Number(declared) > maxBytes) return Promise.resolve("too_large");
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) resolve("too_large");
-      else chunks.push(chunk);
-    });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
-    req.on("close", () => resolve("gone"));
-  });
-}
