Remove the error listener that each request left on its connection

The agent adds an error listener to a connection when it becomes idle, and its reuseSocket removes it. The override did not call it, so a connection kept one listener more per request; Node.js warned at the eleventh.

The override calls the agent's method first. The test sends 15 requests on one connection and fails without the change on the warning of Node.js.

--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import { Agent, type AgentOptions } from "node:http";
+import { Agent, type AgentOptions, type ClientRequest } from "node:http";
 import { connect, type Socket } from "node:net";
 import { type Clock, setConnectTimeout } from "../core/mod.ts";
 import type { HostPort } from "../fleet/mod.ts";
@@ -126,7 +126,9 @@
     return true;
   }
 
-  override reuseSocket(socket: Socket): void {
+  override reuseSocket(socket: Socket, req: ClientRequest): void {
+    // Removes the `error` listener that the agent adds to an idle connection.
+    super.reuseSocket(socket, req);
     socket.setTimeout(0);
     const connection = this.of(socket);
     if (connection?.idleSince === undefined) return;
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import process from "node:process";
 import { ManualClock, SystemClock } from "../core/mod.ts";
 import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
@@ -307,6 +308,25 @@
   t.is(endpoint.connections(), 1);
 });
 
+// Guards against listeners that accumulate on a connection with each request.
+test("a connection that is reused often has no more listeners", async (t) => {
+  const warnings: string[] = [];
+  const onWarning = ({ message }: Error) => warnings.push(message);
+  process.on("warning", onWarning);
+  const endpoint = await listenScripted((socket) =>
+    socket.write(response("Content-Length: 2\r\n", "ab"))
+  );
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  // Node.js warns at more than ten listeners for an event.
+  for (let i = 0; i < 15; i++) await sender.send(row, outgoing()).result;
+  sender.close();
+  endpoint.close();
+  process.off("warning", onWarning);
+  t.is(endpoint.connections(), 1);
+  t.deepEqual(warnings, []);
+});
+
 test("cancelling a request closes its connection", async (t) => {
   // Guards against endpoints that work for callers that disconnected.
   let arrived: (socket: Socket) => void;
