Apply the request's deadline to streamed responses

A response of more than 256 KiB was streamed without a time limit once its beginning had been delivered. An endpoint that stopped sending midway, or a caller that did not read, held the connection and the endpoint's slot for good.

The remainder of a response, of an endpoint or of another instance, now fails at the deadline, which is the earlier of the route's timeout and the caller's; the connection to the endpoint is closed. The metric response.expired and the log event response_expired show it.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -239,6 +239,11 @@
     ],
     help: "A request was refused or failed",
   },
+  response_expired: {
+    namespace: "requests",
+    fields: [...COMMON_REQUEST_FIELDS, "tookMs"],
+    help: "The deadline passed while a response was streamed; it was cut off",
+  },
   seat_taken_over: {
     namespace: "seats",
     fields: ["index"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -202,6 +202,12 @@
     help:
       "Requests from callers by result: ok or a failure code; service is unknown if the document does not list it",
   },
+  "response.expired": {
+    type: "count",
+    unit: "responses",
+    tags: ["service"],
+    help: "Streamed responses that were cut off at the request's deadline",
+  },
   "seats.held": {
     type: "gauge",
     unit: "seats",
--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -86,6 +86,16 @@
     });
   }
 
+  /** Records that the deadline passed while a response was streamed. */
+  streamExpired(ctx: RequestContext): void {
+    const { service } = ctx;
+    this.#metrics.count("response.expired", { service });
+    this.#log.event("response_expired", {
+      ...this.#requestFields(ctx),
+      tookMs: Math.round(this.#clock.now() - ctx.req.arrivedAt),
+    });
+  }
+
   /** Records that the caller disconnected before the response. */
   gone(ctx: RequestContext): void {
     const { service } = ctx;
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -28,6 +28,7 @@
 import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
 import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
 import { Refusals } from "./refusals.ts";
+import { withDeadline } from "./remainder_deadline.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
@@ -200,7 +201,10 @@
     }
     if (endpoint !== undefined) signals.passedOn(endpoint, answer.fields);
     accessLog.passedOn(ctx, { peer, endpoint, status: answer.status });
-    return { ...answer, headers: withoutHopFields(answer.headers) };
+    return {
+      ...this.#withDeadline(ctx, answer),
+      headers: withoutHopFields(answer.headers),
+    };
   }
 
   /** Records that an attempt may have reached an endpoint and run there. */
@@ -353,6 +357,22 @@
     response: EndpointResponse,
   ): FlowResult {
     this.#opts.accessLog.answered(ctx, endpoint, response.status);
-    return { ...response, endpoint: endpoint.id };
+    return { ...this.#withDeadline(ctx, response), endpoint: endpoint.id };
+  }
+
+  /** Applies the request's deadline to the streamed part of a response. */
+  #withDeadline(
+    ctx: RequestContext,
+    response: EndpointResponse,
+  ): EndpointResponse {
+    const { bytes, remainder } = response.body;
+    if (remainder === undefined) return response;
+    const { clock, accessLog } = this.#opts;
+    const limited = withDeadline(remainder, {
+      leftMs: ctx.deadline - clock.now(),
+      clock,
+      onExpired: () => accessLog.streamExpired(ctx),
+    });
+    return { ...response, body: { bytes, remainder: limited } };
   }
 }
