Assign connections to endpoints without the pool of Node.js's agent

Cause: for each request the agent copied the options twice, composed the pool's name from them five times, searched its list of busy sockets, and set and cleared a socket timeout for the idle time.

Change: EndpointConnections keeps the idle connections by address itself and overrides addRequest; one timer a second closes those that were idle for nine seconds, so they now close 9 to 10 s after their last request.

--- a/src/edge/endpoint_connections.ts
+++ b/src/edge/endpoint_connections.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import { Agent, type AgentOptions, type ClientRequest } from "node:http";
+import { Agent, type ClientRequest } from "node:http";
 import { connect, type Socket } from "node:net";
-import { type Clock, setConnectTimeout } from "../core/mod.ts";
+import { type Clock, setConnectTimeout, type Timer } from "../core/mod.ts";
 import type { HostPort } from "../fleet/mod.ts";
 import { type ConnectionState, trackConnection } from "./connection_end.ts";
 import { ReceivedBytes } from "./received_bytes.ts";
@@ -19,6 +19,11 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Time after which idle connections are closed, in milliseconds. */
 const IDLE_TIMEOUT_MS = 9_000;
+/**
+ * Interval at which idle connections are checked, in milliseconds. A timer for
+ * each idle connection would be set and cleared with each request.
+ */
+const IDLE_CHECK_MS = 1_000;
 
 /** State of a connection that is open or being opened. */
 export interface EndpointConnection extends ConnectionState {
@@ -38,15 +43,28 @@
   readonly sourceAddress?: string | undefined;
 }
 
-/** HTTP agent that assigns connections to requests. */
+/** A socket with the field in which Node.js keeps the request it carries. */
+type HttpSocket = Socket & { _httpMessage?: ClientRequest | null };
+
+/**
+ * HTTP agent that assigns connections to requests.
+ *
+ * It replaces the pool of Node.js's agent, which copies the options of each
+ * request and composes a name from them five times.
+ */
 export class EndpointConnections extends Agent {
   readonly #clock: Clock;
   readonly #sourceAddress: string | undefined;
   readonly #connections = new WeakMap<Socket, EndpointConnection>();
+  /** Idle connections by `host:port`, the longest idle first. */
+  readonly #idle = new Map<string, Socket[]>();
+  /** Connections that carry a request or are idle. */
+  readonly #open = new Set<Socket>();
+  #idleCheck: Timer | undefined;
 
   constructor(clock: Clock, opts: EndpointConnectionOptions = {}) {
-    // A late fault has most likely shown already on the longest idle connection.
-    super({ keepAlive: true, scheduling: "fifo" });
+    // Makes Node.js keep connections open after a response.
+    super({ keepAlive: true });
     this.#clock = clock;
     this.#sourceAddress = opts.sourceAddress;
   }
@@ -56,29 +74,38 @@
     return this.#connections.get(socket);
   }
 
-  /** Whether a request to an address could reuse a connection. */
-  hasIdle(address: HostPort): boolean {
-    const idle = this.freeSockets[this.getName(address)] ?? [];
-    return idle.some((socket) => !socket.destroyed);
+  /** Whether a request to an address (`host:port`) could reuse a connection. */
+  hasIdle(address: string): boolean {
+    const idle = this.#idle.get(address);
+    return idle !== undefined && idle.some((socket) => !socket.destroyed);
   }
 
   /** Closes connections to an address that were idle for `idleMs` or longer. */
-  closeIdle(address: HostPort, idleMs: number): void {
-    const idle = this.freeSockets[this.getName(address)];
+  closeIdle(address: string, idleMs: number): void {
+    const idle = this.#idle.get(address);
     if (idle === undefined) return;
     const now = this.#clock.now();
-    for (const socket of [...idle]) {
+    for (const socket of idle) {
       const since = this.of(socket)?.idleSince ?? now;
       if (now - since >= idleMs) socket.destroy();
     }
   }
 
-  // The methods below are documented extension points of the agent.
+  /** Called by Node.js to assign a connection to a request. */
+  addRequest(req: ClientRequest, { host, port }: HostPort): void {
+    const address = `${host}:${port}`;
+    const reused = this.#takeIdle(address);
+    if (reused !== undefined) return req.onSocket(reused);
+    const socket = this.createConnection({ host, port });
+    this.#open.add(socket);
+    // Node.js emits `free` once a response is complete and may be followed by
+    // another request, or if a request is cancelled before it uses the socket.
+    socket.on("free", () => this.#release(address, socket));
+    socket.on("close", () => this.#remove(address, socket));
+    req.onSocket(socket);
+  }
 
-  override createConnection(
-    opts: AgentOptions & { host: string; port: number },
-  ) {
-    const { host, port } = opts;
+  override createConnection({ host, port }: HostPort): Socket {
     const socket = connect({
       host,
       port,
@@ -112,28 +139,69 @@
     return socket;
   }
 
-  override keepSocketAlive(socket: Socket): boolean {
+  /** Closes all connections. */
+  override destroy(): void {
+    this.#idleCheck?.close();
+    this.#idleCheck = undefined;
+    for (const socket of this.#open) socket.destroy();
+  }
+
+  /** Takes the connection that has been idle longest. */
+  #takeIdle(address: string): Socket | undefined {
+    const idle = this.#idle.get(address);
+    if (idle === undefined) return undefined;
+    for (let socket = idle.shift(); socket; socket = idle.shift()) {
+      const connection = this.of(socket);
+      if (socket.destroyed || connection?.idleSince === undefined) continue;
+      connection.idleBeforeMs = this.#clock.now() - connection.idleSince;
+      connection.idleSince = undefined;
+      connection.received = new ReceivedBytes();
+      return socket;
+    }
+    return undefined;
+  }
+
+  /** Makes a connection idle after its request, or closes it. */
+  #release(address: string, socket: HttpSocket): void {
     const connection = this.of(socket);
-    if (connection === undefined) return false;
+    const wasUsed = socket._httpMessage?.shouldKeepAlive === true;
     if (
-      connection.remoteEnded || connection.broken ||
-      connection.tainted
+      connection === undefined || !wasUsed || !socket.writable ||
+      connection.remoteEnded || connection.broken || connection.tainted
     ) {
-      return false;
+      socket.destroy();
+      return;
     }
+    socket._httpMessage = null;
     connection.idleSince = this.#clock.now();
-    socket.setTimeout(IDLE_TIMEOUT_MS);
-    return true;
+    const idle = this.#idle.get(address);
+    if (idle === undefined) this.#idle.set(address, [socket]);
+    else idle.push(socket);
+    this.#idleCheck ??= this.#clock.after(
+      IDLE_CHECK_MS,
+      () => this.#checkIdle(),
+    );
   }
 
-  override reuseSocket(socket: Socket, req: ClientRequest): void {
-    // Removes the `error` listener that the agent adds to an idle connection.
-    super.reuseSocket(socket, req);
-    socket.setTimeout(0);
-    const connection = this.of(socket);
-    if (connection?.idleSince === undefined) return;
-    connection.idleBeforeMs = this.#clock.now() - connection.idleSince;
-    connection.idleSince = undefined;
-    connection.received = new ReceivedBytes();
+  #remove(address: string, socket: Socket): void {
+    this.#open.delete(socket);
+    const idle = this.#idle.get(address);
+    if (idle === undefined) return;
+    const index = idle.indexOf(socket);
+    if (index >= 0) idle.splice(index, 1);
+    if (idle.length === 0) this.#idle.delete(address);
+  }
+
+  /** Closes connections that no request has used for the idle timeout. */
+  #checkIdle(): void {
+    this.#idleCheck = undefined;
+    for (const address of this.#idle.keys()) {
+      this.closeIdle(address, IDLE_TIMEOUT_MS);
+    }
+    if (this.#idle.size === 0) return;
+    this.#idleCheck = this.#clock.after(
+      IDLE_CHECK_MS,
+      () => this.#checkIdle(),
+    );
   }
 }
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -13,7 +13,7 @@
 import type { Clock } from "../core/mod.ts";
 import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
-import { type HostPort, splitAddress } from "../fleet/mod.ts";
+import { splitAddress } from "../fleet/mod.ts";
 import {
   type EndpointConnectionOptions,
   EndpointConnections,
@@ -61,23 +61,21 @@
   }
 
   send(endpoint: Destination, outgoing: OutgoingRequest): PendingSend {
-    const address = splitAddress(endpoint.address);
-    this.#connections.closeIdle(address, this.#idle.of(endpoint));
-    const start = () => this.#start(endpoint, address, outgoing);
-    return this.#connections.hasIdle(address) ? afterReads(start) : start();
+    const start = () => this.#start(endpoint, outgoing);
+    return this.hasIdle(endpoint) ? afterReads(start) : start();
   }
 
   #start(
     endpoint: Destination,
-    address: HostPort,
     outgoing: OutgoingRequest,
   ): PendingSend {
+    const { address } = endpoint;
     const canSend = this.#connections.hasIdle(address) || outgoing.mayConnect();
     if (!canSend || !outgoing.maySend()) return settled({ kind: "withheld" });
     let req: ClientRequest;
     try {
       req = request({
-        ...address,
+        ...splitAddress(address),
         method: outgoing.method,
         path: outgoing.path,
         headers: headersOf(outgoing),
@@ -112,7 +110,7 @@
   }
 
   hasIdle(endpoint: Destination): boolean {
-    const address = splitAddress(endpoint.address);
+    const { address } = endpoint;
     this.#connections.closeIdle(address, this.#idle.of(endpoint));
     return this.#connections.hasIdle(address);
   }
@@ -129,7 +127,7 @@
   }
 
   closeIdleConnections(endpoint: Destination): void {
-    this.#connections.closeIdle(splitAddress(endpoint.address), 0);
+    this.#connections.closeIdle(endpoint.address, 0);
   }
 
   close(): void {
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -327,6 +327,34 @@
   t.deepEqual(warnings, []);
 });
 
+// Guards against connections to endpoints that get no more requests and are held
+// open by both sides.
+test("an idle connection is closed without a further request", async (t) => {
+  const endpoint = await listenScripted((socket) =>
+    socket.write(response("Content-Length: 2\r\n", "ab"))
+  );
+  const clock = new ManualClock();
+  const sender = new HttpEndpointSender(new PlainCodec(), clock);
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, outgoing()).result;
+  const [socket] = endpoint.sockets;
+  let closed = false;
+  const closing = new Promise<void>((resolve) =>
+    socket?.once("close", () => {
+      closed = true;
+      resolve();
+    })
+  );
+  clock.advance(8_900);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  t.false(closed);
+  clock.advance(1_200);
+  await closing;
+  t.true(closed);
+  sender.close();
+  endpoint.close();
+});
+
 test("cancelling a request closes its connection", async (t) => {
   // Guards against endpoints that work for callers that disconnected.
   let arrived: (socket: Socket) => void;
