Learn idle limits only from connections that break at once

Cause: a connection that broke on its first request after an idle time halved the idle limit of its endpoint, however late it broke. An endpoint that crashed or lost the response of a request it ran was taken for one that drops idle connections. The limit rises only when a connection is reused within it, so at a request every few seconds nearly every later one opened a new connection.

Change: only a break within 150 ms of the request counts; the reset of a connection that was dropped while idle takes a round trip.

--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -36,6 +36,13 @@
   "DELETE",
 ]);
 
+/**
+ * How soon after the request a connection breaks that was dropped while idle, in
+ * milliseconds: the reset takes a round trip. An endpoint that crashes or loses
+ * the response of a request that it runs mostly breaks it later.
+ */
+const MAX_STALE_BREAK_MS = 150;
+
 /** Options of the sender. */
 export interface HttpEndpointSenderOptions extends EndpointConnectionOptions {
   readonly links?: LinkObserver;
@@ -86,6 +93,7 @@
       return settled({ kind: "unsent", reason: String(cause) });
     }
     this.#links?.sent();
+    const sentAt = this.#clock.now();
     let settle: (result: SendResult) => void;
     const result = new Promise<SendResult>((resolve) => settle = resolve);
     const exchange = new Exchange(req, {
@@ -95,7 +103,10 @@
       maySend: outgoing.maySend,
       onHead: outgoing.onHead,
       settle: (result) => {
-        this.#recordIdleTimeout(endpoint, result, exchange.idleBeforeMs);
+        this.#recordIdleTimeout(endpoint, result, {
+          idleMs: exchange.idleBeforeMs,
+          tookMs: this.#clock.now() - sentAt,
+        });
         this.#links?.ended(
           linkSample(endpoint, result, exchange.idleBeforeMs),
         );
@@ -138,7 +149,10 @@
   #recordIdleTimeout(
     endpoint: Destination,
     result: SendResult,
-    idleMs: number | undefined,
+    { idleMs, tookMs }: {
+      readonly idleMs: number | undefined;
+      readonly tookMs: number;
+    },
   ): void {
     if (result.kind === "answer") {
       const { keepAliveMs } = result.fields;
@@ -147,7 +161,8 @@
       return;
     }
     const isBroken = result.kind === "unknown" && result.reason === "broken";
-    if (isBroken && idleMs !== undefined) this.#idle.lost(endpoint, idleMs);
+    const isStale = isBroken && tookMs <= MAX_STALE_BREAK_MS;
+    if (isStale && idleMs !== undefined) this.#idle.lost(endpoint, idleMs);
   }
 }
 
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -429,6 +429,39 @@
   ]);
 });
 
+test("an endpoint that loses a response keeps its idle connections", async (t) => {
+  // Guards against a new connection for each request to an endpoint of which one
+  // connection broke while it ran a request.
+  const clock = new ManualClock();
+  let requests = 0;
+  const endpoint = await listenScripted((socket) => {
+    requests++;
+    if (requests !== 2) {
+      socket.write(response("content-length: 2\r\n", "ok"));
+      return;
+    }
+    clock.advance(300);
+    socket.resetAndDestroy();
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), clock);
+  const row = endpointRow({ address: endpoint.address });
+  const seen: string[] = [];
+  for (let i = 0; i < 5; i++) {
+    seen.push(summary(await sender.send(row, outgoing()).result));
+    clock.advance(1_000);
+  }
+  sender.close();
+  endpoint.close();
+  t.deepEqual(seen, [
+    "answer ok",
+    "unknown broken",
+    "answer ok",
+    "answer ok",
+    "answer ok",
+  ]);
+  t.is(endpoint.connections(), 2);
+});
+
 test("a connection is reused within the keep-alive timeout less a margin", async (t) => {
   // Guards against a new connection for each request at a low request rate.
   const endpoint = await listenScripted((socket) => {
