--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -13,7 +13,7 @@
 import type { Clock } from "../core/mod.ts";
 import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
-import { type HostPort, splitAddress } from "../fleet/mod.ts";
+import { splitAddress } from "../fleet/mod.ts";
 import {
   type EndpointConnectionOptions,
   EndpointConnections,
@@ -36,6 +36,13 @@
   "DELETE",
 ]);
 
+/**
+ * How soon after the request a connection breaks that was dropped while idle, in
+ * milliseconds: the reset takes a round trip. An endpoint that crashes or loses
+ * the response of a request that it runs mostly breaks it later.
+ */
+const MAX_STALE_BREAK_MS = 150;
+
 /** Options of the sender. */
 export interface HttpEndpointSenderOptions extends EndpointConnectionOptions {
   readonly links?: LinkObserver;
@@ -61,23 +68,21 @@
   }
 
   send(endpoint: Destination, outgoing: OutgoingRequest): PendingSend {
-    const address = splitAddress(endpoint.address);
-    this.#connections.closeIdle(address, this.#idle.of(endpoint));
-    const start = () => this.#start(endpoint, address, outgoing);
-    return this.#connections.hasIdle(address) ? afterReads(start) : start();
+    const start = () => this.#start(endpoint, outgoing);
+    return this.hasIdle(endpoint) ? afterReads(start) : start();
   }
 
   #start(
     endpoint: Destination,
-    address: HostPort,
     outgoing: OutgoingRequest,
   ): PendingSend {
+    const { address } = endpoint;
     const canSend = this.#connections.hasIdle(address) || outgoing.mayConnect();
     if (!canSend || !outgoing.maySend()) return settled({ kind: "withheld" });
     let req: ClientRequest;
     try {
       req = request({
-        ...address,
+        ...splitAddress(address),
         method: outgoing.method,
         path: outgoing.path,
         headers: headersOf(outgoing),
@@ -88,6 +93,7 @@
       return settled({ kind: "unsent", reason: String(cause) });
     }
     this.#links?.sent();
+    const sentAt = this.#clock.now();
     let settle: (result: SendResult) => void;
     const result = new Promise<SendResult>((resolve) => settle = resolve);
     const exchange = new Exchange(req, {
@@ -97,7 +103,10 @@
       maySend: outgoing.maySend,
       onHead: outgoing.onHead,
       settle: (result) => {
-        this.#recordIdleTimeout(endpoint, result, exchange.idleBeforeMs);
+        this.#recordIdleTimeout(endpoint, result, {
+          idleMs: exchange.idleBeforeMs,
+          tookMs: this.#clock.now() - sentAt,
+        });
         this.#links?.ended(
           linkSample(endpoint, result, exchange.idleBeforeMs),
         );
@@ -112,7 +121,7 @@
   }
 
   hasIdle(endpoint: Destination): boolean {
-    const address = splitAddress(endpoint.address);
+    const { address } = endpoint;
     this.#connections.closeIdle(address, this.#idle.of(endpoint));
     return this.#connections.hasIdle(address);
   }
@@ -129,7 +138,7 @@
   }
 
   closeIdleConnections(endpoint: Destination): void {
-    this.#connections.closeIdle(splitAddress(endpoint.address), 0);
+    this.#connections.closeIdle(endpoint.address, 0);
   }
 
   close(): void {
@@ -140,7 +149,10 @@
   #recordIdleTimeout(
     endpoint: Destination,
     result: SendResult,
-    idleMs: number | undefined,
+    { idleMs, tookMs }: {
+      readonly idleMs: number | undefined;
+      readonly tookMs: number;
+    },
   ): void {
     if (result.kind === "answer") {
       const { keepAliveMs } = result.fields;
@@ -149,7 +161,8 @@
       return;
     }
     const isBroken = result.kind === "unknown" && result.reason === "broken";
-    if (isBroken && idleMs !== undefined) this.#idle.lost(endpoint, idleMs);
+    const isStale = isBroken && tookMs <= MAX_STALE_BREAK_MS;
+    if (isStale && idleMs !== undefined) this.#idle.lost(endpoint, idleMs);
   }
 }
 
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import process from "node:process";
 import { ManualClock, SystemClock } from "../core/mod.ts";
 import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
@@ -307,6 +308,53 @@
   t.is(endpoint.connections(), 1);
 });
 
+// Guards against listeners that accumulate on a connection with each request.
+test("a connection that is reused often has no more listeners", async (t) => {
+  const warnings: string[] = [];
+  const onWarning = ({ message }: Error) => warnings.push(message);
+  process.on("warning", onWarning);
+  const endpoint = await listenScripted((socket) =>
+    socket.write(response("Content-Length: 2\r\n", "ab"))
+  );
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  // Node.js warns at more than ten listeners for an event.
+  for (let i = 0; i < 15; i++) await sender.send(row, outgoing()).result;
+  sender.close();
+  endpoint.close();
+  process.off("warning", onWarning);
+  t.is(endpoint.connections(), 1);
+  t.deepEqual(warnings, []);
+});
+
+// Guards against connections to endpoints that get no more requests and are held
+// open by both sides.
+test("an idle connection is closed without a further request", async (t) => {
+  const endpoint = await listenScripted((socket) =>
+    socket.write(response("Content-Length: 2\r\n", "ab"))
+  );
+  const clock = new ManualClock();
+  const sender = new HttpEndpointSender(new PlainCodec(), clock);
+  const row = endpointRow({ address: endpoint.address });
+  await sender.send(row, outgoing()).result;
+  const [socket] = endpoint.sockets;
+  let closed = false;
+  const closing = new Promise<void>((resolve) =>
+    socket?.once("close", () => {
+      closed = true;
+      resolve();
+    })
+  );
+  clock.advance(8_900);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  t.false(closed);
+  clock.advance(1_200);
+  await closing;
+  t.true(closed);
+  sender.close();
+  endpoint.close();
+});
+
 test("cancelling a request closes its connection", async (t) => {
   // Guards against endpoints that work for callers that disconnected.
   let arrived: (socket: Socket) => void;
@@ -381,6 +429,39 @@
   ]);
 });
 
+test("an endpoint that loses a response keeps its idle connections", async (t) => {
+  // Guards against a new connection for each request to an endpoint of which one
+  // connection broke while it ran a request.
+  const clock = new ManualClock();
+  let requests = 0;
+  const endpoint = await listenScripted((socket) => {
+    requests++;
+    if (requests !== 2) {
+      socket.write(response("content-length: 2\r\n", "ok"));
+      return;
+    }
+    clock.advance(300);
+    socket.resetAndDestroy();
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), clock);
+  const row = endpointRow({ address: endpoint.address });
+  const seen: string[] = [];
+  for (let i = 0; i < 5; i++) {
+    seen.push(summary(await sender.send(row, outgoing()).result));
+    clock.advance(1_000);
+  }
+  sender.close();
+  endpoint.close();
+  t.deepEqual(seen, [
+    "answer ok",
+    "unknown broken",
+    "answer ok",
+    "answer ok",
+    "answer ok",
+  ]);
+  t.is(endpoint.connections(), 2);
+});
+
 test("a connection is reused within the keep-alive timeout less a margin", async (t) => {
   // Guards against a new connection for each request at a low request rate.
   const endpoint = await listenScripted((socket) => {
