Apply the plan's limits on the size and time of headers

Cause: MaxHeaderBytes and HeaderTimeoutS of the plan were not read. Headers of 64 KiB were taken whatever the plan said, and the timeout of 10 s was checked every 30 s, as Node.js does by default.

Change: the limits are decoded into CallerLimits. Node.js takes a maximum size only when a server is created, so that stays 64 KiB, a lower one of the plan is checked for each request (431), and a higher one has no effect. Header timeouts are checked every 250 ms. A connection on which nothing arrived is closed without a response: a 408 could meet a request that is on the way.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -35,10 +35,16 @@
   readonly address: string;
 }
 
-/** Maximum size of header fields in bytes; larger ones are refused with 431. */
+/**
+ * Largest header that is read, in bytes. Node.js takes this limit only when a
+ * server is created; a lower one of the plan is checked for each request, and a
+ * higher one has no effect.
+ */
 const MAX_HEADER_BYTES = 65_536;
-/** Time in which a caller must send its header fields, in milliseconds. */
-const HEADER_TIMEOUT_MS = 10_000;
+/** Header timeout until a plan sets one, in milliseconds. */
+const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
+/** Interval in which header timeouts are checked, in milliseconds. */
+const HEADER_TIMEOUT_CHECK_MS = 250;
 /** Idle timeout of connections until a plan sets one, in milliseconds. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Maximum body size until a plan sets one, in bytes. */
@@ -53,7 +59,10 @@
   readonly #intake: RequestIntake;
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #intakes = new WeakMap<PipelinedRequest, Intake>();
-  #limits: RequestLimits = { bodyBytes: DEFAULT_MAX_BODY_BYTES };
+  #limits: RequestLimits = {
+    headerBytes: MAX_HEADER_BYTES,
+    bodyBytes: DEFAULT_MAX_BODY_BYTES,
+  };
   #stage: ServerStage = "serving";
   #onIdle: (() => void) | undefined;
 
@@ -62,7 +71,9 @@
     this.#intake = new RequestIntake(opts);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADER_TIMEOUT_MS,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      // By default Node.js checks every 30 s.
+      connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       requestTimeout: 0,
       noDelay: true,
@@ -95,9 +106,10 @@
     return boundPort(this.#server);
   }
 
-  /** Sets the idle timeout in milliseconds and the maximum body size. */
+  /** Applies the limits of a plan. */
   applyLimits(limits: CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#limits = limits;
   }
 
@@ -178,7 +190,10 @@
       return;
     }
     if (connection.isEnding) return;
-    if (!connection.isAnswering && socket.writable) {
+    // The timeout of an unused connection is no response to a request, which may
+    // be on the way.
+    const isUnused = socket.bytesRead === 0;
+    if (!isUnused && !connection.isAnswering && socket.writable) {
       socket.write(parserErrorResponse(error.code));
     }
     connection.end();
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -47,6 +47,7 @@
 
 /** Limits of the plan on one request. */
 export interface RequestLimits {
+  readonly headerBytes: number;
   readonly bodyBytes: number;
 }
 
@@ -61,6 +62,7 @@
 /** Time in which a body must arrive if its caller states none, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
 
+const HEADER_TOO_LARGE = failure("bad_request", "the header is too large");
 const HOST_MISSING = failure("bad_request", "the Host field is missing");
 const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
 const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
@@ -113,13 +115,14 @@
   #refuseInvalid(
     intake: Intake,
     fields: RequestFields,
-    { bodyBytes }: RequestLimits,
+    { headerBytes, bodyBytes }: RequestLimits,
   ): boolean {
     const { req } = intake.request;
     const refuse = (why: Failure, status: number) => {
       this.#refuse(intake, why, fields, status);
       return true;
     };
+    if (headerBytesOf(req) > headerBytes) return refuse(HEADER_TOO_LARGE, 431);
     if (isHostMissing(req)) return refuse(HOST_MISSING, 400);
     if (this.#opts.fromPeers && readHop(req.rawHeaders) === undefined) {
       return refuse(HOP_MISSING, 400);
@@ -288,6 +291,22 @@
   }
 }
 
+/** Bytes of ": " and the line's end in each field of a header. */
+const FIELD_EXTRA_BYTES = 4;
+/** Bytes of a header besides method, path and fields. */
+const HEADER_EXTRA_BYTES = "  HTTP/1.1\r\n\r\n".length;
+
+/**
+ * Size of a request's header, without optional spaces. Node.js decodes it with
+ * one character for each byte.
+ */
+function headerBytesOf({ method = "", url = "", rawHeaders }: IncomingMessage) {
+  let bytes = method.length + url.length + HEADER_EXTRA_BYTES +
+    FIELD_EXTRA_BYTES * rawHeaders.length / 2;
+  for (const part of rawHeaders) bytes += part.length;
+  return bytes;
+}
+
 /** HTTP/1.1 requires the field. */
 function isHostMissing(req: IncomingMessage): boolean {
   return req.httpVersion === "1.1" &&
--- a/src/edge/request_intake_test.ts
+++ b/src/edge/request_intake_test.ts
@@ -16,6 +16,13 @@
 import { postRequest, RawCaller } from "./testing/raw_caller.ts";
 import { RecordedLog } from "./testing/recorded_log.ts";
 
+const LIMITS = {
+  headerBytes: 1_000,
+  headerTimeoutMs: 3_000,
+  bodyBytes: 10_000_000,
+  idleMs: 5_000,
+};
+
 /** A server with a budget of 1 MB. */
 async function limited(rankOf: () => number = () => 0) {
   const held = new HeldRequests();
@@ -28,8 +35,7 @@
     metrics,
     classOf: () => ({ route: "r1", rank: rankOf() }),
   });
-  const limits = { idleMs: 5_000, bodyBytes: 10_000_000 };
-  server.applyLimits(limits);
+  server.applyLimits(LIMITS);
   return { held, memory, log, metrics, server };
 }
 
@@ -199,3 +205,53 @@
   caller.close();
   await server.close();
 });
+
+// Guards against the limit of a plan that is ignored, as Node.js takes a limit
+// only when the server is created.
+test("a header is limited by the plan in force", async (t) => {
+  const { held, server } = await limited();
+  const caller = await RawCaller.open(server.port);
+  const before = "GET /1 HTTP/1.1\r\nHost: h\r\nF: ";
+  const fits = "x".repeat(1_000 - before.length - 4);
+  caller.send(`${before}${fits}\r\n\r\n`);
+  await until(() => held.forwarded.length === 1);
+  held.answerAll();
+  await until(() => caller.statuses.length === 1);
+  caller.send(`${before}${fits}x\r\n\r\n`);
+  await until(() => caller.statuses.length === 2);
+  t.deepEqual(caller.statuses, [200, 431]);
+  server.applyLimits({ ...LIMITS, headerBytes: 1_001 });
+  caller.send(`${before}${fits}x\r\n\r\n`);
+  await until(() => held.forwarded.length === 2);
+  caller.close();
+  await server.close();
+});
+
+// Guards against connections that a caller opens and leaves unused, and against
+// a timeout that cuts off requests in progress: Node.js checks only every 30 s.
+test("a header must arrive within the plan's timeout", async (t) => {
+  const { held, server } = await limited();
+  server.applyLimits({ ...LIMITS, headerTimeoutMs: 300 });
+  const unused = await RawCaller.open(server.port);
+  const begun = await RawCaller.open(server.port);
+  begun.send("GET /1 HTTP/1.1\r\n");
+  const piped = await RawCaller.open(server.port);
+  piped.get("/2");
+  piped.send("GET /3 HTTP/1.1\r\n");
+  const running = await RawCaller.open(server.port);
+  running.get("/4");
+  await begun.closed;
+  t.deepEqual(begun.statuses, [408]);
+  await unused.closed;
+  t.is(unused.text, "");
+  await settle(300);
+  held.answerAll();
+  await piped.closed;
+  t.deepEqual(piped.statuses, [200]);
+  t.deepEqual(piped.closing, [0]);
+  await until(() => running.statuses.length === 1);
+  t.deepEqual(running.statuses, [200]);
+  t.deepEqual(running.closing, []);
+  running.close();
+  await server.close();
+});
--- a/src/edge/testing/traffic_fixtures.ts
+++ b/src/edge/testing/traffic_fixtures.ts
@@ -65,7 +65,12 @@
     routes: [route()],
     services: new Map([[id, policy]]),
     accounts: [account()],
-    limits: { bodyBytes: 1_000_000, idleMs: 5_000 },
+    limits: {
+      headerBytes: 16_384,
+      headerTimeoutMs: 3_000,
+      bodyBytes: 1_000_000,
+      idleMs: 5_000,
+    },
     ...opts,
   };
 }
--- a/src/traffic/plan.ts
+++ b/src/traffic/plan.ts
@@ -62,8 +62,12 @@
   readonly allowedRegions: readonly RegionId[];
 }
 
-/** Limits on callers' request bodies and idle connections. */
+/** Limits on callers' requests and idle connections. */
 export interface CallerLimits {
+  /** Maximum size of a request's header, from its first line to its end. */
+  readonly headerBytes: number;
+  /** Time in which a caller must send a header, in milliseconds. */
+  readonly headerTimeoutMs: number;
   readonly bodyBytes: number;
   /** Idle timeout of a connection between requests, in milliseconds. */
   readonly idleMs: number;
