--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -8,7 +8,11 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock, Failure, Log, Metrics } from "../core/mod.ts";
 import { failure } from "../core/mod.ts";
-import type { ByteBudget, Reservation } from "../decisions/memory/mod.ts";
+import type {
+  ByteBudget,
+  Reservation,
+  ResponseSizes,
+} from "../decisions/memory/mod.ts";
 import type { PipelinedRequest } from "./caller_connection.ts";
 import type { FlowResult } from "./flow_result.ts";
 import { headerOf } from "./header_fields.ts";
@@ -19,6 +23,7 @@
   discardBody,
   readBody,
 } from "./request_body.ts";
+import type { RequestClass } from "./request_class.ts";
 import type { RequestCodec, RequestFields } from "./request_codec.ts";
 import type { CallerRequest } from "./request_context.ts";
 import { type CallerResponse, ResponseWriter } from "./response_writer.ts";
@@ -36,12 +41,13 @@
   /** Whether its callers are instances that pass requests on. */
   readonly fromPeers: boolean;
   readonly memory: ByteBudget;
-  /** The rank of a request; 0 is the most urgent. */
-  readonly rankOf: (fields: RequestFields) => number;
+  readonly responseSizes: ResponseSizes;
+  readonly classOf: (fields: RequestFields) => RequestClass;
 }
 
 /** Limits of the plan on one request. */
 export interface RequestLimits {
+  readonly headerBytes: number;
   readonly bodyBytes: number;
 }
 
@@ -56,6 +62,7 @@
 /** Time in which a body must arrive if its caller states none, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
 
+const HEADER_TOO_LARGE = failure("bad_request", "the header is too large");
 const HOST_MISSING = failure("bad_request", "the Host field is missing");
 const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
 const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
@@ -108,13 +115,14 @@
   #refuseInvalid(
     intake: Intake,
     fields: RequestFields,
-    { bodyBytes }: RequestLimits,
+    { headerBytes, bodyBytes }: RequestLimits,
   ): boolean {
     const { req } = intake.request;
     const refuse = (why: Failure, status: number) => {
       this.#refuse(intake, why, fields, status);
       return true;
     };
+    if (headerBytesOf(req) > headerBytes) return refuse(HEADER_TOO_LARGE, 431);
     if (isHostMissing(req)) return refuse(HOST_MISSING, 400);
     if (this.#opts.fromPeers && readHop(req.rawHeaders) === undefined) {
       return refuse(HOP_MISSING, 400);
@@ -131,12 +139,13 @@
     fields: RequestFields,
     limits: RequestLimits,
   ): Promise<void> {
-    const { clock, memory, rankOf, fromPeers } = this.#opts;
+    const { clock, memory, responseSizes, classOf, fromPeers } = this.#opts;
     const { request } = intake;
     const arrivedAt = clock.now();
     const length = bodyLengthOf(request.req);
-    const bytes = length.kind === "declared" ? length.bytes : 0;
-    const rank = rankOf(fields);
+    const { route, rank } = classOf(fields);
+    const bodyBytes = length.kind === "declared" ? length.bytes : 0;
+    const bytes = bodyBytes + responseSizes.expected(route);
     const reserved = memory.reserve(bytes, rank, arrivedAt);
     if (reserved.isErr()) {
       this.#recordRefusal(reserved.error, fields, { bytes, rank });
@@ -159,6 +168,9 @@
         hop,
         arrivedAt,
       });
+      if (result.kind === "answer") {
+        responseSizes.record(route, result.body.bytes.length);
+      }
       this.#respond(intake, result, fields);
     } finally {
       held.release(clock.now());
@@ -279,6 +291,22 @@
   }
 }
 
+/** Bytes of ": " and the line's end in each field of a header. */
+const FIELD_EXTRA_BYTES = 4;
+/** Bytes of a header besides method, path and fields. */
+const HEADER_EXTRA_BYTES = "  HTTP/1.1\r\n\r\n".length;
+
+/**
+ * Size of a request's header, without optional spaces. Node.js decodes it with
+ * one character for each byte.
+ */
+function headerBytesOf({ method = "", url = "", rawHeaders }: IncomingMessage) {
+  let bytes = method.length + url.length + HEADER_EXTRA_BYTES +
+    FIELD_EXTRA_BYTES * rawHeaders.length / 2;
+  for (const part of rawHeaders) bytes += part.length;
+  return bytes;
+}
+
 /** HTTP/1.1 requires the field. */
 function isHostMissing(req: IncomingMessage): boolean {
   return req.httpVersion === "1.1" &&
