Leave weak instances out of the directory while strong ones have room

Callers choose uniformly among the addresses in the directory, so an instance with 0.27 cores and 7 Mbit/s got as many of them as one with 1.35 cores and 140 Mbit/s.

An instance that is far weaker than others of its zone, by cores or link, now becomes a reserve while at least two strong ones serve and would be at most 0.3 in use with all of the zone's work. It stops at once from 0.5 on, or when too few strong ones report. It serves whoever connects; the directory alone leaves it out.

Fleets whose instances are alike have no reserves.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -200,6 +200,12 @@
     help:
       "Whether this instance relays gossip and watches the store for its zone",
   },
+  reserve_changed: {
+    namespace: "fleet",
+    fields: ["reserve", "reason", "utilization"],
+    help:
+      "Whether this instance is a reserve: it serves, but the directory leaves it out while the strong instances of its zone have ample room; with their utilization if they did all of the zone's work",
+  },
   plan_in_force: {
     namespace: "steering",
     fields: ["plan", "routes", "accounts"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -103,6 +103,13 @@
     help:
       "Instances whose gossip this instance receives, directly or summed, itself included; if it stays below fleet.instances, accounts are refused too early",
   },
+  "fleet.reserve": {
+    type: "gauge",
+    unit: "instances",
+    tags: [],
+    help:
+      "1 while the directory leaves this instance out, since the strong instances of its zone have ample room; else 0",
+  },
   "forwarded": {
     type: "count",
     unit: "requests",
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -18,6 +18,7 @@
   type Placement,
 } from "../decisions/placement/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
+import { Utilization } from "../decisions/reserves/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import { StartGate } from "../decisions/starting/mod.ts";
 import {
@@ -73,6 +74,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly placement?: Placement;
+  /** Processor time of the process since its start, in milliseconds. */
+  readonly processorMs?: () => number;
 }
 
 /** Instances assumed per zone until the instance list is read. */
@@ -105,6 +108,7 @@
   readonly #abortController = new AbortController();
   readonly #retryBudget: SharedRetryBudget;
   readonly #peerLoad: PeerLoad;
+  readonly #processor: Utilization;
   #graceMs: number;
   /** The listeners for callers and for requests that peers pass on. */
   #servers: readonly CallerServer[] = [];
@@ -117,6 +121,7 @@
     const { cfg, clock, random, log, codec, sources } = opts;
     this.#retryBudget = new SharedRetryBudget(cfg.retries);
     this.#gate = new StartGate(clock);
+    this.#processor = new Utilization(cfg.capacity);
     for (const kind of RESOURCE_KINDS) this.#dictionary.add(kind);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
@@ -203,6 +208,8 @@
     this.#member = new FleetMember({
       profile: this.#profile,
       capacity: cfg.capacity,
+      linkBytesPerS: cfg.linkBytesPerS,
+      utilization: () => this.#utilization(),
       firstStart: cfg.firstStart,
       assumedFleetSize: cfg.zones.size * ASSUMED_INSTANCES_PER_ZONE,
       seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
@@ -250,6 +257,7 @@
     const others = {
       serving: this.#member.serving(),
       isolated: this.#member.isolated(),
+      reserves: this.#member.reserves(),
     };
     return callerAddresses(others, own, region);
   }
@@ -421,6 +429,12 @@
     this.#sender.closeIdleConnections(row);
   }
 
+  #utilization(): number | undefined {
+    const { processorMs, clock } = this.#opts;
+    if (processorMs === undefined) return undefined;
+    return this.#processor.update(processorMs(), clock.now());
+  }
+
   #selfReport(): SelfReport {
     const inFlight = new Map<EndpointId, number>();
     for (const row of this.#state.endpoints.rows()) {
@@ -430,6 +444,7 @@
     const { reporting } = this.#quotas.demand.shares;
     this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
     this.#opts.metrics.gauge("fleet.reporting", reporting);
+    this.#opts.metrics.gauge("fleet.reserve", this.#member.isReserve ? 1 : 0);
     for (const [id, use] of this.#limits.uses()) uses.set(id, use);
     return {
       state: this.state,
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -45,6 +45,12 @@
   readonly relays: boolean;
   /** Capacity relative to the other instances. */
   readonly capacity: number;
+  /** Whether callers should be sent to others; it is serving all the same. */
+  readonly isReserve?: boolean | undefined;
+  /** Share of the capacity in use; undefined if unknown. */
+  readonly utilization?: number | undefined;
+  /** Binary logarithm of the link's bytes a second; undefined if unknown. */
+  readonly linkClass?: number | undefined;
   /** Revision of the last change received, by kind of object. */
   readonly changes: ReadonlyMap<string, number>;
   /** Request rate and admissions of accounts and of rate-limited endpoints. */
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -5,12 +5,14 @@
  * the response lists those of the caller's region: they are close, and the
  * failure of one moves only its own callers. A region without serving instances
  * gets those of all regions. Isolated instances are listed where too few others
- * are left: they pass requests on to serving ones.
+ * are left: they pass requests on to serving ones. Reserves serve, but are left
+ * out while enough others do.
  *
  * @module
  */
-import type { RegionId } from "../core/mod.ts";
+import type { InstanceId, RegionId } from "../core/mod.ts";
 import { canTakeOver } from "../decisions/links/mod.ts";
+import { withoutReserves } from "../decisions/reserves/mod.ts";
 import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 
 /** This instance and its state. */
@@ -26,6 +28,8 @@
 export interface OtherInstances {
   readonly serving: readonly InstanceProfile[];
   readonly isolated: readonly InstanceProfile[];
+  /** Those of the serving instances, and this one, that are reserves. */
+  readonly reserves?: ReadonlySet<InstanceId>;
 }
 
 /**
@@ -43,7 +47,7 @@
 ): string[] {
   const serving = withOwn(others.serving, own, "serving");
   const isolated = withOwn(others.isolated, own, "isolated");
-  const selected = selectInRegion({ serving, isolated }, region);
+  const selected = selectInRegion({ ...others, serving, isolated }, region);
   return selected.map((p) => p.callerAddress).sort().slice(0, MAX_ADDRESSES);
 }
 
@@ -56,11 +60,13 @@
 }
 
 function selectInRegion(
-  { serving, isolated }: OtherInstances,
+  { serving, isolated, reserves }: OtherInstances,
   region: RegionId | undefined,
 ): readonly InstanceProfile[] {
   const near = serving.filter((p) => p.region === region);
   const nearIsolated = isolated.filter((p) => p.region === region);
+  const named = withoutReserves(near, ({ id }) => reserves?.has(id) ?? false);
+  if (canTakeOver(named.length, nearIsolated.length)) return named;
   if (canTakeOver(near.length, nearIsolated.length)) return near;
   if (near.length + nearIsolated.length > 0) return [...near, ...nearIsolated];
   return serving.length > 0 ? serving : isolated;
--- a/src/fleet/fleet_aggregate.ts
+++ b/src/fleet/fleet_aggregate.ts
@@ -60,6 +60,11 @@
    * list remains valid.
    */
   readonly farServing: readonly number[] | undefined;
+  /**
+   * Hashes of the serving instances in other zones that callers are not sent to;
+   * undefined if the previous list remains valid.
+   */
+  readonly farReserves?: readonly number[] | undefined;
   /** Some profiles, for instances that do not have them yet. */
   readonly profiles: readonly InstanceProfile[];
 }
@@ -83,6 +88,7 @@
   farServing: 12,
   profile: 13,
   limits: 14,
+  farReserves: 15,
 } as const;
 
 const UP_TO_DATE = FIRST_FREE_BIT;
@@ -99,18 +105,15 @@
   aggregate: FleetAggregate,
   dictionary: NameDictionary,
 ): Uint8Array {
-  const { members, farServing } = aggregate;
+  const { members } = aggregate;
   const out = new BinaryWriter();
   writeProfile(out, FIELD.relay, aggregate.relay);
   writeSummedReport(out, aggregate, { fields: FIELD, dictionary });
   out.tag(FIELD.members, WireType.LengthDelimited).fork();
   for (const member of members) writeMember(out, member);
   out.join();
-  if (farServing !== undefined) {
-    out.tag(FIELD.farServing, WireType.LengthDelimited).fork();
-    for (const idHash of farServing) out.fixed32(idHash);
-    out.join();
-  }
+  writeHashes(out, FIELD.farServing, aggregate.farServing);
+  writeHashes(out, FIELD.farReserves, aggregate.farReserves);
   for (const profile of aggregate.profiles) {
     writeProfile(out, FIELD.profile, profile);
   }
@@ -140,6 +143,7 @@
   #relay: Result<InstanceProfile, Failure> | undefined;
   readonly #members: AggregateMember[] = [];
   #farServing: number[] | undefined;
+  #farReserves: number[] | undefined;
   readonly #profiles: InstanceProfile[] = [];
 
   constructor(dictionary: NameDictionary) {
@@ -166,6 +170,9 @@
       reserved,
       members: this.#members,
       farServing: this.#farServing,
+      ...(this.#farReserves === undefined
+        ? {}
+        : { farReserves: this.#farReserves }),
       profiles: this.#profiles,
     });
   }
@@ -179,12 +186,12 @@
       case FIELD.members:
         readRows(reader, (rows) => this.#members.push(readMember(rows)));
         return true;
-      case FIELD.farServing: {
-        const serving: number[] = [];
-        readRows(reader, (rows) => serving.push(rows.fixed32()));
-        this.#farServing = serving;
+      case FIELD.farServing:
+        this.#farServing = readHashes(reader);
+        return true;
+      case FIELD.farReserves:
+        this.#farReserves = readHashes(reader);
         return true;
-      }
       case FIELD.profile: {
         const profile = readProfileField(reader);
         if (profile.isOk()) this.#profiles.push(profile.value);
@@ -196,6 +203,23 @@
   }
 }
 
+function writeHashes(
+  out: BinaryWriter,
+  field: number,
+  hashes: readonly number[] | undefined,
+): void {
+  if (hashes === undefined) return;
+  out.tag(field, WireType.LengthDelimited).fork();
+  for (const idHash of hashes) out.fixed32(idHash);
+  out.join();
+}
+
+function readHashes(reader: BinaryReader): number[] {
+  const hashes: number[] = [];
+  readRows(reader, (rows) => hashes.push(rows.fixed32()));
+  return hashes;
+}
+
 function writeMember(out: BinaryWriter, member: AggregateMember): void {
   const bits = encodeStatus(member) | (member.upToDate ? UP_TO_DATE : 0);
   out.fixed32(member.idHash).fixed32(member.startHash).uint64(member.seq);
--- a/src/fleet/fleet_aggregate_test.ts
+++ b/src/fleet/fleet_aggregate_test.ts
@@ -151,3 +151,39 @@
   t.true(decodeAggregate(new Uint8Array(), DICTIONARY).isErr());
   t.true(decodeZoneDigest(new Uint8Array(), RECEIVER).isErr());
 });
+
+// Guards against reserves that other instances take for plainly serving ones,
+// and against the flag of the same number.
+test("reserves survive encoding and decoding", (t) => {
+  const dictionary = dictionaryOf("plans", "a1", "e1", "e2");
+  const member = {
+    ...aggregate().members[0]!,
+    isReserve: true,
+    utilization: 0.07,
+    linkClass: 20,
+  };
+  for (const upToDate of [true, false]) {
+    const sent = aggregate({
+      members: [{ ...member, upToDate }],
+      farReserves: [hash("i3")],
+    });
+    const received = decodeAggregate(
+      encodeAggregate(sent, dictionary),
+      dictionary,
+    );
+    t.deepEqual(received._unsafeUnwrap(), sent);
+  }
+  const members = [
+    { profile: profile("i1"), state: "serving" as const },
+    { profile: profile("i2"), state: "serving" as const, isReserve: true },
+  ];
+  const bytes = encodeZoneDigest(zoneDigest({ members }), {
+    dictionary,
+    includeProfiles: true,
+  });
+  const read = decodeZoneDigest(bytes, {
+    dictionary,
+    profileOf: () => undefined,
+  });
+  t.deepEqual(read._unsafeUnwrap().members, members);
+});
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -11,6 +11,7 @@
  */
 import {
   type Clock,
+  hash,
   type InstanceId,
   type Log,
   type Random,
@@ -22,6 +23,7 @@
   RELAYED_GOSSIP_DELAY_MS,
   type Reservation,
 } from "../decisions/quotas/mod.ts";
+import { ReserveRole } from "../decisions/reserves/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
 import { dispatchBundles } from "./bundles.ts";
 import { decodeChanges, encodeChanges } from "./change_relay.ts";
@@ -30,19 +32,20 @@
 import { DigestExchange, gossipRecipients } from "./digest_exchange.ts";
 import { decodeAggregate, type FleetAggregate } from "./fleet_aggregate.ts";
 import { FleetFeed, type GroupEvents } from "./fleet_feed.ts";
-import type { InstanceProfile } from "./instance_profile.ts";
+import type { InstanceProfile, InstanceState } from "./instance_profile.ts";
 import {
   agedLimits,
   type ObservedLimits,
   observedLimits,
 } from "./limit_rows.ts";
 import type { NameDictionary } from "./name_dictionary.ts";
-import { PeerTable } from "./peer_table.ts";
+import { type Peer, PeerTable } from "./peer_table.ts";
 import { RelayFollower } from "./relay_follower.ts";
 import type { ZoneDigest } from "./zone_digest.ts";
 import { ZoneExchange } from "./zone_exchange.ts";
 import { type Roles, ZoneRoles } from "./zone_roles.ts";
 import { ZoneRelay } from "./zone_relay.ts";
+import { reservesWithin } from "./zone_reserves.ts";
 import { zoneGroupId, ZoneTable } from "./zone_table.ts";
 
 /** State of this instance for its next digest. */
@@ -69,6 +72,10 @@
   readonly profile: InstanceProfile;
   /** Capacity relative to the other instances. */
   readonly capacity: number;
+  /** Bandwidth of the link in bytes a second; undefined if unknown. */
+  readonly linkBytesPerS?: number | undefined;
+  /** Share of the capacity in use; undefined if unknown. */
+  readonly utilization?: () => number | undefined;
   /** Whether the whole fleet starts for the first time. */
   readonly firstStart: boolean;
   /** Minimum fleet size until the instance list is read. */
@@ -92,6 +99,8 @@
 const OTHER_PROFILES_FOR_NEWCOMERS = 12;
 /** Random bytes that tell the runs of an instance apart. */
 const START_ID_BYTES = 4;
+/** Number of values of a hash. */
+const HASH_RANGE = 2 ** 32;
 
 /** Takes part in the gossip of the fleet. */
 export class FleetMember {
@@ -104,6 +113,8 @@
   readonly #relay: ZoneRelay;
   readonly #relayFollower: RelayFollower;
   readonly #roles: ZoneRoles;
+  readonly #reserveRole: ReserveRole;
+  readonly #linkClass: number | undefined;
   readonly #digests: DigestExchange;
   #currentRoles: Roles = { isRelay: false, isStoreWatcher: false };
   #reservations: readonly Reservation[] = [];
@@ -126,7 +137,11 @@
       removed: (zone) => this.#forgetGroup(zoneGroupId(zone)),
     });
     this.#feed = new FleetFeed(events);
-    const { firstStart } = opts;
+    this.#reserveRole = new ReserveRole(hash(profile.id) / HASH_RANGE);
+    const { firstStart, linkBytesPerS = 0 } = opts;
+    this.#linkClass = linkBytesPerS > 1
+      ? Math.round(Math.log2(linkBytesPerS))
+      : undefined;
     this.#roles = new ZoneRoles({ id: profile.id, capacity }, firstStart);
     const common = {
       datagrams: this.#datagrams,
@@ -217,6 +232,32 @@
     return this.#peers.inState("isolated").map((p) => p.profile);
   }
 
+  /** Whether callers should be sent to others. */
+  get isReserve(): boolean {
+    return this.#reserveRole.isReserve;
+  }
+
+  /**
+   * The instances that callers are not sent to, this one included. Where strong
+   * instances are overdue, reserves are named before those stop being reserves.
+   */
+  reserves(): ReadonlySet<InstanceId> {
+    if (this.#feed.followsRelay && this.#relayFollower.isStale) {
+      return new Set();
+    }
+    const { profile, capacity } = this.#opts;
+    const { isReserve } = this;
+    const reporting = [
+      { profile, capacity, linkClass: this.#linkClass, isReserve },
+      ...this.#peers.serving().filter((p) => !p.suspect),
+    ];
+    const near = reservesWithin(reporting);
+    const far = this.#feed.followsRelay
+      ? this.#relayFollower.farReserves
+      : this.#zones.reserves();
+    return new Set([...near, ...far]);
+  }
+
   #farServing(): readonly InstanceProfile[] {
     return this.#feed.followsRelay
       ? this.#relayFollower.farServing
@@ -336,8 +377,12 @@
     const { isStoreWatcher } = this.#currentRoles;
     const { reservations, limits, ...self } = report();
     this.#reservations = reservations;
+    const utilization = this.#opts.utilization?.();
     return {
       ...self,
+      isReserve: this.#decideReserve(self.state, utilization),
+      utilization,
+      linkClass: this.#linkClass,
       limits: agedLimits(limits, this.#opts.clock.now()),
       profile,
       start: this.#start,
@@ -352,6 +397,36 @@
     };
   }
 
+  #decideReserve(
+    state: InstanceState,
+    utilization: number | undefined,
+  ): boolean {
+    const { capacity, clock, log } = this.#opts;
+    const role = this.#reserveRole;
+    const wasReserve = role.isReserve;
+    const linkClass = this.#linkClass;
+    role.update(
+      state === "serving" ? { capacity, linkClass, utilization } : undefined,
+      this.#reportingZonePeers(),
+      clock.now(),
+    );
+    if (role.isReserve !== wasReserve) {
+      log.event("reserve_changed", {
+        reserve: role.isReserve,
+        reason: role.obstacle ?? "ample_room",
+        utilization: role.strongUtilization,
+      });
+    }
+    return role.isReserve;
+  }
+
+  #reportingZonePeers(): readonly Peer[] {
+    if (this.#feed.followsRelay && this.#relayFollower.isStale) return [];
+    return this.#peers.zonePeers().filter((p) =>
+      !p.suspect && p.state === "serving"
+    );
+  }
+
   #sampleProfiles(most: number): InstanceProfile[] {
     const known = [
       ...this.#peers.peers().filter((p) => !p.unreachable),
--- a/src/fleet/peer_table.ts
+++ b/src/fleet/peer_table.ts
@@ -68,6 +68,12 @@
   unreachable: boolean;
   /** Capacity relative to the other instances. */
   capacity: number;
+  /** Whether callers should be sent to others. */
+  isReserve: boolean;
+  /** Share of the capacity in use; undefined if unknown. */
+  utilization: number | undefined;
+  /** Binary logarithm of the link's bytes a second; undefined if unknown. */
+  linkClass: number | undefined;
   /** Whether it watches the store, and whether the store responds. */
   isStoreWatcher: boolean;
   storeInTouch: boolean;
@@ -83,15 +89,17 @@
 type ZoneReport = Pick<FleetAggregate, "relay" | "members" | "changes">;
 
 /** State that an instance reports of itself. */
-type PeerStatus = Pick<
-  Peer,
-  | "state"
-  | "capacity"
-  | "isStoreWatcher"
-  | "storeInTouch"
-  | "relays"
-  | "changes"
->;
+type PeerStatus =
+  & Pick<
+    Peer,
+    | "state"
+    | "capacity"
+    | "isStoreWatcher"
+    | "storeInTouch"
+    | "relays"
+    | "changes"
+  >
+  & Pick<Digest, "isReserve" | "utilization" | "linkClass">;
 
 /** Receives reports and state changes of the other instances. */
 export interface PeerEvents {
@@ -217,6 +225,9 @@
       suspect: true,
       unreachable: true,
       capacity: 0,
+      isReserve: false,
+      utilization: undefined,
+      linkClass: undefined,
       isStoreWatcher: false,
       storeInTouch: false,
       relays: false,
@@ -321,6 +332,9 @@
     peer.suspect = false;
     peer.unreachable = false;
     peer.capacity = status.capacity;
+    peer.isReserve = status.isReserve ?? false;
+    peer.utilization = status.utilization;
+    peer.linkClass = status.linkClass;
     peer.isStoreWatcher = status.isStoreWatcher;
     peer.storeInTouch = status.storeInTouch;
     peer.relays = status.relays;
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -49,6 +49,7 @@
   #suspect = false;
   #unreachable = false;
   #farServing: readonly InstanceProfile[] = [];
+  #farReserves: readonly InstanceId[] = [];
 
   constructor(
     own: { readonly id: InstanceId; readonly start: string },
@@ -64,6 +65,16 @@
     return this.#unreachable ? [] : this.#farServing;
   }
 
+  /** Those of them that callers are not sent to. */
+  get farReserves(): readonly InstanceId[] {
+    return this.#unreachable ? [] : this.#farReserves;
+  }
+
+  /** Whether no relay reports, so that its last lists may be outdated. */
+  get isStale(): boolean {
+    return this.#relay === undefined || this.#suspect;
+  }
+
   /** Records a digest that this instance sent, to subtract it from the sums. */
   sent({ seq, uses, inFlight }: Digest): void {
     const admitted = new Map(this.#sent.at(-1)?.admitted);
@@ -76,6 +87,10 @@
   onAggregate(aggregate: FleetAggregate, now: number): void {
     const { relay, start, seq } = aggregate;
     if (!this.#accepts(aggregate, now)) return;
+    const isSameRelay = this.#relay?.id === relay.id &&
+      this.#relay.start === start;
+    // The successor sends its list of reserves only once it changes.
+    if (!isSameRelay) this.#farReserves = [];
     this.#relay = { id: relay.id, start, seq, lastAggregateAt: now };
     this.#suspect = false;
     this.#unreachable = false;
@@ -84,6 +99,14 @@
       this.#farServing = aggregate.farServing.flatMap((idHash) =>
         this.#peers.refresh(idHash, now) ?? []
       );
+      // A relay of an earlier build lists none.
+      this.#farReserves = [];
+    }
+    if (aggregate.farReserves !== undefined) {
+      const reserves = new Set(aggregate.farReserves);
+      this.#farReserves = this.#farServing.map(({ id }) => id).filter((id) =>
+        reserves.has(hash(id))
+      );
     }
     this.#feed.onAggregate(this.#subtractOwn(aggregate, now), now);
   }
@@ -107,6 +130,7 @@
     this.#relay = undefined;
     this.#ownAdmitted = new Map();
     this.#farServing = [];
+    this.#farReserves = [];
   }
 
   #accepts({ relay, start, seq }: FleetAggregate, now: number): boolean {
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -35,6 +35,8 @@
 export interface TestMember {
   readonly profile: InstanceProfile;
   readonly capacity: number;
+  /** Share of the capacity in use; unknown by default. */
+  utilization?: number;
   member: FleetMember;
   readonly groups: Map<string, GroupReport>;
   readonly relayed: RelayedChanges[];
@@ -197,6 +199,7 @@
     return new FleetMember({
       profile,
       capacity,
+      utilization: () => entry.utilization,
       firstStart,
       assumedFleetSize: 2,
       seeds: [],
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -47,6 +47,8 @@
 export interface ZoneMember {
   readonly profile: InstanceProfile;
   readonly state: InstanceState;
+  /** Whether callers should be sent to others. */
+  readonly isReserve?: boolean | undefined;
 }
 
 /** Summary of a zone; `changes` are those that its relay has received. */
@@ -79,6 +81,8 @@
   uses: 14,
   inFlight: 15,
   limits: 16,
+  /** Apart from the members, whose rows earlier builds read. */
+  reserves: 17,
 } as const;
 
 /**
@@ -108,6 +112,12 @@
     out.fixed32(hash(profile.id)).uint32(INSTANCE_STATES.indexOf(state));
   }
   out.join();
+  const reserves = members.filter(({ isReserve }) => isReserve === true);
+  if (reserves.length > 0) {
+    out.tag(FIELD.reserves, WireType.LengthDelimited).fork();
+    for (const { profile } of reserves) out.fixed32(hash(profile.id));
+    out.join();
+  }
   for (const { profile } of includeProfiles ? members : []) {
     writeProfile(out, FIELD.profile, profile);
   }
@@ -140,6 +150,7 @@
   #relay = "";
   readonly #report: ReportDecoder;
   readonly #members: { idHash: number; state: InstanceState }[] = [];
+  readonly #reserves = new Set<number>();
   readonly #profiles = new Map<number, InstanceProfile>();
 
   constructor(resolver: HashResolver) {
@@ -186,6 +197,9 @@
       case FIELD.members:
         readRows(reader, (rows) => this.#readMember(rows));
         return true;
+      case FIELD.reserves:
+        readRows(reader, (rows) => this.#reserves.add(rows.fixed32()));
+        return true;
       case FIELD.profile: {
         const profile = readProfileField(reader);
         if (profile.isErr()) return true;
@@ -210,6 +224,8 @@
     const { idHash, state } = member;
     const profile = this.#profiles.get(idHash) ??
       this.#resolver.profileOf(idHash);
-    return profile === undefined ? [] : [{ profile, state }];
+    if (profile === undefined) return [];
+    const isReserve = this.#reserves.has(idHash);
+    return [{ profile, state, ...(isReserve ? { isReserve } : {}) }];
   }
 }
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -26,6 +26,7 @@
   type ZoneMember,
 } from "./zone_digest.ts";
 import type { Sums } from "./group_sums.ts";
+import { reservesWithin } from "./zone_reserves.ts";
 import type { ZoneTable } from "./zone_table.ts";
 
 /** Recipients per digest in a zone whose relay is unknown. */
@@ -109,11 +110,16 @@
   ): ZoneDigest {
     const { peers } = this.#opts;
     const reachable = peers.zonePeers().filter((m) => !m.unreachable);
+    const reporting = reachable.filter((m) =>
+      !m.suspect && m.state === "serving"
+    );
+    const reserves = new Set(reservesWithin([own, ...reporting]));
     const members: ZoneMember[] = [own, ...reachable].map((
       { profile, state },
     ) => ({
       profile,
       state,
+      isReserve: reserves.has(profile.id),
     }));
     return {
       zone: own.profile.zone,
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -63,6 +63,7 @@
   /** Digests of other zones for the standby. */
   readonly #standbyBundle: Bundle;
   #hasNewcomer = false;
+  #sentReserves = "";
   #allProfilesSentAt = -Infinity;
 
   constructor(opts: ZoneRelayOptions) {
@@ -177,10 +178,20 @@
         ),
       ],
       farServing,
+      farReserves: this.#farReserves(farServing !== undefined),
       profiles: this.#profiles(),
     };
   }
 
+  /** Sent when it changes, as reserves that are needed must be named soon. */
+  #farReserves(isDue: boolean): readonly number[] | undefined {
+    const reserves = this.#opts.zones.reserves().map((id) => hash(id));
+    const key = reserves.join();
+    if (!isDue && key === this.#sentReserves) return undefined;
+    this.#sentReserves = key;
+    return reserves;
+  }
+
   #profiles(): readonly InstanceProfile[] {
     const { peers, clock, random } = this.#opts;
     const known = [...peers.zonePeers(), ...peers.peersTrackedByZone()].map((
@@ -203,6 +214,7 @@
 ): AggregateMember {
   const { start, seq, state, isStoreWatcher, storeInTouch, relays, capacity } =
     reported;
+  const { isReserve, utilization, linkClass } = reported;
   const upToDate = [...changes].every(([kind, revision]) =>
     (reported.changes.get(kind) ?? 0) >= revision
   );
@@ -216,6 +228,9 @@
     relays,
     upToDate,
     capacity,
+    isReserve,
+    utilization,
+    linkClass,
   };
 }
 
--- a/src/fleet/zone_table.ts
+++ b/src/fleet/zone_table.ts
@@ -106,6 +106,13 @@
       .flatMap((row) => row.digest.members)
       .filter((m) => m.state === "serving").map((m) => m.profile);
   }
+
+  /** Serving instances of the zones that report that callers are not sent to. */
+  reserves(): readonly InstanceId[] {
+    return [...this.#rows.values()].filter((row) => !row.suspect)
+      .flatMap((row) => row.digest.members)
+      .filter((m) => m.isReserve === true).map((m) => m.profile.id);
+  }
 }
 
 /** Whether the previous relay has left or is leaving, according to `next`. */
