--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -24,6 +24,7 @@
   ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
+import { Utilization } from "../decisions/reserves/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import { StartGate } from "../decisions/starting/mod.ts";
 import {
@@ -80,6 +81,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly placement?: Placement;
+  /** Processor time of the process since its start, in milliseconds. */
+  readonly processorMs?: () => number;
 }
 
 /** Instances assumed per zone until the instance list is read. */
@@ -114,6 +117,7 @@
   readonly #peerLoad: PeerLoad;
   /** Memory for what is buffered for callers and peers. */
   readonly #memory: ByteBudget;
+  readonly #processor: Utilization;
   #graceMs: number;
   /** The listeners for callers and for requests that peers pass on. */
   #servers: readonly CallerServer[] = [];
@@ -130,6 +134,7 @@
       bufferBytes(cfg.memoryBytes, getHeapStatistics().heap_size_limit),
     );
     opts.metrics.gauge("buffers.limit", this.#memory.limitBytes);
+    this.#processor = new Utilization(cfg.capacity);
     for (const kind of RESOURCE_KINDS) this.#dictionary.add(kind);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
@@ -216,6 +221,8 @@
     this.#member = new FleetMember({
       profile: this.#profile,
       capacity: cfg.capacity,
+      linkBytesPerS: cfg.linkBytesPerS,
+      utilization: () => this.#utilization(),
       firstStart: cfg.firstStart,
       assumedFleetSize: cfg.zones.size * ASSUMED_INSTANCES_PER_ZONE,
       seeds: cfg.seeds.filter((seed) => seed !== cfg.listen.digest),
@@ -263,6 +270,7 @@
     const others = {
       serving: this.#member.serving(),
       isolated: this.#member.isolated(),
+      reserves: this.#member.reserves(),
     };
     return callerAddresses(others, own, region);
   }
@@ -443,6 +451,12 @@
     this.#sender.closeIdleConnections(row);
   }
 
+  #utilization(): number | undefined {
+    const { processorMs, clock } = this.#opts;
+    if (processorMs === undefined) return undefined;
+    return this.#processor.update(processorMs(), clock.now());
+  }
+
   #selfReport(): SelfReport {
     const inFlight = new Map<EndpointId, number>();
     for (const row of this.#state.endpoints.rows()) {
@@ -453,6 +467,7 @@
     this.#opts.metrics.gauge("buffers.used", this.#memory.usedBytes);
     this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
     this.#opts.metrics.gauge("fleet.reporting", reporting);
+    this.#opts.metrics.gauge("fleet.reserve", this.#member.isReserve ? 1 : 0);
     for (const [id, use] of this.#limits.uses()) uses.set(id, use);
     return {
       state: this.state,
