Admit accounts of sparse demand by the fleet's window, not by shares

Cause: with 80 instances most accounts have less than one request a second at an instance, so shares come from a handful of requests, and what is held back for unreported admissions (0.8 s of the demand) uses up the burst that is divided. Accounts at 0.6 of their rate were refused.

Change: where relays report and an account has less than 8 requests a second of its rate at an instance, each instance computes from the same reports the fraction of the fleet's demand that fits into the window, and admits that fraction of its own requests. Growth since the reports is estimated from the instance's own requests and from the rise of the reported demand, and bounded by a limit on what an instance admits before others learn of it. Refusals state the fleet's level and the age of the reports.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { AccountId, InstanceId } from "../../core/mod.ts";
+import { type AccountId, hash, type InstanceId } from "../../core/mod.ts";
 import type { Account } from "../../traffic/mod.ts";
 import type { Reservation } from "./demand_shares.ts";
 import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
@@ -38,6 +38,10 @@
     readonly admitted: false;
     readonly share: number;
     readonly retryAfterMs: number;
+    /** Requests that the fleet may still admit, as known here. */
+    readonly level: number;
+    /** Time since a peer last reported, or since the start. */
+    readonly reportAgeMs: number;
   };
 
 interface Row {
@@ -69,6 +73,7 @@
 export class AccountQuotas {
   /** Demand of the fleet, updated by this class. */
   readonly demand: FleetDemand;
+  readonly #own: InstanceId;
   readonly #rows = new Map<AccountId, Row>();
   readonly #fleetSize: () => number;
   readonly #gossipDelayMs: () => number;
@@ -80,6 +85,7 @@
   #reportRounds = 0;
 
   constructor(own: InstanceId, opts: AccountQuotasOptions) {
+    this.#own = own;
     this.demand = new FleetDemand(own, opts.fleetSize);
     this.#fleetSize = opts.fleetSize;
     this.#gossipDelayMs = opts.gossipDelayMs ?? (() => DIRECT_GOSSIP_DELAY_MS);
@@ -118,7 +124,9 @@
     const firstMs = row.bucket.waitMs(rate);
     const everyMs = MS_PER_S / Math.max(1e-3, rate.ratePerS * share);
     const retryAfterMs = row.retryAfter.next(now, firstMs, everyMs);
-    return { admitted: false, share, retryAfterMs };
+    const level = row.bucket.level(rate, now);
+    const reportAgeMs = row.bucket.reportAgeMs(now);
+    return { admitted: false, share, retryAfterMs, level, reportAgeMs };
   }
 
   /**
@@ -179,7 +187,7 @@
   #add(account: Account, now: number): Row {
     const row: Row = {
       ...this.#limitsOf(account),
-      bucket: new FleetBucket(now),
+      bucket: new FleetBucket(now, ditherOf(this.#own, account.id)),
       retryAfter: new RetryAfterSchedule(MAX_RETRY_AFTER_MS),
       rate: undefined,
       rateVersion: 0,
@@ -234,15 +242,26 @@
   }
 
   #computeRate({ account: { id }, limit, toleratedPerWindow }: Row): FleetRate {
+    const fleetSize = Math.max(1, this.#fleetSize());
     return {
       ...limit,
-      overdraft: toleratedPerWindow * OVERDRAFT_FRACTION /
-        Math.max(1, this.#fleetSize()),
+      overdraft: toleratedPerWindow * OVERDRAFT_FRACTION / fleetSize,
       share: this.demand.shares.own(id),
       reserved: this.demand.shares.reserved(id),
       complete: this.demand.shares.complete,
       peersPerS: this.demand.shares.peersPerS(id),
+      ownPerS: this.demand.shares.ownPerS(id),
+      instances: Math.max(1, this.demand.shares.reporting),
+      tolerated: toleratedPerWindow,
+      fleetSize,
       gossipDelayMs: this.#gossipDelayMs(),
     };
   }
 }
+
+const HASH_VALUES = 2 ** 32;
+
+/** A number in [0, 1) that differs between instances and accounts. */
+function ditherOf(own: InstanceId, account: AccountId): number {
+  return (hash(`${own} ${account}`) >>> 0) / HASH_VALUES;
+}
--- a/src/decisions/quotas/ewma_rate.ts
+++ b/src/decisions/quotas/ewma_rate.ts
@@ -17,9 +17,9 @@
     this.#timeConstantMs = timeConstantMs;
   }
 
-  /** Counts one event. */
-  add(now: number): void {
-    this.#perS = this.perS(now) + MS_PER_S / this.#timeConstantMs;
+  /** Counts one event, or a part of one. */
+  add(now: number, weight = 1): void {
+    this.#perS = this.perS(now) + weight * MS_PER_S / this.#timeConstantMs;
     this.#updatedAt = now;
   }
 
--- a/src/decisions/quotas/fleet_bucket.ts
+++ b/src/decisions/quotas/fleet_bucket.ts
@@ -4,8 +4,14 @@
  * @module
  */
 import type { InstanceId } from "../../core/mod.ts";
+import { DIRECT_GOSSIP_DELAY_MS } from "./gossip_delay.ts";
 import type { RateLimit } from "./rate_limit.ts";
 import { SlidingWindowCounter } from "./sliding_window_counter.ts";
+import {
+  RECENT_MS,
+  unreportedMs,
+  WindowAdmission,
+} from "./window_admission.ts";
 
 /** An account's limit, and this instance's share of it. */
 export interface FleetRate extends RateLimit {
@@ -17,6 +23,14 @@
   readonly complete: boolean;
   /** Requests a second at the peers, as last reported. */
   readonly peersPerS: number;
+  /** Requests a second at this instance. */
+  readonly ownPerS: number;
+  /** Reachable instances, this one included. */
+  readonly instances: number;
+  /** Instances that may admit requests, unreachable ones included. */
+  readonly fleetSize: number;
+  /** Requests per window that are tolerated above the limit. */
+  readonly tolerated: number;
   /** Maximum age of peers' reports. */
   readonly gossipDelayMs: number;
   /**
@@ -52,6 +66,8 @@
  * the start, whatever was spent before.
  */
 const MIN_DOWNTIME_MS = 500;
+/** Rate an instance, in requests a second, above which shares are accurate. */
+const MAX_SPARSE_PER_S = 8;
 const MS_PER_S = 1_000;
 
 /**
@@ -76,12 +92,30 @@
   /** Overdraft spent since all peers last reported. */
   #overdraftUsed = 0;
   #window: SlidingWindowCounter | undefined;
+  /** Requests in the window that this instance admitted. */
+  #ownWindow: SlidingWindowCounter | undefined;
+  /**
+   * Whether a peer's counters start anew and the window has not been adjusted
+   * to its reserved share.
+   */
+  #hasGap = false;
+  /** When a peer last reported. */
+  #reportedAt: number;
+  /** Fraction of the rate that the window's counts stand for. */
+  #windowFraction = 1;
+  readonly #byWindow: WindowAdmission;
   readonly #lastReports = new Map<InstanceId, AdmissionReport>();
 
-  /** Earlier spending is unknown and assumed to be at the full rate. */
-  constructor(now: number) {
+  /**
+   * Earlier spending is unknown and assumed to be at the full rate.
+   *
+   * @param dither In [0, 1), different at each instance.
+   */
+  constructor(now: number, dither = 0) {
+    this.#byWindow = new WindowAdmission(dither);
     this.#fleetTokens = 0;
     this.#startedAt = now;
+    this.#reportedAt = now;
     this.#refilledAt = now - MIN_DOWNTIME_MS;
   }
 
@@ -90,6 +124,11 @@
     return this.#admitted;
   }
 
+  /** Milliseconds since a peer last reported, or since the start. */
+  reportAgeMs(now: number): number {
+    return now - this.#reportedAt;
+  }
+
   /** Remaining tokens of the fleet; below zero after overspending. */
   level(rate: FleetRate, now: number): number {
     this.#refill(rate, now);
@@ -99,16 +138,22 @@
   /** Spends one token if one is available. */
   take(rate: FleetRate, now: number): boolean {
     this.#refill(rate, now);
-    if (this.#ownTokens >= 1) this.#ownTokens--;
+    this.#byWindow.recordRequest(now);
+    if (this.#usesWindow(rate)) {
+      if (this.#byWindow.needsPlan(now)) this.#planWindow(rate, now);
+      if (!this.#byWindow.take(() => this.#unreported(rate, now))) return false;
+    } else if (this.#ownTokens >= 1) this.#ownTokens--;
     else if (this.#mayOverdraw(rate, now)) this.#overdraftUsed++;
     else return false;
     this.#spend(1, now);
+    this.#ownWindow?.add(1, now);
     this.#admitted++;
     return true;
   }
 
   /** Milliseconds until this instance has its next token. */
   waitMs(rate: FleetRate): number {
+    if (this.#usesWindow(rate)) return this.#byWindow.waitMs;
     const perMs = rate.ratePerS * rate.share / MS_PER_S;
     return perMs <= 0 ? Infinity : Math.max(0, 1 - this.#ownTokens) / perMs;
   }
@@ -117,13 +162,19 @@
   applyReport(report: AdmissionReport, rate: FleetRate, now: number): void {
     this.#refill(rate, now);
     const before = this.#lastReports.get(report.instance);
+    const gapMs = this.#hasGap ? now - this.#reportedAt : 0;
+    this.#hasGap = false;
+    this.#reportedAt = now;
     this.#lastReports.set(report.instance, report);
     if (!this.#levelKnown) {
       this.#levelKnown = true;
       this.#adoptLevel(report.level, rate, now);
       return;
     }
-    if (before === undefined) return;
+    if (before === undefined) {
+      this.#countGap(gapMs, now);
+      return;
+    }
     const from = before.start === report.start ? before.admitted : 0;
     this.#spend(Math.max(0, report.admitted - from), now);
   }
@@ -133,7 +184,7 @@
    * spends from now on, so its next report is a new baseline.
    */
   resetPeer(instance: InstanceId): void {
-    this.#lastReports.delete(instance);
+    this.#hasGap = this.#lastReports.delete(instance) || this.#hasGap;
   }
 
   /**
@@ -144,6 +195,7 @@
    */
   rebalance(rate: FleetRate, allReported: boolean, now: number): void {
     if (allReported) this.#overdraftUsed = 0;
+    this.#planWindow(rate, now);
     const level = this.level(rate, now);
     const reachable = reachableFraction(rate);
     // This instance's fraction of what the reachable instances may spend.
@@ -155,6 +207,73 @@
     this.#ownTokens = Math.max(least, Math.min(this.#ownTokens, most));
   }
 
+  /**
+   * Whether the window decides, once each instance has reported or has its share
+   * reserved. Until then an instance spends its own tokens only.
+   */
+  #usesWindow(rate: FleetRate): boolean {
+    return rate.complete && this.#byWindow.isPlanned && isSparse(rate);
+  }
+
+  #planWindow(rate: FleetRate, now: number): void {
+    this.#refill(rate, now);
+    const window = this.#window;
+    if (window === undefined || !rate.complete || !isSparse(rate)) return;
+    const reachable = reachableFraction(rate);
+    this.#adjustWindow(window, rate, now);
+    this.#byWindow.plan({
+      allowed: rate.perWindow * reachable,
+      spent: window.sum(now),
+      recentPerS: window.sumSince(RECENT_MS, now) * MS_PER_S / RECENT_MS,
+      ownPerS: rate.ownPerS,
+      peersPerS: rate.peersPerS,
+      instances: rate.instances,
+      tolerated: rate.tolerated * reachable,
+      windowMs: rate.windowMs,
+      gossipDelayMs: rate.gossipDelayMs,
+      ageMs: now - this.#startedAt,
+      sinceReportMs: rate.instances > 1 ? now - this.#reportedAt : 0,
+    }, now);
+  }
+
+  /** Requests admitted here of which peers may not know yet. */
+  #unreported({ gossipDelayMs }: FleetRate, now: number): number {
+    return this.#ownWindow?.sumSince(unreportedMs(gossipDelayMs), now) ?? 0;
+  }
+
+  /**
+   * Counts what peers admitted since the last report where counters start anew,
+   * as when another relay takes over.
+   */
+  #countGap(gapMs: number, now: number): void {
+    const perS = this.#byWindow.peersAdmitPerS;
+    this.#spend(perS * gapMs / MS_PER_S, now);
+  }
+
+  /**
+   * Leaves earlier admissions of instances that became unreachable out of the
+   * window, in proportion to their reserved shares, and assumes that instances
+   * that became reachable have spent theirs.
+   */
+  #adjustWindow(
+    window: SlidingWindowCounter,
+    rate: FleetRate,
+    now: number,
+  ): void {
+    const fraction = reachableFraction(rate);
+    const before = this.#windowFraction;
+    this.#windowFraction = fraction;
+    if (fraction !== before) this.#hasGap = false;
+    if (fraction < before) {
+      const own = Math.min(rate.share, fraction);
+      const peers = Math.max(0, fraction - own) /
+        Math.max(Number.EPSILON, before - own);
+      window.scaleOthers(this.#ownWindow, peers, now);
+    } else if (fraction > before) {
+      window.addEvenly((fraction - before) * rate.perWindow, now);
+    }
+  }
+
   /** Whether the fleet has tokens left, as for demand that is new here. */
   #mayOverdraw(rate: FleetRate, now: number): boolean {
     if (
@@ -175,7 +294,7 @@
     this.#fleetTokens = Math.max(this.#fleetTokens, known);
     if (this.#window === undefined) return;
     const spent = this.#window.sum(now);
-    const reported = Math.max(0, rate.perWindow - known);
+    const reported = Math.max(0, rate.perWindow - level);
     if (reported < spent) this.#window.assume(reported, 0, now);
   }
 
@@ -207,6 +326,7 @@
     if (this.#window === undefined) return this.#fleetTokens;
     const room = rate.perWindow * reachableFraction(rate) -
       this.#window.sum(now);
+    if (this.#usesWindow(rate)) return room;
     return Math.min(this.#fleetTokens, room);
   }
 
@@ -225,10 +345,22 @@
   #ensureWindow({ windowMs, perWindow }: FleetRate, now: number): void {
     if (windowMs <= 0 || this.#window !== undefined) return;
     this.#window = new SlidingWindowCounter(windowMs, now);
+    this.#ownWindow = new SlidingWindowCounter(windowMs, now);
     this.#window.assume(perWindow, now - this.#refilledAt, now);
   }
 }
 
+/**
+ * Whether a rate is too small, over the fleet, to be split by shares. The fleet
+ * has relays then: with reports of 0.4 s, shares serve small accounts as well.
+ */
+function isSparse(
+  { windowMs, gossipDelayMs, ratePerS, fleetSize }: FleetRate,
+): boolean {
+  return windowMs > 0 && gossipDelayMs > DIRECT_GOSSIP_DELAY_MS &&
+    ratePerS < MAX_SPARSE_PER_S * fleetSize;
+}
+
 function reachableFraction({ reserved }: FleetRate): number {
   return 1 - reserved;
 }
--- a/src/decisions/quotas/sliding_window_counter.ts
+++ b/src/decisions/quotas/sliding_window_counter.ts
@@ -25,6 +25,17 @@
     return this.#sum;
   }
 
+  /** Requests within the last `sinceMs`, in whole intervals. */
+  sumSince(sinceMs: number, now: number): number {
+    this.#advance(now);
+    let sum = 0;
+    const intervals = Math.min(INTERVALS, sinceMs / this.#intervalMs);
+    for (let ago = 0; ago < intervals; ago++) {
+      sum += this.#counts[this.#index(this.#interval - ago)] ?? 0;
+    }
+    return sum;
+  }
+
   /** Counts requests admitted at `now`. */
   add(n: number, now: number): void {
     this.#advance(now);
@@ -52,6 +63,33 @@
     }
   }
 
+  /** Multiplies all counts but those that `own` holds by a factor. */
+  scaleOthers(
+    own: SlidingWindowCounter | undefined,
+    factor: number,
+    now: number,
+  ): void {
+    this.#advance(now);
+    if (own !== undefined) own.#advance(now);
+    const ownCounts = own === undefined ? [] : own.#counts;
+    this.#sum = 0;
+    for (const [i, n] of this.#counts.entries()) {
+      const kept = Math.min(n, ownCounts[i] ?? 0);
+      const count = kept + (n - kept) * factor;
+      this.#counts[i] = count;
+      this.#sum += count;
+    }
+  }
+
+  /** Counts `n` requests spread evenly over the window. */
+  addEvenly(n: number, now: number): void {
+    this.#advance(now);
+    for (const [i, count] of this.#counts.entries()) {
+      this.#counts[i] = count + n / (INTERVALS + 1);
+    }
+    this.#sum += n;
+  }
+
   #advance(now: number): void {
     const interval = this.#intervalAt(now);
     const steps = Math.min(this.#counts.length, interval - this.#interval);
--- a/src/decisions/quotas/testing/quota_fleet.ts
+++ b/src/decisions/quotas/testing/quota_fleet.ts
@@ -1,6 +1,6 @@
 /**
- * Simulates instances that gossip their admissions of one account, with delays,
- * partitions, kills and restarts.
+ * Simulates instances that gossip their admissions of one or several accounts,
+ * directly or as sums of zones, with delays, partitions, kills and restarts.
  *
  * @module
  */
@@ -12,11 +12,14 @@
 import type { Account } from "../../../traffic/mod.ts";
 import {
   AccountQuotas,
+  type Admission,
   DIRECT_GOSSIP_DELAY_MS,
+  type RateLimitId,
   type RateWindow,
   RELAYED_GOSSIP_DELAY_MS,
 } from "../mod.ts";
-import { AdmissionTimes, arrivals } from "./arrivals.ts";
+import { AccountLog, AdmissionTimes, arrivals } from "./arrivals.ts";
+import { FLEET_GROUP, type Uses, ZoneGossip } from "./zone_gossip.ts";
 
 /** Accounting window and tolerance of the platform. */
 export const WINDOW: RateWindow = {
@@ -51,49 +54,87 @@
   start: string;
   /** Offset in the gossip period, so that members tick at different times. */
   readonly phase: number;
+  readonly zone: number;
   /** Partitioned from all others. */
   cut: boolean;
 }
 
+/** Requests of one account that arrive at random instances. */
+export interface AccountLoad {
+  readonly account: Account;
+  readonly perS: number;
+}
+
+/** Options of {@link QuotaFleet}. */
+export interface QuotaFleetOptions {
+  readonly accounts: readonly Account[];
+  readonly seed?: number;
+  /** Delay of direct reports; ignored with zones. */
+  readonly gossipDelayMs?: number;
+  /** Number of zones whose sums are reported; direct reports if undefined. */
+  readonly zones?: number;
+}
+
 /** Simulated instances, on one simulated clock. */
 export class QuotaFleet {
   readonly members: QuotaMember[];
-  readonly #account: Account;
+  /** Requests of {@link runLoads}, by account. */
+  readonly logs: ReadonlyMap<AccountId, AccountLog>;
+  readonly #accounts: readonly Account[];
   readonly #gossipDelayMs: number;
+  readonly #relayed: boolean;
   readonly #random: SeededRandom;
   readonly #admitted = new AdmissionTimes();
-  readonly #inTransit: { at: number; run: () => void }[] = [];
+  /** Deliveries by the step in which they are due. */
+  readonly #inTransit = new Map<number, (() => void)[]>();
+  readonly #zoneGossip: ZoneGossip | undefined;
+  /** Called for each request of {@link runLoads}. */
+  onAdmission:
+    | ((member: QuotaMember, account: Account, result: Admission) => void)
+    | undefined;
   requests = 0;
   now = 0;
 
   constructor(
     size: number,
-    subject: Account,
+    subject: Account | QuotaFleetOptions,
     seed = 1,
     gossipDelayMs = GOSSIP_DELAY_MS,
   ) {
-    this.#account = subject;
-    this.#gossipDelayMs = gossipDelayMs;
-    this.#random = new SeededRandom(seed);
+    const opts: QuotaFleetOptions = "accounts" in subject
+      ? subject
+      : { accounts: [subject], seed, gossipDelayMs };
+    const { zones } = opts;
+    this.#accounts = opts.accounts;
+    this.logs = new Map(opts.accounts.map((a) => [a.id, new AccountLog(a)]));
+    this.#gossipDelayMs = opts.gossipDelayMs ?? GOSSIP_DELAY_MS;
+    this.#relayed = zones !== undefined ||
+      this.#gossipDelayMs !== GOSSIP_DELAY_MS;
+    this.#random = new SeededRandom(opts.seed ?? 1);
     this.members = Array.from({ length: size }, (_, i) => ({
       id: `i${i}` as InstanceId,
       quotas: this.#newQuotas(`i${i}`, size),
       start: "first",
       phase: Math.floor(i * TICK_MS / size / STEP_MS) * STEP_MS,
+      zone: i % (zones ?? 1),
       cut: false,
     }));
+    if (zones === undefined) return;
+    this.#zoneGossip = new ZoneGossip(zones, this.members, {
+      random: this.#random,
+      send: (delayMs, run) => this.#send(delayMs, run),
+      deliver: (to, from, uses) => to.quotas.applyReport(from, uses, this.now),
+    });
   }
 
   #newQuotas(id: string, size: number): AccountQuotas {
     const quotas = new AccountQuotas(id as InstanceId, {
       fleetSize: () => size,
       gossipDelayMs: () =>
-        this.#gossipDelayMs === GOSSIP_DELAY_MS
-          ? DIRECT_GOSSIP_DELAY_MS
-          : RELAYED_GOSSIP_DELAY_MS,
+        this.#relayed ? RELAYED_GOSSIP_DELAY_MS : DIRECT_GOSSIP_DELAY_MS,
       window: WINDOW,
     });
-    quotas.adopt([this.#account], this.now);
+    quotas.adopt(this.#accounts, this.now);
     return quotas;
   }
 
@@ -103,10 +144,17 @@
     member.start = `start-${this.now}`;
   }
 
+  /** Restarts all instances and relays; messages in transit are lost. */
+  restartAll(): void {
+    this.#inTransit.clear();
+    this.#zoneGossip?.restartAll(this.now);
+    for (const member of this.members) this.restart(member);
+  }
+
   /** Partitions members from all others; all messages in transit are lost. */
   cut(members: readonly QuotaMember[]): void {
     for (const member of members) member.cut = true;
-    this.#inTransit.length = 0;
+    this.#inTransit.clear();
   }
 
   /** Ends all partitions. */
@@ -116,6 +164,19 @@
 
   /** Marks partitioned members as unreachable, on both sides. */
   detectCut(): void {
+    const zoneGossip = this.#zoneGossip;
+    if (zoneGossip !== undefined) {
+      for (const member of this.members.filter(({ cut }) => cut)) {
+        const { shares } = member.quotas.demand;
+        const ids = this.#accounts.map((a): RateLimitId => a.id);
+        zoneGossip.suspect(
+          member,
+          new Map(ids.map((id) => [id, shares.own(id)])),
+        );
+        member.quotas.markUnreachable(FLEET_GROUP);
+      }
+      return;
+    }
     for (const a of this.members) {
       for (const b of this.members) {
         if (a !== b && (a.cut || b.cut)) a.quotas.markUnreachable(b.id);
@@ -138,6 +199,49 @@
     return this.#admitted.count - before;
   }
 
+  /**
+   * Sends Poisson arrivals of several accounts to random members, of which
+   * `weight` states the relative probability.
+   */
+  runLoads(
+    forMs: number,
+    loads: readonly AccountLoad[],
+    weight: (member: QuotaMember) => number = () => 1,
+  ): void {
+    const sums: number[] = [];
+    let total = 0;
+    for (const member of this.members) sums.push(total += weight(member));
+    const next = loads.map(({ perS }) => this.now + this.#gapMs(perS));
+    const end = this.now + forMs;
+    while (this.now < end) {
+      this.now += STEP_MS;
+      this.#deliver();
+      for (const member of this.members) {
+        if (this.now % TICK_MS === member.phase) this.#gossip(member);
+      }
+      this.#zoneGossip?.tick(this.now);
+      for (const [i, { account, perS }] of loads.entries()) {
+        let at = next[i] ?? Infinity;
+        for (; at <= this.now; at += this.#gapMs(perS)) {
+          const drawn = this.#random.next() * total;
+          const member = this.members[sums.findIndex((s) => drawn < s)];
+          if (member !== undefined) this.#request(member, account);
+        }
+        next[i] = at;
+      }
+    }
+  }
+
+  #request(member: QuotaMember, account: Account): void {
+    const result = member.quotas.take(account, this.now);
+    this.logs.get(account.id)?.add(this.now, result.admitted);
+    this.onAdmission?.(member, account, result);
+  }
+
+  #gapMs(perS: number): number {
+    return -Math.log(1 - this.#random.next()) / perS * 1_000;
+  }
+
   /** Maximum number of admissions in any window of this length. */
   mostWithin(windowMs: number): number {
     return this.#admitted.mostWithin(windowMs);
@@ -147,28 +251,42 @@
     const requests = arrivals(perS * STEP_MS / 1_000, this.#random);
     this.requests += requests;
     for (let i = 0; i < requests; i++) {
-      const { admitted } = member.quotas.take(this.#account, this.now);
+      const [account] = this.#accounts;
+      if (account === undefined) return;
+      const { admitted } = member.quotas.take(account, this.now);
       if (admitted) this.#admitted.add(this.now);
     }
   }
 
   #gossip(member: QuotaMember): void {
     const uses = member.quotas.tick(this.now);
-    const from = { instance: member.id, start: member.start };
     if (member.cut) return;
+    if (this.#zoneGossip === undefined) this.#sendDirect(member, uses);
+    else this.#zoneGossip.report(member, uses);
+  }
+
+  #sendDirect(member: QuotaMember, uses: Uses): void {
+    const from = { instance: member.id, start: member.start };
     for (const other of this.members) {
       if (other === member || other.cut) continue;
-      this.#inTransit.push({
-        at: this.now + this.#gossipDelayMs,
-        run: () => other.quotas.applyReport(from, uses, this.now),
-      });
+      this.#send(
+        this.#gossipDelayMs,
+        () => other.quotas.applyReport(from, uses, this.now),
+      );
     }
   }
 
+  #send(delayMs: number, run: () => void): void {
+    const at = Math.ceil((this.now + delayMs) / STEP_MS) * STEP_MS;
+    const due = this.#inTransit.get(at);
+    if (due === undefined) this.#inTransit.set(at, [run]);
+    else due.push(run);
+  }
+
   #deliver(): void {
-    while ((this.#inTransit[0]?.at ?? Infinity) <= this.now) {
-      this.#inTransit.shift()?.run();
-    }
+    const due = this.#inTransit.get(this.now) ?? [];
+    this.#inTransit.delete(this.now);
+    for (const run of due) run();
   }
 }
 
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -88,10 +88,14 @@
     if (account === undefined) return undefined;
     const decision = this.#quotas.take(account, this.#clock.now());
     if (decision.admitted) return undefined;
-    const share = Math.round(decision.share * 100);
+    const { level, reportAgeMs } = decision;
+    const share = (decision.share * 100).toFixed(1);
+    const state = `${level.toFixed(1)} requests left in the fleet, by reports ${
+      Math.round(reportAgeMs)
+    } ms old`;
     return failure(
       "rate_exceeded",
-      `account ${account.id} is over its rate; this instance admits ${share}% of it`,
+      `account ${account.id} is over its rate; this instance has ${share}% of it; ${state}`,
       { outcome: "not-run", retryAfterMs: decision.retryAfterMs },
     );
   }
