--- a/src/decisions/quotas/account_rates_test.ts
+++ b/src/decisions/quotas/account_rates_test.ts
@@ -58,3 +58,33 @@
     .isolate((i) => [0, 3, 5].includes(i) ? 8.33 : 1).result();
   t.true(worstWindow <= 1, `${worstWindow}`);
 });
+
+test("80 instances: a burst of one kind of request, mostly within the rate, is not refused", (t) => {
+  // The views, 0.68 of the requests, go to 2.3 times their demand for 6 s.
+  // Guards against room that is kept back for further growth during a burst.
+  const { refusedWithinRate, worstWindow } = fleetOf80().burst().result();
+  t.true(refusedWithinRate <= MAX_REFUSED, `${refusedWithinRate}`);
+  t.true(worstWindow <= 1, `${worstWindow}`);
+});
+
+test("300 instances: accounts at 0.6 of their rate are not refused", (t) => {
+  // The third largest account has a fifth of a request a second at an instance.
+  // Guards against limits of an instance that are less than one request.
+  const { refusedWithinRate } = new RateLoads({
+    size: 300,
+    burstS: 1,
+    indexes: PLAYED,
+  }).calm().result();
+  t.true(refusedWithinRate <= MAX_REFUSED, `${refusedWithinRate}`);
+});
+
+test("80 instances: accounts with small bursts at 8 times their usual demand stay within the tolerance", (t) => {
+  // Four accounts with a burst of 0.1 s of their rate. Guards against what all
+  // instances admit until the reports show the growth.
+  const { worstWindow } = new RateLoads({
+    size: 80,
+    burstS: 0.1,
+    indexes: PLAYED,
+  }).surge(8, [0, 3, 5, 6]).result();
+  t.true(worstWindow <= 1, `${worstWindow}`);
+});
