--- a/src/decisions/quotas/account_rates_test.ts
+++ b/src/decisions/quotas/account_rates_test.ts
@@ -88,3 +88,11 @@
   }).surge(8, [0, 3, 5, 6]).result();
   t.true(worstWindow <= 1, `${worstWindow}`);
 });
+
+test("80 instances: none of 82 accounts at 0.6 of its rate is refused", (t) => {
+  // The tests above play eight accounts. Guards against refusals of accounts of
+  // medium size, of which those have few.
+  const { refusedWithinRate } = new RateLoads({ size: 80, burstS: 1 }).calm()
+    .result();
+  t.true(refusedWithinRate <= MAX_REFUSED, `${refusedWithinRate}`);
+});
