List the fields of an account's rate rather than spread its limit

The rate of each account is computed anew after each tick, most of them in applyReport. In a profile with 82 accounts and 80 instances, 3.9 s were spent in AccountQuotas.#computeRate itself, 0.9 s in the garbage collector and 0.5 s in the next function: V8 is slow to add fields to a spread object.

--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -241,17 +241,26 @@
     return row.rate;
   }
 
+  /**
+   * Lists the fields of the limit: with a spread of it, V8 builds each object
+   * slowly, and a report of 82 accounts takes 1.0 ms instead of 0.08 ms.
+   */
   #computeRate({ account: { id }, limit, toleratedPerWindow }: Row): FleetRate {
     const fleetSize = Math.max(1, this.#fleetSize());
+    const { shares } = this.demand;
     return {
-      ...limit,
+      ratePerS: limit.ratePerS,
+      initialPerS: limit.initialPerS,
+      burst: limit.burst,
+      perWindow: limit.perWindow,
+      windowMs: limit.windowMs,
       overdraft: toleratedPerWindow * OVERDRAFT_FRACTION / fleetSize,
-      share: this.demand.shares.own(id),
-      reserved: this.demand.shares.reserved(id),
-      complete: this.demand.shares.complete,
-      peersPerS: this.demand.shares.peersPerS(id),
-      ownPerS: this.demand.shares.ownPerS(id),
-      instances: Math.max(1, this.demand.shares.reporting),
+      share: shares.own(id),
+      reserved: shares.reserved(id),
+      complete: shares.complete,
+      peersPerS: shares.peersPerS(id),
+      ownPerS: shares.ownPerS(id),
+      instances: Math.max(1, shares.reporting),
       tolerated: toleratedPerWindow,
       fleetSize,
       gossipDelayMs: this.#gossipDelayMs(),
