--- a/src/decisions/quotas/fleet_demand.ts
+++ b/src/decisions/quotas/fleet_demand.ts
@@ -64,7 +64,8 @@
 
   /** Applies the demand that another instance or group reported. */
   applyReport(from: Reporter, uses: ReadonlyMap<RateLimitId, RateUse>): void {
-    const demand = new Map([...uses].map(([id, use]) => [id, use.perS]));
+    const demand = new Map<RateLimitId, number>();
+    for (const [id, { perS }] of uses) demand.set(id, perS);
     this.shares.applyReport(from.instance, demand, from);
   }
 
