Place affinity keys among replica sets, by expected completion

With few keys, one primary per key loads endpoints unevenly, and requests are refused or queue while other endpoints have free slots. With EdgeSettings.replicaSets, a key's replica set is a prefix of its rendezvous order (3 to 8 endpoints by the key's rate at this instance), and a request goes to the member where it is expected to complete first: requests at the endpoint, usual duration without waiting, slowdown of the host, round trip to another region. Near equals are chosen at random, those with an open connection first. Up to the eighth endpoint of the order, a free slot is used before a request is refused. What would be late is refused with the time until a slot is free. Without the setting AffinityPlacement is used as before.

--- a/src/decisions/placement/endpoint_ranking.ts
+++ b/src/decisions/placement/endpoint_ranking.ts
@@ -68,8 +68,7 @@
     let highest = -1;
     let second = -1;
     for (const [i, row] of endpoints.entries()) {
-      const draw = (mix(keyHash ^ row.seed) + 1) / (HASH_RANGE + 1);
-      const score = -(weights[i] ?? LAST_RESORT_WEIGHT) / Math.log(draw);
+      const score = scoreOf(keyHash, row, weights[i]);
       if (score <= second || !req.usable(row)) continue;
       if (score > highest) {
         [secondary, second] = [primary, highest];
@@ -81,9 +80,24 @@
     return { primary, secondary };
   }
 
+  /** The `count` endpoints that rank highest, usable or not, in their order. */
+  order(
+    endpoints: readonly EndpointRow[],
+    req: Omit<RankingRequest, "usable">,
+    count: number,
+  ): EndpointRow[] {
+    const weights = this.#weightsOf(endpoints, req);
+    const keyHash = hash(req.affinityKey);
+    return endpoints
+      .map((row, i) => ({ row, score: scoreOf(keyHash, row, weights[i]) }))
+      .sort((a, b) => b.score - a.score)
+      .slice(0, count)
+      .map(({ row }) => row);
+  }
+
   #weightsOf(
     endpoints: readonly EndpointRow[],
-    req: RankingRequest,
+    req: Omit<RankingRequest, "usable">,
   ): Float64Array {
     const { pinned, region } = req;
     let memo = this.#weights.get(endpoints);
@@ -99,7 +113,7 @@
 /** Each endpoint's share of the work of a region's callers. */
 function endpointWeights(
   endpoints: readonly EndpointRow[],
-  req: RankingRequest,
+  req: Omit<RankingRequest, "usable">,
 ): Float64Array {
   const { regions, region: from, pinned } = req;
   const regionShares = regionWeights(endpoints, regions, from, pinned);
@@ -116,6 +130,16 @@
   });
 }
 
+/** An endpoint's score for a key; the highest ranks first. */
+function scoreOf(
+  keyHash: number,
+  row: EndpointRow,
+  weight = LAST_RESORT_WEIGHT,
+): number {
+  const draw = (mix(keyHash ^ row.seed) + 1) / (HASH_RANGE + 1);
+  return -weight / Math.log(draw);
+}
+
 /** The finalizer of MurmurHash3: similar inputs give unrelated outputs. */
 function mix(value: number): number {
   let h = value;
--- /dev/null
+++ b/src/decisions/placement/replica_set_placement.ts
@@ -0,0 +1,229 @@
+/**
+ * Placement by affinity key among a set of replicas, by expected completion.
+ *
+ * Load: with few keys, one endpoint per key leaves a third of the endpoints
+ * without work and others at their slots before any wave or burst. A key's
+ * replica set is therefore a prefix of its rendezvous order, and a request goes
+ * to the member where it is expected to complete first. Members stay the same
+ * while demand varies, so requests find the key in the cache; an endpoint beyond
+ * the set is expected to take as long as for a key that it does not have.
+ *
+ * @module
+ */
+import type { Random } from "../../core/mod.ts";
+import type { EndpointRow } from "../../traffic/mod.ts";
+import { maxUtilization } from "./affinity_placement.ts";
+import { EndpointOrder } from "./endpoint_order.ts";
+import { KeyDemand } from "./key_demand.ts";
+import {
+  hasFreeSlot,
+  requestsAt,
+  slotsOf,
+  slowdownOf,
+  waitShare,
+} from "./load_view.ts";
+import type {
+  Placement,
+  PlacementReason,
+  PlacementRequest,
+  PlacementResult,
+} from "./placement.ts";
+
+/** Size of the replica set of a key without much demand. */
+export const MIN_REPLICAS = 3;
+/** Maximum size: the number of copies of a key that endpoints cache. */
+export const MAX_REPLICAS = 8;
+/**
+ * Share of a member's slots that one key's demand may use before its set grows.
+ * The rest is for the other keys of the endpoint, and for waves and bursts.
+ */
+const KEY_SLOT_SHARE = 0.6;
+/**
+ * Additional work on a key that an endpoint does not have cached, as a multiple
+ * of the usual: a cache hit takes 0.3 of the work of a miss.
+ */
+const COLD_WORK = 2.3;
+/** Round trip to an endpoint in another region, in milliseconds. */
+const OTHER_REGION_MS = 24;
+/**
+ * Weight of the utilization of endpoints with a free slot. Their expected wait
+ * is none, but the view is 250 to 800 ms old and their slots may be taken.
+ */
+const UTILIZATION_WEIGHT = 0.3;
+/**
+ * Difference of expected completion up to which endpoints count as equal, as a
+ * share of the usual duration. Instances with the same stale view would
+ * otherwise all choose the same endpoint.
+ */
+const NEAR_EQUAL = 0.4;
+/**
+ * Share of the usual duration that must be left for a request to start on a free
+ * slot. Durations vary, and the mean includes requests for keys that were not in
+ * the cache.
+ */
+const MIN_WORK_LEFT = 0.5;
+const MS_PER_S = 1_000;
+
+/** Options of {@link ReplicaSetPlacement}. */
+export interface ReplicaSetOptions {
+  readonly random: Random;
+  readonly minReplicas?: number;
+}
+
+/** An endpoint, and when a request would complete there. */
+interface Candidate {
+  readonly row: EndpointRow;
+  readonly completionMs: number;
+  readonly why: PlacementReason;
+}
+
+/** What a request's candidates are compared by. */
+interface Comparison {
+  readonly req: PlacementRequest;
+  readonly now: number;
+  /** Usual duration of a request without waiting for a slot. */
+  readonly workMs: number;
+}
+
+/** Earliest expected completion within the replica set of the affinity key. */
+export class ReplicaSetPlacement implements Placement {
+  readonly #random: Random;
+  readonly #minReplicas: number;
+  readonly #order = new EndpointOrder();
+  readonly #demand = new KeyDemand();
+
+  constructor({ random, minReplicas = MIN_REPLICAS }: ReplicaSetOptions) {
+    this.#random = random;
+    this.#minReplicas = minReplicas;
+  }
+
+  choose(
+    endpoints: readonly EndpointRow[],
+    req: PlacementRequest,
+  ): PlacementResult {
+    const comparison = {
+      req,
+      now: req.now ?? 0,
+      workMs: req.meanWorkMs ?? req.meanLatencyMs,
+    };
+    const { affinityKey } = req;
+    if (affinityKey === undefined) {
+      const usable = endpoints.filter(req.usable);
+      return this.#chooseAmong(comparison, usable, usable.length, LEAST_LOADED);
+    }
+    const rows = this.#order.first(
+      endpoints,
+      { ...req, affinityKey },
+      MAX_REPLICAS,
+      req.usable,
+    );
+    const size = this.#setSize(endpoints, affinityKey, comparison);
+    return this.#chooseAmong(comparison, rows, size, REPLICA);
+  }
+
+  #setSize(
+    endpoints: readonly EndpointRow[],
+    affinityKey: string,
+    { req, now, workMs }: Comparison,
+  ): number {
+    const [first] = endpoints;
+    if (first === undefined) return 0;
+    const key = `${first.record.service} ${affinityKey}`;
+    this.#demand.count(key, now);
+    // An instance has callers of its own region, whose order this is.
+    const instances = (req.instances ?? 1) / Math.max(1, req.regions.length);
+    const memberPerS = slotsOf(first) * KEY_SLOT_SHARE * MS_PER_S / workMs;
+    const sizing = {
+      instances: Math.max(1, instances),
+      memberPerS,
+      min: this.#minReplicas,
+      max: MAX_REPLICAS,
+    };
+    return this.#demand.sizeOf(key, sizing, now);
+  }
+
+  /**
+   * Chooses among `rows`, of which the first `size` have the key. The others are
+   * used if they complete earlier in spite of the additional work, or if no
+   * member can take the request and they have a free slot.
+   */
+  #chooseAmong(
+    comparison: Comparison,
+    rows: readonly EndpointRow[],
+    size: number,
+    reasons: Reasons,
+  ): PlacementResult {
+    const candidates: Candidate[] = [];
+    for (const [i, row] of rows.entries()) {
+      const candidate = candidateOf(comparison, row, i < size, reasons);
+      if (candidate !== undefined) candidates.push(candidate);
+    }
+    const best = this.#pick(candidates, comparison);
+    if (best !== undefined) return { endpoint: best.row, why: best.why };
+    return { endpoint: undefined, waitMs: freeInMs(comparison, rows) };
+  }
+
+  /**
+   * Picks at random among near equals, those with an open connection first.
+   */
+  #pick(
+    candidates: readonly Candidate[],
+    { req, workMs }: Comparison,
+  ): Candidate | undefined {
+    let earliest = Infinity;
+    for (const { completionMs } of candidates) {
+      if (completionMs < earliest) earliest = completionMs;
+    }
+    const limit = earliest + NEAR_EQUAL * workMs;
+    const near = candidates.filter((c) => c.completionMs <= limit);
+    if (near.length <= 1) return near[0];
+    // Among all endpoints of a service, looking up connections costs too much.
+    const connected = near.length > MAX_REPLICAS
+      ? []
+      : near.filter(({ row }) => req.isConnected?.(row) ?? false);
+    const among = connected.length > 0 ? connected : near;
+    return among[this.#random.below(among.length)];
+  }
+}
+
+/** The reasons for an endpoint with a free slot, and for one with a queue. */
+interface Reasons {
+  readonly free: PlacementReason;
+  readonly queued: PlacementReason;
+}
+
+const REPLICA: Reasons = { free: "replica", queued: "replica-queue" };
+const LEAST_LOADED: Reasons = { free: "least-loaded", queued: "least-loaded" };
+
+/** An endpoint as a candidate, unless it cannot take the request in time. */
+function candidateOf(
+  { req, now, workMs }: Comparison,
+  row: EndpointRow,
+  isMember: boolean,
+  reasons: Reasons,
+): Candidate | undefined {
+  const isFree = hasFreeSlot(row, now);
+  const wait = waitShare(row, now);
+  // The request itself is part of its wait, but not of the utilization.
+  const maxWait = maxUtilization(req) - 1 + 1 / slotsOf(row);
+  const utilization = requestsAt(row, now) / slotsOf(row);
+  if (!isFree && (!isMember || wait >= maxWait)) return undefined;
+  const linkMs = row.region === req.region ? 0 : OTHER_REGION_MS;
+  const work = slowdownOf(row, now) * (isMember ? 1 : 1 + COLD_WORK);
+  const expectedMs = (wait + work) * workMs + linkMs;
+  const neededMs = isFree ? MIN_WORK_LEFT * workMs + linkMs : expectedMs;
+  if (neededMs > (req.leftMs ?? Infinity)) return undefined;
+  const completionMs = expectedMs +
+    Math.min(1, utilization) * UTILIZATION_WEIGHT * workMs;
+  const why = !isMember ? "beyond-set" : isFree ? reasons.free : reasons.queued;
+  return { row, completionMs, why };
+}
+
+/** Time until one of the endpoints has a free slot, in milliseconds. */
+function freeInMs(
+  { now, workMs }: Comparison,
+  rows: readonly EndpointRow[],
+): number {
+  if (rows.length === 0) return 0;
+  return Math.min(...rows.map((row) => waitShare(row, now))) * workMs;
+}
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -16,6 +16,7 @@
 import {
   AffinityPlacement,
   type Placement,
+  ReplicaSetPlacement,
 } from "../decisions/placement/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
@@ -170,7 +171,12 @@
       state: this.#state,
       signals: this.#signals,
       limits: this.#limits,
-      placement: opts.placement ?? new AffinityPlacement(),
+      placement: opts.placement ??
+        (cfg.replicaSets === true
+          ? new ReplicaSetPlacement({ random })
+          : new AffinityPlacement()),
+      isConnected: (row) => this.#sender.hasIdle(row),
+      metrics: opts.metrics,
       fleetSize,
       own: cfg.instance.id,
       region: cfg.instance.region,
