--- a/src/decisions/placement/endpoint_ranking.ts
+++ b/src/decisions/placement/endpoint_ranking.ts
@@ -88,11 +88,21 @@
   ): EndpointRow[] {
     const weights = this.#weightsOf(endpoints, req);
     const keyHash = hash(req.affinityKey);
-    return endpoints
-      .map((row, i) => ({ row, score: scoreOf(keyHash, row, weights[i]) }))
-      .sort((a, b) => b.score - a.score)
-      .slice(0, count)
-      .map(({ row }) => row);
+    const rows: EndpointRow[] = [];
+    const scores: number[] = [];
+    // A full sort takes twice as long, for each key after each change.
+    for (const [i, row] of endpoints.entries()) {
+      const score = scoreOf(keyHash, row, weights[i]);
+      let at = scores.length;
+      if (at === count && score <= (scores[at - 1] ?? -1)) continue;
+      while (at > 0 && score > (scores[at - 1] ?? Infinity)) at--;
+      rows.splice(at, 0, row);
+      scores.splice(at, 0, score);
+      if (scores.length <= count) continue;
+      rows.pop();
+      scores.pop();
+    }
+    return rows;
   }
 
   #weightsOf(
