--- a/src/decisions/placement/endpoint_ranking.ts
+++ b/src/decisions/placement/endpoint_ranking.ts
@@ -93,14 +93,17 @@
     // A full sort takes twice as long, for each key after each change.
     for (const [i, row] of endpoints.entries()) {
       const score = scoreOf(keyHash, row, weights[i]);
-      let at = scores.length;
-      if (at === count && score <= (scores[at - 1] ?? -1)) continue;
-      while (at > 0 && score > (scores[at - 1] ?? Infinity)) at--;
-      rows.splice(at, 0, row);
-      scores.splice(at, 0, score);
-      if (scores.length <= count) continue;
-      rows.pop();
-      scores.pop();
+      const isFull = scores.length >= count;
+      if (isFull && score <= (scores[count - 1] ?? -1)) continue;
+      let at = isFull ? count - 1 : scores.length;
+      for (; at > 0; at--) {
+        const above = scores[at - 1]!;
+        if (above >= score) break;
+        scores[at] = above;
+        rows[at] = rows[at - 1]!;
+      }
+      scores[at] = score;
+      rows[at] = row;
     }
     return rows;
   }
--- a/src/decisions/placement/replica_set_placement.ts
+++ b/src/decisions/placement/replica_set_placement.ts
@@ -24,8 +24,16 @@
 } from "./placement.ts";
 import { UtilizationAverage } from "./utilization_average.ts";
 
-/** Size of the replica set of a key without much demand. */
+/**
+ * Size of the replica set of a key without much demand, at endpoints with few
+ * slots and with many. Three members of four slots keep bursts in time that two
+ * do not; two members of nine slots do as well as three, and each copy costs one
+ * cold run after a start.
+ */
 export const MIN_REPLICAS = 3;
+export const MIN_LARGE_REPLICAS = 2;
+/** Number of slots from which an endpoint has many. */
+const MANY_SLOTS = 8;
 /** Maximum size: the number of copies of a key that endpoints cache. */
 export const MAX_REPLICAS = 8;
 /**
@@ -65,6 +73,7 @@
 /** Options of {@link ReplicaSetPlacement}. */
 export interface ReplicaSetOptions {
   readonly random: Random;
+  /** Size of the smallest set, whatever the slots, to compare sizes. */
   readonly minReplicas?: number;
 }
 
@@ -87,12 +96,12 @@
 /** Earliest expected completion within the replica set of the affinity key. */
 export class ReplicaSetPlacement implements Placement {
   readonly #random: Random;
-  readonly #minReplicas: number;
+  readonly #minReplicas: number | undefined;
   readonly #order = new EndpointOrder();
   readonly #demand = new KeyDemand();
   readonly #utilization = new UtilizationAverage();
 
-  constructor({ random, minReplicas = MIN_REPLICAS }: ReplicaSetOptions) {
+  constructor({ random, minReplicas }: ReplicaSetOptions) {
     this.#random = random;
     this.#minReplicas = minReplicas;
   }
@@ -137,7 +146,7 @@
     const sizing = {
       instances: Math.max(1, instances),
       memberPerS,
-      min: this.#minReplicas,
+      min: this.#minReplicas ?? minReplicasOf(first),
       max: MAX_REPLICAS,
     };
     return this.#demand.sizeOf(key, sizing, now);
@@ -219,6 +228,10 @@
   return { row, completionMs, why };
 }
 
+function minReplicasOf(row: EndpointRow): number {
+  return slotsOf(row) < MANY_SLOTS ? MIN_REPLICAS : MIN_LARGE_REPLICAS;
+}
+
 /** Time until one of the endpoints has a free slot, in milliseconds. */
 function freeInMs(
   { now, workMs }: Comparison,
--- a/src/decisions/placement/replica_set_placement_test.ts
+++ b/src/decisions/placement/replica_set_placement_test.ts
@@ -14,6 +14,7 @@
   KeyDemand,
   LatencyEstimator,
   MAX_REPLICAS,
+  MIN_LARGE_REPLICAS,
   MIN_REPLICAS,
   NOTHING_PINNED,
   type PlacementRequest,
@@ -25,7 +26,7 @@
 const SLOTS = 4;
 const WEST = "west" as RegionId;
 
-function rows(count: number, region = WEST): EndpointRow[] {
+function rows(count: number, region = WEST, slots = SLOTS): EndpointRow[] {
   return Array.from({ length: count }, (_, i) => {
     const id = `e-${region}-${i}` as EndpointId;
     const record = {
@@ -33,7 +34,7 @@
       service: "s" as ServiceId,
       address: "",
       zone: region as string as ZoneId,
-      slots: SLOTS,
+      slots,
       draining: false,
       coldMs: 0,
       bornAt: undefined,
@@ -96,6 +97,13 @@
   t.deepEqual([...reasons], ["replica"]);
 });
 
+test("a key without much demand has fewer copies at endpoints with many slots", (t) => {
+  // Two members with nine slots have room for bursts, and each further copy is
+  // loaded at each restart.
+  const all = rows(30, WEST, 9);
+  t.is(chosen(all).ids.size, MIN_LARGE_REPLICAS);
+});
+
 test("the order has the endpoints in the ranking of the primary and secondary", (t) => {
   const all = [...rows(8), ...rows(5, "east" as RegionId)];
   const order = new EndpointOrder();
