Do not refuse a request by an estimate while a slot is free

The usual duration is that of the service, and routes differ: after slow responses of one route, requests of a faster one with less time left were refused on free endpoints, and the estimate never changed. The bound of half the usual duration on a free slot is removed; queued requests are still refused if they are expected to complete after the deadline.

--- a/src/decisions/placement/replica_set_placement.ts
+++ b/src/decisions/placement/replica_set_placement.ts
@@ -65,12 +65,6 @@
  * otherwise all choose the same endpoint.
  */
 const NEAR_EQUAL = 0.4;
-/**
- * Share of the usual duration that must be left for a request to start on a free
- * slot. Durations vary, and the mean includes requests for keys that were not in
- * the cache.
- */
-const MIN_WORK_LEFT = 0.5;
 const MS_PER_S = 1_000;
 
 /** Options of {@link ReplicaSetPlacement}. */
@@ -225,8 +219,9 @@
   const linkMs = row.region === req.region ? 0 : OTHER_REGION_MS;
   const work = slowdownOf(row, now) * (isMember ? 1 : 1 + COLD_WORK);
   const expectedMs = (wait + work) * workMs + linkMs;
-  const neededMs = isFree ? MIN_WORK_LEFT * workMs + linkMs : expectedMs;
-  if (neededMs > (req.leftMs ?? Infinity)) return undefined;
+  // On a free slot a request is not refused by an estimate: routes of a service
+  // may differ in duration, and the estimate changes only with responses.
+  if (!isFree && expectedMs > (req.leftMs ?? Infinity)) return undefined;
   const completionMs = expectedMs + average * UTILIZATION_WEIGHT * workMs;
   const why = !isMember ? "beyond-set" : isFree ? reasons.free : reasons.queued;
   return { row, completionMs, why };
--- a/src/decisions/placement/replica_set_placement_test.ts
+++ b/src/decisions/placement/replica_set_placement_test.ts
@@ -186,6 +186,14 @@
   t.like(inTime, { why: "replica-queue" });
 });
 
+test("a request with little time left is not refused while a slot is free", (t) => {
+  // The usual duration may be that of another route of the service. Refused, the
+  // requests of the faster route would never correct it.
+  const all = rows(30);
+  const slow = { leftMs: 400, meanWorkMs: 5_000 };
+  t.like(placement().choose(all, request(slow)), { why: "replica" });
+});
+
 test("less urgent requests are refused first while members queue", (t) => {
   // Utilization of 2: below the bound of the most urgent (2.2), not of others.
   const all = rows(30);
