--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -17,6 +17,7 @@
 import {
   AffinityPlacement,
   type Placement,
+  ReplicaSetPlacement,
 } from "../decisions/placement/mod.ts";
 import {
   bufferBytes,
@@ -188,7 +189,12 @@
       state: this.#state,
       signals: this.#signals,
       limits: this.#limits,
-      placement: opts.placement ?? new AffinityPlacement(),
+      placement: opts.placement ??
+        (cfg.replicaSets === true
+          ? new ReplicaSetPlacement({ random })
+          : new AffinityPlacement()),
+      isConnected: (row) => this.#sender.hasIdle(row),
+      metrics: opts.metrics,
       fleetSize,
       own: cfg.instance.id,
       region: cfg.instance.region,
