Revert replica sets of affinity keys

Cause: a replica set is a prefix of the order of the caller's region, so a key with callers in three regions had up to nine copies, more than endpoints cache.

Conclusion: what endpoints cache binds, not how even their load is. The split of the endpoint chooser stays.

--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -62,13 +62,6 @@
     tags: ["endpoint"],
     help: "Refusals of an endpoint that ask for no requests by Retry-After",
   },
-  "endpoint.chosen": {
-    type: "count",
-    unit: "choices",
-    tags: ["service", "reason"],
-    help:
-      "Choices of an endpoint by reason: primary, queue, overflow or least-loaded; with replica sets replica, replica-queue or beyond-set; none if no endpoint could take the request",
-  },
   "endpoint.duration": {
     type: "timing",
     unit: "ms",
--- a/src/decisions/placement/affinity_placement.ts
+++ b/src/decisions/placement/affinity_placement.ts
@@ -92,8 +92,7 @@
   return best;
 }
 
-/** Maximum utilization of an endpoint by a request of this priority. */
-export function maxUtilization({ priority }: PlacementRequest): number {
+function maxUtilization({ priority }: PlacementRequest): number {
   return MAX_UTILIZATION[Math.min(priority, MAX_UTILIZATION.length - 1)] ??
     MAX_UTILIZATION[0];
 }
--- a/src/decisions/placement/endpoint_ranking.ts
+++ b/src/decisions/placement/endpoint_ranking.ts
@@ -68,7 +68,8 @@
     let highest = -1;
     let second = -1;
     for (const [i, row] of endpoints.entries()) {
-      const score = scoreOf(keyHash, row, weights[i]);
+      const draw = (mix(keyHash ^ row.seed) + 1) / (HASH_RANGE + 1);
+      const score = -(weights[i] ?? LAST_RESORT_WEIGHT) / Math.log(draw);
       if (score <= second || !req.usable(row)) continue;
       if (score > highest) {
         [secondary, second] = [primary, highest];
@@ -80,37 +81,9 @@
     return { primary, secondary };
   }
 
-  /** The `count` endpoints that rank highest, usable or not, in their order. */
-  order(
-    endpoints: readonly EndpointRow[],
-    req: Omit<RankingRequest, "usable">,
-    count: number,
-  ): EndpointRow[] {
-    const weights = this.#weightsOf(endpoints, req);
-    const keyHash = hash(req.affinityKey);
-    const rows: EndpointRow[] = [];
-    const scores: number[] = [];
-    // A full sort takes twice as long, for each key after each change.
-    for (const [i, row] of endpoints.entries()) {
-      const score = scoreOf(keyHash, row, weights[i]);
-      const isFull = scores.length >= count;
-      if (isFull && score <= (scores[count - 1] ?? -1)) continue;
-      let at = isFull ? count - 1 : scores.length;
-      for (; at > 0; at--) {
-        const above = scores[at - 1]!;
-        if (above >= score) break;
-        scores[at] = above;
-        rows[at] = rows[at - 1]!;
-      }
-      scores[at] = score;
-      rows[at] = row;
-    }
-    return rows;
-  }
-
   #weightsOf(
     endpoints: readonly EndpointRow[],
-    req: Omit<RankingRequest, "usable">,
+    req: RankingRequest,
   ): Float64Array {
     const { pinned, region } = req;
     let memo = this.#weights.get(endpoints);
@@ -126,7 +99,7 @@
 /** Each endpoint's share of the work of a region's callers. */
 function endpointWeights(
   endpoints: readonly EndpointRow[],
-  req: Omit<RankingRequest, "usable">,
+  req: RankingRequest,
 ): Float64Array {
   const { regions, region: from, pinned } = req;
   const regionShares = regionWeights(endpoints, regions, from, pinned);
@@ -143,16 +116,6 @@
   });
 }
 
-/** An endpoint's score for a key; the highest ranks first. */
-function scoreOf(
-  keyHash: number,
-  row: EndpointRow,
-  weight = LAST_RESORT_WEIGHT,
-): number {
-  const draw = (mix(keyHash ^ row.seed) + 1) / (HASH_RANGE + 1);
-  return -weight / Math.log(draw);
-}
-
 /** The finalizer of MurmurHash3: similar inputs give unrelated outputs. */
 function mix(value: number): number {
   let h = value;
--- a/src/decisions/placement/latency_estimator.ts
+++ b/src/decisions/placement/latency_estimator.ts
@@ -13,16 +13,6 @@
 /** EWMA of request latency by service. */
 export class LatencyEstimator {
   readonly #means = new Map<ServiceId, number>();
-  readonly #waits = new Map<ServiceId, number>();
-
-  /**
-   * Records a request that is sent, and its expected wait for a slot as a
-   * multiple of the usual duration.
-   */
-  sent(service: ServiceId, waitShare: number): void {
-    const mean = this.#waits.get(service) ?? 0;
-    this.#waits.set(service, mean + (waitShare - mean) * EWMA_WEIGHT);
-  }
 
   add(service: ServiceId, ms: number): void {
     const mean = this.#means.get(service);
@@ -34,13 +24,4 @@
   of(service: ServiceId): number {
     return this.#means.get(service) ?? INITIAL_ESTIMATE_MS;
   }
-
-  /**
-   * Estimated duration of a service's requests without the wait for a slot, in
-   * milliseconds. The latency includes the wait; a wait estimated from it would
-   * grow with itself while requests queue.
-   */
-  workOf(service: ServiceId): number {
-    return this.of(service) / (1 + (this.#waits.get(service) ?? 0));
-  }
 }
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -26,19 +26,6 @@
    * so that a failure moves only the keys of the endpoint that failed.
    */
   readonly usable: (row: EndpointRow) => boolean;
-  /** The instance's clock, in milliseconds. */
-  readonly now?: number;
-  /** Time left until the response is due, in milliseconds. */
-  readonly leftMs?: number;
-  /** Instances in the fleet, including this one. */
-  readonly instances?: number;
-  /**
-   * Mean duration of the service's requests without waiting for a slot, in
-   * milliseconds.
-   */
-  readonly meanWorkMs?: number;
-  /** Whether an idle connection to an endpoint is open. */
-  readonly isConnected?: (row: EndpointRow) => boolean;
 }
 
 /** Result of a placement. */
@@ -48,17 +35,7 @@
   | { readonly endpoint: undefined; readonly waitMs: number };
 
 /** Why an endpoint was chosen. */
-export type PlacementReason =
-  | "primary"
-  | "queue"
-  | "overflow"
-  | "least-loaded"
-  /** A member of the key's replica set with a free slot. */
-  | "replica"
-  /** A member of the key's replica set, where the request queues. */
-  | "replica-queue"
-  /** An endpoint beyond the key's replica set, which may lack the key. */
-  | "beyond-set";
+export type PlacementReason = "primary" | "queue" | "overflow" | "least-loaded";
 
 /**
  * Selects among a service's known endpoints, without network or clock access.
--- a/src/decisions/placement/testing/placement_simulation.ts
+++ b/src/decisions/placement/testing/placement_simulation.ts
@@ -16,8 +16,6 @@
 import { EndpointRow } from "../../../traffic/mod.ts";
 import { NOTHING_PINNED, type PinnedDemand } from "../pinned_demand.ts";
 import { EndpointBackoff } from "../endpoint_backoff.ts";
-import { LatencyEstimator } from "../latency_estimator.ts";
-import { waitShare } from "../load_view.ts";
 import type { Placement } from "../placement.ts";
 
 /** Parameters of a simulation. */
@@ -61,26 +59,6 @@
   /** Whether instances ignore Retry-After. */
   readonly ignoreRetryAfter?: boolean;
   readonly seed?: number;
-  /** 0 is the most urgent; 2 if undefined. */
-  readonly priority?: number;
-  /** Instances in each region. */
-  readonly instancesPerRegion?: number;
-  /** Age of peers' digests when they arrive, in milliseconds. */
-  readonly digestDelayMs?: number;
-  /** Whether digests that are due at a time reach an instance. */
-  readonly digestArrives?: (instance: number, now: number) => boolean;
-  /** Relative demand of a region's object; one for each if undefined. */
-  readonly objectWeight?: (object: number) => number;
-  /** How long work takes at an endpoint, as a multiple of the usual. */
-  readonly hostSlowdown?: (endpoint: number, now: number) => number;
-  /** When endpoints restart with empty caches, in milliseconds. */
-  readonly restarts?: ReadonlyMap<string, number>;
-  /** Endpoints that get no new requests for a while. */
-  readonly drain?: {
-    readonly endpoints: readonly string[];
-    readonly from: number;
-    readonly to: number;
-  };
 }
 
 /** Results, as shares of the counted requests or of the runs at endpoints. */
@@ -95,19 +73,6 @@
   readonly cacheMisses: number;
   /** Sheds by endpoints, per request. */
   readonly sheds: number;
-  /** Runs at the busiest endpoint, as a multiple of the mean. */
-  readonly busiest: number;
-  /** Most requests at an endpoint at a time, as a multiple of its slots. */
-  readonly peakUtilization: number;
-  /** Requests refused by placement with a slot free at an endpoint. */
-  readonly refusedWithRoom: number;
-  /**
-   * Largest change of a region's share of requests that run in another region,
-   * from one interval of 2 s to the next.
-   */
-  readonly regionChange: number;
-  /** Sends without an idle connection of the instance, per run. */
-  readonly newConnections: number;
 }
 
 const INSTANCES_PER_REGION = 4;
@@ -120,13 +85,6 @@
 const QUEUE_FACTOR = 3;
 const WORK_JITTER = 0.15;
 const MIN_RETRY_MS = 50;
-/** How long an idle connection to an endpoint is kept, in milliseconds. */
-const IDLE_TIMEOUT_MS = 9_000;
-/** Interval of the comparison of regions, in milliseconds. */
-const REGION_INTERVAL_MS = 2_000;
-/** Requests below which a region's interval is not compared. */
-const MIN_COMPARED = 100;
-const SERVICE = "s" as ServiceId;
 /** When callers retry after a shed, and after one of an overloaded endpoint. */
 const SHED_RETRY_MS = 200;
 const OVERLOAD_RETRY_MS = 20;
@@ -135,8 +93,6 @@
   readonly object: string;
   readonly region: string;
   readonly sentAt: number;
-  /** When the instance sent it to the endpoint. */
-  readonly placedAt: number;
   readonly instance: Instance;
   readonly row: EndpointRow;
   readonly linkMs: number;
@@ -154,14 +110,11 @@
   readonly running: Running[] = [];
   readonly queue: Job[] = [];
   readonly cache = new Map<string, true>();
-  readonly number: number;
   gone = false;
-  runs = 0;
 
-  constructor(id: string, region: string, number: number) {
+  constructor(id: string, region: string) {
     this.id = id as EndpointId;
     this.region = region;
-    this.number = number;
   }
 }
 
@@ -175,14 +128,9 @@
   /** The endpoints that pinned objects may be sent to. */
   pinned: readonly EndpointRow[] = [];
   meanLatencyMs = 200;
-  readonly latency = new LatencyEstimator();
-  /** When idle connections to an endpoint became idle. */
-  readonly idle = new Map<EndpointId, number[]>();
-  readonly number: number;
 
-  constructor(region: string, placement: Placement, number: number) {
+  constructor(region: string, placement: Placement) {
     this.region = region;
-    this.number = number;
     this.placement = placement;
   }
 }
@@ -211,15 +159,6 @@
   #runs = 0;
   #cacheMisses = 0;
   #sheds = 0;
-  #peakUtilization = 0;
-  #refusedWithRoom = 0;
-  #newConnections = 0;
-  #sends = 0;
-  readonly #byId = new Map<EndpointId, Endpoint>();
-  /** Requests by region and interval: all, and those that left the region. */
-  readonly #intervals = new Map<string, { all: number; left: number }[]>();
-  /** Cumulative weights of a region's objects. */
-  readonly #objectWeights: number[] = [];
   /** The pinned demand passed to placement. */
   readonly #pinned: PinnedDemand;
 
@@ -232,22 +171,12 @@
     this.#random = new SeededRandom(opts.seed ?? 1);
     for (const [region, count] of Object.entries(opts.endpoints)) {
       for (let i = 0; i < count; i++) {
-        const number = this.#endpoints.length;
-        const endpoint = new Endpoint(`e-${region}-${i}`, region, number);
-        this.#endpoints.push(endpoint);
-        this.#byId.set(endpoint.id, endpoint);
+        this.#endpoints.push(new Endpoint(`e-${region}-${i}`, region));
       }
-      const instances = opts.instancesPerRegion ?? INSTANCES_PER_REGION;
-      for (let i = 0; i < instances; i++) {
-        const number = this.#instances.length;
-        this.#instances.push(new Instance(region, opts.placement(), number));
+      for (let i = 0; i < INSTANCES_PER_REGION; i++) {
+        this.#instances.push(new Instance(region, opts.placement()));
       }
     }
-    let sum = 0;
-    for (let i = 0; i < opts.objects; i++) {
-      sum += opts.objectWeight?.(i) ?? 1;
-      this.#objectWeights.push(sum);
-    }
     for (const instance of this.#instances) this.#addRows(instance);
   }
 
@@ -258,8 +187,6 @@
       this.#events.delete(this.#now);
       if (this.#now % GOSSIP_INTERVAL_MS === 0) this.#gossip();
       this.#removeEndpoint();
-      this.#restartEndpoints();
-      this.#drainEndpoints();
       if (this.#now < durationMs) this.#generateRequests();
       for (const endpoint of this.#endpoints) this.#process(endpoint);
     }
@@ -272,69 +199,14 @@
       crossRegion: this.#crossRegion / runs,
       cacheMisses: this.#cacheMisses / runs,
       sheds: this.#sheds / this.#requests,
-      busiest: Math.max(...this.#endpoints.map((e) => e.runs)) *
-        this.#endpoints.length / runs,
-      peakUtilization: this.#peakUtilization,
-      refusedWithRoom: this.#refusedWithRoom / this.#requests,
-      regionChange: this.#regionChange(),
-      newConnections: this.#newConnections / Math.max(1, this.#sends),
     };
   }
 
-  #regionChange(): number {
-    let largest = 0;
-    for (const intervals of this.#intervals.values()) {
-      let before: number | undefined;
-      for (const { all, left } of intervals) {
-        const share = all < MIN_COMPARED ? undefined : left / all;
-        if (share !== undefined && before !== undefined) {
-          largest = Math.max(largest, Math.abs(share - before));
-        }
-        before = share;
-      }
-    }
-    return largest;
-  }
-
-  #countRegion(from: string, to: string): void {
-    const { measureFromMs = 0 } = this.#opts;
-    const i = Math.floor((this.#now - measureFromMs) / REGION_INTERVAL_MS);
-    let intervals = this.#intervals.get(from);
-    if (intervals === undefined) {
-      intervals = [];
-      this.#intervals.set(from, intervals);
-    }
-    while (intervals.length <= i) intervals.push({ all: 0, left: 0 });
-    const interval = intervals[i]!;
-    interval.all++;
-    if (from !== to) interval.left++;
-  }
-
-  #restartEndpoints(): void {
-    for (const [id, at] of this.#opts.restarts ?? []) {
-      if (at === this.#now) this.#byId.get(id as EndpointId)?.cache.clear();
-    }
-  }
-
-  #drainEndpoints(): void {
-    const { drain } = this.#opts;
-    if (drain === undefined) return;
-    if (this.#now !== drain.from && this.#now !== drain.to) return;
-    const isDraining = this.#now === drain.from;
-    for (const instance of this.#instances) {
-      this.#refreshRows(instance);
-      if (!isDraining) continue;
-      const remains = ({ id }: EndpointRow) => !drain.endpoints.includes(id);
-      instance.known = instance.known.filter(remains);
-      instance.pinned = instance.pinned.filter(remains);
-    }
-  }
-
   #addRows(instance: Instance): void {
     for (const { id, region } of this.#endpoints) {
       const record = {
         id,
-        service: SERVICE,
+        service: "s" as ServiceId,
         address: "",
         zone: region as ZoneId,
         slots: this.#opts.slots,
@@ -380,21 +252,13 @@
       const whole = Math.floor(mean);
       const count = whole + (this.#random.next() < mean - whole ? 1 : 0);
       for (let i = 0; i < count; i++) {
-        const object = `${region}-${this.#drawObject()}`;
+        const object = `${region}-${this.#random.below(this.#opts.objects)}`;
         if (this.#isMeasured) this.#requests++;
         this.#send(region, object, this.#now, false);
       }
     }
   }
 
-  #drawObject(): number {
-    const { objects, objectWeight } = this.#opts;
-    if (objectWeight === undefined) return this.#random.below(objects);
-    const draw = this.#random.next() * (this.#objectWeights.at(-1) ?? 0);
-    const found = this.#objectWeights.findIndex((sum) => draw < sum);
-    return Math.max(0, found);
-  }
-
   get #isMeasured(): boolean {
     return this.#now >= (this.#opts.measureFromMs ?? 0);
   }
@@ -419,55 +283,20 @@
         this.#opts.ignoreRetryAfter === true ||
         instance.backoff.leftMs(row, this.#now) === 0,
       meanLatencyMs: instance.meanLatencyMs,
-      meanWorkMs: instance.latency.workOf(SERVICE),
-      priority: this.#opts.priority ?? 2,
-      now: this.#now,
-      leftMs: sentAt + this.#opts.deadlineMs - this.#now - 2 * CALLER_LINK_MS,
-      instances: this.#instances.length,
-      isConnected: (row) => this.#idleConnection(instance, row.id),
+      priority: 2,
     });
     if (placed.endpoint === undefined) {
-      if (this.#isMeasured && this.#hasRoom()) this.#refusedWithRoom++;
       const waitMs = Math.max(MIN_RETRY_MS, placed.waitMs);
       this.#retryOrRefuse(region, object, sentAt, retried, waitMs);
       return;
     }
     const row = placed.endpoint;
-    instance.latency.sent(SERVICE, waitShare(row, this.#now));
     row.inFlight++;
-    if (this.#isMeasured) {
-      this.#sends++;
-      this.#countRegion(region, row.region);
-      if (!this.#idleConnection(instance, row.id)) this.#newConnections++;
-    }
-    instance.idle.get(row.id)?.pop();
     const linkMs = row.region === region ? INTRA_REGION_MS : INTER_REGION_MS;
-    const placedAt = this.#now;
-    const job = {
-      object,
-      region,
-      sentAt,
-      placedAt,
-      instance,
-      row,
-      linkMs,
-      retried,
-    };
+    const job = { object, region, sentAt, instance, row, linkMs, retried };
     this.#schedule(linkMs, () => this.#enqueue(job));
   }
 
-  /** Whether an endpoint has a free slot. */
-  #hasRoom(): boolean {
-    return this.#endpoints.some((e) =>
-      !e.gone && e.running.length + e.queue.length < this.#opts.slots
-    );
-  }
-
-  #idleConnection(instance: Instance, id: EndpointId): boolean {
-    const since = instance.idle.get(id)?.at(-1);
-    return since !== undefined && this.#now - since < IDLE_TIMEOUT_MS;
-  }
-
   #retryOrRefuse(
     region: string,
     object: string,
@@ -484,7 +313,7 @@
   }
 
   #enqueue(job: Job): void {
-    const endpoint = this.#byId.get(job.row.id);
+    const endpoint = this.#endpoints.find((e) => e.id === job.row.id);
     if (endpoint === undefined) return;
     const capacity = this.#opts.slots * QUEUE_FACTOR;
     const overload = this.#overloadOf(endpoint);
@@ -505,12 +334,6 @@
       return;
     }
     endpoint.queue.push(job);
-    if (!this.#isMeasured) return;
-    const requests = endpoint.queue.length + endpoint.running.length;
-    this.#peakUtilization = Math.max(
-      this.#peakUtilization,
-      requests / this.#opts.slots,
-    );
   }
 
   #overloadOf({ id }: Endpoint): SimulationOptions["overload"] {
@@ -521,7 +344,6 @@
   }
 
   #process(endpoint: Endpoint): void {
-    if (endpoint.running.length + endpoint.queue.length === 0) return;
     for (
       const [i, { job, endsAt }] of [...endpoint.running.entries()].reverse()
     ) {
@@ -530,7 +352,6 @@
       cacheObject(endpoint.cache, job.object, this.#opts.cacheSize);
       this.#schedule(job.linkMs, () => {
         job.row.inFlight--;
-        this.#reportLoad(endpoint, job);
         this.#complete(job);
       });
     }
@@ -544,32 +365,14 @@
     }
   }
 
-  /** Applies what a response says of its endpoint. */
-  #reportLoad(endpoint: Endpoint, { row, instance, placedAt }: Job): void {
-    instance.latency.add(SERVICE, this.#now - placedAt);
-    const idle = instance.idle.get(row.id) ?? [];
-    idle.push(this.#now);
-    instance.idle.set(row.id, idle);
-    const { hostSlowdown } = this.#opts;
-    if (hostSlowdown === undefined) return;
-    row.applyReport({
-      running: endpoint.running.length,
-      waiting: endpoint.queue.length,
-      slots: this.#opts.slots,
-      hostSlowdown: hostSlowdown(endpoint.number, this.#now),
-    }, this.#now);
-  }
-
   #start(endpoint: Endpoint, job: Job): void {
     const known = endpoint.cache.has(job.object);
     const jitter = 1 + WORK_JITTER * (this.#random.next() * 2 - 1) * 1.7;
     const part = known ? this.#opts.hitShare : 1;
-    const slowdown = this.#opts.hostSlowdown?.(endpoint.number, this.#now);
-    const ms = this.#opts.workMs * part * jitter * (slowdown ?? 1);
+    const ms = this.#opts.workMs * part * jitter;
     endpoint.running.push({ job, endsAt: this.#now + Math.round(ms) });
     if (!this.#isMeasured) return;
     this.#runs++;
-    endpoint.runs++;
     if (!known) this.#cacheMisses++;
     if (endpoint.region !== job.region) this.#crossRegion++;
   }
@@ -585,27 +388,16 @@
   }
 
   #gossip(): void {
-    const { digestDelayMs = 0 } = this.#opts;
-    const totals = new Map<EndpointId, number>();
-    const own = this.#instances.map((instance) => {
-      const counts = new Map<EndpointId, number>();
-      for (const { id, inFlight } of instance.rows.values()) {
-        counts.set(id, inFlight);
-        totals.set(id, (totals.get(id) ?? 0) + inFlight);
-      }
-      return counts;
-    });
-    const deliver = () => {
-      for (const [i, instance] of this.#instances.entries()) {
-        if (this.#opts.digestArrives?.(i, this.#now) === false) continue;
-        for (const row of instance.rows.values()) {
-          const sum = totals.get(row.id) ?? 0;
-          row.peersInFlight = sum - (own[i]?.get(row.id) ?? 0);
+    for (const instance of this.#instances) {
+      for (const row of instance.rows.values()) {
+        let sum = 0;
+        for (const other of this.#instances) {
+          if (other === instance) continue;
+          sum += other.rows.get(row.id)?.inFlight ?? 0;
         }
+        row.peersInFlight = sum;
       }
-    };
-    if (digestDelayMs === 0) deliver();
-    else this.#schedule(digestDelayMs, deliver);
+    }
   }
 
   #schedule(ms: number, run: () => void): void {
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -17,7 +17,6 @@
 import {
   AffinityPlacement,
   type Placement,
-  ReplicaSetPlacement,
 } from "../decisions/placement/mod.ts";
 import {
   bufferBytes,
@@ -189,12 +188,7 @@
       state: this.#state,
       signals: this.#signals,
       limits: this.#limits,
-      placement: opts.placement ??
-        (cfg.replicaSets === true
-          ? new ReplicaSetPlacement({ random })
-          : new AffinityPlacement()),
-      isConnected: (row) => this.#sender.hasIdle(row),
-      metrics: opts.metrics,
+      placement: opts.placement ?? new AffinityPlacement(),
       fleetSize,
       own: cfg.instance.id,
       region: cfg.instance.region,
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -4,14 +4,13 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import type { Failure, InstanceId, Metrics, RegionId } from "../core/mod.ts";
+import type { Failure, InstanceId, RegionId } from "../core/mod.ts";
 import {
   LatencyEstimator,
   NOTHING_PINNED,
   OutlierDetector,
   type Placement,
   type PlacementRequest,
-  waitShare,
 } from "../decisions/placement/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import { CapacityRefusals } from "./capacity_refusals.ts";
@@ -35,9 +34,6 @@
   readonly region: RegionId;
   /** Every region with callers. */
   readonly regions: readonly RegionId[];
-  /** Whether an idle connection to an endpoint is open. */
-  readonly isConnected?: (row: EndpointRow) => boolean;
-  readonly metrics?: Metrics;
 }
 
 /** Combines the decisions about endpoints for one instance. */
@@ -67,10 +63,6 @@
     if (endpoints.length === 0) return err(this.#refusals.noEndpoint());
     const request = this.#placementRequest(ctx, endpoints, now);
     const selection = this.#placement.choose(endpoints, request, now);
-    this.#opts.metrics?.count("endpoint.chosen", {
-      service,
-      reason: selection.endpoint === undefined ? "none" : selection.why,
-    });
     if (selection.endpoint === undefined) {
       const at = { service, endpoints };
       return err(this.#refusals.noCapacity(at, selection, now));
@@ -85,8 +77,7 @@
     endpoints: readonly EndpointRow[],
     now: number,
   ): PlacementRequest {
-    const { region, regions, state, signals, fleetSize, isConnected } =
-      this.#opts;
+    const { region, regions, state, signals } = this.#opts;
     const { service, route, account, req, tried } = ctx;
     const ejectionLimited = this.#outliers.ejectionLimitReached(endpoints, now);
     return {
@@ -96,21 +87,15 @@
       pinned: ctx.regions === undefined ? state.pinned : NOTHING_PINNED,
       priority: account?.priority ?? route.priority,
       meanLatencyMs: this.#latency.of(service),
-      meanWorkMs: this.#latency.workOf(service),
-      now,
-      leftMs: ctx.deadline - now,
-      instances: fleetSize(),
       usable: (row) =>
         !tried.has(row) && signals.accepts(row, now) &&
         this.#cold.hasRoom(row, now) &&
         (ejectionLimited || !this.#outliers.isEjected(row, now)),
-      ...(isConnected === undefined ? {} : { isConnected }),
     };
   }
 
   /** Records that a request is being sent. */
   sent(row: EndpointRow, now: number): void {
-    this.#latency.sent(row.record.service, waitShare(row, now));
     row.inFlight++;
     this.#outliers.sent(row, now);
   }
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -13,10 +13,7 @@
   SilentLog,
   type ZoneId,
 } from "../../core/mod.ts";
-import {
-  AffinityPlacement,
-  type Placement,
-} from "../../decisions/placement/mod.ts";
+import { AffinityPlacement } from "../../decisions/placement/mod.ts";
 import { AccountQuotas } from "../../decisions/quotas/mod.ts";
 import { SharedRetryBudget } from "../../decisions/retries/mod.ts";
 import { StartGate } from "../../decisions/starting/mod.ts";
@@ -52,7 +49,6 @@
   readonly plan?: Partial<TrafficPlan> | "none";
   readonly endpoints?: readonly Partial<EndpointRecord>[];
   readonly sender?: ScriptedSender;
-  readonly placement?: Placement;
   /** Other instances that are serving, by id. */
   readonly peers?: readonly string[];
   /** Results of requests that are passed on. */
@@ -63,7 +59,6 @@
 export class RequestPath {
   readonly clock = new ManualClock();
   readonly log = new RecordedLog();
-  readonly metrics = new MemoryMetrics();
   readonly state: TrafficState;
   readonly sender: ScriptedSender;
   readonly gone = new AbortController();
@@ -115,9 +110,7 @@
     this.#chooser = new EndpointChooser({
       state: this.state,
       signals: this.signals,
-      placement: setup.placement ?? new AffinityPlacement(),
-      isConnected: (row) => this.sender.hasIdle(row),
-      metrics: this.metrics,
+      placement: new AffinityPlacement(),
       limits,
       fleetSize,
       own: "i1" as InstanceId,
--- a/tools/bench/decisions/decisions.ts
+++ b/tools/bench/decisions/decisions.ts
@@ -1,14 +1,13 @@
 /**
  * `npm run bench -- decisions`: compares the fair dispatcher with the round-robin
  * baseline for both deployments under six load patterns, and measures the cost of
- * a decision at two sizes and of the placement of a request.
+ * a decision at two sizes.
  *
  * @module
  */
 import { DEPLOYMENTS } from "../../demo/deployments.ts";
 import { type DecisionCost, measureCost, SIZES } from "./cost.ts";
 import { ACCOUNTS, PATTERNS } from "./patterns.ts";
-import { measurePlacement } from "./placement_cost.ts";
 import type { FleetShape } from "./fleet_shape.ts";
 import { type LoadPattern, type RunReport, simulate } from "./simulation.ts";
 
@@ -40,8 +39,6 @@
   const costs: DecisionCost[] = [];
   for (const size of SIZES) costs.push(await measureCost(size));
   console.table(costs);
-  const placement = measurePlacement();
-  console.table(placement);
   console.log(JSON.stringify({
     bench: "decisions",
     seconds: SECONDS,
@@ -49,7 +46,6 @@
     comparisons,
     gateway,
     costs,
-    placement,
     growth: growthOf(costs),
   }));
 }
