--- a/src/edge/access_log.ts
+++ b/src/edge/access_log.ts
@@ -167,6 +167,8 @@
     const parts = [`${inFlight}+${peersInFlight}/${row.record.slots}`];
     if (row.report !== undefined) {
       parts.push(`${Math.round(this.#clock.now() - reportedAt)}ms`);
+      const { hostSlowdown } = row.report;
+      if (hostSlowdown !== undefined) parts.push(`host x${hostSlowdown}`);
     }
     const limitPerS = this.#limitOf(id);
     if (limitPerS !== undefined) parts.push(`${limitPerS}/s`);
--- a/src/edge/edge_settings.ts
+++ b/src/edge/edge_settings.ts
@@ -21,8 +21,6 @@
   readonly memoryBytes?: number | undefined;
   /** Bandwidth of the machine's link each way, in bytes a second. */
   readonly linkBytesPerS?: number | undefined;
-  /** Whether affinity keys have a set of endpoints instead of two. */
-  readonly replicaSets?: boolean;
   readonly listen: {
     /** Host and port of the listener for callers. */
     readonly caller: string;
