Let the soak of processes upload, pipeline and read slowly

The soak sent one small request at a time, so nothing checked the real program with uploads, pipelined requests, slow readers and hosts whose work takes a changing time.

Six more callers draw from a random of their own, which leaves the draws of the earlier loads as they are. They send bodies up to 400 kB, with a length or in chunks, on a route that is not idempotent, and up to 40 idempotent requests at once on a kept connection; some read slowly, and most requests have one affinity key. Their endpoints name the slowdown of their host, which at times exceeds the route's timeout. The earlier promises are checked for them, and that responses come in order and that nothing behind a response that closes reaches an endpoint. A stop counts as planned for callers that notice its end only after the restart. Cuts reach the new endpoints too, but the cut check leaves their requests out: the rate at which slow endpoints serve says nothing about cuts.

Three planted faults are found: the last chunk of an upload lost, a response that closes before those of forwarded requests, and a stop that does not wait for slow endpoints. No planted fault is specific to the hot key.

--- a/tools/process_soak/fault_targets.ts
+++ b/tools/process_soak/fault_targets.ts
@@ -26,6 +26,8 @@
   /** The proxy from each instance to the store, in the order of `instances`. */
   readonly storeLinks: readonly TcpProxy[];
   readonly endpoints: readonly SoakEndpoint[];
+  /** The proxies of all endpoints, also of those that no other fault hits. */
+  readonly endpointLinks: readonly TcpProxy[];
   readonly store: ObjectStoreServer;
   readonly operators: SoakOperators;
   readonly checker: PropertyChecker;
--- a/tools/process_soak/faults.ts
+++ b/tools/process_soak/faults.ts
@@ -190,14 +190,14 @@
   for (const instance of cut) {
     instance.cutUntil = now + forMs;
     instance.cutMode = mode;
-    for (const { proxy } of world.endpoints) {
+    for (const proxy of world.endpointLinks) {
       proxy.cutOff(instance.opts.host, mode);
     }
   }
   const ids = cut.map(({ opts }) => opts.id);
   world.checker.cutOff(ids, now + forMs);
   setTimeout(() => {
-    for (const { proxy } of world.endpoints) {
+    for (const proxy of world.endpointLinks) {
       for (const { opts } of cut) proxy.restore(opts.host);
     }
   }, forMs);
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -46,6 +46,8 @@
   cutMode: CutMode = "reset";
   /** When a graceful stop began; undefined if none, or after kill or freeze. */
   stoppingSince: number | undefined;
+  /** Incarnations that ended by a graceful stop. */
+  readonly #stoppedLives = new Set<number>();
   #child: ChildProcess | undefined;
   #frozen = false;
   /** Whether the process got SIGKILL; its exit may show much later. */
@@ -89,6 +91,7 @@
     child.stderr?.pipe(log, { end: false });
     this.#child = child;
     child.once("exit", () => {
+      if (this.stoppingSince !== undefined) this.#stoppedLives.add(this.life);
       this.#markDisturbed();
       this.#child = undefined;
       this.#frozen = false;
@@ -96,6 +99,15 @@
     });
   }
 
+  /**
+   * Whether an incarnation stops or stopped gracefully. Callers that read slowly
+   * notice its end only after the restart.
+   */
+  stopsGracefully(life: number): boolean {
+    return this.#stoppedLives.has(life) ||
+      (life === this.life && this.stoppingSince !== undefined);
+  }
+
   /** Whether its readiness probe succeeds. */
   async ready(): Promise<boolean> {
     try {
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -26,11 +26,13 @@
   type Sender,
   type Violation,
 } from "./property_checker.ts";
+import { BulkCallers } from "./bulk_callers.ts";
 import { SoakCallers } from "./soak_callers.ts";
-import { SERVICES, SoakOperators } from "./soak_operators.ts";
+import { BULK_SERVICE, SERVICES, SoakOperators } from "./soak_operators.ts";
 import { LoopbackBlock } from "./loopback_block.ts";
 import type { FaultTargets, SoakEndpoint } from "./fault_targets.ts";
 import { TcpProxy } from "./tcp_proxy.ts";
+import { NoisyEndpoint, NoisyHost } from "../standins/noisy_endpoint.ts";
 
 /** Options of a run. */
 export interface ProcessSoakOptions {
@@ -56,6 +58,8 @@
   readonly seconds: number;
   readonly processes: number;
   readonly requests: number;
+  /** Uploads and pipelined requests that got a success. */
+  readonly bulkAnswered: number;
   /** What callers got during cuts from the endpoints. */
   readonly cuts: readonly CutSummary[];
   readonly faults: number;
@@ -70,6 +74,11 @@
 const ENDPOINTS_PER_SERVICE = 4;
 const SLOTS = 8;
 const WORK_MS = 40;
+/** Hosts of the endpoints for uploads and pipelined requests. */
+const NOISY_HOSTS = 2;
+const NOISY_ENDPOINTS = 4;
+/** Added to the seed, so that the new load leaves the old draws as they are. */
+const BULK_SEED_OFFSET = 1_000_003;
 const GRACE_S = 4;
 const FAULT_INTERVAL_MS = 900;
 /** Recovery time, then the window in which most requests must succeed. */
@@ -92,6 +101,11 @@
   readonly #opts: ProcessSoakOptions;
   readonly #began = Date.now();
   #callers: SoakCallers | undefined;
+  #bulkCallers: BulkCallers | undefined;
+  readonly #bulkRandom: SeededRandom;
+  readonly #noisyHosts: NoisyHost[] = [];
+  readonly #noisyEndpoints: NoisyEndpoint[] = [];
+  readonly #noisyLinks: TcpProxy[] = [];
   #block: LoopbackBlock | undefined;
   #dir = "";
   #endpointNumber = 0;
@@ -99,6 +113,7 @@
   constructor(opts: ProcessSoakOptions) {
     this.#opts = opts;
     this.random = new SeededRandom(opts.seed);
+    this.#bulkRandom = new SeededRandom(opts.seed + BULK_SEED_OFFSET);
     this.checker = new PropertyChecker({
       instances: () => this.instances.map((i) => i.opts.id),
       instance: (id) =>
@@ -108,13 +123,12 @@
       store: () => this.storeDisturbedAt,
       endpoint: (id) =>
         this.endpoints.find((e) => e.fake.opts.id === id)?.disturbedAt ??
-          Infinity,
+          (this.#noisyEndpoints.some((e) => e.opts.id === id) ? 0 : Infinity),
       cutUntil: (id) =>
         this.instances.find((i) => i.opts.id === id)?.cutUntil ?? -Infinity,
-      stopping: (id, life) => {
-        const instance = this.instances.find((i) => i.opts.id === id);
-        return instance?.life === life && instance.stoppingSince !== undefined;
-      },
+      stopping: (id, life) =>
+        this.instances.find((i) => i.opts.id === id)?.stopsGracefully(life) ??
+          false,
     });
   }
 
@@ -129,6 +143,10 @@
     }
   }
 
+  get endpointLinks(): TcpProxy[] {
+    return [...this.endpoints.map((e) => e.proxy), ...this.#noisyLinks];
+  }
+
   pick<T>(from: readonly T[]): T | undefined {
     return from[this.random.below(Math.max(1, from.length))];
   }
@@ -195,6 +213,7 @@
         await this.addEndpoint(service);
       }
     }
+    await this.#addNoisyEndpoints();
     this.operators.publish();
     await this.#startInstances(block);
     await this.#waitUntilReady();
@@ -206,6 +225,43 @@
       useDirectory: this.#opts.useDirectory ?? false,
     });
     this.#callers.start();
+    this.#bulkCallers = new BulkCallers({
+      instances: this.instances,
+      operators: this.operators,
+      checker: this.checker,
+      random: this.#bulkRandom,
+    });
+    this.#bulkCallers.start();
+  }
+
+  async #addNoisyEndpoints(): Promise<void> {
+    for (let i = 0; i < NOISY_HOSTS; i++) {
+      this.#noisyHosts.push(new NoisyHost(this.#bulkRandom));
+    }
+    for (let i = 0; i < NOISY_ENDPOINTS; i++) {
+      const id = `noisy${i}`;
+      const endpoint = await NoisyEndpoint.listen({
+        id,
+        service: BULK_SERVICE,
+        slots: SLOTS,
+        workMs: WORK_MS,
+        host: this.#noisyHosts[i % NOISY_HOSTS]!,
+        onRun: (run) => this.checker.requestStarted(run),
+      });
+      this.#noisyEndpoints.push(endpoint);
+      const link = await TcpProxy.listen(endpoint.port);
+      this.#noisyLinks.push(link);
+      const zones = Object.keys(ZONES);
+      const { spec, status } = endpointEntry({
+        service: BULK_SERVICE,
+        address: `127.0.0.1:${link.port}`,
+        zone: zones[i % zones.length]!,
+        slots: SLOTS,
+        draining: false,
+        bornAt: this.#began,
+      });
+      this.store.write(KINDS.endpoints, id, spec, status);
+    }
   }
 
   async #startInstances(block: LoopbackBlock): Promise<void> {
@@ -294,6 +350,7 @@
 
   async #result(): Promise<ProcessSoakResult> {
     await this.#callers?.end();
+    await this.#bulkCallers?.end();
     this.checker.finish();
     const { seed, seconds } = this.#opts;
     const { violations } = this.checker;
@@ -302,6 +359,7 @@
       seconds,
       processes: this.instances.length,
       requests: this.#callers?.requests ?? 0,
+      bulkAnswered: this.#bulkCallers?.answered ?? 0,
       cuts: this.checker.cutSummaries(),
       faults: this.trace.length,
       violations,
@@ -323,12 +381,16 @@
 
   async #close(): Promise<void> {
     await this.#callers?.end();
+    await this.#bulkCallers?.end();
     await Promise.all(this.instances.map((i) => i.close()));
     await Promise.all(this.storeLinks.map((link) => link.close()));
     for (const { fake, proxy } of this.endpoints) {
       await proxy.close();
       await fake.close();
     }
+    for (const host of this.#noisyHosts) host.close();
+    await Promise.all(this.#noisyLinks.map((link) => link.close()));
+    await Promise.all(this.#noisyEndpoints.map((e) => e.close()));
     await this.store?.close();
     await this.#block?.close();
     if (this.#opts.logDir !== undefined) return;
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { stop } from "esbuild";
 import { bundleStandalone } from "../bundle/bundle.ts";
+import type { ScheduledFault } from "./fault_schedule.ts";
 import type { FaultName } from "./faults.ts";
 import { mutateSource, type SourceMutation } from "./planted_fault.ts";
 import { ProcessSoak } from "./process_soak.ts";
@@ -34,9 +35,10 @@
     perZone: 1,
     program: await program(),
   });
-  const { violations, requests, faults } = await soak.run();
+  const { violations, requests, bulkAnswered, faults } = await soak.run();
   t.deepEqual(violations, []);
   t.true(requests > 0);
+  t.true(bulkAnswered > 0);
   t.true(faults > 0);
 });
 
@@ -152,6 +154,71 @@
   },
 ];
 
+const STOPS: readonly ScheduledFault[] = [
+  { name: "stop in turn", atMs: 500 },
+  { name: "stop in turn", atMs: 5_500 },
+];
+
+/** Defects that only uploads, pipelined requests or slow endpoints show. */
+const PLANTED_FOR_BULK: readonly {
+  readonly name: string;
+  readonly fault: SourceMutation;
+  readonly schedule: readonly ScheduledFault[];
+  readonly property: string;
+}[] = [
+  {
+    name: "an upload in chunks loses the last one",
+    fault: {
+      file: "request_body.ts",
+      text: "Buffer.concat(this.#chunks)",
+      replacement: "Buffer.concat(this.#chunks.slice(0, -1))",
+    },
+    schedule: [],
+    property: "a caller gets its own whole answer",
+  },
+  {
+    name: "a response closes the connection before those of forwarded requests",
+    fault: {
+      file: "caller_connection.ts",
+      text: 'behind.some(({ progress }) => progress === "forwarded")',
+      replacement: "behind.length < 0",
+    },
+    schedule: STOPS,
+    property: "what is behind a response that closes does not run",
+  },
+  {
+    name: "a stop does not wait for slow endpoints",
+    fault: {
+      file: "stop_plan.ts",
+      text: `stopListeningMs: graceMs * LISTENING_SHARE,
+    forceCloseMs: Math.max(0, graceMs - EXIT_MARGIN_MS),`,
+      replacement: `stopListeningMs: graceMs * 0.05,
+    forceCloseMs: graceMs * 0.05 + EXIT_MARGIN_MS,`,
+    },
+    schedule: STOPS,
+    property: "a planned stop cuts no request",
+  },
+];
+
+for (const { name, fault, schedule, property } of PLANTED_FOR_BULK) {
+  test.serial(`the soak finds it where ${name}`, async (t) => {
+    // A check that misses this defect would miss it in the program too.
+    const soak = new ProcessSoak({
+      seed: 4,
+      seconds: SECONDS,
+      perZone: 1,
+      program: await program(fault),
+      schedule,
+    });
+    const { violations } = await soak.run();
+    t.true(
+      violations.some((v) =>
+        v.property === property && v.detail.includes('"account":"bulk"')
+      ),
+    );
+  });
+}
+
 for (const { name, fault, only, property } of PLANTED) {
   test.serial(`the soak finds it where ${name}`, async (t) => {
     // A check that misses this defect would miss it in the program too.
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -10,6 +10,8 @@
 } from "../../platform/testing/fake_caller.ts";
 import { CutChecker, type CutSummary } from "./cut_checker.ts";
 import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
+import { PipelineChecker, type PipelinedResponse } from "./pipeline_checker.ts";
+import { BULK_SERVICE } from "./soak_operators.ts";
 
 /** A violated property. */
 export interface Violation {
@@ -90,6 +92,9 @@
   readonly #limits = new Map<string, EndpointLimit>();
   readonly #signals: EndpointSignalChecker;
   readonly #cuts: CutChecker;
+  readonly #pipelines = new PipelineChecker((property, request) =>
+    this.#add(property, { request })
+  );
 
   constructor(calm: Disturbances) {
     this.#disturbances = calm;
@@ -185,6 +190,14 @@
     }
   }
 
+  /** Checks the responses to requests that were sent at once. */
+  pipelineEnded(
+    sent: readonly string[],
+    responses: readonly PipelinedResponse[],
+  ): void {
+    this.#pipelines.ended(sent, responses);
+  }
+
   sent(attempt: SentAttempt): void {
     this.#sent.set(attempt.request, attempt);
   }
@@ -194,6 +207,7 @@
     const { request, endpoint, account, keySeen, at } = run;
     const runs = [...this.#runs.get(request) ?? [], run];
     this.#runs.set(request, runs);
+    this.#pipelines.started(request);
     const attempt = this.#sent.get(request);
     if (attempt === undefined) {
       return this.#add("an endpoint runs only what a caller sent", run);
@@ -228,7 +242,8 @@
       }
       if (!attempt.idempotent) this.#notRun.add(request);
     }
-    this.#cuts.answered(attempt, result);
+    // The rate at which slow endpoints serve says nothing about cuts.
+    if (attempt.account !== BULK_SERVICE) this.#cuts.answered(attempt, result);
     this.#checkPlan(attempt, result);
     this.#checkStop(attempt, result, runs);
   }
--- a/tools/process_soak/soak_operators.ts
+++ b/tools/process_soak/soak_operators.ts
@@ -24,6 +24,8 @@
 export const HOST = "soak.example";
 /** Services that the routes refer to. */
 export const SERVICES = ["reads", "writes"] as const;
+/** The service of uploads and pipelined requests. */
+export const BULK_SERVICE = "bulk";
 const TIMEOUT_S = 1.5;
 
 /** Dependencies of the operators. */
@@ -47,6 +49,13 @@
     ratePerS: 20,
     burst: 20,
   };
+  /** Uploads and pipelines; its key is never withdrawn. */
+  readonly bulk: SoakAccount = {
+    id: "bulk",
+    keys: ["b0"],
+    ratePerS: 2_000,
+    burst: 2_000,
+  };
   readonly #opts: SoakOperatorsOptions;
   #version = 1;
 
@@ -58,7 +67,7 @@
   }
 
   get accounts(): readonly SoakAccount[] {
-    return [this.large, this.small];
+    return [this.large, this.small, this.bulk];
   }
 
   /** The newest version of the plan. */
@@ -72,7 +81,7 @@
       version: this.#version,
       host: HOST,
       routes: this.#routes(),
-      services: SERVICES,
+      services: [...SERVICES, BULK_SERVICE],
       accounts: this.accounts,
     });
     this.#opts.store.write(KINDS.plan, "main", spec);
@@ -101,6 +110,8 @@
     const routes: PlanRoute[] = [
       route("/reads/", "reads", true),
       route("/writes/", "writes", false),
+      route("/bulk-reads/", BULK_SERVICE, true),
+      route("/bulk-writes/", BULK_SERVICE, false),
     ];
     for (let since = 2; since <= this.#version; since++) {
       routes.push(route(`/since${since}/`, "reads", true));
