Read a request's header once, and keep its response with it

Cause: a reading of the whole change.

Change: the intake reads the header once, and a request holds its response, so that the WeakMap and two types are gone; hashFraction stands in core. Behaviour is as before.

--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -22,3 +22,17 @@
   h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
   return (h ^ (h >>> 16)) >>> 0;
 }
+
+const HASH_RANGE = 0x1_0000_0000;
+
+/**
+ * The hash as a number in [0, 1).
+ *
+ * @example
+ * ```ts
+ * const offsetMs = hashFraction("catalog-1") * periodMs;
+ * ```
+ */
+export function hashFraction(text: string): number {
+  return hash(text) / HASH_RANGE;
+}
--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -13,7 +13,11 @@
  *
  * @module
  */
-import { type EndpointId, hash, type InstanceId } from "../../core/mod.ts";
+import {
+  type EndpointId,
+  hashFraction,
+  type InstanceId,
+} from "../../core/mod.ts";
 import {
   type FleetDemand,
   type RateLimitId,
@@ -48,7 +52,6 @@
 const URGENT_CREDIT = 0.5;
 /** Time constant of the fleet's baseline demand. */
 const BASELINE_TIME_CONSTANT_MS = 3_000;
-const HASH_RANGE = 0x1_0000_0000;
 const MS_PER_S = 1_000;
 
 /** A request for an endpoint with a limit. */
@@ -235,7 +238,7 @@
     const known = this.#rows.get(id);
     if (known !== undefined) return known;
     const row: Row = {
-      credit: hash(`${this.#own} ${id}`) / HASH_RANGE,
+      credit: hashFraction(`${this.#own} ${id}`),
       sent: 0,
       window: new SlidingWindowCounter(WINDOW_MS, now),
       ownWindow: new SlidingWindowCounter(WINDOW_MS, now),
--- a/src/decisions/placement/slow_start_limiter.ts
+++ b/src/decisions/placement/slow_start_limiter.ts
@@ -10,7 +10,11 @@
  *
  * @module
  */
-import { type EndpointId, hash, type InstanceId } from "../../core/mod.ts";
+import {
+  type EndpointId,
+  hashFraction,
+  type InstanceId,
+} from "../../core/mod.ts";
 import type { EndpointRow } from "../../traffic/mod.ts";
 
 /**
@@ -22,7 +26,6 @@
 const WINDOW_SHARE = 0.3;
 const MAX_WINDOW_MS = 300;
 const MS_PER_S = 1_000;
-const HASH_RANGE = 0x1_0000_0000;
 
 /** Rate limit of a cold endpoint, and how many instances share it. */
 export interface ColdRate {
@@ -75,7 +78,7 @@
   ): { readonly period: number; readonly inWindow: boolean } {
     const ratePerS = rate.ratePerS * RATE_SHARE / Math.max(1, rate.instances);
     const periodMs = MS_PER_S / Math.max(ratePerS, 1e-6);
-    const offset = hash(`${this.#own} ${row.id}`) / HASH_RANGE * periodMs;
+    const offset = hashFraction(`${this.#own} ${row.id}`) * periodMs;
     const at = now + offset;
     const windowMs = Math.min(MAX_WINDOW_MS, periodMs * WINDOW_SHARE);
     return {
--- a/src/decisions/quotas/account_quotas.ts
+++ b/src/decisions/quotas/account_quotas.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { type AccountId, hash, type InstanceId } from "../../core/mod.ts";
+import {
+  type AccountId,
+  hashFraction,
+  type InstanceId,
+} from "../../core/mod.ts";
 import type { Account } from "../../traffic/mod.ts";
 import type { Reservation } from "./demand_shares.ts";
 import { FleetBucket, type FleetRate } from "./fleet_bucket.ts";
@@ -187,7 +191,7 @@
   #add(account: Account, now: number): Row {
     const row: Row = {
       ...this.#limitsOf(account),
-      bucket: new FleetBucket(now, ditherOf(this.#own, account.id)),
+      bucket: new FleetBucket(now, hashFraction(`${this.#own} ${account.id}`)),
       retryAfter: new RetryAfterSchedule(MAX_RETRY_AFTER_MS),
       rate: undefined,
       rateVersion: 0,
@@ -267,10 +271,3 @@
     };
   }
 }
-
-const HASH_VALUES = 2 ** 32;
-
-/** A number in [0, 1) that differs between instances and accounts. */
-function ditherOf(own: InstanceId, account: AccountId): number {
-  return (hash(`${own} ${account}`) >>> 0) / HASH_VALUES;
-}
--- a/src/edge/caller_connection.ts
+++ b/src/edge/caller_connection.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { CancelSource } from "../core/mod.ts";
 
@@ -49,18 +49,30 @@
   refuseLate(request: PipelinedRequest): void;
 }
 
-/** One request of a connection. */
-export class PipelinedRequest {
+/** A request as Node.js hands it over. */
+export interface IncomingRequest {
   readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  /** Whether the caller waits for a sign before it sends the body. */
+  readonly expectsContinue: boolean;
+}
+
+/** One request of a connection, and the response to it. */
+export class PipelinedRequest implements IncomingRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly expectsContinue: boolean;
   /** Aborted when the caller leaves, or when the request is dropped. */
   readonly signal: CancelSource = new CancelSource();
   readonly #connection: CallerConnection;
   #progress: Progress = "held";
   #hasHead = false;
 
-  constructor(connection: CallerConnection, req: IncomingMessage) {
+  constructor(connection: CallerConnection, incoming: IncomingRequest) {
     this.#connection = connection;
-    this.req = req;
+    this.req = incoming.req;
+    this.res = incoming.res;
+    this.expectsContinue = incoming.expectsContinue;
   }
 
   get progress(): Progress {
@@ -144,12 +156,12 @@
   }
 
   /** Adds a request; undefined if it is behind the last response. */
-  add(req: IncomingMessage): PipelinedRequest | undefined {
+  add(incoming: IncomingRequest): PipelinedRequest | undefined {
     if (this.#isEnding) {
-      req.resume();
+      incoming.req.resume();
       return undefined;
     }
-    const request = new PipelinedRequest(this, req);
+    const request = new PipelinedRequest(this, incoming);
     this.#requests.push(request);
     return request;
   }
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -16,14 +16,13 @@
 import type { CallerLimits } from "../traffic/mod.ts";
 import {
   CallerConnection,
-  type PipelinedRequest,
+  type IncomingRequest,
   type ServerStage,
 } from "./caller_connection.ts";
 import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
 import {
-  type Intake,
   RequestIntake,
   type RequestIntakeOptions,
   type RequestLimits,
@@ -58,7 +57,6 @@
   readonly #server: Server;
   readonly #intake: RequestIntake;
   readonly #connections = new Map<Socket, CallerConnection>();
-  readonly #intakes = new WeakMap<PipelinedRequest, Intake>();
   #limits: RequestLimits = {
     headerBytes: MAX_HEADER_BYTES,
     bodyBytes: DEFAULT_MAX_BODY_BYTES,
@@ -84,7 +82,7 @@
     const on =
       (expectsContinue: boolean) =>
       (req: IncomingMessage, res: ServerResponse) =>
-        this.#onRequest(req, res, expectsContinue);
+        this.#onRequest({ req, res, expectsContinue });
     this.#server.on("request", on(false));
     // Otherwise Node.js asks for the body before it is admitted.
     this.#server.on("checkContinue", on(true));
@@ -151,8 +149,8 @@
   #connected(socket: Socket): void {
     lingerOnClose(socket, this.#opts.clock);
     const connection = new CallerConnection(socket, {
-      run: (request) => this.#run(request),
-      refuseLate: (request) => this.#refuseLate(request),
+      run: (request) => void this.#intake.serve(request, this.#limits),
+      refuseLate: (request) => this.#intake.refuseLate(request),
     }, () => this.#stage);
     this.#connections.set(socket, connection);
     socket.once("close", () => {
@@ -163,19 +161,13 @@
     if (this.#stage === "stopped") connection.stop();
   }
 
-  #onRequest(
-    req: IncomingMessage,
-    res: ServerResponse,
-    expectsContinue: boolean,
-  ): void {
+  #onRequest(incoming: IncomingRequest): void {
+    const { req, res } = incoming;
     const connection = this.#connections.get(req.socket);
-    const request = connection?.add(req);
+    const request = connection?.add(incoming);
     if (connection === undefined || request === undefined) return;
     res.sendDate = false;
     res.once("finish", () => request.finish());
-    const { signal } = request;
-    const to = { res, signal, decideClose: () => request.decideClose() };
-    this.#intakes.set(request, { request, to, expectsContinue });
     connection.startNext();
   }
 
@@ -198,14 +190,4 @@
     }
     connection.end();
   }
-
-  #run(request: PipelinedRequest): void {
-    const intake = this.#intakes.get(request);
-    if (intake !== undefined) void this.#intake.serve(intake, this.#limits);
-  }
-
-  #refuseLate(request: PipelinedRequest): void {
-    const intake = this.#intakes.get(request);
-    if (intake !== undefined) this.#intake.refuseLate(intake);
-  }
 }
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -19,6 +19,7 @@
 import { type Hop, readHop, withoutHopFields } from "./hop_headers.ts";
 import {
   type BodyFailure,
+  type BodyLength,
   bodyLengthOf,
   discardBody,
   readBody,
@@ -26,7 +27,7 @@
 import type { RequestClass } from "./request_class.ts";
 import type { RequestCodec, RequestFields } from "./request_codec.ts";
 import type { CallerRequest } from "./request_context.ts";
-import { type CallerResponse, ResponseWriter } from "./response_writer.ts";
+import { ResponseWriter } from "./response_writer.ts";
 
 /** Serves one request. */
 export type RequestHandler = (req: CallerRequest) => Promise<FlowResult>;
@@ -51,12 +52,13 @@
   readonly bodyBytes: number;
 }
 
-/** A request on its connection, and the response to it. */
-export interface Intake {
-  readonly request: PipelinedRequest;
-  readonly to: CallerResponse;
-  /** Whether the caller waits for a sign before it sends the body. */
-  readonly expectsContinue: boolean;
+/** What the header of a request says, and the limits that apply to it. */
+interface RequestHead {
+  readonly fields: RequestFields;
+  readonly length: BodyLength;
+  /** Only of requests that instances pass on. */
+  readonly hop: Hop | undefined;
+  readonly limits: RequestLimits;
 }
 
 /** Time in which a body must arrive if its caller states none, in ms. */
@@ -88,46 +90,50 @@
   }
 
   /** Serves a request; never throws. */
-  async serve(intake: Intake, limits: RequestLimits): Promise<void> {
+  async serve(request: PipelinedRequest, limits: RequestLimits): Promise<void> {
+    const { req, res } = request;
     try {
-      const { codec } = this.#opts;
-      const { req } = intake.request;
-      const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
-      const invalid = this.#refuseInvalid(intake, fields, limits);
-      if (!invalid) await this.#serveValid(intake, fields, limits);
+      const { codec, fromPeers } = this.#opts;
+      const head: RequestHead = {
+        fields: codec.readRequest(req.url ?? "/", req.rawHeaders),
+        length: bodyLengthOf(req),
+        hop: fromPeers ? readHop(req.rawHeaders) : undefined,
+        limits,
+      };
+      const invalid = this.#refuseInvalid(request, head);
+      if (!invalid) await this.#serveValid(request, head);
     } catch (cause) {
       this.#opts.log.event("request_handler_failed", { cause: String(cause) });
-      intake.to.res.destroy();
+      res.destroy();
     }
   }
 
   /** Refuses a request that was not read in full before the listener closed. */
-  refuseLate(intake: Intake): void {
-    const { req } = intake.request;
+  refuseLate(request: PipelinedRequest): void {
+    const { req } = request;
     const { codec } = this.#opts;
     const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
-    this.#refuse(intake, STOPPED, fields);
+    this.#refuse(request, STOPPED, fields);
     // Ends the reading of its body.
-    intake.request.signal.abort();
+    request.signal.abort();
   }
 
   /** Refuses a request that its header makes invalid; returns whether it did. */
   #refuseInvalid(
-    intake: Intake,
-    fields: RequestFields,
-    { headerBytes, bodyBytes }: RequestLimits,
+    request: PipelinedRequest,
+    { fields, length, hop, limits }: RequestHead,
   ): boolean {
-    const { req } = intake.request;
+    const { req } = request;
+    const { headerBytes, bodyBytes } = limits;
     const refuse = (why: Failure, status: number) => {
-      this.#refuse(intake, why, fields, status);
+      this.#refuse(request, why, fields, status);
       return true;
     };
     if (headerBytesOf(req) > headerBytes) return refuse(HEADER_TOO_LARGE, 431);
     if (isHostMissing(req)) return refuse(HOST_MISSING, 400);
-    if (this.#opts.fromPeers && readHop(req.rawHeaders) === undefined) {
+    if (this.#opts.fromPeers && hop === undefined) {
       return refuse(HOP_MISSING, 400);
     }
-    const length = bodyLengthOf(req);
     if (length.kind === "declared" && length.bytes > bodyBytes) {
       return refuse(BODY_TOO_LARGE, 413);
     }
@@ -135,34 +141,35 @@
   }
 
   async #serveValid(
-    intake: Intake,
-    fields: RequestFields,
-    limits: RequestLimits,
+    request: PipelinedRequest,
+    { fields, length, hop, limits }: RequestHead,
   ): Promise<void> {
-    const { clock, memory, responseSizes, classOf, fromPeers } = this.#opts;
-    const { request } = intake;
+    const { clock, memory, responseSizes, classOf } = this.#opts;
     const arrivedAt = clock.now();
-    const length = bodyLengthOf(request.req);
     const { route, rank } = classOf(fields);
     const bodyBytes = length.kind === "declared" ? length.bytes : 0;
     const bytes = bodyBytes + responseSizes.expected(route);
     const reserved = memory.reserve(bytes, rank, arrivedAt);
     if (reserved.isErr()) {
       this.#recordRefusal(reserved.error, fields, { bytes, rank });
-      return this.#refuse(intake, reserved.error, fields);
+      return this.#refuse(request, reserved.error, fields);
     }
     const held = reserved.value;
     try {
       // A request without a body is forwarded before the parser reads on.
       const body = length.kind === "none"
         ? undefined
-        : await this.#readBody(intake, fields, { limits, held, rank });
+        : await this.#readBody(request, length, {
+          fields,
+          limits,
+          held,
+          rank,
+        });
       if (typeof body === "string") {
-        return this.#refuseBody(intake, body, fields, { held, rank });
+        return this.#refuseBody(request, body, fields, { held, rank });
       }
       if (!request.forward()) return;
-      const hop = fromPeers ? readHop(request.req.rawHeaders) : undefined;
-      const result = await this.#forward(intake, {
+      const result = await this.#forward(request, {
         fields,
         body,
         hop,
@@ -171,37 +178,36 @@
       if (result.kind === "answer") {
         responseSizes.record(route, result.body.bytes.length);
       }
-      this.#respond(intake, result, fields);
+      this.#respond(request, result, fields);
     } finally {
       held.release(clock.now());
     }
   }
 
   #readBody(
-    { request, to, expectsContinue }: Intake,
-    fields: RequestFields,
+    request: PipelinedRequest,
+    length: Exclude<BodyLength, { kind: "none" }>,
     opts: {
+      readonly fields: RequestFields;
       readonly limits: RequestLimits;
       readonly held: Reservation;
       readonly rank: number;
     },
   ): Promise<Buffer | BodyFailure> {
-    const length = bodyLengthOf(request.req);
-    if (length.kind === "none") return Promise.resolve("gone");
-    if (expectsContinue) to.res.writeContinue();
+    if (request.expectsContinue) request.res.writeContinue();
     return readBody(request.req, length, {
       maxBytes: opts.limits.bodyBytes,
       memory: opts.held,
       rank: opts.rank,
       // Later the request could not be answered in time.
-      timeoutMs: fields.clientTimeoutMs ?? BODY_TIMEOUT_MS,
+      timeoutMs: opts.fields.clientTimeoutMs ?? BODY_TIMEOUT_MS,
       clock: this.#opts.clock,
       signal: request.signal,
     });
   }
 
   #refuseBody(
-    intake: Intake,
+    request: PipelinedRequest,
     why: BodyFailure,
     fields: RequestFields,
     { held, rank }: { readonly held: Reservation; readonly rank: number },
@@ -210,9 +216,9 @@
       case "gone":
         return;
       case "too_large":
-        return this.#refuse(intake, BODY_TOO_LARGE, fields, 413);
+        return this.#refuse(request, BODY_TOO_LARGE, fields, 413);
       case "late":
-        return this.#refuse(intake, BODY_LATE, fields);
+        return this.#refuse(request, BODY_LATE, fields);
       case "no_memory": {
         const { memory, clock } = this.#opts;
         const { bytes } = held;
@@ -222,13 +228,13 @@
         if (again.isOk()) again.value.release(clock.now());
         const refusal = again.isErr() ? again.error : BODY_NOT_HELD;
         this.#recordRefusal(refusal, fields, { bytes, rank });
-        return this.#refuse(intake, refusal, fields);
+        return this.#refuse(request, refusal, fields);
       }
     }
   }
 
   #forward(
-    { request }: Intake,
+    { req, signal }: PipelinedRequest,
     { fields, body, hop, arrivedAt }: {
       readonly fields: RequestFields;
       readonly body: Buffer | undefined;
@@ -236,7 +242,6 @@
       readonly arrivedAt: number;
     },
   ): Promise<FlowResult> {
-    const { req, signal } = request;
     const { rawHeaders } = req;
     return this.#opts.handle({
       method: req.method ?? "GET",
@@ -249,27 +254,31 @@
     });
   }
 
-  #respond(intake: Intake, result: FlowResult, fields: RequestFields): void {
+  #respond(
+    request: PipelinedRequest,
+    result: FlowResult,
+    fields: RequestFields,
+  ): void {
     switch (result.kind) {
       case "gone":
-        return void intake.to.res.destroy();
+        return void request.res.destroy();
       case "refusal":
-        return this.#refuse(intake, result.failure, fields);
+        return this.#refuse(request, result.failure, fields);
       case "answer":
-        return this.#writer.relay(intake.to, result);
+        return this.#writer.relay(request, result);
     }
   }
 
   #refuse(
-    { request, to, expectsContinue }: Intake,
+    request: PipelinedRequest,
     why: Failure,
     { requestId }: RequestFields,
     status?: number,
   ): void {
-    const { req } = request;
+    const { req, expectsContinue } = request;
     // Whether such a caller sends the body after a refusal is not known.
     if (expectsContinue && !req.complete) request.endConnection();
-    this.#writer.refuse(to, why, { requestId, status });
+    this.#writer.refuse(request, why, { requestId, status });
     discardBody(req, this.#opts.clock);
   }
 
--- a/src/edge/response_writer.ts
+++ b/src/edge/response_writer.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { ServerResponse } from "node:http";
-import type { CancelSignal, Clock, Failure } from "../core/mod.ts";
+import type { Clock, Failure } from "../core/mod.ts";
 import type { ByteBudget, Reservation } from "../decisions/memory/mod.ts";
+import type { PipelinedRequest } from "./caller_connection.ts";
 import type { FlowResult } from "./flow_result.ts";
 import {
   declinedField,
@@ -15,15 +15,6 @@
 } from "./hop_headers.ts";
 import type { RequestCodec } from "./request_codec.ts";
 
-/** A response with its place on the connection. */
-export interface CallerResponse {
-  readonly res: ServerResponse;
-  /** Aborted when the caller leaves before it is complete. */
-  readonly signal: CancelSignal;
-  /** Called once, for the header; whether the response is the last one. */
-  readonly decideClose: () => boolean;
-}
-
 /** Dependencies of the writer. */
 export interface ResponseWriterOptions {
   readonly codec: RequestCodec;
@@ -43,7 +34,7 @@
 
   /** Writes the response to a request that fails at this instance. */
   refuse(
-    to: CallerResponse,
+    to: PipelinedRequest,
     why: Failure,
     opts: { readonly requestId: string; readonly status?: number | undefined },
   ): void {
@@ -59,7 +50,7 @@
 
   /** Passes an endpoint's response on. */
   relay(
-    to: CallerResponse,
+    to: PipelinedRequest,
     response: Extract<FlowResult, { kind: "answer" }>,
   ): void {
     const { bytes, remainder } = response.body;
@@ -86,7 +77,7 @@
     };
     res.write(bytes, () => unread.subtract(bytes.length, clock.now()));
     res.on("drain", () => remainder.resume());
-    signal.addEventListener("abort", () => remainder.cancel(), { once: true });
+    signal.addEventListener("abort", () => remainder.cancel());
     remainder.pipe({
       data: write,
       end: () => void res.end(),
@@ -96,21 +87,21 @@
   }
 
   /** Counts the bytes of a response that the system has not taken yet. */
-  #countUnread({ res, signal }: CallerResponse): Reservation {
+  #countUnread({ res, signal }: PipelinedRequest): Reservation {
     const { memory, clock } = this.#opts;
     const unread = memory.open();
     const release = () => unread.release(clock.now());
     res.once("finish", release);
-    signal.addEventListener("abort", release, { once: true });
+    signal.addEventListener("abort", release);
     return unread;
   }
 }
 
 function writeHead(
-  { res, decideClose }: CallerResponse,
+  to: PipelinedRequest,
   status: number,
   headers: readonly string[],
 ): void {
-  const close = decideClose() ? ["Connection", "close"] : [];
-  res.writeHead(status, [...headers, ...close]);
+  const close = to.decideClose() ? ["Connection", "close"] : [];
+  to.res.writeHead(status, [...headers, ...close]);
 }
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -11,7 +11,7 @@
  */
 import {
   type Clock,
-  hash,
+  hashFraction,
   type InstanceId,
   type Log,
   type Random,
@@ -99,8 +99,6 @@
 const OTHER_PROFILES_FOR_NEWCOMERS = 12;
 /** Random bytes that tell the runs of an instance apart. */
 const START_ID_BYTES = 4;
-/** Number of values of a hash. */
-const HASH_RANGE = 2 ** 32;
 
 /** Takes part in the gossip of the fleet. */
 export class FleetMember {
@@ -137,7 +135,7 @@
       removed: (zone) => this.#forgetGroup(zoneGroupId(zone)),
     });
     this.#feed = new FleetFeed(events);
-    this.#reserveRole = new ReserveRole(hash(profile.id) / HASH_RANGE);
+    this.#reserveRole = new ReserveRole(hashFraction(profile.id));
     const { firstStart, linkBytesPerS = 0 } = opts;
     this.#linkClass = linkBytesPerS > 1
       ? Math.round(Math.log2(linkBytesPerS))
