--- a/tools/process_soak/bulk_callers.ts
+++ b/tools/process_soak/bulk_callers.ts
@@ -229,5 +229,5 @@
   });
   const faithful = signature === signatureOf(endpoint, request) &&
     body === expected;
-  return { kind: "answer", faithful, endpoint, leaving: false };
+  return { kind: "answer", faithful, endpoint, leaving: false, limited: false };
 }
--- a/tools/process_soak/cut_checker_test.ts
+++ b/tools/process_soak/cut_checker_test.ts
@@ -8,6 +8,7 @@
   faithful: true,
   endpoint: "e1",
   leaving: false,
+  limited: false,
 };
 const REFUSAL: CallerResult = { kind: "not-run", status: 503 };
 const CUT_MS = 60_000;
--- a/tools/process_soak/main.ts
+++ b/tools/process_soak/main.ts
@@ -1,6 +1,6 @@
 /**
- * `npm run soak:processes -- --seed N --seconds S --per-zone N [--schedule
- * "FAULT@MS,…"] [--logs DIR] [--directory]`: runs the real program as processes, and exits 1 if
+ * `npm run soak:processes -- --seed N --seconds S --per-zone N [--callers N]
+ * [--schedule "FAULT@MS,…"] [--logs DIR] [--directory]`: runs the real program as processes, and exits 1 if
  * a property was violated, 2 if it could not run. The last line of output is
  * JSON. With `--logs` the instances' logs stay in that directory; with
  * `--directory` callers use the addresses that instances list.
@@ -11,12 +11,14 @@
 import { parseArgs } from "node:util";
 import { parseSchedule, type ScheduledFault } from "./fault_schedule.ts";
 import { ProcessSoak } from "./process_soak.ts";
+import { DEFAULT_CALLERS } from "./soak_callers.ts";
 
 const { values } = parseArgs({
   options: {
     seed: { type: "string", default: "1" },
     seconds: { type: "string", default: "40" },
     "per-zone": { type: "string", default: "2" },
+    callers: { type: "string", default: String(DEFAULT_CALLERS) },
     program: { type: "string", default: "target/magnoliahook.cjs" },
     schedule: { type: "string" },
     logs: { type: "string" },
@@ -27,6 +29,7 @@
   seed: Number(values.seed),
   seconds: Number(values.seconds),
   perZone: Number(values["per-zone"]),
+  callers: Number(values.callers),
   program: values.program,
   useDirectory: values.directory,
   ...(values.logs === undefined ? {} : { logDir: values.logs }),
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -20,6 +20,7 @@
 import type { CutSummary } from "./cut_checker.ts";
 import type { ScheduledFault } from "./fault_schedule.ts";
 import { type FaultName, FAULTS, injectFault } from "./faults.ts";
+import type { LimitSummary } from "./limit_checker.ts";
 import { InstanceProcess } from "./instance_process.ts";
 import {
   PropertyChecker,
@@ -27,7 +28,7 @@
   type Violation,
 } from "./property_checker.ts";
 import { BulkCallers } from "./bulk_callers.ts";
-import { SoakCallers } from "./soak_callers.ts";
+import { DEFAULT_CALLERS, SoakCallers } from "./soak_callers.ts";
 import { BULK_SERVICE, SERVICES, SoakOperators } from "./soak_operators.ts";
 import { LoopbackBlock } from "./loopback_block.ts";
 import type { FaultTargets, SoakEndpoint } from "./fault_targets.ts";
@@ -40,6 +41,8 @@
   readonly seconds: number;
   /** Instances in each of the three zones. */
   readonly perZone: number;
+  /** Concurrent callers; 12 if undefined. */
+  readonly callers?: number;
   /** The program that instances run. */
   readonly program: string;
   /** Kinds of fault to inject; all if undefined. */
@@ -62,6 +65,8 @@
   readonly bulkAnswered: number;
   /** What callers got during cuts from the endpoints. */
   readonly cuts: readonly CutSummary[];
+  /** How the rate limits that endpoints announced were used. */
+  readonly limits: readonly LimitSummary[];
   readonly faults: number;
   readonly violations: readonly Violation[];
   /** Injected faults, in order. */
@@ -222,6 +227,7 @@
       operators: this.operators,
       checker: this.checker,
       random: this.random,
+      callers: this.#opts.callers ?? DEFAULT_CALLERS,
       useDirectory: this.#opts.useDirectory ?? false,
     });
     this.#callers.start();
@@ -361,6 +367,7 @@
       requests: this.#callers?.requests ?? 0,
       bulkAnswered: this.#bulkCallers?.answered ?? 0,
       cuts: this.checker.cutSummaries(),
+      limits: this.checker.limitSummaries(),
       faults: this.trace.length,
       violations,
       trace: this.trace,
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -10,6 +10,7 @@
 } from "../../platform/testing/fake_caller.ts";
 import { CutChecker, type CutSummary } from "./cut_checker.ts";
 import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
+import { LimitChecker, type LimitSummary } from "./limit_checker.ts";
 import { PipelineChecker, type PipelinedResponse } from "./pipeline_checker.ts";
 import { BULK_SERVICE } from "./soak_operators.ts";
 
@@ -61,19 +62,8 @@
 const RATE_WINDOW_S = 5;
 const RATE_OVERSHOOT = 1.1;
 const RATE_SLACK = 20;
-/** The same for the rate limits that endpoints announce. */
-const LIMIT_WINDOW_S = 4;
-const LIMIT_OVERSHOOT = 1.5;
-const LIMIT_SLACK = 5;
 const MS_PER_S = 1_000;
 
-/** An endpoint's announced rate limit and the arrivals in the window. */
-interface EndpointLimit {
-  readonly ratePerS: number;
-  readonly since: number;
-  arrivedAt: number[];
-}
-
 /** Records the observations of one run and checks them. */
 export class PropertyChecker {
   readonly violations: Violation[] = [];
@@ -89,7 +79,7 @@
   readonly #appliedPlans = new Map<string, { version: number; at: number }>();
   readonly #rates = new Map<string, { ratePerS: number; burst: number }>();
   readonly #startsByAccount = new Map<string, number[]>();
-  readonly #limits = new Map<string, EndpointLimit>();
+  readonly #limits: LimitChecker;
   readonly #signals: EndpointSignalChecker;
   readonly #cuts: CutChecker;
   readonly #pipelines = new PipelineChecker((property, request) =>
@@ -102,6 +92,12 @@
       disturbances: calm,
       onViolation: (property, request) => this.#add(property, { request }),
     });
+    this.#limits = new LimitChecker({
+      isCalm: (instance, at) => this.#isCalm(instance, at),
+      disturbances: calm,
+      onViolation: (request) =>
+        this.#add("an endpoint in need gets what it takes", { request }),
+    });
     this.#cuts = new CutChecker({
       isCalm: (instance, at) => this.#isCalm(instance, at),
       instances: () => calm.instances(),
@@ -120,6 +116,10 @@
     this.#cuts.cutOff(instances, untilMs);
   }
 
+  limitSummaries(): readonly LimitSummary[] {
+    return this.#limits.summaries;
+  }
+
   cutSummaries(): readonly CutSummary[] {
     return this.#cuts.summaries();
   }
@@ -127,6 +127,7 @@
   /** Checks what needs the whole run, once every attempt has ended. */
   finish(): void {
     this.#cuts.finish();
+    this.#limits.finish(Date.now());
   }
 
   limit(account: string, ratePerS: number, burst: number): void {
@@ -147,8 +148,7 @@
 
   /** Records an endpoint's announced rate limit; undefined withdraws it. */
   limited(endpoint: string, ratePerS: number | undefined): void {
-    if (ratePerS === undefined) return void this.#limits.delete(endpoint);
-    this.#limits.set(endpoint, { ratePerS, since: Date.now(), arrivedAt: [] });
+    this.#limits.announced(endpoint, ratePerS, Date.now());
   }
 
   /** Records that an endpoint refused a request with a Retry-After. */
@@ -173,21 +173,7 @@
     if (attempt === undefined) return;
     const sent = { ...attempt, ...sender };
     this.#signals.arrived(endpoint, sent);
-    this.#checkLimit(endpoint, sent);
-  }
-
-  #checkLimit(endpoint: string, attempt: SentAttempt): void {
-    const limit = this.#limits.get(endpoint);
-    const now = Date.now();
-    if (limit === undefined || now - limit.since < SETTLE_MS) return;
-    if (!this.#isCalm(attempt.instance, now)) return;
-    const from = now - LIMIT_WINDOW_S * MS_PER_S;
-    limit.arrivedAt = [...limit.arrivedAt, now].filter((at) => at > from);
-    const allowed = limit.ratePerS * LIMIT_WINDOW_S * LIMIT_OVERSHOOT +
-      LIMIT_SLACK;
-    if (limit.arrivedAt.length > allowed) {
-      this.#add("an endpoint in need gets what it takes", attempt);
-    }
+    this.#limits.arrived(endpoint, request, sent, Date.now());
   }
 
   /** Checks the responses to requests that were sent at once. */
@@ -236,6 +222,9 @@
     if (result.kind === "answer" && result.leaving) {
       this.#signals.leavingPassedOn(result.endpoint, attempt);
     }
+    if (result.kind === "answer" && result.limited) {
+      this.#limits.passedOn(result.endpoint, attempt, Date.now());
+    }
     if (result.kind === "not-run") {
       if (!attempt.idempotent && runs.length > 0) {
         this.#add("what is said not to have run has not", attempt);
--- a/tools/process_soak/soak_callers.ts
+++ b/tools/process_soak/soak_callers.ts
@@ -10,7 +10,8 @@
 import type { PropertyChecker, SentAttempt } from "./property_checker.ts";
 import { HOST, type SoakOperators } from "./soak_operators.ts";
 
-const CALLERS = 12;
+/** Concurrent callers by default. */
+export const DEFAULT_CALLERS = 12;
 const THINK_TIME_MS = 15;
 const CLIENT_TIMEOUT_MS = 2_000;
 const OBJECTS = 40;
@@ -31,6 +32,7 @@
   readonly operators: SoakOperators;
   readonly checker: PropertyChecker;
   readonly random: Random;
+  readonly callers: number;
   /** Whether callers use the addresses that the directory lists. */
   readonly useDirectory: boolean;
 }
@@ -65,7 +67,8 @@
   }
 
   start(): void {
-    this.#loops = Array.from({ length: CALLERS }, (_, i) => this.#runCaller(i));
+    const { callers: length } = this.#opts;
+    this.#loops = Array.from({ length }, (_, i) => this.#runCaller(i));
   }
 
   /** Resets the counts and returns those of the next `forMs`. */
