Log what decides on requests to endpoints with a limit, and measure report age

Cause: for the incident at 74 instances nothing told the three hypotheses apart: logs said when a limit was learned, and neither how old the view of the fleet was nor what an instance took for its demand and its sends.

Change: `endpoint_limit_state`, at most once a second for each endpoint, with demand, fraction, sends in the window, own sends, reporting instances and the age of the oldest report; `endpoint.limit_sent` and `fleet.view_age` as metrics. The age is that of this instance's own digest in the sums of its relay, so it includes a late tick and a slow relay.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -123,6 +123,23 @@
     help:
       "An endpoint's limit on requests per second from all instances changed; without ratePerS it has none. Source is answer, end, or the group of instances that reported it",
   },
+  endpoint_limit_state: {
+    namespace: "steering",
+    fields: [
+      "endpoint",
+      "ratePerS",
+      "demandPerS",
+      "fraction",
+      "windowSent",
+      "ownWindowSent",
+      "sent",
+      "reporting",
+      "reserved",
+      "viewAgeMs",
+    ],
+    help:
+      "What decides on requests to an endpoint with a limit, at most once a second: the fleet's demand, the fraction of requests sent, the sends of 4 s of the fleet and of this instance, its sends since it knows the limit, the instances that report, the fraction reserved for unreachable ones, and the age of the oldest report",
+  },
   endpoint_limit_unreadable: {
     namespace: "steering",
     fields: ["endpoint"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -83,6 +83,13 @@
     help:
       "An endpoint's rate limit for all instances together; 0 without a limit",
   },
+  "endpoint.limit_sent": {
+    type: "gauge",
+    unit: "requests",
+    tags: ["endpoint"],
+    help:
+      "Requests that all instances sent to an endpoint with a rate limit in the last 4 s, as this instance knows it",
+  },
   "endpoint.limited": {
     type: "count",
     unit: "requests",
@@ -131,6 +138,13 @@
     help:
       "1 while the directory leaves this instance out, since the strong instances of its zone have ample room; else 0",
   },
+  "fleet.view_age": {
+    type: "timing",
+    unit: "ms",
+    tags: [],
+    help:
+      "Age of the oldest state that this instance knows of others, measured by its own report in the relay's sums",
+  },
   "forwarded": {
     type: "count",
     unit: "requests",
--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -62,6 +62,23 @@
   readonly rank: number;
 }
 
+/** What a limit's decisions are based on, for logs. */
+export interface LimitState {
+  /** The fleet's demand, in requests a second. */
+  readonly demandPerS: number;
+  /** Fraction of the requests that is admitted. */
+  readonly fraction: number;
+  /** Sends in the window, of the fleet as reported and of this instance. */
+  readonly windowSent: number;
+  readonly ownWindowSent: number;
+  /** Requests sent from here since the limit is tracked. */
+  readonly sent: number;
+  /** Instances whose reports are known, this one included. */
+  readonly reporting: number;
+  /** Fraction of the limit that is reserved for unreachable instances. */
+  readonly reserved: number;
+}
+
 interface Row {
   /** Accumulated fractions of requests; a request costs 1. */
   credit: number;
@@ -137,6 +154,21 @@
     return true;
   }
 
+  /** The current inputs and result of decisions on an endpoint's requests. */
+  state(id: EndpointId, req: LimitedRequest, now: number): LimitState {
+    const row = this.#rowOf(id, now);
+    const { shares } = this.#demand;
+    return {
+      demandPerS: this.#demandPerS(row, id, now),
+      fraction: this.#admitFraction(row, id, req, now),
+      windowSent: row.window.sum(now),
+      ownWindowSent: row.ownWindow.sum(now),
+      sent: row.sent,
+      reporting: shares.reporting,
+      reserved: shares.reserved(id),
+    };
+  }
+
   /**
    * This instance's report. An endpoint stays in it once a request was sent to
    * it: if it were left out, its next count would be a new baseline.
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -173,6 +173,7 @@
       own: cfg.instance.id,
       demand: this.#quotas.demand,
       gossipDelayMs: () => this.#member.gossipDelayMs,
+      viewAgeMs: () => this.#member.viewAgeMs,
       clock,
       log,
       metrics: opts.metrics,
@@ -467,6 +468,10 @@
     this.#opts.metrics.gauge("buffers.used", this.#memory.usedBytes);
     this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
     this.#opts.metrics.gauge("fleet.reporting", reporting);
+    const { viewAgeMs } = this.#member;
+    if (viewAgeMs !== undefined) {
+      this.#opts.metrics.timing("fleet.view_age", viewAgeMs);
+    }
     this.#opts.metrics.gauge("fleet.reserve", this.#member.isReserve ? 1 : 0);
     for (const [id, use] of this.#limits.uses()) uses.set(id, use);
     return {
--- a/src/edge/endpoint_limits.ts
+++ b/src/edge/endpoint_limits.ts
@@ -24,6 +24,9 @@
 import type { EndpointRow } from "../traffic/mod.ts";
 import type { AnnouncedLimit } from "./request_codec.ts";
 
+/** Minimum interval between log lines of an endpoint's state. */
+const STATE_INTERVAL_MS = 1_000;
+
 /** Dependencies of the limits. */
 export interface EndpointLimitsOptions {
   readonly own: InstanceId;
@@ -31,6 +34,8 @@
   readonly demand: FleetDemand;
   /** Maximum age of peers' reports, in milliseconds. */
   readonly gossipDelayMs: () => number;
+  /** Measured age of the oldest report; undefined without reports. */
+  readonly viewAgeMs: () => number | undefined;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -42,6 +47,7 @@
   readonly #table = new LimitTable();
   readonly #limiter: EndpointRateLimiter;
   readonly #unreadable = new Set<EndpointId>();
+  readonly #stateLoggedAt = new Map<EndpointId, number>();
 
   constructor(opts: EndpointLimitsOptions) {
     this.#opts = opts;
@@ -67,6 +73,7 @@
     const admitted = this.#limiter.take(id, { ratePerS, rank: priority }, now);
     const result = admitted ? "sent" : "withheld";
     this.#opts.metrics.count("endpoint.limited", { endpoint: id, result });
+    this.#logState(id, ratePerS, now);
     return admitted;
   }
 
@@ -119,8 +126,10 @@
     const after = this.limitOf(id);
     if (after === before) return;
     const { clock, log, metrics } = this.#opts;
-    if (after === undefined) this.#limiter.remove(id);
-    else this.#limiter.track(id, clock.now());
+    if (after === undefined) {
+      this.#limiter.remove(id);
+      this.#stateLoggedAt.delete(id);
+    } else this.#limiter.track(id, clock.now());
     metrics.gauge("endpoint.limit", after ?? 0, { endpoint: id });
     log.event("endpoint_limit_changed", {
       endpoint: id,
@@ -129,6 +138,23 @@
     });
   }
 
+  #logState(endpoint: EndpointId, ratePerS: number, now: number): void {
+    const loggedAt = this.#stateLoggedAt.get(endpoint) ?? -Infinity;
+    if (now - loggedAt < STATE_INTERVAL_MS) return;
+    this.#stateLoggedAt.set(endpoint, now);
+    const state = this.#limiter.state(endpoint, { ratePerS, rank: 1 }, now);
+    const viewAgeMs = this.#opts.viewAgeMs();
+    this.#opts.metrics.gauge("endpoint.limit_sent", state.windowSent, {
+      endpoint,
+    });
+    this.#opts.log.event("endpoint_limit_state", {
+      endpoint,
+      ratePerS,
+      ...state,
+      viewAgeMs,
+    });
+  }
+
   #logUnreadable(endpoint: EndpointId): void {
     if (this.#unreadable.has(endpoint)) return;
     this.#unreadable.add(endpoint);
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -92,6 +92,7 @@
       own: "i1" as InstanceId,
       demand: quotas.demand,
       gossipDelayMs: () => 0,
+      viewAgeMs: () => undefined,
       clock,
       log: new SilentLog(),
       metrics: new MemoryMetrics(),
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -66,6 +66,15 @@
     return this.#followsRelay;
   }
 
+  /** When the oldest of the direct reports arrived; those overdue are left out. */
+  get oldestDirectAt(): number | undefined {
+    let oldest: number | undefined;
+    for (const { at, suspect } of this.#direct.values()) {
+      if (!suspect) oldest = Math.min(oldest ?? at, at);
+    }
+    return oldest;
+  }
+
   /** Records a group's direct report; forwards it unless a relay is followed. */
   reported(report: GroupReport, now: number): void {
     this.#direct.set(report.group, {
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -192,6 +192,18 @@
       : RELAYED_GOSSIP_DELAY_MS;
   }
 
+  /**
+   * Age of the oldest state known of other instances, in milliseconds, measured
+   * by this instance's own report in the relay's sums; undefined without reports.
+   */
+  get viewAgeMs(): number | undefined {
+    const knownAt = this.#feed.followsRelay
+      ? this.#relayFollower.reflectedAt
+      : this.#feed.oldestDirectAt;
+    if (knownAt === undefined) return undefined;
+    return this.#opts.clock.now() - knownAt;
+  }
+
   /** Whether the store responds to a peer that watches it for this instance. */
   get watchPeerInTouch(): boolean {
     return this.#peers.watchPeers().some((n) => !n.suspect && n.storeInTouch);
@@ -342,7 +354,7 @@
     const now = this.#opts.clock.now();
     this.#zones.tick(now);
     this.#relayFollower.tick(now);
-    this.#relayFollower.sent(digest);
+    this.#relayFollower.sent(digest, now);
     if (this.#peers.isMesh) {
       for (const zone of this.#zones.zones()) this.#zones.forget(zone);
     }
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -27,6 +27,7 @@
 
 /** What one digest of this instance contributes to the sums. */
 interface OwnContribution extends Pick<Digest, "seq" | "uses" | "inFlight"> {
+  readonly sentAt: number;
   /** Requests admitted since the start, including those of idle accounts. */
   readonly admitted: ReadonlyMap<RateLimitId, number>;
 }
@@ -46,6 +47,8 @@
   /** This instance's own part of the followed relay's counters. */
   #ownAdmitted: ReadonlyMap<RateLimitId, number> = new Map();
   #relay: FollowedRelay | undefined;
+  /** When the newest own digest in the sums was sent. */
+  #reflectedAt: number | undefined;
   #suspect = false;
   #unreachable = false;
   #farServing: readonly InstanceProfile[] = [];
@@ -75,11 +78,19 @@
     return this.#relay === undefined || this.#suspect;
   }
 
+  /**
+   * When this instance sent the newest of its digests that the sums include;
+   * undefined if they include none.
+   */
+  get reflectedAt(): number | undefined {
+    return this.#reflectedAt;
+  }
+
   /** Records a digest that this instance sent, to subtract it from the sums. */
-  sent({ seq, uses, inFlight }: Digest): void {
+  sent({ seq, uses, inFlight }: Digest, now: number): void {
     const admitted = new Map(this.#sent.at(-1)?.admitted);
     for (const [account, use] of uses) admitted.set(account, use.admitted);
-    this.#sent.push({ seq, uses, inFlight, admitted });
+    this.#sent.push({ seq, uses, inFlight, admitted, sentAt: now });
     if (this.#sent.length > MAX_SENT_DIGESTS) this.#sent.shift();
   }
 
@@ -128,6 +139,7 @@
   /** Stops following the relay. */
   reset(): void {
     this.#relay = undefined;
+    this.#reflectedAt = undefined;
     this.#ownAdmitted = new Map();
     this.#farServing = [];
     this.#farReserves = [];
@@ -150,7 +162,10 @@
     const { relay, start, storeInTouch, changes, reserved } = aggregate;
     const own = this.#ownContribution(aggregate);
     // A relay that lost this instance still includes its counters.
-    if (own !== undefined) this.#ownAdmitted = own.admitted;
+    if (own !== undefined) {
+      this.#ownAdmitted = own.admitted;
+      this.#reflectedAt = own.sentAt;
+    }
     return {
       group: FLEET_GROUP,
       start: `${relay.id} ${start}`,
