Reproduce limits exceeded after a start and by a repeated announcement

What callers saw: endpoints that announce a limit get up to 2.4 times what a window may hold after all instances restarted, and 1.2 times where a limit is lifted and announced again at 72 instances.

Evidence: LimitedFleet plays the real gossip, limits and decisions on one clock and counts sends as the rule does. The logs of the soak at 72 processes show reports of 1 to 26 instances while the endpoint is served, at an age of 0.2 s: the view is incomplete, not old.

--- /dev/null
+++ b/src/edge/limited_fleet_test.ts
@@ -0,0 +1,28 @@
+import test from "ava";
+import { LimitedFleet } from "./testing/limited_fleet.ts";
+
+const SLOW_START = { spreadMs: 8_000, listAfterMs: 3_000 };
+
+for (const perZone of [4, 9]) {
+  // Guards against instances that take the few they know of for the whole fleet.
+  test(`${3 * perZone} instances that all restart keep within a limit while they do not know each other`, async (t) => {
+    const fleet = await LimitedFleet.start({ perZone, ratePerS: 6, seed: 1 });
+    fleet.announce();
+    fleet.run(5_000, 10);
+    await fleet.restart(fleet.members, 10, SLOW_START);
+    fleet.run(10_000, 10);
+    t.true(fleet.fullest <= 1, `${fleet.fullest}`);
+  });
+}
+
+// Guards against a limit that each instance spends anew when it is announced again.
+test("72 instances keep within a limit that is lifted and announced again", async (t) => {
+  const fleet = await LimitedFleet.start({ perZone: 24, ratePerS: 6, seed: 1 });
+  for (let i = 0; i < 3; i++) {
+    fleet.announce();
+    fleet.run(7_000, 5);
+    fleet.lift();
+    fleet.run(2_500, 5);
+  }
+  t.true(fleet.fullest <= 1, `${fleet.fullest}`);
+});
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -148,15 +148,25 @@
     for (let left = ms; left > 0; left -= STEP_MS) this.clock.advance(STEP_MS);
   }
 
-  /** Restarts a member that was killed. */
-  restart(entry: TestMember): void {
+  /**
+   * Restarts a member that was killed.
+   *
+   * @param opts `listAfterMs` until it has read the instance list.
+   */
+  restart(
+    entry: TestMember,
+    { listAfterMs = 0 }: { readonly listAfterMs?: number } = {},
+  ): void {
     entry.groups.clear();
     entry.alive = true;
     entry.member = this.#member(entry, { firstStart: false });
+    const profiles = this.members.map((m) => m.profile);
+    const readList = () => entry.member.onInstanceList(profiles);
     // Its transport delivers datagrams from the next microtask on.
     queueMicrotask(() => {
       entry.member.start();
-      entry.member.onInstanceList(this.members.map((m) => m.profile));
+      if (listAfterMs === 0) readList();
+      else this.clock.after(listAfterMs, readList);
     });
   }
 
