Keep an instance to an equal part of a limit until it has a view of the fleet

Cause: an instance that knew little took that for the whole. Until the instance list is read the size is assumed (two instances a zone), and until peers report, demand and sends are those of the few that do. The fraction it admitted was the limit over a demand that was a tenth of the true one.

Change: with reports of less than 0.8 of the fleet, or an unread list, an instance admits the limit over its own demand times the size of the fleet, or times 2,000 while the list is unread. The sum over all instances is then at most the limit, whatever each of them knows.

--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -26,6 +26,13 @@
   SlidingWindowCounter,
 } from "../quotas/mod.ts";
 
+/**
+ * Part of the fleet whose reports make a view of it. With fewer, an instance
+ * would take the few for all and spend a multiple of its part.
+ */
+const MIN_COVERAGE = 0.8;
+/** Fleet size assumed until the instance list is read. */
+const MAX_FLEET_SIZE = 2_000;
 /** The sliding window over which sends are counted. */
 const WINDOW_MS = 4_000;
 /** Sends that the window may hold above the limit. */
@@ -99,6 +106,7 @@
   readonly #own: InstanceId;
   readonly #demand: FleetDemand;
   readonly #gossipDelayMs: () => number;
+  readonly #isFleetKnown: () => boolean;
   readonly #rows = new Map<EndpointId, Row>();
 
   /**
@@ -110,11 +118,14 @@
     opts: {
       readonly demand: FleetDemand;
       readonly gossipDelayMs: () => number;
+      /** Whether the instance list was read. */
+      readonly isFleetKnown: () => boolean;
     },
   ) {
     this.#own = own;
     this.#demand = opts.demand;
     this.#gossipDelayMs = opts.gossipDelayMs;
+    this.#isFleetKnown = opts.isFleetKnown;
   }
 
   /** Starts counting what peers send to an endpoint with a new limit. */
@@ -235,9 +246,10 @@
     { ratePerS }: LimitedRequest,
     now: number,
   ): number {
+    const usedPerS = this.#usedPerS(ratePerS);
+    if (!this.#hasView) return this.#equalFraction(id, usedPerS, now);
     const demandPerS = this.#demandPerS(row, id, now);
     if (demandPerS <= 0) return 1;
-    const usedPerS = this.#usedPerS(ratePerS);
     // The window counts only reachable instances, so it is held to their part.
     const reachablePerS = usedPerS * this.#demand.reachableFraction(id);
     const perWindow = reachablePerS * WINDOW_MS / MS_PER_S;
@@ -246,6 +258,21 @@
     return Math.min(1, usedPerS * feedback / demandPerS);
   }
 
+  /** Whether the reports cover enough of the fleet to decide by them. */
+  get #hasView(): boolean {
+    return this.#isFleetKnown() &&
+      this.#demand.shares.coverage >= MIN_COVERAGE;
+  }
+
+  /** Fraction that keeps this instance within an equal part of the limit. */
+  #equalFraction(id: EndpointId, usedPerS: number, now: number): number {
+    const instances = this.#isFleetKnown()
+      ? this.#demand.fleetSize
+      : MAX_FLEET_SIZE;
+    const localPerS = this.#demand.localPerS(id, now);
+    return Math.min(1, usedPerS / (instances * localPerS));
+  }
+
   /**
    * The fleet's demand: the reported one, or the baseline times the growth here
    * if that is more, as local growth shows before peers report theirs.
--- a/src/decisions/endpoint_limits/endpoint_rate_limiter_test.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter_test.ts
@@ -176,6 +176,7 @@
     limiter: new EndpointRateLimiter(own, {
       demand,
       gossipDelayMs: () => DIRECT_GOSSIP_DELAY_MS,
+      isFleetKnown: () => true,
     }),
   };
 }
--- a/src/decisions/endpoint_limits/testing/limit_fleet.ts
+++ b/src/decisions/endpoint_limits/testing/limit_fleet.ts
@@ -65,6 +65,7 @@
         opts.gossipDelayMs < DIRECT_GOSSIP_DELAY_MS
           ? DIRECT_GOSSIP_DELAY_MS
           : RELAYED_GOSSIP_DELAY_MS,
+      isFleetKnown: () => true,
     });
     this.#limiter.track(ENDPOINT, 0);
   }
--- a/src/decisions/quotas/demand_shares.ts
+++ b/src/decisions/quotas/demand_shares.ts
@@ -180,6 +180,12 @@
     return this.#inputs.reporting;
   }
 
+  /** Part of the reachable instances whose reports are known, in (0, 1]. */
+  get coverage(): number {
+    const { heard, reporting } = this.#inputs;
+    return Math.min(1, reporting / heard);
+  }
+
   /** Whether each instance has reported or has its share reserved. */
   get complete(): boolean {
     return this.#inputs.reporting >= this.#inputs.heard;
--- a/src/decisions/quotas/fleet_demand.ts
+++ b/src/decisions/quotas/fleet_demand.ts
@@ -69,6 +69,16 @@
     this.shares.applyReport(from.instance, demand, from);
   }
 
+  /** Instances that may admit requests, this one included. */
+  get fleetSize(): number {
+    return this.#fleetSize();
+  }
+
+  /** Requests a second at this instance, the latest ones included. */
+  localPerS(id: RateLimitId, now: number): number {
+    return this.#counter.rate(id, now);
+  }
+
   /**
    * Requests a second of all instances, the unreachable ones included. Until
    * peers have reported, each is assumed to have the demand of this instance.
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -173,6 +173,7 @@
       own: cfg.instance.id,
       demand: this.#quotas.demand,
       gossipDelayMs: () => this.#member.gossipDelayMs,
+      isFleetKnown: () => this.#member.isSizeKnown,
       viewAgeMs: () => this.#member.viewAgeMs,
       clock,
       log,
--- a/src/edge/endpoint_limits.ts
+++ b/src/edge/endpoint_limits.ts
@@ -34,6 +34,8 @@
   readonly demand: FleetDemand;
   /** Maximum age of peers' reports, in milliseconds. */
   readonly gossipDelayMs: () => number;
+  /** Whether the instance list was read. */
+  readonly isFleetKnown: () => boolean;
   /** Measured age of the oldest report; undefined without reports. */
   readonly viewAgeMs: () => number | undefined;
   readonly clock: Clock;
--- a/src/edge/testing/limited_fleet.ts
+++ b/src/edge/testing/limited_fleet.ts
@@ -208,6 +208,7 @@
       own: id,
       demand,
       gossipDelayMs: () => member.member.gossipDelayMs,
+      isFleetKnown: () => member.member.isSizeKnown,
       viewAgeMs: () => member.member.viewAgeMs,
       clock,
       log: new SilentLog(),
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -92,6 +92,7 @@
       own: "i1" as InstanceId,
       demand: quotas.demand,
       gossipDelayMs: () => 0,
+      isFleetKnown: () => true,
       viewAgeMs: () => undefined,
       clock,
       log: new SilentLog(),
--- a/src/fleet/fleet_limits_test.ts
+++ b/src/fleet/fleet_limits_test.ts
@@ -79,6 +79,7 @@
     const sends = new EndpointRateLimiter(id, {
       demand,
       gossipDelayMs: () => member.member.gossipDelayMs,
+      isFleetKnown: () => member.member.isSizeKnown,
     });
     sends.track(E1, this.#fleet.clock.now());
     this.#sends.set(member, sends);
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -185,6 +185,11 @@
     return this.#peers.fleetSize;
   }
 
+  /** Whether the instance list was read; until then the size is assumed. */
+  get isSizeKnown(): boolean {
+    return this.#peers.isListRead;
+  }
+
   /** Maximum age of the state known of other instances, in milliseconds. */
   get gossipDelayMs(): number {
     return this.#peers.isMesh
