Count arrivals of the limit model only while a limit is announced

Cause: the test of a repeated announcement failed for a fault of the model, not of the code. An instance that had passed the limit on counted as bound while the endpoint announced none, and its arrivals of that time filled the windows of the next announcement.

Change: arrivals count while a limit is announced.

--- a/src/edge/testing/limited_fleet.ts
+++ b/src/edge/testing/limited_fleet.ts
@@ -176,7 +176,9 @@
     const { now } = this;
     if (!limited.limits.admit(E1, 1, now)) return;
     this.#sent++;
-    if (now >= limited.informedAt + IN_FLIGHT_MS) this.#bound.add(now);
+    const isBound = now >= this.#announcedAt &&
+      now >= limited.informedAt + IN_FLIGHT_MS;
+    if (isBound) this.#bound.add(now);
     this.#responses.push({
       at: now + RESPONSE_MS,
       run: () => this.#response(member, limited),
