Reproduce limits exceeded by a rise of demand that late reports hide

What callers saw: an endpoint whose demand alone rises gets more than its limit allows while gossip is slow, as on busy machines.

--- a/src/edge/testing/limited_fleet.ts
+++ b/src/edge/testing/limited_fleet.ts
@@ -161,6 +161,11 @@
     }
   }
 
+  /** Delays each datagram by a random time of up to `mostMs`. */
+  delayDatagrams(mostMs: number): void {
+    this.#fleet.datagramDelayMs = () => this.#random.next() * mostMs;
+  }
+
   /** Partitions members from all others; callers still reach them. */
   cut(members: readonly TestMember[]): void {
     for (const member of members) member.cut = true;
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -114,6 +114,8 @@
   readonly members: TestMember[] = [];
   /** Datagrams and bytes sent, and bytes sent between regions. */
   readonly sent = { count: 0, bytes: 0, acrossBytes: 0 };
+  /** Delay of each datagram, in milliseconds. */
+  datagramDelayMs: () => number = () => 0;
   /** Names known to all members, as from the plan and the registry. */
   readonly dictionary = new NameDictionary();
   readonly #random = new SeededRandom(1);
@@ -270,6 +272,12 @@
     if (to.profile.region !== from.region) {
       this.sent.acrossBytes += bytes.length;
     }
-    if (to.alive) to.receive(bytes);
+    const delayMs = this.datagramDelayMs();
+    if (delayMs === 0) return this.#deliver(to, bytes);
+    this.clock.after(delayMs, () => this.#deliver(to, bytes));
+  }
+
+  #deliver(to: TestMember, bytes: Buffer): void {
+    if (to.alive && !to.cut) to.receive(bytes);
   }
 }
