Bound what instances send to a limited endpoint by the measured report age

What callers saw: an endpoint whose demand alone rises gets more than its limit allows while gossip is slow, as on busy machines.

Cause: the age of reports was a constant, 0.8 s through relays, and only growth of all requests was anticipated. Until reports show a rise at one endpoint, every instance admits the fraction of before.

Change: the age is measured, by this instance's own digest in the sums of its relay. What all may send in that time, if demand rises to five times the limit, fits into what the window tolerates: an instance that has less than one request in it sends one at most, and the fraction is lower the older the reports. The part of the limit held in reserve grows with the age too, to a half at most.

--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -37,6 +37,18 @@
 const WINDOW_MS = 4_000;
 /** Sends that the window may hold above the limit. */
 const WINDOW_SLACK = 1;
+/** What the platform tolerates in a window: this factor, and this many more. */
+const TOLERATED_FACTOR = 1.5;
+const TOLERATED_SLACK = 5;
+/** Part of the tolerance that unreported sends may use. */
+const TOLERANCE_IN_USE = 0.9;
+/**
+ * Demand, as a multiple of the limit, to which it may rise before reports show
+ * that it does.
+ */
+const MAX_DEMAND = 5;
+/** Interval of peers' reports. */
+const REPORT_INTERVAL_MS = 250;
 /**
  * The limit is multiplied by `FEEDBACK_BASE`, less `FEEDBACK_GAIN` times the
  * window's utilization: by one at full utilization, by more below it.
@@ -48,6 +60,7 @@
  * admitted before peers report a rise in demand.
  */
 const RESERVE_PER_S = 0.2;
+const MAX_RESERVE = 0.5;
 /**
  * Minimum rate in requests a second: a change of the limit shows only in
  * responses, so some requests have to be sent.
@@ -236,7 +249,42 @@
     if (row.window.sum(now) >= reachablePerWindow + WINDOW_SLACK) return false;
     // Bounds what is sent before peers report a rise in demand.
     const own = perWindow * shares.own(id) * OWN_OVERSHOOT;
-    return row.ownWindow.sum(now) < own + WINDOW_SLACK;
+    if (row.ownWindow.sum(now) >= own + WINDOW_SLACK) return false;
+    const { perInstance } = this.#unreported(row, id, ratePerS, now);
+    return row.ownWindow.sumSince(this.#unreportedMs, now) < perInstance;
+  }
+
+  /** Time in which the others do not learn of a send. */
+  get #unreportedMs(): number {
+    return Math.min(WINDOW_MS, this.#gossipDelayMs() + REPORT_INTERVAL_MS);
+  }
+
+  /**
+   * What instances may send before reports show it, so that a window holds no
+   * more than is tolerated while demand rises to `MAX_DEMAND` times the limit.
+   * At an instance with less than one request in that time a second one shows
+   * the rise, and is not sent.
+   */
+  #unreported(
+    row: Row,
+    id: EndpointId,
+    ratePerS: number,
+    now: number,
+  ): { readonly perInstance: number; readonly fraction: number } {
+    const { shares } = this.#demand;
+    const perWindow = ratePerS * WINDOW_MS / MS_PER_S * TOLERATED_FACTOR;
+    const tolerated = (perWindow + TOLERATED_SLACK) * TOLERANCE_IN_USE *
+      this.#demand.reachableFraction(id);
+    const expiring = this.#unreportedMs / WINDOW_MS;
+    const left = tolerated - row.window.sum(now) * (1 - expiring);
+    const instances = Math.max(1, shares.reporting);
+    const perInstance = Math.max(1, Math.floor(left / instances));
+    if (left >= instances) return { perInstance, fraction: 1 };
+    // Of n instances with m requests in all, n(1 - exp(-m/n)) have one or more.
+    const requests = -instances * Math.log(1 - Math.max(0, left) / instances);
+    const most = Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND *
+      this.#unreportedMs / MS_PER_S;
+    return { perInstance, fraction: Math.min(1, requests / most) };
   }
 
   /** Fraction of the requests for an endpoint to admit. */
@@ -248,14 +296,15 @@
   ): number {
     const usedPerS = this.#usedPerS(ratePerS);
     if (!this.#hasView) return this.#equalFraction(id, usedPerS, now);
+    const { fraction } = this.#unreported(row, id, ratePerS, now);
     const demandPerS = this.#demandPerS(row, id, now);
-    if (demandPerS <= 0) return 1;
+    if (demandPerS <= 0) return fraction;
     // The window counts only reachable instances, so it is held to their part.
     const reachablePerS = usedPerS * this.#demand.reachableFraction(id);
     const perWindow = reachablePerS * WINDOW_MS / MS_PER_S;
     const utilization = row.window.sum(now) / perWindow;
     const feedback = Math.max(0, FEEDBACK_BASE - FEEDBACK_GAIN * utilization);
-    return Math.min(1, usedPerS * feedback / demandPerS);
+    return Math.min(fraction, usedPerS * feedback / demandPerS);
   }
 
   /** Whether the reports cover enough of the fleet to decide by them. */
@@ -288,7 +337,10 @@
   }
 
   #usedPerS(ratePerS: number): number {
-    const reserve = RESERVE_PER_S * this.#gossipDelayMs() / MS_PER_S;
+    const reserve = Math.min(
+      MAX_RESERVE,
+      RESERVE_PER_S * this.#gossipDelayMs() / MS_PER_S,
+    );
     return Math.max(MIN_PER_S, ratePerS * (1 - reserve));
   }
 
--- a/src/edge/endpoint_limits.ts
+++ b/src/edge/endpoint_limits.ts
@@ -32,7 +32,7 @@
   readonly own: InstanceId;
   /** The fleet's demand, which includes that for endpoints. */
   readonly demand: FleetDemand;
-  /** Maximum age of peers' reports, in milliseconds. */
+  /** Usual maximum age of peers' reports, in milliseconds. */
   readonly gossipDelayMs: () => number;
   /** Whether the instance list was read. */
   readonly isFleetKnown: () => boolean;
@@ -53,7 +53,11 @@
 
   constructor(opts: EndpointLimitsOptions) {
     this.#opts = opts;
-    this.#limiter = new EndpointRateLimiter(opts.own, opts);
+    const { gossipDelayMs, viewAgeMs } = opts;
+    this.#limiter = new EndpointRateLimiter(opts.own, {
+      ...opts,
+      gossipDelayMs: () => Math.max(gossipDelayMs(), viewAgeMs() ?? 0),
+    });
   }
 
   /** An endpoint's limit in requests a second; undefined if there is none. */
--- a/src/edge/limited_fleet_test.ts
+++ b/src/edge/limited_fleet_test.ts
@@ -28,15 +28,19 @@
 });
 
 for (
-  const [perZone, times, datagramMs] of [[24, 5, 1_000], [24, 8, 400]] as const
+  const [perZone, times, datagramMs] of [[24, 5, 1_000], [24, 8, 400], [
+    24,
+    8,
+    1_000,
+  ]] as const
 ) {
   // Guards against admitting a rise by reports that are older than assumed.
   test(`${3 * perZone} instances keep within a limit while demand rises to ${times} times it and datagrams take up to ${datagramMs} ms`, async (t) => {
     const fleet = await LimitedFleet.start({ perZone, ratePerS: 6, seed: 1 });
     fleet.delayDatagrams(datagramMs);
-    fleet.run(4_000, 0.3);
+    fleet.run(4_000, 0.5);
     fleet.announce();
-    fleet.run(25_000, 0.3);
+    fleet.run(25_000, 0.5);
     fleet.run(6_000, times);
     t.true(fleet.fullest <= 1, `${fleet.fullest}`);
   });
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -97,6 +97,8 @@
  */
 const OTHER_PROFILES_PER_DIGEST = 1;
 const OTHER_PROFILES_FOR_NEWCOMERS = 12;
+/** Age of the reports of other zones over those of the own zone. */
+const FAR_AGE_FACTOR = 1.5;
 /** Random bytes that tell the runs of an instance apart. */
 const START_ID_BYTES = 4;
 
@@ -198,15 +200,18 @@
   }
 
   /**
-   * Age of the oldest state known of other instances, in milliseconds, measured
-   * by this instance's own report in the relay's sums; undefined without reports.
+   * Age of the oldest state known of other instances, in milliseconds; undefined
+   * without reports. Through relays it is measured by this instance's own report
+   * in the sums; reports of other zones take one hop of three more.
    */
   get viewAgeMs(): number | undefined {
-    const knownAt = this.#feed.followsRelay
+    const { followsRelay } = this.#feed;
+    const knownAt = followsRelay
       ? this.#relayFollower.reflectedAt
       : this.#feed.oldestDirectAt;
     if (knownAt === undefined) return undefined;
-    return this.#opts.clock.now() - knownAt;
+    const ageMs = this.#opts.clock.now() - knownAt;
+    return followsRelay ? ageMs * FAR_AGE_FACTOR : ageMs;
   }
 
   /** Whether the store responds to a peer that watches it for this instance. */
