Reproduce an account's rate exceeded after all instances restart

Evidence: RatedFleet, 72 instances, 40 a second, three times the demand, all restart within 1 s and read the list 3 s late: 364 in a window that allows 284; with the list read at once 308, so the assumed size is a part of the cause only. Tried without effect and not kept: reports that count as incomplete until the list is read (308, 308).

--- a/src/fleet/fleet_rates_test.ts
+++ b/src/fleet/fleet_rates_test.ts
@@ -53,6 +53,19 @@
   }
 });
 
+// Guards against instances that spend a rate by reports of a part of the fleet.
+test("72 instances that all restart keep an account within its rate while reports are missing", async (t) => {
+  const fleet = await RatedFleet.start(ZONES, 24, { ratePerS: 40 });
+  fleet.run(4_000, 3);
+  await fleet.restartAll(3, { spreadMs: 1_000, listAfterMs: 3_000 });
+  fleet.run(6_000, 3);
+  const most = fleet.mostWithin(5_000);
+  t.true(
+    most <= maxPerWindow(fleet.account),
+    `${most} of ${maxPerWindow(fleet.account)}`,
+  );
+});
+
 // Guards against taking the counters of a new relay for new admissions.
 test("an account within its rate is still admitted after relays are killed", async (t) => {
   const fleet = await RatedFleet.start(ZONES, PER_ZONE, { ratePerS: 388 });
--- a/src/fleet/testing/rated_fleet.ts
+++ b/src/fleet/testing/rated_fleet.ts
@@ -77,6 +77,28 @@
     }
   }
 
+  /**
+   * Restarts all members within `spreadMs`, under a load of `times` the rate;
+   * each reads the instance list `listAfterMs` after its start.
+   */
+  async restartAll(
+    times: number,
+    { spreadMs, listAfterMs }: {
+      readonly spreadMs: number;
+      readonly listAfterMs: number;
+    },
+  ): Promise<void> {
+    const { members } = this.#fleet;
+    this.kill(members);
+    this.run(DOWNTIME_MS, times);
+    for (const member of members) {
+      this.#fleet.restart(member, { listAfterMs });
+      this.#attachQuotas(member);
+      await Promise.resolve();
+      this.run(spreadMs / members.length, times);
+    }
+  }
+
   async restart(members: readonly TestMember[]): Promise<void> {
     this.kill(members);
     this.#fleet.advance(DOWNTIME_MS);
