Split the bound of unreported sends and the row of a limit from the limiter

Without a view, an endpoint whose local demand had decayed seemed to have room until its next request was counted; a second choice of it was then refused though others had room.

Change: `boundUnreported` and `LimitRow` in files of their own; local demand counts as one request a second at least. The limit model takes a priority.

--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -23,8 +23,9 @@
   type RateLimitId,
   type RateUse,
   type Reporter,
-  SlidingWindowCounter,
 } from "../quotas/mod.ts";
+import { type LimitRow, newLimitRow, WINDOW_MS } from "./limit_row.ts";
+import { boundUnreported, type UnreportedBound } from "./unreported_sends.ts";
 
 /**
  * Part of the fleet whose reports make a view of it. With fewer, an instance
@@ -33,8 +34,11 @@
 const MIN_COVERAGE = 0.8;
 /** Fleet size assumed until the instance list is read. */
 const MAX_FLEET_SIZE = 2_000;
-/** The sliding window over which sends are counted. */
-const WINDOW_MS = 4_000;
+/**
+ * Local demand of at least one request in the time constant of its average, or
+ * an endpoint would seem to have room until its next request is counted.
+ */
+const MIN_LOCAL_PER_S = 1;
 /** Sends that the window may hold above the limit. */
 const WINDOW_SLACK = 1;
 /** What the platform tolerates in a window: this factor, and this many more. */
@@ -99,28 +103,13 @@
   readonly reserved: number;
 }
 
-interface Row {
-  /** Accumulated fractions of requests; a request costs 1. */
-  credit: number;
-  /** Requests sent from here since the row was created. */
-  sent: number;
-  /** Recent sends of all instances as reported, and of this one alone. */
-  readonly window: SlidingWindowCounter;
-  readonly ownWindow: SlidingWindowCounter;
-  /** Baseline demand of the fleet, and when it was last updated. */
-  baselinePerS: number;
-  baselineAt: number;
-  /** Sends of groups as of their last report. */
-  readonly reports: Map<InstanceId, { start: string; sent: number }>;
-}
-
 /** Limits one instance's requests to endpoints that announce a limit. */
 export class EndpointRateLimiter {
   readonly #own: InstanceId;
   readonly #demand: FleetDemand;
   readonly #gossipDelayMs: () => number;
   readonly #isFleetKnown: () => boolean;
-  readonly #rows = new Map<EndpointId, Row>();
+  readonly #rows = new Map<EndpointId, LimitRow>();
 
   /**
    * @param opts The fleet's demand, which covers endpoints too, and the maximum
@@ -238,7 +227,7 @@
 
   /** Whether recent sends leave room in the window for one more. */
   #hasWindowRoom(
-    row: Row,
+    row: LimitRow,
     id: EndpointId,
     { ratePerS }: LimitedRequest,
     now: number,
@@ -250,8 +239,8 @@
     // Bounds what is sent before peers report a rise in demand.
     const own = perWindow * shares.own(id) * OWN_OVERSHOOT;
     if (row.ownWindow.sum(now) >= own + WINDOW_SLACK) return false;
-    const { perInstance } = this.#unreported(row, id, ratePerS, now);
-    return row.ownWindow.sumSince(this.#unreportedMs, now) < perInstance;
+    const { sends } = this.#unreported(row, id, ratePerS, now);
+    return row.ownWindow.sumSince(this.#unreportedMs, now) < sends;
   }
 
   /** Time in which the others do not learn of a send. */
@@ -259,37 +248,29 @@
     return Math.min(WINDOW_MS, this.#gossipDelayMs() + REPORT_INTERVAL_MS);
   }
 
-  /**
-   * What instances may send before reports show it, so that a window holds no
-   * more than is tolerated while demand rises to `MAX_DEMAND` times the limit.
-   * At an instance with less than one request in that time a second one shows
-   * the rise, and is not sent.
-   */
+  /** What this instance may send before reports show it. */
   #unreported(
-    row: Row,
+    row: LimitRow,
     id: EndpointId,
     ratePerS: number,
     now: number,
-  ): { readonly perInstance: number; readonly fraction: number } {
-    const { shares } = this.#demand;
+  ): UnreportedBound {
     const perWindow = ratePerS * WINDOW_MS / MS_PER_S * TOLERATED_FACTOR;
     const tolerated = (perWindow + TOLERATED_SLACK) * TOLERANCE_IN_USE *
       this.#demand.reachableFraction(id);
-    const expiring = this.#unreportedMs / WINDOW_MS;
-    const left = tolerated - row.window.sum(now) * (1 - expiring);
-    const instances = Math.max(1, shares.reporting);
-    const perInstance = Math.max(1, Math.floor(left / instances));
-    if (left >= instances) return { perInstance, fraction: 1 };
-    // Of n instances with m requests in all, n(1 - exp(-m/n)) have one or more.
-    const requests = -instances * Math.log(1 - Math.max(0, left) / instances);
-    const most = Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND *
-      this.#unreportedMs / MS_PER_S;
-    return { perInstance, fraction: Math.min(1, requests / most) };
+    const unreportedMs = this.#unreportedMs;
+    const remaining = row.window.sum(now) * (1 - unreportedMs / WINDOW_MS);
+    return boundUnreported({
+      left: tolerated - remaining,
+      instances: Math.max(1, this.#demand.shares.reporting),
+      requests: Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND * unreportedMs /
+        MS_PER_S,
+    });
   }
 
   /** Fraction of the requests for an endpoint to admit. */
   #admitFraction(
-    row: Row,
+    row: LimitRow,
     id: EndpointId,
     { ratePerS }: LimitedRequest,
     now: number,
@@ -318,7 +299,10 @@
     const instances = this.#isFleetKnown()
       ? this.#demand.fleetSize
       : MAX_FLEET_SIZE;
-    const localPerS = this.#demand.localPerS(id, now);
+    const localPerS = Math.max(
+      MIN_LOCAL_PER_S,
+      this.#demand.localPerS(id, now),
+    );
     return Math.min(1, usedPerS / (instances * localPerS));
   }
 
@@ -326,7 +310,7 @@
    * The fleet's demand: the reported one, or the baseline times the growth here
    * if that is more, as local growth shows before peers report theirs.
    */
-  #demandPerS(row: Row, id: EndpointId, now: number): number {
+  #demandPerS(row: LimitRow, id: EndpointId, now: number): number {
     const reportedPerS = this.#demand.fleetPerS(id, now);
     const decay = Math.exp(
       Math.min(0, row.baselineAt - now) / BASELINE_TIME_CONSTANT_MS,
@@ -344,19 +328,10 @@
     return Math.max(MIN_PER_S, ratePerS * (1 - reserve));
   }
 
-  /** Initial credits differ by instance, so that sends are not synchronized. */
-  #rowOf(id: EndpointId, now: number): Row {
+  #rowOf(id: EndpointId, now: number): LimitRow {
     const known = this.#rows.get(id);
     if (known !== undefined) return known;
-    const row: Row = {
-      credit: hashFraction(`${this.#own} ${id}`),
-      sent: 0,
-      window: new SlidingWindowCounter(WINDOW_MS, now),
-      ownWindow: new SlidingWindowCounter(WINDOW_MS, now),
-      baselinePerS: 0,
-      baselineAt: -Infinity,
-      reports: new Map(),
-    };
+    const row = newLimitRow(hashFraction(`${this.#own} ${id}`), now);
     this.#rows.set(id, row);
     return row;
   }
--- a/src/edge/testing/limited_fleet.ts
+++ b/src/edge/testing/limited_fleet.ts
@@ -46,6 +46,15 @@
   informedAt: number;
 }
 
+/** Options of {@link LimitedFleet}. */
+export interface LimitedFleetOptions {
+  readonly perZone: number;
+  readonly ratePerS: number;
+  readonly seed: number;
+  /** Priority of all requests; 1 by default. */
+  readonly priority?: number;
+}
+
 /** How instances restart. */
 export interface RestartOptions {
   /** Time from the first instance's start to the last one's. */
@@ -63,6 +72,7 @@
   readonly #fleet: MemberFleet;
   readonly #limited = new Map<TestMember, Limited>();
   readonly #random: SeededRandom;
+  readonly #priority: number;
   #responses: { readonly at: number; readonly run: () => void }[] = [];
   #bound = new AdmissionTimes();
   #sent = 0;
@@ -70,11 +80,12 @@
 
   private constructor(
     fleet: MemberFleet,
-    opts: { readonly ratePerS: number; readonly seed: number },
+    opts: LimitedFleetOptions,
   ) {
     this.#fleet = fleet;
     this.members = fleet.members;
     this.ratePerS = opts.ratePerS;
+    this.#priority = opts.priority ?? 1;
     this.#random = new SeededRandom(opts.seed);
     fleet.dictionary.add(E1.id);
     for (const member of fleet.members) this.#equip(member);
@@ -82,11 +93,7 @@
 
   /** Starts a fleet of three zones and waits until gossip has settled. */
   static async start(
-    opts: {
-      readonly perZone: number;
-      readonly ratePerS: number;
-      readonly seed: number;
-    },
+    opts: LimitedFleetOptions,
   ): Promise<LimitedFleet> {
     const fleet = new MemberFleet(["a1", "b1", "c1"], opts.perZone);
     const limited = new LimitedFleet(fleet, opts);
@@ -179,7 +186,7 @@
     const limited = this.#limited.get(member);
     if (limited === undefined) return;
     const { now } = this;
-    if (!limited.limits.admit(E1, 1, now)) return;
+    if (!limited.limits.admit(E1, this.#priority, now)) return;
     this.#sent++;
     const isBound = now >= this.#announcedAt &&
       now >= limited.informedAt + IN_FLIGHT_MS;
