Divide the room for unreported sends by shares of the demand

What callers saw: with most of the demand at a few instances, as where the others are in reserve, a limit of 30 a second was used by a third.

Change: an instance may send its share of the room, or the equal part if that is more. The fraction is cut by the equal part as before.

--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -256,13 +256,16 @@
     now: number,
   ): UnreportedBound {
     const perWindow = ratePerS * WINDOW_MS / MS_PER_S * TOLERATED_FACTOR;
+    const reachable = this.#demand.reachableFraction(id);
     const tolerated = (perWindow + TOLERATED_SLACK) * TOLERANCE_IN_USE *
-      this.#demand.reachableFraction(id);
+      reachable;
     const unreportedMs = this.#unreportedMs;
     const remaining = row.window.sum(now) * (1 - unreportedMs / WINDOW_MS);
+    const { shares } = this.#demand;
     return boundUnreported({
       left: tolerated - remaining,
-      instances: Math.max(1, this.#demand.shares.reporting),
+      share: Math.min(1, shares.own(id) / reachable),
+      instances: Math.max(1, shares.reporting),
       requests: Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND * unreportedMs /
         MS_PER_S,
     });
--- a/src/decisions/endpoint_limits/endpoint_rate_limiter_test.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter_test.ts
@@ -48,6 +48,23 @@
   });
 }
 
+// Guards against equal parts of a limit that instances without demand leave unused.
+test("12 of 74 instances with all of the demand use a limit", (t) => {
+  const ratePerS = 30;
+  const fleet = new LimitFleet({
+    size: 74,
+    gossipDelayMs: RELAYED_DELAY_MS,
+    ratePerS,
+    seed: 1,
+  });
+  const demand = ({ index }: LimitMember) => index < 12 ? 3 * ratePerS / 12 : 0;
+  fleet.run(LEARN_MS, demand);
+  fleet.resetCounts();
+  fleet.run(12_000, demand);
+  t.true(fleet.maxInWindow <= maxPerWindow(ratePerS), `${fleet.maxInWindow}`);
+  t.true(fleet.sent >= ratePerS * 12 * 0.6, `${fleet.sent}`);
+});
+
 // Guards against admitting a rise in demand before peers report it.
 test("a limit holds while demand rises many times over", (t) => {
   for (const size of [12, 24]) {
--- a/src/decisions/endpoint_limits/unreported_sends.ts
+++ b/src/decisions/endpoint_limits/unreported_sends.ts
@@ -12,6 +12,8 @@
 export interface UnreportedRoom {
   /** Sends that the tolerance of a window still holds. */
   readonly left: number;
+  /** This instance's share of them, in [0, 1]. */
+  readonly share: number;
   /** Instances that may send. */
   readonly instances: number;
   /** Requests that may arrive at all of them before reports show it. */
@@ -26,20 +28,23 @@
 }
 
 /**
- * Divides the room among the instances. With less than one send for each, an
- * instance sends one at most, since a second request there shows the rise: of
- * `n` instances with `m` requests in all, `n(1 - exp(-m/n))` have one or more.
+ * Bounds an instance's sends by its share of the room, or by an equal part if
+ * that is more: the share of an instance with few requests varies with each.
+ * With less than one, an instance sends one at most, since a second request
+ * there shows the rise: of `n` instances with `m` requests in all,
+ * `n(1 - exp(-m/n))` have one or more.
  *
  * @example
  * ```ts
- * boundUnreported({ left: 20, instances: 12, requests: 40 }).sends; // 1
+ * const room = { left: 20, share: 0.3, instances: 12, requests: 40 };
+ * boundUnreported(room); // { sends: 6, fraction: 1 }
  * ```
  */
 export function boundUnreported(room: UnreportedRoom): UnreportedBound {
-  const { left, instances, requests } = room;
-  if (left >= instances) {
-    return { sends: Math.floor(left / instances), fraction: 1 };
-  }
-  const admitted = -instances * Math.log(1 - Math.max(0, left) / instances);
+  const { left, share, instances, requests } = room;
+  const equal = Math.max(0, left) / instances;
+  const own = Math.max(equal, left * share);
+  if (own >= 1) return { sends: Math.floor(own), fraction: 1 };
+  const admitted = -instances * Math.log(1 - equal);
   return { sends: 1, fraction: Math.min(1, admitted / requests) };
 }
--- a/src/decisions/endpoint_limits/unreported_sends_test.ts
+++ b/src/decisions/endpoint_limits/unreported_sends_test.ts
@@ -2,7 +2,12 @@
 import { boundUnreported } from "./unreported_sends.ts";
 
 test("a small fleet divides the room whatever the demand", (t) => {
-  const bound = boundUnreported({ left: 25, instances: 12, requests: 1e6 });
+  const bound = boundUnreported({
+    left: 25,
+    share: 1 / 12,
+    instances: 12,
+    requests: 1e6,
+  });
   t.deepEqual(bound, { sends: 2, fraction: 1 });
 });
 
@@ -13,6 +18,7 @@
       const instances = 74;
       const { sends, fraction } = boundUnreported({
         left,
+        share: 1 / instances,
         instances,
         requests,
       });
@@ -23,3 +29,13 @@
     }
   }
 });
+
+// Guards against a few instances with all of the demand that use little of a limit.
+test("instances with most of the demand have most of the room", (t) => {
+  const room = { left: 40, instances: 74, requests: 150 };
+  t.is(boundUnreported({ ...room, share: 0.08 }).sends, 3);
+  t.deepEqual(
+    boundUnreported({ ...room, share: 0.003 }),
+    boundUnreported({ ...room, share: 0.01 }),
+  );
+});
