Take the time of unreported sends from the rates of accounts

Cause: the limiter of endpoints had its own interval of reports and added it to the age of reports; the admission of accounts has `unreportedMs` for the same, so that one could change without the other.

Change: the limiter calls it, and the constant is gone. Behaviour is the same: both add 250 ms.

Measured: formatter, linter and types are clean; the 48 tests of endpoint limits, fleet limits and endpoint signals pass.

--- a/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
+++ b/src/decisions/endpoint_limits/endpoint_rate_limiter.ts
@@ -23,6 +23,7 @@
   type RateLimitId,
   type RateUse,
   type Reporter,
+  unreportedMs,
 } from "../quotas/mod.ts";
 import { type LimitRow, newLimitRow, WINDOW_MS } from "./limit_row.ts";
 import { boundUnreported, type UnreportedBound } from "./unreported_sends.ts";
@@ -51,8 +52,6 @@
  * that it does.
  */
 const MAX_DEMAND = 5;
-/** Interval of peers' reports. */
-const REPORT_INTERVAL_MS = 250;
 /**
  * The limit is multiplied by `FEEDBACK_BASE`, less `FEEDBACK_GAIN` times the
  * window's utilization: by one at full utilization, by more below it.
@@ -245,7 +244,7 @@
 
   /** Time in which the others do not learn of a send. */
   get #unreportedMs(): number {
-    return Math.min(WINDOW_MS, this.#gossipDelayMs() + REPORT_INTERVAL_MS);
+    return Math.min(WINDOW_MS, unreportedMs(this.#gossipDelayMs()));
   }
 
   /** What this instance may send before reports show it. */
@@ -259,14 +258,14 @@
     const reachable = this.#demand.reachableFraction(id);
     const tolerated = (perWindow + TOLERATED_SLACK) * TOLERANCE_IN_USE *
       reachable;
-    const unreportedMs = this.#unreportedMs;
-    const remaining = row.window.sum(now) * (1 - unreportedMs / WINDOW_MS);
+    const delayMs = this.#unreportedMs;
+    const remaining = row.window.sum(now) * (1 - delayMs / WINDOW_MS);
     const { shares } = this.#demand;
     return boundUnreported({
       left: tolerated - remaining,
       share: Math.min(1, shares.own(id) / reachable),
       instances: Math.max(1, shares.reporting),
-      requests: Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND * unreportedMs /
+      requests: Math.max(MIN_PER_S, ratePerS) * MAX_DEMAND * delayMs /
         MS_PER_S,
     });
   }
--- a/src/decisions/quotas/mod.ts
+++ b/src/decisions/quotas/mod.ts
@@ -13,3 +13,4 @@
 export * from "./gossip_delay.ts";
 export * from "./rate_limit.ts";
 export * from "./sliding_window_counter.ts";
+export { unreportedMs } from "./window_admission.ts";
