Report the memory of the process beside the bytes that it buffers

Cause: an instance with a limit of 250 MB is killed while uploads in chunks are read beside callers that do not read, and its metrics showed only the bytes that the budget counts (42 MB at most). Live buffers, released buffers that wait for the collector, fragmentation and the heap could not be told apart.

Change: three gauges, sampled with each report: memory.resident, memory.heap and memory.buffers (all buffers outside the heap, released or not).

--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -151,6 +151,26 @@
     tags: ["result"],
     help: "Requests forwarded by another instance to an endpoint of this zone",
   },
+  "memory.buffers": {
+    type: "gauge",
+    unit: "bytes",
+    tags: [],
+    help:
+      "Buffers outside the runtime's heap; beyond `buffers.used` mostly released ones that are not yet collected",
+  },
+  "memory.heap": {
+    type: "gauge",
+    unit: "bytes",
+    tags: [],
+    help: "The runtime's heap, used or not",
+  },
+  "memory.resident": {
+    type: "gauge",
+    unit: "bytes",
+    tags: [],
+    help:
+      "Resident memory of the process; what heap and buffers do not explain is code, stacks and fragmentation",
+  },
   "operations.answer_bytes": {
     type: "gauge",
     unit: "bytes",
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -21,6 +21,7 @@
 import {
   bufferBytes,
   ByteBudget,
+  type ProcessMemory,
   ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import { AccountQuotas } from "../decisions/quotas/mod.ts";
@@ -83,6 +84,8 @@
   readonly placement?: Placement;
   /** Processor time of the process since its start, in milliseconds. */
   readonly processorMs?: () => number;
+  /** Samples the memory of the process. */
+  readonly processMemory?: () => ProcessMemory;
 }
 
 /** Instances assumed per zone until the instance list is read. */
@@ -459,6 +462,16 @@
     return this.#processor.update(processorMs(), clock.now());
   }
 
+  #reportMemory(): void {
+    const { metrics, processMemory } = this.#opts;
+    metrics.gauge("buffers.used", this.#memory.usedBytes);
+    const sample = processMemory?.();
+    if (sample === undefined) return;
+    metrics.gauge("memory.resident", sample.resident);
+    metrics.gauge("memory.heap", sample.heap);
+    metrics.gauge("memory.buffers", sample.buffers);
+  }
+
   #selfReport(): SelfReport {
     const inFlight = new Map<EndpointId, number>();
     for (const row of this.#state.endpoints.rows()) {
@@ -466,7 +479,7 @@
     }
     const uses = this.#quotas.tick(this.#opts.clock.now());
     const { reporting } = this.#quotas.demand.shares;
-    this.#opts.metrics.gauge("buffers.used", this.#memory.usedBytes);
+    this.#reportMemory();
     this.#opts.metrics.gauge("fleet.instances", this.#member.fleetSize);
     this.#opts.metrics.gauge("fleet.reporting", reporting);
     const { viewAgeMs } = this.#member;
