Copy small chunks of a body together instead of keeping each

Cause: a body without a length was kept as the list of its chunks. A buffer of its own takes some hundred bytes besides its content, which nothing counts.

Change: `BodyBlocks` copies chunks below 16 KiB into blocks of 4 to 64 KiB and keeps larger ones. Blocks are reserved as they are allocated, and the sender writes them one after another, so that a body is no longer joined, nor counted twice while it arrives.

--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -18,7 +18,8 @@
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
-  readonly body: Buffer | undefined;
+  /** In blocks, in order. */
+  readonly body: readonly Buffer[] | undefined;
   /** The request id that the response must have. */
   readonly requestId: string;
   /** Checked right before the first byte would be sent; false withholds it. */
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -9,11 +9,13 @@
  *
  * @module
  */
+import type { Buffer } from "node:buffer";
 import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
 import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
 import { splitAddress } from "../fleet/mod.ts";
+import { bodyBytes } from "./body_blocks.ts";
 import {
   type EndpointConnectionOptions,
   EndpointConnections,
@@ -116,7 +118,7 @@
     req.once("socket", (socket) => {
       exchange.attach(socket, this.#connections.of(socket));
     });
-    req.end(outgoing.body);
+    writeBody(req, outgoing.body);
     return { result, cancel: () => exchange.cancel() };
   }
 
@@ -194,7 +196,16 @@
 /** Adds the length; without it Node.js would send the body in chunks. */
 function headersOf({ method, headers, body }: OutgoingRequest): string[] {
   if (body === undefined && BODYLESS_METHODS.has(method)) return headers;
-  return [...headers, "Content-Length", String(body?.length ?? 0)];
+  return [...headers, "Content-Length", String(bodyBytes(body))];
+}
+
+/** Writes a body and ends the request. */
+function writeBody(
+  req: ClientRequest,
+  body: readonly Buffer[] | undefined,
+): void {
+  for (const block of body ?? []) req.write(block);
+  req.end();
 }
 
 /** Starts a send once the event loop has read what sockets have received. */
--- a/src/edge/request_body.ts
+++ b/src/edge/request_body.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { CancelSignal, Clock } from "../core/mod.ts";
 import type { Reservation } from "../decisions/memory/mod.ts";
+import { BodyBlocks } from "./body_blocks.ts";
 import { headerOf } from "./header_fields.ts";
 
 /** How the length of a body is given. */
@@ -62,29 +63,31 @@
   req: IncomingMessage,
   length: Exclude<BodyLength, { kind: "none" }>,
   opts: BodyOptions,
-): Promise<Buffer | BodyFailure> {
+): Promise<readonly Buffer[] | BodyFailure> {
+  const { maxBytes, memory, rank, timeoutMs, clock, signal } = opts;
   return new Promise((resolve) => {
-    const body = length.kind === "declared"
-      ? new DeclaredBody(length.bytes)
-      : new OpenBody(opts);
-    const end = (result: Buffer | BodyFailure) => {
+    const body = new BodyBlocks({
+      reserve: (bytes) => memory.tryAdd(bytes, rank),
+      reservedBytes: length.kind === "declared" ? length.bytes : 0,
+    });
+    const end = (result: readonly Buffer[] | BodyFailure) => {
       timer.close();
       // These listeners keep the body in memory, and a refused request lasts
       // until the rest of it is discarded.
       req.off("data", onData);
       req.off("end", onEnd);
       req.off("close", onGone);
-      opts.signal.removeEventListener("abort", onGone);
+      signal.removeEventListener("abort", onGone);
       resolve(result);
     };
     const onData = (chunk: Buffer) => {
-      const failure = body.add(chunk);
-      if (failure !== undefined) end(failure);
+      if (!body.add(chunk)) end("no_memory");
+      else if (body.size > maxBytes) end("too_large");
     };
-    const onEnd = () => end(body.join());
+    const onEnd = () => end(body.end());
     const onGone = () => end("gone");
-    const timer = opts.clock.after(opts.timeoutMs, () => end("late"));
-    opts.signal.addEventListener("abort", onGone);
+    const timer = clock.after(timeoutMs, () => end("late"));
+    signal.addEventListener("abort", onGone);
     req.on("data", onData);
     req.once("end", onEnd);
     req.once("close", onGone);
@@ -100,48 +103,3 @@
   req.once("close", end);
   req.resume();
 }
-
-/** A body with a declared length: one buffer, filled as it arrives. */
-class DeclaredBody {
-  readonly #buffer: Buffer;
-  #size = 0;
-
-  constructor(bytes: number) {
-    this.#buffer = Buffer.allocUnsafeSlow(bytes);
-  }
-
-  add(chunk: Buffer): undefined {
-    this.#size += chunk.copy(this.#buffer, this.#size);
-  }
-
-  join(): Buffer {
-    return this.#buffer;
-  }
-}
-
-/** A body whose length shows at its end. */
-class OpenBody {
-  readonly #opts: BodyOptions;
-  readonly #chunks: Buffer[] = [];
-  #size = 0;
-
-  constructor(opts: BodyOptions) {
-    this.#opts = opts;
-  }
-
-  add(chunk: Buffer): BodyFailure | undefined {
-    const { maxBytes, memory, rank } = this.#opts;
-    this.#size += chunk.length;
-    if (this.#size > maxBytes) return "too_large";
-    // Joining the chunks needs their memory twice for a moment.
-    if (!memory.tryAdd(2 * chunk.length, rank)) return "no_memory";
-    this.#chunks.push(chunk);
-    return undefined;
-  }
-
-  join(): Buffer {
-    const { memory, clock } = this.#opts;
-    memory.subtract(this.#size, clock.now());
-    return Buffer.concat(this.#chunks);
-  }
-}
--- a/src/edge/request_context.ts
+++ b/src/edge/request_context.ts
@@ -19,7 +19,8 @@
   readonly method: string;
   readonly headers: RawHeaders;
   readonly fields: RequestFields;
-  readonly body: Buffer | undefined;
+  /** In blocks, in order. */
+  readonly body: readonly Buffer[] | undefined;
   /** When its header arrived, on the instance's clock. */
   readonly arrivedAt: number;
   /** Aborted when the caller disconnects. */
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -193,7 +193,7 @@
       readonly held: Reservation;
       readonly rank: number;
     },
-  ): Promise<Buffer | BodyFailure> {
+  ): Promise<readonly Buffer[] | BodyFailure> {
     if (request.expectsContinue) request.res.writeContinue();
     return readBody(request.req, length, {
       maxBytes: opts.limits.bodyBytes,
@@ -237,7 +237,7 @@
     { req, signal }: PipelinedRequest,
     { fields, body, hop, arrivedAt }: {
       readonly fields: RequestFields;
-      readonly body: Buffer | undefined;
+      readonly body: readonly Buffer[] | undefined;
       readonly hop: Hop | undefined;
       readonly arrivedAt: number;
     },
