Count a body until it has been written or its connection closed

Callers saw: nothing yet; found while the cause of the killed instance was looked for on related paths. An endpoint that responds before it has read a long body, and reads on slowly, would let uploads pile up in an instance until it is killed with all that it has in progress.

Cause: a body's bytes were released with the response, while what the endpoint had not read still waited to be written; and a streamed response kept its request, and thus the body, in memory until it ended.

Change: `HeldBody` is held by the intake and by each request that writes it. Its bytes are released, and its blocks dropped, once nobody holds it.

--- a/src/decisions/memory/byte_budget.ts
+++ b/src/decisions/memory/byte_budget.ts
@@ -57,6 +57,14 @@
     return true;
   }
 
+  /** Moves some of the bytes to a reservation of their own. */
+  split(bytes: number): Reservation {
+    const other = this.#budget.open();
+    other.#bytes = Math.min(bytes, this.#bytes);
+    this.#bytes -= other.#bytes;
+    return other;
+  }
+
   /** Releases some of the bytes. */
   subtract(bytes: number, now: number): void {
     const released = Math.min(bytes, this.#bytes);
--- a/src/edge/body_blocks.ts
+++ b/src/edge/body_blocks.ts
@@ -114,8 +114,3 @@
     this.#openBytes = 0;
   }
 }
-
-/** Bytes of a body in blocks. */
-export function bodyBytes(body: readonly Buffer[] | undefined): number {
-  return body?.reduce((total, block) => total + block.length, 0) ?? 0;
-}
--- a/src/edge/body_blocks_test.ts
+++ b/src/edge/body_blocks_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
 import fc from "fast-check";
-import { BodyBlocks, bodyBytes } from "./body_blocks.ts";
+import { BodyBlocks } from "./body_blocks.ts";
 
 /** Adds chunks of these sizes; their content is a counter. */
 function fill(body: BodyBlocks, sizes: readonly number[]): Buffer {
@@ -33,8 +33,7 @@
     const blocks = body.end();
     if (isDeclared && reserved > 0) return false;
     if (!isDeclared && reserved < length) return false;
-    return body.size === length && bodyBytes(blocks) === length &&
-      Buffer.concat(blocks).equals(sent);
+    return body.size === length && Buffer.concat(blocks).equals(sent);
   }));
   t.pass();
 });
--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { EndpointRow } from "../traffic/mod.ts";
+import type { HeldBody } from "./held_body.ts";
 import type { ResponseFields } from "./request_codec.ts";
 
 /** Where a request is sent; the same object for the same destination. */
@@ -18,8 +19,8 @@
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
-  /** In blocks, in order. */
-  readonly body: readonly Buffer[] | undefined;
+  /** Held until it is written, or the request is closed. */
+  readonly body: HeldBody | undefined;
   /** The request id that the response must have. */
   readonly requestId: string;
   /** Checked right before the first byte would be sent; false withholds it. */
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -9,13 +9,11 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
 import { type ClientRequest, request } from "node:http";
 import type { Clock } from "../core/mod.ts";
 import type { LinkObserver, LinkSample } from "../decisions/links/mod.ts";
 import { IdleTimeouts } from "../decisions/placement/mod.ts";
 import { splitAddress } from "../fleet/mod.ts";
-import { bodyBytes } from "./body_blocks.ts";
 import {
   type EndpointConnectionOptions,
   EndpointConnections,
@@ -29,6 +27,7 @@
 } from "./endpoint_sender.ts";
 import { Exchange } from "./exchange.ts";
 import { probeConnection } from "./probe_connection.ts";
+import type { HeldBody } from "./held_body.ts";
 import type { RequestCodec } from "./request_codec.ts";
 
 /** Methods whose requests usually have no body. */
@@ -196,15 +195,17 @@
 /** Adds the length; without it Node.js would send the body in chunks. */
 function headersOf({ method, headers, body }: OutgoingRequest): string[] {
   if (body === undefined && BODYLESS_METHODS.has(method)) return headers;
-  return [...headers, "Content-Length", String(bodyBytes(body))];
+  return [...headers, "Content-Length", String(body?.bytes ?? 0)];
 }
 
 /** Writes a body and ends the request. */
-function writeBody(
-  req: ClientRequest,
-  body: readonly Buffer[] | undefined,
-): void {
-  for (const block of body ?? []) req.write(block);
+function writeBody(req: ClientRequest, body: HeldBody | undefined): void {
+  if (body !== undefined) {
+    const release = body.hold();
+    req.once("finish", release);
+    req.once("close", release);
+    for (const block of body.blocks) req.write(block);
+  }
   req.end();
 }
 
--- a/src/edge/request_body_test.ts
+++ b/src/edge/request_body_test.ts
@@ -7,7 +7,6 @@
 import { runInNewContext } from "node:vm";
 import { CancelSource, ManualClock } from "../core/mod.ts";
 import { ByteBudget } from "../decisions/memory/mod.ts";
-import { bodyBytes } from "./body_blocks.ts";
 import { type BodyFailure, readBody } from "./request_body.ts";
 
 const TIMEOUT_MS = 100;
@@ -89,5 +88,5 @@
   body.req.push(null);
   const result = await body.result;
   t.true(typeof result !== "string" && result.length <= 10);
-  t.is(bodyBytes(result as readonly Buffer[]), 100_000);
+  t.is(Buffer.concat(result as Buffer[]).length, 100_000);
 });
--- a/src/edge/request_context.ts
+++ b/src/edge/request_context.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type {
   CancelSignal,
   InstanceId,
@@ -11,6 +10,7 @@
   ServiceId,
 } from "../core/mod.ts";
 import type { Account, EndpointRow, Route } from "../traffic/mod.ts";
+import type { HeldBody } from "./held_body.ts";
 import type { Hop } from "./hop_headers.ts";
 import type { RawHeaders, RequestFields } from "./request_codec.ts";
 
@@ -19,8 +19,7 @@
   readonly method: string;
   readonly headers: RawHeaders;
   readonly fields: RequestFields;
-  /** In blocks, in order. */
-  readonly body: readonly Buffer[] | undefined;
+  readonly body: HeldBody | undefined;
   /** When its header arrived, on the instance's clock. */
   readonly arrivedAt: number;
   /** Aborted when the caller disconnects. */
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -16,6 +16,7 @@
 import type { PipelinedRequest } from "./caller_connection.ts";
 import type { FlowResult } from "./flow_result.ts";
 import { headerOf } from "./header_fields.ts";
+import { HeldBody } from "./held_body.ts";
 import { type Hop, readHop, withoutHopFields } from "./hop_headers.ts";
 import {
   type BodyFailure,
@@ -148,27 +149,36 @@
     const arrivedAt = clock.now();
     const { route, rank } = classOf(fields);
     const bodyBytes = length.kind === "declared" ? length.bytes : 0;
-    const bytes = bodyBytes + responseSizes.expected(route);
+    const responseBytes = responseSizes.expected(route);
+    const bytes = bodyBytes + responseBytes;
     const reserved = memory.reserve(bytes, rank, arrivedAt);
     if (reserved.isErr()) {
       this.#recordRefusal(reserved.error, fields, { bytes, rank });
       return this.#refuse(request, reserved.error, fields);
     }
-    const held = reserved.value;
+    const forBody = reserved.value;
+    const forResponse = forBody.split(responseBytes);
+    let body: HeldBody | undefined;
     try {
       // A request without a body is forwarded before the parser reads on.
-      const body = length.kind === "none"
+      const blocks = length.kind === "none"
         ? undefined
         : await this.#readBody(request, length, {
           fields,
           limits,
-          held,
+          held: forBody,
+          rank,
+        });
+      if (typeof blocks === "string") {
+        return this.#refuseBody(request, blocks, fields, {
+          held: forBody,
           rank,
         });
-      if (typeof body === "string") {
-        return this.#refuseBody(request, body, fields, { held, rank });
       }
       if (!request.forward()) return;
+      if (blocks !== undefined) {
+        body = new HeldBody(blocks, () => forBody.release(clock.now()));
+      }
       const result = await this.#forward(request, {
         fields,
         body,
@@ -180,7 +190,9 @@
       }
       this.#respond(request, result, fields);
     } finally {
-      held.release(clock.now());
+      if (body === undefined) forBody.release(clock.now());
+      else body.release();
+      forResponse.release(clock.now());
     }
   }
 
@@ -237,7 +249,7 @@
     { req, signal }: PipelinedRequest,
     { fields, body, hop, arrivedAt }: {
       readonly fields: RequestFields;
-      readonly body: readonly Buffer[] | undefined;
+      readonly body: HeldBody | undefined;
       readonly hop: Hop | undefined;
       readonly arrivedAt: number;
     },
