Stream responses once the budget has no room to buffer them

Cause: a response is buffered up to 256 KiB before it is passed on, and was counted only then; until then the mean size of its route stood for it, which no response that is still incomplete can raise.

Change: an exchange asks for memory for each chunk that it keeps. If the budget has no room, the response is passed on from there as it arrives, with the backpressure of its caller. A response that is not passed on is not kept, and a peer's refusal whose body is not buffered no longer leaves its connection open.

Why it works: what is kept of responses is counted when it arrives. A response that is streamed cannot be retried if it is cut off, so responses are buffered as long as there is room.

--- a/src/edge/endpoint_sender.ts
+++ b/src/edge/endpoint_sender.ts
@@ -27,6 +27,8 @@
   readonly maySend: () => boolean;
   /** Checked before a connection would be opened; false withholds it. */
   readonly mayConnect: () => boolean;
+  /** Asked before bytes of the response are kept; false streams the rest. */
+  readonly mayBuffer: (bytes: number) => boolean;
   /** Called when the header of the response to this request arrives. */
   readonly onHead: (fields: ResponseFields) => void;
 }
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -15,9 +15,9 @@
 import type { RequestCodec, ResponseFields } from "./request_codec.ts";
 
 /**
- * Responses up to this size in bytes are buffered until complete: a truncated
- * one can then be retried at another endpoint or reported as a failure, where
- * the caller would otherwise get half of it.
+ * Responses up to this size in bytes are buffered until complete, while there is
+ * memory for it: a truncated one can then be retried at another endpoint or
+ * reported as a failure, where the caller would otherwise get half of it.
  */
 const MAX_BUFFERED_BYTES = 262_144;
 
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   /** Checked once a new connection is open, before the request is written. */
   readonly maySend: () => boolean;
+  /** Asked before bytes of the response are kept; false streams the rest. */
+  readonly mayBuffer: (bytes: number) => boolean;
   /** Called with the header of the response, if it belongs to the request. */
   readonly onHead: (fields: ResponseFields) => void;
   readonly settle: (result: SendResult) => void;
@@ -110,8 +112,11 @@
       if (!this.#sink.data(chunk)) res.pause();
       return;
     }
+    // The body of a response that is not passed on has no use.
+    if (this.#fields?.notRun || this.#fields?.moved) return;
     this.#buffered.push(chunk);
-    if (this.#bodyBytes <= MAX_BUFFERED_BYTES) return;
+    const mayBuffer = this.#opts.mayBuffer(chunk.length);
+    if (mayBuffer && this.#bodyBytes <= MAX_BUFFERED_BYTES) return;
     res.pause();
     this.#deliver(res, this.#remainder(res));
   }
--- a/src/edge/held_body_test.ts
+++ b/src/edge/held_body_test.ts
@@ -61,6 +61,7 @@
       requestId: REQUEST_ID,
       maySend: () => true,
       mayConnect: () => true,
+      mayBuffer: () => true,
       onHead: () => {},
     });
     return sending.result as Promise<EndpointResponse>;
--- a/src/edge/http_endpoint_sender.ts
+++ b/src/edge/http_endpoint_sender.ts
@@ -102,6 +102,7 @@
       codec: this.#codec,
       clock: this.#clock,
       maySend: outgoing.maySend,
+      mayBuffer: outgoing.mayBuffer,
       onHead: outgoing.onHead,
       settle: (result) => {
         this.#recordIdleTimeout(endpoint, result, {
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -18,6 +18,7 @@
     requestId,
     maySend: () => true,
     mayConnect: () => true,
+    mayBuffer: () => true,
     onHead: () => {},
   };
 }
@@ -404,6 +405,25 @@
   t.is(bytes, piece.length * pieces);
 });
 
+// Guards against connections that stay paused for good, as nobody reads the rest.
+test("the body of a refusal needs no memory", async (t) => {
+  const body = "x".repeat(200_000);
+  const endpoint = await listenScripted((socket) => {
+    const head = `not-run: yes\r\nContent-Length: ${body.length}\r\n`;
+    socket.write(response(head, body));
+  });
+  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const row = endpointRow({ address: endpoint.address });
+  const req = { ...outgoing(), mayBuffer: () => false };
+  for (let i = 0; i < 3; i++) {
+    t.is((await sender.send(row, req).result).kind, "not-run");
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  t.is(endpoint.connections(), 1);
+  sender.close();
+  endpoint.close();
+});
+
 test("an endpoint that drops idle connections fails only one request", async (t) => {
   // Guards against repeated failures on connections dropped while idle.
   const endpoint = await listenScripted((socket, requests) => {
--- a/src/edge/peer_forwarder.ts
+++ b/src/edge/peer_forwarder.ts
@@ -98,7 +98,10 @@
       switch (result.kind) {
         case "answer": {
           const { declined } = readHopResponse(result.headers);
-          if (declined) break;
+          if (declined) {
+            result.body.remainder?.cancel();
+            break;
+          }
           return { kind: "answer", peer: peer.id, answer: result };
         }
         case "unknown":
@@ -134,6 +137,7 @@
       requestId: req.fields.requestId,
       maySend: () => true,
       mayConnect: () => true,
+      mayBuffer: req.mayBuffer,
       onHead: () => {},
     });
   }
--- a/src/edge/remainder_deadline_test.ts
+++ b/src/edge/remainder_deadline_test.ts
@@ -133,6 +133,7 @@
       requestId: "q1",
       maySend: () => true,
       mayConnect: () => true,
+      mayBuffer: () => true,
       onHead: () => {},
     },
   ).result;
--- a/src/edge/request_context.ts
+++ b/src/edge/request_context.ts
@@ -20,6 +20,8 @@
   readonly headers: RawHeaders;
   readonly fields: RequestFields;
   readonly body: HeldBody | undefined;
+  /** Takes memory for bytes of the response; false if it is to be streamed. */
+  readonly mayBuffer: (bytes: number) => boolean;
   /** When its header arrived, on the instance's clock. */
   readonly arrivedAt: number;
   /** Aborted when the caller disconnects. */
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -239,6 +239,7 @@
       requestId: req.fields.requestId,
       maySend: () => signals.accepts(endpoint, clock.now()),
       mayConnect: () => this.#mayConnect(ctx),
+      mayBuffer: req.mayBuffer,
       onHead: (fields) => signals.received(endpoint, fields),
     });
     let isLinkLost = false;
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -8,10 +8,11 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock, Failure, Log, Metrics } from "../core/mod.ts";
 import { failure } from "../core/mod.ts";
-import type {
-  ByteBudget,
-  Reservation,
-  ResponseSizes,
+import {
+  type ByteBudget,
+  type Reservation,
+  ResponseMemory,
+  type ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import type { PipelinedRequest } from "./caller_connection.ts";
 import type { FlowResult } from "./flow_result.ts";
@@ -182,11 +183,18 @@
       const result = await this.#forward(request, {
         fields,
         body,
+        memory: new ResponseMemory(forResponse, rank),
         hop,
         arrivedAt,
       });
       if (result.kind === "answer") {
-        responseSizes.record(route, result.body.bytes.length);
+        responseSizes.record(
+          route,
+          Math.max(
+            result.body.bytes.length,
+            result.body.remainder === undefined ? 0 : responseBytes,
+          ),
+        );
       }
       this.#respond(request, result, fields);
     } finally {
@@ -247,9 +255,10 @@
 
   #forward(
     { req, signal }: PipelinedRequest,
-    { fields, body, hop, arrivedAt }: {
+    { fields, body, memory, hop, arrivedAt }: {
       readonly fields: RequestFields;
       readonly body: HeldBody | undefined;
+      readonly memory: ResponseMemory;
       readonly hop: Hop | undefined;
       readonly arrivedAt: number;
     },
@@ -261,6 +270,7 @@
       hop,
       fields,
       body,
+      mayBuffer: (bytes) => memory.tryTake(bytes),
       arrivedAt,
       signal,
     });
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -244,6 +244,7 @@
         ...fields,
       },
       body: undefined,
+      mayBuffer: () => true,
       arrivedAt: this.clock.now(),
       signal: this.gone.signal,
     });
