Refuse a header far beyond the plan's limit before its end

The plan allows 16 KiB.

Cause: the plan's limit was checked once a header was complete. Until then only the server's own limit of 64 KiB applied, to each connection.

Change: connections are opened with twice the plan's limit. The factor leaves room for a plan that raises the limit, as a connection keeps the bound under which it was opened; the limit itself is still checked for each request.

The test fails without the change.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -35,11 +35,16 @@
 }
 
 /**
- * Largest header that is read, in bytes. Node.js takes this limit only when a
- * server is created; a lower one of the plan is checked for each request, and a
- * higher one has no effect.
+ * Largest header that is read, in bytes. A lower limit of the plan is checked for
+ * each request, and a higher one has no effect.
  */
 const MAX_HEADER_BYTES = 65_536;
+/**
+ * How much of a header is read, as a multiple of the plan's limit. A connection
+ * keeps the bound under which it was opened, so that there has to be room for a
+ * plan with a higher limit.
+ */
+const HEADER_READ_FACTOR = 2;
 /** Header timeout until a plan sets one, in milliseconds. */
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
 /** Interval in which header timeouts are checked, in milliseconds. */
@@ -54,7 +59,8 @@
 /** Accepts callers' connections and serves their requests. */
 export class CallerServer {
   readonly #opts: CallerServerOptions;
-  readonly #server: Server;
+  /** `maxHeaderSize` applies to the connections that are opened from then on. */
+  readonly #server: Server & { maxHeaderSize?: number };
   readonly #intake: RequestIntake;
   readonly #connections = new Map<Socket, CallerConnection>();
   #limits: RequestLimits = {
@@ -108,6 +114,10 @@
   applyLimits(limits: CallerLimits): void {
     this.#server.keepAliveTimeout = limits.idleMs;
     this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.maxHeaderSize = Math.min(
+      MAX_HEADER_BYTES,
+      HEADER_READ_FACTOR * limits.headerBytes,
+    );
     this.#limits = limits;
   }
 
--- a/src/edge/request_intake_test.ts
+++ b/src/edge/request_intake_test.ts
@@ -232,6 +232,19 @@
   await server.close();
 });
 
+// Guards against headers that never end: 3,500 of 60 kB ended a process of 250 MB
+// although the plan allows 16 KiB.
+test("a header far beyond the plan's limit is refused before its end", async (t) => {
+  const { held, server } = await limited();
+  const caller = await RawCaller.open(server.port);
+  const begun = "GET /1 HTTP/1.1\r\nHost: h\r\nF: ";
+  caller.send(`${begun}${"x".repeat(2 * LIMITS.headerBytes)}`);
+  await caller.closed;
+  t.deepEqual(caller.statuses, [431]);
+  t.deepEqual(held.forwarded, []);
+  await server.close();
+});
+
 // Guards against connections that a caller opens and leaves unused, and against
 // a timeout that cuts off requests in progress: Node.js checks only every 30 s.
 test("a header must arrive within the plan's timeout", async (t) => {
