--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -10,6 +10,7 @@
 import { benchFleet } from "./fleet.ts";
 import { benchRequest, benchStart } from "./instance_cost.ts";
 import { benchLookup } from "./lookup.ts";
+import { benchMemory } from "./memory.ts";
 import { benchPath } from "./path.ts";
 
 /** Benchmarks by command-line name. */
@@ -18,6 +19,7 @@
   decisions: benchDecisions,
   fleet: benchFleet,
   lookup: benchLookup,
+  memory: benchMemory,
   path: benchPath,
   request: benchRequest,
   start: benchStart,
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -21,6 +21,8 @@
   readonly program: string;
   readonly dir: string;
   readonly graceS: number;
+  /** Memory limit of its settings, in MB; none if undefined. */
+  readonly memoryMb?: number | undefined;
   /** Node.js flags, placed before the program. */
   readonly nodeFlags?: readonly string[];
 }
@@ -203,6 +205,8 @@
 
 function buildSettings(opts: InstanceProcessOptions): string {
   const { id, zone, region, zones, host, storePort, graceS } = opts;
+  const { memoryMb } = opts;
+  const memory = memoryMb === undefined ? "" : `memory_mb = ${memoryMb}\n`;
   const lines = Object.entries(zones).map(([z, r]) => `"${z}" = "${r}"`);
   return `
 [instance]
@@ -216,7 +220,7 @@
 [machine]
 cpu_share = 1
 cores = 1
-
+${memory}
 [listen]
 caller = "${host}:${CALLER_PORT}"
 ready = "${host}:${READY_PORT}"
--- a/tools/standins/instance_test_bed.ts
+++ b/tools/standins/instance_test_bed.ts
@@ -13,6 +13,7 @@
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import {
   endpointEntry,
+  type PlanLimits,
   planSpec,
 } from "../../platform/testing/plan_objects.ts";
 import { FakeCaller } from "../../platform/testing/fake_caller.ts";
@@ -29,6 +30,12 @@
 /** Objects per page of the store's list responses. */
 const LIST_PAGE = 50;
 const MS_PER_S = 1_000;
+const LIMITS: PlanLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 67_108_864,
+  headerTimeoutS: 3,
+  idleTimeoutS: 15,
+};
 
 /** The program that an instance process runs. */
 export interface InstanceProgram {
@@ -37,24 +44,33 @@
   readonly nodeFlags: readonly string[];
 }
 
+/** Options of a test bed. */
+export interface TestBedOptions {
+  /** Memory limit in the settings of its instances, in MB. */
+  readonly memoryMb?: number;
+}
+
 /** Store, endpoints and callers in this process; instances are children. */
 export class InstanceTestBed {
   readonly #store: ObjectStoreServer;
   readonly #endpoints: readonly FakeEndpoint[];
   readonly #dir: string;
+  readonly #opts: TestBedOptions;
   #sent = 0;
 
   private constructor(
     store: ObjectStoreServer,
     endpoints: readonly FakeEndpoint[],
     dir: string,
+    opts: TestBedOptions,
   ) {
     this.#store = store;
     this.#endpoints = endpoints;
     this.#dir = dir;
+    this.#opts = opts;
   }
 
-  static async open(): Promise<InstanceTestBed> {
+  static async open(opts: TestBedOptions = {}): Promise<InstanceTestBed> {
     const store = await ObjectStoreServer.listen(LIST_PAGE);
     const endpoints: FakeEndpoint[] = [];
     for (let i = 0; i < ENDPOINTS; i++) {
@@ -84,6 +100,7 @@
       store,
       endpoints,
       await mkdtemp(join(tmpdir(), "bench-")),
+      opts,
     );
   }
 
@@ -99,6 +116,7 @@
       program,
       dir: this.#dir,
       graceS: 1,
+      memoryMb: this.#opts.memoryMb,
       nodeFlags,
     });
     instance.start();
@@ -162,6 +180,7 @@
       { prefix: "/writes/", service: "web", idempotent: false, timeoutS: 4 },
     ],
     services: ["web"],
+    limits: LIMITS,
     accounts: Array.from({ length: ACCOUNTS }, (_, i) => ({
       id: `account-${i}`,
       keys: [`key-${i}`],
