Log and count responses that are streamed for want of memory

Cause: the decision to pass a response on as it arrives left no trace, so that operators could not tell why a response that was cut off had not been retried.

Change: `response_streamed` with the bytes in use and the limit, and `buffers.streamed`. The size of a header moves to a file of its own, and a test fixture gets a plainer name; behaviour is the same.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -280,6 +280,12 @@
     fields: [...COMMON_REQUEST_FIELDS, "tookMs"],
     help: "The deadline passed while a response was streamed; it was cut off",
   },
+  response_streamed: {
+    namespace: "requests",
+    fields: ["request", "rank", "usedBytes", "limitBytes"],
+    help:
+      "The memory for buffers has no room for a response; it is passed on as it arrives, and cannot be retried if it is cut off",
+  },
   seat_taken_over: {
     namespace: "seats",
     fields: ["index"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -29,6 +29,13 @@
     help:
       "Requests that were refused since their bodies, or the responses buffered already, exceed the budget",
   },
+  "buffers.streamed": {
+    type: "count",
+    unit: "responses",
+    tags: [],
+    help:
+      "Responses that were passed on as they arrived, since the budget has no room to buffer them",
+  },
   "buffers.used": {
     type: "gauge",
     unit: "bytes",
--- a/src/edge/body_blocks.ts
+++ b/src/edge/body_blocks.ts
@@ -5,8 +5,9 @@
  */
 import { Buffer } from "node:buffer";
 
-/** Size of the blocks into which small chunks are copied, in bytes. */
+/** Size of the first block into which small chunks are copied, in bytes. */
 const MIN_BLOCK_BYTES = 4_096;
+/** Size of the largest block, in bytes. */
 export const MAX_BLOCK_BYTES = 65_536;
 /** Chunks from this size on are kept as they are, in bytes. */
 const MIN_KEPT_BYTES = 16_384;
--- a/src/edge/request_body_test.ts
+++ b/src/edge/request_body_test.ts
@@ -37,11 +37,11 @@
   return { req, clock, signal, memory, result, send };
 }
 
-type Body = ReturnType<typeof beginBody>;
+type StartedBody = ReturnType<typeof beginBody>;
 
 const FAILURES: readonly {
   readonly why: BodyFailure;
-  readonly fail: (body: Body) => void;
+  readonly fail: (body: StartedBody) => void;
 }[] = [
   {
     why: "no_memory",
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -17,6 +17,7 @@
 import type { PipelinedRequest } from "./caller_connection.ts";
 import type { FlowResult } from "./flow_result.ts";
 import { headerOf } from "./header_fields.ts";
+import { headerBytesOf } from "./header_size.ts";
 import { HeldBody } from "./held_body.ts";
 import { type Hop, readHop, withoutHopFields } from "./hop_headers.ts";
 import {
@@ -180,21 +181,24 @@
       if (blocks !== undefined) {
         body = new HeldBody(blocks, () => forBody.release(clock.now()));
       }
+      const forBuffer = new ResponseMemory(forResponse, rank);
+      const mayBuffer = (bytes: number) => {
+        const isHeld = forBuffer.tryTake(bytes);
+        if (!isHeld) this.#recordStreaming(fields, rank);
+        return isHeld;
+      };
       const result = await this.#forward(request, {
         fields,
         body,
-        memory: new ResponseMemory(forResponse, rank),
+        mayBuffer,
         hop,
         arrivedAt,
       });
       if (result.kind === "answer") {
-        responseSizes.record(
-          route,
-          Math.max(
-            result.body.bytes.length,
-            result.body.remainder === undefined ? 0 : responseBytes,
-          ),
-        );
+        const { bytes, remainder } = result.body;
+        // Of a streamed response only the beginning is known.
+        const least = remainder === undefined ? 0 : responseBytes;
+        responseSizes.record(route, Math.max(least, bytes.length));
       }
       this.#respond(request, result, fields);
     } finally {
@@ -255,10 +259,10 @@
 
   #forward(
     { req, signal }: PipelinedRequest,
-    { fields, body, memory, hop, arrivedAt }: {
+    { fields, body, mayBuffer, hop, arrivedAt }: {
       readonly fields: RequestFields;
       readonly body: HeldBody | undefined;
-      readonly memory: ResponseMemory;
+      readonly mayBuffer: (bytes: number) => boolean;
       readonly hop: Hop | undefined;
       readonly arrivedAt: number;
     },
@@ -270,7 +274,7 @@
       hop,
       fields,
       body,
-      mayBuffer: (bytes) => memory.tryTake(bytes),
+      mayBuffer,
       arrivedAt,
       signal,
     });
@@ -304,6 +308,18 @@
     discardBody(req, this.#opts.clock);
   }
 
+  #recordStreaming({ requestId }: RequestFields, rank: number): void {
+    const { log, metrics, memory } = this.#opts;
+    const { usedBytes, limitBytes } = memory;
+    metrics.count("buffers.streamed");
+    log.event("response_streamed", {
+      request: requestId,
+      rank,
+      usedBytes,
+      limitBytes,
+    });
+  }
+
   #recordRefusal(
     why: Failure,
     fields: RequestFields,
@@ -322,22 +338,6 @@
   }
 }
 
-/** Bytes of ": " and the line's end in each field of a header. */
-const FIELD_EXTRA_BYTES = 4;
-/** Bytes of a header besides method, path and fields. */
-const HEADER_EXTRA_BYTES = "  HTTP/1.1\r\n\r\n".length;
-
-/**
- * Size of a request's header, without optional spaces. Node.js decodes it with
- * one character for each byte.
- */
-function headerBytesOf({ method = "", url = "", rawHeaders }: IncomingMessage) {
-  let bytes = method.length + url.length + HEADER_EXTRA_BYTES +
-    FIELD_EXTRA_BYTES * rawHeaders.length / 2;
-  for (const part of rawHeaders) bytes += part.length;
-  return bytes;
-}
-
 /** HTTP/1.1 requires the field. */
 function isHostMissing(req: IncomingMessage): boolean {
   return req.httpVersion === "1.1" &&
--- a/src/edge/response_memory_test.ts
+++ b/src/edge/response_memory_test.ts
@@ -7,6 +7,7 @@
 import { HeldRequests, listenHolding, until } from "./testing/held_requests.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { RawCaller } from "./testing/raw_caller.ts";
+import { RecordedLog } from "./testing/recorded_log.ts";
 import { listenScripted, type Script } from "./testing/scripted_endpoint.ts";
 import { endpointRow } from "./testing/traffic_fixtures.ts";
 
@@ -43,19 +44,26 @@
       mayBuffer,
       onHead: () => {},
     }).result as Promise<EndpointResponse>;
-  const server = await listenHolding(new HeldRequests(), { memory, handle });
+  const log = new RecordedLog();
+  const server = await listenHolding(new HeldRequests(), {
+    memory,
+    handle,
+    log,
+  });
   const close = async () => {
     await server.close();
     sender.close();
     endpoint.close();
   };
-  return { endpoint, memory, server, close };
+  return { endpoint, memory, log, server, close };
 }
 
 // Guards against responses that arrive slowly and together exceed the memory:
 // 800 of 250 kB that lacked their last bytes ended a process of 250 MB.
 test("responses are streamed once the budget has no room for them", async (t) => {
-  const { endpoint, memory, server, close } = await listenBefore(beginResponse);
+  const { endpoint, memory, log, server, close } = await listenBefore(
+    beginResponse,
+  );
   const callers: RawCaller[] = [];
   for (let i = 0; i < 5; i++) {
     const caller = await RawCaller.open(server.port);
@@ -67,6 +75,7 @@
   t.true(memory.usedBytes >= RESPONSE_BYTES);
   // Those that are buffered can still be retried.
   t.true(callers.some(({ text }) => text === ""));
+  t.true(log.of("response_streamed").length > 0);
   for (const socket of endpoint.sockets) socket.write(REST);
   const isDone = ({ text }: RawCaller) => text.includes(REST);
   await until(() => callers.every(isDone));
