Plant the defect of lost upload bytes where bodies are now collected

Cause: the soak's check that a lost part of an upload is found replaces a text of `request_body.ts`, which went with the joining of chunks.

Change: the defect drops the last block in `body_blocks.ts`. It is as strict: the same load, schedule and property; it now concerns bodies with a length as well.

--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -167,11 +167,11 @@
   readonly property: string;
 }[] = [
   {
-    name: "an upload in chunks loses the last one",
+    name: "an upload loses its last block",
     fault: {
-      file: "request_body.ts",
-      text: "Buffer.concat(this.#chunks)",
-      replacement: "Buffer.concat(this.#chunks.slice(0, -1))",
+      file: "body_blocks.ts",
+      text: "return this.#blocks;",
+      replacement: "return this.#blocks.slice(0, -1);",
     },
     schedule: [],
     property: "a caller gets its own whole answer",
