Share the forwarding fixture of two tests, and the reader of resident memory

Cause: `held_body_test` and `response_memory_test` each built the same listener before an endpoint, and two benchmarks parsed VmRSS by the same lines.

Change: `forwardTo` and `residentBytes` serve both. The tests keep their assertions.

--- a/src/edge/held_body_test.ts
+++ b/src/edge/held_body_test.ts
@@ -1,26 +1,23 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
-import { SystemClock } from "../core/mod.ts";
 import { ByteBudget } from "../decisions/memory/mod.ts";
-import type { EndpointResponse, FlowResult } from "./flow_result.ts";
+import type { EndpointResponse } from "./flow_result.ts";
 import { HeldBody } from "./held_body.ts";
-import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import type { CallerRequest } from "./request_context.ts";
+import { FORWARDED_ID, forwardTo } from "./testing/forward_to.ts";
 import {
   HeldRequests,
   listenHolding,
   responseOf,
   until,
 } from "./testing/held_requests.ts";
-import { PlainCodec } from "./testing/plain_codec.ts";
 import { postRequest, RawCaller } from "./testing/raw_caller.ts";
 import { listenScripted } from "./testing/scripted_endpoint.ts";
-import { endpointRow } from "./testing/traffic_fixtures.ts";
 
 /** More than the system buffers for a connection. */
 const BODY_BYTES = 32_000_000;
-const REQUEST_ID = "q1";
-const EARLY_RESPONSE = "HTTP/1.1 200 OK\r\nid: q1\r\nsigned: yes\r\n" +
+const EARLY_RESPONSE =
+  `HTTP/1.1 200 OK\r\nid: ${FORWARDED_ID}\r\nsigned: yes\r\n` +
   "Content-Length: 2\r\n\r\nok";
 
 test("a body is free once nobody holds it, and then refers to no bytes", (t) => {
@@ -49,26 +46,11 @@
     socket.pause();
     socket.write(EARLY_RESPONSE);
   });
-  const row = endpointRow({ address: endpoint.address });
-  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const forwarder = forwardTo(endpoint.address);
   const memory = new ByteBudget(2 * BODY_BYTES);
-  const send = ({ body }: CallerRequest): Promise<FlowResult> => {
-    const sending = sender.send(row, {
-      method: "POST",
-      path: "/1",
-      headers: ["id", REQUEST_ID],
-      body,
-      requestId: REQUEST_ID,
-      maySend: () => true,
-      mayConnect: () => true,
-      mayBuffer: () => true,
-      onHead: () => {},
-    });
-    return sending.result as Promise<EndpointResponse>;
-  };
   const server = await listenHolding(new HeldRequests(), {
     memory,
-    handle: send,
+    handle: forwarder.handle,
   });
   server.applyLimits({
     headerBytes: 1_000,
@@ -86,7 +68,7 @@
   t.is(memory.usedBytes, 0);
   caller.close();
   await server.close();
-  sender.close();
+  forwarder.close();
   endpoint.close();
 });
 
--- a/src/edge/response_memory_test.ts
+++ b/src/edge/response_memory_test.ts
@@ -1,17 +1,11 @@
 import test from "ava";
-import { SystemClock } from "../core/mod.ts";
 import { ByteBudget } from "../decisions/memory/mod.ts";
-import type { EndpointResponse } from "./flow_result.ts";
-import { HttpEndpointSender } from "./http_endpoint_sender.ts";
-import type { CallerRequest } from "./request_context.ts";
+import { FORWARDED_ID, forwardTo } from "./testing/forward_to.ts";
 import { HeldRequests, listenHolding, until } from "./testing/held_requests.ts";
-import { PlainCodec } from "./testing/plain_codec.ts";
 import { RawCaller } from "./testing/raw_caller.ts";
 import { RecordedLog } from "./testing/recorded_log.ts";
 import { listenScripted, type Script } from "./testing/scripted_endpoint.ts";
-import { endpointRow } from "./testing/traffic_fixtures.ts";
 
-const REQUEST_ID = "q1";
 const RESPONSE_BYTES = 200_000;
 const BUDGET_BYTES = 500_000;
 /** What an endpoint keeps back until a test has it sent. */
@@ -21,7 +15,7 @@
 const beginResponse: Script = (socket) => {
   const begun = "x".repeat(RESPONSE_BYTES - REST.length);
   socket.write(
-    `HTTP/1.1 200 OK\r\nid: ${REQUEST_ID}\r\nsigned: yes\r\n` +
+    `HTTP/1.1 200 OK\r\nid: ${FORWARDED_ID}\r\nsigned: yes\r\n` +
       `Content-Length: ${RESPONSE_BYTES}\r\n\r\n${begun}`,
   );
 };
@@ -29,30 +23,17 @@
 /** An instance's listener before an endpoint, with a small budget. */
 async function listenBefore(script: Script) {
   const endpoint = await listenScripted(script);
-  const row = endpointRow({ address: endpoint.address });
-  const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
+  const forwarder = forwardTo(endpoint.address);
   const memory = new ByteBudget(BUDGET_BYTES);
-  const handle = ({ body, mayBuffer }: CallerRequest) =>
-    sender.send(row, {
-      method: "GET",
-      path: "/1",
-      headers: ["id", REQUEST_ID],
-      body,
-      requestId: REQUEST_ID,
-      maySend: () => true,
-      mayConnect: () => true,
-      mayBuffer,
-      onHead: () => {},
-    }).result as Promise<EndpointResponse>;
   const log = new RecordedLog();
   const server = await listenHolding(new HeldRequests(), {
     memory,
-    handle,
+    handle: forwarder.handle,
     log,
   });
   const close = async () => {
     await server.close();
-    sender.close();
+    forwarder.close();
     endpoint.close();
   };
   return { endpoint, memory, log, server, close };
--- a/tools/bench/control.ts
+++ b/tools/bench/control.ts
@@ -4,11 +4,10 @@
  *
  * @module
  */
-import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Deployment, OPERATOR_TOKEN } from "../demo/deployments.ts";
 import { Fleet, type FleetInstance } from "../demo/fleet.ts";
-import { statMs } from "./proc_stat.ts";
+import { residentBytes, statMs } from "./proc_stat.ts";
 
 const SETTLE_MS = 4_000;
 const SAMPLE_MS = 6_000;
@@ -133,8 +132,7 @@
 }
 
 function rssBytesOf({ child }: FleetInstance): number {
-  const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) * KB;
+  return residentBytes(child.pid);
 }
 
 /** Least-squares slope of each figure per unit of the growing dimension. */
--- a/tools/bench/memory.ts
+++ b/tools/bench/memory.ts
@@ -5,19 +5,19 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { readFileSync } from "node:fs";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { PROGRAM } from "../bundle/program.ts";
 import { RUNTIME_FLAGS } from "../bundle/runtime_flags.ts";
 import type { InstanceProcess } from "../process_soak/instance_process.ts";
+import { residentBytes } from "./proc_stat.ts";
 import { InstanceTestBed } from "../standins/instance_test_bed.ts";
 
 const MEMORY_MB = 250;
 const SMALL_PER_S = 80;
 const LOAD_MS = 8_000;
 const SAMPLE_MS = 10;
-const KB_PER_MB = 1_024;
+const BYTES_PER_MB = 1_048_576;
 const BODY_HEAD = "POST /writes/1 HTTP/1.1\r\nHost: shop.example\r\n" +
   "X-Request-Id: bulk\r\nAuthorization: Token key-1\r\n" +
   "Transfer-Encoding: chunked\r\n\r\n";
@@ -134,6 +134,5 @@
 
 function residentMb({ pid }: InstanceProcess): number {
   if (pid === undefined) return 0;
-  const status = readFileSync(`/proc/${pid}/status`, "utf8");
-  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
+  return residentBytes(pid) / BYTES_PER_MB;
 }
