Measure what callers get from an instance that is overloaded or frozen

The users saw requests of callers that had left reach endpoints (GONE), and nothing here measured it: no benchmark plays more than an instance can serve, and no caller of the tools leaves early.

npm run bench -- overload plays five rates of new connections and three kinds of callers on a frozen instance, and counts what reaches endpoints over 0.5 s after its caller left.

No logic is changed.

--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -11,6 +11,7 @@
 import { benchRequest, benchStart } from "./instance_cost.ts";
 import { benchLookup } from "./lookup.ts";
 import { benchMemory } from "./memory.ts";
+import { benchOverload } from "./overload.ts";
 import { benchPath } from "./path.ts";
 
 /** Benchmarks by command-line name. */
@@ -20,6 +21,7 @@
   fleet: benchFleet,
   lookup: benchLookup,
   memory: benchMemory,
+  overload: benchOverload,
   path: benchPath,
   request: benchRequest,
   start: benchStart,
--- a/tools/standins/instance_test_bed.ts
+++ b/tools/standins/instance_test_bed.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import process from "node:process";
+import { HEADERS } from "../../platform/names.ts";
 import { FakeEndpoint } from "../../platform/testing/fake_endpoint.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import {
@@ -27,6 +28,8 @@
 const ACCOUNTS = 80;
 const OBJECTS = 200;
 const CALLERS = 64;
+const WORK_MS = 20;
+const CLIENT_TIMEOUT_MS = 4_000;
 /** Objects per page of the store's list responses. */
 const LIST_PAGE = 50;
 const MS_PER_S = 1_000;
@@ -48,6 +51,10 @@
 export interface TestBedOptions {
   /** Memory limit in the settings of its instances, in MB. */
   readonly memoryMb?: number;
+  /** How long an endpoint takes for a request, in milliseconds. */
+  readonly workMs?: number;
+  /** Called with the id of each request that reaches an endpoint. */
+  readonly onArrival?: (request: string) => void;
 }
 
 /** Store, endpoints and callers in this process; instances are children. */
@@ -80,9 +87,10 @@
         service: "web",
         zone: ZONE,
         slots: 9,
-        workMs: 20,
+        workMs: opts.workMs ?? WORK_MS,
         random: () => 0.5,
         onRun: () => {},
+        onArrival: ({ request }) => opts.onArrival?.(request),
       });
       endpoints.push(endpoint);
       const { spec, status } = endpointEntry({
@@ -149,6 +157,19 @@
     return results.filter((answered) => answered).length;
   }
 
+  /** The head of a request, without its id and the empty line. */
+  requestHead(n: number, isUpload: boolean): string {
+    const [method, prefix] = isUpload ? ["POST", "writes"] : ["GET", "reads"];
+    return [
+      `${method} /${prefix}/${n} HTTP/1.1`,
+      `Host: ${CALLER_HOST}`,
+      `${HEADERS.affinityKey}: o${n % OBJECTS}`,
+      `${HEADERS.clientTimeout}: ${CLIENT_TIMEOUT_MS}`,
+      `${HEADERS.key}: Token key-${n % ACCOUNTS}`,
+      "",
+    ].join("\r\n");
+  }
+
   async #send(callers: readonly FakeCaller[]): Promise<boolean> {
     const n = this.#sent++;
     const caller = callers[n % callers.length] as FakeCaller;
@@ -159,7 +180,7 @@
       key: `key-${n % ACCOUNTS}`,
       object: `o${n % OBJECTS}`,
       idempotent: n % 3 === 0,
-      clientTimeoutMs: 4_000,
+      clientTimeoutMs: CLIENT_TIMEOUT_MS,
     });
     return result.kind === "answer" && result.faithful;
   }
