Measure how late the event loop reads, and how long requests lay unread

EventLoopLag bounds how long bytes may have lain unread (loop_late, loop.lag), AcceptLag how long connections of a listener waited, and each request carries the bound (request.unread). caller.left counts requests whose callers left, by how far they were and whether they were read late: forwarded and late are those that may have been passed on after their callers left. No decision is changed.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -202,6 +202,12 @@
     fields: ["lines"],
     help: "Number of log lines dropped in the last second to limit the volume",
   },
+  loop_late: {
+    namespace: "requests",
+    fields: ["lagMs"],
+    help:
+      "The event loop was held up by a stop, a suspension or load: requests may have lain unread for this long; at most once a second",
+  },
   operations_handed_over: {
     namespace: "operations",
     fields: ["heir"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -49,6 +49,13 @@
     tags: ["result"],
     help: "Summaries of burn counts written to the store",
   },
+  "caller.left": {
+    type: "count",
+    unit: "requests",
+    tags: ["progress", "read"],
+    help:
+      "Requests whose callers left before the response was sent, by progress (held, reading, forwarded) and by whether the request was read late; those that are forwarded and late may have been passed on after their callers left",
+  },
   "drain.duration": {
     type: "timing",
     unit: "ms",
@@ -158,6 +165,13 @@
     tags: ["result"],
     help: "Requests forwarded by another instance to an endpoint of this zone",
   },
+  "loop.lag": {
+    type: "timing",
+    unit: "ms",
+    tags: [],
+    help:
+      "Time by which the event loop was held up, beyond 100 ms; for as long what sockets received was not read",
+  },
   "memory.buffers": {
     type: "gauge",
     unit: "bytes",
@@ -264,6 +278,13 @@
     tags: ["service"],
     help: "Time from a request's arrival to the end of its response",
   },
+  "request.unread": {
+    type: "timing",
+    unit: "ms",
+    tags: [],
+    help:
+      "Upper bound of the time for which a request lay unread, beyond 100 ms; includes the wait of a new connection to be accepted",
+  },
   "requests": {
     type: "count",
     unit: "requests",
--- a/src/edge/caller_connection.ts
+++ b/src/edge/caller_connection.ts
@@ -47,6 +47,8 @@
   run(request: PipelinedRequest): void;
   /** Refuses a request that was read too late to be forwarded. */
   refuseLate(request: PipelinedRequest): void;
+  /** The caller left before the response to a request was sent. */
+  callerLeft(request: PipelinedRequest): void;
 }
 
 /** A request as Node.js hands it over. */
@@ -55,6 +57,8 @@
   readonly res: ServerResponse;
   /** Whether the caller waits for a sign before it sends the body. */
   readonly expectsContinue: boolean;
+  /** How long it may have lain unread at most, in milliseconds. */
+  readonly unreadMs: number;
 }
 
 /** One request of a connection, and the response to it. */
@@ -62,6 +66,7 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly expectsContinue: boolean;
+  readonly unreadMs: number;
   /** Aborted when the caller leaves, or when the request is dropped. */
   readonly signal: CancelSource = new CancelSource();
   readonly #connection: CallerConnection;
@@ -73,6 +78,7 @@
     this.req = incoming.req;
     this.res = incoming.res;
     this.expectsContinue = incoming.expectsContinue;
+    this.unreadMs = incoming.unreadMs;
   }
 
   get progress(): Progress {
@@ -141,7 +147,10 @@
     // Node.js reports the loss of a connection only to the first response.
     socket.once("close", () => {
       this.#isEnding = true;
-      for (const request of this.#requests.splice(0)) request.signal.abort();
+      for (const request of this.#requests.splice(0)) {
+        this.#handler.callerLeft(request);
+        request.signal.abort();
+      }
     });
   }
 
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -14,11 +14,8 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../traffic/mod.ts";
-import {
-  CallerConnection,
-  type IncomingRequest,
-  type ServerStage,
-} from "./caller_connection.ts";
+import { AcceptLag } from "./accept_lag.ts";
+import { CallerConnection, type ServerStage } from "./caller_connection.ts";
 import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
@@ -56,13 +53,21 @@
 /** Connections that may wait to be accepted in a burst of new callers. */
 const BACKLOG = 1_024;
 
+/** A connection, and how long it waited until it was accepted. */
+interface Accepted {
+  readonly connection: CallerConnection;
+  readonly at: number;
+  readonly waitedMs: number;
+}
+
 /** Accepts callers' connections and serves their requests. */
 export class CallerServer {
   readonly #opts: CallerServerOptions;
   /** `maxHeaderSize` applies to the connections that are opened from then on. */
   readonly #server: Server & { maxHeaderSize?: number };
   readonly #intake: RequestIntake;
-  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #acceptLag: AcceptLag;
+  readonly #connections = new Map<Socket, Accepted>();
   #limits: RequestLimits = {
     headerBytes: MAX_HEADER_BYTES,
     bodyBytes: DEFAULT_MAX_BODY_BYTES,
@@ -73,6 +78,7 @@
   private constructor(opts: CallerServerOptions) {
     this.#opts = opts;
     this.#intake = new RequestIntake(opts);
+    this.#acceptLag = new AcceptLag(opts.clock, opts.loopLag);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -88,7 +94,7 @@
     const on =
       (expectsContinue: boolean) =>
       (req: IncomingMessage, res: ServerResponse) =>
-        this.#onRequest({ req, res, expectsContinue });
+        this.#onRequest(req, res, expectsContinue);
     this.#server.on("request", on(false));
     // Otherwise Node.js asks for the body before it is admitted.
     this.#server.on("checkContinue", on(true));
@@ -136,7 +142,7 @@
   stopListening(): void {
     this.#stage = "stopped";
     this.#server.close();
-    for (const connection of [...this.#connections.values()]) {
+    for (const { connection } of [...this.#connections.values()]) {
       connection.stop();
     }
   }
@@ -157,12 +163,15 @@
   }
 
   #connected(socket: Socket): void {
-    lingerOnClose(socket, this.#opts.clock);
+    const { clock } = this.#opts;
+    const waitedMs = this.#acceptLag.accepted();
+    lingerOnClose(socket, clock);
     const connection = new CallerConnection(socket, {
       run: (request) => void this.#intake.serve(request, this.#limits),
       refuseLate: (request) => this.#intake.refuseLate(request),
+      callerLeft: (request) => this.#intake.callerLeft(request),
     }, () => this.#stage);
-    this.#connections.set(socket, connection);
+    this.#connections.set(socket, { connection, at: clock.now(), waitedMs });
     socket.once("close", () => {
       this.#connections.delete(socket);
       if (this.#connections.size === 0) this.#onIdle?.();
@@ -171,22 +180,36 @@
     if (this.#stage === "stopped") connection.stop();
   }
 
-  #onRequest(incoming: IncomingRequest): void {
-    const { req, res } = incoming;
-    const connection = this.#connections.get(req.socket);
-    const request = connection?.add(incoming);
-    if (connection === undefined || request === undefined) return;
+  #onRequest(
+    req: IncomingMessage,
+    res: ServerResponse,
+    expectsContinue: boolean,
+  ): void {
+    const accepted = this.#connections.get(req.socket);
+    if (accepted === undefined) return;
+    const { connection } = accepted;
+    const unreadMs = this.#unreadMs(accepted);
+    const request = connection.add({ req, res, expectsContinue, unreadMs });
+    if (request === undefined) return;
     res.sendDate = false;
     res.once("finish", () => request.finish());
     connection.startNext();
   }
 
+  /** How long a request that is read now may have lain unread, in milliseconds. */
+  #unreadMs({ at, waitedMs }: Accepted): number {
+    const loopMs = this.#opts.loopLag.ms;
+    const sinceAccepted = this.#opts.clock.now() - at;
+    // It may have been sent before the connection was accepted.
+    return sinceAccepted > loopMs ? loopMs : waitedMs + sinceAccepted;
+  }
+
   /**
    * Answers what is no request. Requests before it that were forwarded get their
    * responses, of which the last closes the connection.
    */
   #onParserError(error: Error & { code?: string }, socket: Socket): void {
-    const connection = this.#connections.get(socket);
+    const connection = this.#connections.get(socket)?.connection;
     if (connection === undefined || error.code === "ECONNRESET") {
       socket.destroy();
       return;
--- a/src/edge/caller_server_test.ts
+++ b/src/edge/caller_server_test.ts
@@ -1,10 +1,8 @@
 import test from "ava";
 import { request } from "undici";
 import type { EndpointId } from "../core/mod.ts";
-import { MemoryMetrics, SilentLog, SystemClock } from "../core/mod.ts";
-import { ByteBudget, ResponseSizes } from "../decisions/memory/mod.ts";
-import { CallerServer } from "./caller_server.ts";
 import { hopFields } from "./hop_headers.ts";
+import { HeldRequests, listenHolding } from "./testing/held_requests.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { responded } from "./testing/scripted_sender.ts";
 
@@ -24,15 +22,8 @@
   const result = responded();
   if (result.kind !== "answer") throw new Error("not an answer");
   const endpoint = "e1" as EndpointId;
-  const server = await CallerServer.listen({
-    address: "127.0.0.1:0",
+  const server = await listenHolding(new HeldRequests(), {
     codec: new TransparentCodec(),
-    clock: new SystemClock(),
-    log: new SilentLog(),
-    metrics: new MemoryMetrics(),
-    memory: new ByteBudget(1_000_000),
-    responseSizes: new ResponseSizes(),
-    classOf: () => ({ route: "r1", rank: 0 }),
     fromPeers: true,
     handle: () => Promise.resolve({ ...result, headers: sent, endpoint }),
   });
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -44,6 +44,7 @@
 import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
 import { EndpointSignals } from "./endpoint_signals.ts";
+import { EventLoopLag } from "./event_loop_lag.ts";
 import { GossipHandlers } from "./gossip_handlers.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { joinList } from "./instance_list.ts";
@@ -121,6 +122,7 @@
   /** Memory for what is buffered for callers and peers. */
   readonly #memory: ByteBudget;
   readonly #processor: Utilization;
+  readonly #loopLag: EventLoopLag;
   #graceMs: number;
   /** The listeners for callers and for requests that peers pass on. */
   #servers: readonly CallerServer[] = [];
@@ -138,6 +140,7 @@
     );
     opts.metrics.gauge("buffers.limit", this.#memory.limitBytes);
     this.#processor = new Utilization(cfg.capacity);
+    this.#loopLag = new EventLoopLag(opts);
     for (const kind of RESOURCE_KINDS) this.#dictionary.add(kind);
     this.#graceMs = cfg.graceMs;
     this.#profile = {
@@ -325,6 +328,7 @@
     await this.#snapshotServer?.close();
     this.#snapshots.close();
     this.#links.close();
+    this.#loopLag.close();
     await Promise.all(this.#servers.map((server) => server.close()));
     this.#sender.close();
     this.#peerSender.close();
@@ -345,6 +349,7 @@
       handle: (req: CallerRequest) => flow.handle(req),
       log,
       metrics: this.#opts.metrics,
+      loopLag: this.#loopLag,
       memory: this.#memory,
       responseSizes: new ResponseSizes(),
       classOf: (fields: RequestFields) =>
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -15,6 +15,7 @@
   type ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import type { PipelinedRequest } from "./caller_connection.ts";
+import { type EventLoopLag, isReadLate } from "./event_loop_lag.ts";
 import type { FlowResult } from "./flow_result.ts";
 import { headerOf } from "./header_fields.ts";
 import { headerBytesOf } from "./header_size.ts";
@@ -44,6 +45,7 @@
   readonly metrics: Metrics;
   /** Whether its callers are instances that pass requests on. */
   readonly fromPeers: boolean;
+  readonly loopLag: EventLoopLag;
   readonly memory: ByteBudget;
   readonly responseSizes: ResponseSizes;
   readonly classOf: (fields: RequestFields) => RequestClass;
@@ -121,6 +123,12 @@
     request.signal.abort();
   }
 
+  /** Counts a request whose caller left before the response was sent. */
+  callerLeft({ progress, unreadMs }: PipelinedRequest): void {
+    const read = isReadLate(unreadMs) ? "late" : "in_time";
+    this.#opts.metrics.count("caller.left", { progress, read });
+  }
+
   /** Refuses a request that its header makes invalid; returns whether it did. */
   #refuseInvalid(
     request: PipelinedRequest,
@@ -147,8 +155,10 @@
     request: PipelinedRequest,
     { fields, length, hop, limits }: RequestHead,
   ): Promise<void> {
-    const { clock, memory, responseSizes, classOf } = this.#opts;
+    const { clock, memory, metrics, responseSizes, classOf } = this.#opts;
     const arrivedAt = clock.now();
+    const { unreadMs } = request;
+    if (isReadLate(unreadMs)) metrics.timing("request.unread", unreadMs);
     const { route, rank } = classOf(fields);
     const bodyBytes = length.kind === "declared" ? length.bytes : 0;
     const responseBytes = responseSizes.expected(route);
--- a/src/edge/testing/held_requests.ts
+++ b/src/edge/testing/held_requests.ts
@@ -4,9 +4,15 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { MemoryMetrics, SilentLog, SystemClock } from "../../core/mod.ts";
+import {
+  ManualClock,
+  MemoryMetrics,
+  SilentLog,
+  SystemClock,
+} from "../../core/mod.ts";
 import { ByteBudget, ResponseSizes } from "../../decisions/memory/mod.ts";
 import { CallerServer, type CallerServerOptions } from "../caller_server.ts";
+import { EventLoopLag } from "../event_loop_lag.ts";
 import type { FlowResult } from "../flow_result.ts";
 import type { CallerRequest } from "../request_context.ts";
 import { PlainCodec } from "./plain_codec.ts";
@@ -60,12 +66,16 @@
   held: HeldRequests,
   opts: Partial<CallerServerOptions> = {},
 ): Promise<CallerServer> {
-  return CallerServer.listen({
-    address: "127.0.0.1:0",
-    codec: new PlainCodec(),
+  const common = {
     clock: new SystemClock(),
     log: new SilentLog(),
     metrics: new MemoryMetrics(),
+  };
+  return CallerServer.listen({
+    ...common,
+    address: "127.0.0.1:0",
+    codec: new PlainCodec(),
+    loopLag: new EventLoopLag({ ...common, clock: new ManualClock() }),
     fromPeers: false,
     memory: new ByteBudget(MEMORY_BYTES),
     responseSizes: new ResponseSizes(),
