Reproduce requests forwarded after their callers have left

An event loop that was held up reads a request in one turn and the end of its connection in the next; the request is forwarded in the turn that reads it. Where new connections wait to be accepted, one of which is accepted in a turn, the same happens while no turn takes long.

--- /dev/null
+++ b/src/edge/departed_callers_test.ts
@@ -0,0 +1,139 @@
+import test, { type ExecutionContext } from "ava";
+import { MemoryMetrics, SilentLog, SystemClock } from "../core/mod.ts";
+import type { CallerServer } from "./caller_server.ts";
+import { EventLoopLag } from "./event_loop_lag.ts";
+import { hopFields } from "./hop_headers.ts";
+import {
+  HeldRequests,
+  listenHolding,
+  settle,
+  until,
+} from "./testing/held_requests.ts";
+import {
+  block,
+  type Leave,
+  openAll,
+  slowTurns,
+  writeAndLeave,
+} from "./testing/late_reads.ts";
+import { getRequest, postRequest, RawCaller } from "./testing/raw_caller.ts";
+
+/** Longer than a request may reach an endpoint after its caller left, in ms. */
+const HELD_UP_MS = 600;
+const CALLERS = 12;
+const LEAVES: readonly Leave[] = ["destroy", "resetAndDestroy"];
+const HOP = { from: "i2", planVersion: 1, attempts: 0, counted: true };
+
+/** A server on an event loop whose lag is measured. */
+interface Late {
+  readonly held: HeldRequests;
+  readonly server: CallerServer;
+}
+
+async function listenLate(
+  t: ExecutionContext,
+  fromPeers = false,
+): Promise<Late> {
+  const held = new HeldRequests();
+  const common = {
+    clock: new SystemClock(),
+    log: new SilentLog(),
+    metrics: new MemoryMetrics(),
+  };
+  const loopLag = new EventLoopLag(common);
+  const server = await listenHolding(held, { ...common, loopLag, fromPeers });
+  t.teardown(async () => {
+    loopLag.close();
+    await server.close();
+  });
+  return { held, server };
+}
+
+const REQUESTS: readonly {
+  readonly name: string;
+  readonly fromPeers: boolean;
+  readonly bytes: (i: number) => string;
+}[] = [
+  {
+    name: "a request",
+    fromPeers: false,
+    bytes: (i) => getRequest(`/${i}`),
+  },
+  {
+    name: "an upload",
+    fromPeers: false,
+    bytes: (i) => postRequest(`/${i}`, { length: 3, body: "abc" }),
+  },
+  {
+    name: "a request of a peer",
+    fromPeers: true,
+    bytes: (i) => {
+      const fields = hopFields(HOP);
+      const lines = fields.flatMap((name, n) =>
+        n % 2 === 0 ? [`${name}: ${fields[n + 1]}\r\n`] : []
+      );
+      return `GET /${i} HTTP/1.1\r\nHost: h\r\n${lines.join("")}\r\n`;
+    },
+  },
+];
+
+for (const { name, fromPeers, bytes } of REQUESTS) {
+  for (const leave of LEAVES) {
+    // Guards against endpoints that work for callers which left while the
+    // process was held up: request and close are read in different turns.
+    test.serial(`${name} is not forwarded if its caller left while nothing was read (${leave})`, async (t) => {
+      const { held, server } = await listenLate(t, fromPeers);
+      const sockets = await openAll(server.port, CALLERS);
+      await settle();
+      const onClosed = () => block(HELD_UP_MS);
+      await writeAndLeave(sockets, { bytes, leave, onClosed });
+      await settle(200);
+      t.deepEqual(held.forwarded, []);
+    });
+  }
+}
+
+// Guards against the same on connections that the loop accepts late.
+test.serial("a request is not forwarded if its caller left before its connection was accepted", async (t) => {
+  const { held, server } = await listenLate(t);
+  const bytes = (i: number) => getRequest(`/${i}`);
+  const onClosed = () => block(HELD_UP_MS);
+  const sockets = await openAll(server.port, 40);
+  await writeAndLeave(sockets, { bytes, leave: "destroy", onClosed });
+  await settle(300);
+  t.true(held.forwarded.length < 4, `${held.forwarded.length} forwarded`);
+});
+
+// Guards against the same while no turn of the loop takes long: it accepts one
+// connection in a turn, so that the others wait unread.
+test.serial("a request is not forwarded if its caller left while connections waited", async (t) => {
+  const { held, server } = await listenLate(t);
+  const bytes = (i: number) => getRequest(`/${i}`);
+  const sockets = await openAll(server.port, 120);
+  const onClosed = () => {};
+  await writeAndLeave(sockets, { bytes, leave: "destroy", onClosed });
+  const before = held.forwarded.length;
+  await slowTurns(60, 12);
+  const afterWait = held.forwarded.length;
+  await slowTurns(80, 1);
+  await settle(200);
+  t.true(before < 10);
+  t.deepEqual(held.forwarded.slice(afterWait), []);
+});
+
+// Guards against callers that are still there and get nothing.
+test.serial("a caller that waits is served after the process was held up", async (t) => {
+  const { held, server } = await listenLate(t);
+  const kept = await RawCaller.open(server.port);
+  await settle();
+  const fresh = await RawCaller.open(server.port);
+  kept.get("/kept");
+  fresh.send(postRequest("/fresh", { length: 3, body: "abc" }));
+  block(HELD_UP_MS);
+  await until(() => held.forwarded.length === 2);
+  held.answerAll();
+  await until(() => fresh.statuses.length === 1 && kept.statuses.length === 1);
+  t.deepEqual([kept.statuses, fresh.statuses], [[200], [200]]);
+  kept.close();
+  fresh.close();
+});
--- a/tools/bench/overload.ts
+++ b/tools/bench/overload.ts
@@ -25,6 +25,7 @@
 const FREEZE_MS = 1_500;
 const FREEZE_EVERY_MS = 2_500;
 const FROZEN_PER_S = 60;
+const METRICS_PORT = 9464;
 const KINDS: readonly CallerKind[] = [
   "new connections",
   "kept connections",
@@ -73,6 +74,18 @@
   console.log(JSON.stringify({ bench: "overload", rows }));
 }
 
+/** What the instance counted itself; 0 where it does not count that. */
+async function readMetrics(host: string) {
+  const page = await (await fetch(`http://${host}:${METRICS_PORT}/`)).text();
+  const valueOf = (line: RegExp) => Number(line.exec(page)?.[1] ?? 0);
+  return {
+    leftForwarded: valueOf(
+      /caller_left\S*{progress="forwarded",read="late"} (\d+)/,
+    ),
+    readLate: valueOf(/request_unread\S*_count (\d+)/),
+  };
+}
+
 async function measure({ name, load, freezes }: Case) {
   let callers: DepartingCallers | undefined;
   const world = await InstanceTestBed.open({
@@ -98,7 +111,8 @@
       await sleep(FREEZE_MS);
     }
     const result = await run;
-    return { name, ...result, processorMs: statMs(stat) - before };
+    const processorMs = statMs(stat) - before;
+    return { name, ...result, processorMs, ...await readMetrics(host) };
   } finally {
     await instance.close();
     await world.close();
