Forward a request only once its connection was read after it, if it was read late

What callers saw: nothing; they had left. Endpoints got requests up to a second after that, and an instance that fell behind answered ever fewer, since it worked for callers that had given up.

Cause: a request and the end of its connection that lie unread together are read in two turns of the event loop, and the request was forwarded in the first. The loop also accepts one connection of a listener in a turn, so a burst of new connections lies unread while no turn takes long. What lay unread was decided on as if it had just happened.

Change: a request that may have lain unread for over 100 ms waits until the loop has read all sockets once more (Entrance), and a caller's end counts when it is read, not when Node.js closes the connection some turns later. While connections wait to be accepted, no request is started (AcceptHold). Requests that wait are started by rank, and refused at once with a Retry-After if those before them take too long (EntryQueue). Time before the reading counts against the deadline. A request that waits is answered if bytes that are no HTTP follow it, as forwarded ones are.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -164,6 +164,12 @@
     help:
       "An endpoint's entry in the store could not be parsed; the endpoint is not used",
   },
+  entrance_overloaded: {
+    namespace: "requests",
+    fields: ["waiting", "refused", "acceptMs", "retryAfterMs"],
+    help:
+      "Requests were refused since this instance cannot start them in time; waiting is the number of those before them, refused that since the last line, acceptMs how long connections waited to be accepted; at most once a second",
+  },
   instance_started: {
     namespace: "",
     fields: ["instance"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -132,6 +132,13 @@
     help:
       "Requests that an endpoint refused without running them; attempt is first or retry",
   },
+  "entrance.requests": {
+    type: "count",
+    unit: "requests",
+    tags: ["result"],
+    help:
+      "Requests that could not be started at once, as this instance was behind: started, refused when they arrived, or expired while they waited",
+  },
   "fleet.instances": {
     type: "gauge",
     unit: "instances",
--- /dev/null
+++ b/src/decisions/entrance/entry_queue.ts
@@ -0,0 +1,153 @@
+/**
+ * Order and refusal of requests that wait to be started.
+ *
+ * Load: more requests than the processor of an instance can serve, or all that
+ * arrived while it was suspended at once. If each is started in order of arrival,
+ * all wait until their callers have given up, and less is answered the more
+ * arrive. Here the most urgent are started first, and a request is refused when
+ * it arrives if those before it take too long, so that its caller can turn to
+ * another instance at once.
+ *
+ * @module
+ */
+import { type Failure, failure } from "../../core/mod.ts";
+import { RetryAfterSchedule } from "../limits/mod.ts";
+
+/** Longest wait of a request, in milliseconds. */
+export const MAX_WAIT_MS = 250;
+/** Largest share of a caller's timeout that may be spent waiting. */
+const MAX_TIMEOUT_SHARE = 0.125;
+/** A request that waited this many times its longest wait is refused. */
+const EXPIRY_FACTOR = 2;
+const MAX_RETRY_AFTER_MS = 1_000;
+/** Time between two starts until it is measured, in milliseconds. */
+const INITIAL_START_MS = 1;
+/** Weight of a new sample in the average time between two starts. */
+const START_WEIGHT = 0.05;
+
+/** A request that waits. */
+export interface QueuedRequest {
+  /** Priority; 0 is the most urgent. */
+  readonly rank: number;
+  /** How long the caller waits for a response, in milliseconds. */
+  readonly clientTimeoutMs: number;
+  /** Whether it may be started; true for all that were added before it too. */
+  readonly isReady: boolean;
+}
+
+/** A request, and when it was added. */
+interface Queued<T> {
+  readonly request: T;
+  readonly at: number;
+}
+
+/** Requests of one instance that wait to be started. */
+export class EntryQueue<T extends QueuedRequest> {
+  /** By rank, in order of arrival. */
+  readonly #ranks = new Map<number, Queued<T>[]>();
+  readonly #retryAfter = new RetryAfterSchedule(MAX_RETRY_AFTER_MS);
+  /** Average time between two starts while requests wait, in milliseconds. */
+  #startMs = INITIAL_START_MS;
+  #startedAt: number | undefined;
+  #size = 0;
+
+  get size(): number {
+    return this.#size;
+  }
+
+  /**
+   * Adds a request; returns why it is refused if it could not be started in time.
+   *
+   * @example
+   * ```ts
+   * const refusal = queue.add(request, clock.now());
+   * ```
+   */
+  add(request: T, now: number): Failure | undefined {
+    const waitMs = this.#waitMs(request.rank);
+    if (waitMs > maxWaitMs(request)) return this.#refusal(waitMs, now);
+    const queue = this.#ranks.get(request.rank);
+    const queued = { request, at: now };
+    if (queue === undefined) this.#ranks.set(request.rank, [queued]);
+    else queue.push(queued);
+    this.#size++;
+    return undefined;
+  }
+
+  /** Removes and returns the next request that may be started. */
+  take(now: number): T | undefined {
+    for (const rank of this.#ranksInOrder()) {
+      const queue = this.#ranks.get(rank) ?? [];
+      const request = queue[0]?.request;
+      if (!request?.isReady) continue;
+      this.#removeAt(0, rank, queue);
+      this.#recordStart(now);
+      return request;
+    }
+    return undefined;
+  }
+
+  /** Removes a request whose caller has left. */
+  remove(request: T): void {
+    const { rank } = request;
+    const queue = this.#ranks.get(rank) ?? [];
+    const index = queue.findIndex((queued) => queued.request === request);
+    if (index >= 0) this.#removeAt(index, rank, queue);
+  }
+
+  /** Removes and returns the requests that have waited too long. */
+  expire(now: number): { readonly request: T; readonly why: Failure }[] {
+    const expired = [];
+    for (const rank of this.#ranksInOrder()) {
+      const queue = this.#ranks.get(rank) ?? [];
+      for (;;) {
+        const [first] = queue;
+        if (first === undefined) break;
+        const { request, at } = first;
+        if (now - at <= EXPIRY_FACTOR * maxWaitMs(request)) break;
+        this.#removeAt(0, rank, queue);
+        expired.push({ request, why: this.#refusal(this.#waitMs(rank), now) });
+      }
+    }
+    return expired;
+  }
+
+  /** Expected wait of a new request of this rank, in milliseconds. */
+  #waitMs(rank: number): number {
+    let before = 0;
+    for (const [other, queue] of this.#ranks) {
+      if (other <= rank) before += queue.length;
+    }
+    return before * this.#startMs;
+  }
+
+  #refusal(waitMs: number, now: number): Failure {
+    return failure("not_ready", "this instance is overloaded", {
+      outcome: "not-run",
+      retryAfterMs: this.#retryAfter.next(now, waitMs, this.#startMs),
+    });
+  }
+
+  #recordStart(now: number): void {
+    if (this.#startedAt !== undefined) {
+      const sampleMs = now - this.#startedAt;
+      this.#startMs += START_WEIGHT * (sampleMs - this.#startMs);
+    }
+    // Without others that wait, the time to the next start says nothing.
+    this.#startedAt = this.#size > 0 ? now : undefined;
+  }
+
+  #ranksInOrder(): number[] {
+    return [...this.#ranks.keys()].sort((a, b) => a - b);
+  }
+
+  #removeAt(index: number, rank: number, queue: Queued<T>[]): void {
+    queue.splice(index, 1);
+    this.#size--;
+    if (queue.length === 0) this.#ranks.delete(rank);
+  }
+}
+
+function maxWaitMs({ clientTimeoutMs }: QueuedRequest): number {
+  return Math.min(MAX_WAIT_MS, clientTimeoutMs * MAX_TIMEOUT_SHARE);
+}
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -13,7 +13,7 @@
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
 /** Client timeout assumed when a request carries none, in milliseconds. */
-const DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
+export const DEFAULT_CLIENT_TIMEOUT_MS = 30_000;
 /**
  * How long before the client timeout this instance responds, in milliseconds:
  * about the network delay to the caller, which would otherwise have given up.
--- a/src/edge/caller_connection.ts
+++ b/src/edge/caller_connection.ts
@@ -38,6 +38,8 @@
   | "held"
   /** Its body is read. */
   | "reading"
+  /** It was read in full, and waits until the instance has caught up. */
+  | "waiting"
   /** It was forwarded, or its response is being made. */
   | "forwarded";
 
@@ -90,10 +92,19 @@
     return this.#hasHead;
   }
 
+  /** Whether it gets a response, whatever follows it on the connection. */
+  get isTaken(): boolean {
+    return this.#progress === "waiting" || this.#progress === "forwarded";
+  }
+
   beginReading(): void {
     this.#progress = "reading";
   }
 
+  beginWaiting(): void {
+    this.#progress = "waiting";
+  }
+
   /**
    * Marks the request as forwarded; false if it must not be, as the caller has
    * left or an earlier response closes the connection.
@@ -144,14 +155,11 @@
     this.#socket = socket;
     this.#handler = handler;
     this.#stage = stage;
-    // Node.js reports the loss of a connection only to the first response.
-    socket.once("close", () => {
-      this.#isEnding = true;
-      for (const request of this.#requests.splice(0)) {
-        this.#handler.callerLeft(request);
-        request.signal.abort();
-      }
-    });
+    // Node.js reports the loss of a connection only to the first response, and
+    // closes it some turns of the event loop after its end was read.
+    for (const event of ["end", "error", "close"]) {
+      socket.once(event, () => this.#callerLeft());
+    }
   }
 
   /** Whether no further request is started. */
@@ -161,7 +169,7 @@
 
   /** Whether a response is still to be sent or is on the way. */
   get isAnswering(): boolean {
-    return this.#requests.some(({ progress }) => progress === "forwarded");
+    return this.#requests.some(({ isTaken }) => isTaken);
   }
 
   /** Adds a request; undefined if it is behind the last response. */
@@ -191,9 +199,9 @@
     if (this.#stage() === "serving" && !this.#isEnding) return false;
     const index = this.#requests.indexOf(request);
     const behind = this.#requests.slice(index + 1);
-    if (behind.some(({ progress }) => progress === "forwarded")) return false;
+    if (behind.some(({ isTaken }) => isTaken)) return false;
     this.#isEnding = true;
-    this.#dropUnforwarded();
+    this.#dropUntaken();
     return true;
   }
 
@@ -212,10 +220,8 @@
    */
   stop(): void {
     if (this.#isEnding) return;
-    const canSayClose = this.#requests.some((r) =>
-      r.progress === "forwarded" && !r.hasHead
-    );
-    const late = this.#requests.find((r) => r.progress !== "forwarded");
+    const canSayClose = this.#requests.some((r) => r.isTaken && !r.hasHead);
+    const late = this.#requests.find((r) => !r.isTaken);
     if (canSayClose || late === undefined) return this.end();
     late.beginReading();
     this.#handler.refuseLate(late);
@@ -227,7 +233,7 @@
    */
   end(): void {
     this.#isEnding = true;
-    this.#dropUnforwarded();
+    this.#dropUntaken();
     this.#closeIfDone();
   }
 
@@ -236,6 +242,14 @@
     this.#isEnding = true;
   }
 
+  #callerLeft(): void {
+    this.#isEnding = true;
+    for (const request of this.#requests.splice(0)) {
+      this.#handler.callerLeft(request);
+      request.signal.abort();
+    }
+  }
+
   /** Reads the connection only while few requests are held. */
   #limitHeld(): void {
     const held = this.#requests.filter((r) => r.progress === "held").length;
@@ -260,8 +274,8 @@
     }
   }
 
-  #dropUnforwarded(): void {
-    const dropped = this.#requests.filter((r) => r.progress !== "forwarded");
+  #dropUntaken(): void {
+    const dropped = this.#requests.filter((r) => !r.isTaken);
     for (const request of dropped) {
       this.#requests.splice(this.#requests.indexOf(request), 1);
       request.signal.abort();
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -79,6 +79,7 @@
     this.#opts = opts;
     this.#intake = new RequestIntake(opts);
     this.#acceptLag = new AcceptLag(opts.clock, opts.loopLag);
+    opts.entrance.add(this.#acceptLag);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -85,8 +85,8 @@
       const { held, server } = await listenLate(t, fromPeers);
       const sockets = await openAll(server.port, CALLERS);
       await settle();
-      const onClosed = () => block(HELD_UP_MS);
-      await writeAndLeave(sockets, { bytes, leave, onClosed });
+      writeAndLeave(sockets, { bytes, leave });
+      block(HELD_UP_MS);
       await settle(200);
       t.deepEqual(held.forwarded, []);
     });
@@ -97,9 +97,9 @@
 test.serial("a request is not forwarded if its caller left before its connection was accepted", async (t) => {
   const { held, server } = await listenLate(t);
   const bytes = (i: number) => getRequest(`/${i}`);
-  const onClosed = () => block(HELD_UP_MS);
   const sockets = await openAll(server.port, 40);
-  await writeAndLeave(sockets, { bytes, leave: "destroy", onClosed });
+  writeAndLeave(sockets, { bytes, leave: "destroy" });
+  block(HELD_UP_MS);
   await settle(300);
   t.true(held.forwarded.length < 4, `${held.forwarded.length} forwarded`);
 });
@@ -110,8 +110,7 @@
   const { held, server } = await listenLate(t);
   const bytes = (i: number) => getRequest(`/${i}`);
   const sockets = await openAll(server.port, 120);
-  const onClosed = () => {};
-  await writeAndLeave(sockets, { bytes, leave: "destroy", onClosed });
+  writeAndLeave(sockets, { bytes, leave: "destroy" });
   const before = held.forwarded.length;
   await slowTurns(60, 12);
   const afterWait = held.forwarded.length;
@@ -137,3 +136,18 @@
   kept.close();
   fresh.close();
 });
+
+// Guards against requests that were read in full and are dropped, as they waited
+// when bytes that are no HTTP followed.
+test.serial("requests that wait are answered if bytes that are no HTTP follow", async (t) => {
+  const { held, server } = await listenLate(t);
+  const caller = await RawCaller.open(server.port);
+  await settle();
+  caller.send(`${getRequest("/1")}${getRequest("/2")}NO HTTP\r\n\r\n`);
+  block(HELD_UP_MS);
+  await until(() => held.forwarded.length === 2);
+  held.answerAll();
+  await caller.closed;
+  t.deepEqual(caller.statuses, [200, 200]);
+  t.deepEqual(caller.closing, [1]);
+});
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -45,6 +45,7 @@
 import { EndpointChooser } from "./endpoint_chooser.ts";
 import { EndpointSignals } from "./endpoint_signals.ts";
 import { EventLoopLag } from "./event_loop_lag.ts";
+import { Entrance } from "./entrance.ts";
 import { GossipHandlers } from "./gossip_handlers.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { joinList } from "./instance_list.ts";
@@ -350,6 +351,7 @@
       log,
       metrics: this.#opts.metrics,
       loopLag: this.#loopLag,
+      entrance: new Entrance(this.#opts),
       memory: this.#memory,
       responseSizes: new ResponseSizes(),
       classOf: (fields: RequestFields) =>
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -14,7 +14,9 @@
   ResponseMemory,
   type ResponseSizes,
 } from "../decisions/memory/mod.ts";
+import { DEFAULT_CLIENT_TIMEOUT_MS } from "./admission.ts";
 import type { PipelinedRequest } from "./caller_connection.ts";
+import type { Entrance } from "./entrance.ts";
 import { type EventLoopLag, isReadLate } from "./event_loop_lag.ts";
 import type { FlowResult } from "./flow_result.ts";
 import { headerOf } from "./header_fields.ts";
@@ -46,6 +48,7 @@
   /** Whether its callers are instances that pass requests on. */
   readonly fromPeers: boolean;
   readonly loopLag: EventLoopLag;
+  readonly entrance: Entrance;
   readonly memory: ByteBudget;
   readonly responseSizes: ResponseSizes;
   readonly classOf: (fields: RequestFields) => RequestClass;
@@ -155,10 +158,10 @@
     request: PipelinedRequest,
     { fields, length, hop, limits }: RequestHead,
   ): Promise<void> {
-    const { clock, memory, metrics, responseSizes, classOf } = this.#opts;
-    const arrivedAt = clock.now();
-    const { unreadMs } = request;
-    if (isReadLate(unreadMs)) metrics.timing("request.unread", unreadMs);
+    const { clock, memory, responseSizes, classOf, entrance, loopLag } =
+      this.#opts;
+    const { clientTimeoutMs = DEFAULT_CLIENT_TIMEOUT_MS } = fields;
+    const arrivedAt = this.#arrivedAt(request, clientTimeoutMs);
     const { route, rank } = classOf(fields);
     const bodyBytes = length.kind === "declared" ? length.bytes : 0;
     const responseBytes = responseSizes.expected(route);
@@ -187,6 +190,14 @@
           rank,
         });
       }
+      if (!entrance.mayStart(Math.max(request.unreadMs, loopLag.ms))) {
+        const { signal } = request;
+        request.beginWaiting();
+        const refusal = await entrance.wait({ rank, clientTimeoutMs, signal });
+        if (refusal !== undefined) {
+          return this.#refuse(request, refusal, fields);
+        }
+      }
       if (!request.forward()) return;
       if (blocks !== undefined) {
         body = new HeldBody(blocks, () => forBody.release(clock.now()));
@@ -218,6 +229,18 @@
     }
   }
 
+  /**
+   * When a request arrived. If it was read late, that is known only to lie within
+   * the time in which it may have lain unread; the middle is taken.
+   */
+  #arrivedAt({ unreadMs }: PipelinedRequest, clientTimeoutMs: number): number {
+    const { clock, metrics } = this.#opts;
+    const now = clock.now();
+    if (!isReadLate(unreadMs)) return now;
+    metrics.timing("request.unread", unreadMs);
+    return now - Math.min(unreadMs, clientTimeoutMs) / 2;
+  }
+
   #readBody(
     request: PipelinedRequest,
     length: Exclude<BodyLength, { kind: "none" }>,
--- a/src/edge/testing/held_requests.ts
+++ b/src/edge/testing/held_requests.ts
@@ -12,6 +12,7 @@
 } from "../../core/mod.ts";
 import { ByteBudget, ResponseSizes } from "../../decisions/memory/mod.ts";
 import { CallerServer, type CallerServerOptions } from "../caller_server.ts";
+import { Entrance } from "../entrance.ts";
 import { EventLoopLag } from "../event_loop_lag.ts";
 import type { FlowResult } from "../flow_result.ts";
 import type { CallerRequest } from "../request_context.ts";
@@ -75,6 +76,7 @@
     ...common,
     address: "127.0.0.1:0",
     codec: new PlainCodec(),
+    entrance: new Entrance(common),
     loopLag: new EventLoopLag({ ...common, clock: new ManualClock() }),
     fromPeers: false,
     memory: new ByteBudget(MEMORY_BYTES),
--- a/src/edge/testing/late_reads.ts
+++ b/src/edge/testing/late_reads.ts
@@ -24,29 +24,19 @@
 }
 
 /**
- * Writes bytes to each connection and ends it; resolves right after the last
- * one is closed, before the event loop reads any socket again. The callback runs
- * at that moment.
+ * Writes bytes to each connection and ends it, without a turn of the event loop:
+ * the system gets both before any socket is read.
  */
 export function writeAndLeave(
   sockets: readonly Socket[],
-  opts: {
+  { bytes, leave }: {
     readonly bytes: (i: number) => string;
     readonly leave: Leave;
-    readonly onClosed: () => void;
   },
-): Promise<void> {
-  return new Promise((resolve) => {
-    let open = sockets.length;
-    sockets.forEach((socket, i) => {
-      socket.once("close", () => {
-        if (--open > 0) return;
-        opts.onClosed();
-        resolve();
-      });
-      socket.write(opts.bytes(i));
-      socket[opts.leave]();
-    });
+): void {
+  sockets.forEach((socket, i) => {
+    socket.write(bytes(i));
+    socket[leave]();
   });
 }
 
