Refuse connections unread while more wait than can be accepted

Cause: accepting a connection and reading its request takes a third of what serving it takes, also for those that are refused right after. While requests are held, connections are accepted for at most 100 ms; if that does not suffice, the loop keeps reading what it cannot serve.

Change: once a hold has ended with connections left to accept, or the queue of the entrance is full, new connections get a 503 with Retry-After and are closed without being read, until a turn accepts none. Connections of peers are not refused so.

--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -137,7 +137,7 @@
     unit: "requests",
     tags: ["result"],
     help:
-      "Requests that could not be started at once, as this instance was behind: started, refused when they arrived, or expired while they waited",
+      "Requests that could not be started at once, as this instance was behind: started, refused when they arrived, expired while they waited, or refused unread with their connection",
   },
   "fleet.instances": {
     type: "gauge",
--- a/src/decisions/entrance/accept_hold.ts
+++ b/src/decisions/entrance/accept_hold.ts
@@ -20,6 +20,15 @@
 export class AcceptHold {
   #holdsSince: number | undefined;
   #startsSince = -Infinity;
+  #isOverrun = false;
+
+  /**
+   * Whether a hold ended before all connections were accepted, and they have not
+   * been since: more arrive than can be read.
+   */
+  get isOverrun(): boolean {
+    return this.#isOverrun;
+  }
 
   /**
    * Whether to start no request now.
@@ -35,12 +44,14 @@
     if (acceptMs === 0) {
       this.#holdsSince = undefined;
       this.#startsSince = now;
+      this.#isOverrun = false;
       return false;
     }
     if (this.#holdsSince !== undefined) {
       if (now - this.#holdsSince < MAX_HOLD_MS) return true;
       this.#holdsSince = undefined;
       this.#startsSince = now;
+      this.#isOverrun = true;
       return false;
     }
     if (acceptMs <= MAX_ACCEPT_MS) return false;
--- a/src/decisions/entrance/accept_hold_test.ts
+++ b/src/decisions/entrance/accept_hold_test.ts
@@ -29,3 +29,11 @@
   t.true(started >= 80, `${started} of 300`);
   t.true(started <= 150, `${started} of 300`);
 });
+
+test("a hold that does not suffice shows until all connections are accepted", (t) => {
+  const hold = new AcceptHold();
+  for (let now = 0; now < 140; now += 10) hold.isHeld(500, now);
+  t.true(hold.isOverrun);
+  hold.isHeld(0, 150);
+  t.false(hold.isOverrun);
+});
--- a/src/decisions/entrance/entry_queue.ts
+++ b/src/decisions/entrance/entry_queue.ts
@@ -55,6 +55,20 @@
     return this.#size;
   }
 
+  /** Whether a request of the lowest rank would be refused. */
+  get isFull(): boolean {
+    return this.#waitMs(Infinity) > MAX_WAIT_MS;
+  }
+
+  /** Why a request of a rank is refused, and when its caller may return. */
+  refuse(rank: number, now: number): Failure {
+    const waitMs = this.#waitMs(rank);
+    return failure("not_ready", "this instance is overloaded", {
+      outcome: "not-run",
+      retryAfterMs: this.#retryAfter.next(now, waitMs, this.#startMs),
+    });
+  }
+
   /**
    * Adds a request; returns why it is refused if it could not be started in time.
    *
@@ -65,7 +79,7 @@
    */
   add(request: T, now: number): Failure | undefined {
     const waitMs = this.#waitMs(request.rank);
-    if (waitMs > maxWaitMs(request)) return this.#refusal(waitMs, now);
+    if (waitMs > maxWaitMs(request)) return this.refuse(request.rank, now);
     const queue = this.#ranks.get(request.rank);
     const queued = { request, at: now };
     if (queue === undefined) this.#ranks.set(request.rank, [queued]);
@@ -106,7 +120,7 @@
         const { request, at } = first;
         if (now - at <= EXPIRY_FACTOR * maxWaitMs(request)) break;
         this.#removeAt(0, rank, queue);
-        expired.push({ request, why: this.#refusal(this.#waitMs(rank), now) });
+        expired.push({ request, why: this.refuse(rank, now) });
       }
     }
     return expired;
@@ -121,13 +135,6 @@
     return before * this.#startMs;
   }
 
-  #refusal(waitMs: number, now: number): Failure {
-    return failure("not_ready", "this instance is overloaded", {
-      outcome: "not-run",
-      retryAfterMs: this.#retryAfter.next(now, waitMs, this.#startMs),
-    });
-  }
-
   #recordStart(now: number): void {
     if (this.#startedAt !== undefined) {
       const sampleMs = now - this.#startedAt;
--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -6,11 +6,13 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../traffic/mod.ts";
@@ -19,6 +21,7 @@
 import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
+import type { LocalReply } from "./request_codec.ts";
 import {
   RequestIntake,
   type RequestIntakeOptions,
@@ -91,7 +94,11 @@
       // Node.js would answer such a request and forward those behind it.
       requireHostHeader: false,
     });
-    this.#server.on("connection", (socket: Socket) => this.#connected(socket));
+    const [serve] = this.#server.listeners("connection");
+    this.#server.removeAllListeners("connection");
+    this.#server.on("connection", (socket: Socket) => {
+      if (this.#accept(socket)) serve?.call(this.#server, socket);
+    });
     const on =
       (expectsContinue: boolean) =>
       (req: IncomingMessage, res: ServerResponse) =>
@@ -163,10 +170,18 @@
     return closeAtOnce(this.#server);
   }
 
-  #connected(socket: Socket): void {
-    const { clock } = this.#opts;
+  /** Takes a connection, or refuses it; returns whether it is served. */
+  #accept(socket: Socket): boolean {
+    const { clock, entrance, fromPeers, codec } = this.#opts;
     const waitedMs = this.#acceptLag.accepted();
     lingerOnClose(socket, clock);
+    const why = fromPeers ? undefined : entrance.refuseConnection();
+    if (why !== undefined) {
+      socket.on("error", () => {});
+      socket.write(responseText(codec.refusal(why, "")));
+      socket.destroySoon();
+      return false;
+    }
     const connection = new CallerConnection(socket, {
       run: (request) => void this.#intake.serve(request, this.#limits),
       refuseLate: (request) => this.#intake.refuseLate(request),
@@ -179,6 +194,7 @@
     });
     // It was accepted by the system before the listener was closed.
     if (this.#stage === "stopped") connection.stop();
+    return true;
   }
 
   #onRequest(
@@ -225,3 +241,19 @@
     connection.end();
   }
 }
+
+/** A response that closes its connection, without a parsed request. */
+function responseText({ status, headers, body }: LocalReply): string {
+  const lines = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`];
+  const fields = [
+    ...headers,
+    "Connection",
+    "close",
+    "Content-Length",
+    String(Buffer.byteLength(body)),
+  ];
+  for (let i = 0; i < fields.length; i += 2) {
+    lines.push(`${fields[i]}: ${fields[i + 1]}`);
+  }
+  return `${lines.join("\r\n")}\r\n\r\n${body}`;
+}
--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -151,3 +151,27 @@
   t.deepEqual(caller.statuses, [200, 200]);
   t.deepEqual(caller.closing, [1]);
 });
+
+// Guards against an instance that answers nobody in time, since it reads what it
+// cannot serve, and against a refusal that is lost with its connection.
+test.serial("callers are refused before they are read while connections keep waiting", async (t) => {
+  const { held, server } = await listenLate(t);
+  const callers = await Promise.all(
+    Array.from({ length: 400 }, () => RawCaller.open(server.port)),
+  );
+  callers.forEach((caller, i) => caller.get(`/${i}`));
+  for (let i = 0; i < 400 && held.forwarded.length === 0; i++) {
+    await slowTurns(1, 4);
+  }
+  await slowTurns(60, 4);
+  await until(() => callers.some(({ statuses }) => statuses[0] === 503));
+  const refused = callers.filter(({ statuses }) => statuses[0] === 503);
+  t.true(refused.every(({ closing }) => closing.length === 1));
+  t.true(refused.every(({ error }) => error === undefined));
+  while (callers.some(({ statuses }) => statuses.length === 0)) {
+    held.answerAll();
+    await settle(5);
+  }
+  t.true(callers.every(({ statuses }) => statuses.length === 1));
+  for (const caller of callers) caller.close();
+});
--- a/src/edge/entrance.ts
+++ b/src/edge/entrance.ts
@@ -69,6 +69,19 @@
     return this.#queue.size === 0 && !isReadLate(unreadMs) && !this.#isHeld();
   }
 
+  /**
+   * Why a new connection is refused before anything is read from it; undefined if
+   * it is not. Reading requests that are refused anyway would take the time in
+   * which others are served.
+   */
+  refuseConnection(): Failure | undefined {
+    if (!this.#isHeld()) return undefined;
+    if (!this.#hold.isOverrun && !this.#queue.isFull) return undefined;
+    const why = this.#queue.refuse(Infinity, this.#opts.clock.now());
+    this.#recordRefusal("unread", why);
+    return why;
+  }
+
   /**
    * Resolves when a request may be started, or has lost its caller; with a
    * failure if it is refused.
@@ -126,7 +139,7 @@
     this.#run();
   }
 
-  #recordRefusal(result: "refused" | "expired", why: Failure): void {
+  #recordRefusal(result: "unread" | "refused" | "expired", why: Failure): void {
     const { clock, log, metrics } = this.#opts;
     metrics.count("entrance.requests", { result });
     this.#refused++;
