Read what has arrived before a further attempt, if the loop is behind

What callers saw: nothing; they had left. Endpoints and peers could get second attempts for them.

After a stop of the process the failure of a first attempt and the close of the caller lie unread together, and the second attempt was sent before the close was read. Requests that are passed on to peers went from one that declined to the next in the same way.

Change: before each attempt at an endpoint or a peer the sockets are read once more if the event loop is behind (LateReads). It costs nothing while the loop is in time.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -402,6 +402,7 @@
         planVersion: () => this.#state.planVersion,
         limitOf: (id) => this.#limits.limitOf(id),
       }),
+      reads: this.#loopLag,
       clock,
     });
   }
--- a/src/edge/event_loop_lag.ts
+++ b/src/edge/event_loop_lag.ts
@@ -22,6 +22,14 @@
   readonly metrics: Metrics;
 }
 
+/** Lets a request wait for what sockets have received. */
+export interface LateReads {
+  /** Whether sockets may hold bytes that arrived some time ago. */
+  readonly isLate: boolean;
+  /** Resolves when all sockets have been read once more. */
+  nextRead(): Promise<void>;
+}
+
 /** Whether what may have lain unread for this time was read late. */
 export function isReadLate(unreadMs: number): boolean {
   return unreadMs > LATE_MS;
@@ -33,11 +41,11 @@
  * @example
  * ```ts
  * const lag = new EventLoopLag({ clock, log, metrics });
- * if (lag.isLate) metrics.timing("loop.lag", lag.ms);
+ * if (lag.isLate) await lag.nextRead();
  * lag.close();
  * ```
  */
-export class EventLoopLag {
+export class EventLoopLag implements LateReads {
   readonly #opts: EventLoopLagOptions;
   /** What arrived before this was read. */
   #readUntil: number;
@@ -62,6 +70,13 @@
     return isReadLate(this.ms);
   }
 
+  nextRead(): Promise<void> {
+    // The loop reads its sockets between two rounds of immediates.
+    return new Promise((resolve) =>
+      setImmediate(() => setImmediate(() => resolve()))
+    );
+  }
+
   /** Stops the measurement. */
   close(): void {
     this.#timer.close();
--- a/src/edge/peer_forwarder.ts
+++ b/src/edge/peer_forwarder.ts
@@ -83,18 +83,19 @@
   /**
    * Sends a request to one instance after another until one takes it.
    *
-   * @param wait Waits for a result; cancels it at the deadline.
+   * @param send Starts a send unless the caller has left, and waits for its
+   * result; cancels it at the deadline.
    */
   async forward(
     ctx: RequestContext,
-    wait: (sending: PendingSend) => Promise<SendResult>,
+    send: (start: () => PendingSend) => Promise<SendResult>,
   ): Promise<ForwardResult> {
     const { random } = this.#opts;
     for (;;) {
       const [peer] = sampleConsecutive(this.#peersLeft(ctx), 1, random);
       if (peer === undefined) return { kind: "no-peer" };
       ctx.peersTried.add(peer.id);
-      const result = await wait(this.#send(ctx, peer));
+      const result = await send(() => this.#send(ctx, peer));
       switch (result.kind) {
         case "answer": {
           const { declined } = readHopResponse(result.headers);
--- a/src/edge/peer_forwarder_test.ts
+++ b/src/edge/peer_forwarder_test.ts
@@ -186,3 +186,15 @@
 ): string | undefined {
   return headers?.[headers.indexOf(name) + 1];
 }
+
+// Guards against requests that go from peer to peer after their callers left.
+test("a request is not passed on again if its caller left while nothing was read", async (t) => {
+  const path = await isolated({ peerSender: new ScriptedSender(DECLINED) });
+  path.reads.isLate = true;
+  path.reads.nextRead = () => {
+    if (path.peerSender.sent.length > 0) path.gone.abort();
+    return Promise.resolve();
+  };
+  t.is(outcomeOf(await path.send()), "gone");
+  t.is(path.peerSender.sent.length, 1);
+});
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -25,6 +25,7 @@
   invalidReason,
   NOT_RUN_STATUSES,
 } from "./flow_result.ts";
+import type { LateReads } from "./event_loop_lag.ts";
 import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
 import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
 import { Refusals } from "./refusals.ts";
@@ -49,6 +50,7 @@
   /** Version of the plan in force. */
   readonly planVersion: () => number;
   readonly accessLog: AccessLog;
+  readonly reads: LateReads;
   readonly clock: Clock;
 }
 
@@ -116,8 +118,10 @@
 
   /** Tries endpoints one after another until there is a result. */
   async #serve(ctx: RequestContext): Promise<FlowResult> {
-    const { clock } = this.#opts;
+    const { clock, reads } = this.#opts;
     for (;;) {
+      // The caller's close may be read after the result of the last attempt.
+      if (reads.isLate) await reads.nextRead();
       const now = clock.now();
       if (ctx.req.signal.aborted) return this.#refusals.callerGone(ctx);
       if (ctx.deadline - now < MIN_LEFT_MS) return this.#refusals.expired(ctx);
@@ -166,7 +170,7 @@
     const { forwarder } = this.#opts;
     const result = await forwarder.forward(
       ctx,
-      (sending) => this.#awaitResult(sending, ctx),
+      (start) => this.#sendToPeer(ctx, start),
     );
     switch (result.kind) {
       case "answer":
@@ -188,6 +192,16 @@
     }
   }
 
+  async #sendToPeer(
+    ctx: RequestContext,
+    start: () => PendingSend,
+  ): Promise<SendResult> {
+    const { reads } = this.#opts;
+    if (reads.isLate) await reads.nextRead();
+    if (ctx.req.signal.aborted) return { kind: "cancelled", sent: false };
+    return await this.#awaitResult(start(), ctx);
+  }
+
   #handlePeerAnswer(
     ctx: RequestContext,
     { peer, answer }: Extract<ForwardResult, { kind: "answer" }>,
--- a/src/edge/request_flow_test.ts
+++ b/src/edge/request_flow_test.ts
@@ -425,3 +425,23 @@
   await sendFor(path, 1);
   t.deepEqual(path.limited(), [limited]);
 });
+
+/** Lets the caller's close be read after the first result, as after a stop. */
+function leavesUnread(path: RequestPath, sender: ScriptedSender): void {
+  path.reads.isLate = true;
+  path.reads.nextRead = () => {
+    if (sender.sent.length > 0) path.gone.abort();
+    return Promise.resolve();
+  };
+}
+
+// Guards against second attempts for callers whose close was not read yet.
+test("no second attempt is made for a caller that left while nothing was read", async (t) => {
+  const broken = { kind: "unknown", reason: "broken" } as const;
+  for (const first of [broken, shed(), responded(500)]) {
+    const path = new RequestPath({ sender: new ScriptedSender(first) });
+    leavesUnread(path, path.sender);
+    t.is(outcomeOf(await path.send()), "gone");
+    t.is(path.sender.sent.length, 1);
+  }
+});
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -66,6 +66,8 @@
   readonly signals: EndpointSignals;
   readonly links: LinkChecker<EndpointRow>;
   readonly peerSender: ScriptedSender;
+  /** Set by tests of an event loop that is behind. */
+  readonly reads = { isLate: false, nextRead: () => Promise.resolve() };
   /** Whether probes reach their endpoints; they do not end if undefined. */
   reachesEndpoints: boolean | undefined = true;
   readonly #flow: RequestFlow;
@@ -162,6 +164,7 @@
         planVersion: () => this.state.planVersion,
         limitOf: (id) => limits.limitOf(id),
       }),
+      reads: this.reads,
       clock,
     });
   }
