Sum up a limit's fullest window of informed instances apart in the soak

What the check on limits counts is wider than the rule, which binds the arrivals from instances that had passed the limit on half a second before; the soak also counts arrivals from instances that had not.

The summary now has both figures; the check is unchanged.

--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { MemoryMetrics, SilentLog, SystemClock } from "../core/mod.ts";
+import { MAX_CONCURRENT_REQUESTS } from "./caller_connection.ts";
 import type { CallerServer } from "./caller_server.ts";
 import { EventLoopLag } from "./event_loop_lag.ts";
 import { hopFields } from "./hop_headers.ts";
@@ -175,3 +176,20 @@
   t.true(callers.every(({ statuses }) => statuses.length === 1));
   for (const caller of callers) caller.close();
 });
+
+// Guards against requests of a connection that is not read, as many of its
+// requests are held, which are started one after another for a caller that left.
+test.serial("held requests are not started if their caller left", async (t) => {
+  const { held, server } = await listenLate(t);
+  const caller = await RawCaller.open(server.port);
+  caller.get(...Array.from({ length: 200 }, (_, i) => `/${i}`));
+  await until(() => held.forwarded.length === MAX_CONCURRENT_REQUESTS);
+  caller.close();
+  await settle(100);
+  const atClose = held.forwarded.length;
+  for (let i = 0; i < 20; i++) {
+    held.answerAll();
+    await settle(10);
+  }
+  t.is(held.forwarded.length, atClose);
+});
--- a/tools/process_soak/limit_checker.ts
+++ b/tools/process_soak/limit_checker.ts
@@ -24,6 +24,8 @@
   readonly used: number;
   /** Fullest window, over what it may hold. */
   readonly fullest: number;
+  /** The same, of instances that had passed the limit on before. */
+  readonly fullestInformed: number;
   /** When a window first held more, in milliseconds; undefined if none did. */
   readonly exceededAtMs: number | undefined;
   /** Arrivals in each second since the announcement. */
@@ -41,6 +43,7 @@
   readonly arrivalsPerS: number[];
   arrivals: number;
   fullest: number;
+  fullestInformed: number;
   exceededAtMs: number | undefined;
 }
 
@@ -76,6 +79,7 @@
       arrivalsPerS: [],
       arrivals: 0,
       fullest: 0,
+      fullestInformed: 0,
       exceededAtMs: undefined,
     });
   }
@@ -111,12 +115,14 @@
     if (!isSettled) return;
     limit.settled.push(now);
     const from = now - WINDOW_S * MS_PER_S;
-    const most = Math.max(
-      countSince(limit.settled, from),
-      countSince(limit.informed, from),
+    const allowed = maxPerWindow(limit.ratePerS);
+    const informed = countSince(limit.informed, from) / allowed;
+    const share = Math.max(
+      countSince(limit.settled, from) / allowed,
+      informed,
     );
-    const share = most / maxPerWindow(limit.ratePerS);
     limit.fullest = Math.max(limit.fullest, share);
+    limit.fullestInformed = Math.max(limit.fullestInformed, informed);
     if (share <= 1) return;
     limit.exceededAtMs ??= now - limit.since;
     this.#opts.onViolation(request);
@@ -133,7 +139,8 @@
     const limit = this.#announced.get(endpoint);
     if (limit === undefined) return;
     this.#announced.delete(endpoint);
-    const { ratePerS, since, arrivals, fullest, exceededAtMs } = limit;
+    const { ratePerS, since, arrivals, exceededAtMs } = limit;
+    const { fullest, fullestInformed } = limit;
     const settledMs = Math.max(1, now - since - SETTLE_MS);
     this.summaries.push({
       endpoint,
@@ -141,6 +148,7 @@
       forMs: now - since,
       used: arrivals * MS_PER_S / (ratePerS * settledMs),
       fullest,
+      fullestInformed,
       exceededAtMs,
       arrivalsPerS: Array.from(limit.arrivalsPerS, (n) => n ?? 0),
     });
