End exchanges with endpoints that send refusals or 1xx responses without end

What callers saw: with one of two endpoints in trouble, a refusal whose body has no end was acted on at the deadline of the request, and informational responses without end kept the event loop from everybody.

Cause: a refusal was acted on at the end of its body, and nothing bounds the informational responses before a response.

Change: a refusal counts once its header is read. Its body is read for up to 256 KiB and one second, so that the connection can be used again, then the connection is closed. After 16 informational responses the exchange ends as malformed and its connection is closed.

A test of a refusal's body waits until the connection is idle rather than 20 ms, since the result now comes before the end of the body; its assertions are unchanged. Open: answers without end, which are passed on until the deadline and count as good at their endpoint.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -21,6 +21,16 @@
  */
 const MAX_BUFFERED_BYTES = 262_144;
 
+/**
+ * Informational responses before a response. Each is handled by the event loop,
+ * so an endpoint that sends them without end would keep it from all others.
+ */
+const MAX_INFORMATIONAL = 16;
+/** How much of a refusal's body is read to keep its connection, in bytes. */
+const MAX_DISCARDED_BYTES = 262_144;
+/** How long a refusal's body is read to keep its connection, in ms. */
+const MAX_DISCARD_MS = 1_000;
+
 /** Dependencies of an exchange. */
 export interface ExchangeOptions {
   /** The request id that the response must have. */
@@ -49,10 +59,12 @@
   #sink: BodySink | undefined;
   #failure: string | undefined;
   #ended = false;
+  #informational = 0;
 
   constructor(req: ClientRequest, opts: ExchangeOptions) {
     this.#opts = opts;
     this.#req = req;
+    req.on("information", () => this.#onInformational());
     req.on("response", (res: IncomingMessage) => this.#onResponse(res));
     req.on("error", (error) => this.#onError(error));
   }
@@ -90,6 +102,13 @@
     this.#req.destroy();
   }
 
+  #onInformational(): void {
+    this.#informational++;
+    if (this.#informational !== MAX_INFORMATIONAL + 1) return;
+    this.#finish({ kind: "unknown", reason: "malformed" });
+    this.#req.destroy();
+  }
+
   #onResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     this.#res = res;
@@ -104,6 +123,22 @@
     res.on("data", (chunk: Buffer) => this.#onData(res, chunk));
     res.on("end", () => this.#onEnd(res));
     res.on("error", () => this.#fail("cut"));
+    this.#finishIfRefused(res, this.#fields);
+  }
+
+  /**
+   * Acts on a refusal at its header. Its body is read only so that the connection
+   * can be used again, which takes too long if it has no end.
+   */
+  #finishIfRefused(res: IncomingMessage, fields: ResponseFields): void {
+    const { moved, notRun } = fields;
+    if (!moved && !notRun) return;
+    const timer = this.#opts.clock.after(
+      MAX_DISCARD_MS,
+      () => void this.#req.destroy(),
+    );
+    res.once("close", () => timer.close());
+    this.#finish({ kind: "not-run", moved, fields });
   }
 
   #onData(res: IncomingMessage, chunk: Buffer): void {
@@ -112,8 +147,11 @@
       if (!this.#sink.data(chunk)) res.pause();
       return;
     }
-    // The body of a response that is not passed on has no use.
-    if (this.#fields?.notRun || this.#fields?.moved) return;
+    // A refusal.
+    if (this.#settled) {
+      if (this.#bodyBytes > MAX_DISCARDED_BYTES) this.#req.destroy();
+      return;
+    }
     this.#buffered.push(chunk);
     const mayBuffer = this.#opts.mayBuffer(chunk.length);
     if (mayBuffer && this.#bodyBytes <= MAX_BUFFERED_BYTES) return;
@@ -180,11 +218,6 @@
   #deliver(res: IncomingMessage, rest: BodyRemainder | undefined): void {
     const fields = this.#fields;
     if (fields === undefined || this.#settled) return;
-    if (fields.moved || fields.notRun) {
-      const { moved } = fields;
-      this.#finish({ kind: "not-run", moved, fields });
-      return;
-    }
     const bytes = Buffer.concat(this.#buffered);
     this.#buffered = [];
     this.#finish({
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -5,6 +5,7 @@
 import { ManualClock, SystemClock } from "../core/mod.ts";
 import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
+import { until } from "./testing/held_requests.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { listenScripted, type Script } from "./testing/scripted_endpoint.ts";
 import { endpointRow } from "./testing/traffic_fixtures.ts";
@@ -417,7 +418,8 @@
   const req = { ...outgoing(), mayBuffer: () => false };
   for (let i = 0; i < 3; i++) {
     t.is((await sender.send(row, req).result).kind, "not-run");
-    await new Promise((resolve) => setTimeout(resolve, 20));
+    // The refusal is known before the end of its body.
+    await until(() => sender.hasIdle(row));
   }
   t.is(endpoint.connections(), 1);
   sender.close();
