Let callers of the soak leave early, and check what reaches endpoints after

No caller of the soak left early, which is why it never found requests that endpoints get after their callers have left.

Six callers send on connections of their own and leave after 0 to 0.4 s, though they state 2 s. More than three requests in a run that reach an endpoint over 0.5 s after that violate the property, frozen instances included; the time by which the soak itself reads late is taken off, and endpoints and instances whose links are disturbed are excused.

--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -8,6 +8,7 @@
 export * from "./caller_server.ts";
 export * from "./edge_instance.ts";
 export * from "./edge_settings.ts";
+export * from "./event_loop_lag.ts";
 export * from "./endpoint_chooser.ts";
 export * from "./endpoint_sender.ts";
 export * from "./http_endpoint_sender.ts";
--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -16,13 +16,21 @@
 } from "../../platform/testing/fake_endpoint.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import { endpointEntry } from "../../platform/testing/plan_objects.ts";
-import { SeededRandom } from "../../src/core/mod.ts";
+import {
+  MemoryMetrics,
+  SeededRandom,
+  SilentLog,
+  SystemClock,
+} from "../../src/core/mod.ts";
+import { EventLoopLag } from "../../src/edge/mod.ts";
 import type { CutSummary } from "./cut_checker.ts";
 import type { ScheduledFault } from "./fault_schedule.ts";
+import { EarlyLeavers } from "./early_leavers.ts";
 import { type FaultName, FAULTS, injectFault } from "./faults.ts";
 import type { LimitSummary } from "./limit_checker.ts";
 import { InstanceProcess } from "./instance_process.ts";
 import {
+  type Disturbances,
   PropertyChecker,
   type Sender,
   type Violation,
@@ -63,6 +71,9 @@
   readonly requests: number;
   /** Uploads and pipelined requests that got a success. */
   readonly bulkAnswered: number;
+  /** Callers that left early, and their requests that came too late. */
+  readonly left: number;
+  readonly late: number;
   /** What callers got during cuts from the endpoints. */
   readonly cuts: readonly CutSummary[];
   /** How the rate limits that endpoints announced were used. */
@@ -84,6 +95,7 @@
 const NOISY_ENDPOINTS = 4;
 /** Added to the seed, so that the new load leaves the old draws as they are. */
 const BULK_SEED_OFFSET = 1_000_003;
+const LEAVER_SEED_OFFSET = 2_000_003;
 const GRACE_S = 4;
 const FAULT_INTERVAL_MS = 900;
 /** Recovery time, then the window in which most requests must succeed. */
@@ -108,6 +120,13 @@
   #callers: SoakCallers | undefined;
   #bulkCallers: BulkCallers | undefined;
   readonly #bulkRandom: SeededRandom;
+  readonly #leavers: EarlyLeavers;
+  /** How late this process reads what endpoints and callers receive. */
+  readonly #loopLag = new EventLoopLag({
+    clock: new SystemClock(),
+    log: new SilentLog(),
+    metrics: new MemoryMetrics(),
+  });
   readonly #noisyHosts: NoisyHost[] = [];
   readonly #noisyEndpoints: NoisyEndpoint[] = [];
   readonly #noisyLinks: TcpProxy[] = [];
@@ -119,7 +138,7 @@
     this.#opts = opts;
     this.random = new SeededRandom(opts.seed);
     this.#bulkRandom = new SeededRandom(opts.seed + BULK_SEED_OFFSET);
-    this.checker = new PropertyChecker({
+    const disturbances: Disturbances = {
       instances: () => this.instances.map((i) => i.opts.id),
       instance: (id) =>
         this.instances.find((i) => i.opts.id === id)?.disturbedAt ?? 0,
@@ -134,6 +153,15 @@
       stopping: (id, life) =>
         this.instances.find((i) => i.opts.id === id)?.stopsGracefully(life) ??
           false,
+    };
+    this.checker = new PropertyChecker(disturbances);
+    this.#leavers = new EarlyLeavers({
+      instances: this.instances,
+      operators: () => this.operators,
+      checker: this.checker,
+      disturbances,
+      random: new SeededRandom(opts.seed + LEAVER_SEED_OFFSET),
+      lagMs: () => this.#loopLag.ms,
     });
   }
 
@@ -167,8 +195,10 @@
       workMs: WORK_MS,
       random: () => this.random.next(),
       onRun: (run) => this.checker.requestStarted(run),
-      onArrival: (arrival) =>
-        this.checker.requestArrived(id, arrival.request, senderOf(arrival)),
+      onArrival: (arrival) => {
+        this.checker.requestArrived(id, arrival.request, senderOf(arrival));
+        this.#leavers.arrived(id, arrival.request);
+      },
       onBackoff: (arrival, retryAfterS) =>
         this.checker.backoffRequested(id, arrival.request, {
           sender: senderOf(arrival),
@@ -238,6 +268,7 @@
       random: this.#bulkRandom,
     });
     this.#bulkCallers.start();
+    this.#leavers.start();
   }
 
   async #addNoisyEndpoints(): Promise<void> {
@@ -357,6 +388,7 @@
   async #result(): Promise<ProcessSoakResult> {
     await this.#callers?.end();
     await this.#bulkCallers?.end();
+    await this.#leavers.end();
     this.checker.finish();
     const { seed, seconds } = this.#opts;
     const { violations } = this.checker;
@@ -366,6 +398,8 @@
       processes: this.instances.length,
       requests: this.#callers?.requests ?? 0,
       bulkAnswered: this.#bulkCallers?.answered ?? 0,
+      left: this.#leavers.left,
+      late: this.#leavers.late,
       cuts: this.checker.cutSummaries(),
       limits: this.checker.limitSummaries(),
       faults: this.trace.length,
@@ -389,6 +423,7 @@
   async #close(): Promise<void> {
     await this.#callers?.end();
     await this.#bulkCallers?.end();
+    await this.#leavers.end();
     await Promise.all(this.instances.map((i) => i.close()));
     await Promise.all(this.storeLinks.map((link) => link.close()));
     for (const { fake, proxy } of this.endpoints) {
@@ -398,6 +433,7 @@
     for (const host of this.#noisyHosts) host.close();
     await Promise.all(this.#noisyLinks.map((link) => link.close()));
     await Promise.all(this.#noisyEndpoints.map((e) => e.close()));
+    this.#loopLag.close();
     await this.store?.close();
     await this.#block?.close();
     if (this.#opts.logDir !== undefined) return;
--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -57,6 +57,21 @@
   t.deepEqual(violations, []);
 });
 
+// Guards against endpoints that work for callers which left while an instance was
+// frozen.
+test.serial("endpoints get no requests of callers that left while instances were frozen", async (t) => {
+  const soak = new ProcessSoak({
+    seed: 11,
+    seconds: SECONDS,
+    perZone: 1,
+    program: await program(),
+    only: ["freeze"],
+  });
+  const { violations, left } = await soak.run();
+  t.deepEqual(violations, []);
+  t.true(left > 0);
+});
+
 // Guards against a fleet that exceeds an endpoint's announced rate limit.
 test.serial("endpoints in need get no more than the rate they name", async (t) => {
   const soak = new ProcessSoak({
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -184,6 +184,11 @@
     this.#pipelines.ended(sent, responses);
   }
 
+  /** Records a violation that another check found. */
+  violate(property: string, request: string): void {
+    this.#add(property, { request });
+  }
+
   sent(attempt: SentAttempt): void {
     this.#sent.set(attempt.request, attempt);
   }
