Refuse fewer callers of an instance that is behind only for a moment

Cause: connections were refused unread once a hold of 100 ms had not sufficed, all of them; and the time that a start takes was measured between two starts, so that a stall of the process counted as slow starts, and a slice of 5 ms in each turn limited them where no connection waited.

Change: connections are refused unread only once they have waited 250 ms, and one in four is read whatever waits. Starts are limited to a slice only while connections wait; their time is that of the turn if more could have been started, else their own.

--- a/src/decisions/entrance/accept_hold.ts
+++ b/src/decisions/entrance/accept_hold.ts
@@ -15,6 +15,8 @@
 const MAX_ACCEPT_MS = 50;
 /** Longest time without a start, in milliseconds. */
 const MAX_HOLD_MS = 100;
+/** Wait from which connections are too many to be read, in milliseconds. */
+const MAX_BACKLOG_MS = 250;
 
 /** Decides whether requests are held while connections are accepted. */
 export class AcceptHold {
@@ -51,7 +53,7 @@
       if (now - this.#holdsSince < MAX_HOLD_MS) return true;
       this.#holdsSince = undefined;
       this.#startsSince = now;
-      this.#isOverrun = true;
+      this.#isOverrun = acceptMs > MAX_BACKLOG_MS;
       return false;
     }
     if (acceptMs <= MAX_ACCEPT_MS) return false;
--- a/src/decisions/entrance/entry_queue.ts
+++ b/src/decisions/entrance/entry_queue.ts
@@ -20,9 +20,9 @@
 /** A request that waited this many times its longest wait is refused. */
 const EXPIRY_FACTOR = 2;
 const MAX_RETRY_AFTER_MS = 1_000;
-/** Time between two starts until it is measured, in milliseconds. */
+/** Time that a start takes until it is measured, in milliseconds. */
 const INITIAL_START_MS = 1;
-/** Weight of a new sample in the average time between two starts. */
+/** Weight of one start in the average time that a start takes. */
 const START_WEIGHT = 0.05;
 
 /** A request that waits. */
@@ -46,20 +46,14 @@
   /** By rank, in order of arrival. */
   readonly #ranks = new Map<number, Queued<T>[]>();
   readonly #retryAfter = new RetryAfterSchedule(MAX_RETRY_AFTER_MS);
-  /** Average time between two starts while requests wait, in milliseconds. */
+  /** Average time that a start takes, in milliseconds. */
   #startMs = INITIAL_START_MS;
-  #startedAt: number | undefined;
   #size = 0;
 
   get size(): number {
     return this.#size;
   }
 
-  /** Whether a request of the lowest rank would be refused. */
-  get isFull(): boolean {
-    return this.#waitMs(Infinity) > MAX_WAIT_MS;
-  }
-
   /** Why a request of a rank is refused, and when its caller may return. */
   refuse(rank: number, now: number): Failure {
     const waitMs = this.#waitMs(rank);
@@ -88,14 +82,28 @@
     return undefined;
   }
 
+  /** Whether a request waits that may be started. */
+  get hasReady(): boolean {
+    for (const [first] of this.#ranks.values()) {
+      if (first?.request.isReady) return true;
+    }
+    return false;
+  }
+
+  /** Records how long it took to start a number of requests, in milliseconds. */
+  recordStarts(started: number, tookMs: number): void {
+    if (started === 0) return;
+    const weight = 1 - (1 - START_WEIGHT) ** started;
+    this.#startMs += weight * (tookMs / started - this.#startMs);
+  }
+
   /** Removes and returns the next request that may be started. */
-  take(now: number): T | undefined {
+  take(): T | undefined {
     for (const rank of this.#ranksInOrder()) {
       const queue = this.#ranks.get(rank) ?? [];
       const request = queue[0]?.request;
       if (!request?.isReady) continue;
       this.#removeAt(0, rank, queue);
-      this.#recordStart(now);
       return request;
     }
     return undefined;
@@ -135,15 +143,6 @@
     return before * this.#startMs;
   }
 
-  #recordStart(now: number): void {
-    if (this.#startedAt !== undefined) {
-      const sampleMs = now - this.#startedAt;
-      this.#startMs += START_WEIGHT * (sampleMs - this.#startMs);
-    }
-    // Without others that wait, the time to the next start says nothing.
-    this.#startedAt = this.#size > 0 ? now : undefined;
-  }
-
   #ranksInOrder(): number[] {
     return [...this.#ranks.keys()].sort((a, b) => a - b);
   }
--- a/src/edge/entrance.ts
+++ b/src/edge/entrance.ts
@@ -19,8 +19,13 @@
 import type { AcceptLag } from "./accept_lag.ts";
 import { isReadLate } from "./event_loop_lag.ts";
 
-/** Longest time for which waiting requests are started in one turn, in ms. */
+/**
+ * Longest time for which requests are started in one turn while connections wait
+ * to be accepted, in milliseconds.
+ */
 const SLICE_MS = 5;
+/** One in this many connections is read whatever waits. */
+const READ_EVERY = 4;
 /** Minimum interval between log lines. */
 const LOG_INTERVAL_MS = 1_000;
 
@@ -49,6 +54,9 @@
   /** Turns of the event loop while requests wait. */
   #turn = 0;
   #isRunning = false;
+  /** End of the last turn that started requests. */
+  #startsFrom = 0;
+  #overrunConnections = 0;
   #refused = 0;
   #loggedAt = -Infinity;
 
@@ -75,8 +83,8 @@
    * which others are served.
    */
   refuseConnection(): Failure | undefined {
-    if (!this.#isHeld()) return undefined;
-    if (!this.#hold.isOverrun && !this.#queue.isFull) return undefined;
+    if (!this.#isHeld() || !this.#hold.isOverrun) return undefined;
+    if (++this.#overrunConnections % READ_EVERY === 0) return undefined;
     const why = this.#queue.refuse(Infinity, this.#opts.clock.now());
     this.#recordRefusal("unread", why);
     return why;
@@ -125,20 +133,41 @@
       this.#recordRefusal("expired", why);
       request.resolve(why);
     }
-    while (!this.#isHeld() && clock.now() < began + SLICE_MS) {
-      const next = this.#queue.take(clock.now());
+    let started = 0;
+    while (this.#mayStartNext(began)) {
+      const next = this.#queue.take();
       if (next === undefined) break;
+      started++;
       metrics.count("entrance.requests", { result: "started" });
       next.resolve(undefined);
       // Lets the request be sent, which takes part of the slice.
       await Promise.resolve();
     }
+    this.#recordStarts(started, began);
     // The loop reads its sockets before the next call, so that all that wait now
     // are ready then.
     this.#turn++;
     this.#run();
   }
 
+  /** Whether another request may be started in a turn that began at a time. */
+  #mayStartNext(began: number): boolean {
+    if (this.#isHeld()) return false;
+    return this.#acceptMs === 0 || this.#opts.clock.now() < began + SLICE_MS;
+  }
+
+  /**
+   * Measures the time of starts: that of the whole turn while more could have
+   * been started, else only that of the starts.
+   */
+  #recordStarts(started: number, began: number): void {
+    const now = this.#opts.clock.now();
+    const isLimited = this.#queue.hasReady;
+    if (!isLimited) this.#startsFrom = began;
+    this.#queue.recordStarts(started, now - this.#startsFrom);
+    if (started > 0 || !isLimited) this.#startsFrom = now;
+  }
+
   #recordRefusal(result: "unread" | "refused" | "expired", why: Failure): void {
     const { clock, log, metrics } = this.#opts;
     metrics.count("entrance.requests", { result });
