--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -158,15 +158,14 @@
     request: PipelinedRequest,
     { fields, length, hop, limits }: RequestHead,
   ): Promise<void> {
-    const { clock, memory, responseSizes, classOf, entrance, loopLag } =
-      this.#opts;
+    const { clock, memory, responseSizes, classOf } = this.#opts;
     const { clientTimeoutMs = DEFAULT_CLIENT_TIMEOUT_MS } = fields;
     const arrivedAt = this.#arrivedAt(request, clientTimeoutMs);
     const { route, rank } = classOf(fields);
     const bodyBytes = length.kind === "declared" ? length.bytes : 0;
     const responseBytes = responseSizes.expected(route);
     const bytes = bodyBytes + responseBytes;
-    const reserved = memory.reserve(bytes, rank, arrivedAt);
+    const reserved = memory.reserve(bytes, rank, clock.now());
     if (reserved.isErr()) {
       this.#recordRefusal(reserved.error, fields, { bytes, rank });
       return this.#refuse(request, reserved.error, fields);
@@ -190,13 +189,15 @@
           rank,
         });
       }
-      if (!entrance.mayStart(Math.max(request.unreadMs, loopLag.ms))) {
-        const { signal } = request;
+      if (!this.#mayStart(request)) {
         request.beginWaiting();
-        const refusal = await entrance.wait({ rank, clientTimeoutMs, signal });
-        if (refusal !== undefined) {
-          return this.#refuse(request, refusal, fields);
-        }
+        const { signal } = request;
+        const refusal = await this.#opts.entrance.wait({
+          rank,
+          clientTimeoutMs,
+          signal,
+        });
+        if (refusal) return this.#refuse(request, refusal, fields);
       }
       if (!request.forward()) return;
       if (blocks !== undefined) {
@@ -229,6 +230,13 @@
     }
   }
 
+  /** Whether a request that was read in full may be forwarded at once. */
+  #mayStart({ unreadMs }: PipelinedRequest): boolean {
+    const { entrance, loopLag } = this.#opts;
+    // The end of a body may have been read later than its header.
+    return entrance.mayStart(Math.max(unreadMs, loopLag.ms));
+  }
+
   /**
    * When a request arrived. If it was read late, that is known only to lie within
    * the time in which it may have lain unread; the middle is taken.
