--- a/tools/process_soak/process_soak_test.ts
+++ b/tools/process_soak/process_soak_test.ts
@@ -195,7 +195,7 @@
     name: "a response closes the connection before those of forwarded requests",
     fault: {
       file: "caller_connection.ts",
-      text: 'behind.some(({ progress }) => progress === "forwarded")',
+      text: "behind.some(({ isTaken }) => isTaken)",
       replacement: "behind.length < 0",
     },
     schedule: STOPS,
