--- a/src/edge/endless_bytes_test.ts
+++ b/src/edge/endless_bytes_test.ts
@@ -1,9 +1,10 @@
 import test from "ava";
 import type { Socket } from "node:net";
 import { SystemClock } from "../core/mod.ts";
-import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
+import type { SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { settle, until } from "./testing/held_requests.ts";
+import { outgoing } from "./testing/outgoing_request.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { listenScripted } from "./testing/scripted_endpoint.ts";
 import { endpointRow } from "./testing/traffic_fixtures.ts";
@@ -11,20 +12,6 @@
 const REFUSAL = "HTTP/1.1 503 No\r\nid: q1\r\nnot-run: 1\r\n";
 const INFORMATIONAL = "HTTP/1.1 100 Continue\r\n\r\n";
 
-function outgoing(): OutgoingRequest {
-  return {
-    method: "GET",
-    path: "/p/1",
-    headers: ["id", "q1"],
-    body: undefined,
-    requestId: "q1",
-    maySend: () => true,
-    mayConnect: () => true,
-    mayBuffer: () => true,
-    onHead: () => {},
-  };
-}
-
 /** Writes pieces until the connection is closed. */
 function writeEndlessly(socket: Socket, piece: string, everyMs: number): void {
   const write = () => {
--- a/src/edge/http_endpoint_sender_test.ts
+++ b/src/edge/http_endpoint_sender_test.ts
@@ -3,27 +3,14 @@
 import type { Socket } from "node:net";
 import process from "node:process";
 import { ManualClock, SystemClock } from "../core/mod.ts";
-import type { OutgoingRequest, SendResult } from "./endpoint_sender.ts";
+import type { SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { until } from "./testing/held_requests.ts";
+import { outgoing } from "./testing/outgoing_request.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { listenScripted, type Script } from "./testing/scripted_endpoint.ts";
 import { endpointRow } from "./testing/traffic_fixtures.ts";
 
-function outgoing(requestId = "q1"): OutgoingRequest {
-  return {
-    method: "GET",
-    path: "/p/1",
-    headers: ["id", requestId],
-    body: undefined,
-    requestId,
-    maySend: () => true,
-    mayConnect: () => true,
-    mayBuffer: () => true,
-    onHead: () => {},
-  };
-}
-
 function response(head: string, body = "", id = "q1"): string {
   return `HTTP/1.1 200 OK\r\nid: ${id}\r\nsigned: yes\r\n${head}\r\n${body}`;
 }
