Count streamed responses for their endpoints once they have ended

Cause: a response counted as good for its endpoint at its header, or at its first 256 KiB, and whatever happened to the rest counted for nothing. So the endpoint kept its share of the requests.

Change: the streamed part of a response reports how it ended.

--- a/src/decisions/placement/outlier_detector.ts
+++ b/src/decisions/placement/outlier_detector.ts
@@ -57,16 +57,30 @@
     if (row.inFlight === 0) this.#statsOf(row.id).waitingSince = undefined;
   }
 
+  /** Records that a response began, whose outcome is not known yet. */
+  responded(row: EndpointRow, now: number): void {
+    this.#statsOf(row.id).waitingSince = row.inFlight > 0 ? now : undefined;
+  }
+
   /** Records the outcome of a request. */
   record(row: EndpointRow, outcome: RequestOutcome, now: number): void {
-    const stats = this.#statsOf(row.id);
-    if (outcome !== "unreachable") {
-      stats.waitingSince = row.inFlight > 0 ? now : undefined;
+    if (outcome === "unreachable") {
+      return this.#eject(this.#statsOf(row.id), now);
     }
-    if (outcome === "unreachable") return this.#eject(stats, now);
+    this.responded(row, now);
     // It is alive and full. Ejected, all its affinity keys would be cache misses
     // elsewhere.
     if (outcome === "shed") return;
+    this.recordStream(row, outcome, now);
+  }
+
+  /** Records the outcome of a response that had begun before. */
+  recordStream(
+    row: EndpointRow,
+    outcome: "good" | "failed",
+    now: number,
+  ): void {
+    const stats = this.#statsOf(row.id);
     const sample = outcome === "good" ? 0 : 1;
     stats.failureRate += (sample - stats.failureRate) * EWMA_WEIGHT;
     if (stats.failureRate > FAILURE_THRESHOLD) this.#eject(stats, now);
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -19,6 +19,7 @@
 import type { EndpointSignals } from "./endpoint_signals.ts";
 import type { SendResult } from "./endpoint_sender.ts";
 import { LimitedPlacement } from "./limited_placement.ts";
+import type { StreamEnd } from "./remainder_deadline.ts";
 import type { TrafficState } from "./traffic_state.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -110,13 +111,14 @@
     row.inFlight--;
     switch (result.kind) {
       case "answer":
-        this.#outliers.record(
-          row,
-          result.status < 500 ? "good" : "failed",
-          now,
-        );
         this.#cold.answered(row);
-        if (result.status < 500) this.#latency.add(row.record.service, tookMs);
+        if (result.status >= 500) {
+          return this.#outliers.record(row, "failed", now);
+        }
+        this.#latency.add(row.record.service, tookMs);
+        // A streamed response counts once it has ended.
+        if (result.body.remainder) this.#outliers.responded(row, now);
+        else this.#outliers.record(row, "good", now);
         return;
       case "not-run":
         // Another endpoint has the address, so this one has ended even if the
@@ -138,6 +140,13 @@
     }
   }
 
+  /** Records the end of a successful response that was streamed. */
+  recordStreamEnd(row: EndpointRow, end: StreamEnd, now: number): void {
+    if (end === "unread") return;
+    const outcome = end === "complete" ? "good" : "failed";
+    this.#outliers.recordStream(row, outcome, now);
+  }
+
   /**
    * Undoes what failed connections since a moment have led to, as their cause
    * was the link and not the endpoints.
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -29,7 +29,7 @@
 import { type Hop, readHopResponse, withoutHopFields } from "./hop_headers.ts";
 import type { ForwardResult, PeerForwarder } from "./peer_forwarder.ts";
 import { Refusals } from "./refusals.ts";
-import { withDeadline } from "./remainder_deadline.ts";
+import { type StreamEnd, withDeadline } from "./remainder_deadline.ts";
 import type { RequestCodec } from "./request_codec.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
@@ -372,13 +372,19 @@
     response: EndpointResponse,
   ): FlowResult {
     this.#opts.accessLog.answered(ctx, endpoint, response.status);
-    return { ...this.#withDeadline(ctx, response), endpoint: endpoint.id };
+    const onEnd = (end: StreamEnd) => {
+      if (response.status >= 500) return;
+      this.#opts.chooser.recordStreamEnd(endpoint, end, this.#opts.clock.now());
+    };
+    const limited = this.#withDeadline(ctx, response, onEnd);
+    return { ...limited, endpoint: endpoint.id };
   }
 
   /** Applies the request's deadline to the streamed part of a response. */
   #withDeadline(
     ctx: RequestContext,
     response: EndpointResponse,
+    onEnd?: (end: StreamEnd) => void,
   ): EndpointResponse {
     const { bytes, remainder } = response.body;
     if (remainder === undefined) return response;
@@ -386,7 +392,10 @@
     const limited = withDeadline(remainder, {
       leftMs: ctx.deadline - clock.now(),
       clock,
-      onExpired: () => accessLog.streamExpired(ctx),
+      onEnd: (end) => {
+        if (end === "late" || end === "unread") accessLog.streamExpired(ctx);
+        onEnd?.(end);
+      },
     });
     return { ...response, body: { bytes, remainder: limited } };
   }
