--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -22,11 +22,8 @@
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
 import type { LocalReply } from "./request_codec.ts";
-import {
-  RequestIntake,
-  type RequestIntakeOptions,
-  type RequestLimits,
-} from "./request_intake.ts";
+import type { RequestLimits } from "./request_head.ts";
+import { RequestIntake, type RequestIntakeOptions } from "./request_intake.ts";
 
 /** Dependencies of the server. */
 export interface CallerServerOptions extends RequestIntakeOptions {
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import type { IncomingMessage } from "node:http";
 import type { Clock, Failure, Log, Metrics } from "../core/mod.ts";
 import { failure } from "../core/mod.ts";
 import {
@@ -15,23 +14,28 @@
   type ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import { DEFAULT_CLIENT_TIMEOUT_MS } from "./admission.ts";
+import { BufferLog } from "./buffer_log.ts";
 import type { PipelinedRequest } from "./caller_connection.ts";
 import type { Entrance } from "./entrance.ts";
 import { type EventLoopLag, isReadLate } from "./event_loop_lag.ts";
 import type { FlowResult } from "./flow_result.ts";
-import { headerOf } from "./header_fields.ts";
-import { headerBytesOf } from "./header_size.ts";
 import { HeldBody } from "./held_body.ts";
-import { type Hop, readHop, withoutHopFields } from "./hop_headers.ts";
+import { type Hop, withoutHopFields } from "./hop_headers.ts";
 import {
   type BodyFailure,
   type BodyLength,
-  bodyLengthOf,
   discardBody,
   readBody,
 } from "./request_body.ts";
 import type { RequestClass } from "./request_class.ts";
 import type { RequestCodec, RequestFields } from "./request_codec.ts";
+import {
+  BODY_TOO_LARGE,
+  invalidHead,
+  readHead,
+  type RequestHead,
+  type RequestLimits,
+} from "./request_head.ts";
 import type { CallerRequest } from "./request_context.ts";
 import { ResponseWriter } from "./response_writer.ts";
 
@@ -54,28 +58,9 @@
   readonly classOf: (fields: RequestFields) => RequestClass;
 }
 
-/** Limits of the plan on one request. */
-export interface RequestLimits {
-  readonly headerBytes: number;
-  readonly bodyBytes: number;
-}
-
-/** What the header of a request says, and the limits that apply to it. */
-interface RequestHead {
-  readonly fields: RequestFields;
-  readonly length: BodyLength;
-  /** Only of requests that instances pass on. */
-  readonly hop: Hop | undefined;
-  readonly limits: RequestLimits;
-}
-
 /** Time in which a body must arrive if its caller states none, in ms. */
 const BODY_TIMEOUT_MS = 30_000;
 
-const HEADER_TOO_LARGE = failure("bad_request", "the header is too large");
-const HOST_MISSING = failure("bad_request", "the Host field is missing");
-const HOP_MISSING = failure("bad_request", "the fields of the hop are missing");
-const BODY_TOO_LARGE = failure("bad_request", "the body is too large");
 const BODY_LATE = failure("deadline_exceeded", "the body did not arrive", {
   outcome: "not-run",
 });
@@ -90,26 +75,23 @@
 export class RequestIntake {
   readonly #opts: RequestIntakeOptions;
   readonly #writer: ResponseWriter;
+  readonly #buffers: BufferLog;
 
   constructor(opts: RequestIntakeOptions) {
     this.#opts = opts;
     const { codec, clock, memory, fromPeers: toPeers } = opts;
     this.#writer = new ResponseWriter({ codec, clock, memory, toPeers });
+    this.#buffers = new BufferLog(opts);
   }
 
   /** Serves a request; never throws. */
   async serve(request: PipelinedRequest, limits: RequestLimits): Promise<void> {
     const { req, res } = request;
     try {
-      const { codec, fromPeers } = this.#opts;
-      const head: RequestHead = {
-        fields: codec.readRequest(req.url ?? "/", req.rawHeaders),
-        length: bodyLengthOf(req),
-        hop: fromPeers ? readHop(req.rawHeaders) : undefined,
-        limits,
-      };
-      const invalid = this.#refuseInvalid(request, head);
-      if (!invalid) await this.#serveValid(request, head);
+      const head = readHead(req, { ...this.#opts, limits });
+      const invalid = invalidHead(req, head, this.#opts);
+      if (invalid === undefined) return await this.#serveValid(request, head);
+      this.#refuse(request, invalid.why, head.fields, invalid.status);
     } catch (cause) {
       this.#opts.log.event("request_handler_failed", { cause: String(cause) });
       res.destroy();
@@ -132,28 +114,6 @@
     this.#opts.metrics.count("caller.left", { progress, read });
   }
 
-  /** Refuses a request that its header makes invalid; returns whether it did. */
-  #refuseInvalid(
-    request: PipelinedRequest,
-    { fields, length, hop, limits }: RequestHead,
-  ): boolean {
-    const { req } = request;
-    const { headerBytes, bodyBytes } = limits;
-    const refuse = (why: Failure, status: number) => {
-      this.#refuse(request, why, fields, status);
-      return true;
-    };
-    if (headerBytesOf(req) > headerBytes) return refuse(HEADER_TOO_LARGE, 431);
-    if (isHostMissing(req)) return refuse(HOST_MISSING, 400);
-    if (this.#opts.fromPeers && hop === undefined) {
-      return refuse(HOP_MISSING, 400);
-    }
-    if (length.kind === "declared" && length.bytes > bodyBytes) {
-      return refuse(BODY_TOO_LARGE, 413);
-    }
-    return false;
-  }
-
   async #serveValid(
     request: PipelinedRequest,
     { fields, length, hop, limits }: RequestHead,
@@ -167,7 +127,7 @@
     const bytes = bodyBytes + responseBytes;
     const reserved = memory.reserve(bytes, rank, clock.now());
     if (reserved.isErr()) {
-      this.#recordRefusal(reserved.error, fields, { bytes, rank });
+      this.#buffers.refused(fields.requestId, reserved.error, { bytes, rank });
       return this.#refuse(request, reserved.error, fields);
     }
     const forBody = reserved.value;
@@ -206,7 +166,7 @@
       const forBuffer = new ResponseMemory(forResponse, rank);
       const mayBuffer = (bytes: number) => {
         const isHeld = forBuffer.tryTake(bytes);
-        if (!isHeld) this.#recordStreaming(fields, rank);
+        if (!isHeld) this.#buffers.streamed(fields.requestId, rank);
         return isHeld;
       };
       const result = await this.#forward(request, {
@@ -281,7 +241,12 @@
       case "gone":
         return;
       case "too_large":
-        return this.#refuse(request, BODY_TOO_LARGE, fields, 413);
+        return this.#refuse(
+          request,
+          BODY_TOO_LARGE.why,
+          fields,
+          BODY_TOO_LARGE.status,
+        );
       case "late":
         return this.#refuse(request, BODY_LATE, fields);
       case "no_memory": {
@@ -292,7 +257,7 @@
         const again = memory.reserve(bytes, rank, clock.now());
         if (again.isOk()) again.value.release(clock.now());
         const refusal = again.isErr() ? again.error : BODY_NOT_HELD;
-        this.#recordRefusal(refusal, fields, { bytes, rank });
+        this.#buffers.refused(fields.requestId, refusal, { bytes, rank });
         return this.#refuse(request, refusal, fields);
       }
     }
@@ -348,39 +313,4 @@
     this.#writer.refuse(request, why, { requestId, status });
     discardBody(req, this.#opts.clock);
   }
-
-  #recordStreaming({ requestId }: RequestFields, rank: number): void {
-    const { log, metrics, memory } = this.#opts;
-    const { usedBytes, limitBytes } = memory;
-    metrics.count("buffers.streamed");
-    log.event("response_streamed", {
-      request: requestId,
-      rank,
-      usedBytes,
-      limitBytes,
-    });
-  }
-
-  #recordRefusal(
-    why: Failure,
-    fields: RequestFields,
-    { bytes, rank }: { readonly bytes: number; readonly rank: number },
-  ): void {
-    const { log, metrics, memory } = this.#opts;
-    metrics.count("buffers.refused");
-    log.event("body_refused", {
-      request: fields.requestId,
-      bytes,
-      rank,
-      usedBytes: memory.usedBytes,
-      limitBytes: memory.limitBytes,
-      retryAfterMs: Math.round(why.retryAfterMs ?? 0),
-    });
-  }
-}
-
-/** HTTP/1.1 requires the field. */
-function isHostMissing(req: IncomingMessage): boolean {
-  return req.httpVersion === "1.1" &&
-    headerOf(req.rawHeaders, "host") === undefined;
 }
