Give the refusal of an unread connection the id of its first request

Callers of an overloaded instance got a 503 without the id of their request, which they cannot match to it.

Cause: while more connections wait than can be accepted, a connection was refused at its acceptance, with nothing read, so the id was not known.

Change: the header's bytes are searched for the id, without the HTTP parser, and then the refusal is sent.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -6,22 +6,20 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
-  STATUS_CODES,
 } from "node:http";
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../traffic/mod.ts";
 import { AcceptLag } from "./accept_lag.ts";
 import { CallerConnection, type ServerStage } from "./caller_connection.ts";
+import { refuseFirstRequest } from "./first_request.ts";
 import { lingerOnClose } from "./lingering_close.ts";
 import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 import { parserErrorResponse } from "./parser_error.ts";
-import type { LocalReply } from "./request_codec.ts";
 import type { RequestLimits } from "./request_head.ts";
 import { RequestIntake, type RequestIntakeOptions } from "./request_intake.ts";
 
@@ -169,14 +167,12 @@
 
   /** Takes a connection, or refuses it; returns whether it is served. */
   #accept(socket: Socket): boolean {
-    const { clock, entrance, fromPeers, codec } = this.#opts;
+    const { clock, entrance, fromPeers } = this.#opts;
     const waitedMs = this.#acceptLag.accepted();
     lingerOnClose(socket, clock);
     const why = fromPeers ? undefined : entrance.refuseConnection();
     if (why !== undefined) {
-      socket.on("error", () => {});
-      socket.write(responseText(codec.refusal(why, "")));
-      socket.destroySoon();
+      refuseFirstRequest(socket, why, this.#opts);
       return false;
     }
     const connection = new CallerConnection(socket, {
@@ -238,19 +234,3 @@
     connection.end();
   }
 }
-
-/** A response that closes its connection, without a parsed request. */
-function responseText({ status, headers, body }: LocalReply): string {
-  const lines = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`];
-  const fields = [
-    ...headers,
-    "Connection",
-    "close",
-    "Content-Length",
-    String(Buffer.byteLength(body)),
-  ];
-  for (let i = 0; i < fields.length; i += 2) {
-    lines.push(`${fields[i]}: ${fields[i + 1]}`);
-  }
-  return `${lines.join("\r\n")}\r\n\r\n${body}`;
-}
--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -177,6 +177,34 @@
   for (const caller of callers) caller.close();
 });
 
+// Guards against a refusal that its caller cannot match to a request.
+test.serial("a connection is refused with the id of its first request", async (t) => {
+  const { held, server } = await listenLate(t);
+  const callers = await Promise.all(
+    Array.from({ length: 400 }, () => RawCaller.open(server.port)),
+  );
+  const request = (id: string) =>
+    `GET /${id} HTTP/1.1\r\nHost: h\r\nid: ${id}\r\n\r\n`;
+  callers.forEach((caller, i) => {
+    const bytes = `${request(`q${i}`)}${request(`r${i}`)}`;
+    // Some headers arrive in two parts.
+    caller.send(bytes.slice(0, i % 2 === 0 ? 10 : undefined));
+    if (i % 2 === 0) setTimeout(() => caller.send(bytes.slice(10)), 300);
+  });
+  await slowTurns(120, 4);
+  await until(() => callers.some(({ statuses }) => statuses[0] === 503));
+  while (callers.some(({ statuses }) => statuses.length === 0)) {
+    held.answerAll();
+    await settle(5);
+  }
+  callers.forEach(({ text, statuses, closing }, i) => {
+    if (statuses[0] !== 503 || closing[0] !== 0) return;
+    t.deepEqual(statuses, [503]);
+    t.is(/^id: (\S+)/m.exec(text)?.[1], `q${i}`);
+  });
+  for (const caller of callers) caller.close();
+});
+
 // Guards against requests of a connection that is not read, as many of its
 // requests are held, which are started one after another for a caller that left.
 test.serial("held requests are not started if their caller left", async (t) => {
