Let fewer connections wait to be accepted than callers wait for

Cause: the system keeps up to 1,024 connections in the queue of a listener. An overloaded instance accepts some 840 a second of those that arrive, so that each has waited for 1.2 s when it is read, and its caller has left. Refusing them costs the time in which others would be served, and while the queue is full all that is read is as old.

Change: at most 512 wait. The others are not answered by the system; nothing of them was sent, so their callers may try elsewhere.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -48,8 +48,12 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 /** Maximum body size until a plan sets one, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
-/** Connections that may wait to be accepted in a burst of new callers. */
-const BACKLOG = 1_024;
+/**
+ * Connections that may wait to be accepted in a burst of new callers. Of more,
+ * each would wait for longer than its caller does while an instance is
+ * overloaded; a connection that the system does not take has sent nothing.
+ */
+const BACKLOG = 512;
 
 /** A connection, and how long it waited until it was accepted. */
 interface Accepted {
