Let connections wait to be accepted in proportion to an instance's cores

Cause: the instance's log has 100 to 150 refusals a second and a queue that is never empty for over 4 s. At that rate the last of 512 connections is accepted after seconds, when its caller has left, so nothing that is new is taken.

Change: at most 256 connections for each core of an instance wait, 32 at least.

--- a/src/edge/caller_server.ts
+++ b/src/edge/caller_server.ts
@@ -27,6 +27,8 @@
 export interface CallerServerOptions extends RequestIntakeOptions {
   /** Host and port. */
   readonly address: string;
+  /** Usable cores of the instance. */
+  readonly cores: number;
 }
 
 /**
@@ -49,11 +51,13 @@
 /** Maximum body size until a plan sets one, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 /**
- * Connections that may wait to be accepted in a burst of new callers. Of more,
- * each would wait for longer than its caller does while an instance is
- * overloaded; a connection that the system does not take has sent nothing.
+ * Connections for each core of an instance that may wait to be accepted in a
+ * burst of new callers. Of more, each would wait for longer than its caller does
+ * while the instance is overloaded; one that the system does not take has sent
+ * nothing.
  */
-const BACKLOG = 512;
+const BACKLOG_PER_CORE = 256;
+const MIN_BACKLOG = 32;
 
 /** A connection, and how long it waited until it was accepted. */
 interface Accepted {
@@ -114,7 +118,12 @@
   /** Starts a server; resolves once it accepts connections. */
   static async listen(opts: CallerServerOptions): Promise<CallerServer> {
     const server = new CallerServer(opts);
-    await listenAt(server.#server, opts.address, BACKLOG);
+    const backlog = Math.round(BACKLOG_PER_CORE * opts.cores);
+    await listenAt(
+      server.#server,
+      opts.address,
+      Math.max(MIN_BACKLOG, backlog),
+    );
     return server;
   }
 
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -350,6 +350,7 @@
       handle: (req: CallerRequest) => flow.handle(req),
       log,
       metrics: this.#opts.metrics,
+      cores: cfg.capacity,
       loopLag: this.#loopLag,
       entrance: new Entrance(this.#opts),
       memory: this.#memory,
--- a/src/edge/testing/held_requests.ts
+++ b/src/edge/testing/held_requests.ts
@@ -75,6 +75,7 @@
   return CallerServer.listen({
     ...common,
     address: "127.0.0.1:0",
+    cores: 1,
     codec: new PlainCodec(),
     entrance: new Entrance(common),
     loopLag: new EventLoopLag({ ...common, clock: new ManualClock() }),
