Derive the size of the entry queue, and decide on streamed responses in one place

- `EntryQueue` kept a counter beside the queues whose lengths it sums.
The size is counted now, as the wait before a rank already was: there are few ranks, and none while nothing waits.
- `RequestFlow` decided by the status whether the end of a streamed response counts, where `EndpointChooser` decides the same of its header.
The chooser does both.

39 tests of these files pass, with no assertion changed.

--- a/src/decisions/entrance/entry_queue.ts
+++ b/src/decisions/entrance/entry_queue.ts
@@ -48,10 +48,9 @@
   readonly #retryAfter = new RetryAfterSchedule(MAX_RETRY_AFTER_MS);
   /** Average time that a start takes, in milliseconds. */
   #startMs = INITIAL_START_MS;
-  #size = 0;
 
   get size(): number {
-    return this.#size;
+    return this.#countUpTo(Infinity);
   }
 
   /** Why a request of a rank is refused, and when its caller may return. */
@@ -78,7 +77,6 @@
     const queued = { request, at: now };
     if (queue === undefined) this.#ranks.set(request.rank, [queued]);
     else queue.push(queued);
-    this.#size++;
     return undefined;
   }
 
@@ -136,11 +134,16 @@
 
   /** Expected wait of a new request of this rank, in milliseconds. */
   #waitMs(rank: number): number {
-    let before = 0;
+    return this.#countUpTo(rank) * this.#startMs;
+  }
+
+  /** Number of requests that are started before a new one of this rank. */
+  #countUpTo(rank: number): number {
+    let count = 0;
     for (const [other, queue] of this.#ranks) {
-      if (other <= rank) before += queue.length;
+      if (other <= rank) count += queue.length;
     }
-    return before * this.#startMs;
+    return count;
   }
 
   #ranksInOrder(): number[] {
@@ -149,7 +152,6 @@
 
   #removeAt(index: number, rank: number, queue: Queued<T>[]): void {
     queue.splice(index, 1);
-    this.#size--;
     if (queue.length === 0) this.#ranks.delete(rank);
   }
 }
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -140,9 +140,15 @@
     }
   }
 
-  /** Records the end of a successful response that was streamed. */
-  recordStreamEnd(row: EndpointRow, end: StreamEnd, now: number): void {
-    if (end === "unread") return;
+  /** Records the end of a response that was streamed. */
+  recordStreamEnd(
+    row: EndpointRow,
+    { status }: { readonly status: number },
+    opts: { readonly end: StreamEnd; readonly now: number },
+  ): void {
+    const { end, now } = opts;
+    // One that failed counted at its header.
+    if (status >= 500 || end === "unread") return;
     const outcome = end === "complete" ? "good" : "failed";
     this.#outliers.recordStream(row, outcome, now);
   }
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -371,12 +371,11 @@
     endpoint: EndpointRow,
     response: EndpointResponse,
   ): FlowResult {
-    this.#opts.accessLog.answered(ctx, endpoint, response.status);
-    const onEnd = (end: StreamEnd) => {
-      if (response.status >= 500) return;
-      this.#opts.chooser.recordStreamEnd(endpoint, end, this.#opts.clock.now());
-    };
-    const limited = this.#withDeadline(ctx, response, onEnd);
+    const { accessLog, chooser, clock } = this.#opts;
+    accessLog.answered(ctx, endpoint, response.status);
+    const limited = this.#withDeadline(ctx, response, (end) => {
+      chooser.recordStreamEnd(endpoint, response, { end, now: clock.now() });
+    });
     return { ...limited, endpoint: endpoint.id };
   }
 
