--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -50,6 +50,23 @@
   return { held, server };
 }
 
+function openCallers(port: number, count: number): Promise<RawCaller[]> {
+  return Promise.all(
+    Array.from({ length: count }, () => RawCaller.open(port)),
+  );
+}
+
+/** Answers what is forwarded until each caller has a response. */
+async function answerUntilAllHaveOne(
+  held: HeldRequests,
+  callers: readonly RawCaller[],
+): Promise<void> {
+  while (callers.some(({ statuses }) => statuses.length === 0)) {
+    held.answerAll();
+    await settle(5);
+  }
+}
+
 const REQUESTS: readonly {
   readonly name: string;
   readonly fromPeers: boolean;
@@ -157,9 +174,7 @@
 // cannot serve, and against a refusal that is lost with its connection.
 test.serial("callers are refused before they are read while connections keep waiting", async (t) => {
   const { held, server } = await listenLate(t, { cores: 2 });
-  const callers = await Promise.all(
-    Array.from({ length: 400 }, () => RawCaller.open(server.port)),
-  );
+  const callers = await openCallers(server.port, 400);
   callers.forEach((caller, i) => caller.get(`/${i}`));
   for (let i = 0; i < 400 && held.forwarded.length === 0; i++) {
     await slowTurns(1, 4);
@@ -169,10 +184,7 @@
   const refused = callers.filter(({ statuses }) => statuses[0] === 503);
   t.true(refused.every(({ closing }) => closing.length === 1));
   t.true(refused.every(({ error }) => error === undefined));
-  while (callers.some(({ statuses }) => statuses.length === 0)) {
-    held.answerAll();
-    await settle(5);
-  }
+  await answerUntilAllHaveOne(held, callers);
   t.true(callers.every(({ statuses }) => statuses.length === 1));
   for (const caller of callers) caller.close();
 });
@@ -180,9 +192,7 @@
 // Guards against a refusal that its caller cannot match to a request.
 test.serial("a connection is refused with the id of its first request", async (t) => {
   const { held, server } = await listenLate(t, { cores: 2 });
-  const callers = await Promise.all(
-    Array.from({ length: 400 }, () => RawCaller.open(server.port)),
-  );
+  const callers = await openCallers(server.port, 400);
   const request = (id: string) =>
     `GET /${id} HTTP/1.1\r\nHost: h\r\nid: ${id}\r\n\r\n`;
   callers.forEach((caller, i) => {
@@ -193,10 +203,7 @@
   });
   await slowTurns(120, 4);
   await until(() => callers.some(({ statuses }) => statuses[0] === 503));
-  while (callers.some(({ statuses }) => statuses.length === 0)) {
-    held.answerAll();
-    await settle(5);
-  }
+  await answerUntilAllHaveOne(held, callers);
   callers.forEach(({ text, statuses, closing }, i) => {
     if (statuses[0] !== 503 || closing[0] !== 0) return;
     t.deepEqual(statuses, [503]);
--- a/src/edge/testing/forward_to.ts
+++ b/src/edge/testing/forward_to.ts
@@ -7,6 +7,7 @@
 import type { EndpointResponse } from "../flow_result.ts";
 import { HttpEndpointSender } from "../http_endpoint_sender.ts";
 import type { RequestHandler } from "../request_intake.ts";
+import { outgoing } from "./outgoing_request.ts";
 import { PlainCodec } from "./plain_codec.ts";
 import { endpointRow } from "./traffic_fixtures.ts";
 
@@ -21,17 +22,8 @@
   const sender = new HttpEndpointSender(new PlainCodec(), new SystemClock());
   return {
     handle: ({ method, body, mayBuffer }) =>
-      sender.send(row, {
-        method,
-        path: "/1",
-        headers: ["id", FORWARDED_ID],
-        body,
-        requestId: FORWARDED_ID,
-        maySend: () => true,
-        mayConnect: () => true,
-        mayBuffer,
-        onHead: () => {},
-      }).result as Promise<EndpointResponse>,
+      sender.send(row, { ...outgoing(FORWARDED_ID), method, body, mayBuffer })
+        .result as Promise<EndpointResponse>,
     close: () => sender.close(),
   };
 }
--- a/tools/bench/control.ts
+++ b/tools/bench/control.ts
@@ -106,7 +106,7 @@
   return {
     at,
     cpuMs: sum(fleet.instances.map((i) => cpuMsOf(i))),
-    rssBytes: sum(fleet.instances.map((i) => rssBytesOf(i))),
+    rssBytes: sum(fleet.instances.map((i) => residentBytes(i.child.pid))),
     batches: sum(status.map((s) => s.peers.batches_sent)),
     bytes: sum(status.map((s) => s.peers.listener_bytes)),
     calls: sum(calls),
@@ -131,10 +131,6 @@
   return statMs(`/proc/${child.pid}/stat`);
 }
 
-function rssBytesOf({ child }: FleetInstance): number {
-  return residentBytes(child.pid);
-}
-
 /** Least-squares slope of each figure per unit of the growing dimension. */
 function slopesOf(name: string, samples: readonly Sample[]) {
   const x = samples.map((s) => seriesValueOf(name, s));
--- a/tools/process_soak/early_leavers.ts
+++ b/tools/process_soak/early_leavers.ts
@@ -7,22 +7,20 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FakeCaller } from "../../platform/testing/fake_caller.ts";
 import type { Random } from "../../src/core/mod.ts";
+import { LATE_MS } from "../standins/departing_callers.ts";
 import type { InstanceProcess } from "./instance_process.ts";
 import type {
   Disturbances,
   PropertyChecker,
   SentAttempt,
 } from "./property_checker.ts";
-import { HOST, type SoakOperators } from "./soak_operators.ts";
+import { buildAttempt } from "./soak_attempt.ts";
+import type { SoakOperators } from "./soak_operators.ts";
 
 const LEAVERS = 6;
 const THINK_TIME_MS = 60;
-/** How long a caller says that it waits, and how long it does at most. */
-const CLIENT_TIMEOUT_MS = 2_000;
+/** How long a caller waits at most, less than it says. */
 const MAX_PATIENCE_MS = 400;
-const OBJECTS = 40;
-/** How late a request may reach an endpoint after its caller left, in ms. */
-const LATE_MS = 500;
 /** Late requests that are tolerated in a run. */
 const MAX_LATE = 3;
 
@@ -116,21 +114,13 @@
 
   #buildAttempt(instance: InstanceProcess): SentAttempt {
     const { operators, random } = this.#opts;
-    const { large } = operators();
     const idempotent = random.next() < 0.5;
-    return {
-      request: `left${this.#sent++}-${random.hex(4)}`,
-      host: HOST,
+    return buildAttempt(operators().large, instance, {
+      name: `left${this.#sent++}`,
       path: idempotent ? "/reads/x" : "/writes/x",
-      key: large.keys[random.below(large.keys.length)] ?? "",
-      object: String(random.below(OBJECTS)),
       idempotent,
-      clientTimeoutMs: CLIENT_TIMEOUT_MS,
-      account: large.id,
-      instance: instance.opts.id,
-      life: instance.life,
-      sentAt: Date.now(),
       since: 1,
-    };
+      random,
+    });
   }
 }
--- a/tools/process_soak/soak_callers.ts
+++ b/tools/process_soak/soak_callers.ts
@@ -8,13 +8,12 @@
 import type { Random } from "../../src/core/mod.ts";
 import type { InstanceProcess } from "./instance_process.ts";
 import type { PropertyChecker, SentAttempt } from "./property_checker.ts";
-import { HOST, type SoakOperators } from "./soak_operators.ts";
+import { buildAttempt } from "./soak_attempt.ts";
+import type { SoakOperators } from "./soak_operators.ts";
 
 /** Concurrent callers by default. */
 export const DEFAULT_CALLERS = 12;
 const THINK_TIME_MS = 15;
-const CLIENT_TIMEOUT_MS = 2_000;
-const OBJECTS = 40;
 /** Probability of reconnecting to a random instance after a response. */
 const RECONNECT_CHANCE = 0.05;
 /** Probability that a request uses the newest route. */
@@ -157,19 +156,12 @@
     const idempotent = newest || random.next() < 0.5;
     const since = newest ? version : 1;
     const service = idempotent ? "reads" : "writes";
-    return {
-      request: `q${number}-${this.#requests}-${random.hex(4)}`,
-      host: HOST,
+    return buildAttempt(account, instance, {
+      name: `q${number}-${this.#requests}`,
       path: newest ? `/since${since}/x` : `/${service}/x`,
-      key: account.keys[random.below(account.keys.length)] ?? "",
-      object: String(random.below(OBJECTS)),
       idempotent,
-      clientTimeoutMs: CLIENT_TIMEOUT_MS,
-      account: account.id,
-      instance: instance.opts.id,
-      life: instance.life,
-      sentAt: Date.now(),
       since,
-    };
+      random,
+    });
   }
 }
