Log and count retries by service and reason, beside the budget and the fleet size

Cause: nothing said how many retries an instance makes for a service in a window, why, what its part of the budget is and by which fleet size that is divided, so that the hypotheses of the incident could not be told apart.

Change: EndpointRetries takes retries with a reason and logs retry_budget_state, at most once a second by service; endpoint.retries and endpoint.repeats count them. No decision changes.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -298,6 +298,22 @@
     help:
       "The memory for buffers has no room for a response; it is passed on as it arrives, and cannot be retried if it is cut off",
   },
+  retry_budget_state: {
+    namespace: "requests",
+    fields: [
+      "service",
+      "taken",
+      "refused",
+      "arrived",
+      "requests",
+      "retries",
+      "allowed",
+      "instances",
+      "sizeKnown",
+    ],
+    help:
+      "Retries at a service since the last such line, at most once a second while there are any: those that the budget allowed and refused, and the attempts beyond the first that may have reached an endpoint; then the requests and the retries that this instance counts, the retries that its part of the budget allows for them, and the fleet size by which that is divided",
+  },
   seat_taken_over: {
     namespace: "seats",
     fields: ["index"],
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -125,6 +125,20 @@
     help:
       "Responses of endpoints with a header field that this version does not read; other for names beyond the first 32",
   },
+  "endpoint.repeats": {
+    type: "count",
+    unit: "attempts",
+    tags: ["service", "reason"],
+    help:
+      "Attempts that followed others of the same request and may have reached an endpoint, by why they were made: lost, failed, shed, unreachable, link or peer",
+  },
+  "endpoint.retries": {
+    type: "count",
+    unit: "requests",
+    tags: ["service", "reason", "result"],
+    help:
+      "Requests that needed another attempt, by why, and by whether the retry budget had one left (taken or refused)",
+  },
   "endpoint.shed": {
     type: "count",
     unit: "requests",
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -28,6 +28,16 @@
 /** Intervals of the window; counts expire one interval at a time. */
 const INTERVALS = 10;
 
+/** What a budget's decisions are based on, for logs. */
+export interface RetryBudgetState {
+  /** Requests of callers in the window. */
+  readonly requests: number;
+  /** Retries spent in the window. */
+  readonly retries: number;
+  /** This instance's part of the budget. */
+  readonly allowed: number;
+}
+
 interface Interval {
   readonly index: number;
   requests: number;
@@ -100,13 +110,22 @@
     fleet: { readonly instances: number },
     now: number,
   ): boolean {
-    const counts = this.#countsOf(service);
-    const { requests, retries } = counts.sum(now);
+    const { retries, allowed } = this.state(service, fleet, now);
+    if (retries + 1 > allowed) return false;
+    this.#countsOf(service).at(now).retries++;
+    return true;
+  }
+
+  /** The counts and this instance's part of the budget. */
+  state(
+    service: ServiceId,
+    fleet: { readonly instances: number },
+    now: number,
+  ): RetryBudgetState {
+    const { requests, retries } = this.#countsOf(service).sum(now);
     const { ratio, slack } = this.#allowance;
     const part = requests * ratio + slack / Math.max(1, fleet.instances);
-    if (retries + 1 > part * USED_FRACTION) return false;
-    counts.at(now).retries++;
-    return true;
+    return { requests, retries, allowed: part * USED_FRACTION };
   }
 
   #countsOf(service: ServiceId): SlidingWindowCounts {
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -78,6 +78,7 @@
       tried: new Set(),
       counted: req.hop?.counted ?? false,
       arrivals: req.hop?.attempts ?? 0,
+      retriedFor: "peer",
       peersTried: new Set(),
       chosenBy: "",
       mayHaveRun: false,
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -43,6 +43,7 @@
 import type { EdgeSettings } from "./edge_settings.ts";
 import { EndpointLimits } from "./endpoint_limits.ts";
 import { EndpointChooser } from "./endpoint_chooser.ts";
+import { EndpointRetries } from "./endpoint_retries.ts";
 import { EndpointSignals } from "./endpoint_signals.ts";
 import { EventLoopLag } from "./event_loop_lag.ts";
 import { Entrance } from "./entrance.ts";
@@ -394,8 +395,14 @@
       sender: this.#sender,
       codec,
       planVersion: () => this.#state.planVersion,
-      retries: this.#retryBudget,
-      fleetSize: () => this.#member.fleetSize,
+      retries: new EndpointRetries({
+        budget: this.#retryBudget,
+        fleetSize: () => this.#member.fleetSize,
+        isFleetKnown: () => this.#member.isSizeKnown,
+        clock,
+        log,
+        metrics,
+      }),
       accessLog: new AccessLog({
         clock,
         log,
--- /dev/null
+++ b/src/edge/endpoint_retries_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import { ManualClock, MemoryMetrics, type ServiceId } from "../core/mod.ts";
+import { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import { EndpointRetries } from "./endpoint_retries.ts";
+import { RecordedLog } from "./testing/recorded_log.ts";
+import { RequestPath } from "./testing/request_path.ts";
+import { ScriptedSender, shed } from "./testing/scripted_sender.ts";
+
+const SERVICE = "s" as ServiceId;
+
+function retriesOfTwo() {
+  const clock = new ManualClock();
+  const log = new RecordedLog();
+  const retries = new EndpointRetries({
+    budget: new SharedRetryBudget({ ratio: 0.2, slack: 10, windowMs: 10_000 }),
+    fleetSize: () => 2,
+    isFleetKnown: () => false,
+    clock,
+    log,
+    metrics: new MemoryMetrics(),
+  });
+  return { retries, clock, log };
+}
+
+test("retries at a service are logged with its budget and the fleet size, once a second", (t) => {
+  const { retries, clock, log } = retriesOfTwo();
+  for (let i = 0; i < 10; i++) retries.request(SERVICE);
+  for (let i = 0; i < 100; i++) {
+    if (retries.take(SERVICE, "shed")) retries.arrived(SERVICE, "shed");
+    clock.advance(25);
+  }
+  const lines = log.of("retry_budget_state");
+  t.is(lines.length, 3);
+  const { service, instances, sizeKnown, requests, retries: spent, allowed } =
+    lines.at(-1)!;
+  t.like({ service, instances, sizeKnown }, {
+    service: SERVICE,
+    instances: 2,
+    sizeKnown: false,
+  });
+  t.is(requests, 10);
+  t.true(Number(spent) <= Number(allowed));
+  t.is(
+    lines.reduce((sum, line) => sum + Number(line["arrived"]), 0),
+    Number(spent),
+  );
+});
+
+test("an attempt that follows one that was refused counts as a repeat", async (t) => {
+  const path = new RequestPath({ sender: new ScriptedSender(shed()) });
+  await path.send();
+  t.is(path.metrics.counts.get("endpoint.repeats"), 1);
+});
+
+test("a first attempt counts as no repeat", async (t) => {
+  const path = new RequestPath();
+  await path.send();
+  t.is(path.metrics.counts.get("endpoint.repeats"), undefined);
+});
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -6,11 +6,11 @@
 import type { Result } from "neverthrow";
 import { type Clock, fail, type Failure, failure } from "../core/mod.ts";
 import type { LinkChecker } from "../decisions/links/mod.ts";
-import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
 import type { StartGate } from "../decisions/starting/mod.ts";
 import type { EndpointRow } from "../traffic/mod.ts";
 import { type Admission, clientTimeoutOf } from "./admission.ts";
 import type { EndpointChooser } from "./endpoint_chooser.ts";
+import type { EndpointRetries, RetryReason } from "./endpoint_retries.ts";
 import type { EndpointSignals } from "./endpoint_signals.ts";
 import type {
   EndpointSender,
@@ -44,9 +44,7 @@
   readonly forwarder: PeerForwarder;
   readonly sender: EndpointSender;
   readonly codec: RequestCodec;
-  readonly retries: SharedRetryBudget;
-  /** Number of instances in the fleet, including this one. */
-  readonly fleetSize: () => number;
+  readonly retries: EndpointRetries;
   /** Version of the plan in force. */
   readonly planVersion: () => number;
   readonly accessLog: AccessLog;
@@ -76,7 +74,7 @@
 
   /** Serves a request; never throws. */
   async handle(req: CallerRequest): Promise<FlowResult> {
-    const { gate, admission, retries, clock } = this.#opts;
+    const { gate, admission, retries } = this.#opts;
     if (req.hop !== undefined && !this.#takesOver(req.hop)) {
       return this.#refusals.refuse(req, CANNOT_TAKE_OVER);
     }
@@ -92,7 +90,7 @@
     const ctx = admitted.value;
     // The instance that sends it to an endpoint counts it.
     if (!ctx.counted && !this.#goesToPeer(ctx)) {
-      retries.request(ctx.service, clock.now());
+      retries.request(ctx.service);
       ctx.counted = true;
     }
     return await this.#serve(ctx);
@@ -179,7 +177,7 @@
         return undefined;
       case "unknown":
         this.#mayHaveArrived(ctx);
-        if (this.#takeRetryIfIdempotent(ctx)) return undefined;
+        if (this.#takeRetryIfIdempotent(ctx, "peer")) return undefined;
         return this.#refusals.failed(
           ctx,
           `the connection to instance ${result.peer} broke`,
@@ -235,8 +233,16 @@
     ctx: RequestContext,
     endpoint: EndpointRow,
   ): Promise<SendResult | "resend"> {
-    const { clock, codec, sender, chooser, signals, accessLog, links } =
-      this.#opts;
+    const {
+      clock,
+      codec,
+      sender,
+      chooser,
+      signals,
+      accessLog,
+      links,
+      retries,
+    } = this.#opts;
     const { req, account, tried, deadline } = ctx;
     const sentAt = clock.now();
     tried.add(endpoint);
@@ -258,7 +264,7 @@
     });
     let isLinkLost = false;
     const linkListener = links.onDown(() => {
-      if (!this.#takeRetryIfIdempotent(ctx)) return;
+      if (!this.#takeRetryIfIdempotent(ctx, "link")) return;
       isLinkLost = true;
       sending.cancel();
     });
@@ -266,7 +272,10 @@
     linkListener.close();
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
-    if (hasArrived(result)) ctx.arrivals++;
+    if (hasArrived(result)) {
+      if (ctx.arrivals > 0) retries.arrived(ctx.service, ctx.retriedFor);
+      ctx.arrivals++;
+    }
     if (result.kind === "withheld") tried.delete(endpoint);
     else accessLog.tried(ctx, endpoint, { result, tookMs: now - sentAt });
     if (!isLinkLost || result.kind !== "cancelled") return result;
@@ -310,14 +319,14 @@
       case "unsent":
         // Nothing was sent, so that another instance spends no retry.
         if (ctx.arrivals === 0 && this.#goesToPeer(ctx)) return undefined;
-        if (this.#takeRetry(ctx)) return undefined;
+        if (this.#takeRetry(ctx, "unreachable")) return undefined;
         return this.#refusals.shed(ctx, endpoint);
       case "not-run":
-        if (this.#takeRetry(ctx)) return undefined;
+        if (this.#takeRetry(ctx, "shed")) return undefined;
         return this.#refusals.shed(ctx, endpoint);
       case "unknown":
         ctx.mayHaveRun = true;
-        if (this.#takeRetryIfIdempotent(ctx)) return undefined;
+        if (this.#takeRetryIfIdempotent(ctx, "lost")) return undefined;
         return this.#refusals.failed(
           ctx,
           `the endpoint's answer is ${result.reason}`,
@@ -341,7 +350,8 @@
       return this.#passOn(ctx, endpoint, response);
     }
     ctx.mayHaveRun = true;
-    const retry = this.#takeRetryIfIdempotent(ctx);
+    const reason = invalid === undefined ? "failed" : "lost";
+    const retry = this.#takeRetryIfIdempotent(ctx, reason);
     if (!retry && invalid === undefined) {
       return this.#passOn(ctx, endpoint, response);
     }
@@ -352,18 +362,19 @@
   }
 
   /** Takes a retry for a request that may have run. */
-  #takeRetryIfIdempotent(ctx: RequestContext): boolean {
-    return ctx.route.idempotent && this.#takeRetry(ctx);
+  #takeRetryIfIdempotent(ctx: RequestContext, reason: RetryReason): boolean {
+    return ctx.route.idempotent && this.#takeRetry(ctx, reason);
   }
 
   /** Takes a retry if attempts, the deadline and the retry budget allow one. */
-  #takeRetry(ctx: RequestContext): boolean {
-    const { retries, clock, fleetSize } = this.#opts;
+  #takeRetry(ctx: RequestContext, reason: RetryReason): boolean {
+    const { retries, clock } = this.#opts;
     const { tried, arrivals, route, service, deadline } = ctx;
     if (Math.max(tried.size, arrivals) >= route.maxAttempts) return false;
-    const now = clock.now();
-    if (deadline - now < MIN_LEFT_MS) return false;
-    return retries.take(service, { instances: fleetSize() }, now);
+    if (deadline - clock.now() < MIN_LEFT_MS) return false;
+    if (!retries.take(service, reason)) return false;
+    ctx.retriedFor = reason;
+    return true;
   }
 
   #passOn(
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -28,6 +28,7 @@
 import type { Hop } from "../hop_headers.ts";
 import { EndpointLimits } from "../endpoint_limits.ts";
 import { EndpointChooser } from "../endpoint_chooser.ts";
+import { EndpointRetries } from "../endpoint_retries.ts";
 import { EndpointSignals } from "../endpoint_signals.ts";
 import { AccessLog } from "../access_log.ts";
 import { PeerForwarder } from "../peer_forwarder.ts";
@@ -59,6 +60,7 @@
 export class RequestPath {
   readonly clock = new ManualClock();
   readonly log = new RecordedLog();
+  readonly metrics = new MemoryMetrics();
   readonly state: TrafficState;
   readonly sender: ScriptedSender;
   readonly gone = new AbortController();
@@ -151,12 +153,18 @@
       signals: this.signals,
       sender: this.sender,
       codec: new PlainCodec(),
-      retries: new SharedRetryBudget({
-        ratio: 1,
-        slack: 10,
-        windowMs: 10_000,
+      retries: new EndpointRetries({
+        budget: new SharedRetryBudget({
+          ratio: 1,
+          slack: 10,
+          windowMs: 10_000,
+        }),
+        fleetSize,
+        isFleetKnown: () => true,
+        clock,
+        log: this.log,
+        metrics: this.metrics,
       }),
-      fleetSize,
       accessLog: new AccessLog({
         clock,
         log: new SilentLog(),
