--- /dev/null
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -0,0 +1,78 @@
+import test from "ava";
+import { RetryFleet, type RetryFleetOptions } from "./testing/retry_fleet.ts";
+
+/** A fleet that has needed no retry for longer than the budget's window. */
+function quietFleet(opts: RetryFleetOptions = {}): RetryFleet {
+  const fleet = new RetryFleet(opts);
+  fleet.runUntil(12_000);
+  return fleet;
+}
+
+test("a service that fails gets no more retries than the budget", (t) => {
+  const fleet = quietFleet();
+  fleet.failing = 1;
+  fleet.runUntil(40_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against processes that spend a budget, are killed and spend another.
+test("instances that are all killed while a service fails keep the budget in sum", (t) => {
+  const fleet = quietFleet();
+  fleet.failing = 1;
+  fleet.runUntil(14_200);
+  fleet.restart(fleet.all, 800);
+  fleet.runUntil(40_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against the same, one part of the fleet at a time.
+test("instances that are replaced three at a time keep the budget in sum", (t) => {
+  const fleet = quietFleet();
+  fleet.failing = 1;
+  for (const first of [0, 3, 6]) {
+    fleet.runUntil(13_000 + first * 500);
+    fleet.restart([first, first + 1, first + 2], 800);
+  }
+  fleet.runUntil(40_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against a fixed part of the budget that each new process has in full.
+test("instances that are killed every two seconds keep the budget in sum", (t) => {
+  const fleet = quietFleet();
+  fleet.failing = 1;
+  for (let at = 14_000; at < 30_000; at += 2_000) {
+    fleet.runUntil(at);
+    fleet.restart(fleet.all, 300);
+  }
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against requests that earn retries here while earlier ones spent theirs.
+test("callers that move to other instances leave the budget as it is", (t) => {
+  const fleet = quietFleet();
+  fleet.moveCallers((i) => i % 2 === 0 ? 1 : 0);
+  fleet.runUntil(24_000);
+  fleet.failing = 1;
+  fleet.runUntil(25_500);
+  fleet.moveCallers((i) => i % 2 === 0 ? 0 : 1);
+  fleet.runUntil(50_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against a fixed part that is divided by the few instances known yet.
+test("instances that know two of nine for 3 s after their start keep the budget", (t) => {
+  const knownSize = (sinceStartMs: number) => sinceStartMs < 3_000 ? 2 : 9;
+  const fleet = new RetryFleet({ knownSize });
+  fleet.failing = 1;
+  fleet.runUntil(30_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
+
+// Guards against retries that are counted seconds before they arrive together.
+test("retries that arrive up to 1.2 s late keep the budget", (t) => {
+  const fleet = quietFleet({ delayMs: (random) => random.next() * 1_200 });
+  fleet.failing = 1;
+  fleet.runUntil(40_000);
+  t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
+});
