Check in the soak that services get no more repeats than the retry budget

The callers of the soak send the faster the faster they are refused, which raises the budget with every refusal.

The random draws of the other load stay as they were.

--- a/tools/process_soak/process_soak.ts
+++ b/tools/process_soak/process_soak.ts
@@ -13,6 +13,7 @@
 import {
   type Arrival,
   FakeEndpoint,
+  type FakeEndpointOptions,
 } from "../../platform/testing/fake_endpoint.ts";
 import { ObjectStoreServer } from "../../platform/testing/object_store_server.ts";
 import { endpointEntry } from "../../platform/testing/plan_objects.ts";
@@ -38,6 +39,7 @@
 import { BulkCallers } from "./bulk_callers.ts";
 import { DEFAULT_CALLERS, SoakCallers } from "./soak_callers.ts";
 import { BULK_SERVICE, SERVICES, SoakOperators } from "./soak_operators.ts";
+import { SteadyService } from "./steady_service.ts";
 import { LoopbackBlock } from "./loopback_block.ts";
 import type { FaultTargets, SoakEndpoint } from "./fault_targets.ts";
 import { TcpProxy } from "./tcp_proxy.ts";
@@ -76,6 +78,8 @@
   readonly late: number;
   /** What callers got during cuts from the endpoints. */
   readonly cuts: readonly CutSummary[];
+  /** Fullest window of repeats, as a fraction of the retry budget. */
+  readonly repeats: number;
   /** How the rate limits that endpoints announced were used. */
   readonly limits: readonly LimitSummary[];
   readonly faults: number;
@@ -96,6 +100,7 @@
 /** Added to the seed, so that the new load leaves the old draws as they are. */
 const BULK_SEED_OFFSET = 1_000_003;
 const LEAVER_SEED_OFFSET = 2_000_003;
+const STEADY_SEED_OFFSET = 3_000_003;
 const GRACE_S = 4;
 const FAULT_INTERVAL_MS = 900;
 /** Recovery time, then the window in which most requests must succeed. */
@@ -121,6 +126,7 @@
   #bulkCallers: BulkCallers | undefined;
   readonly #bulkRandom: SeededRandom;
   readonly #leavers: EarlyLeavers;
+  readonly #steady: SteadyService;
   /** How late this process reads what endpoints and callers receive. */
   readonly #loopLag = new EventLoopLag({
     clock: new SystemClock(),
@@ -163,6 +169,13 @@
       random: new SeededRandom(opts.seed + LEAVER_SEED_OFFSET),
       lagMs: () => this.#loopLag.ms,
     });
+    this.#steady = new SteadyService({
+      instances: this.instances,
+      operators: () => this.operators,
+      checker: this.checker,
+      random: new SeededRandom(opts.seed + STEADY_SEED_OFFSET),
+      register: ({ opts: endpoint }, link) => this.#list(endpoint, link),
+    });
   }
 
   /** Executes the run and shuts down everything that it started. */
@@ -177,7 +190,9 @@
   }
 
   get endpointLinks(): TcpProxy[] {
-    return [...this.endpoints.map((e) => e.proxy), ...this.#noisyLinks];
+    const { links } = this.#steady;
+    const proxies = this.endpoints.map((e) => e.proxy);
+    return [...proxies, ...this.#noisyLinks, ...links];
   }
 
   pick<T>(from: readonly T[]): T | undefined {
@@ -249,6 +264,7 @@
       }
     }
     await this.#addNoisyEndpoints();
+    await this.#steady.open();
     this.operators.publish();
     await this.#startInstances(block);
     await this.#waitUntilReady();
@@ -269,6 +285,7 @@
     });
     this.#bulkCallers.start();
     this.#leavers.start();
+    this.#steady.start();
   }
 
   async #addNoisyEndpoints(): Promise<void> {
@@ -289,18 +306,30 @@
       const link = await TcpProxy.listen(endpoint.port);
       this.#noisyLinks.push(link);
       const zones = Object.keys(ZONES);
-      const { spec, status } = endpointEntry({
-        service: BULK_SERVICE,
-        address: `127.0.0.1:${link.port}`,
-        zone: zones[i % zones.length]!,
-        slots: SLOTS,
-        draining: false,
-        bornAt: this.#began,
-      });
-      this.store.write(KINDS.endpoints, id, spec, status);
+      const zone = zones[i % zones.length]!;
+      this.#list({ id, service: BULK_SERVICE, zone, slots: SLOTS }, link);
     }
   }
 
+  /** Writes the entry of an endpoint that is not replaced during the run. */
+  #list(
+    { id, service, zone, slots }: Pick<
+      FakeEndpointOptions,
+      "id" | "service" | "zone" | "slots"
+    >,
+    link: TcpProxy,
+  ): void {
+    const { spec, status } = endpointEntry({
+      service,
+      address: `127.0.0.1:${link.port}`,
+      zone,
+      slots,
+      draining: false,
+      bornAt: this.#began,
+    });
+    this.store.write(KINDS.endpoints, id, spec, status);
+  }
+
   async #startInstances(block: LoopbackBlock): Promise<void> {
     const { perZone, program } = this.#opts;
     for (const [zone, region] of Object.entries(ZONES)) {
@@ -389,6 +418,7 @@
     await this.#callers?.end();
     await this.#bulkCallers?.end();
     await this.#leavers.end();
+    await this.#steady.end();
     this.checker.finish();
     const { seed, seconds } = this.#opts;
     const { violations } = this.checker;
@@ -401,6 +431,7 @@
       left: this.#leavers.left,
       late: this.#leavers.late,
       cuts: this.checker.cutSummaries(),
+      repeats: this.#steady.fullestWindow,
       limits: this.checker.limitSummaries(),
       faults: this.trace.length,
       violations,
@@ -424,6 +455,7 @@
     await this.#callers?.end();
     await this.#bulkCallers?.end();
     await this.#leavers.end();
+    await this.#steady.end();
     await Promise.all(this.instances.map((i) => i.close()));
     await Promise.all(this.storeLinks.map((link) => link.close()));
     for (const { fake, proxy } of this.endpoints) {
@@ -431,6 +463,7 @@
       await fake.close();
     }
     for (const host of this.#noisyHosts) host.close();
+    await this.#steady.close();
     await Promise.all(this.#noisyLinks.map((link) => link.close()));
     await Promise.all(this.#noisyEndpoints.map((e) => e.close()));
     this.#loopLag.close();
--- a/tools/process_soak/property_checker.ts
+++ b/tools/process_soak/property_checker.ts
@@ -12,7 +12,7 @@
 import { EndpointSignalChecker } from "./endpoint_signal_checker.ts";
 import { LimitChecker, type LimitSummary } from "./limit_checker.ts";
 import { PipelineChecker, type PipelinedResponse } from "./pipeline_checker.ts";
-import { BULK_SERVICE } from "./soak_operators.ts";
+import { BULK_SERVICE, STEADY_SERVICE } from "./soak_operators.ts";
 
 /** A violated property. */
 export interface Violation {
@@ -63,6 +63,11 @@
 const RATE_OVERSHOOT = 1.1;
 const RATE_SLACK = 20;
 const MS_PER_S = 1_000;
+/** Accounts whose endpoints are slow or refuse, which says nothing about cuts. */
+const UNEVEN_ACCOUNTS: ReadonlySet<string> = new Set([
+  BULK_SERVICE,
+  STEADY_SERVICE,
+]);
 
 /** Records the observations of one run and checks them. */
 export class PropertyChecker {
@@ -236,8 +241,9 @@
       }
       if (!attempt.idempotent) this.#notRun.add(request);
     }
-    // The rate at which slow endpoints serve says nothing about cuts.
-    if (attempt.account !== BULK_SERVICE) this.#cuts.answered(attempt, result);
+    if (!UNEVEN_ACCOUNTS.has(attempt.account)) {
+      this.#cuts.answered(attempt, result);
+    }
     this.#checkPlan(attempt, result);
     this.#checkStop(attempt, result, runs);
   }
--- a/tools/process_soak/soak_operators.ts
+++ b/tools/process_soak/soak_operators.ts
@@ -26,6 +26,8 @@
 export const SERVICES = ["reads", "writes"] as const;
 /** The service of uploads and pipelined requests. */
 export const BULK_SERVICE = "bulk";
+/** The service whose callers send at a fixed rate. */
+export const STEADY_SERVICE = "steady";
 const TIMEOUT_S = 1.5;
 
 /** Dependencies of the operators. */
@@ -56,6 +58,13 @@
     ratePerS: 2_000,
     burst: 2_000,
   };
+  /** Sends at a fixed rate; its key is never withdrawn. */
+  readonly steady: SoakAccount = {
+    id: STEADY_SERVICE,
+    keys: ["f0"],
+    ratePerS: 2_000,
+    burst: 2_000,
+  };
   readonly #opts: SoakOperatorsOptions;
   #version = 1;
 
@@ -67,7 +76,7 @@
   }
 
   get accounts(): readonly SoakAccount[] {
-    return [this.large, this.small, this.bulk];
+    return [this.large, this.small, this.bulk, this.steady];
   }
 
   /** The newest version of the plan. */
@@ -81,7 +90,7 @@
       version: this.#version,
       host: HOST,
       routes: this.#routes(),
-      services: [...SERVICES, BULK_SERVICE],
+      services: [...SERVICES, BULK_SERVICE, STEADY_SERVICE],
       accounts: this.accounts,
     });
     this.#opts.store.write(KINDS.plan, "main", spec);
@@ -112,6 +121,7 @@
       route("/writes/", "writes", false),
       route("/bulk-reads/", BULK_SERVICE, true),
       route("/bulk-writes/", BULK_SERVICE, false),
+      route("/steady/", STEADY_SERVICE, true),
     ];
     for (let since = 2; since <= this.#version; since++) {
       routes.push(route(`/since${since}/`, "reads", true));
