Earn the retry budget request by request, and let credit expire

What callers and endpoints saw: a service that refuses or loses responses got more repeats than the fleet's budget when instances were killed, replaced, or restarted in turn meanwhile.

Cause: an instance's budget was what a window of ten seconds holds, counted in its process. A process that had needed no retry could spend ten seconds' budget at once, and the next process, with an empty window, its fixed part again in full and the ratio of its own requests. Each kept its part; the lives of an instance did not in sum. The same without a restart: the requests of one window allowed retries at one instance, and those of the next at the instance to which callers had moved.

Change: a request of a caller earns a fraction of a retry, and the equal part of the fixed number is earned with time, once the fleet's size is known. A process starts without credit, and credit expires after half a window. So a window holds at most the credit of its own time and of half a window before, whoever restarts, and wherever callers move: 0.6 of the budget is earned, as 0.6 x 1.5 leaves a tenth for retries that arrive late.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -302,17 +302,17 @@
     namespace: "requests",
     fields: [
       "service",
+      "requests",
       "taken",
       "refused",
       "arrived",
-      "requests",
-      "retries",
-      "allowed",
+      "sinceMs",
+      "credit",
       "instances",
       "sizeKnown",
     ],
     help:
-      "Retries at a service since the last such line, at most once a second while there are any: those that the budget allowed and refused, and the attempts beyond the first that may have reached an endpoint; then the requests and the retries that this instance counts, the retries that its part of the budget allows for them, and the fleet size by which that is divided",
+      "Requests and retries at a service since the last such line, at most once a second while there are retries: those that the budget allowed and refused, and the attempts beyond the first that may have reached an endpoint; then the credit that is left, in retries, and the fleet size by which the fixed part of the budget is divided",
   },
   seat_taken_over: {
     namespace: "seats",
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -3,9 +3,12 @@
  *
  * Load: a service that fails as a whole. If every failed request were sent a
  * second time, the service would get twice its load. The fleet's budget over a
- * sliding window is a ratio of the requests plus a fixed number. Each instance
- * applies the ratio to its own requests and takes an equal part of the fixed
- * number, so the sum holds under partitions too.
+ * sliding window is a ratio of the requests plus a fixed number.
+ *
+ * An instance earns credit with each request of a caller and, for its equal part
+ * of the fixed number, with time. It starts without any, and credit expires. So
+ * the fleet spends in no window more than was earned in it and shortly before,
+ * whichever instances restart or are partitioned, and wherever callers move.
  *
  * @module
  */
@@ -20,119 +23,145 @@
   readonly windowMs: number;
 }
 
+/** The fleet that shares the budget. */
+export interface BudgetFleet {
+  /** Instances, this one included. */
+  readonly instances: number;
+  /** Whether that number is known; the fixed part is not earned until then. */
+  readonly isSizeKnown: boolean;
+}
+
+/** How long credit can be spent, as a fraction of the window. */
+const CREDIT_LIFE = 0.5;
 /**
- * Fraction of the budget in use. Requests counted here at the end of a window
- * may arrive in the next one, and a restarted instance loses its counts.
+ * Fraction of the budget that is earned. A window may hold the credit of its own
+ * time, of `CREDIT_LIFE` before it, and retries that were decided on up to a
+ * sixth of it earlier and arrive late.
  */
-const USED_FRACTION = 0.8;
-/** Intervals of the window; counts expire one interval at a time. */
+const EARNED_FRACTION = 0.6;
+/** Credit expires one interval of its life at a time. */
 const INTERVALS = 10;
 
-/** What a budget's decisions are based on, for logs. */
-export interface RetryBudgetState {
-  /** Requests of callers in the window. */
-  readonly requests: number;
-  /** Retries spent in the window. */
-  readonly retries: number;
-  /** This instance's part of the budget. */
-  readonly allowed: number;
-}
-
+/** Credit earned in one interval, and not spent. */
 interface Interval {
   readonly index: number;
-  requests: number;
-  retries: number;
+  credit: number;
 }
 
-/** Requests and retries of one service in the sliding window. */
-class SlidingWindowCounts {
+/** The credit of one service, in whole retries. */
+class ServiceCredit {
   readonly #intervalMs: number;
   #intervals: Interval[] = [];
+  /** Earned towards the next whole retry. */
+  #fraction = 0;
+  /** Until when the fixed part was earned. */
+  #fixedUntil: number;
 
-  constructor(windowMs: number) {
-    this.#intervalMs = windowMs / INTERVALS;
+  constructor(windowMs: number, fixedUntil: number) {
+    this.#intervalMs = windowMs * CREDIT_LIFE / INTERVALS;
+    this.#fixedUntil = fixedUntil;
   }
 
-  at(now: number): Interval {
-    const index = Math.floor(now / this.#intervalMs);
+  /** Adds credit that was earned at a time. */
+  earn(credit: number, at: number): void {
+    this.#fraction += credit;
+    const whole = Math.floor(this.#fraction);
+    if (whole === 0) return;
+    this.#fraction -= whole;
+    const index = Math.floor(at / this.#intervalMs);
     const last = this.#intervals.at(-1);
-    if (last?.index === index) return last;
-    const interval = { index, requests: 0, retries: 0 };
-    this.#intervals = this.#intervals.filter((s) =>
-      s.index > index - INTERVALS - 1
-    );
-    this.#intervals.push(interval);
-    return interval;
+    if (last?.index === index) last.credit += whole;
+    else this.#intervals.push({ index, credit: whole });
   }
 
-  sum(now: number): { requests: number; retries: number } {
-    this.at(now);
-    let requests = 0;
-    let retries = 0;
-    for (const interval of this.#intervals) {
-      requests += interval.requests;
-      retries += interval.retries;
+  /** Adds the fixed part of the time since the last call; none if 0. */
+  earnOverTime(creditPerMs: number, now: number): void {
+    const lifeMs = this.#intervalMs * INTERVALS;
+    let from = Math.max(this.#fixedUntil, now - lifeMs);
+    this.#fixedUntil = now;
+    while (creditPerMs > 0 && from < now) {
+      const next = (Math.floor(from / this.#intervalMs) + 1) * this.#intervalMs;
+      const to = Math.min(next, now);
+      this.earn((to - from) * creditPerMs, from);
+      from = to;
     }
-    return { requests, retries };
+  }
+
+  /** Credit that has not expired. */
+  available(now: number): number {
+    const oldest = Math.floor(now / this.#intervalMs) - INTERVALS + 1;
+    this.#intervals = this.#intervals.filter(({ index, credit }) =>
+      index >= oldest && credit > 0
+    );
+    return this.#intervals.reduce((sum, { credit }) => sum + credit, 0);
+  }
+
+  /** Spends the credit that expires first. */
+  spend(now: number): boolean {
+    if (this.available(now) === 0) return false;
+    this.#intervals[0]!.credit--;
+    return true;
   }
 }
 
 /** Retry budgets of one instance, by service. */
 export class SharedRetryBudget {
   #allowance: RetryAllowance;
-  readonly #counts = new Map<ServiceId, SlidingWindowCounts>();
+  readonly #startedAt: number;
+  readonly #credits = new Map<ServiceId, ServiceCredit>();
 
-  constructor(allowance: RetryAllowance) {
+  /** @param startedAt When the instance started, on its clock. */
+  constructor(allowance: RetryAllowance, startedAt: number) {
     this.#allowance = allowance;
+    this.#startedAt = startedAt;
   }
 
-  /** Applies a new budget; resets counts only if the window length changes. */
+  /** Applies a new budget to what is earned from now on. */
   setAllowance(allowance: RetryAllowance): void {
-    if (allowance.windowMs !== this.#allowance.windowMs) this.#counts.clear();
+    if (allowance.windowMs !== this.#allowance.windowMs) this.#credits.clear();
     this.#allowance = allowance;
   }
 
   /** Records a request of a caller. */
   request(service: ServiceId, now: number): void {
-    this.#countsOf(service).at(now).requests++;
+    const { ratio } = this.#allowance;
+    this.#creditOf(service).earn(ratio * EARNED_FRACTION, now);
   }
 
   /**
-   * Spends one retry if the instance's part of the budget has one left.
+   * Spends one retry if the instance has credit for it.
    *
    * @example
    * ```ts
-   * if (budget.take(service, { instances: 12 }, now)) await sendAgain();
+   * const fleet = { instances: 12, isSizeKnown: true };
+   * if (budget.take(service, fleet, now)) await sendAgain();
    * ```
    */
-  take(
-    service: ServiceId,
-    fleet: { readonly instances: number },
-    now: number,
-  ): boolean {
-    const { retries, allowed } = this.state(service, fleet, now);
-    if (retries + 1 > allowed) return false;
-    this.#countsOf(service).at(now).retries++;
-    return true;
+  take(service: ServiceId, fleet: BudgetFleet, now: number): boolean {
+    const credit = this.#creditOf(service);
+    credit.earnOverTime(this.#fixedPerMs(fleet), now);
+    return credit.spend(now);
+  }
+
+  /** Retries that this instance could make now. */
+  available(service: ServiceId, fleet: BudgetFleet, now: number): number {
+    const credit = this.#creditOf(service);
+    credit.earnOverTime(this.#fixedPerMs(fleet), now);
+    return credit.available(now);
   }
 
-  /** The counts and this instance's part of the budget. */
-  state(
-    service: ServiceId,
-    fleet: { readonly instances: number },
-    now: number,
-  ): RetryBudgetState {
-    const { requests, retries } = this.#countsOf(service).sum(now);
-    const { ratio, slack } = this.#allowance;
-    const part = requests * ratio + slack / Math.max(1, fleet.instances);
-    return { requests, retries, allowed: part * USED_FRACTION };
+  #fixedPerMs({ instances, isSizeKnown }: BudgetFleet): number {
+    if (!isSizeKnown) return 0;
+    const { slack, windowMs } = this.#allowance;
+    return slack * EARNED_FRACTION / Math.max(1, instances) / windowMs;
   }
 
-  #countsOf(service: ServiceId): SlidingWindowCounts {
-    const known = this.#counts.get(service);
+  #creditOf(service: ServiceId): ServiceCredit {
+    const known = this.#credits.get(service);
     if (known !== undefined) return known;
-    const created = new SlidingWindowCounts(this.#allowance.windowMs);
-    this.#counts.set(service, created);
+    const { windowMs } = this.#allowance;
+    const created = new ServiceCredit(windowMs, this.#startedAt);
+    this.#credits.set(service, created);
     return created;
   }
 }
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -1,6 +1,11 @@
 import test from "ava";
+import type { ServiceId } from "../../core/mod.ts";
+import { SharedRetryBudget } from "./mod.ts";
 import { RetryFleet, type RetryFleetOptions } from "./testing/retry_fleet.ts";
 
+const SERVICE = "s" as ServiceId;
+const FLEET = { instances: 2, isSizeKnown: true };
+
 /** A fleet that has needed no retry for longer than the budget's window. */
 function quietFleet(opts: RetryFleetOptions = {}): RetryFleet {
   const fleet = new RetryFleet(opts);
@@ -76,3 +81,38 @@
   fleet.runUntil(40_000);
   t.true(fleet.fullestWindow <= 1, `${fleet.fullestWindow}`);
 });
+
+/** A budget with a request of a caller every 10 ms until a time. */
+function budgetAfter(untilMs: number): SharedRetryBudget {
+  const allowance = { ratio: 0.2, slack: 20, windowMs: 10_000 };
+  const budget = new SharedRetryBudget(allowance, 0);
+  for (let at = 0; at < untilMs; at += 10) budget.request(SERVICE, at);
+  return budget;
+}
+
+test("a process that has just started makes no retry", (t) => {
+  t.false(budgetAfter(0).take(SERVICE, FLEET, 0));
+});
+
+test("requests earn retries from the start of a process on", (t) => {
+  t.true(budgetAfter(100).take(SERVICE, FLEET, 100));
+});
+
+// Guards against credit of long ago that is spent together with that of now.
+test("credit expires after half a window", (t) => {
+  const budget = budgetAfter(60_000);
+  t.true(budget.available(SERVICE, FLEET, 60_000) <= 63);
+  const fixedPart = budget.available(SERVICE, FLEET, 70_000);
+  t.true(fixedPart > 0 && fixedPart <= 3);
+});
+
+test("the fixed part is not earned while the size of the fleet is unknown", (t) => {
+  const budget = budgetAfter(10);
+  const unknown = { instances: 2, isSizeKnown: false };
+  t.is(budget.available(SERVICE, unknown, 5_000), 0);
+});
+
+test("an idle service has no more than the fixed part of half a window", (t) => {
+  const fixedPart = budgetAfter(0).available(SERVICE, FLEET, 600_000);
+  t.true(fixedPart > 0 && fixedPart <= 3);
+});
--- a/src/decisions/retries/testing/retry_fleet.ts
+++ b/src/decisions/retries/testing/retry_fleet.ts
@@ -119,7 +119,8 @@
   }
 
   #started(at: number): Pick<Member, "budget" | "startedAt"> {
-    return { budget: new SharedRetryBudget(this.#allowance), startedAt: at };
+    const budget = new SharedRetryBudget(this.#allowance, at);
+    return { budget, startedAt: at };
   }
 
   /** A request of a caller: an attempt, and another one if that fails. */
@@ -139,7 +140,8 @@
   #takeRetry({ budget, startedAt }: Member): boolean {
     const { knownSize } = this.#opts;
     const instances = knownSize?.(this.now - startedAt) ?? this.#members.length;
-    return budget.take(SERVICE, { instances }, this.now);
+    const fleet = { instances, isSizeKnown: true };
+    return budget.take(SERVICE, fleet, this.now);
   }
 
   #succeeds(): boolean {
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -135,7 +135,7 @@
   private constructor(opts: EdgeOptions) {
     this.#opts = opts;
     const { cfg, clock, random, log, codec, sources } = opts;
-    this.#retryBudget = new SharedRetryBudget(cfg.retries);
+    this.#retryBudget = new SharedRetryBudget(cfg.retries, clock.now());
     this.#gate = new StartGate(clock);
     this.#memory = new ByteBudget(
       bufferBytes(cfg.memoryBytes, getHeapStatistics().heap_size_limit),
--- a/src/edge/endpoint_retries.ts
+++ b/src/edge/endpoint_retries.ts
@@ -5,7 +5,10 @@
  * @module
  */
 import type { Clock, Log, Metrics, ServiceId } from "../core/mod.ts";
-import type { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import type {
+  BudgetFleet,
+  SharedRetryBudget,
+} from "../decisions/retries/mod.ts";
 
 /** Why a request needs another attempt. */
 export type RetryReason =
@@ -37,9 +40,10 @@
   readonly metrics: Metrics;
 }
 
-/** Retries at one service since its last log line. */
+/** Requests and retries at one service since its last log line. */
 interface Tally {
   readonly since: number;
+  requests: number;
   taken: number;
   refused: number;
   arrived: number;
@@ -66,16 +70,13 @@
   request(service: ServiceId): void {
     const { budget, clock } = this.#opts;
     budget.request(service, clock.now());
+    this.#tallyOf(service).requests++;
   }
 
-  /** Spends one retry; false if this instance's part of the budget is spent. */
+  /** Spends one retry; false if this instance has no credit for it. */
   take(service: ServiceId, reason: RetryReason): boolean {
-    const { budget, fleetSize, clock, metrics } = this.#opts;
-    const isTaken = budget.take(
-      service,
-      { instances: fleetSize() },
-      clock.now(),
-    );
+    const { budget, clock, metrics } = this.#opts;
+    const isTaken = budget.take(service, this.#fleet, clock.now());
     const result = isTaken ? "taken" : "refused";
     metrics.count("endpoint.retries", { service, reason, result });
     this.#update(service, (tally) => tally[result]++);
@@ -88,27 +89,40 @@
     this.#update(service, (tally) => tally.arrived++);
   }
 
+  get #fleet(): BudgetFleet {
+    const { fleetSize, isFleetKnown } = this.#opts;
+    return { instances: fleetSize(), isSizeKnown: isFleetKnown() };
+  }
+
   /** Updates the tally of a service, and logs it at most once per interval. */
   #update(service: ServiceId, change: (tally: Tally) => void): void {
-    const { budget, fleetSize, isFleetKnown, clock, log } = this.#opts;
+    const { budget, clock, log } = this.#opts;
     const now = clock.now();
-    const tally = this.#tallies.get(service) ??
-      { since: -Infinity, taken: 0, refused: 0, arrived: 0 };
-    this.#tallies.set(service, tally);
+    const tally = this.#tallyOf(service);
     change(tally);
-    if (now - tally.since < STATE_INTERVAL_MS) return;
-    const instances = fleetSize();
-    const { taken, refused, arrived } = tally;
+    const { since, ...counts } = tally;
+    if (now - since < STATE_INTERVAL_MS) return;
+    const fleet = this.#fleet;
     log.event("retry_budget_state", {
       service,
-      taken,
-      refused,
-      arrived,
-      ...budget.state(service, { instances }, now),
-      instances,
-      sizeKnown: isFleetKnown(),
+      ...counts,
+      sinceMs: Math.round(now - since),
+      credit: budget.available(service, fleet, now),
+      instances: fleet.instances,
+      sizeKnown: fleet.isSizeKnown,
     });
-    const reset = { since: now, taken: 0, refused: 0, arrived: 0 };
-    this.#tallies.set(service, reset);
+    this.#tallies.set(service, newTally(now));
   }
+
+  #tallyOf(service: ServiceId): Tally {
+    const known = this.#tallies.get(service);
+    if (known !== undefined) return known;
+    const created = newTally(this.#opts.clock.now() - STATE_INTERVAL_MS);
+    this.#tallies.set(service, created);
+    return created;
+  }
+}
+
+function newTally(since: number): Tally {
+  return { since, requests: 0, taken: 0, refused: 0, arrived: 0 };
 }
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -154,11 +154,10 @@
       sender: this.sender,
       codec: new PlainCodec(),
       retries: new EndpointRetries({
-        budget: new SharedRetryBudget({
-          ratio: 1,
-          slack: 10,
-          windowMs: 10_000,
-        }),
+        budget: new SharedRetryBudget(
+          { ratio: 2, slack: 100, windowMs: 10_000 },
+          this.clock.now(),
+        ),
         fleetSize,
         isFleetKnown: () => true,
         clock,
