Spend no retry on a request that no endpoint received

What callers saw: a request whose connection was refused or timed out was refused when its instance's retry budget was spent, though the budget limits what reaches endpoints beyond the first attempt, and nothing had.

Cause: every further attempt spent a retry. Since a process starts without credit, this is felt right after a restart.

Change: after an attempt of which no byte was sent, and without an earlier one that may have arrived, the next one is the first; it spends none. A request in flight when the links are lost may have arrived and needs budget, which a test guards.

--- a/src/edge/endpoint_retries_test.ts
+++ b/src/edge/endpoint_retries_test.ts
@@ -1,9 +1,10 @@
 import test from "ava";
 import { ManualClock, MemoryMetrics, type ServiceId } from "../core/mod.ts";
 import { SharedRetryBudget } from "../decisions/retries/mod.ts";
+import type { SendResult } from "./endpoint_sender.ts";
 import { EndpointRetries } from "./endpoint_retries.ts";
 import { RecordedLog } from "./testing/recorded_log.ts";
-import { RequestPath } from "./testing/request_path.ts";
+import { outcomeOf, RequestPath } from "./testing/request_path.ts";
 import { ScriptedSender, shed } from "./testing/scripted_sender.ts";
 
 const SERVICE = "s" as ServiceId;
@@ -46,6 +47,27 @@
   t.is(sum("taken"), sum("arrived"));
 });
 
+/** Results of a request whose first attempt ended like this, without a budget. */
+async function withoutBudget(first: SendResult): Promise<string> {
+  const path = new RequestPath({
+    sender: new ScriptedSender(first),
+    retries: { ratio: 0, slack: 0, windowMs: 10_000 },
+  });
+  return outcomeOf(await path.send());
+}
+
+// Guards against refusals of requests that no endpoint has received yet.
+test("a request that no endpoint received needs no budget for another attempt", async (t) => {
+  const result = { kind: "unsent", reason: "refused" } as const;
+  t.is(await withoutBudget(result), "answer 200");
+});
+
+test("a request that an endpoint received needs budget for another attempt", async (t) => {
+  t.is(await withoutBudget(shed()), "no_capacity not-run");
+  const lost = { kind: "unknown", reason: "broken" } as const;
+  t.is(await withoutBudget(lost), "endpoint_failed unknown");
+});
+
 test("an attempt that follows one that was refused counts as a repeat", async (t) => {
   const path = new RequestPath({ sender: new ScriptedSender(shed()) });
   await path.send();
--- a/src/edge/peer_forwarder_test.ts
+++ b/src/edge/peer_forwarder_test.ts
@@ -119,6 +119,21 @@
   t.is(once.peerSender.sent.length, 0);
 });
 
+// Guards against repeats of a request that may have reached its endpoint.
+test("requests in flight need budget to be passed on when the links are lost", async (t) => {
+  const path = new RequestPath({
+    endpoints: ENDPOINTS,
+    peers: ["p1"],
+    sender: new ScriptedSender("silence"),
+    retries: { ratio: 0, slack: 0, windowMs: 10_000 },
+  });
+  const reads = path.send({ clientTimeoutMs: 60_000 });
+  await path.linksAre("down");
+  t.false(path.sender.sent[0]?.cancelled);
+  path.clock.advance(60_000);
+  t.is(outcomeOf(await reads), "deadline_exceeded unknown");
+});
+
 // Guards against state of the cut that refuses requests after it.
 test("endpoints are neither ejected nor cold once the links are back", async (t) => {
   const unsent = { kind: "unsent", reason: "timed out" } as const;
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -366,13 +366,17 @@
     return ctx.route.idempotent && this.#takeRetry(ctx, reason);
   }
 
-  /** Takes a retry if attempts, the deadline and the retry budget allow one. */
+  /**
+   * Takes a retry if attempts, the deadline and the retry budget allow one. A
+   * request that no endpoint may have received spends none.
+   */
   #takeRetry(ctx: RequestContext, reason: RetryReason): boolean {
     const { retries, clock } = this.#opts;
     const { tried, arrivals, route, service, deadline } = ctx;
     if (Math.max(tried.size, arrivals) >= route.maxAttempts) return false;
     if (deadline - clock.now() < MIN_LEFT_MS) return false;
-    if (!retries.take(service, reason)) return false;
+    const wasUnsent = reason === "unreachable" && arrivals === 0;
+    if (!wasUnsent && !retries.take(service, reason)) return false;
     ctx.retriedFor = reason;
     return true;
   }
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -15,7 +15,10 @@
 } from "../../core/mod.ts";
 import { AffinityPlacement } from "../../decisions/placement/mod.ts";
 import { AccountQuotas } from "../../decisions/quotas/mod.ts";
-import { SharedRetryBudget } from "../../decisions/retries/mod.ts";
+import {
+  type RetryAllowance,
+  SharedRetryBudget,
+} from "../../decisions/retries/mod.ts";
 import { StartGate } from "../../decisions/starting/mod.ts";
 import type {
   EndpointRecord,
@@ -54,6 +57,7 @@
   readonly peers?: readonly string[];
   /** Results of requests that are passed on. */
   readonly peerSender?: ScriptedSender;
+  readonly retries?: RetryAllowance;
 }
 
 /** The request path of one instance, without listeners. */
@@ -155,7 +159,7 @@
       codec: new PlainCodec(),
       retries: new EndpointRetries({
         budget: new SharedRetryBudget(
-          { ratio: 2, slack: 100, windowMs: 10_000 },
+          setup.retries ?? { ratio: 2, slack: 100, windowMs: 10_000 },
           this.clock.now(),
         ),
         fleetSize,
