Count a request whose hop broke only once

Cause: a request that an instance without links passes on is counted by the instance that takes it. If the connection to that one breaks and the request is passed on again, the next one counts it as well, so that one request earns a part of a retry twice or three times.

Change: once a hop broke, the request is marked as counted. If the peer had not counted it, it earns nothing, which errs to the safe side.

The test failed before.

--- a/src/edge/peer_forwarder_test.ts
+++ b/src/edge/peer_forwarder_test.ts
@@ -66,6 +66,17 @@
   t.is(headerValue(second?.req.headers, "magnoliahook-attempts"), "1");
 });
 
+// Guards against a request that earns a part of a retry at each instance it reaches.
+test("a request whose hop broke is counted by no further instance", async (t) => {
+  const peerSender = new ScriptedSender(BROKEN);
+  const path = await isolated({ peerSender });
+  await path.send();
+  const counted = peerSender.sent.map(({ req }) =>
+    req.headers.includes("magnoliahook-counted")
+  );
+  t.deepEqual(counted, [false, true]);
+});
+
 // Guards against a 503 for a request that may have run before it was passed on.
 test("a refusal by another instance promises nothing about earlier attempts", async (t) => {
   const peerSender = new ScriptedSender(BROKEN, responded(503));
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -177,6 +177,8 @@
         return undefined;
       case "unknown":
         this.#mayHaveArrived(ctx);
+        // The peer may have counted it.
+        ctx.counted = true;
         if (this.#takeRetryIfIdempotent(ctx, "peer")) return undefined;
         return this.#refusals.failed(
           ctx,
