Keep a request that is passed on at the service that was selected for it

Cause: an instance that takes a request over selects a service anew, by the weights of the route or by a newer plan. The further attempt then reaches a service whose budget did not pay for it, and a weighted route counts the request twice.

Change: the service is passed on with the request, and kept while the route has it. If the plan has moved the route and an earlier attempt may have arrived, the attempt needs budget at the new service, else the instance declines.

--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -4,11 +4,18 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { type Clock, fail, type Failure, failure } from "../core/mod.ts";
+import {
+  type Clock,
+  fail,
+  type Failure,
+  failure,
+  type ServiceId,
+} from "../core/mod.ts";
 import { WeightedRoundRobin } from "../decisions/placement/mod.ts";
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
 import type { Account, Route, RouteTable } from "../traffic/mod.ts";
 import { allowedRegions } from "./allowed_regions.ts";
+import type { Hop } from "./hop_headers.ts";
 import type { TrafficState } from "./traffic_state.ts";
 import type { CallerRequest, RequestContext } from "./request_context.ts";
 
@@ -61,7 +68,7 @@
       ? this.#takeQuota(account)
       : undefined;
     if (limited !== undefined) return err(limited);
-    const service = this.#roundRobin.next(route);
+    const service = this.#selectService(route, req.hop);
     if (service === undefined) {
       return fail("no_endpoint", "the route has no service", {
         outcome: "not-run",
@@ -85,6 +92,14 @@
     });
   }
 
+  /** The service that another instance selected, if the route has it still. */
+  #selectService(route: Route, hop: Hop | undefined): ServiceId | undefined {
+    const isOnRoute = route.services.some(({ service, weight }) =>
+      service === hop?.service && weight > 0
+    );
+    return isOnRoute ? hop?.service : this.#roundRobin.next(route);
+  }
+
   #takeQuota(account: Account | undefined): Failure | undefined {
     if (account === undefined) return undefined;
     const decision = this.#quotas.take(account, this.#clock.now());
--- a/src/edge/hop_headers.ts
+++ b/src/edge/hop_headers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointId } from "../core/mod.ts";
+import type { EndpointId, ServiceId } from "../core/mod.ts";
 import { headerOf } from "./header_fields.ts";
 import type { RawHeaders } from "./request_codec.ts";
 
@@ -17,6 +17,8 @@
   readonly attempts: number;
   /** Whether the request is in the sending instance's retry budget. */
   readonly counted: boolean;
+  /** The service that the sending instance selected. */
+  readonly service?: ServiceId | undefined;
 }
 
 const PREFIX = "magnoliahook-";
@@ -24,6 +26,7 @@
 const PLAN = `${PREFIX}plan`;
 const ATTEMPTS = `${PREFIX}attempts`;
 const COUNTED = `${PREFIX}counted`;
+const SERVICE = `${PREFIX}service`;
 const ENDPOINT = `${PREFIX}endpoint`;
 const DECLINED = `${PREFIX}declined`;
 
@@ -37,6 +40,7 @@
     ATTEMPTS,
     String(hop.attempts),
   ];
+  if (hop.service !== undefined) fields.push(SERVICE, hop.service);
   return hop.counted ? [...fields, COUNTED, "1"] : fields;
 }
 
@@ -49,7 +53,8 @@
     Number.isSafeInteger(attempts) && attempts >= 0;
   if (from === undefined || !isValid) return undefined;
   const counted = headerOf(headers, COUNTED) !== undefined;
-  return { from, planVersion, attempts, counted };
+  const service = headerOf(headers, SERVICE) as ServiceId | undefined;
+  return { from, planVersion, attempts, counted, service };
 }
 
 /** Field by which an instance names the endpoint that responded. */
--- a/src/edge/peer_forwarder.ts
+++ b/src/edge/peer_forwarder.ts
@@ -127,8 +127,8 @@
     const { own, codec, sender, clock } = this.#opts;
     const { req, deadline, planVersion } = ctx;
     const leftMs = Math.max(1, Math.floor(deadline - clock.now()));
-    const { arrivals: attempts, counted } = ctx;
-    const hop = { from: own, planVersion, attempts, counted };
+    const { arrivals: attempts, counted, service } = ctx;
+    const hop = { from: own, planVersion, attempts, counted, service };
     const headers = withoutHopFields(codec.peerHeaders(req.headers, leftMs));
     return sender.send(this.#destinationOf(peer), {
       method: req.method,
--- a/src/edge/peer_forwarder_test.ts
+++ b/src/edge/peer_forwarder_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { EndpointId } from "../core/mod.ts";
+import type { EndpointId, ServiceId } from "../core/mod.ts";
 import type { Hop } from "./hop_headers.ts";
 import { outcomeOf, RequestPath } from "./testing/request_path.ts";
 import type { RequestPathSetup } from "./testing/request_path.ts";
@@ -224,3 +224,41 @@
   t.is(outcomeOf(await path.send()), "gone");
   t.is(path.peerSender.sent.length, 1);
 });
+
+const TWO_SERVICES = {
+  plan: plan({
+    routes: [route({
+      services: ["s", "s2"].map((id) => ({
+        service: id as ServiceId,
+        weight: 1,
+      })),
+    })],
+  }),
+  endpoints: ["s", "s2"].map((id) => ({
+    id: `${id}-endpoint` as EndpointId,
+    service: id as ServiceId,
+  })),
+};
+
+// Guards against second attempts at a service whose budget did not pay for them.
+test("a request that was passed on goes to the service that was selected for it", async (t) => {
+  for (const service of ["s", "s2", "s2"]) {
+    const path = new RequestPath(TWO_SERVICES);
+    const hop = { ...HOP, service: service as ServiceId };
+    t.is(outcomeOf(await path.send({}, { hop })), "answer 200");
+    t.is(path.sender.sent[0]?.endpoint, `${service}-endpoint`);
+  }
+});
+
+test("a request that the plan has moved since its last attempt needs budget at its new service", async (t) => {
+  const service = "gone" as ServiceId;
+  const retries = { ratio: 0, slack: 0, windowMs: 10_000 };
+  const outcome = async (attempts: number) =>
+    outcomeOf(
+      await new RequestPath({ retries }).send({}, {
+        hop: { ...HOP, attempts, service },
+      }),
+    );
+  t.is(await outcome(0), "answer 200");
+  t.is(await outcome(1), "not_ready not-run");
+});
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -88,6 +88,9 @@
     const admitted = admission.admit(req);
     if (admitted.isErr()) return this.#refusals.refuse(req, admitted.error);
     const ctx = admitted.value;
+    if (!this.#hasBudgetFor(ctx)) {
+      return this.#refusals.refuse(req, CANNOT_TAKE_OVER, ctx);
+    }
     // The instance that sends it to an endpoint counts it.
     if (!ctx.counted && !this.#goesToPeer(ctx)) {
       retries.request(ctx.service);
@@ -96,6 +99,16 @@
     return await this.#serve(ctx);
   }
 
+  /**
+   * Whether the budget allows what another instance passes on: if the plan has
+   * moved it to another service since, its earlier attempts were paid elsewhere.
+   */
+  #hasBudgetFor({ req: { hop }, service, arrivals }: RequestContext): boolean {
+    const isMoved = hop?.service !== undefined && hop.service !== service;
+    if (!isMoved || arrivals === 0) return true;
+    return this.#opts.retries.take(service, "peer");
+  }
+
   /** Whether this instance can serve a request that another passes on. */
   #takesOver(hop: Hop): boolean {
     const { gate, links, planVersion } = this.#opts;
