Send nothing to cold endpoints before the fleet's size is known

Until the instance list is read, an instance assumes two a zone, 12 in six zones. A fleet of 74 that restarts would send each cold endpoint six times its rate until the lists are read.

Change: without a known size, the slow start has no room. An instance's part of a cold rate is one request in seconds, so that little is lost meanwhile.

--- a/src/decisions/placement/slow_start_limiter.ts
+++ b/src/decisions/placement/slow_start_limiter.ts
@@ -31,8 +31,8 @@
 export interface ColdRate {
   /** Requests per second from the whole fleet. */
   readonly ratePerS: number;
-  /** Instances that may send to it. */
-  readonly instances: number;
+  /** Instances that may send to it; undefined if not known. */
+  readonly instances: number | undefined;
 }
 
 /** Decides when an instance may send to cold endpoints. */
@@ -51,6 +51,8 @@
 
   /** Whether one more request may be sent to a cold endpoint now. */
   hasRoom(row: EndpointRow, rate: ColdRate, now: number): boolean {
+    // With too small a number, a fleet that starts would send a multiple of it.
+    if (rate.instances === undefined) return false;
     const { period, inWindow } = this.#window(row, rate, now);
     return inWindow && this.#lastPeriods.get(row.id) !== period;
   }
@@ -76,7 +78,8 @@
     rate: ColdRate,
     now: number,
   ): { readonly period: number; readonly inWindow: boolean } {
-    const ratePerS = rate.ratePerS * RATE_SHARE / Math.max(1, rate.instances);
+    const instances = Math.max(1, rate.instances ?? 1);
+    const ratePerS = rate.ratePerS * RATE_SHARE / instances;
     const periodMs = MS_PER_S / Math.max(ratePerS, 1e-6);
     const offset = hashFraction(`${this.#own} ${row.id}`) * periodMs;
     const at = now + offset;
--- a/src/edge/cold_endpoints.ts
+++ b/src/edge/cold_endpoints.ts
@@ -17,6 +17,8 @@
   readonly state: TrafficState;
   /** Number of instances in the fleet, including this one. */
   readonly fleetSize: () => number;
+  /** Whether the instance list was read; cold endpoints get nothing until then. */
+  readonly isFleetKnown: () => boolean;
   readonly own: InstanceId;
 }
 
@@ -78,7 +80,8 @@
 
   #rateOf(row: EndpointRow): ColdRate {
     const ratePerS = this.#policy(row)?.coldRatePerS ?? DEFAULT_COLD_RATE_PER_S;
-    return { ratePerS, instances: this.#opts.fleetSize() };
+    const { fleetSize, isFleetKnown } = this.#opts;
+    return { ratePerS, instances: isFleetKnown() ? fleetSize() : undefined };
   }
 
   #policy(row: EndpointRow): ServicePolicy | undefined {
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -172,6 +172,7 @@
     });
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
     const fleetSize = () => this.#member.fleetSize;
+    const isFleetKnown = () => this.#member.isSizeKnown;
     this.#quotas = new AccountQuotas(cfg.instance.id, {
       fleetSize,
       gossipDelayMs: () => this.#member.gossipDelayMs,
@@ -181,7 +182,7 @@
       own: cfg.instance.id,
       demand: this.#quotas.demand,
       gossipDelayMs: () => this.#member.gossipDelayMs,
-      isFleetKnown: () => this.#member.isSizeKnown,
+      isFleetKnown,
       viewAgeMs: () => this.#member.viewAgeMs,
       clock,
       log,
@@ -200,6 +201,7 @@
       limits: this.#limits,
       placement: opts.placement ?? new AffinityPlacement(),
       fleetSize,
+      isFleetKnown,
       own: cfg.instance.id,
       region: cfg.instance.region,
       regions: [...new Set(cfg.zones.values())],
--- a/src/edge/endpoint_chooser.ts
+++ b/src/edge/endpoint_chooser.ts
@@ -31,6 +31,8 @@
   readonly signals: EndpointSignals;
   /** Number of instances in the fleet, including this one. */
   readonly fleetSize: () => number;
+  /** Whether the instance list was read. */
+  readonly isFleetKnown: () => boolean;
   readonly own: InstanceId;
   readonly region: RegionId;
   /** Every region with callers. */
--- a/src/edge/testing/request_path.ts
+++ b/src/edge/testing/request_path.ts
@@ -123,6 +123,7 @@
       placement: new AffinityPlacement(),
       limits,
       fleetSize,
+      isFleetKnown: () => true,
       own: "i1" as InstanceId,
       region: R1,
       regions: [R1, R2],
