--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -13,6 +13,7 @@
 import { benchMemory } from "./memory.ts";
 import { benchOverload } from "./overload.ts";
 import { benchPath } from "./path.ts";
+import { benchRetries } from "./retries.ts";
 
 /** Benchmarks by command-line name. */
 const BENCHES: Readonly<Record<string, () => void | Promise<void>>> = {
@@ -24,6 +25,7 @@
   overload: benchOverload,
   path: benchPath,
   request: benchRequest,
+  retries: benchRetries,
   start: benchStart,
 };
 const BAD_INPUT_EXIT_CODE = 2;
