Keep the credit for retries in a fixed number of intervals

Cause: credit that requests earn was added interval by interval, and expired intervals were removed only when a retry was asked for. A service whose requests never need one would have kept two entries a second for ever.

Change: ten intervals, used in turn; the oldest credit is spent first also when the fixed part of an earlier interval is added later. A new window length begins without credit, like a start, instead of with the fixed part of half a window. The slow start computes an instance's period in one place.

--- a/src/decisions/placement/slow_start_limiter.ts
+++ b/src/decisions/placement/slow_start_limiter.ts
@@ -51,16 +51,14 @@
 
   /** Whether one more request may be sent to a cold endpoint now. */
   hasRoom(row: EndpointRow, rate: ColdRate, now: number): boolean {
-    // With too small a number, a fleet that starts would send a multiple of it.
-    if (rate.instances === undefined) return false;
-    const { period, inWindow } = this.#window(row, rate, now);
-    return inWindow && this.#lastPeriods.get(row.id) !== period;
+    return this.#openPeriod(row, rate, now) !== undefined;
   }
 
   /** Reserves one request at a cold endpoint, if one may be sent now. */
   take(row: EndpointRow, rate: ColdRate, now: number): boolean {
-    if (!this.hasRoom(row, rate, now)) return false;
-    this.#lastPeriods.set(row.id, this.#window(row, rate, now).period);
+    const period = this.#openPeriod(row, rate, now);
+    if (period === undefined) return false;
+    this.#lastPeriods.set(row.id, period);
     return true;
   }
 
@@ -68,6 +66,20 @@
     this.#lastPeriods.delete(id);
   }
 
+  /** The current period, if a request may be sent in it now. */
+  #openPeriod(
+    row: EndpointRow,
+    { ratePerS, instances }: ColdRate,
+    now: number,
+  ): number | undefined {
+    // With too small a number, a fleet that starts would send a multiple of it.
+    if (instances === undefined) return undefined;
+    const ownPerS = ratePerS * RATE_SHARE / Math.max(1, instances);
+    const { period, inWindow } = this.#window(row, ownPerS, now);
+    const isUsed = this.#lastPeriods.get(row.id) === period;
+    return inWindow && !isUsed ? period : undefined;
+  }
+
   /**
    * The current period, and whether it is in this instance's window. Windows
    * are spread by hashing, so that instances which discover a cold endpoint at
@@ -75,12 +87,10 @@
    */
   #window(
     row: EndpointRow,
-    rate: ColdRate,
+    ownPerS: number,
     now: number,
   ): { readonly period: number; readonly inWindow: boolean } {
-    const instances = Math.max(1, rate.instances ?? 1);
-    const ratePerS = rate.ratePerS * RATE_SHARE / instances;
-    const periodMs = MS_PER_S / Math.max(ratePerS, 1e-6);
+    const periodMs = MS_PER_S / Math.max(ownPerS, 1e-6);
     const offset = hashFraction(`${this.#own} ${row.id}`) * periodMs;
     const at = now + offset;
     const windowMs = Math.min(MAX_WINDOW_MS, periodMs * WINDOW_SHARE);
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -42,24 +42,28 @@
 /** Credit expires one interval of its life at a time. */
 const INTERVALS = 10;
 
-/** Credit earned in one interval, and not spent. */
+/** Credit that was earned in one interval and is not spent. */
 interface Interval {
-  readonly index: number;
+  index: number;
   credit: number;
 }
 
 /** The credit of one service, in whole retries. */
 class ServiceCredit {
   readonly #intervalMs: number;
-  #intervals: Interval[] = [];
+  /** The last intervals; that of an index is at `index % INTERVALS`. */
+  readonly #intervals: Interval[] = Array.from(
+    { length: INTERVALS },
+    () => ({ index: -1, credit: 0 }),
+  );
   /** Earned towards the next whole retry. */
   #fraction = 0;
   /** Until when the fixed part was earned. */
   #fixedUntil: number;
 
-  constructor(windowMs: number, fixedUntil: number) {
+  constructor(windowMs: number, earningSince: number) {
     this.#intervalMs = windowMs * CREDIT_LIFE / INTERVALS;
-    this.#fixedUntil = fixedUntil;
+    this.#fixedUntil = earningSince;
   }
 
   /** Adds credit that was earned at a time. */
@@ -68,19 +72,20 @@
     const whole = Math.floor(this.#fraction);
     if (whole === 0) return;
     this.#fraction -= whole;
-    const index = Math.floor(at / this.#intervalMs);
-    const last = this.#intervals.at(-1);
-    if (last?.index === index) last.credit += whole;
-    else this.#intervals.push({ index, credit: whole });
+    const index = this.#indexAt(at);
+    const interval = this.#intervals[index % INTERVALS]!;
+    if (interval.index !== index) Object.assign(interval, { index, credit: 0 });
+    interval.credit += whole;
   }
 
   /** Adds the fixed part of the time since the last call; none if 0. */
   earnOverTime(creditPerMs: number, now: number): void {
-    const lifeMs = this.#intervalMs * INTERVALS;
-    let from = Math.max(this.#fixedUntil, now - lifeMs);
+    // What was earned before would have expired.
+    const oldestStart = (this.#indexAt(now) - INTERVALS + 1) * this.#intervalMs;
+    let from = Math.max(this.#fixedUntil, oldestStart);
     this.#fixedUntil = now;
     while (creditPerMs > 0 && from < now) {
-      const next = (Math.floor(from / this.#intervalMs) + 1) * this.#intervalMs;
+      const next = (this.#indexAt(from) + 1) * this.#intervalMs;
       const to = Math.min(next, now);
       this.earn((to - from) * creditPerMs, from);
       from = to;
@@ -89,36 +94,52 @@
 
   /** Credit that has not expired. */
   available(now: number): number {
-    const oldest = Math.floor(now / this.#intervalMs) - INTERVALS + 1;
-    this.#intervals = this.#intervals.filter(({ index, credit }) =>
-      index >= oldest && credit > 0
-    );
-    return this.#intervals.reduce((sum, { credit }) => sum + credit, 0);
+    return this.#unexpired(now).reduce((sum, { credit }) => sum + credit, 0);
   }
 
   /** Spends the credit that expires first. */
   spend(now: number): boolean {
-    if (this.available(now) === 0) return false;
-    this.#intervals[0]!.credit--;
+    const [first, ...others] = this.#unexpired(now);
+    if (first === undefined) return false;
+    const oldest = others.reduce((a, b) => a.index < b.index ? a : b, first);
+    oldest.credit--;
     return true;
   }
+
+  /** Intervals with credit that has not expired. */
+  #unexpired(now: number): Interval[] {
+    const oldest = this.#indexAt(now) - INTERVALS + 1;
+    return this.#intervals.filter(({ index, credit }) =>
+      index >= oldest && credit > 0
+    );
+  }
+
+  #indexAt(at: number): number {
+    return Math.floor(at / this.#intervalMs);
+  }
 }
 
 /** Retry budgets of one instance, by service. */
 export class SharedRetryBudget {
   #allowance: RetryAllowance;
-  readonly #startedAt: number;
+  #earningSince: number;
   readonly #credits = new Map<ServiceId, ServiceCredit>();
 
   /** @param startedAt When the instance started, on its clock. */
   constructor(allowance: RetryAllowance, startedAt: number) {
     this.#allowance = allowance;
-    this.#startedAt = startedAt;
+    this.#earningSince = startedAt;
   }
 
-  /** Applies a new budget to what is earned from now on. */
-  setAllowance(allowance: RetryAllowance): void {
-    if (allowance.windowMs !== this.#allowance.windowMs) this.#credits.clear();
+  /**
+   * Applies a new budget to what is earned from now on. With another window all
+   * credit is lost, as after a start.
+   */
+  setAllowance(allowance: RetryAllowance, now: number): void {
+    if (allowance.windowMs !== this.#allowance.windowMs) {
+      this.#credits.clear();
+      this.#earningSince = now;
+    }
     this.#allowance = allowance;
   }
 
@@ -160,7 +181,7 @@
     const known = this.#credits.get(service);
     if (known !== undefined) return known;
     const { windowMs } = this.#allowance;
-    const created = new ServiceCredit(windowMs, this.#startedAt);
+    const created = new ServiceCredit(windowMs, this.#earningSince);
     this.#credits.set(service, created);
     return created;
   }
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -106,6 +106,13 @@
   t.true(fixedPart > 0 && fixedPart <= 3);
 });
 
+test("a new window begins without credit, like a start", (t) => {
+  const budget = budgetAfter(20_000);
+  const allowance = { ratio: 0.2, slack: 20, windowMs: 5_000 };
+  budget.setAllowance(allowance, 20_000);
+  t.is(budget.available(SERVICE, FLEET, 20_000), 0);
+});
+
 test("the fixed part is not earned while the size of the fleet is unknown", (t) => {
   const budget = budgetAfter(10);
   const unknown = { instances: 2, isSizeKnown: false };
--- a/src/decisions/retries/testing/retry_fleet.ts
+++ b/src/decisions/retries/testing/retry_fleet.ts
@@ -113,11 +113,6 @@
     );
   }
 
-  /** Retries that arrived in a span, in milliseconds. */
-  retriesBetween(from: number, to: number): number {
-    return this.#repeats.filter((at) => at >= from && at < to).length;
-  }
-
   #started(at: number): Pick<Member, "budget" | "startedAt"> {
     const budget = new SharedRetryBudget(this.#allowance, at);
     return { budget, startedAt: at };
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -293,7 +293,7 @@
    */
   reconfigure(cfg: EdgeSettings): void {
     this.#graceMs = cfg.graceMs;
-    this.#retryBudget.setAllowance(cfg.retries);
+    this.#retryBudget.setAllowance(cfg.retries, this.#opts.clock.now());
     this.#opts.log.event("settings_reloaded", {
       graceMs: cfg.graceMs,
       retryRatio: cfg.retries.ratio,
