Decide in one place what a window of the retry budget may hold

Cause: the model of a fleet and the soak's check each had the users' rule, three windows of requests, and a search of its own; the model's members had their start twice, and the soak's budget was three constants.

Change: budget_window has the rule and the counting of sorted times, and both use it; the soak's budget is one RetryAllowance.

--- a/src/decisions/retries/testing/retry_fleet.ts
+++ b/src/decisions/retries/testing/retry_fleet.ts
@@ -6,12 +6,14 @@
  */
 import { SeededRandom, type ServiceId } from "../../../core/mod.ts";
 import { type RetryAllowance, SharedRetryBudget } from "../mod.ts";
+import { countBetween, maxRetriesIn } from "./budget_window.ts";
 
 const SERVICE = "s" as ServiceId;
 const STEP_MS = 5;
 const MS_PER_S = 1_000;
 
-/** Budget of a fleet whose callers send 92 requests a second. */
+/** Requests a second of all callers, and the budget of their fleet. */
+export const REQUESTS_PER_S = 92;
 export const ALLOWANCE: RetryAllowance = {
   ratio: 0.2,
   slack: 58,
@@ -33,9 +35,8 @@
 
 interface Member {
   budget: SharedRetryBudget;
+  /** When its process started; callers get no response before. */
   startedAt: number;
-  /** Time from which it serves; callers of a dead one get no response. */
-  upAt: number;
   /** Part of the callers that use it, relative to the others. */
   weight: number;
 }
@@ -61,14 +62,13 @@
     this.#random = new SeededRandom(opts.seed ?? 1);
     this.#members = Array.from({ length: opts.size ?? 9 }, () => ({
       ...this.#started(0),
-      upAt: 0,
       weight: 1,
     }));
   }
 
   /** Lets callers send until a time, in milliseconds. */
   runUntil(end: number): void {
-    const perStep = (this.#opts.perS ?? 92) * STEP_MS / MS_PER_S;
+    const perStep = (this.#opts.perS ?? REQUESTS_PER_S) * STEP_MS / MS_PER_S;
     for (; this.now < end; this.now += STEP_MS) {
       if (this.#random.next() < perStep % 1) this.#request();
       for (let i = 1; i <= perStep; i++) this.#request();
@@ -78,8 +78,7 @@
   /** Kills instances; they serve again with new processes after a time. */
   restart(indices: readonly number[], downMs: number): void {
     for (const i of indices) {
-      const upAt = this.now + downMs;
-      Object.assign(this.#members[i]!, { ...this.#started(upAt), upAt });
+      Object.assign(this.#members[i]!, this.#started(this.now + downMs));
     }
   }
 
@@ -97,20 +96,13 @@
 
   /** The fullest window, as a fraction of the retries that it may hold. */
   get fullestWindow(): number {
-    const { ratio, slack, windowMs } = this.#allowance;
+    const allowance = this.#allowance;
     const repeats = this.#repeats.toSorted((a, b) => a - b);
-    const requestsFrom = (from: number) =>
-      countBetween(this.#requests, from, from + windowMs);
-    return Math.max(
-      0,
-      ...repeats.map((from) => {
-        const most = Math.max(
-          ...[0, windowMs / 2, windowMs].map((ago) => requestsFrom(from - ago)),
-        );
-        const arrived = countBetween(repeats, from, from + windowMs);
-        return arrived / (most * ratio + slack);
-      }),
+    const fullness = repeats.map((from) =>
+      countBetween(repeats, from, from + allowance.windowMs) /
+      maxRetriesIn(this.#requests, from, allowance)
     );
+    return Math.max(0, ...fullness);
   }
 
   #started(at: number): Pick<Member, "budget" | "startedAt"> {
@@ -122,7 +114,7 @@
   #request(): void {
     this.#requests.push(this.now);
     const member = this.#choose();
-    if (member.upAt > this.now) return;
+    if (member.startedAt > this.now) return;
     member.budget.request(SERVICE, this.now);
     if (this.#succeeds()) this.served++;
     else if (this.#takeRetry(member)) {
@@ -154,23 +146,3 @@
     return this.#members.at(-1)!;
   }
 }
-
-/** Times within `[from, to)` in a sorted list. */
-function countBetween(
-  times: readonly number[],
-  from: number,
-  to: number,
-): number {
-  return firstFrom(times, to) - firstFrom(times, from);
-}
-
-/** Index of the first time that is not before a moment. */
-function firstFrom(times: readonly number[], moment: number): number {
-  let low = 0;
-  for (let high = times.length; low < high;) {
-    const middle = (low + high) >> 1;
-    if ((times[middle] ?? Infinity) < moment) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
--- a/tools/bench/retries.ts
+++ b/tools/bench/retries.ts
@@ -10,13 +10,13 @@
 import { SharedRetryBudget } from "../../src/decisions/retries/mod.ts";
 import {
   ALLOWANCE,
+  REQUESTS_PER_S,
   RetryFleet,
 } from "../../src/decisions/retries/testing/retry_fleet.ts";
 
 /** When attempts begin to fail, and for how long, in milliseconds. */
 const QUIET_MS = 12_000;
 const FAILING_MS = 14_000;
-const REQUESTS_PER_S = 92;
 const MS_PER_S = 1_000;
 const US_PER_MS = 1_000;
 const ROUNDS = 1_000_000;
@@ -58,7 +58,7 @@
   failing: number,
   run: (fleet: RetryFleet) => void,
 ) {
-  const fleet = new RetryFleet({ perS: REQUESTS_PER_S });
+  const fleet = new RetryFleet();
   fleet.runUntil(QUIET_MS);
   const servedBefore = fleet.served;
   fleet.failing = failing;
--- a/tools/process_soak/instance_process.ts
+++ b/tools/process_soak/instance_process.ts
@@ -8,7 +8,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import type { CutMode } from "./tcp_proxy.ts";
-import { RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S } from "./repeat_checker.ts";
+import { SOAK_ALLOWANCE } from "./repeat_checker.ts";
 
 /** Options of an instance process. */
 export interface InstanceProcessOptions {
@@ -242,9 +242,9 @@
 grace_s = ${graceS}
 
 [retries]
-ratio = ${RETRY_RATIO}
-slack = ${RETRY_SLACK}
-window_s = ${RETRY_WINDOW_S}
+ratio = ${SOAK_ALLOWANCE.ratio}
+slack = ${SOAK_ALLOWANCE.slack}
+window_s = ${SOAK_ALLOWANCE.windowMs / MS_PER_S}
 
 [rates]
 window_s = 5
--- a/tools/process_soak/repeat_checker.ts
+++ b/tools/process_soak/repeat_checker.ts
@@ -4,11 +4,18 @@
  * @module
  */
 
+import type { RetryAllowance } from "../../src/decisions/retries/mod.ts";
+import {
+  countBetween,
+  maxRetriesIn,
+} from "../../src/decisions/retries/testing/budget_window.ts";
+
 /** The budget in the settings of the soak's instances. */
-export const RETRY_RATIO = 0.2;
-export const RETRY_SLACK = 20;
-export const RETRY_WINDOW_S = 10;
-const WINDOW_MS = RETRY_WINDOW_S * 1_000;
+export const SOAK_ALLOWANCE: RetryAllowance = {
+  ratio: 0.2,
+  slack: 20,
+  windowMs: 10_000,
+};
 
 /** Counts the requests for one service, and their arrivals beyond the first. */
 export class RepeatChecker {
@@ -27,32 +34,31 @@
     return this.#fullest;
   }
 
-  /** Records that a caller sends a request, whether it arrives or not. */
+  /**
+   * Records that a caller sends a request, whether it arrives or not.
+   *
+   * @param now Milliseconds, whole.
+   */
   sent(now: number): void {
     this.#sentAt.push(now);
   }
 
-  /** Checks a request that arrives at an endpoint of the service. */
+  /**
+   * Checks a request that arrives at an endpoint of the service.
+   *
+   * @param now Milliseconds, whole.
+   */
   arrived(request: string, now: number): void {
     if (!this.#arrived.has(request)) {
       this.#arrived.add(request);
       return;
     }
     this.#repeatsAt.push(now);
-    const from = now - WINDOW_MS;
-    const repeats = this.#repeatsAt.filter((at) => at > from).length;
-    const fullness = repeats / this.#allowed(from);
+    const end = now + 1;
+    const from = end - SOAK_ALLOWANCE.windowMs;
+    const fullness = countBetween(this.#repeatsAt, from, end) /
+      maxRetriesIn(this.#sentAt, from, SOAK_ALLOWANCE);
     this.#fullest = Math.max(this.#fullest, fullness);
     if (fullness > 1) this.#onViolation(request);
   }
-
-  /** Repeats allowed in a window: by its requests, or by those just before it. */
-  #allowed(from: number): number {
-    const requests = [0, WINDOW_MS / 2, WINDOW_MS].map((ago) =>
-      this.#sentAt.filter((at) =>
-        at > from - ago && at <= from - ago + WINDOW_MS
-      ).length
-    );
-    return RETRY_RATIO * Math.max(...requests) + RETRY_SLACK;
-  }
 }
