Settle credit in one place, and give the instance one object for its retries

Cause: taking a retry and asking for the credit left each added the fixed part before; the oldest credit was found by a fold beside a destructured list. An instance kept the budget in one field and wrapped it again for its requests, with closures that stand a few lines above.

Change: one method has the credit of a service as of now; the oldest interval is the first when sorted. EndpointRetries is made once and applies a new budget of the settings. Decisions are the same.

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -99,9 +99,8 @@
 
   /** Spends the credit that expires first. */
   spend(now: number): boolean {
-    const [first, ...others] = this.#unexpired(now);
-    if (first === undefined) return false;
-    const oldest = others.reduce((a, b) => a.index < b.index ? a : b, first);
+    const [oldest] = this.#unexpired(now).sort((a, b) => a.index - b.index);
+    if (oldest === undefined) return false;
     oldest.credit--;
     return true;
   }
@@ -159,22 +158,25 @@
    * ```
    */
   take(service: ServiceId, fleet: BudgetFleet, now: number): boolean {
-    const credit = this.#creditOf(service);
-    credit.earnOverTime(this.#fixedPerMs(fleet), now);
-    return credit.spend(now);
+    return this.#creditBy(service, fleet, now).spend(now);
   }
 
   /** Retries that this instance could make now. */
   available(service: ServiceId, fleet: BudgetFleet, now: number): number {
-    const credit = this.#creditOf(service);
-    credit.earnOverTime(this.#fixedPerMs(fleet), now);
-    return credit.available(now);
+    return this.#creditBy(service, fleet, now).available(now);
   }
 
-  #fixedPerMs({ instances, isSizeKnown }: BudgetFleet): number {
-    if (!isSizeKnown) return 0;
+  /** The credit of a service, with the fixed part that was earned by now. */
+  #creditBy(
+    service: ServiceId,
+    { instances, isSizeKnown }: BudgetFleet,
+    now: number,
+  ): ServiceCredit {
     const { slack, windowMs } = this.#allowance;
-    return slack * EARNED_FRACTION / Math.max(1, instances) / windowMs;
+    const part = isSizeKnown ? slack / Math.max(1, instances) : 0;
+    const credit = this.#creditOf(service);
+    credit.earnOverTime(part * EARNED_FRACTION / windowMs, now);
+    return credit;
   }
 
   #creditOf(service: ServiceId): ServiceCredit {
--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -119,7 +119,7 @@
   readonly #gate: StartGate;
   readonly #dictionary = new NameDictionary();
   readonly #abortController = new AbortController();
-  readonly #retryBudget: SharedRetryBudget;
+  readonly #retries: EndpointRetries;
   readonly #peerLoad: PeerLoad;
   /** Memory for what is buffered for callers and peers. */
   readonly #memory: ByteBudget;
@@ -135,7 +135,6 @@
   private constructor(opts: EdgeOptions) {
     this.#opts = opts;
     const { cfg, clock, random, log, codec, sources } = opts;
-    this.#retryBudget = new SharedRetryBudget(cfg.retries, clock.now());
     this.#gate = new StartGate(clock);
     this.#memory = new ByteBudget(
       bufferBytes(cfg.memoryBytes, getHeapStatistics().heap_size_limit),
@@ -173,6 +172,14 @@
     this.#peerLoad = new PeerLoad((id) => this.#state.endpoints.get(id));
     const fleetSize = () => this.#member.fleetSize;
     const isFleetKnown = () => this.#member.isSizeKnown;
+    this.#retries = new EndpointRetries({
+      budget: new SharedRetryBudget(cfg.retries, clock.now()),
+      fleetSize,
+      isFleetKnown,
+      clock,
+      log,
+      metrics: opts.metrics,
+    });
     this.#quotas = new AccountQuotas(cfg.instance.id, {
       fleetSize,
       gossipDelayMs: () => this.#member.gossipDelayMs,
@@ -293,7 +300,7 @@
    */
   reconfigure(cfg: EdgeSettings): void {
     this.#graceMs = cfg.graceMs;
-    this.#retryBudget.setAllowance(cfg.retries, this.#opts.clock.now());
+    this.#retries.setAllowance(cfg.retries);
     this.#opts.log.event("settings_reloaded", {
       graceMs: cfg.graceMs,
       retryRatio: cfg.retries.ratio,
@@ -397,14 +404,7 @@
       sender: this.#sender,
       codec,
       planVersion: () => this.#state.planVersion,
-      retries: new EndpointRetries({
-        budget: this.#retryBudget,
-        fleetSize: () => this.#member.fleetSize,
-        isFleetKnown: () => this.#member.isSizeKnown,
-        clock,
-        log,
-        metrics,
-      }),
+      retries: this.#retries,
       accessLog: new AccessLog({
         clock,
         log,
--- a/src/edge/endpoint_retries.ts
+++ b/src/edge/endpoint_retries.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log, Metrics, ServiceId } from "../core/mod.ts";
 import type {
   BudgetFleet,
+  RetryAllowance,
   SharedRetryBudget,
 } from "../decisions/retries/mod.ts";
 
@@ -66,6 +67,12 @@
     this.#opts = opts;
   }
 
+  /** Applies a new budget of the fleet. */
+  setAllowance(allowance: RetryAllowance): void {
+    const { budget, clock } = this.#opts;
+    budget.setAllowance(allowance, clock.now());
+  }
+
   /** Records a request of a caller. */
   request(service: ServiceId): void {
     const { budget, clock } = this.#opts;
