Share the rounding and the memory figure of the benchmarks

Cause: the benchmark of retries had its own reading of the memory in use, which that of look-ups has, and a seventh copy of the rounding of figures.

Change: tools/bench/figures.ts has both; the benchmarks name their decimals.

--- a/tools/bench/control.ts
+++ b/tools/bench/control.ts
@@ -8,6 +8,7 @@
 import { type Deployment, OPERATOR_TOKEN } from "../demo/deployments.ts";
 import { Fleet, type FleetInstance } from "../demo/fleet.ts";
 import { residentBytes, statMs } from "./proc_stat.ts";
+import { roundTo } from "./figures.ts";
 
 const SETTLE_MS = 4_000;
 const SAMPLE_MS = 6_000;
@@ -76,13 +77,16 @@
       (of(after) - of(before)) / fleet.instances.length / seconds;
     return {
       ...shape,
-      cpu_ms_per_s: round(perInstance((r) => r.cpuMs)),
-      rss_mb: round(after.rssBytes / fleet.instances.length / BYTES_PER_MB),
-      batches_per_s: round(perInstance((r) => r.batches)),
+      cpu_ms_per_s: roundTo(perInstance((r) => r.cpuMs), 3),
+      rss_mb: roundTo(
+        after.rssBytes / fleet.instances.length / BYTES_PER_MB,
+        3,
+      ),
+      batches_per_s: roundTo(perInstance((r) => r.batches), 3),
       // Doubled because the listener counts only connections opened by peers, and
       // an instance opens as many itself.
-      kb_per_s: round(2 * perInstance((r) => r.bytes) / KB),
-      store_calls_per_s: round((after.calls - before.calls) / seconds),
+      kb_per_s: roundTo(2 * perInstance((r) => r.bytes) / KB, 3),
+      store_calls_per_s: roundTo((after.calls - before.calls) / seconds, 3),
     };
   } finally {
     await fleet.close();
@@ -134,7 +138,8 @@
 /** Least-squares slope of each figure per unit of the growing dimension. */
 function slopesOf(name: string, samples: readonly Sample[]) {
   const x = samples.map((s) => seriesValueOf(name, s));
-  const fit = (of: (s: Sample) => number) => round(slope(x, samples.map(of)));
+  const fit = (of: (s: Sample) => number) =>
+    roundTo(slope(x, samples.map(of)), 3);
   return {
     cpu_ms_per_s: fit((s) => s.cpu_ms_per_s),
     rss_mb: fit((s) => s.rss_mb),
@@ -191,7 +196,3 @@
 function sum(values: readonly number[]): number {
   return values.reduce((n, v) => n + v, 0);
 }
-
-function round(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
-}
--- a/tools/bench/decisions/cost.ts
+++ b/tools/bench/decisions/cost.ts
@@ -25,6 +25,7 @@
   parseDocument,
   type SteeringDocument,
 } from "../../../src/document/mod.ts";
+import { roundTo } from "../figures.ts";
 
 /** Size of the whole system. */
 export interface FleetSize {
@@ -70,9 +71,9 @@
 export async function measureCost(size: FleetSize): Promise<DecisionCost> {
   return {
     size: size.name,
-    dispatch_us: round(await dispatchCost(size)),
-    queued_us: round(await queuedCost(size)),
-    lookup_us: round(lookupCost(size)),
+    dispatch_us: roundTo(await dispatchCost(size), 2),
+    queued_us: roundTo(await queuedCost(size), 2),
+    lookup_us: roundTo(lookupCost(size), 2),
   };
 }
 
@@ -185,7 +186,3 @@
     },
   })._unsafeUnwrap();
 }
-
-function round(us: number): number {
-  return Math.round(us * 100) / 100;
-}
--- a/tools/bench/fleet.ts
+++ b/tools/bench/fleet.ts
@@ -13,6 +13,7 @@
   type TestMember,
 } from "../../src/fleet/testing/member_fleet.ts";
 import type { Account } from "../../src/traffic/mod.ts";
+import { roundTo } from "./figures.ts";
 
 /** A fleet to measure. */
 interface Size {
@@ -68,8 +69,8 @@
     zones,
     accounts,
     endpoints,
-    cpuMsPerS: round((user + system) / US_PER_MS / instanceSeconds),
-    sentPerS: round((fleet.sent.count - before.count) / instanceSeconds),
+    cpuMsPerS: roundTo((user + system) / US_PER_MS / instanceSeconds, 2),
+    sentPerS: roundTo((fleet.sent.count - before.count) / instanceSeconds, 2),
     bytesPerS: Math.round((fleet.sent.bytes - before.bytes) / instanceSeconds),
     acrossBytesPerS: Math.round(
       (fleet.sent.acrossBytes - before.acrossBytes) / instanceSeconds,
@@ -127,7 +128,3 @@
     allowedRegions: [],
   };
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/tools/bench/instance_cost.ts
+++ b/tools/bench/instance_cost.ts
@@ -12,6 +12,7 @@
 import type { InstanceProcess } from "../process_soak/instance_process.ts";
 import { statMs } from "./proc_stat.ts";
 import { InstanceTestBed } from "../standins/instance_test_bed.ts";
+import { roundTo } from "./figures.ts";
 
 /** `BENCH_FLAGS` replaces the Node.js flags; separated by spaces. */
 const NODE_FLAGS = process.env.BENCH_FLAGS?.split(" ") ?? RUNTIME_FLAGS;
@@ -64,9 +65,9 @@
       if (perS === 0) idleMs = totalMs;
       rows.push({
         per_s: perS,
-        main_ms_per_s: round(time.mainMs / SAMPLE_MS * MS_PER_S),
-        other_ms_per_s: round(time.otherMs / SAMPLE_MS * MS_PER_S),
-        ms_per_request: round((totalMs - idleMs) / Math.max(1, answered)),
+        main_ms_per_s: roundTo(time.mainMs / SAMPLE_MS * MS_PER_S, 2),
+        other_ms_per_s: roundTo(time.otherMs / SAMPLE_MS * MS_PER_S, 2),
+        ms_per_request: roundTo((totalMs - idleMs) / Math.max(1, answered), 2),
         answered,
       });
     }
@@ -113,7 +114,3 @@
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/tools/bench/lookup.ts
+++ b/tools/bench/lookup.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import process from "node:process";
 import { type Random, SeededRandom } from "../../src/core/mod.ts";
 import {
   blockSize,
@@ -14,6 +13,7 @@
   type SiteBlock,
   type SiteSection,
 } from "../../src/decisions/clients/mod.ts";
+import { memoryInUse, roundTo } from "./figures.ts";
 
 const SITES = 3_900;
 const SECTIONS = 26;
@@ -45,8 +45,8 @@
     bench: "lookup",
     sites: SITES,
     rows,
-    speed_ratio: round(last.lookups_per_s / last.map_lookups_per_s),
-    memory_ratio: round(last.mb / last.map_mb),
+    speed_ratio: roundTo(last.lookups_per_s / last.map_lookups_per_s, 2),
+    memory_ratio: roundTo(last.mb / last.map_mb, 2),
   }));
 }
 
@@ -64,9 +64,9 @@
     blocks: count,
     lookups_per_s: speed,
     map_lookups_per_s: lookupsPerS(plain.find),
-    mb: round(mb),
-    map_mb: round(plain.mb),
-    build_ms: round(buildMs),
+    mb: roundTo(mb, 2),
+    map_mb: roundTo(plain.mb, 2),
+    build_ms: roundTo(buildMs, 2),
     ...change,
   };
 }
@@ -88,7 +88,10 @@
     longest = Math.max(longest, ms);
     total += ms;
   }
-  return { change_ms: round(total), longest_pause_ms: round(longest) };
+  return {
+    change_ms: roundTo(total, 2),
+    longest_pause_ms: roundTo(longest, 2),
+  };
 }
 
 /** The baseline: tries every prefix length, longest first. */
@@ -160,19 +163,8 @@
   return Math.round(LOOKUPS / ms * 1_000);
 }
 
-/** Bytes in use after a garbage collection; needs `--expose-gc`. */
-function memoryInUse(): number {
-  globalThis.gc?.();
-  const { heapUsed, arrayBuffers } = process.memoryUsage();
-  return heapUsed + arrayBuffers;
-}
-
 function timed(run: () => void): number {
   const from = performance.now();
   run();
   return performance.now() - from;
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/tools/bench/path.ts
+++ b/tools/bench/path.ts
@@ -8,6 +8,7 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { type Deployment, keyOf } from "../demo/deployments.ts";
 import { Fleet } from "../demo/fleet.ts";
+import { roundTo } from "./figures.ts";
 
 const WARM_UP = 200;
 const REQUESTS = 2_000;
@@ -45,7 +46,7 @@
     for (const connections of ["kept", "new"] as const) {
       const base = await measure(direct, connections);
       const viaInstance = await measure(through, connections);
-      const addedMs = round(viaInstance.p50_ms - base.p50_ms);
+      const addedMs = roundTo(viaInstance.p50_ms - base.p50_ms, 2);
       rows[`direct, ${connections}`] = { ...base, gained_p50_ms: 0 };
       rows[`through, ${connections}`] = {
         ...viaInstance,
@@ -67,8 +68,8 @@
   await sendAll(urls, { connections, count: WARM_UP, histogram: build() });
   await sendAll(urls, { connections, count: REQUESTS, histogram });
   return {
-    p50_ms: round(histogram.getValueAtPercentile(50) / US_PER_MS),
-    p99_ms: round(histogram.getValueAtPercentile(99) / US_PER_MS),
+    p50_ms: roundTo(histogram.getValueAtPercentile(50) / US_PER_MS, 2),
+    p99_ms: roundTo(histogram.getValueAtPercentile(99) / US_PER_MS, 2),
   };
 }
 
@@ -111,7 +112,3 @@
   if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`);
   return Math.max(1, Math.round((performance.now() - from) * US_PER_MS));
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/tools/bench/retries.ts
+++ b/tools/bench/retries.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import { performance } from "node:perf_hooks";
-import process from "node:process";
 import type { ServiceId } from "../../src/core/mod.ts";
 import { SharedRetryBudget } from "../../src/decisions/retries/mod.ts";
 import {
@@ -13,6 +12,7 @@
   REQUESTS_PER_S,
   RetryFleet,
 } from "../../src/decisions/retries/testing/retry_fleet.ts";
+import { memoryInUse, roundTo } from "./figures.ts";
 
 /** When attempts begin to fail, and for how long, in milliseconds. */
 const QUIET_MS = 12_000;
@@ -68,8 +68,8 @@
   return {
     event,
     failing,
-    served: round((fleet.served - servedBefore) / requests),
-    fullestWindow: round(fleet.fullestWindow),
+    served: roundTo((fleet.served - servedBefore) / requests, 3),
+    fullestWindow: roundTo(fleet.fullestWindow, 3),
   };
 }
 
@@ -80,14 +80,14 @@
   const service = "s" as ServiceId;
   const requestUs = timeOf((i) => budget.request(service, i));
   const takeUs = timeOf((i) => void budget.take(service, fleet, ROUNDS + i));
-  const before = heapBytes();
+  const before = memoryInUse();
   const many = new SharedRetryBudget(ALLOWANCE, 0);
   for (let i = 0; i < SERVICES; i++) {
     for (let at = 0; at < MS_PER_S; at += 10) {
       many.request(`s${i}` as ServiceId, at);
     }
   }
-  const bytes = Math.round((heapBytes() - before) / SERVICES);
+  const bytes = Math.round((memoryInUse() - before) / SERVICES);
   // Keeps the budgets alive until they are measured.
   many.available(service, fleet, MS_PER_S);
   return { requestUs, takeUs, bytesByService: bytes };
@@ -96,14 +96,5 @@
 function timeOf(once: (i: number) => void): number {
   const from = performance.now();
   for (let i = 0; i < ROUNDS; i++) once(i);
-  return round((performance.now() - from) / ROUNDS * US_PER_MS);
-}
-
-function heapBytes(): number {
-  globalThis.gc?.();
-  return process.memoryUsage().heapUsed;
-}
-
-function round(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
+  return roundTo((performance.now() - from) / ROUNDS * US_PER_MS, 3);
 }
