Reset the connections of cancelled requests

An endpoint whose link is cut gets requests that were cancelled meanwhile once the link works again: as repeats in a window that did not pay for them, and as work for callers that have left.

Cause: the connection of a cancelled request was closed, and the system goes on to deliver what it has not sent yet, for minutes.

Why it works: a reset discards what the system holds, on the connection that carries the request and no other. Requests that are passed on to instances use the same sender. What a frozen endpoint's system has received stays readable.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -91,9 +91,12 @@
     });
   }
 
-  /** Aborts the exchange and closes its connection. */
+  /** Aborts the exchange and resets its connection. */
   cancel(): void {
     this.#finish({ kind: "cancelled", sent: this.sent });
+    // Closed instead, the system would still deliver what it has not sent, even
+    // seconds later once a link that was cut works again.
+    if (this.sent && !this.#req.destroyed) this.#req.socket?.resetAndDestroy();
     this.#req.destroy();
   }
 
