Bound what tests wait for on connections of callers

Three waits of the tests of callers' connections had no limit: for a connection to open (an error was not looked at), to end, and for all of 400 callers to have a response. They reject now, the last two after 30 s, and name what did not come true, while the other tests of the file still run.

--- a/src/edge/departed_callers_test.ts
+++ b/src/edge/departed_callers_test.ts
@@ -22,6 +22,8 @@
 /** Longer than a request may reach an endpoint after its caller left, in ms. */
 const HELD_UP_MS = 600;
 const CALLERS = 12;
+/** Longer than a loaded machine takes to answer 400 callers, in milliseconds. */
+const ANSWER_LIMIT_MS = 30_000;
 const LEAVES: readonly Leave[] = ["destroy", "resetAndDestroy"];
 const HOP = { from: "i2", planVersion: 1, attempts: 0, counted: true };
 
@@ -61,10 +63,10 @@
   held: HeldRequests,
   callers: readonly RawCaller[],
 ): Promise<void> {
-  while (callers.some(({ statuses }) => statuses.length === 0)) {
+  await until(() => {
     held.answerAll();
-    await settle(5);
-  }
+    return callers.every(({ statuses }) => statuses.length > 0);
+  }, ANSWER_LIMIT_MS);
 }
 
 const REQUESTS: readonly {
--- a/src/edge/testing/held_requests.ts
+++ b/src/edge/testing/held_requests.ts
@@ -24,6 +24,8 @@
 const OK_BODY = Buffer.from("ok");
 /** How long an instance gets to act, in milliseconds. */
 const SETTLE_MS = 50;
+/** How often a condition is checked, in milliseconds. */
+const POLL_MS = 10;
 
 /** A response with this body. */
 export function responseOf(bytes: Buffer): FlowResult {
@@ -93,11 +95,14 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** Waits until a condition holds; rejects after five seconds. */
-export async function until(condition: () => boolean): Promise<void> {
-  for (let i = 0; i < 500; i++) {
+/** Waits until a condition holds; rejects after a time, five seconds unless set. */
+export async function until(
+  condition: () => boolean,
+  limitMs = 5_000,
+): Promise<void> {
+  for (let i = 0; i < limitMs / POLL_MS; i++) {
     if (condition()) return;
-    await settle(10);
+    await settle(POLL_MS);
   }
   throw new Error("the condition did not come true");
 }
--- a/src/edge/testing/raw_caller.ts
+++ b/src/edge/testing/raw_caller.ts
@@ -4,13 +4,16 @@
  * @module
  */
 import { connect, type Socket } from "node:net";
+import { until } from "./held_requests.ts";
+
+/** Longer than a loaded machine takes to end a connection, in milliseconds. */
+const CLOSE_LIMIT_MS = 30_000;
 
 /** One connection of a caller. */
 export class RawCaller {
   readonly socket: Socket;
   /** Everything that was received. */
   text = "";
-  readonly closed: Promise<void>;
   /** The error with which the connection ended; undefined if there was none. */
   error: string | undefined;
 
@@ -22,13 +25,15 @@
     socket.on("error", (cause: Error & { code?: string }) => {
       this.error = cause.code ?? cause.message;
     });
-    this.closed = new Promise((resolve) => socket.on("close", () => resolve()));
   }
 
   static async open(port: number): Promise<RawCaller> {
     const socket = connect(port, "127.0.0.1");
     const caller = new RawCaller(socket);
-    await new Promise((resolve) => socket.once("connect", resolve));
+    await new Promise((resolve, reject) => {
+      socket.once("connect", resolve);
+      socket.once("error", reject);
+    });
     return caller;
   }
 
@@ -37,6 +42,11 @@
     this.socket.write(paths.map((path) => getRequest(path)).join(""));
   }
 
+  /** Resolves once the connection has ended; rejects if it stays open. */
+  get closed(): Promise<void> {
+    return until(() => this.socket.closed, CLOSE_LIMIT_MS);
+  }
+
   send(text: string): void {
     this.socket.write(text);
   }
