Let instances that have not read the list learn of those that know it

Cause: the instance that served could not read the instance list for 5.4 s. The others knew it from the list and sent it digests, as to an unreachable instance, one in four: with sequence numbers 3, 7, 11. Profiles are in numbers 0, 8, 16. So no digest to an unreachable instance had a profile, and one that does not know the sender cannot read it. Neither heard of the other until the list was read at 11.09 s; from 11.5 s on requests were passed on.

Evidence: the logs of all six processes; the new test failed before (16 digests, none of which the restarted instance read).

Why it works: a digest that goes to an unreachable instance has the profile.

--- a/src/fleet/digest_exchange.ts
+++ b/src/fleet/digest_exchange.ts
@@ -32,12 +32,17 @@
   peers: readonly Peer[],
   seq: number,
 ): readonly InstanceProfile[] {
-  const includeUnreachable = (seq + 1) % UNREACHABLE_INTERVAL_PERIODS === 0;
-  return peers.filter((p) => !p.unreachable || includeUnreachable).map((p) =>
+  const toUnreachable = isSentToUnreachable(seq);
+  return peers.filter((p) => !p.unreachable || toUnreachable).map((p) =>
     p.profile
   );
 }
 
+/** Whether a digest is also sent to unreachable instances. */
+function isSentToUnreachable(seq: number): boolean {
+  return (seq + 1) % UNREACHABLE_INTERVAL_PERIODS === 0;
+}
+
 export interface DigestExchangeOptions {
   readonly datagrams: Datagrams;
   readonly peers: PeerTable;
@@ -90,7 +95,7 @@
       this.#opts;
     const seq = this.#seq++;
     const includeProfiles = this.#hasNewcomer || seq < NEWCOMER_DIGESTS ||
-      seq % PROFILE_INTERVAL_DIGESTS === 0;
+      seq % PROFILE_INTERVAL_DIGESTS === 0 || this.#reachesUnreachable(seq);
     const digest = compose(seq, this.#hasNewcomer);
     this.#hasNewcomer = false;
     this.#lastDigest = digest;
@@ -107,6 +112,15 @@
     this.#timer?.close();
   }
 
+  /**
+   * Whether a digest is sent to an unreachable instance. After a restart that
+   * may not know this instance yet, and cannot read a digest without a profile.
+   */
+  #reachesUnreachable(seq: number): boolean {
+    return isSentToUnreachable(seq) &&
+      this.#opts.peers.peers().some((p) => p.unreachable);
+  }
+
   /**
    * During an update an instance of the previous build cannot read compact
    * digests. Each of its digests is answered in its own format; otherwise it
--- a/src/fleet/digest_exchange_test.ts
+++ b/src/fleet/digest_exchange_test.ts
@@ -11,6 +11,7 @@
   decodeJsonDigest,
   DigestExchange,
   encodeJsonDigest,
+  gossipRecipients,
   NameDictionary,
   PeerTable,
 } from "./mod.ts";
@@ -18,8 +19,8 @@
 
 const PREVIOUS_BUILD_TYPE = 1;
 
-/** The exchange of instance `i0`, and the datagrams it sent. */
-function exchange() {
+/** The exchange of an instance, and the datagrams it sent. */
+function exchange(id = "i0") {
   const sent: { address: string; bytes: Buffer }[] = [];
   let take: (bytes: Uint8Array) => void = () => {};
   const datagrams = new Datagrams({
@@ -28,7 +29,7 @@
     close: () => Promise.resolve(),
   }, new SilentLog());
   const heard: InstanceId[] = [];
-  const peers = new PeerTable(profile("i0"), 1, {
+  const peers = new PeerTable(profile(id), 1, {
     reported: ({ profile }) => heard.push(profile.id),
     suspect: () => {},
     unreachable: () => {},
@@ -41,11 +42,11 @@
     clock: new ManualClock(),
     random: new SeededRandom(1),
     seeds: ["seed:70"],
-    recipients: () => [],
-    compose: (seq) => digest("i0", { seq }),
+    recipients: (seq) => gossipRecipients(peers.peers(), seq),
+    compose: (seq) => digest(id, { seq }),
     onSent: () => {},
   });
-  return { exchange, sent, heard, take: (bytes: Buffer) => take(bytes) };
+  return { exchange, peers, sent, heard, take: (bytes: Buffer) => take(bytes) };
 }
 
 test("a digest of the previous build is accepted and answered in its format", (t) => {
@@ -74,3 +75,19 @@
   second.take(reported);
   t.deepEqual(second.sent, []);
 });
+
+// Guards against a restarted instance that cannot read the list and stays unknown
+// to those that know it from the list, since it takes their digests for unreadable.
+test("an instance that has not read the list learns of those that know it", (t) => {
+  const known = exchange();
+  const restarted = exchange("i1");
+  known.peers.onInstanceList([profile("i1")], 0);
+  // Sent before the other one listens.
+  for (let i = 0; i < 4; i++) known.exchange.sendNow();
+  known.sent.length = 0;
+  for (let i = 0; i < 16; i++) known.exchange.sendNow();
+  for (const { address, bytes } of known.sent) {
+    if (address === profile("i1").digestAddress) restarted.take(bytes);
+  }
+  t.deepEqual([...new Set(restarted.heard)], ["i0" as InstanceId]);
+});
