Log what retry credit was earned by, and how long retries take to end

Cause: retry_budget_state had the retries taken and refused, but not what was earned, nor when retries end. So it could not tell demand that earns twice from credit that outlives its life, a fixed part divided by too few instances, or retries that arrive late.

Change: earnedByRequests, earnedOverTime and longestMs in the line; counter endpoint.retry_credit by source, timing endpoint.repeat_duration. Credit is counted per log line, so that a request costs one addition.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -306,13 +306,16 @@
       "taken",
       "refused",
       "arrived",
+      "longestMs",
       "sinceMs",
+      "earnedByRequests",
+      "earnedOverTime",
       "credit",
       "instances",
       "sizeKnown",
     ],
     help:
-      "Requests and retries at a service since the last such line, at most once a second while there are retries: those that the budget allowed and refused, and the attempts beyond the first that may have reached an endpoint; then the credit that is left, in retries, and the fleet size by which the fixed part of the budget is divided",
+      "Requests and retries at a service since the last such line, at most once a second while there are retries: those that the budget allowed and refused, and the attempts beyond the first that may have reached an endpoint, with the maximum time from the decision on one to its end; then the credit, in retries, that requests earned in that time and that was earned as a part of the fixed number, what is left of it, and the fleet size by which the fixed part of the budget is divided",
   },
   seat_taken_over: {
     namespace: "seats",
--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -125,6 +125,13 @@
     help:
       "Responses of endpoints with a header field that this version does not read; other for names beyond the first 32",
   },
+  "endpoint.repeat_duration": {
+    type: "timing",
+    unit: "ms",
+    tags: ["service"],
+    help:
+      "Time from the decision on another attempt to the end of that attempt, if it may have reached an endpoint",
+  },
   "endpoint.repeats": {
     type: "count",
     unit: "attempts",
@@ -132,6 +139,13 @@
     help:
       "Attempts that followed others of the same request and may have reached an endpoint, by why they were made: lost, failed, shed, unreachable, link or peer",
   },
+  "endpoint.retry_credit": {
+    type: "count",
+    unit: "retries",
+    tags: ["service", "source"],
+    help:
+      "Credit that was earned for retries, by requests or over time (the fixed part of the budget); most of it expires unspent while endpoints respond",
+  },
   "endpoint.retries": {
     type: "count",
     unit: "requests",
--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -31,6 +31,13 @@
   readonly isSizeKnown: boolean;
 }
 
+/** Credit that a service has earned at an instance, in retries. */
+export interface EarnedCredit {
+  readonly byRequests: number;
+  /** The part of the fixed number. */
+  readonly overTime: number;
+}
+
 /** How long credit can be spent, as a fraction of the window. */
 const CREDIT_LIFE = 0.5;
 /**
@@ -60,14 +67,27 @@
   #fraction = 0;
   /** Until when the fixed part was earned. */
   #fixedUntil: number;
+  #byRequests = 0;
+  #overTime = 0;
 
   constructor(windowMs: number, earningSince: number) {
     this.#intervalMs = windowMs * CREDIT_LIFE / INTERVALS;
     this.#fixedUntil = earningSince;
   }
 
+  /** Credit that was earned, spent or not. */
+  get earned(): EarnedCredit {
+    return { byRequests: this.#byRequests, overTime: this.#overTime };
+  }
+
+  /** Adds credit for a request. */
+  earnByRequest(credit: number, now: number): void {
+    this.#byRequests += credit;
+    this.#earn(credit, now);
+  }
+
   /** Adds credit that was earned at a time. */
-  earn(credit: number, at: number): void {
+  #earn(credit: number, at: number): void {
     this.#fraction += credit;
     const whole = Math.floor(this.#fraction);
     if (whole === 0) return;
@@ -87,7 +107,9 @@
     while (creditPerMs > 0 && from < now) {
       const next = (this.#indexAt(from) + 1) * this.#intervalMs;
       const to = Math.min(next, now);
-      this.earn((to - from) * creditPerMs, from);
+      const credit = (to - from) * creditPerMs;
+      this.#overTime += credit;
+      this.#earn(credit, from);
       from = to;
     }
   }
@@ -145,7 +167,7 @@
   /** Records a request of a caller. */
   request(service: ServiceId, now: number): void {
     const { ratio } = this.#allowance;
-    this.#creditOf(service).earn(ratio * EARNED_FRACTION, now);
+    this.#creditOf(service).earnByRequest(ratio * EARNED_FRACTION, now);
   }
 
   /**
@@ -166,6 +188,11 @@
     return this.#creditBy(service, fleet, now).available(now);
   }
 
+  /** Credit that was earned since the start, spent or not. */
+  earned(service: ServiceId): EarnedCredit {
+    return this.#creditOf(service).earned;
+  }
+
   /** The credit of a service, with the fixed part that was earned by now. */
   #creditBy(
     service: ServiceId,
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -85,7 +85,7 @@
       tried: new Set(),
       counted: req.hop?.counted ?? false,
       arrivals: req.hop?.attempts ?? 0,
-      retriedFor: "peer",
+      lastRetry: { reason: "peer", decidedAt: this.#clock.now() },
       peersTried: new Set(),
       chosenBy: "",
       mayHaveRun: false,
--- a/src/edge/endpoint_retries.ts
+++ b/src/edge/endpoint_retries.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log, Metrics, ServiceId } from "../core/mod.ts";
 import type {
   BudgetFleet,
+  EarnedCredit,
   RetryAllowance,
   SharedRetryBudget,
 } from "../decisions/retries/mod.ts";
@@ -26,6 +27,13 @@
   /** The instance that it was passed on to may not have finished it. */
   | "peer";
 
+/** A further attempt of a request. */
+export interface RetryDecision {
+  readonly reason: RetryReason;
+  /** On the instance's clock. */
+  readonly decidedAt: number;
+}
+
 /** Minimum interval between log lines of a service's budget. */
 const STATE_INTERVAL_MS = 1_000;
 
@@ -44,10 +52,14 @@
 /** Requests and retries at one service since its last log line. */
 interface Tally {
   readonly since: number;
+  /** Credit that had been earned when it began. */
+  readonly earned: EarnedCredit;
   requests: number;
   taken: number;
   refused: number;
   arrived: number;
+  /** Maximum time from the decision on a retry to the end of its attempt. */
+  longestMs: number;
 }
 
 /**
@@ -91,9 +103,15 @@
   }
 
   /** Records an attempt that followed others and may have reached its endpoint. */
-  arrived(service: ServiceId, reason: RetryReason): void {
-    this.#opts.metrics.count("endpoint.repeats", { service, reason });
-    this.#update(service, (tally) => tally.arrived++);
+  arrived(service: ServiceId, { reason, decidedAt }: RetryDecision): void {
+    const { metrics, clock } = this.#opts;
+    const tookMs = clock.now() - decidedAt;
+    metrics.count("endpoint.repeats", { service, reason });
+    metrics.timing("endpoint.repeat_duration", tookMs, { service });
+    this.#update(service, (tally) => {
+      tally.arrived++;
+      tally.longestMs = Math.max(tally.longestMs, tookMs);
+    });
   }
 
   get #fleet(): BudgetFleet {
@@ -103,33 +121,58 @@
 
   /** Updates the tally of a service, and logs it at most once per interval. */
   #update(service: ServiceId, change: (tally: Tally) => void): void {
-    const { budget, clock, log } = this.#opts;
+    const { budget, clock, log, metrics } = this.#opts;
     const now = clock.now();
     const tally = this.#tallyOf(service);
     change(tally);
-    const { since, ...counts } = tally;
-    if (now - since < STATE_INTERVAL_MS) return;
+    if (now - tally.since < STATE_INTERVAL_MS) return;
     const fleet = this.#fleet;
+    const credit = budget.available(service, fleet, now);
+    const earned = budget.earned(service);
+    const byRequests = earned.byRequests - tally.earned.byRequests;
+    const overTime = earned.overTime - tally.earned.overTime;
+    metrics.count("endpoint.retry_credit", {
+      service,
+      source: "requests",
+    }, byRequests);
+    metrics.count("endpoint.retry_credit", {
+      service,
+      source: "time",
+    }, overTime);
     log.event("retry_budget_state", {
       service,
-      ...counts,
-      sinceMs: Math.round(now - since),
-      credit: budget.available(service, fleet, now),
+      requests: tally.requests,
+      taken: tally.taken,
+      refused: tally.refused,
+      arrived: tally.arrived,
+      longestMs: Math.round(tally.longestMs),
+      sinceMs: Math.round(now - tally.since),
+      earnedByRequests: roundCredit(byRequests),
+      earnedOverTime: roundCredit(overTime),
+      credit,
       instances: fleet.instances,
       sizeKnown: fleet.isSizeKnown,
     });
-    this.#tallies.set(service, newTally(now));
+    this.#tallies.set(service, newTally(now, earned));
   }
 
   #tallyOf(service: ServiceId): Tally {
     const known = this.#tallies.get(service);
     if (known !== undefined) return known;
-    const created = newTally(this.#opts.clock.now() - STATE_INTERVAL_MS);
+    const { budget, clock } = this.#opts;
+    const since = clock.now() - STATE_INTERVAL_MS;
+    const created = newTally(since, budget.earned(service));
     this.#tallies.set(service, created);
     return created;
   }
 }
 
-function newTally(since: number): Tally {
-  return { since, requests: 0, taken: 0, refused: 0, arrived: 0 };
+function newTally(since: number, earned: EarnedCredit): Tally {
+  const counts = { requests: 0, taken: 0, refused: 0, arrived: 0 };
+  return { since, earned, ...counts, longestMs: 0 };
+}
+
+/** Credit in hundredths of a retry. */
+function roundCredit(credit: number): number {
+  return Math.round(credit * 100) / 100;
 }
--- a/src/edge/endpoint_retries_test.ts
+++ b/src/edge/endpoint_retries_test.ts
@@ -30,7 +30,9 @@
   const { retries, clock, log } = retriesOfTwo();
   for (let i = 0; i < 100; i++) {
     retries.request(SERVICE);
-    if (retries.take(SERVICE, "shed")) retries.arrived(SERVICE, "shed");
+    if (retries.take(SERVICE, "shed")) {
+      retries.arrived(SERVICE, { reason: "shed", decidedAt: clock.now() - i });
+    }
     clock.advance(25);
   }
   const lines = log.of("retry_budget_state");
@@ -45,6 +47,9 @@
     lines.reduce((total, line) => total + Number(line[field]), 0);
   t.is(sum("taken") + sum("refused"), sum("requests"));
   t.is(sum("taken"), sum("arrived"));
+  t.true(sum("taken") > 0 && sum("taken") <= sum("earnedByRequests"));
+  t.is(sum("earnedOverTime"), 0);
+  t.true(Number(lines.at(-1)!["longestMs"]) >= 40);
 });
 
 /** Results of a request whose first attempt ended like this, without a budget. */
--- a/src/edge/request_context.ts
+++ b/src/edge/request_context.ts
@@ -10,7 +10,7 @@
   ServiceId,
 } from "../core/mod.ts";
 import type { Account, EndpointRow, Route } from "../traffic/mod.ts";
-import type { RetryReason } from "./endpoint_retries.ts";
+import type { RetryDecision } from "./endpoint_retries.ts";
 import type { HeldBody } from "./held_body.ts";
 import type { Hop } from "./hop_headers.ts";
 import type { RawHeaders, RequestFields } from "./request_codec.ts";
@@ -46,8 +46,8 @@
   readonly tried: Set<EndpointRow>;
   /** Attempts that may have reached an endpoint, those of an earlier hop too. */
   arrivals: number;
-  /** Why the last further attempt was made; `peer` for those of earlier hops. */
-  retriedFor: RetryReason;
+  /** The last further attempt; by an earlier hop, one for the reason `peer`. */
+  lastRetry: RetryDecision;
   /** Instances to which it was passed on. */
   readonly peersTried: Set<InstanceId>;
   /** Why the last endpoint was chosen. */
--- a/src/edge/request_flow.ts
+++ b/src/edge/request_flow.ts
@@ -288,7 +288,7 @@
     const now = clock.now();
     chooser.recordResult(endpoint, result, { tookMs: now - sentAt, now });
     if (hasArrived(result)) {
-      if (ctx.arrivals > 0) retries.arrived(ctx.service, ctx.retriedFor);
+      if (ctx.arrivals > 0) retries.arrived(ctx.service, ctx.lastRetry);
       ctx.arrivals++;
     }
     if (result.kind === "withheld") tried.delete(endpoint);
@@ -392,7 +392,7 @@
     if (deadline - clock.now() < MIN_LEFT_MS) return false;
     const wasUnsent = reason === "unreachable" && arrivals === 0;
     if (!wasUnsent && !retries.take(service, reason)) return false;
-    ctx.retriedFor = reason;
+    ctx.lastRetry = { reason, decidedAt: clock.now() };
     return true;
   }
 
