Show that bursts of demand and kept fractions exceed the retry budget

Two faults in the model of the fleet, on the current code:

- What is earned towards the next whole retry never expires: 300 instances with two requests a minute each make 300 retries at once, 178 are allowed.

--- a/src/decisions/retries/testing/retry_fleet.ts
+++ b/src/decisions/retries/testing/retry_fleet.ts
@@ -24,7 +24,7 @@
 export interface RetryFleetOptions {
   readonly size?: number;
   readonly allowance?: RetryAllowance;
-  /** Requests of all callers a second. */
+  /** Requests of all callers a second, until it is changed. */
   readonly perS?: number;
   readonly seed?: number;
   /** Time from the decision on a retry to its arrival, in milliseconds. */
@@ -45,6 +45,8 @@
 export class RetryFleet {
   /** Fraction of the attempts that fail. */
   failing = 0;
+  /** Requests of all callers a second. */
+  perS: number;
   now = 0;
   /** Requests with a successful attempt. */
   served = 0;
@@ -52,12 +54,14 @@
   readonly #opts: RetryFleetOptions;
   readonly #random: SeededRandom;
   readonly #members: Member[];
+  #usesEven = false;
   /** When callers sent requests, and when retries arrived. */
   readonly #requests: number[] = [];
   readonly #repeats: number[] = [];
 
   constructor(opts: RetryFleetOptions = {}) {
     this.#opts = opts;
+    this.perS = opts.perS ?? REQUESTS_PER_S;
     this.#allowance = opts.allowance ?? ALLOWANCE;
     this.#random = new SeededRandom(opts.seed ?? 1);
     this.#members = Array.from({ length: opts.size ?? 9 }, () => ({
@@ -68,7 +72,7 @@
 
   /** Lets callers send until a time, in milliseconds. */
   runUntil(end: number): void {
-    const perStep = (this.#opts.perS ?? REQUESTS_PER_S) * STEP_MS / MS_PER_S;
+    const perStep = this.perS * STEP_MS / MS_PER_S;
     for (; this.now < end; this.now += STEP_MS) {
       if (this.#random.next() < perStep % 1) this.#request();
       for (let i = 1; i <= perStep; i++) this.#request();
@@ -89,6 +93,12 @@
     }
   }
 
+  /** Moves callers between the instances with an even and an odd index. */
+  swapCallers(): void {
+    this.#usesEven = !this.#usesEven;
+    this.moveCallers((i) => (i % 2 === 0) === this.#usesEven ? 1 : 0);
+  }
+
   /** All instances. */
   get all(): number[] {
     return [...this.#members.keys()];
