Earn half of the retry budget, which bounds any sequence of demand

Cause: the repair's sum took demand as steady. 0.6 of the budget was earned and kept for half a window, so that 1.5 x 0.6 = 0.9 of a window's budget could be spent. But the rule grants the requests of one window, this one, the one before or the one between, whichever has most. Two bursts, one that ends as a window begins and one in its second half, earn twice and are granted once: 1.2.

Why it works: what a window spends was earned in it or in the window before, while credit lives and retries arrive within one window in sum. Each of the two earns at most half of what the rule grants. Credit is kept for 0.6 of a window rather than 0.5, so that as much is there when failures begin, and 0.4 of a window are left for what arrives late (a sixth before).

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -7,8 +7,9 @@
  *
  * An instance earns credit with each request of a caller and, for its equal part
  * of the fixed number, with time. It starts without any, and credit expires. So
- * the fleet spends in no window more than was earned in it and shortly before,
- * whichever instances restart or are partitioned, and wherever callers move.
+ * the fleet spends in no window more than was earned in it and in the one before,
+ * however demand varies, whichever instances restart or are partitioned, and
+ * wherever callers move.
  *
  * @module
  */
@@ -38,14 +39,16 @@
   readonly overTime: number;
 }
 
-/** How long credit can be spent, as a fraction of the window. */
-const CREDIT_LIFE = 0.5;
 /**
- * Fraction of the budget that is earned. A window may hold the credit of its own
- * time, of `CREDIT_LIFE` before it, and retries that were decided on up to a
- * sixth of it earlier and arrive late.
+ * How long credit can be spent, as a fraction of the window. The rest of the
+ * window is left for retries that arrive late.
  */
-const EARNED_FRACTION = 0.6;
+const CREDIT_LIFE = 0.6;
+/**
+ * Fraction of the budget that is earned. The retries of a window were earned in
+ * it and in the one before, each of which may have had the most requests.
+ */
+const EARNED_FRACTION = 0.5;
 /** Credit expires one interval of its life at a time. */
 const INTERVALS = 10;
 
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -99,7 +99,7 @@
 });
 
 // Guards against credit of long ago that is spent together with that of now.
-test("credit expires after half a window", (t) => {
+test("credit expires within its window", (t) => {
   const budget = budgetAfter(60_000);
   t.true(budget.available(SERVICE, FLEET, 60_000) <= 63);
   const fixedPart = budget.available(SERVICE, FLEET, 70_000);
@@ -119,7 +119,7 @@
   t.is(budget.available(SERVICE, unknown, 5_000), 0);
 });
 
-test("an idle service has no more than the fixed part of half a window", (t) => {
+test("an idle service has no more than the fixed part of the life of credit", (t) => {
   const fixedPart = budgetAfter(0).available(SERVICE, FLEET, 600_000);
   t.true(fixedPart > 0 && fixedPart <= 3);
 });
