Let credit for less than a retry expire

What callers saw: nothing yet; found while deriving the bound of the retry budget.

Cause: credit was kept in whole retries, and what was earned towards the next one had no age. So each instance could spend one retry that had been earned at any time, and a fleet as many as it has instances.

Evidence: 300 instances with two requests a minute each made 300 retries at once where 178 are allowed; the test failed before ("credit for less than a retry expires, too").

Why it works: credit is kept as earned, in the interval in which it was, and expires with it. So a window spends nothing that was not earned within its span and the life of credit before it.

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -52,13 +52,16 @@
 /** Credit expires one interval of its life at a time. */
 const INTERVALS = 10;
 
+/** Credit that lacks no more than this counts as a whole retry. */
+const ROUNDING_ERROR = 1e-9;
+
 /** Credit that was earned in one interval and is not spent. */
 interface Interval {
   index: number;
   credit: number;
 }
 
-/** The credit of one service, in whole retries. */
+/** The credit of one service, in retries. */
 class ServiceCredit {
   readonly #intervalMs: number;
   /** The last intervals; that of an index is at `index % INTERVALS`. */
@@ -66,8 +69,6 @@
     { length: INTERVALS },
     () => ({ index: -1, credit: 0 }),
   );
-  /** Earned towards the next whole retry. */
-  #fraction = 0;
   /** Until when the fixed part was earned. */
   #fixedUntil: number;
   #byRequests = 0;
@@ -91,20 +92,16 @@
 
   /** Adds credit that was earned at a time. */
   #earn(credit: number, at: number): void {
-    this.#fraction += credit;
-    const whole = Math.floor(this.#fraction);
-    if (whole === 0) return;
-    this.#fraction -= whole;
     const index = this.#indexAt(at);
     const interval = this.#intervals[index % INTERVALS]!;
     if (interval.index !== index) Object.assign(interval, { index, credit: 0 });
-    interval.credit += whole;
+    interval.credit += credit;
   }
 
   /** Adds the fixed part of the time since the last call; none if 0. */
   earnOverTime(creditPerMs: number, now: number): void {
     // What was earned before would have expired.
-    const oldestStart = (this.#indexAt(now) - INTERVALS + 1) * this.#intervalMs;
+    const oldestStart = this.#oldestIndex(now) * this.#intervalMs;
     let from = Math.max(this.#fixedUntil, oldestStart);
     this.#fixedUntil = now;
     while (creditPerMs > 0 && from < now) {
@@ -117,25 +114,34 @@
     }
   }
 
-  /** Credit that has not expired. */
+  /** Whole retries whose credit has not expired. */
   available(now: number): number {
-    return this.#unexpired(now).reduce((sum, { credit }) => sum + credit, 0);
+    const oldest = this.#oldestIndex(now);
+    let sum = 0;
+    for (const { index, credit } of this.#intervals) {
+      if (index >= oldest) sum += credit;
+    }
+    return Math.floor(sum + ROUNDING_ERROR);
   }
 
-  /** Spends the credit that expires first. */
+  /** Spends the credit that expires first, if there is enough for a retry. */
   spend(now: number): boolean {
-    const [oldest] = this.#unexpired(now).sort((a, b) => a.index - b.index);
-    if (oldest === undefined) return false;
-    oldest.credit--;
+    if (this.available(now) < 1) return false;
+    const oldest = this.#oldestIndex(now);
+    let owed = 1;
+    for (let i = 0; i < INTERVALS; i++) {
+      const interval = this.#intervals[(oldest + i) % INTERVALS]!;
+      if (interval.index !== oldest + i) continue;
+      const spent = Math.min(interval.credit, owed);
+      interval.credit -= spent;
+      owed -= spent;
+    }
     return true;
   }
 
-  /** Intervals with credit that has not expired. */
-  #unexpired(now: number): Interval[] {
-    const oldest = this.#indexAt(now) - INTERVALS + 1;
-    return this.#intervals.filter(({ index, credit }) =>
-      index >= oldest && credit > 0
-    );
+  /** The first interval whose credit has not expired. */
+  #oldestIndex(now: number): number {
+    return Math.max(0, this.#indexAt(now) - INTERVALS + 1);
   }
 
   #indexAt(at: number): number {
