Count earned retry credit across changes of the budget's window

Cause: a change of the window drops the credit of each service, and with it the sums that endpoint.retry_credit is counted from. The next log line would have counted a negative number.

Evidence: "the credit that was earned is counted across changes of the budget" failed before. Now the sums go on in the credit that takes its place.

Measured: no figure; the tests of the retries pass.

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -71,12 +71,19 @@
   );
   /** Until when the fixed part was earned. */
   #fixedUntil: number;
-  #byRequests = 0;
-  #overTime = 0;
-
-  constructor(windowMs: number, earningSince: number) {
+  #byRequests: number;
+  #overTime: number;
+
+  /** @param earned Credit that was earned, and lost, before. */
+  constructor(
+    windowMs: number,
+    earningSince: number,
+    earned: EarnedCredit = { byRequests: 0, overTime: 0 },
+  ) {
     this.#intervalMs = windowMs * CREDIT_LIFE / INTERVALS;
     this.#fixedUntil = earningSince;
+    this.#byRequests = earned.byRequests;
+    this.#overTime = earned.overTime;
   }
 
   /** Credit that was earned, spent or not. */
@@ -167,12 +174,18 @@
    */
   setAllowance(allowance: RetryAllowance, now: number): void {
     if (allowance.windowMs !== this.#allowance.windowMs) {
-      this.#credits.clear();
-      this.#earningSince = now;
+      this.#loseCredit(allowance.windowMs, now);
     }
     this.#allowance = allowance;
   }
 
+  #loseCredit(windowMs: number, now: number): void {
+    this.#earningSince = now;
+    for (const [service, { earned }] of this.#credits) {
+      this.#credits.set(service, new ServiceCredit(windowMs, now, earned));
+    }
+  }
+
   /** Records a request of a caller. */
   request(service: ServiceId, now: number): void {
     const { ratio } = this.#allowance;
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -113,6 +113,13 @@
   t.is(budget.available(SERVICE, FLEET, 20_000), 0);
 });
 
+test("the credit that was earned is counted across changes of the budget", (t) => {
+  const budget = budgetAfter(20_000);
+  budget.setAllowance({ ratio: 0.1, slack: 20, windowMs: 5_000 }, 20_000);
+  budget.request(SERVICE, 20_000);
+  t.true(budget.earned(SERVICE).byRequests > 200);
+});
+
 test("the fixed part is not earned while the size of the fleet is unknown", (t) => {
   const budget = budgetAfter(10);
   const unknown = { instances: 2, isSizeKnown: false };
