Lose credit for retries when the budget is lowered

What callers saw: nothing; read while deriving the bound.

Cause: credit that was earned at a higher ratio or fixed number stayed for its life when the settings lowered them, so that a window after the change could hold retries which the new budget does not allow: with the ratio lowered from 0.2 to 0.02 and no fixed number, half of the old budget where a tenth of it is left.

Evidence: "a lower budget begins without credit" failed before.

Why it works: what is spent after the change was earned after it, as after a start. A higher budget keeps what was earned under the lower one.

Measured: no figure but the test's; it costs a change of the settings the retries of the next seconds.

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -169,11 +169,13 @@
   }
 
   /**
-   * Applies a new budget to what is earned from now on. With another window all
-   * credit is lost, as after a start.
+   * Applies a new budget to what is earned from now on. With another window or a
+   * lower budget all credit is lost, as after a start.
    */
   setAllowance(allowance: RetryAllowance, now: number): void {
-    if (allowance.windowMs !== this.#allowance.windowMs) {
+    const { ratio, slack, windowMs } = this.#allowance;
+    const isLower = allowance.ratio < ratio || allowance.slack < slack;
+    if (isLower || allowance.windowMs !== windowMs) {
       this.#loseCredit(allowance.windowMs, now);
     }
     this.#allowance = allowance;
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -113,6 +113,19 @@
   t.is(budget.available(SERVICE, FLEET, 20_000), 0);
 });
 
+// Guards against credit of a higher budget that is spent under a lower one.
+test("a lower budget begins without credit, a higher one keeps it", (t) => {
+  const windowMs = 10_000;
+  const available = (ratio: number, slack: number) => {
+    const budget = budgetAfter(20_000);
+    budget.setAllowance({ ratio, slack, windowMs }, 20_000);
+    return budget.available(SERVICE, FLEET, 20_000);
+  };
+  t.is(available(0.1, 20), 0);
+  t.is(available(0.2, 10), 0);
+  t.true(available(0.3, 20) > 50);
+});
+
 test("the credit that was earned is counted across changes of the budget", (t) => {
   const budget = budgetAfter(20_000);
   budget.setAllowance({ ratio: 0.1, slack: 20, windowMs: 5_000 }, 20_000);
