Send bursts of requests to the soak's service that refuses

Cause: the service whose repeats the soak checks had callers of one rate, so that requests never earned twice for what the rule grants once.

Change: 40 requests a second become 160 for 4.5 s that end 0.3 s after the endpoints begin to refuse, and again from 5 s after that; they refuse for 9.5 s instead of 7.

--- a/tools/process_soak/steady_service.ts
+++ b/tools/process_soak/steady_service.ts
@@ -1,7 +1,8 @@
 /**
- * A service whose callers send at a fixed rate, whatever they get. For some
- * seconds its endpoints refuse nearly everything, so that retry budgets are used
- * up.
+ * A service whose callers send at rates that do not depend on what they get. For
+ * some seconds its endpoints refuse nearly everything, so that retry budgets are
+ * used up. One burst of requests ends shortly after they begin to refuse, another
+ * one falls into the second half of the budget's window from then on.
  *
  * @module
  */
@@ -22,9 +23,15 @@
 const MS_PER_S = 1_000;
 /** When endpoints refuse, from the first request on, and how many of them. */
 const REFUSE_AFTER_MS = 6_000;
-const REFUSE_FOR_MS = 7_000;
+const REFUSE_FOR_MS = 9_500;
 const REFUSE_PERIOD_MS = 18_000;
 const REFUSED_FRACTION = 0.9;
+/** Requests in a burst, relative to the time between bursts. */
+const BURST_FACTOR = 4;
+const BURST_MS = 4_500;
+/** When the first burst ends and the second begins, from the first refusal on. */
+const FIRST_BURST_END_MS = 300;
+const SECOND_BURST_MS = 5_000;
 
 /** Dependencies of the service. */
 export interface SteadyServiceOptions {
@@ -111,15 +118,23 @@
   }
 
   #tick(): void {
-    const ageMs = Date.now() - this.#startedAt;
-    const inPeriodMs = (ageMs - REFUSE_AFTER_MS) % REFUSE_PERIOD_MS;
-    const refuses = inPeriodMs >= 0 && inPeriodMs < REFUSE_FOR_MS;
+    const sinceRefusalMs = this.#sinceRefusalMs();
+    const refuses = sinceRefusalMs >= 0 && sinceRefusalMs < REFUSE_FOR_MS;
     for (const { faults } of this.#endpoints) {
       faults.refuse = refuses ? REFUSED_FRACTION : 0;
     }
-    const request = this.#send();
-    this.#pending.add(request);
-    void request.finally(() => this.#pending.delete(request));
+    const requests = isInBurst(sinceRefusalMs) ? BURST_FACTOR : 1;
+    for (let i = 0; i < requests; i++) {
+      const request = this.#send();
+      this.#pending.add(request);
+      void request.finally(() => this.#pending.delete(request));
+    }
+  }
+
+  /** Time since endpoints last began to refuse; before the first time negative. */
+  #sinceRefusalMs(): number {
+    const ageMs = Date.now() - this.#startedAt;
+    return (ageMs - REFUSE_AFTER_MS) % REFUSE_PERIOD_MS;
   }
 
   async #send(): Promise<void> {
@@ -160,3 +175,15 @@
     return idle;
   }
 }
+
+/** Whether a burst lasts at a time relative to the last first refusal. */
+function isInBurst(sinceRefusalMs: number): boolean {
+  const burstEnds = [
+    FIRST_BURST_END_MS,
+    SECOND_BURST_MS + BURST_MS,
+    FIRST_BURST_END_MS + REFUSE_PERIOD_MS,
+  ];
+  return burstEnds.some((end) =>
+    sinceRefusalMs >= end - BURST_MS && sinceRefusalMs < end
+  );
+}
