Earn the fixed part of the retry budget by the larger known fleet size

Cause: the fixed part is added when a service next needs a retry, for the time since the last, by the size that is known then. Where an instance knows fewer others than before, as after a minute of a cut, the seconds before that are divided by too few as well.

"a fleet that seems to shrink does not raise the fixed part of the time before" failed before.

Why it works: that time is earned by the larger of the sizes known at its start and end.

--- a/src/decisions/retries/shared_retry_budget.ts
+++ b/src/decisions/retries/shared_retry_budget.ts
@@ -71,6 +71,8 @@
   );
   /** Until when the fixed part was earned. */
   #fixedUntil: number;
+  /** What the fixed part earned per millisecond when it was last added. */
+  #fixedPerMs: number | undefined;
   #byRequests: number;
   #overTime: number;
 
@@ -105,8 +107,13 @@
     interval.credit += credit;
   }
 
-  /** Adds the fixed part of the time since the last call; none if 0. */
-  earnOverTime(creditPerMs: number, now: number): void {
+  /**
+   * Adds the fixed part of the time since the last call, by the larger of the
+   * fleet sizes that were known at its start and end.
+   */
+  earnOverTime(fixedPerMs: number, now: number): void {
+    const creditPerMs = Math.min(fixedPerMs, this.#fixedPerMs ?? fixedPerMs);
+    this.#fixedPerMs = fixedPerMs;
     // What was earned before would have expired.
     const oldestStart = this.#oldestIndex(now) * this.#intervalMs;
     let from = Math.max(this.#fixedUntil, oldestStart);
--- a/src/decisions/retries/shared_retry_budget_test.ts
+++ b/src/decisions/retries/shared_retry_budget_test.ts
@@ -139,6 +139,15 @@
   t.is(budget.available(SERVICE, unknown, 5_000), 0);
 });
 
+// Guards against a fixed part of seconds past that few instances divide now.
+test("a fleet that seems to shrink does not raise the fixed part of the time before", (t) => {
+  const budget = budgetAfter(0);
+  const whole = { instances: 20, isSizeKnown: true };
+  t.is(budget.available(SERVICE, whole, 60_000), 0);
+  t.is(budget.available(SERVICE, FLEET, 66_000), 0);
+  t.true(budget.available(SERVICE, FLEET, 72_000) > 0);
+});
+
 test("an idle service has no more than the fixed part of the life of credit", (t) => {
   const fixedPart = budgetAfter(0).available(SERVICE, FLEET, 600_000);
   t.true(fixedPart > 0 && fixedPart <= 3);
