Split the report of a retry tally from its update

No change of behaviour. One function updated, counted and logged a tally; the help of endpoint.retry_credit now says when it is counted.

Measured: 35 tests of the retries and the names pass.

--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -144,7 +144,7 @@
     unit: "retries",
     tags: ["service", "source"],
     help:
-      "Credit that was earned for retries, by requests or over time (the fixed part of the budget); most of it expires unspent while endpoints respond",
+      "Credit that was earned for retries, by requests or over time (the fixed part of the budget), counted with the lines of retry_budget_state, so only while requests need retries; what is not spent expires",
   },
   "endpoint.retries": {
     type: "count",
--- a/src/edge/endpoint_retries.ts
+++ b/src/edge/endpoint_retries.ts
@@ -119,26 +119,26 @@
     return { instances: fleetSize(), isSizeKnown: isFleetKnown() };
   }
 
-  /** Updates the tally of a service, and logs it at most once per interval. */
+  /** Updates the tally of a service, and reports it at most once per interval. */
   #update(service: ServiceId, change: (tally: Tally) => void): void {
-    const { budget, clock, log, metrics } = this.#opts;
-    const now = clock.now();
+    const now = this.#opts.clock.now();
     const tally = this.#tallyOf(service);
     change(tally);
-    if (now - tally.since < STATE_INTERVAL_MS) return;
+    if (now - tally.since >= STATE_INTERVAL_MS) {
+      this.#report(service, tally, now);
+    }
+  }
+
+  /** Logs and counts a tally, and starts the next. */
+  #report(service: ServiceId, tally: Tally, now: number): void {
+    const { budget, log } = this.#opts;
     const fleet = this.#fleet;
     const credit = budget.available(service, fleet, now);
     const earned = budget.earned(service);
     const byRequests = earned.byRequests - tally.earned.byRequests;
     const overTime = earned.overTime - tally.earned.overTime;
-    metrics.count("endpoint.retry_credit", {
-      service,
-      source: "requests",
-    }, byRequests);
-    metrics.count("endpoint.retry_credit", {
-      service,
-      source: "time",
-    }, overTime);
+    this.#countCredit(service, "requests", byRequests);
+    this.#countCredit(service, "time", overTime);
     log.event("retry_budget_state", {
       service,
       requests: tally.requests,
@@ -156,6 +156,15 @@
     this.#tallies.set(service, newTally(now, earned));
   }
 
+  #countCredit(
+    service: ServiceId,
+    source: "requests" | "time",
+    credit: number,
+  ): void {
+    const { metrics } = this.#opts;
+    metrics.count("endpoint.retry_credit", { service, source }, credit);
+  }
+
   #tallyOf(service: ServiceId): Tally {
     const known = this.#tallies.get(service);
     if (known !== undefined) return known;
