Share the rounding of digests and of the retry budget's log line

Cause: the log line of the retry budget brought its own rounding to hundredths, which the rows of digests have already.

Change: roundToHundredth moves from the digest rows to the core; both call it. No change of behaviour.

Measured: 121 tests of the core, digests, retries and the request flow pass.

--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -21,6 +21,7 @@
 export * from "./packed_json.ts";
 export * from "./random.ts";
 export * from "./retry_after.ts";
+export * from "./rounding.ts";
 export * from "./sha256.ts";
 export * from "./stop_signal.ts";
 export * from "./strict.ts";
--- a/src/edge/endpoint_retries.ts
+++ b/src/edge/endpoint_retries.ts
@@ -4,7 +4,13 @@
  *
  * @module
  */
-import type { Clock, Log, Metrics, ServiceId } from "../core/mod.ts";
+import {
+  type Clock,
+  type Log,
+  type Metrics,
+  roundToHundredth,
+  type ServiceId,
+} from "../core/mod.ts";
 import type {
   BudgetFleet,
   EarnedCredit,
@@ -147,8 +153,8 @@
       arrived: tally.arrived,
       longestMs: Math.round(tally.longestMs),
       sinceMs: Math.round(now - tally.since),
-      earnedByRequests: roundCredit(byRequests),
-      earnedOverTime: roundCredit(overTime),
+      earnedByRequests: roundToHundredth(byRequests),
+      earnedOverTime: roundToHundredth(overTime),
       credit,
       instances: fleet.instances,
       sizeKnown: fleet.isSizeKnown,
@@ -180,8 +186,3 @@
   const counts = { requests: 0, taken: 0, refused: 0, arrived: 0 };
   return { since, earned, ...counts, longestMs: 0 };
 }
-
-/** Credit in hundredths of a retry. */
-function roundCredit(credit: number): number {
-  return Math.round(credit * 100) / 100;
-}
--- a/src/fleet/digest_rows.ts
+++ b/src/fleet/digest_rows.ts
@@ -9,6 +9,7 @@
   type Failure,
   type InstanceId,
   type RegionId,
+  roundToHundredth,
   type ZoneId,
 } from "../core/mod.ts";
 import type { RateLimitId, RateUse } from "../decisions/quotas/mod.ts";
@@ -82,10 +83,6 @@
   return uses;
 }
 
-export function roundToHundredth(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
 export function readNumbers<Id extends string>(
   record: Record<string, unknown>,
 ): Map<Id, number> {
