--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -350,8 +350,8 @@
       await sleep(100);
     }
     this.record(`${this.instances.length} instances are ready`);
-    // Digests have passed between all of them.
-    await sleep(3_000);
+    // Longer than StabilityWindowS, so that the start counts for nothing.
+    await sleep(5_000);
   }
 
   /** Writes the manifest. */
