--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -38,6 +38,7 @@
 
   /** Counts what reaches a target later than DrainS after the store's ack. */
   const arrived = (target, request) => {
+    sentBy.get(request.id).ranBy.push(target.id);
     const ack = leftAt.get(target.id);
     const late = request.at - (ack ?? Infinity);
     if (late <= DRAIN_MS) return;
@@ -89,14 +90,15 @@
     while (isOpen) {
       const instance = instances[requests % instances.length];
       const id = `request-${++requests}`;
-      sentBy.set(id, { instance: instance.name, sentAt: Date.now() });
+      const sent = { instance: instance.name, sentAt: Date.now(), ranBy: [] };
+      sentBy.set(id, sent);
       void sendOnce(instance.front, {
         path: `/lots/${requests}`,
         host: HOST,
         id,
         deadlineMs: 1_500,
         thing: String(requests % 400),
-      });
+      }).then(({ status, endedBy }) => sent.answer = status ?? endedBy);
       await sleep(REQUEST_EVERY_MS);
     }
   })();
@@ -138,6 +140,12 @@
   }
   isOpen = false;
   await load;
-  record(`${requests} requests were sent`);
+  await sleep(1_600);
+  record(`${requests} requests were sent:`);
+  for (const [id, { instance, ranBy, answer }] of sentBy) {
+    record(
+      `${id} to ${instance}, run by ${ranBy.join(" ")}, answered ${answer}`,
+    );
+  }
   return broken;
 });
