Move what follows the store out of EdgeInstance

EdgeInstance wired the watchers, the handlers of their resources and the expiry guard itself, so nothing smaller than a whole instance with its servers could play how an instance follows the store through a start, a partition or a change of roles.

StoreFollower wires them, and takes the reports, relayed changes and roles that gossip brings. No change of behaviour.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -50,7 +50,6 @@
 import { GossipHandlers } from "./gossip_handlers.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
 import { joinList } from "./instance_list.ts";
-import { ExpiryGuard } from "./expiry_guard.ts";
 import { AccessLog } from "./access_log.ts";
 import { PeerForwarder, peerRequestAddress } from "./peer_forwarder.ts";
 import { PeerLoad } from "./peer_load.ts";
@@ -64,14 +63,10 @@
 import type { RequestCodec, RequestFields } from "./request_codec.ts";
 import type { CallerRequest } from "./request_context.ts";
 import { RequestFlow } from "./request_flow.ts";
-import { RESOURCE_KINDS, SteeringWatchers } from "./steering_watchers.ts";
-import {
-  EndpointHandler,
-  EvacuationHandler,
-  PlanHandler,
-} from "./steering_handlers.ts";
 import type { SteeringSources } from "./steering_sources.ts";
+import { RESOURCE_KINDS } from "./steering_watchers.ts";
 import { stopPlan } from "./stop_plan.ts";
+import { StoreFollower } from "./store_follower.ts";
 import { TrafficState } from "./traffic_state.ts";
 
 /** Dependencies of an instance. */
@@ -112,9 +107,7 @@
   readonly #sender: HttpEndpointSender;
   readonly #peerSender: HttpEndpointSender;
   readonly #links: LinkChecker<EndpointRow>;
-  readonly #expiry = new ExpiryGuard();
-  readonly #endpointHandler: EndpointHandler;
-  readonly #watchers: SteeringWatchers;
+  readonly #follower: StoreFollower;
   readonly #snapshots: PeerSnapshots;
   readonly #gate: StartGate;
   readonly #dictionary = new NameDictionary();
@@ -129,7 +122,6 @@
   /** The listeners for callers and for requests that peers pass on. */
   #servers: readonly CallerServer[] = [];
   #snapshotServer: PlainServer | undefined;
-  #endpointsListed = false;
   #leaving = false;
 
   private constructor(opts: EdgeOptions) {
@@ -213,20 +205,9 @@
       region: cfg.instance.region,
       regions: [...new Set(cfg.zones.values())],
     });
-    this.#endpointHandler = new EndpointHandler({
+    this.#follower = new StoreFollower({
       state: this.#state,
-      clock,
-      log,
-      expiry: this.#expiry,
-      onListed: () => this.#onEndpointsListed(),
-    });
-    this.#watchers = new SteeringWatchers({
       sources,
-      handlers: {
-        plans: new PlanHandler(this.#state, log, (p) => this.#onPlanAdopted(p)),
-        endpoints: this.#endpointHandler,
-        evacuations: new EvacuationHandler(this.#state, clock, log),
-      },
       clock,
       random,
       log,
@@ -236,6 +217,8 @@
         const peers = this.#member.instancesWithRevision(kind, atLeast);
         return this.#snapshots.fetch(kind, peers, signal);
       },
+      onPlanAdopted: (plan) => this.#onPlanAdopted(plan),
+      onEndpointsListed: () => this.#openGateIfReady(),
     });
     this.#member = new FleetMember({
       profile: this.#profile,
@@ -255,10 +238,8 @@
         quotas: this.#quotas,
         limits: this.#limits,
         peerLoad: this.#peerLoad,
-        watchers: this.#watchers,
-        expiry: this.#expiry,
+        follower: this.#follower,
         watchPeerInTouch: () => this.#member.watchPeerInTouch,
-        clock,
         log,
       }),
     });
@@ -278,7 +259,8 @@
 
   get state(): InstanceState {
     if (this.#leaving) return "leaving";
-    const isLoaded = this.#endpointsListed && this.#state.planVersion > 0;
+    const isLoaded = this.#follower.endpointsListed &&
+      this.#state.planVersion > 0;
     if (!isLoaded) return "starting";
     return this.#links.state === "up" ? "serving" : "isolated";
   }
@@ -333,8 +315,7 @@
   /** Closes everything immediately. */
   async close(): Promise<void> {
     this.#abortController.abort();
-    this.#watchers.close();
-    this.#endpointHandler.close();
+    this.#follower.close();
     await this.#member.close();
     await this.#snapshotServer?.close();
     this.#snapshots.close();
@@ -351,7 +332,7 @@
     this.#snapshotServer = await PlainServer.listen(
       snapshotAddress(cfg.listen.digest),
       (_method, url) =>
-        serveSnapshot(url, (kind) => this.#watchers.snapshot(kind)),
+        serveSnapshot(url, (kind) => this.#follower.snapshot(kind)),
     );
     const flow = this.#createFlow();
     const common = {
@@ -382,7 +363,7 @@
       }),
     ];
     this.#links.start();
-    this.#watchers.run();
+    this.#follower.run();
     void joinList(sources.instances, this.#profile, {
       member: this.#member,
       clock,
@@ -459,11 +440,6 @@
     this.#openGateIfReady();
   }
 
-  #onEndpointsListed(): void {
-    this.#endpointsListed = true;
-    this.#openGateIfReady();
-  }
-
   #openGateIfReady(): void {
     if (this.ready && !this.#gate.isOpen) this.#gate.open();
   }
@@ -509,8 +485,7 @@
     return {
       state: this.state,
       planVersion: this.#state.planVersion,
-      storeInTouch: this.#endpointsListed && this.#expiry.isConnected,
-      changes: this.#watchers.changes(),
+      ...this.#follower.report(),
       uses,
       inFlight,
       limits: this.#limits.observed(),
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -1,27 +1,24 @@
 /**
- * Applies gossip events to quotas, limits, load, watchers and expiry.
+ * Applies gossip events to quotas, limits, load and what follows the store.
  *
  * @module
  */
-import type { Clock, InstanceId, Log } from "../core/mod.ts";
+import type { InstanceId, Log } from "../core/mod.ts";
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
 import type { FleetEvents, GroupReport, Roles } from "../fleet/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { ExpiryGuard } from "./expiry_guard.ts";
 import type { PeerLoad } from "./peer_load.ts";
-import type { SteeringWatchers } from "./steering_watchers.ts";
+import type { StoreFollower } from "./store_follower.ts";
 
 /** Dependencies of the gossip handlers. */
 export interface GossipHandlersOptions {
   readonly quotas: AccountQuotas;
   readonly limits: EndpointLimits;
   readonly peerLoad: PeerLoad;
-  readonly watchers: SteeringWatchers;
-  readonly expiry: ExpiryGuard;
+  readonly follower: StoreFollower;
   /** Whether a peer that watches the store for this instance reaches it. */
   readonly watchPeerInTouch: () => boolean;
-  readonly clock: Clock;
   readonly log: Log;
 }
 
@@ -35,13 +32,12 @@
   }
 
   reported(report: GroupReport, now: number): void {
-    const { quotas, limits, expiry, peerLoad, watchers } = this.#opts;
+    const { quotas, limits, peerLoad, follower } = this.#opts;
     const { group: instance, uses, inFlight } = report;
     quotas.applyReport({ ...report, instance }, uses, now);
     limits.applyReport(report, now);
-    if (report.storeInTouch) expiry.recordPeerContact(now);
     peerLoad.applyReport(instance, inFlight);
-    watchers.onPeerRevisions(report.changes);
+    follower.onReport(report, now);
   }
 
   suspect(group: InstanceId): void {
@@ -60,27 +56,21 @@
   }
 
   relayed(changes: RelayedChanges): void {
-    this.#opts.watchers.applyRelayed(changes);
+    this.#opts.follower.onRelayed(changes);
   }
 
-  /**
-   * An instance that does not watch the store counts as connected to it while
-   * a peer that watches for it is.
-   */
-  roles({ isRelay, isStoreWatcher }: Roles): void {
-    const { clock, log, watchers, expiry, watchPeerInTouch } = this.#opts;
+  roles(roles: Roles): void {
+    const { log, follower, watchPeerInTouch } = this.#opts;
+    const { isRelay, isStoreWatcher } = roles;
     const changed = isRelay !== this.#roles.isRelay ||
       isStoreWatcher !== this.#roles.isStoreWatcher;
-    this.#roles = { isRelay, isStoreWatcher };
+    this.#roles = roles;
     if (changed) {
       log.event("roles_changed", {
         relay: isRelay,
         storeWatcher: isStoreWatcher,
       });
     }
-    watchers.setWatching(isStoreWatcher);
-    if (isStoreWatcher) return;
-    if (watchPeerInTouch()) expiry.regained(clock.now());
-    else expiry.lost(clock.now());
+    follower.onRoles(roles, watchPeerInTouch());
   }
 }
--- /dev/null
+++ b/src/edge/store_follower.ts
@@ -0,0 +1,126 @@
+/**
+ * Keeps an instance's plan, endpoints and evacuations current with the store,
+ * by watching it or through the peers that do.
+ *
+ * @module
+ */
+import type { Clock, Log, Random } from "../core/mod.ts";
+import type { Digest, GroupReport, Roles } from "../fleet/mod.ts";
+import type { TrafficPlan } from "../traffic/mod.ts";
+import type {
+  FetchFromPeer,
+  RelayedChanges,
+  RelayedSnapshot,
+} from "../watcher/mod.ts";
+import { ExpiryGuard } from "./expiry_guard.ts";
+import {
+  EndpointHandler,
+  EvacuationHandler,
+  PlanHandler,
+} from "./steering_handlers.ts";
+import type { SteeringSources } from "./steering_sources.ts";
+import { SteeringWatchers } from "./steering_watchers.ts";
+import type { TrafficState } from "./traffic_state.ts";
+
+/** Dependencies of a follower. */
+export interface StoreFollowerOptions {
+  readonly state: TrafficState;
+  readonly sources: Omit<SteeringSources, "instances">;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  /** How long to wait for a snapshot from peers at the start, in ms. */
+  readonly peersFirstMs: number;
+  /** Sends changes to the peers that do not watch the store. */
+  readonly relay: (changes: RelayedChanges) => void;
+  readonly fetch: FetchFromPeer;
+  readonly onPlanAdopted: (plan: TrafficPlan) => void;
+  readonly onEndpointsListed: () => void;
+}
+
+/** What an instance reports of its contact with the store. */
+export type StoreReport = Pick<Digest, "storeInTouch" | "changes">;
+
+/** Follows the store for one instance. */
+export class StoreFollower {
+  readonly #clock: Clock;
+  readonly #expiry = new ExpiryGuard();
+  readonly #endpoints: EndpointHandler;
+  readonly #watchers: SteeringWatchers;
+  #endpointsListed = false;
+
+  constructor(opts: StoreFollowerOptions) {
+    const { state, clock, log, onPlanAdopted } = opts;
+    this.#clock = clock;
+    this.#endpoints = new EndpointHandler({
+      state,
+      clock,
+      log,
+      expiry: this.#expiry,
+      onListed: () => {
+        this.#endpointsListed = true;
+        opts.onEndpointsListed();
+      },
+    });
+    this.#watchers = new SteeringWatchers({
+      ...opts,
+      handlers: {
+        plans: new PlanHandler(state, log, onPlanAdopted),
+        endpoints: this.#endpoints,
+        evacuations: new EvacuationHandler(state, clock, log),
+      },
+    });
+  }
+
+  /** Whether the endpoints were read, from the store or a peer. */
+  get endpointsListed(): boolean {
+    return this.#endpointsListed;
+  }
+
+  /** Starts to follow the store. */
+  run(): void {
+    this.#watchers.run();
+  }
+
+  report(): StoreReport {
+    return {
+      storeInTouch: this.#endpointsListed && this.#expiry.isConnected,
+      changes: this.#watchers.changes(),
+    };
+  }
+
+  /** All objects of a kind; undefined before the kind was read. */
+  snapshot(kind: string): RelayedSnapshot | undefined {
+    return this.#watchers.snapshot(kind);
+  }
+
+  /** Applies what a peer or a group of them reports of the store. */
+  onReport({ storeInTouch, changes }: GroupReport, now: number): void {
+    if (storeInTouch) this.#expiry.recordPeerContact(now);
+    this.#watchers.onPeerRevisions(changes);
+  }
+
+  /** Applies changes that a peer relays. */
+  onRelayed(changes: RelayedChanges): void {
+    this.#watchers.applyRelayed(changes);
+  }
+
+  /**
+   * An instance that does not watch the store counts as connected to it while
+   * a peer that watches for it is.
+   */
+  onRoles(
+    { isStoreWatcher }: Pick<Roles, "isStoreWatcher">,
+    watchPeerInTouch: boolean,
+  ): void {
+    this.#watchers.setWatching(isStoreWatcher);
+    if (isStoreWatcher) return;
+    if (watchPeerInTouch) this.#expiry.regained(this.#clock.now());
+    else this.#expiry.lost(this.#clock.now());
+  }
+
+  close(): void {
+    this.#watchers.close();
+    this.#endpoints.close();
+  }
+}
