Do not take a start or a change of roles for an outage of the store

Cause: an instance that does not watch the store counted as having lost it unless a peer that watches it reported contact. At a start no peer watches yet; while watchers are replaced none is heard. When the instance then became a watcher, its first call, which waits for changes for up to 2.5 s, was the first sign of contact. What took longer than 2.5 s counted as an outage in which all entries had expired, and endpoints whose entry was removed were kept for 2.3 s.

Change: peers that watch the store report it up or down; without a report nothing is known, and nothing is concluded. One that is starting has not lost the store. The first call of a new watcher does not wait for changes.

Why this works: an outage needs a failed call now, at this instance or at a watcher that has read the store before, and a start has none.

--- a/src/edge/edge_instance.ts
+++ b/src/edge/edge_instance.ts
@@ -239,7 +239,7 @@
         limits: this.#limits,
         peerLoad: this.#peerLoad,
         follower: this.#follower,
-        watchPeerInTouch: () => this.#member.watchPeerInTouch,
+        storeWatch: () => this.#member.storeWatch,
         log,
       }),
     });
--- a/src/edge/gossip_handlers.ts
+++ b/src/edge/gossip_handlers.ts
@@ -5,7 +5,12 @@
  */
 import type { InstanceId, Log } from "../core/mod.ts";
 import type { AccountQuotas } from "../decisions/quotas/mod.ts";
-import type { FleetEvents, GroupReport, Roles } from "../fleet/mod.ts";
+import type {
+  FleetEvents,
+  GroupReport,
+  Roles,
+  StoreWatchState,
+} from "../fleet/mod.ts";
 import type { RelayedChanges } from "../watcher/mod.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { PeerLoad } from "./peer_load.ts";
@@ -17,8 +22,8 @@
   readonly limits: EndpointLimits;
   readonly peerLoad: PeerLoad;
   readonly follower: StoreFollower;
-  /** Whether a peer that watches the store for this instance reaches it. */
-  readonly watchPeerInTouch: () => boolean;
+  /** What the peers that watch the store for this instance report of it. */
+  readonly storeWatch: () => StoreWatchState;
   readonly log: Log;
 }
 
@@ -60,7 +65,7 @@
   }
 
   roles(roles: Roles): void {
-    const { log, follower, watchPeerInTouch } = this.#opts;
+    const { log, follower, storeWatch } = this.#opts;
     const { isRelay, isStoreWatcher } = roles;
     const changed = isRelay !== this.#roles.isRelay ||
       isStoreWatcher !== this.#roles.isStoreWatcher;
@@ -71,6 +76,6 @@
         storeWatcher: isStoreWatcher,
       });
     }
-    follower.onRoles(roles, watchPeerInTouch());
+    follower.onRoles(roles, storeWatch());
   }
 }
--- a/src/edge/store_follower.ts
+++ b/src/edge/store_follower.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import type { Clock, Log, Random } from "../core/mod.ts";
-import type { Digest, GroupReport, Roles } from "../fleet/mod.ts";
+import type {
+  Digest,
+  GroupReport,
+  Roles,
+  StoreWatchState,
+} from "../fleet/mod.ts";
 import type { TrafficPlan } from "../traffic/mod.ts";
 import type {
   FetchFromPeer,
@@ -106,17 +111,18 @@
   }
 
   /**
-   * An instance that does not watch the store counts as connected to it while
-   * a peer that watches for it is.
+   * Watches the store or relies on the peers that do. Without a report of theirs
+   * this instance knows nothing of the store.
    */
   onRoles(
     { isStoreWatcher }: Pick<Roles, "isStoreWatcher">,
-    watchPeerInTouch: boolean,
+    watchedByPeers: StoreWatchState,
   ): void {
+    const now = this.#clock.now();
     this.#watchers.setWatching(isStoreWatcher);
     if (isStoreWatcher) return;
-    if (watchPeerInTouch) this.#expiry.regained(this.#clock.now());
-    else this.#expiry.lost(this.#clock.now());
+    if (watchedByPeers === "up") this.#expiry.regained(now);
+    if (watchedByPeers === "down") this.#expiry.lost(now);
   }
 
   close(): void {
--- /dev/null
+++ b/src/edge/store_follower_test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+import {
+  FollowerFleet,
+  type FollowerInstance,
+} from "./testing/follower_fleet.ts";
+
+/** An endpoint gets no new requests this long after its entry was removed. */
+const DRAIN_MS = 2_000;
+const TWO_ZONES = ["a1", "a2"];
+const ENDPOINTS = ["e1", "e2", "e3"];
+
+/** A fleet that has run for some seconds, with three endpoints. */
+async function runningFleet(
+  zones: readonly string[],
+  opts: { readonly perZone: number; readonly seed: number },
+): Promise<FollowerFleet> {
+  const fleet = new FollowerFleet(zones, opts);
+  for (const id of ENDPOINTS) fleet.store.register(id);
+  fleet.start();
+  await fleet.advance(6_000);
+  return fleet;
+}
+
+/**
+ * How long an endpoint whose entry is removed now is used by some instances, in
+ * milliseconds.
+ */
+async function removalMs(
+  fleet: FollowerFleet,
+  instances: readonly FollowerInstance[] = fleet.instances,
+): Promise<number> {
+  fleet.store.remove("e1");
+  return await fleet.usedFor("e1", 4_000, instances);
+}
+
+for (const perZone of [1, 3]) {
+  // Guards against a start that counts as an outage of the store.
+  test(`${perZone} a zone: an endpoint that leaves after a start of all gets no requests for longer than allowed`, async (t) => {
+    for (let seed = 1; seed <= 4; seed++) {
+      for (const afterMs of [300, 1_500, 2_600, 2_800, 3_100, 4_500]) {
+        const fleet = await runningFleet(TWO_ZONES, { perZone, seed });
+        fleet.restart();
+        await fleet.advance(afterMs);
+        const usedMs = await removalMs(fleet);
+        t.true(usedMs <= DRAIN_MS, `seed ${seed}, ${afterMs}: ${usedMs} ms`);
+      }
+    }
+  });
+}
+
+// Guards against a change of roles that counts as an outage until the new
+// watchers' first call ends.
+test("an endpoint that leaves after the watchers lost the store gets no requests for longer than allowed", async (t) => {
+  for (let seed = 28; seed <= 39; seed++) {
+    for (const afterMs of [6_300, 6_700]) {
+      const fleet = await runningFleet(["a1"], { perZone: 5, seed });
+      const watchers = fleet.instances.filter((i) => i.isStoreWatcher);
+      const others = fleet.instances.filter((i) => !i.isStoreWatcher);
+      for (const watcher of watchers) watcher.reachesStore = false;
+      await fleet.advance(afterMs);
+      const usedMs = await removalMs(fleet, others);
+      t.true(usedMs <= DRAIN_MS, `seed ${seed}, ${afterMs}: ${usedMs} ms`);
+    }
+  }
+});
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -60,6 +60,12 @@
   readonly reservations: readonly Reservation[];
 }
 
+/**
+ * State of the store as the peers that watch it report: `up` if one of them
+ * reaches it, `down` if none of them does, `unknown` if none reports.
+ */
+export type StoreWatchState = "up" | "down" | "unknown";
+
 /** Receives reports, changes and this instance's roles. */
 export interface FleetEvents extends GroupEvents {
   /** The roles of this instance after each digest. */
@@ -214,9 +220,15 @@
     return followsRelay ? ageMs * FAR_AGE_FACTOR : ageMs;
   }
 
-  /** Whether the store responds to a peer that watches it for this instance. */
-  get watchPeerInTouch(): boolean {
-    return this.#peers.watchPeers().some((n) => !n.suspect && n.storeInTouch);
+  /** What the peers that watch the store for this instance report of it. */
+  get storeWatch(): StoreWatchState {
+    const heard = this.#peers.watchPeers().filter((p) => !p.suspect);
+    if (heard.some((p) => p.storeInTouch)) return "up";
+    // One that is starting has not lost the store, but not read it yet.
+    const lost = heard.some((p) =>
+      p.isStoreWatcher && p.state !== "starting" && p.state !== "leaving"
+    );
+    return lost ? "down" : "unknown";
   }
 
   start(): void {
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -364,3 +364,18 @@
     }
   });
 }
+
+// Guards against a start of all instances that counts as an outage of the store.
+test("watchers that are starting have not lost the store", async (t) => {
+  const fleet = await fleetOf(PER_ZONE);
+  for (const member of fleet.members) {
+    member.state = "starting";
+    member.storeInTouch = false;
+  }
+  fleet.advance(2_000);
+  const others = () => fleet.members.filter((m) => !m.roles.isStoreWatcher);
+  t.true(others().every((m) => m.member.storeWatch === "unknown"));
+  for (const member of fleet.members) member.state = "serving";
+  fleet.advance(2_000);
+  t.true(others().every((m) => m.member.storeWatch === "down"));
+});
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -96,7 +96,7 @@
   #reportedRevision = 0;
   #failures = 0;
   #outageSince: number | undefined;
-  /** Whether no call has shown yet that this instance reaches the store. */
+  /** Whether no call as a watcher has shown yet that the store answers. */
   #unconfirmed = false;
 
   constructor(opts: ResourceWatcherOptions<T>) {
@@ -268,17 +268,31 @@
   }
 
   async #watch(revision: number): Promise<Failure | undefined> {
-    const { source, kind } = this.#opts;
+    const { source } = this.#opts;
     const { signal } = this.#abort;
     this.#confirmation.close();
     const call: WatchCall<T> = (waitMs, signal, opts) =>
       source.watch(revision, waitMs, signal, opts);
-    const seen = this.#outageSince === undefined
-      ? await this.#calls.watch(kind, call, signal)
-      : await call(OUTAGE_WATCH_TIMEOUT_MS, signal);
+    const seen = await this.#callWatch(call, signal);
     return seen.match((changes) => this.#apply(changes), (failed) => failed);
   }
 
+  /**
+   * Does not wait for changes while it is not known that the store answers: an
+   * instance that has just become a watcher would take seconds to tell.
+   */
+  #callWatch(
+    call: WatchCall<T>,
+    signal: AbortSignal,
+  ): ReturnType<WatchCall<T>> {
+    if (this.#outageSince !== undefined) {
+      return call(OUTAGE_WATCH_TIMEOUT_MS, signal);
+    }
+    return this.#unconfirmed
+      ? call(IMMEDIATE_TIMEOUT_MS, signal, { newConnection: true })
+      : this.#calls.watch(this.#opts.kind, call, signal);
+  }
+
   #apply(batch: Changes<T>): undefined {
     // Before the changes, for the same reason as in `#replace`.
     this.#onReachable();
