Hold endpoints only while nobody has seen the store up

Cause: an instance that reaches neither the store nor its peers took the partition for an outage of the store in which all entries had expired, since no peer's contact was reported to it meanwhile.

Evidence: on a manual clock, twelve instances in six zones, one zone cut for 5 s and an entry removed 0.4 s before its return: used for 2,970 ms. An instance that starts during an outage shows the reverse: it reported contact before it had asked the store, peers took the outage for theirs alone, and all live endpoints were dropped.

Change: StoreContact records for how long the store has answered without a break, and digests carry it (whole seconds, two or three bytes, only from instances that watch the store). Entries are held until 2.3 s after the store is known to be up, by this instance or any peer, whoever reports the outage. A hold ends as soon as a peer's report shows that there was none.

Why this works: an expiry is a fact about the store. Whoever had answers from it without a pause of 2 s knows that none of that length took place, and that live endpoints have renewed since. After an outage nobody has such a contact, so the hold stays as it was.

Tests: the partition (2,970 ms) and the start during an outage fail before.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -381,6 +381,12 @@
     fields: ["kind", "code"],
     help: "The store does not respond for a kind of object",
   },
+  store_outage_assessed: {
+    namespace: "steering",
+    fields: ["source", "lostMs", "upMs", "holdMs"],
+    help:
+      "Endpoints' entries may have expired in an outage of the store: by this instance's own failed calls, by the instances that watch the store for it, or by a peer that relayed a change (source), after lostMs. upMs is for how long this instance and its peers know the store to be up; missing entries are kept for holdMs, 0 if the store was up all the while",
+  },
   store_regained: {
     namespace: "steering",
     fields: ["kind", "lostMs"],
--- a/src/edge/expiry_guard.ts
+++ b/src/edge/expiry_guard.ts
@@ -3,13 +3,18 @@
  * left.
  *
  * During an outage endpoints cannot renew their registrations, and all of them
- * expire. Live endpoints register again within two seconds of its end; if they
- * were removed, every request would be refused until then. If only this instance
- * lost the store, endpoints kept renewing: a missing one has left and must get
- * no more requests.
+ * expire. Live endpoints register again within about two seconds of its end; if
+ * they were removed, every request would be refused until then.
+ *
+ * Entries are kept only after failed calls to the store, and only until live
+ * endpoints have had time to register again since the store is known to be up. A
+ * start or a change of roles is no outage, and a partition of some instances is
+ * one to these alone: the others have seen the store up all the while.
  *
  * @module
  */
+import type { Log } from "../core/mod.ts";
+import type { StoreContact } from "./store_contact.ts";
 
 /** Time after an outage in which a missing entry may be renewed, in ms. */
 const RENEWAL_GRACE_MS = 2_300;
@@ -18,61 +23,74 @@
  * theirs every second or two, and an entry outlives three failed renewals.
  */
 const MIN_OUTAGE_MS = 2_500;
-/**
- * How long after this instance lost the store the contact of others is ignored,
- * in milliseconds: they may detect the same outage this much later.
- */
-const DETECTION_SKEW_MS = 1_000;
+
+/** Who reports an outage: this instance's calls, its watchers or another peer. */
+export type OutageSource = "own" | "watchers" | "peer";
 
 /** Tracks store outages at one instance. */
 export class ExpiryGuard {
+  readonly #contact: StoreContact;
+  readonly #log: Log;
   #lostAt: number | undefined;
-  /** When another instance was first connected during this outage. */
-  #peerContactAt: number | undefined;
   #holdUntil = -Infinity;
 
-  /** Whether the store responds to this instance. */
+  constructor(contact: StoreContact, log: Log) {
+    this.#contact = contact;
+    this.#log = log;
+  }
+
+  /** Whether no call to the store has failed since the last answer. */
   get isConnected(): boolean {
     return this.#lostAt === undefined;
   }
 
-  /** Records that the store does not respond to this instance. */
+  /** Records that calls to the store fail. */
   lost(now: number): void {
-    if (this.#lostAt !== undefined) return;
-    this.#lostAt = now;
-    this.#peerContactAt = undefined;
+    this.#lostAt ??= now;
   }
 
-  /** Records that another instance reports contact with the store. */
-  recordPeerContact(now: number): void {
-    if (
-      this.#lostAt === undefined ||
-      now < this.#lostAt + DETECTION_SKEW_MS
-    ) return;
-    this.#peerContactAt ??= now;
-  }
-
-  /** Records that the store responds again. */
-  regained(now: number): void {
+  /** Records that calls to the store succeed again. */
+  regained(now: number, source: OutageSource = "own"): void {
     if (this.#lostAt === undefined) return;
-    const outageMs = now - this.#lostAt;
-    // A peer that was connected by the midpoint of the outage did not merely
-    // reconnect a little earlier.
-    const midpoint = this.#lostAt + outageMs / 2;
-    const isLocal = this.#peerContactAt !== undefined &&
-      this.#peerContactAt < midpoint;
+    const lostMs = now - this.#lostAt;
     this.#lostAt = undefined;
-    if (outageMs < MIN_OUTAGE_MS || isLocal) return;
-    this.#holdUntil = now + RENEWAL_GRACE_MS;
+    if (lostMs < MIN_OUTAGE_MS) return;
+    this.#hold(now + RENEWAL_GRACE_MS, { now, source, lostMs });
   }
 
-  /** Applies the hold time of an instance that is connected, in ms. */
+  /** Applies the hold time that a peer reports, in milliseconds. */
   holdFor(forMs: number, now: number): void {
-    this.#holdUntil = Math.max(this.#holdUntil, now + forMs);
+    this.#hold(now + forMs, { now, source: "peer" });
   }
 
   /** How long an entry that is missing now may still be renewed, in ms. */
   holdMs(now: number): number {
-    return Math.max(0, this.#holdUntil - now);
+    const until = Math.min(this.#holdUntil, this.#renewedBy(now));
+    return Math.max(0, until - now);
+  }
+
+  /** When live endpoints have registered again since the store is up. */
+  #renewedBy(now: number): number {
+    const upSince = this.#contact.upSince(now);
+    return upSince === undefined ? Infinity : upSince + RENEWAL_GRACE_MS;
+  }
+
+  #hold(
+    until: number,
+    { now, source, lostMs }: {
+      readonly now: number;
+      readonly source: OutageSource;
+      readonly lostMs?: number;
+    },
+  ): void {
+    if (until <= this.#holdUntil) return;
+    this.#holdUntil = until;
+    const upSince = this.#contact.upSince(now);
+    this.#log.event("store_outage_assessed", {
+      source,
+      lostMs: lostMs === undefined ? undefined : Math.round(lostMs),
+      upMs: upSince === undefined ? undefined : Math.round(now - upSince),
+      holdMs: Math.round(this.holdMs(now)),
+    });
   }
 }
--- a/src/edge/steering_handlers.ts
+++ b/src/edge/steering_handlers.ts
@@ -9,6 +9,9 @@
 import type { ExpiryGuard } from "./expiry_guard.ts";
 import type { TrafficState } from "./traffic_state.ts";
 
+/** How often it is asked whether missing entries may still be renewed, in ms. */
+const REVIEW_INTERVAL_MS = 200;
+
 /** Applies plans. */
 export class PlanHandler implements ResourceHandler<TrafficPlan> {
   readonly #state: TrafficState;
@@ -58,8 +61,9 @@
   readonly #log: Log;
   readonly #onListed: () => void;
   readonly #expiry: ExpiryGuard;
-  /** Removals of registrations that may have expired in a store outage. */
-  readonly #pendingRemovals = new Map<EndpointId, Timer>();
+  /** Endpoints whose registrations may have expired in a store outage. */
+  readonly #missing = new Set<EndpointId>();
+  #review: Timer | undefined;
 
   constructor(opts: {
     readonly state: TrafficState;
@@ -86,8 +90,7 @@
 
   changed({ name, value, revision }: StoredEntry<EndpointRecord>): void {
     const id = name as EndpointId;
-    this.#pendingRemovals.get(id)?.close();
-    this.#pendingRemovals.delete(id);
+    this.#missing.delete(id);
     if (value === undefined) {
       this.#log.event("endpoint_unreadable", { endpoint: id });
       this.#state.endpoints.remove(id);
@@ -100,14 +103,10 @@
   deleted(name: string): void {
     const id = name as EndpointId;
     const row = this.#state.endpoints.get(id);
-    if (row === undefined || this.#pendingRemovals.has(id)) return;
-    const holdMs = this.#expiry.holdMs(this.#clock.now());
-    if (holdMs <= 0 || row.isEnding) return this.#removeNow(id, "gone");
-    const timer = this.#clock.after(holdMs, () => {
-      this.#pendingRemovals.delete(id);
-      this.#removeNow(id, "lapsed");
-    });
-    this.#pendingRemovals.set(id, timer);
+    if (row === undefined || this.#missing.has(id)) return;
+    if (this.holdMs() <= 0 || row.isEnding) return this.#removeNow(id, "gone");
+    this.#missing.add(id);
+    this.#reviewLater();
   }
 
   setReachable(reachable: boolean): void {
@@ -124,7 +123,22 @@
   }
 
   close(): void {
-    for (const timer of this.#pendingRemovals.values()) timer.close();
+    this.#review?.close();
+  }
+
+  /** The hold may end early: a peer reports that there was no outage. */
+  #reviewLater(): void {
+    const waitMs = Math.min(REVIEW_INTERVAL_MS, this.holdMs());
+    this.#review ??= this.#clock.after(waitMs, () => this.#reviewMissing());
+  }
+
+  #reviewMissing(): void {
+    this.#review = undefined;
+    if (this.#missing.size === 0) return;
+    if (this.holdMs() > 0) return this.#reviewLater();
+    const lapsed = [...this.#missing];
+    this.#missing.clear();
+    for (const id of lapsed) this.#removeNow(id, "lapsed");
   }
 
   #removeNow(id: EndpointId, reason: string): void {
--- a/src/edge/steering_watchers.ts
+++ b/src/edge/steering_watchers.ts
@@ -37,6 +37,8 @@
   readonly fetch: FetchFromPeer;
   /** How long to wait for a snapshot from peers at the start, in ms. */
   readonly peersFirstMs: number;
+  /** Called at each answer of the store. */
+  readonly onAnswer: () => void;
 }
 
 /** One watcher per resource kind. */
--- /dev/null
+++ b/src/edge/store_contact_test.ts
@@ -0,0 +1,46 @@
+import test from "ava";
+import { StoreContact } from "./store_contact.ts";
+
+/** Answers once a second, up to and including a time. */
+function answerUntil(contact: StoreContact, until: number): void {
+  for (let now = 0; now <= until; now += 1_000) contact.answered(now);
+}
+
+test("a contact lasts while the store answers", (t) => {
+  const contact = new StoreContact();
+  answerUntil(contact, 9_000);
+  t.is(contact.lengthMs(9_500), 9_000);
+  t.is(contact.upSince(9_500), 0);
+});
+
+// Guards against a contact that is reported while the store is silent.
+test("a contact ends when no answer comes", (t) => {
+  const contact = new StoreContact();
+  answerUntil(contact, 9_000);
+  t.is(contact.lengthMs(11_100), 0);
+  t.is(contact.upSince(11_100), undefined);
+  contact.answered(12_000);
+  t.is(contact.upSince(12_000), 12_000);
+});
+
+test("the longest contact that a peer lately reported counts", (t) => {
+  const contact = new StoreContact();
+  contact.answered(20_000);
+  contact.reported(8_000, 20_100);
+  contact.reported(3_000, 20_200);
+  t.is(contact.upSince(20_300), 12_100);
+});
+
+// Guards against reports from before an outage that no peer has noticed yet.
+test("a peer's report counts for a second", (t) => {
+  const contact = new StoreContact();
+  contact.reported(8_000, 20_000);
+  t.is(contact.upSince(21_000), 12_000);
+  t.is(contact.upSince(21_001), undefined);
+});
+
+test("a peer without a contact reports nothing", (t) => {
+  const contact = new StoreContact();
+  contact.reported(0, 20_000);
+  t.is(contact.upSince(20_000), undefined);
+});
--- a/src/edge/store_follower.ts
+++ b/src/edge/store_follower.ts
@@ -25,6 +25,7 @@
 } from "./steering_handlers.ts";
 import type { SteeringSources } from "./steering_sources.ts";
 import { SteeringWatchers } from "./steering_watchers.ts";
+import { StoreContact } from "./store_contact.ts";
 import type { TrafficState } from "./traffic_state.ts";
 
 /** Dependencies of a follower. */
@@ -44,12 +45,16 @@
 }
 
 /** What an instance reports of its contact with the store. */
-export type StoreReport = Pick<Digest, "storeInTouch" | "changes">;
+export type StoreReport = Pick<
+  Digest,
+  "storeInTouch" | "storeContactMs" | "changes"
+>;
 
 /** Follows the store for one instance. */
 export class StoreFollower {
   readonly #clock: Clock;
-  readonly #expiry = new ExpiryGuard();
+  readonly #contact = new StoreContact();
+  readonly #expiry: ExpiryGuard;
   readonly #endpoints: EndpointHandler;
   readonly #watchers: SteeringWatchers;
   #endpointsListed = false;
@@ -57,6 +62,7 @@
   constructor(opts: StoreFollowerOptions) {
     const { state, clock, log, onPlanAdopted } = opts;
     this.#clock = clock;
+    this.#expiry = new ExpiryGuard(this.#contact, log);
     this.#endpoints = new EndpointHandler({
       state,
       clock,
@@ -74,6 +80,7 @@
         endpoints: this.#endpoints,
         evacuations: new EvacuationHandler(state, clock, log),
       },
+      onAnswer: () => this.#contact.answered(clock.now()),
     });
   }
 
@@ -90,6 +97,7 @@
   report(): StoreReport {
     return {
       storeInTouch: this.#endpointsListed && this.#expiry.isConnected,
+      storeContactMs: this.#contact.lengthMs(this.#clock.now()),
       changes: this.#watchers.changes(),
     };
   }
@@ -100,8 +108,8 @@
   }
 
   /** Applies what a peer or a group of them reports of the store. */
-  onReport({ storeInTouch, changes }: GroupReport, now: number): void {
-    if (storeInTouch) this.#expiry.recordPeerContact(now);
+  onReport({ storeContactMs = 0, changes }: GroupReport, now: number): void {
+    this.#contact.reported(storeContactMs, now);
     this.#watchers.onPeerRevisions(changes);
   }
 
@@ -121,7 +129,7 @@
     const now = this.#clock.now();
     this.#watchers.setWatching(isStoreWatcher);
     if (isStoreWatcher) return;
-    if (watchedByPeers === "up") this.#expiry.regained(now);
+    if (watchedByPeers === "up") this.#expiry.regained(now, "watchers");
     if (watchedByPeers === "down") this.#expiry.lost(now);
   }
 
--- a/src/edge/store_follower_test.ts
+++ b/src/edge/store_follower_test.ts
@@ -7,6 +7,7 @@
 /** An endpoint gets no new requests this long after its entry was removed. */
 const DRAIN_MS = 2_000;
 const TWO_ZONES = ["a1", "a2"];
+const SIX_ZONES = ["a1", "a2", "b1", "b2", "c1", "c2"];
 const ENDPOINTS = ["e1", "e2", "e3"];
 
 /** A fleet that has run for some seconds, with three endpoints. */
@@ -48,6 +49,25 @@
   });
 }
 
+// Guards against a partition of some instances that counts as an outage, at them
+// and at those that they tell.
+test("an endpoint that leaves after a partition of a zone gets no requests for longer than allowed", async (t) => {
+  for (let seed = 1; seed <= 3; seed++) {
+    for (const afterMs of [-400, 200, 600, 1_000]) {
+      const fleet = await runningFleet(SIX_ZONES, { perZone: 2, seed });
+      const cut = fleet.instancesOf("a1");
+      for (const instance of cut) instance.setPartitioned(true);
+      await fleet.advance(5_000 + Math.min(0, afterMs));
+      if (afterMs < 0) fleet.store.remove("e1");
+      await fleet.advance(Math.max(0, -afterMs));
+      for (const instance of cut) instance.setPartitioned(false);
+      await fleet.advance(Math.max(0, afterMs));
+      const usedMs = await removalMs(fleet);
+      t.true(usedMs <= DRAIN_MS, `seed ${seed}, ${afterMs}: ${usedMs} ms`);
+    }
+  }
+});
+
 // Guards against a change of roles that counts as an outage until the new
 // watchers' first call ends.
 test("an endpoint that leaves after the watchers lost the store gets no requests for longer than allowed", async (t) => {
@@ -63,3 +83,24 @@
     }
   }
 });
+
+/** An outage of six seconds in which all entries expire. */
+async function outage(fleet: FollowerFleet): Promise<void> {
+  fleet.store.isUp = false;
+  await fleet.advance(6_000);
+  for (const id of ENDPOINTS) fleet.store.remove(id);
+  fleet.store.isUp = true;
+}
+
+// Guards against a starting instance that drops live endpoints after an outage.
+test("an instance that starts during an outage keeps the endpoints of its peers", async (t) => {
+  const fleet = await runningFleet(SIX_ZONES, { perZone: 2, seed: 1 });
+  fleet.store.isUp = false;
+  await fleet.advance(2_000);
+  const [restarted] = fleet.instancesOf("b1");
+  restarted!.kill();
+  fleet.start();
+  await outage(fleet);
+  await fleet.advance(1_900);
+  t.true(restarted!.uses("e1"));
+});
--- a/src/fleet/compact_digest.ts
+++ b/src/fleet/compact_digest.ts
@@ -50,6 +50,7 @@
   inFlight: 10,
   other: 11,
   limits: 12,
+  storeContact: 13,
 } as const;
 
 /** Resolves the hashes in a digest. */
@@ -146,6 +147,7 @@
       uses: this.#report.uses,
       inFlight: this.#report.inFlight,
       limits: this.#report.limits,
+      ...this.#report.contact,
       otherProfiles: this.#others,
     });
   }
--- a/src/fleet/compact_digest_test.ts
+++ b/src/fleet/compact_digest_test.ts
@@ -73,6 +73,7 @@
     uses: new Map([["a1" as AccountId, { perS: 2.5, admitted: 9, level: -3 }]]),
     inFlight: new Map([["e1" as EndpointId, 4]]),
     changes: new Map([["plans", 12]]),
+    storeContactMs: 75_000,
   });
   const names = receiver("a1", "e1", "plans");
   const read = decodeCompactDigest(encodeWithoutProfiles(sent, names), names);
--- a/src/fleet/digest.ts
+++ b/src/fleet/digest.ts
@@ -39,6 +39,8 @@
   readonly planVersion: number;
   /** Whether the instance watches the store and the store responds. */
   readonly storeInTouch: boolean;
+  /** For how long the store has answered without a break, in ms; 0 if unknown. */
+  readonly storeContactMs?: number | undefined;
   /** Whether the instance watches the store. */
   readonly isStoreWatcher: boolean;
   /** Whether the instance is its zone's relay. */
--- a/src/fleet/fleet_aggregate.ts
+++ b/src/fleet/fleet_aggregate.ts
@@ -89,6 +89,7 @@
   profile: 13,
   limits: 14,
   farReserves: 15,
+  storeContact: 16,
 } as const;
 
 const UP_TO_DATE = FIRST_FREE_BIT;
@@ -156,13 +157,14 @@
     }
     if (this.#relay.isErr()) return err(this.#relay.error);
     const { start, seq, instances, storeInTouch, reserved } = this.#report;
-    const { changes, uses, inFlight, limits } = this.#report;
+    const { changes, uses, inFlight, limits, contact } = this.#report;
     return ok({
       relay: this.#relay.value,
       start,
       seq,
       instances,
       storeInTouch,
+      ...contact,
       changes,
       uses,
       inFlight,
--- a/src/fleet/fleet_aggregate_test.ts
+++ b/src/fleet/fleet_aggregate_test.ts
@@ -22,6 +22,7 @@
   start: "8f14e45f",
   seq: 41,
   storeInTouch: true,
+  storeContactMs: 75_000,
   changes: new Map([["plans", 9]]),
   instances: 21,
   uses: new Map([["a1" as AccountId, { perS: 2.5, admitted: 9, level: -3 }]]),
--- a/src/fleet/fleet_feed.ts
+++ b/src/fleet/fleet_feed.ts
@@ -15,7 +15,12 @@
 export interface GroupReport extends
   Pick<
     Digest,
-    "start" | "storeInTouch" | "changes" | "uses" | "inFlight"
+    | "start"
+    | "storeInTouch"
+    | "storeContactMs"
+    | "changes"
+    | "uses"
+    | "inFlight"
   > {
   /** Id of the instance, or a name for the zone or the fleet. */
   readonly group: InstanceId;
--- a/src/fleet/fleet_member.ts
+++ b/src/fleet/fleet_member.ts
@@ -52,7 +52,13 @@
 export interface SelfReport extends
   Pick<
     Digest,
-    "state" | "planVersion" | "storeInTouch" | "changes" | "uses" | "inFlight"
+    | "state"
+    | "planVersion"
+    | "storeInTouch"
+    | "storeContactMs"
+    | "changes"
+    | "uses"
+    | "inFlight"
   > {
   /** Limits that endpoints stated, or stopped stating, in responses. */
   readonly limits: ObservedLimits;
--- a/src/fleet/fleet_member_test.ts
+++ b/src/fleet/fleet_member_test.ts
@@ -365,6 +365,16 @@
   });
 }
 
+test("a contact with the store is reported through the relays to all zones", async (t) => {
+  const fleet = await fleetOf(PER_ZONE);
+  for (const member of fleet.membersOf("b1")) member.storeContactMs = 40_000;
+  fleet.advance(2_000);
+  for (const member of fleet.members) {
+    const reported = [...member.groups.values()].map((g) => g.storeContactMs);
+    t.true(reported.includes(40_000), member.profile.id);
+  }
+});
+
 // Guards against a start of all instances that counts as an outage of the store.
 test("watchers that are starting have not lost the store", async (t) => {
   const fleet = await fleetOf(PER_ZONE);
--- a/src/fleet/relay_follower.ts
+++ b/src/fleet/relay_follower.ts
@@ -159,7 +159,8 @@
   }
 
   #subtractOwn(aggregate: FleetAggregate, now: number): GroupReport {
-    const { relay, start, storeInTouch, changes, reserved } = aggregate;
+    const { relay, start, storeInTouch, storeContactMs, changes, reserved } =
+      aggregate;
     const own = this.#ownContribution(aggregate);
     // A relay that lost this instance still includes its counters.
     if (own !== undefined) {
@@ -171,6 +172,7 @@
       start: `${relay.id} ${start}`,
       instances: aggregate.instances - (own === undefined ? 0 : 1),
       storeInTouch,
+      storeContactMs,
       changes,
       uses: subtractUses(
         aggregate.uses,
--- a/src/fleet/report_rows.ts
+++ b/src/fleet/report_rows.ts
@@ -34,6 +34,7 @@
 
 /** Rates and levels are rounded to a tenth. */
 const TENTHS = 10;
+const MS_PER_S = 1_000;
 /** Shares are rounded to a ten-thousandth. */
 const SHARE_UNITS = 10_000;
 
@@ -45,6 +46,7 @@
   readonly uses: number;
   readonly inFlight: number;
   readonly limits: number;
+  readonly storeContact: number;
   readonly instances?: number;
   readonly storeInTouch?: number;
   readonly reservedInstances?: number;
@@ -59,6 +61,8 @@
   readonly seq: number;
   /** Revision of the last change received, by kind of object. */
   readonly changes: ReadonlyMap<string, number>;
+  /** For how long the store has answered without a break, in ms; 0 if unknown. */
+  readonly storeContactMs?: number | undefined;
   readonly uses: ReadonlyMap<RateLimitId, RateUse>;
   /** Requests in flight by endpoint. */
   readonly inFlight: ReadonlyMap<EndpointId, number>;
@@ -83,11 +87,15 @@
 
 export function writeReport(
   out: BinaryWriter,
-  { start, seq, changes, uses, inFlight, limits }: Report,
+  { start, seq, changes, uses, inFlight, limits, storeContactMs = 0 }: Report,
   { fields, dictionary }: WriteReportOptions,
 ): void {
   out.tag(fields.start, WireType.LengthDelimited).string(start);
   out.tag(fields.seq, WireType.Varint).uint64(seq);
+  const contactS = Math.floor(storeContactMs / MS_PER_S);
+  if (contactS > 0) {
+    out.tag(fields.storeContact, WireType.Varint).uint32(contactS);
+  }
   writeRows(out, fields.changes, changes, (kind, revision) => {
     writeName(out, kind, dictionary);
     out.uint64(revision);
@@ -130,6 +138,7 @@
   seq = -1;
   instances = 0;
   storeInTouch = false;
+  #storeContactMs = 0;
   readonly changes = new Map<string, number>();
   readonly uses = new Map<RateLimitId, RateUse>();
   readonly inFlight = new Map<EndpointId, number>();
@@ -148,6 +157,12 @@
     return { shares: this.#shares, instances: this.#reservedInstances };
   }
 
+  /** The contact with the store, if one was read. */
+  get contact(): Pick<Report, "storeContactMs"> {
+    const storeContactMs = this.#storeContactMs;
+    return storeContactMs === 0 ? {} : { storeContactMs };
+  }
+
   /** Whether the run and the sequence number were read. */
   get isIdentified(): boolean {
     return isName(this.start) && this.seq >= 0;
@@ -168,6 +183,9 @@
       case this.#fields.storeInTouch:
         this.storeInTouch = reader.bool();
         return true;
+      case this.#fields.storeContact:
+        this.#storeContactMs = reader.uint32() * MS_PER_S;
+        return true;
       case this.#fields.reservedInstances:
         this.#reservedInstances = reader.uint32();
         return true;
--- a/src/fleet/testing/member_fleet.ts
+++ b/src/fleet/testing/member_fleet.ts
@@ -47,6 +47,7 @@
   readonly limits: Map<EndpointId, ObservedLimit>;
   roles: Roles;
   storeInTouch: boolean;
+  storeContactMs?: number;
   state: InstanceState;
   alive: boolean;
   /** Partitioned from all others. */
@@ -225,6 +226,7 @@
         state: entry.state,
         planVersion: 1,
         storeInTouch: entry.storeInTouch,
+        storeContactMs: entry.storeContactMs,
         changes: new Map([["plans", 1]]),
         limits: entry.limits,
         reservations: entry.consumer?.reservations() ?? [],
--- a/src/fleet/zone_digest.ts
+++ b/src/fleet/zone_digest.ts
@@ -83,6 +83,7 @@
   limits: 16,
   /** Apart from the members, whose rows earlier builds read. */
   reserves: 17,
+  storeContact: 18,
 } as const;
 
 /**
@@ -164,7 +165,7 @@
       return fail("bad_request", "the zone digest is invalid");
     }
     const { start, seq, instances, storeInTouch, reserved } = this.#report;
-    const { changes, uses, inFlight, limits } = this.#report;
+    const { changes, uses, inFlight, limits, contact } = this.#report;
     return ok({
       zone: this.#zone as ZoneId,
       region: this.#region as RegionId,
@@ -172,6 +173,7 @@
       start,
       seq,
       storeInTouch,
+      ...contact,
       changes,
       members: this.#members.flatMap((member) => this.#resolve(member)),
       instances,
--- a/src/fleet/zone_exchange.ts
+++ b/src/fleet/zone_exchange.ts
@@ -36,6 +36,8 @@
 
 /** Report of a zone without its members. */
 export interface ZoneSums extends Sums {
+  /** The longest contact of an instance of the zone with the store, in ms. */
+  readonly storeContactMs: number;
   readonly limits: AgedLimits;
   readonly reserved: ReservedShares;
 }
--- a/src/fleet/zone_relay.ts
+++ b/src/fleet/zone_relay.ts
@@ -134,6 +134,7 @@
     );
     exchange.send(own, {
       ...zone,
+      storeContactMs: longestContactMs([own, ...this.#zonePeers.heard]),
       limits: agedLimits(zoneLimits, now),
       reserved: sumOfReserved(zoneReservations),
     });
@@ -151,7 +152,7 @@
 
   #compose(
     own: Digest,
-    fleet: ZoneSums,
+    fleet: Omit<ZoneSums, "storeContactMs">,
   ): FleetAggregate {
     const { peers, zones } = this.#opts;
     const heard = [...this.#zonePeers.heard, ...this.#otherZones.heard];
@@ -170,6 +171,7 @@
       seq: own.seq,
       instances: heard.reduce((n, { instances }) => n + instances, 1),
       storeInTouch: own.storeInTouch || heard.some((g) => g.storeInTouch),
+      storeContactMs: longestContactMs([own, ...heard]),
       changes,
       members: [
         aggregateMember(own.profile, own, changes),
@@ -234,6 +236,12 @@
   };
 }
 
+function longestContactMs(
+  reports: readonly Pick<GroupReport, "storeContactMs">[],
+): number {
+  return Math.max(...reports.map(({ storeContactMs = 0 }) => storeContactMs));
+}
+
 /** The highest revision of each kind. */
 function latestRevisions(
   all: readonly ReadonlyMap<string, number>[],
--- a/src/watcher/resource_watcher.ts
+++ b/src/watcher/resource_watcher.ts
@@ -72,6 +72,8 @@
    * peer with a full snapshot, in milliseconds.
    */
   readonly peersFirstMs?: number;
+  /** Called at each answer of the store, before it is applied. */
+  readonly onAnswer?: () => void;
 }
 
 export class ResourceWatcher<T> {
@@ -361,6 +363,7 @@
     });
     if (signal.aborted) return true;
     if (seen.isOk()) {
+      this.#opts.onAnswer?.();
       handler.setReachable(true);
       this.#apply(seen.value);
       return true;
@@ -407,8 +410,9 @@
   }
 
   #onReachable(): void {
-    const { kind, log, handler, clock } = this.#opts;
+    const { kind, log, handler, clock, onAnswer } = this.#opts;
     const lostAt = this.#outageSince;
+    onAnswer?.();
     this.#failures = 0;
     this.#outageSince = undefined;
     if (lostAt !== undefined || this.#unconfirmed) handler.setReachable(true);
