Count an outage of the store from the last contact

What callers would see: after an outage of 6 s all live endpoints of a zone dropped for up to 2 s, so that every request there is refused. Found by the play of an outage on the manual clock; no caller was seen with it.

Cause: an outage counted from the first failed call. A silent store shows only when a waiting call is overdue, after up to 3.3 s, and an instance that takes over the watch finds out later still. To the last one the outage lasted less than the 2.5 s in which entries cannot expire, so it took the missing entries for endpoints that had left, and relayed that.

Change: the outage counts from the last answer, or the last contact that a peer reported, if that was at most 5.5 s before the first failed call.

Why this works: the last contact is known to all by digests, however late the calls fail. Where an instance was alone in losing the store, the contact of its peers still ends the hold.

The test of an outage fails without the change, 100 ms after the return.

--- a/src/edge/expiry_guard.ts
+++ b/src/edge/expiry_guard.ts
@@ -44,9 +44,15 @@
     return this.#lostAt === undefined;
   }
 
-  /** Records that calls to the store fail. */
-  lost(now: number): void {
-    this.#lostAt ??= now;
+  /**
+   * Records that calls to the store fail, those of this instance or of the peers
+   * that watch it. A call shows a silent store only when it is overdue, so the
+   * outage counts from the last contact that is known. A peer's late report may
+   * be of that peer's link alone.
+   */
+  lost(now: number, source: OutageSource = "own"): void {
+    const lostAt = source === "own" ? this.#contact.lastUpAt(now) : now;
+    this.#lostAt = Math.min(this.#lostAt ?? lostAt, lostAt);
   }
 
   /** Records that calls to the store succeed again. */
--- a/src/edge/expiry_guard_test.ts
+++ b/src/edge/expiry_guard_test.ts
@@ -87,3 +87,22 @@
   expiry.holdFor(1_700, 10_000);
   t.is(expiry.holdMs(10_000), 1_700);
 });
+
+// Guards against an outage that watchers noticed late, and so seems short.
+test("an outage counts from the last contact of the peers once own calls fail", (t) => {
+  const { contact, expiry, regained } = createGuard();
+  contact.reported(60_000, 2_000);
+  expiry.lost(4_000, "watchers");
+  expiry.lost(4_800);
+  regained(6_000);
+  t.is(expiry.holdMs(6_000), 2_300);
+});
+
+// Guards against watchers that are cut off alone and count as an outage of all.
+test("the watchers' late report alone is no outage", (t) => {
+  const { contact, expiry, regained } = createGuard();
+  contact.reported(60_000, 2_000);
+  expiry.lost(4_000, "watchers");
+  regained(5_000);
+  t.is(expiry.holdMs(5_000), 0);
+});
--- a/src/edge/store_contact.ts
+++ b/src/edge/store_contact.ts
@@ -18,6 +18,13 @@
 /** How long a peer's report counts, in milliseconds: a few gossip periods. */
 const REPORT_TTL_MS = 1_000;
 
+/**
+ * Longest time from the last contact to the first failed call, in milliseconds:
+ * a silent store shows when a call is overdue, and to an instance that takes over
+ * the watch somewhat later. A longer silence is a pause of this process.
+ */
+const MAX_NOTICE_MS = 5_500;
+
 interface PeerReport {
   readonly since: number;
   readonly at: number;
@@ -38,6 +45,8 @@
   #answeredAt = -Infinity;
   /** The longest contact that peers have lately reported. */
   #report: PeerReport | undefined;
+  /** When a peer last reported a contact. */
+  #reportedAt = -Infinity;
 
   /** Records that the store answered a call of this instance. */
   answered(now: number): void {
@@ -48,6 +57,7 @@
   /** Records the length of a peer's contact up to now, in milliseconds. */
   reported(lengthMs: number, now: number): void {
     if (lengthMs <= 0) return;
+    this.#reportedAt = now;
     const since = now - lengthMs;
     const known = this.#recentReport(now);
     if (known === undefined || since <= known.since) {
@@ -55,6 +65,12 @@
     }
   }
 
+  /** When the store was last known to be up, for an instance whose calls fail. */
+  lastUpAt(now: number): number {
+    const lastUpAt = Math.max(this.#answeredAt, this.#reportedAt);
+    return now - lastUpAt <= MAX_NOTICE_MS ? lastUpAt : now;
+  }
+
   /** Whether the store answered this instance lately. */
   isRecent(now: number): boolean {
     return now - this.#answeredAt <= MAX_PAUSE_MS;
--- a/src/edge/store_contact_test.ts
+++ b/src/edge/store_contact_test.ts
@@ -43,4 +43,22 @@
   const contact = new StoreContact();
   contact.reported(0, 20_000);
   t.is(contact.upSince(20_000), undefined);
+  t.is(contact.lastUpAt(20_100), 20_100);
+});
+
+// Guards against an outage that seems short, as calls fail only when overdue.
+test("the store was last up at the last answer, or the last contact of a peer", (t) => {
+  const contact = new StoreContact();
+  contact.answered(19_000);
+  t.is(contact.lastUpAt(22_500), 19_000);
+  contact.reported(8_000, 20_000);
+  t.is(contact.lastUpAt(22_500), 20_000);
+});
+
+// Guards against a process that was paused and takes the pause for an outage.
+test("a contact that is long past says nothing of the store", (t) => {
+  const contact = new StoreContact();
+  contact.answered(19_000);
+  contact.reported(8_000, 20_000);
+  t.is(contact.lastUpAt(25_600), 25_600);
 });
--- a/src/edge/store_follower.ts
+++ b/src/edge/store_follower.ts
@@ -130,7 +130,7 @@
     this.#watchers.setWatching(isStoreWatcher);
     if (isStoreWatcher) return;
     if (watchedByPeers === "up") this.#expiry.regained(now, "watchers");
-    if (watchedByPeers === "down") this.#expiry.lost(now);
+    if (watchedByPeers === "down") this.#expiry.lost(now, "watchers");
   }
 
   close(): void {
--- a/src/edge/store_follower_test.ts
+++ b/src/edge/store_follower_test.ts
@@ -92,6 +92,27 @@
   fleet.store.isUp = true;
 }
 
+// Guards against a fleet that drops live endpoints after an outage of the store.
+test("after an outage endpoints are kept until they register again, and no longer", async (t) => {
+  for (const perZone of [1, 4]) {
+    for (let seed = 1; seed <= 3; seed++) {
+      const fleet = await runningFleet(SIX_ZONES, { perZone, seed });
+      await outage(fleet);
+      for (let passedMs = 0; passedMs < 1_900; passedMs += 100) {
+        await fleet.advance(100);
+        for (const id of ENDPOINTS) {
+          t.true(fleet.instances.every((i) => i.uses(id)), `${passedMs} ms`);
+        }
+      }
+      fleet.store.register("e2");
+      fleet.store.register("e3");
+      await fleet.advance(3_100);
+      t.false(fleet.instances.some((i) => i.uses("e1")));
+      t.true(fleet.instances.every((i) => i.uses("e2")));
+    }
+  }
+});
+
 // Guards against a starting instance that drops live endpoints after an outage.
 test("an instance that starts during an outage keeps the endpoints of its peers", async (t) => {
   const fleet = await runningFleet(SIX_ZONES, { perZone: 2, seed: 1 });
