Take a response whose status is none for malformed

What callers saw: an endpoint that sends a response with status 000, 001 or 099, or a field without a name or with a space in its name, leaves its caller with a closed connection and no answer, though the request ran; 600, 700 and 999 were passed on as answers; 101 was passed on and left the request open until its caller gave up. A 101 with an Upgrade field ended the connection without an error, so that the request waited until its deadline.

Cause: the parser of Node.js lets in what its writer refuses. The writer threw after the request had run, and the handler closed the connection, with a log line that did not name the request.

Of 20, 1000, 2OO, -20, none and a control character the parser makes an error.

Change: the header of a response is checked once, where it is read, for endpoints and peers alike (RFC 9110, sections 5 and 15): a final status is 200 to 599, fields have valid names and values. Another one is malformed: it counts against the endpoint, idempotent requests are tried again, others get 502. The client of the product's own interface checks the status too; its probes already took only 200 for ready. Where writing a response fails all the same, its caller gets 502 and the log line has the request's id.

--- a/src/core/log_table.ts
+++ b/src/core/log_table.ts
@@ -394,9 +394,9 @@
   },
   request_handler_failed: {
     namespace: "requests",
-    fields: ["cause"],
+    fields: ["request", "cause", "answered"],
     help:
-      "An internal error ended a request; its connection was closed, other requests continue",
+      "An internal error ended a request; its caller got a failure (answered), or the connection was closed as a response had begun. Other requests continue",
   },
   system_failed: {
     namespace: "",
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -11,6 +11,7 @@
 export * from "./failure.ts";
 export * from "./hash.ts";
 export * from "./http_client.ts";
+export * from "./http_status.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
 export * from "./log_sampling.ts";
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -13,6 +13,7 @@
 import { headerOf } from "./header_fields.ts";
 import type { BodyFraming } from "./received_bytes.ts";
 import type { RequestCodec, ResponseFields } from "./request_codec.ts";
+import { isValidHead } from "./response_head.ts";
 import {
   framingOf,
   holdsAnotherResponse,
@@ -73,6 +74,12 @@
     req.on("information", () => this.#onInformational());
     req.on("response", (res: IncomingMessage) => this.#onResponse(res));
     req.on("error", (error) => this.#onError(error));
+    req.on("upgrade", (_res, socket) => {
+      this.#finish({ kind: "unknown", reason: "malformed" });
+      socket.destroy();
+    });
+    // Node.js does not report every end of a connection as an error.
+    req.on("close", () => this.#onClose());
   }
 
   /** Idle time of the connection before the request; undefined if it was new. */
@@ -121,6 +128,11 @@
   #onResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     this.#res = res;
+    if (!isValidHead(status, res.rawHeaders)) {
+      this.#finish({ kind: "unknown", reason: "malformed" });
+      this.#req.destroy();
+      return;
+    }
     this.#framing = framingOf(res, this.#req.method);
     this.#fields = this.#opts.codec.readResponse(status, res.rawHeaders);
     const isCut = this.#connection?.received.isHeadCut === true ||
@@ -227,6 +239,12 @@
     this.#fail(hasResponse ? "cut" : malformed ? "malformed" : "broken");
   }
 
+  #onClose(): void {
+    if (this.#res !== undefined || this.#settled) return;
+    if (this.sent) this.#fail("broken");
+    else this.#finish({ kind: "unsent", reason: "closed" });
+  }
+
   /**
    * Whether a response belongs to the request. A late response to an earlier
    * request would otherwise go to the wrong caller. Refusals may have no id.
--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -67,6 +67,9 @@
 const BODY_NOT_HELD = failure("not_ready", "the body does not fit", {
   outcome: "not-run",
 });
+const INTERNAL_ERROR = failure("endpoint_failed", "internal error", {
+  outcome: "unknown",
+});
 const STOPPED = failure("not_ready", "this instance is stopping", {
   outcome: "not-run",
 });
@@ -86,14 +89,31 @@
 
   /** Serves a request; never throws. */
   async serve(request: PipelinedRequest, limits: RequestLimits): Promise<void> {
-    const { req, res } = request;
+    const { req } = request;
     try {
       const head = readHead(req, { ...this.#opts, limits });
       const invalid = invalidHead(req, head, this.#opts);
       if (invalid === undefined) return await this.#serveValid(request, head);
       this.#refuse(request, invalid.why, head.fields, invalid.status);
     } catch (cause) {
-      this.#opts.log.event("request_handler_failed", { cause: String(cause) });
+      this.#fail(request, cause);
+    }
+  }
+
+  /** Ends a request after an internal error; it may have run. */
+  #fail(request: PipelinedRequest, cause: unknown): void {
+    const { req, res } = request;
+    const { log, codec } = this.#opts;
+    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+    log.event("request_handler_failed", {
+      request: fields.requestId,
+      cause: String(cause),
+      answered: !res.headersSent,
+    });
+    if (res.headersSent) return void res.destroy();
+    try {
+      this.#refuse(request, INTERNAL_ERROR, fields);
+    } catch {
       res.destroy();
     }
   }
--- a/src/edge/request_intake_test.ts
+++ b/src/edge/request_intake_test.ts
@@ -7,6 +7,7 @@
   ResponseSizes,
 } from "../decisions/memory/mod.ts";
 import { MAX_BLOCK_BYTES } from "./body_blocks.ts";
+import type { FlowResult } from "./flow_result.ts";
 import {
   HeldRequests,
   listenHolding,
@@ -273,3 +274,26 @@
   running.close();
   await server.close();
 });
+
+// Guards against a request that ends without a response and without a log line
+// that names it.
+test("a caller gets a failure if its response cannot be written", async (t) => {
+  const held = new HeldRequests();
+  const log = new RecordedLog();
+  const server = await listenHolding(held, {
+    log,
+    handle: () => {
+      const answer = responseOf(Buffer.from("ok"));
+      return Promise.resolve({ ...answer, status: 1_000 } as FlowResult);
+    },
+  });
+  const caller = await RawCaller.open(server.port);
+  caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nid: q7\r\n\r\n");
+  await until(() => caller.statuses.length > 0 || caller.socket.closed);
+  caller.close();
+  await server.close();
+  t.deepEqual(caller.statuses, [502]);
+  const [line] = log.of("request_handler_failed");
+  t.is(line?.request, "q7");
+  t.true(line?.answered);
+});
--- a/src/endpoints/http_endpoint_client.ts
+++ b/src/endpoints/http_endpoint_client.ts
@@ -13,7 +13,13 @@
 import { ok, type Result } from "neverthrow";
 import { Agent, errors, request } from "undici";
 import { z } from "zod";
-import { Deadline, fail, type Failure, parseRetryAfter } from "../core/mod.ts";
+import {
+  Deadline,
+  fail,
+  type Failure,
+  isFinalStatus,
+  parseRetryAfter,
+} from "../core/mod.ts";
 import type { EndpointStatement } from "../decisions/steering/mod.ts";
 import type {
   EndpointAnswer,
@@ -64,6 +70,13 @@
         dispatcher: this.#agent,
         signal: timeout.signal,
       });
+      if (!isFinalStatus(res.statusCode)) {
+        // Ending the body is reported as its error.
+        res.body.on("error", () => {}).destroy();
+        return fail("endpoint_failed", "the response has no valid status", {
+          outcome: "unknown",
+        });
+      }
       const headers = joinRepeatedHeaders(res.headers);
       req.onStatement?.(readStatement(res.statusCode, res.headers));
       if (headers["x-not-run"] === "true") {
--- a/src/endpoints/http_endpoint_client_test.ts
+++ b/src/endpoints/http_endpoint_client_test.ts
@@ -105,3 +105,31 @@
     await close();
   });
 }
+
+// Guards against a response that is none and is taken for the endpoint's.
+for (const status of ["000", "099", "101", "600", "999"]) {
+  test(`a response with status ${status} fails`, async (t) => {
+    const { send, close } = await setUp((socket) => {
+      const fields = "Content-Length: 2\r\nx-leaving: true\r\n";
+      socket.write(`HTTP/1.1 ${status} X\r\n${fields}\r\nok`);
+    });
+    t.is(await send(), "endpoint_failed");
+    await close();
+  });
+}
+
+// Guards against an endpoint that counts as ready by a response that is none.
+for (const status of ["000", "101", "600"]) {
+  test(`a probe that is answered ${status} does not show readiness`, async (t) => {
+    const endpoint = await listenScripted((socket) => {
+      const body = JSON.stringify({ ready: true });
+      const length = `Content-Length: ${body.length}`;
+      socket.write(`HTTP/1.1 ${status} X\r\n${length}\r\n\r\n${body}`);
+    });
+    const client = new HttpEndpointClient();
+    const report = await client.probe(`http://${endpoint.address}`, 500);
+    t.false(report.isOk() && report.value.ready);
+    endpoint.close();
+    await client.close();
+  });
+}
