--- a/src/core/metric_table.ts
+++ b/src/core/metric_table.ts
@@ -289,6 +289,13 @@
     tags: ["call"],
     help: "Calls to the platform that got no response",
   },
+  "platform.unreadable": {
+    type: "count",
+    unit: "objects",
+    tags: ["kind"],
+    help:
+      "Objects in lists and watches of the platform that have no valid name or revision; they are left out",
+  },
   "probe.duration": {
     type: "timing",
     unit: "ms",
--- a/src/edge/plain_server.ts
+++ b/src/edge/plain_server.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
-import { closeAtOnce, listenAt } from "./listening.ts";
+import { boundPort, closeAtOnce, listenAt } from "./listening.ts";
 
 /** A response held in memory. */
 export interface PlainResponse {
@@ -57,6 +57,11 @@
     return new PlainServer(server);
   }
 
+  /** The port on which it listens. */
+  get port(): number {
+    return boundPort(this.#server);
+  }
+
   close(): Promise<void> {
     return closeAtOnce(this.#server);
   }
