Bound the responses that the store and peers send

What could happen: a store or a peer that sends a body without end fills the memory of the instance until it ends, with the requests of all its callers (the operators' report). Of endpoints this was bounded before.

Informational responses without end kept the event loop, there and in the probes of links to endpoints.

Evidence: the two bodies without end and the informational responses end the call at its time-out only.

Change: a body of more than 8 MiB, or more than 16 informational responses, fail the call and close its connection; a probe ends with them.

Why this works: what is kept is dropped with the call, so that a server costs 8 MiB for each call at most.

The three tests of HttpClient fail without the change. Of endpoints and peers as senders of requests' responses, six more tests show what held: heads and bytes without end, and twelve bodies without end to callers that do not read, with and without another instance between. The test of names reads platform/ too, whose metrics no test had compared with the table.

--- a/src/core/http_client.ts
+++ b/src/core/http_client.ts
@@ -12,6 +12,14 @@
 import { setConnectTimeout } from "./connect_timeout.ts";
 import { Deadline } from "./deadline.ts";
 
+/**
+ * Largest body of a response, in bytes: some times what the largest list or
+ * snapshot has. A server that sends without end would fill the memory.
+ */
+const MAX_BODY_BYTES = 8_388_608;
+/** Informational responses before a response. */
+const MAX_INFORMATIONAL = 16;
+
 /** A request and its limits. */
 export interface HttpRequest {
   readonly host: string;
@@ -45,8 +53,8 @@
   }
 
   /**
-   * Rejects if no complete response arrives in time; it is then unknown whether
-   * the server processed the request.
+   * Rejects if no complete response arrives in time, or one whose body exceeds
+   * 8 MiB; it is then unknown whether the server processed the request.
    *
    * @example
    * ```ts
@@ -95,13 +103,24 @@
       const opts = { host, port, method, path, headers, agent, signal };
       const req = request(opts, (res) => {
         const chunks: Buffer[] = [];
-        res.on("data", (chunk: Buffer) => chunks.push(chunk));
+        let bytes = 0;
+        res.on("data", (chunk: Buffer) => {
+          bytes += chunk.length;
+          if (bytes <= MAX_BODY_BYTES) return void chunks.push(chunk);
+          chunks.length = 0;
+          req.destroy(new Error("the response is too large"));
+        });
         res.on("error", reject);
         res.on("end", () => {
           const status = res.statusCode ?? 0;
           resolve({ status, body: Buffer.concat(chunks) });
         });
       });
+      let informational = 0;
+      req.on("information", () => {
+        if (++informational <= MAX_INFORMATIONAL) return;
+        req.destroy(new Error("too many informational responses"));
+      });
       req.on("error", reject);
       req.once("socket", (socket) => {
         if (!socket.connecting) return;
--- a/src/core/http_client_test.ts
+++ b/src/core/http_client_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
+import { Buffer } from "node:buffer";
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { HttpClient, type HttpRequest } from "./mod.ts";
 
 function serve(listener: RequestListener): Promise<Server> {
@@ -63,3 +64,50 @@
   client.close();
   server.close();
 });
+
+const BLOCK = Buffer.alloc(65_536, 0x20);
+
+// Guards against a server that fills the memory of its callers.
+for (const head of ["Transfer-Encoding: x", `Content-Length: ${10 ** 12}`]) {
+  test(`a body without end fails the call: ${head}`, async (t) => {
+    let sent = 0;
+    const server = createTcpServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n`);
+        const send = () => {
+          while (!socket.destroyed && socket.write(BLOCK)) sent += BLOCK.length;
+        };
+        socket.on("drain", send);
+        send();
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const client = new HttpClient(500);
+    const signal = new AbortController().signal;
+    const call = { host: "127.0.0.1", port, method: "GET", path: "/", signal };
+    await t.throwsAsync(client.call({ ...call, timeoutMs: 60_000 }), {
+      message: "the response is too large",
+    });
+    t.true(sent < 4 * 8_388_608, `${sent} bytes`);
+    client.close();
+    server.close();
+  });
+}
+
+// Guards against a server that keeps the event loop of its callers busy.
+test("informational responses without end fail the call", async (t) => {
+  const server = await serve((_, res) => {
+    for (let i = 0; i < 100; i++) res.writeProcessing();
+  });
+  const client = new HttpClient(500);
+  await t.throwsAsync(client.call(requestTo(server)), {
+    message: "too many informational responses",
+  });
+  client.close();
+  server.closeAllConnections();
+  server.close();
+});
--- a/src/core/names_test.ts
+++ b/src/core/names_test.ts
@@ -4,15 +4,21 @@
 import { LOG_TABLE } from "./log_table.ts";
 import { METRIC_TABLE } from "./metric_table.ts";
 
-const ROOT = new URL("..", import.meta.url).pathname;
+const ROOTS = ["..", "../../platform"].map((path) =>
+  new URL(path, import.meta.url).pathname
+);
 const METRIC = /\.(count|gauge|timing)\(\s*"([a-z_.]+)"/g;
 const EVENT = /\.event\(\s*"([a-z_]+)"/g;
 
 async function sources(): Promise<string[]> {
-  const files = await readdir(ROOT, { recursive: true });
-  const used = files.filter((f) => f.endsWith(".ts") && !f.endsWith("_test.ts"))
-    .filter((f) => !f.includes("testing"));
-  return await Promise.all(used.map((f) => readFile(join(ROOT, f), "utf8")));
+  const texts = await Promise.all(ROOTS.map(async (root) => {
+    const files = await readdir(root, { recursive: true });
+    const used = files
+      .filter((f) => f.endsWith(".ts") && !f.endsWith("_test.ts"))
+      .filter((f) => !f.includes("testing"));
+    return await Promise.all(used.map((f) => readFile(join(root, f), "utf8")));
+  }));
+  return texts.flat();
 }
 
 test("METRIC_TABLE (core/metric_table.ts) lists exactly the metrics in the code", async (t) => {
--- a/src/edge/endless_bytes_test.ts
+++ b/src/edge/endless_bytes_test.ts
@@ -1,9 +1,15 @@
 import test from "ava";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { SystemClock } from "../core/mod.ts";
 import type { SendResult } from "./endpoint_sender.ts";
 import { HttpEndpointSender } from "./http_endpoint_sender.ts";
-import { settle, until } from "./testing/held_requests.ts";
+import { forwardTo } from "./testing/forward_to.ts";
+import {
+  HeldRequests,
+  listenHolding,
+  settle,
+  until,
+} from "./testing/held_requests.ts";
 import { outgoing } from "./testing/outgoing_request.ts";
 import { PlainCodec } from "./testing/plain_codec.ts";
 import { listenScripted } from "./testing/scripted_endpoint.ts";
@@ -125,3 +131,58 @@
   sender.close();
   endpoint.close();
 });
+
+const BLOCK = "x".repeat(65_536);
+const ENDLESS_HEADS: Record<string, string> = {
+  "a status line": "HTTP/1.1 200 ",
+  "a header field": "HTTP/1.1 200 OK\r\nx: ",
+  "header fields": "HTTP/1.1 200 OK\r\n",
+  "no response at all": "",
+};
+
+// Guards against a header that is kept until it ends.
+for (const [name, head] of Object.entries(ENDLESS_HEADS)) {
+  test(`bytes without end in ${name} end the exchange`, async (t) => {
+    const piece = name === "header fields" ? "x: y\r\n".repeat(5_000) : BLOCK;
+    const { result, closed, bytes } = await sendToEndless(head, { piece });
+    t.regex(kindOf(result), /^unknown (malformed|broken)$/);
+    t.true(closed);
+    t.true(bytes < 16_000_000, `${bytes} bytes`);
+  });
+}
+
+// Guards against endpoints that send without end to callers that read nothing,
+// and so fill the memory of the instance.
+for (const fromPeers of [false, true]) {
+  test(`endless bodies to callers that do not read are held back, ${fromPeers ? "from peers" : "from callers"}`, async (t) => {
+    const sent: Socket[] = [];
+    const endpoint = await listenScripted((socket) => {
+      sent.push(socket);
+      socket.write("HTTP/1.1 200 OK\r\nid: q1\r\nsigned: yes\r\n");
+      socket.write(`Content-Length: ${10 ** 12}\r\n\r\n`);
+      writeEndlessly(socket, BLOCK, 0);
+    });
+    const { handle, close } = forwardTo(endpoint.address);
+    const server = await listenHolding(new HeldRequests(), {
+      handle,
+      fromPeers,
+    });
+    const callers: Socket[] = [];
+    const hop = "magnoliahook-from: i1\r\nmagnoliahook-plan: 1\r\n" +
+      "magnoliahook-attempts: 0\r\n";
+    for (let i = 0; i < 12; i++) {
+      const socket = connect(server.port, "127.0.0.1");
+      socket.on("error", () => {});
+      socket.write(`GET /${i} HTTP/1.1\r\nHost: h\r\n${hop}\r\n`);
+      callers.push(socket);
+    }
+    await until(() => sent.length === 12);
+    const written = () => sent.reduce((n, s) => n + s.bytesWritten, 0);
+    await settle(1_000);
+    t.true(written() < 12 * 16_000_000, `${written()} bytes`);
+    for (const socket of callers) socket.destroy();
+    close();
+    endpoint.close();
+    await server.close();
+  });
+}
--- a/src/edge/probe_connection.ts
+++ b/src/edge/probe_connection.ts
@@ -13,6 +13,8 @@
  * works: an endpoint that is busy responds later.
  */
 const PROBE_TIMEOUT_MS = 500;
+/** Informational responses before a response. */
+const MAX_INFORMATIONAL = 16;
 
 /**
  * Opens a connection, sends a `GET` on it and closes it. Resolves to false if it
@@ -38,6 +40,11 @@
       // After a stall of the event loop the connection may be open already.
       setImmediate(() => end(req.socket?.connecting === false));
     });
+    let informational = 0;
+    // The connection works, but its endpoint would keep the event loop busy.
+    req.on("information", () => {
+      if (++informational > MAX_INFORMATIONAL) end(true);
+    });
     req.on("response", () => end(true));
     req.on("error", () => end(false));
     req.on("close", () => end(false));
