End a request also where its failure cannot be told

The handler of an internal error read the request's fields outside its own error handling: if reading them was what failed, the caller got nothing.

Read inside, and the connection is closed as the last resort. Read in the diff, not seen; no test, as the reader does not fail on any input known.

--- a/src/edge/request_intake.ts
+++ b/src/edge/request_intake.ts
@@ -104,15 +104,16 @@
   #fail(request: PipelinedRequest, cause: unknown): void {
     const { req, res } = request;
     const { log, codec } = this.#opts;
-    const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
-    log.event("request_handler_failed", {
-      request: fields.requestId,
-      cause: String(cause),
-      answered: !res.headersSent,
-    });
-    if (res.headersSent) return void res.destroy();
+    const answered = !res.headersSent;
     try {
-      this.#refuse(request, INTERNAL_ERROR, fields);
+      const fields = codec.readRequest(req.url ?? "/", req.rawHeaders);
+      log.event("request_handler_failed", {
+        request: fields.requestId,
+        cause: String(cause),
+        answered,
+      });
+      if (answered) this.#refuse(request, INTERNAL_ERROR, fields);
+      else res.destroy();
     } catch {
       res.destroy();
     }
