Let a peer's contact go on between its rounded reports

Peers report their contact with the store in whole seconds, so that its beginning seems to move by up to a second. A report that began later than the longest known one did not renew it; it lapsed after a second, and for up to a gossip period a peer's contact was not known. A removal then waited for the next review, 0.2 s later.

A report within the rounding renews the longest contact. The test fails without it.

--- a/src/edge/store_contact.ts
+++ b/src/edge/store_contact.ts
@@ -17,6 +17,8 @@
 const MAX_PAUSE_MS = 2_000;
 /** How long a peer's report counts, in milliseconds: a few gossip periods. */
 const REPORT_TTL_MS = 1_000;
+/** Peers report whole seconds, rounded down. */
+const REPORT_ROUNDING_MS = 1_000;
 
 /**
  * Longest time from the last contact to the first failed call, in milliseconds:
@@ -59,10 +61,9 @@
     if (lengthMs <= 0) return;
     this.#reportedAt = now;
     const since = now - lengthMs;
-    const known = this.#recentReport(now);
-    if (known === undefined || since <= known.since) {
-      this.#report = { since, at: now };
-    }
+    const known = this.#recentReport(now)?.since ?? since;
+    if (since - known > REPORT_ROUNDING_MS) return;
+    this.#report = { since: Math.min(since, known), at: now };
   }
 
   /** When the store was last known to be up, for an instance whose calls fail. */
--- a/src/edge/store_contact_test.ts
+++ b/src/edge/store_contact_test.ts
@@ -31,6 +31,16 @@
   t.is(contact.upSince(20_300), 12_100);
 });
 
+// Guards against a contact that seems to end between reports of whole seconds.
+test("a peer's contact goes on while its reports do, however rounded", (t) => {
+  const contact = new StoreContact();
+  contact.reported(8_000, 20_000);
+  for (let now = 20_250; now <= 30_000; now += 330) {
+    contact.reported(1_000 * Math.floor((now - 12_000) / 1_000), now);
+  }
+  t.is(contact.upSince(30_100), 12_000);
+});
+
 // Guards against reports from before an outage that no peer has noticed yet.
 test("a peer's report counts for a second", (t) => {
   const contact = new StoreContact();
