--- a/src/edge/testing/memory_store.ts
+++ b/src/edge/testing/memory_store.ts
@@ -126,6 +126,7 @@
     return new Promise((resolve) => {
       const finish = () => {
         timer.close();
+        signal.removeEventListener("abort", finish);
         this.#waiting.delete(wake);
         resolve();
       };
